Lay the ground: one thin path from caller to backend server, as one binary

Cause: nothing existed. The parts need shared interfaces and message types before they can be built side by side.

Conclusion: the whole path stands on real sockets, thin.

--- /dev/null
+++ b/.ci/smoke.mjs
@@ -0,0 +1,32 @@
+// Runs the built binary as a new user would: a deployment, one answer, one preset switch.
+import assert from "node:assert/strict";
+import { execFile, spawn } from "node:child_process";
+import { promisify } from "node:util";
+
+const BINARY = "dist/samphireshore";
+const run = promisify(execFile);
+
+const child = spawn(BINARY, ["dev", "--port", "0"], { stdio: ["ignore", "pipe", "inherit"] });
+const [line] = await new Promise((resolve) => {
+  child.stdout.once("data", (data) => resolve(String(data).split("\n")));
+});
+const { callers } = JSON.parse(line);
+try {
+  const answer = await fetch(`http://${callers[0]}/v1/chat/completions`, {
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({
+      model: "finish-desk",
+      stream: true,
+      max_tokens: 3,
+      messages: [{ role: "user", content: "chip 9" }],
+    }),
+  });
+  assert.equal(answer.status, 200);
+  assert.match(await answer.text(), /data: \[DONE\]/);
+  const used = await run(BINARY, ["preset", "use", "peak", "--entry", callers[0]]);
+  assert.match(used.stdout, /"written"/);
+  console.log("smoke run of the built binary: passed");
+} finally {
+  child.kill("SIGTERM");
+}
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,13 @@
+import type { Command } from "@oclif/core";
+import { Dev } from "./dev.ts";
+import { PresetUse } from "./preset_use.ts";
+import { Serve } from "./serve.ts";
+import { Standin } from "./standin.ts";
+
+/** Every command by its id; `:` stands where a person types a space. */
+export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  dev: Dev,
+  "preset:use": PresetUse,
+  serve: Serve,
+  standin: Standin,
+};
--- /dev/null
+++ b/src/cli/embedded_deployment.ts
@@ -0,0 +1,106 @@
+import { startEntry, systemClock, systemRandom } from "../process/index.ts";
+import type { EntryInstance, EntrySettings } from "../process/index.ts";
+import { Purchase, WorkerState } from "../interface/index.ts";
+import type { Worker } from "../interface/index.ts";
+import { createHttpObjectStore } from "../connection/index.ts";
+import type { Listener } from "../connection/index.ts";
+import { startBackend, startPlatform } from "../standin/index.ts";
+import { formatRevision, REVISION_KEY } from "../version/index.ts";
+
+/** What an embedded deployment is made with. */
+export interface EmbeddedSettings {
+  /** Port of the first entry instance, the others follow; 0 for free ones. */
+  readonly port: number;
+  readonly entryInstances: number;
+  /** Workers by service. */
+  readonly workers: Readonly<Record<string, number>>;
+  readonly zones: readonly string[];
+  /** The deployment document, as its file has it. */
+  readonly source: unknown;
+  readonly preset: string;
+  readonly operatorKey: string;
+}
+
+/** A whole deployment in one process: entry instances, and stand-ins for all that is outside. */
+export interface EmbeddedDeployment {
+  readonly entries: readonly EntryInstance[];
+  close(): Promise<void>;
+}
+
+const LOOPBACK = "127.0.0.1";
+const TOKEN_TIME = 20;
+
+/** Starts a deployment on loopback sockets in this process. */
+export async function startEmbedded(settings: EmbeddedSettings): Promise<EmbeddedDeployment> {
+  const backends: Listener[] = [];
+  const workers: Worker[] = [];
+  for (const [service, count] of Object.entries(settings.workers)) {
+    for (let index = 0; index < count; index++) {
+      const backend = await startBackend({
+        listen: `${LOOPBACK}:0`,
+        tokenTime: TOKEN_TIME,
+        clock: systemClock,
+      });
+      backends.push(backend);
+      workers.push(workerAt(settings, { service, index, backend }));
+    }
+  }
+  const platform = await startPlatform({ listen: `${LOOPBACK}:0`, workers });
+  await writeRevision(settings, platform.address);
+  const entries = await startEntries(settings, platform.address);
+  return {
+    entries,
+    close: async () => {
+      for (const entry of entries) await entry.close();
+      for (const backend of backends) await backend.close();
+      await platform.close();
+    },
+  };
+}
+
+function workerAt(
+  { zones }: EmbeddedSettings,
+  { service, index, backend }: { service: string; index: number; backend: Listener },
+): Worker {
+  return {
+    id: `${service}-${index}`,
+    address: `http://${backend.address}`,
+    service,
+    zone: zones[index % zones.length] ?? "",
+    machineClass: "standard",
+    purchase: Purchase.Reclaimable,
+    state: WorkerState.Live,
+  };
+}
+
+async function writeRevision(settings: EmbeddedSettings, platform: string): Promise<void> {
+  const store = createHttpObjectStore(platform);
+  const { source, preset } = settings;
+  const value = formatRevision({ source, preset, changes: [] });
+  const outcome = await store.put(REVISION_KEY, value, { expect: 0 });
+  store.close();
+  if (outcome.kind !== "written") throw new Error(`Writing the first revision: ${outcome.kind}.`);
+}
+
+async function startEntries(
+  settings: EmbeddedSettings,
+  platform: string,
+): Promise<EntryInstance[]> {
+  const entries: EntryInstance[] = [];
+  for (let index = 0; index < settings.entryInstances; index++) {
+    const port = settings.port === 0 ? 0 : settings.port + index;
+    const entry: EntrySettings = {
+      name: `entry-${index + 1}`,
+      zone: settings.zones[index % settings.zones.length] ?? "",
+      region: "local",
+      callers: `${LOOPBACK}:${port}`,
+      peers: `${LOOPBACK}:0`,
+      seeds: [],
+      platform: { objects: platform, cloud: platform, instances: platform },
+      secrets: { operatorKey: settings.operatorKey, peerKey: settings.operatorKey },
+      reread: 30_000,
+    };
+    entries.push(await startEntry(entry, { clock: systemClock, random: systemRandom }));
+  }
+  return entries;
+}
--- /dev/null
+++ b/src/cli/embedded_deployment_test.ts
@@ -0,0 +1,32 @@
+import OpenAI from "openai";
+import { expect, test } from "vitest";
+import { ASSOCIATION } from "./association.ts";
+import { startEmbedded } from "./embedded_deployment.ts";
+
+const SETTINGS = {
+  port: 0,
+  entryInstances: 3,
+  workers: { "entry-model": 1, "finish-desk": 1 },
+  zones: ASSOCIATION.zones,
+  source: ASSOCIATION,
+  preset: "day",
+  operatorKey: "operator-key-of-tests",
+};
+
+test("a caller with the unmodified openai client gets a streamed answer, each token once", async () => {
+  const deployment = await startEmbedded(SETTINGS);
+  const client = new OpenAI({
+    baseURL: `http://${deployment.entries[0]?.callers ?? ""}/v1`,
+    apiKey: "test",
+  });
+  const stream = await client.chat.completions.create({
+    model: "finish-desk",
+    stream: true,
+    max_completion_tokens: 3,
+    messages: [{ role: "user", content: "Is chip 9 read?" }],
+  });
+  let answer = "";
+  for await (const chunk of stream) answer += chunk.choices[0]?.delta.content ?? "";
+  await deployment.close();
+  expect(answer).toBe(" word0 word1 word2");
+});
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,80 @@
+import { Config, handle, run } from "@oclif/core";
+import type { Command, Interfaces } from "@oclif/core";
+import packageJson from "../../package.json" with { type: "json" };
+import { COMMANDS } from "./commands.ts";
+
+const NAME = "samphireshore";
+
+/**
+ * The command line's only plugin, made in memory: the one binary has no files on disk that could be
+ * searched for commands.
+ */
+function createPlugin(root: string, pjson: Interfaces.PJSON): Interfaces.Plugin {
+  const commands = Object.entries(COMMANDS).map(([id, command]) => loadable(id, command));
+  return {
+    _base: "",
+    alias: NAME,
+    commandIDs: Object.keys(COMMANDS),
+    commands,
+    commandsDir: undefined,
+    findCommand: (id: string) => Promise.resolve(commandOf(id)),
+    hasManifest: false,
+    hooks: {},
+    isRoot: true,
+    load: () => Promise.resolve(),
+    moduleType: "module",
+    name: NAME,
+    options: { root },
+    pjson,
+    root,
+    topics: [],
+    type: "core",
+    valid: true,
+    version: packageJson.version,
+  } as unknown as Interfaces.Plugin;
+}
+
+function commandOf(id: string): Command.Class {
+  const command = COMMANDS[id];
+  if (command === undefined) throw new Error(`There is no command "${id}".`);
+  return command;
+}
+
+function loadable(id: string, command: Command.Class): Command.Loadable {
+  return {
+    id,
+    aliases: command.aliases,
+    args: command.args,
+    description: command.description,
+    examples: command.examples,
+    flags: { ...command.baseFlags, ...command.flags },
+    hidden: false,
+    hiddenAliases: [],
+    hasDynamicHelp: false,
+    pluginAlias: NAME,
+    pluginName: NAME,
+    pluginType: "core",
+    strict: command.strict,
+    load: () => {
+      command.id = id;
+      return Promise.resolve(command);
+    },
+  };
+}
+
+async function main(): Promise<void> {
+  const root = process.cwd();
+  const pjson = {
+    name: NAME,
+    version: packageJson.version,
+    description: packageJson.description,
+    dependencies: {},
+    oclif: { bin: NAME, topicSeparator: " " },
+  } as unknown as Interfaces.PJSON;
+  const plugins = new Map([[NAME, createPlugin(root, pjson)]]);
+  const config = new Config({ root, pjson, plugins });
+  await config.load();
+  await run(process.argv.slice(2), config);
+}
+
+main().catch((error: unknown) => handle(error as Error));
--- /dev/null
+++ b/src/connection/http_engine.ts
@@ -0,0 +1,116 @@
+import { Agent, request } from "undici";
+import { z } from "zod";
+import { EngineKnowledge } from "../interface/index.ts";
+import type {
+  Dispatch,
+  Engine,
+  EngineEvent,
+  EngineFailure,
+  LoadReport,
+  Order,
+  Worker,
+} from "../interface/index.ts";
+import { eventData } from "./event_stream.ts";
+
+const engineEvent: z.ZodType<EngineEvent> = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("started"), recomputed: z.number(), cached: z.number() }),
+  z.object({ kind: z.literal("token"), index: z.number().int(), text: z.string() }),
+  z.object({
+    kind: z.literal("finished"),
+    reason: z.string(),
+    body: z.string().exactOptional(),
+  }),
+  z.object({ kind: z.literal("status"), status: z.number(), body: z.string() }),
+]);
+
+const loadReport = z.object({
+  worker: z.string(),
+  takenAt: z.number(),
+  running: z.number(),
+  waiting: z.number(),
+  cacheTokens: z.number(),
+  cacheCapacity: z.number(),
+  loaded: z.array(z.string()),
+});
+
+/** How long a short call may take. */
+const CALL_TIMEOUT = 2_000;
+
+/** Backend servers by HTTP; run and attach answer with server-sent events. */
+export function createHttpEngine(): Engine & { close(): void } {
+  const agent = new Agent({ connections: 256, headersTimeout: 0, bodyTimeout: 0 });
+  const call = async (worker: Worker, path: string, body: unknown): Promise<unknown> => {
+    try {
+      const answer = await request(`${worker.address}${path}`, {
+        method: "POST",
+        dispatcher: agent,
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(CALL_TIMEOUT),
+      });
+      return await answer.body.json();
+    } catch (error) {
+      throw engineFailure("order", worker, error);
+    }
+  };
+  return {
+    run: (worker, dispatch, signal) =>
+      events(agent, { worker, path: "/engine/run", body: dispatch, signal }),
+    attach: (worker, id, { fromToken, signal }) =>
+      events(agent, { worker, path: "/engine/attach", body: { id, fromToken }, signal }),
+    cancel: async (worker, id) => {
+      await call(worker, "/engine/cancel", { id });
+    },
+    ask: async (worker, id, { bar }) =>
+      z
+        .object({ knowledge: z.enum(EngineKnowledge) })
+        .parse(await call(worker, "/engine/ask", { id, bar })).knowledge,
+    exportCache: async (worker, id) =>
+      z.object({ cache: z.string() }).parse(await call(worker, "/engine/export", { id })).cache,
+    report: async (worker): Promise<LoadReport> =>
+      loadReport.parse(await call(worker, "/engine/report", {})),
+    order: async (worker, order: Order) => {
+      await call(worker, "/engine/order", order);
+    },
+    close: () => void agent.destroy(),
+  };
+}
+
+interface EventCall {
+  readonly worker: Worker;
+  readonly path: string;
+  readonly body: Dispatch | { id: string; fromToken: number };
+  readonly signal: AbortSignal;
+}
+
+async function* events(agent: Agent, call: EventCall): AsyncGenerator<EngineEvent> {
+  let step: EngineFailure["step"] = "connect";
+  try {
+    const answer = await request(`${call.worker.address}${call.path}`, {
+      method: "POST",
+      dispatcher: agent,
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(call.body),
+      signal: call.signal,
+    });
+    step = "stream";
+    if (answer.statusCode !== 200) {
+      yield { kind: "status", status: answer.statusCode, body: await answer.body.text() };
+      return;
+    }
+    for await (const data of eventData(answer.body)) yield engineEvent.parse(JSON.parse(data));
+  } catch (error) {
+    throw engineFailure(step, call.worker, error);
+  }
+}
+
+function engineFailure(step: EngineFailure["step"], worker: Worker, cause: unknown): EngineFailure {
+  const message = `The call to ${worker.id} at ${worker.address} failed at ${step}: ${String(cause)}.`;
+  // Only a refused connection proves that no byte was sent.
+  const notSent = step === "connect" && isRefusal(cause);
+  return Object.assign(new Error(message, { cause }), { step, peer: worker.id, notSent });
+}
+
+function isRefusal(cause: unknown): boolean {
+  return cause instanceof Error && "code" in cause && cause.code === "ECONNREFUSED";
+}
--- /dev/null
+++ b/src/connection/http_listener.ts
@@ -0,0 +1,63 @@
+import { createServer } from "node:http";
+import type { RequestListener, Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A listening HTTP server. */
+export interface Listener {
+  /** `IP:PORT`, with the port that was bound. */
+  readonly address: string;
+  /** Stops listening; requests in progress go on to their end. */
+  drain(): void;
+  /** Stops listening and ends every connection. */
+  close(): Promise<void>;
+}
+
+/** How long a client may take over its headers before the connection is ended (slow-loris). */
+const HEADERS_TIMEOUT = 10_000;
+/** Bound on the size of all headers together, in bytes. */
+const MAX_HEADER_SIZE = 16_384;
+
+/**
+ * Listens for HTTP.
+ *
+ * @param address `IP:PORT`; port 0 binds a free one.
+ * @param handle Called for each request.
+ * @returns The listener, once it listens.
+ */
+export function listenHttp(address: string, handle: RequestListener): Promise<Listener> {
+  const server = createServer(
+    { headersTimeout: HEADERS_TIMEOUT, maxHeaderSize: MAX_HEADER_SIZE, requestTimeout: 0 },
+    handle,
+  );
+  const [host, port] = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port }, () => {
+      resolve(listenerOf(server));
+    });
+  });
+}
+
+function listenerOf(server: Server): Listener {
+  const bound = server.address() as AddressInfo;
+  return {
+    address: `${bound.address}:${bound.port}`,
+    drain: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeAllConnections();
+      }),
+  };
+}
+
+/** Splits `IP:PORT`. */
+export function splitAddress(address: string): [host: string, port: number] {
+  const colon = address.lastIndexOf(":");
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/src/connection/http_object_store.ts
@@ -0,0 +1,88 @@
+import { Pool } from "undici";
+import { z } from "zod";
+import type { GetOutcome, ObjectStore, PutOutcome, StoredObject } from "../interface/index.ts";
+
+const stored = z.object({ key: z.string(), version: z.number().int(), value: z.string() });
+const written = z.object({ version: z.number().int() });
+
+/** How long a read or a write may take before its answer counts as lost. */
+const CALL_TIMEOUT = 2_000;
+/** How long the store holds a watch before it answers that nothing changed. */
+const WATCH_TIMEOUT = 35_000;
+
+/** The platform's object API by HTTP, as the stand-in serves it. */
+export function createHttpObjectStore(address: string): ObjectStore {
+  const pool = new Pool(`http://${address}`, { connections: 8 });
+  return {
+    get: (key) => getObject(pool, key),
+    put: (key, value, { expect }) => putObject(pool, { key, value, expect }),
+    watch: (key, after, signal) => watchObject(pool, { key, after, signal }),
+    close: () => void pool.destroy(),
+  };
+}
+
+async function getObject(pool: Pool, key: string): Promise<GetOutcome> {
+  try {
+    const path = `/objects/${encodeURIComponent(key)}`;
+    const answer = await pool.request({
+      method: "GET",
+      path,
+      signal: AbortSignal.timeout(CALL_TIMEOUT),
+    });
+    const body = await answer.body.text();
+    if (answer.statusCode === 404) return { kind: "absent" };
+    if (answer.statusCode === 200) return { kind: "found", object: stored.parse(JSON.parse(body)) };
+    return {
+      kind: "unavailable",
+      detail: `Reading ${key} was answered with status ${answer.statusCode}.`,
+    };
+  } catch (error) {
+    return { kind: "unavailable", detail: `Reading ${key} got no answer: ${String(error)}.` };
+  }
+}
+
+async function putObject(
+  pool: Pool,
+  write: { key: string; value: string; expect: number },
+): Promise<PutOutcome> {
+  try {
+    const answer = await pool.request({
+      method: "PUT",
+      path: `/objects/${encodeURIComponent(write.key)}`,
+      headers: { "if-match": String(write.expect) },
+      body: write.value,
+      signal: AbortSignal.timeout(CALL_TIMEOUT),
+    });
+    const body = await answer.body.text();
+    if (answer.statusCode === 200) {
+      return { kind: "written", version: written.parse(JSON.parse(body)).version };
+    }
+    if (answer.statusCode === 412) return conflictOf(body);
+    const detail = `Writing ${write.key} was answered with status ${answer.statusCode}.`;
+    return answer.statusCode === 503 || answer.statusCode === 429
+      ? { kind: "unavailable", detail }
+      : { kind: "unknown", detail };
+  } catch (error) {
+    // The write may have been applied although its answer never came: only reading back can tell.
+    return { kind: "unknown", detail: `Writing ${write.key} got no answer: ${String(error)}.` };
+  }
+}
+
+function conflictOf(body: string): PutOutcome {
+  const parsed = stored.safeParse(JSON.parse(body));
+  return parsed.success ? { kind: "conflict", current: parsed.data } : { kind: "conflict" };
+}
+
+async function watchObject(
+  pool: Pool,
+  watch: { key: string; after: number; signal: AbortSignal },
+): Promise<StoredObject | undefined> {
+  const answer = await pool.request({
+    method: "GET",
+    path: `/objects/${encodeURIComponent(watch.key)}?after=${watch.after}`,
+    signal: AbortSignal.any([watch.signal, AbortSignal.timeout(WATCH_TIMEOUT)]),
+    headersTimeout: WATCH_TIMEOUT,
+  });
+  const body = await answer.body.text();
+  return answer.statusCode === 200 ? stored.parse(JSON.parse(body)) : undefined;
+}
--- /dev/null
+++ b/src/decision/index.ts
@@ -0,0 +1,2 @@
+export * from "./job.ts";
+export * from "./scheduler.ts";
--- /dev/null
+++ b/src/process/system_clock.ts
@@ -0,0 +1,12 @@
+import { performance } from "node:perf_hooks";
+import type { Clock } from "../interface/index.ts";
+
+/** The machine's own clock. */
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  date: () => new Date(),
+  after: (milliseconds, run) => {
+    const timer = setTimeout(run, milliseconds);
+    return { close: () => clearTimeout(timer) };
+  },
+};
--- /dev/null
+++ b/src/process/system_random.ts
@@ -0,0 +1,12 @@
+import { webcrypto } from "node:crypto";
+import type { Random } from "../interface/index.ts";
+
+const RANGE = 2 ** 32;
+
+/** Randomness that nobody can foresee. */
+export const systemRandom: Random = {
+  next: () => {
+    const [drawn = 0] = webcrypto.getRandomValues(new Uint32Array(1));
+    return drawn / RANGE;
+  },
+};
--- /dev/null
+++ b/src/request/chat_request.ts
@@ -0,0 +1,28 @@
+import { z } from "zod";
+
+/** The parts of a chat-completions body that routing needs; the engine gets the body as it came. */
+export const chatRequestSchema = z.looseObject({
+  /** `SERVICE` or `SERVICE/MODEL`. */
+  model: z.string().min(1).max(256),
+  messages: z
+    .array(
+      z.looseObject({
+        role: z.string(),
+        content: z.union([z.string(), z.array(z.unknown()), z.null()]).optional(),
+      }),
+    )
+    .min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+});
+
+/** A chat-completions body, checked as far as routing needs. */
+export type ChatRequest = z.infer<typeof chatRequestSchema>;
+
+/** Splits the body's `model` into service and model. */
+export function splitModel(model: string): { service: string; model: string } {
+  const slash = model.indexOf("/");
+  if (slash < 0) return { service: model, model: "" };
+  return { service: model.slice(0, slash), model: model.slice(slash + 1) };
+}
--- /dev/null
+++ b/src/request/index.ts
@@ -0,0 +1,3 @@
+export * from "./request_id.ts";
+export * from "./slot_replica.ts";
+export * from "./chat_request.ts";
--- /dev/null
+++ b/src/request/slot_replica.ts
@@ -0,0 +1,347 @@
+/**
+ * One slot as one entry instance sees it: the core of the ownership protocol.
+ *
+ * Everything here is a pure function from state and message to state and answer. The entry instance
+ * executes these functions, and the actions of the specification in `model/` call the same ones, so what
+ * the checker explores is what runs.
+ *
+ * No rule here trusts a clock. Safety rests on two facts: the store gives each epoch to one assignment,
+ * and a backup that has heard of a later epoch acknowledges nothing of an earlier one.
+ *
+ * @module
+ */
+import { hasEnded, RequestState, SlotOutcome } from "../interface/index.ts";
+import type {
+  CedeMessage,
+  ReplicateMessage,
+  RequestRecord,
+  SlotReply,
+} from "../interface/index.ts";
+import { UNASSIGNED } from "../version/index.ts";
+import type { Assignment } from "../version/index.ts";
+
+/** What an instance may do with a slot. */
+export enum Stance {
+  /** Neither primary nor backup; may hold records in custody. */
+  None = "none",
+  Primary = "primary",
+  Backup = "backup",
+  /** Was primary and has handed over: acts no more at this epoch. */
+  Ceded = "ceded",
+  /** Was backup and has been handed the slot: acts until the slot map catches up. */
+  Acting = "acting",
+}
+
+/** A record with what is known of its copy. */
+export interface Held {
+  readonly record: RequestRecord;
+  /** Highest sequence that the backup has acknowledged at the present epoch; 0 for none. */
+  readonly acknowledged: number;
+}
+
+/** The rules of the protocol that the model checker can switch off, to show that each is needed. */
+export interface Rules {
+  /** What may not be repeated waits for the backup's acknowledgement before it is sent. */
+  readonly backupAck: boolean;
+  /** A receiver refuses messages of an earlier epoch. */
+  readonly epochCheck: boolean;
+  /** What may have been sent is never sent again by the next owner. */
+  readonly intentBlocks: boolean;
+  /** "Not run" is said only once the backup has acknowledged it. */
+  readonly notRunAck: boolean;
+  /** A slot is ceded to its named backup only; all others keep records in custody. */
+  readonly cedeToNamed: boolean;
+  /** An owner by cession sends nothing that may not be repeated until the slot map names it. */
+  readonly actingWaits: boolean;
+  /** A slot taken over from two dead owners runs no unknown key that may not be repeated. */
+  readonly historyLost: boolean;
+}
+
+/** All rules in force, as in every running instance. */
+export const ALL_RULES: Rules = {
+  backupAck: true,
+  epochCheck: true,
+  intentBlocks: true,
+  notRunAck: true,
+  cedeToNamed: true,
+  actingWaits: true,
+  historyLost: true,
+};
+
+/** One slot at one instance. */
+export interface SlotReplica {
+  /** The instance's member id. */
+  readonly self: string;
+  readonly slot: number;
+  /** The latest assignment heard of. */
+  readonly assignment: Assignment;
+  readonly stance: Stance;
+  readonly held: ReadonlyMap<string, Held>;
+}
+
+/** A replica with the answer to the message that brought it about. */
+export interface Answered {
+  readonly replica: SlotReplica;
+  readonly reply: SlotReply;
+}
+
+/** What the owner may do about a record that has not ended. */
+export enum Permission {
+  /** It may be sent to a backend server. */
+  Send = "send",
+  /** It needs a {@linkcode RequestState.DispatchIntent} that the backup has acknowledged. */
+  NeedsIntent = "needs-intent",
+  /** The record waits for the backup's acknowledgement. */
+  NeedsAcknowledgement = "needs-acknowledgement",
+  /** The slot map must first name this instance, with a backup. */
+  NeedsMap = "needs-map",
+  /** This instance doesn't own the slot. */
+  NotOwner = "not-owner",
+}
+
+/** What a new owner does with a record that it inherits. */
+export enum Inheritance {
+  /** It has ended; it is only kept. */
+  Keep = "keep",
+  /** It goes on from the tokens that the record holds, or begins. */
+  Run = "run",
+  /** It may have been sent: it is asked after, never sent again. */
+  Inquire = "inquire",
+}
+
+/**
+ * A replica of a slot that nobody has owned.
+ *
+ * @param self The instance's member id.
+ * @param slot The slot's number.
+ */
+export function emptyReplica(self: string, slot: number): SlotReplica {
+  return { self, slot, assignment: UNASSIGNED, stance: Stance.None, held: new Map() };
+}
+
+/**
+ * Says whether the replica's instance acts for the slot.
+ *
+ * @param replica The slot at this instance.
+ * @returns True for the primary, and for a backup that was handed the slot.
+ */
+export function ownsSlot(replica: SlotReplica): boolean {
+  return replica.stance === Stance.Primary || replica.stance === Stance.Acting;
+}
+
+/**
+ * Takes in an assignment from the slot map. An epoch that is not higher changes nothing, whoever says it.
+ *
+ * All acknowledgements are forgotten: they were another backup's, or given at an epoch that has passed.
+ */
+export function hearAssignment(replica: SlotReplica, assignment: Assignment): SlotReplica {
+  if (assignment.epoch <= replica.assignment.epoch) return replica;
+  const held = new Map<string, Held>();
+  for (const [id, { record }] of replica.held) held.set(id, { record, acknowledged: 0 });
+  return { ...replica, assignment, stance: stanceIn(assignment, replica.self), held };
+}
+
+function stanceIn(assignment: Assignment, self: string): Stance {
+  if (assignment.primary === self) return Stance.Primary;
+  if (assignment.backup === self) return Stance.Backup;
+  return Stance.None;
+}
+
+/**
+ * Writes a record as the owner. The caller then sends it to the backup with {@linkcode replicationOf}.
+ *
+ * @returns The replica with the record, its sequence raised.
+ */
+export function writeRecord(replica: SlotReplica, record: RequestRecord): SlotReplica {
+  const before = replica.held.get(record.id);
+  const sequence = (before?.record.sequence ?? 0) + 1;
+  return withHeld(replica, {
+    record: { ...record, sequence },
+    acknowledged: before?.acknowledged ?? 0,
+  });
+}
+
+function withHeld(replica: SlotReplica, held: Held): SlotReplica {
+  const all = new Map(replica.held);
+  all.set(held.record.id, held);
+  return { ...replica, held: all };
+}
+
+/** The message that brings a record to the backup, or undefined where there is nobody to send it to. */
+export function replicationOf(replica: SlotReplica, id: string): ReplicateMessage | undefined {
+  const held = replica.held.get(id);
+  if (held === undefined || replica.stance !== Stance.Primary) return undefined;
+  if (replica.assignment.backup === "") return undefined;
+  return {
+    from: replica.self,
+    slot: replica.slot,
+    epoch: replica.assignment.epoch,
+    record: held.record,
+  };
+}
+
+/**
+ * Answers a record that says it comes from the slot's primary.
+ *
+ * Without the check of the epoch a primary that was paused past a takeover would find its intent
+ * acknowledged and send what the new owner has sent already: a club pays twice.
+ */
+export function receiveRecord(
+  replica: SlotReplica,
+  message: ReplicateMessage,
+  rules: Rules = ALL_RULES,
+): Answered {
+  const refusal = refusalOf(replica, message.epoch, rules);
+  if (refusal !== undefined) return { replica, reply: reply(replica, refusal) };
+  const named = replica.stance === Stance.Backup || !rules.epochCheck;
+  if (!named) return { replica, reply: reply(replica, SlotOutcome.NotNamed) };
+  return {
+    replica: mergeRecord(replica, message.record),
+    reply: reply(replica, SlotOutcome.Acknowledged),
+  };
+}
+
+function refusalOf(replica: SlotReplica, epoch: number, rules: Rules): SlotOutcome | undefined {
+  // A receiver that is behind can't know whether it is named: the sender tries again once it has caught up.
+  if (epoch > replica.assignment.epoch) return SlotOutcome.Unable;
+  if (!rules.epochCheck) return undefined;
+  if (epoch < replica.assignment.epoch) return SlotOutcome.StaleEpoch;
+  return replica.stance === Stance.Acting ? SlotOutcome.StaleEpoch : undefined;
+}
+
+function reply(replica: SlotReplica, outcome: SlotOutcome): SlotReply {
+  return { outcome, epoch: replica.assignment.epoch };
+}
+
+/** Keeps the later of two copies of a record; a duplicate or late message changes nothing. */
+export function mergeRecord(replica: SlotReplica, record: RequestRecord): SlotReplica {
+  const before = replica.held.get(record.id);
+  if (before !== undefined && before.record.sequence >= record.sequence) return replica;
+  return withHeld(replica, { record, acknowledged: before?.acknowledged ?? 0 });
+}
+
+/** Takes in the backup's acknowledgement of a sequence, if it was given at the present epoch. */
+export function hearAcknowledgement(
+  replica: SlotReplica,
+  acknowledgement: { id: string; sequence: number; epoch: number },
+): SlotReplica {
+  const held = replica.held.get(acknowledgement.id);
+  if (held === undefined || acknowledgement.epoch !== replica.assignment.epoch) return replica;
+  if (held.acknowledged >= acknowledgement.sequence) return replica;
+  return withHeld(replica, { ...held, acknowledged: acknowledgement.sequence });
+}
+
+/** Says whether the backup has the record as it stands. */
+export function isAcknowledged(replica: SlotReplica, id: string): boolean {
+  const held = replica.held.get(id);
+  return held !== undefined && held.acknowledged >= held.record.sequence;
+}
+
+/**
+ * Says whether a record may be sent to a backend server now. It is asked again immediately before every
+ * write to a server's socket.
+ */
+export function permissionToSend(
+  replica: SlotReplica,
+  id: string,
+  rules: Rules = ALL_RULES,
+): Permission {
+  const held = replica.held.get(id);
+  if (held === undefined || !ownsSlot(replica)) return Permission.NotOwner;
+  if (held.record.repeatable) return Permission.Send;
+  if (replica.stance === Stance.Acting && rules.actingWaits) return Permission.NeedsMap;
+  if (held.record.state !== RequestState.DispatchIntent) return Permission.NeedsIntent;
+  const acknowledged = isAcknowledged(replica, id) || !rules.backupAck;
+  return acknowledged ? Permission.Send : Permission.NeedsAcknowledgement;
+}
+
+/** Says whether a caller may be told that the request ended as the record says. */
+export function mayTellEnd(replica: SlotReplica, id: string, rules: Rules = ALL_RULES): boolean {
+  const held = replica.held.get(id);
+  if (held === undefined || !hasEnded(held.record.state)) return false;
+  if (!ownsSlot(replica)) return false;
+  const mustAgree = held.record.state === RequestState.NotRun ? rules.notRunAck : mustOutlive(held);
+  return !mustAgree || isAcknowledged(replica, id);
+}
+
+/** An end that a caller can ask for again, at another owner, must read the same there. */
+function mustOutlive({ record }: Held): boolean {
+  return !record.repeatable || record.detached || record.keyed;
+}
+
+/** What a new owner does with a record that it inherits. */
+export function inheritanceOf(record: RequestRecord, rules: Rules = ALL_RULES): Inheritance {
+  if (hasEnded(record.state)) return Inheritance.Keep;
+  if (record.repeatable || record.state === RequestState.Accepted) return Inheritance.Run;
+  return rules.intentBlocks ? Inheritance.Inquire : Inheritance.Run;
+}
+
+/** A replica that has handed over, with the message that does it. */
+export interface Cession {
+  readonly replica: SlotReplica;
+  readonly message: CedeMessage;
+}
+
+/**
+ * Hands the slot over: from here on this instance acts no more at this epoch, whether or not the message
+ * arrives.
+ *
+ * @param replica A slot that this instance owns.
+ * @param to The receiver's member id; one that is not the named backup gets custody only. Ceding to a
+ * second instance because the first did not answer would make two owners.
+ */
+export function cedeSlot(replica: SlotReplica, to: string, rules: Rules = ALL_RULES): Cession {
+  const custody = rules.cedeToNamed && !(replica.assignment.backup === to && canHandOver(replica));
+  const message: CedeMessage = {
+    from: replica.self,
+    slot: replica.slot,
+    epoch: replica.assignment.epoch,
+    custody,
+    records: [...replica.held.values()].map((held) => held.record),
+  };
+  const stance = ownsSlot(replica) ? Stance.Ceded : replica.stance;
+  return { replica: { ...replica, stance }, message };
+}
+
+/** Only the primary of the map, before or after it has ceded, can make its named backup the owner. */
+function canHandOver(replica: SlotReplica): boolean {
+  return replica.assignment.primary === replica.self;
+}
+
+/** Answers a cession. A duplicate is acknowledged again and changes nothing. */
+export function receiveCession(
+  replica: SlotReplica,
+  message: CedeMessage,
+  rules: Rules = ALL_RULES,
+): Answered {
+  const merged = message.records.reduce(mergeRecord, replica);
+  if (message.custody) {
+    return { replica: merged, reply: reply(merged, SlotOutcome.Acknowledged) };
+  }
+  if (message.epoch > replica.assignment.epoch) {
+    return { replica: merged, reply: reply(merged, SlotOutcome.Unable) };
+  }
+  if (rules.epochCheck && message.epoch < replica.assignment.epoch) {
+    return { replica: merged, reply: reply(merged, SlotOutcome.StaleEpoch) };
+  }
+  const named = replica.stance === Stance.Backup || replica.stance === Stance.Acting;
+  if (!named && rules.cedeToNamed) {
+    return { replica: merged, reply: reply(merged, SlotOutcome.NotNamed) };
+  }
+  const acting = { ...merged, stance: Stance.Acting };
+  return { replica: acting, reply: reply(acting, SlotOutcome.Acknowledged) };
+}
+
+/**
+ * Says whether a request with a caller's key that this owner has never seen may be run.
+ *
+ * @returns False where both earlier owners were lost with their records and the request may not be
+ * repeated: they may have run the same key.
+ */
+export function mayAcceptUnknownKey(
+  replica: SlotReplica,
+  repeatable: boolean,
+  rules: Rules = ALL_RULES,
+): boolean {
+  return repeatable || replica.assignment.historyLostAt === 0 || !rules.historyLost;
+}
--- /dev/null
+++ b/src/standin/index.ts
@@ -0,0 +1,3 @@
+export * from "./backend_server.ts";
+export * from "./object_table.ts";
+export * from "./platform_server.ts";
