Part the entry instance into tasks behind interfaces, with fakes in memory

Cause: the request path and the control tasks stood in one file; built side by side they would collide, and no failure could be played without sockets.

Change: an entry core that is given everything outside it (clock, store, engines, peers, cloud, list); the views that requests need of configuration, membership and workers; the first shapes of the decisions; fakes for clock, store, network and engines that can freeze, cut, lose and silence.

Conclusion: parts can now be built apart. Ownership, membership and fleet are still the thinnest shapes.

--- /dev/null
+++ b/src/decision/fleet.ts
@@ -0,0 +1,77 @@
+import type { Purchase, Worker } from "../interface/index.ts";
+
+/** A place to launch workers in: one machine class in one availability zone, bought one way. */
+export interface Pool {
+  readonly zone: string;
+  readonly machineClass: string;
+  readonly purchase: Purchase;
+  /** Euros an hour. */
+  readonly price: number;
+  readonly tokensPerSecond: number;
+  /** Milliseconds from launch to taking work, model loading included. */
+  readonly startUp: number;
+  /** When launches were last refused here, if ever. */
+  readonly refusedAt?: number;
+  /** Refusals in a row. */
+  readonly refusals: number;
+}
+
+/** What the fleet decision knows of one service. */
+export interface ServiceDemand {
+  readonly service: string;
+  /** Tokens of work that arrived a second, over the last minute. */
+  readonly arriving: number;
+  /** The same a minute before, to see which way it goes. */
+  readonly arrivedBefore: number;
+  /** Tokens of work that wait. */
+  readonly waiting: number;
+  /** Tokens of work in progress, by worker. */
+  readonly inProgress: Readonly<Record<string, number>>;
+  readonly workers: readonly Worker[];
+  /** The preset's bounds. */
+  readonly least: number;
+  readonly most: number;
+  /** Greatest part of the workers that may be reclaimable. */
+  readonly reclaimable: number;
+  /** The service's target for the first token, in milliseconds. */
+  readonly firstToken: number;
+}
+
+/** What the fleet decision knows. */
+export interface FleetView {
+  readonly now: number;
+  readonly services: readonly ServiceDemand[];
+  readonly pools: readonly Pool[];
+  readonly zones: readonly string[];
+  /** Launches under way that the platform's list doesn't show yet. */
+  readonly launching: readonly { readonly service: string; readonly pool: Pool }[];
+  /** What the last plan remembered; undefined at first. */
+  readonly memory: FleetMemory | undefined;
+}
+
+/** What is remembered from plan to plan, for hysteresis. */
+export interface FleetMemory {
+  /** Since when a service has had more workers than it needs, by service. */
+  readonly surplusSince: Readonly<Record<string, number>>;
+}
+
+/** What is to be done now. */
+export interface FleetPlan {
+  readonly launches: readonly { readonly service: string; readonly pool: Pool }[];
+  /** Ids of workers that take nothing new from now on and stop when they are empty. */
+  readonly retire: readonly string[];
+  readonly memory: FleetMemory;
+}
+
+/** Plans the fleet: the preset's least number of workers, in the cheapest pools in turn. */
+export function planFleet(view: FleetView): FleetPlan {
+  const pools = [...view.pools].sort((a, b) => a.price - b.price);
+  const launches = view.services.flatMap((service) => {
+    const coming = view.launching.filter((launch) => launch.service === service.service).length;
+    const missing = Math.max(0, service.least - service.workers.length - coming);
+    return Array.from({ length: missing }, (_, index) => pools[index % pools.length])
+      .filter((pool) => pool !== undefined)
+      .map((pool) => ({ service: service.service, pool }));
+  });
+  return { launches, retire: [], memory: { surplusSince: {} } };
+}
--- a/src/interface/index.ts
+++ b/src/interface/index.ts
@@ -6,3 +6,4 @@
 export * from "./peer.ts";
 export * from "./random.ts";
 export * from "./record.ts";
+export * from "./seeded_random.ts";
--- /dev/null
+++ b/src/interface/seeded_random.ts
@@ -0,0 +1,14 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Random } from "./random.ts";
+
+const RANGE = 2 ** 32;
+
+/**
+ * Randomness that a seed repeats, for replays and tests.
+ *
+ * @param seed Any whole number.
+ */
+export function createSeededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return { next: () => (generator.next() >>> 0) / RANGE };
+}
--- /dev/null
+++ b/src/process/entry_core.ts
@@ -0,0 +1,102 @@
+import { createScheduler } from "../decision/index.ts";
+import type {
+  Clock,
+  Cloud,
+  Engine,
+  InstanceList,
+  Member,
+  ObjectStore,
+  PeerHandlers,
+  Peers,
+  Random,
+} from "../interface/index.ts";
+import { createRequestService } from "../request/index.ts";
+import type { RequestService } from "../request/index.ts";
+import { createConfiguration } from "./configuration.ts";
+import type { Configuration } from "./configuration.ts";
+import { createCounters } from "./counters.ts";
+import type { CounterTable } from "./counters.ts";
+import { createMembership } from "./membership.ts";
+import type { Membership } from "./membership.ts";
+import { createWorkerDirectory } from "./worker_directory.ts";
+import type { WorkerDirectory } from "./worker_directory.ts";
+
+/** All that is outside an entry instance: real clients in the binary, fakes in the failure runs. */
+export interface Outside {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: ObjectStore;
+  readonly engine: Engine;
+  readonly instances: InstanceList;
+  readonly cloud: Cloud;
+  readonly peers: Peers;
+}
+
+/** What an entry instance is told at its start. */
+export interface CoreSettings {
+  readonly self: Member;
+  readonly region: string;
+  /** Addresses of a few other entry instances, to join by. */
+  readonly seeds: readonly string[];
+}
+
+/** An entry instance without its sockets: the tasks and the requests that they serve. */
+export interface EntryCore {
+  readonly requests: RequestService;
+  readonly configuration: Configuration;
+  readonly members: Membership;
+  readonly workers: WorkerDirectory;
+  readonly counters: CounterTable;
+  readonly handlers: PeerHandlers;
+  /** Resolves once a revision is known. */
+  start(): Promise<void>;
+  /**
+   * A planned stop: takes nothing new, lets what is in progress end, hands over, and resolves when this
+   * instance may go.
+   */
+  drain(): Promise<void>;
+  /** A notice that this instance is taken in the given number of milliseconds: hands over at once. */
+  reclaim(within: number): Promise<void>;
+  close(): void;
+}
+
+/** Puts an entry instance together. */
+export function createEntryCore(settings: CoreSettings, outside: Outside): EntryCore {
+  const configuration = createConfiguration(outside);
+  const members = createMembership(settings.self);
+  const workers = createWorkerDirectory(outside.instances);
+  const scheduler = createScheduler();
+  const counters = createCounters();
+  const environment = { ...outside, configuration, members, workers, scheduler, counters };
+  const requests = createRequestService(environment);
+  workers.onChange(() => scheduler.setWorkers(workers.list(), outside.clock.now()));
+  const handOver = async (): Promise<void> => {
+    members.leave();
+    requests.stopTaking();
+    await requests.cedeAll();
+  };
+  return {
+    requests,
+    configuration,
+    members,
+    workers,
+    counters,
+    handlers: {
+      ...requests.handlers,
+      ...members.handlers,
+      pull: () => undefined,
+    },
+    start: async () => {
+      await configuration.start();
+      await workers.start();
+    },
+    drain: handOver,
+    reclaim: handOver,
+    close: () => {
+      requests.close();
+      members.close();
+      workers.close();
+      configuration.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/standin/memory/index.ts
@@ -0,0 +1,5 @@
+export * from "./freezer.ts";
+export * from "./memory_engines.ts";
+export * from "./memory_network.ts";
+export * from "./memory_store.ts";
+export * from "./virtual_clock.ts";
