--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -35,6 +35,10 @@
   readonly reclaimable: number;
   /** The service's target for the first token, in milliseconds. */
   readonly firstToken: number;
+  /** Bytes that a new worker loads from the weight store; 0 where not given. */
+  readonly weights?: number;
+  /** When the preset in force was switched to, in the clock's milliseconds. */
+  readonly presetSince?: number;
 }
 
 /** What the fleet decision knows. */
@@ -47,6 +51,8 @@
   readonly launching: readonly { readonly service: string; readonly pool: Pool }[];
   /** What the last plan remembered; undefined at first. */
   readonly memory: FleetMemory | undefined;
+  /** Bytes a second that the weight store gives to all loads together; unbounded where not given. */
+  readonly weightStoreRate?: number;
 }
 
 /** What is remembered from plan to plan, for hysteresis. */
--- a/src/decision/triage.ts
+++ b/src/decision/triage.ts
@@ -25,6 +25,8 @@
   /** Milliseconds a token at the worker's present pace. */
   readonly tokenTime: number;
   readonly deadlineAt: number;
+  /** Prompt and answer tokens that only this worker has computed; all of them where it isn't known. */
+  readonly cacheTokens?: number;
 }
 
 /** What triage knows of a worker under notice. */
@@ -40,12 +42,22 @@
   readonly targets: readonly Worker[];
   /** Prompt tokens a second at which a target computes anew what wasn't moved. */
   readonly prefillPerSecond: number;
+  /** All workers of the service under notice or leaving, to see a wave; only this one where not given. */
+  readonly underNotice?: readonly Worker[];
+  /** Tokens of KV cache free on each target, by worker id; unbounded where not given. */
+  readonly room?: ReadonlyMap<string, number>;
+  /** Exports by other workers that share the transfer rate; 0 where not given. */
+  readonly otherExports?: number;
 }
 
 /** The choice for one request. */
 export interface Triage {
   readonly id: string;
   readonly choice: TriageChoice;
+  /** Where it goes, for an export and a move; absent where the placement decides when it moves. */
+  readonly target?: string;
+  /** When it is to begin: an export's turn, or the last moment of a late resume. */
+  readonly at?: number;
 }
 
 /** Chooses for each request in progress on a worker under notice. */
