Carry the calls between entry instances over Connect

Cause: the entry instances could not reach each other; ownership, membership and relays need the calls.

Change: one HTTP/2 connection a peer, with pings; one shared stream for replications with answers found by number; a call that times out renews the connection once before the peer is blamed; a shared credential, compared in constant time. Both listeners are bound before the tasks begin, so peers are told the addresses that were bound. Client accounts of the embedded deployment get keys.

--- a/.ci/smoke.mjs
+++ b/.ci/smoke.mjs
@@ -4,9 +4,12 @@
 import { promisify } from "node:util";
 
 const BINARY = "dist/samphireshore";
+const CLIENT_KEY = "client-key-of-the-smoke-run";
 const run = promisify(execFile);
 
-const child = spawn(BINARY, ["dev", "--port", "0"], { stdio: ["ignore", "pipe", "inherit"] });
+const child = spawn(BINARY, ["dev", "--port", "0", "--client-key", CLIENT_KEY], {
+  stdio: ["ignore", "pipe", "inherit"],
+});
 const [line] = await new Promise((resolve) => {
   child.stdout.once("data", (data) => resolve(String(data).split("\n")));
 });
@@ -14,7 +17,7 @@
 try {
   const answer = await fetch(`http://${callers[0]}/v1/chat/completions`, {
     method: "POST",
-    headers: { "content-type": "application/json" },
+    headers: { "content-type": "application/json", authorization: `Bearer ${CLIENT_KEY}` },
     body: JSON.stringify({
       model: "finish-desk",
       stream: true,
--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -1,39 +1,62 @@
 import { randomBytes } from "node:crypto";
 import { Command, Flags } from "@oclif/core";
-import { ASSOCIATION } from "./association.ts";
+import { ASSOCIATION_ACCOUNTS, ASSOCIATION_ZONES, associationDeployment } from "./association.ts";
+import type { AssociationAccount } from "./association.ts";
 import { startEmbedded } from "./embedded_deployment.ts";
 import { untilStopped } from "./until_stopped.ts";
 
 const DEFAULT_PORT = 8080;
+const KEY_BYTES = 16;
+/** The client account that `--client-key` is the key of. */
+const CLIENT_ACCOUNT: AssociationAccount = "club-sofia";
 
 /** `samphireshore dev`: the embedded deployment, running until stopped. */
 export class Dev extends Command {
   static override description =
     "Run a whole deployment in one process on loopback sockets, with stand-ins, until stopped.";
-  static override examples = ["samphireshore dev --port 8080"];
+  static override examples = ["samphireshore dev --port 8080 --client-key try-me"];
   static override flags = {
     port: Flags.integer({
       description: "Port of the first entry instance; the others follow. 0 takes free ones.",
       default: DEFAULT_PORT,
     }),
+    "client-key": Flags.string({
+      description: `Key of the client account ${CLIENT_ACCOUNT}; random if not given.`,
+    }),
     "operator-key": Flags.string({ description: "Credential of operators; random if not given." }),
   };
 
   override async run(): Promise<void> {
     const { flags } = await this.parse(Dev);
-    const operatorKey = flags["operator-key"] ?? randomBytes(16).toString("hex");
+    const operatorKey = flags["operator-key"] ?? randomKey();
+    const clientKey = flags["client-key"] ?? randomKey();
+    const keys = accountKeys({ [CLIENT_ACCOUNT]: clientKey });
     const deployment = await startEmbedded({
       port: flags.port,
       entryInstances: 3,
       workers: { "entry-model": 3, "finish-desk": 2 },
-      zones: ASSOCIATION.zones,
-      source: ASSOCIATION,
+      zones: ASSOCIATION_ZONES,
+      source: associationDeployment(keys),
       preset: "day",
       operatorKey,
     });
-    const callers = deployment.entries.map((entry) => entry.callers);
-    this.log(JSON.stringify({ ready: true, callers, operatorKey }));
+    const callers = deployment.entries.map((entry) => entry.self.callerAddress);
+    this.log(
+      JSON.stringify({ ready: true, callers, account: CLIENT_ACCOUNT, clientKey, operatorKey }),
+    );
     await untilStopped();
     await deployment.close();
   }
 }
+
+/** A key for each of the Association's client accounts: the given ones, else random ones. */
+export function accountKeys(
+  given: Partial<Record<AssociationAccount, string>>,
+): Record<AssociationAccount, string> {
+  const entries = ASSOCIATION_ACCOUNTS.map((name) => [name, given[name] ?? randomKey()]);
+  return Object.fromEntries(entries) as Record<AssociationAccount, string>;
+}
+
+function randomKey(): string {
+  return randomBytes(KEY_BYTES).toString("hex");
+}
--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -1,9 +1,9 @@
-import { startEntry, systemClock, systemRandom } from "../process/index.ts";
-import type { EntryInstance, EntrySettings } from "../process/index.ts";
-import { Purchase, WorkerState } from "../interface/index.ts";
-import type { Worker } from "../interface/index.ts";
 import { createHttpObjectStore } from "../connection/index.ts";
 import type { Listener } from "../connection/index.ts";
+import { Purchase, WorkerState } from "../interface/index.ts";
+import type { Worker } from "../interface/index.ts";
+import { startEntry, systemClock, systemRandom } from "../process/index.ts";
+import type { EntryInstance, EntrySettings } from "../process/index.ts";
 import { startBackend, startPlatform } from "../standin/index.ts";
 import { formatRevision, REVISION_KEY } from "../version/index.ts";
 
@@ -95,7 +95,7 @@
       region: "local",
       callers: `${LOOPBACK}:${port}`,
       peers: `${LOOPBACK}:0`,
-      seeds: [],
+      seeds: entries.map((earlier) => earlier.self.address),
       platform: { objects: platform, cloud: platform, instances: platform },
       secrets: { operatorKey: settings.operatorKey, peerKey: settings.operatorKey },
       reread: 30_000,
--- a/src/cli/embedded_deployment_test.ts
+++ b/src/cli/embedded_deployment_test.ts
@@ -1,14 +1,17 @@
 import OpenAI from "openai";
 import { expect, test } from "vitest";
-import { ASSOCIATION } from "./association.ts";
+import { ASSOCIATION_ZONES, associationDeployment } from "./association.ts";
+import { accountKeys } from "./dev.ts";
 import { startEmbedded } from "./embedded_deployment.ts";
 
+const CLIENT_KEY = "client-key-of-tests";
+
 const SETTINGS = {
   port: 0,
   entryInstances: 3,
   workers: { "entry-model": 1, "finish-desk": 1 },
-  zones: ASSOCIATION.zones,
-  source: ASSOCIATION,
+  zones: ASSOCIATION_ZONES,
+  source: associationDeployment(accountKeys({ "club-sofia": CLIENT_KEY })),
   preset: "day",
   operatorKey: "operator-key-of-tests",
 };
@@ -16,8 +19,8 @@
 test("a caller with the unmodified openai client gets a streamed answer, each token once", async () => {
   const deployment = await startEmbedded(SETTINGS);
   const client = new OpenAI({
-    baseURL: `http://${deployment.entries[0]?.callers ?? ""}/v1`,
-    apiKey: "test",
+    baseURL: `http://${deployment.entries[0]?.self.callerAddress ?? ""}/v1`,
+    apiKey: CLIENT_KEY,
   });
   const stream = await client.chat.completions.create({
     model: "finish-desk",
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -22,7 +22,9 @@
       this.exit(1);
     }
     const entry = await startEntry(result.settings, { clock: systemClock, random: systemRandom });
-    this.log(JSON.stringify({ ready: true, callers: entry.callers }));
+    this.log(
+      JSON.stringify({ ready: true, callers: entry.self.callerAddress, peers: entry.self.address }),
+    );
     await untilStopped();
     await entry.close();
   }
--- /dev/null
+++ b/src/connection/connect_peers_test.ts
@@ -0,0 +1,179 @@
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { Refusal, RequestState, SlotOutcome } from "../interface/index.ts";
+import type { Clock, Member, PeerHandlers, RequestRecord } from "../interface/index.ts";
+import { createConnectPeers } from "./connect_peers.ts";
+import { listenPeers } from "./peer_listener.ts";
+
+const CLOCK: Clock = {
+  now: () => performance.now(),
+  date: () => new Date(),
+  after: (milliseconds, run) => {
+    const timer = setTimeout(run, milliseconds);
+    return { close: () => clearTimeout(timer) };
+  },
+};
+
+const RECORD: RequestRecord = {
+  id: "r1-0123456789abcdef",
+  slot: 1,
+  account: "club",
+  service: "entry-model",
+  state: RequestState.Accepted,
+  repeatable: false,
+  detached: false,
+  keyed: false,
+  fingerprint: "f",
+  path: "/v1/chat/completions",
+  body: "{}",
+  attempt: 1,
+  worker: "",
+  tokens: [],
+  tokensFrom: 0,
+  reason: Refusal.None,
+  detail: "",
+  acceptedAt: 1,
+  deadlineAt: 2,
+  sequence: 1,
+};
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+interface Recorded {
+  readonly handlers: PeerHandlers;
+  readonly replicated: string[];
+}
+
+function recordingHandlers(): Recorded {
+  const replicated: string[] = [];
+  return {
+    replicated,
+    handlers: {
+      replicate: ({ epoch, record }) => {
+        replicated.push(record.id);
+        return { outcome: SlotOutcome.Acknowledged, epoch };
+      },
+      cede: ({ epoch }) => ({ outcome: SlotOutcome.NotNamed, epoch }),
+      probe: ({ from, deltas, versions }) =>
+        Promise.resolve({ from, reached: true, deltas, versions }),
+      pull: (key) => (key === "known" ? { version: 7, value: "v" } : undefined),
+      relay: async function* ({ record }) {
+        yield { kind: "accepted", id: record.id };
+        await Promise.resolve();
+        yield { kind: "token", index: 0, text: "Yes" };
+      },
+      ask: ({ epoch }) => Promise.resolve({ outcome: SlotOutcome.StaleEpoch, epoch }),
+    },
+  };
+}
+
+async function startPeer(
+  handlers: PeerHandlers,
+): Promise<{ address: string; refused: () => number }> {
+  let refused = 0;
+  const listener = await listenPeers("127.0.0.1:0", handlers, {
+    security: { peerKey: "key-of-the-instances" },
+    onUnauthenticated: () => refused++,
+  });
+  closers.push(() => listener.close());
+  return { address: listener.address, refused: () => refused };
+}
+
+function peersWith(peerKey: string): ReturnType<typeof createConnectPeers> {
+  const peers = createConnectPeers({ self: "e1#1", clock: CLOCK, security: { peerKey } });
+  closers.push(() => peers.close());
+  return peers;
+}
+
+function memberAt(address: string): Member {
+  return { id: "e2#1", address, callerAddress: "", zone: "a" };
+}
+
+test("every call between instances arrives and is answered", async () => {
+  const { handlers, replicated } = recordingHandlers();
+  const to = memberAt((await startPeer(handlers)).address);
+  const peers = peersWith("key-of-the-instances");
+  const message = { from: "e1#1", slot: 1, epoch: 3, record: RECORD };
+  const replies = await Promise.all([1, 2, 3].map(() => peers.replicate(to, message)));
+  expect(replies.map((reply) => reply.outcome)).toEqual(Array(3).fill(SlotOutcome.Acknowledged));
+  expect(replicated).toHaveLength(3);
+  const cession = { from: "e1#1", slot: 1, epoch: 3, custody: false, records: [RECORD] };
+  expect(await peers.cede(to, cession)).toEqual({ outcome: SlotOutcome.NotNamed, epoch: 3 });
+  expect(await peers.pull(to, "known")).toEqual({ version: 7, value: "v" });
+  expect(await peers.pull(to, "unknown")).toBeUndefined();
+  const events = [];
+  const relayed = { ...message, hops: 0, fromToken: 0, follow: false };
+  for await (const event of peers.relay(to, relayed, new AbortController().signal)) {
+    events.push(event.kind);
+  }
+  expect(events).toEqual(["accepted", "token"]);
+});
+
+test("a call without the credential of the instances is refused and counted", async () => {
+  // Somebody in the network who is no entry instance calls one. If that were answered, a stranger could
+  // take over slots; a caller would see answers of others or none.
+  const { handlers, replicated } = recordingHandlers();
+  const { address, refused } = await startPeer(handlers);
+  const peers = peersWith("a-key-that-was-guessed");
+  const message = { from: "e9#1", slot: 1, epoch: 3, record: RECORD };
+  await expect(peers.replicate(memberAt(address), message)).rejects.toMatchObject({
+    step: "replicate",
+    peer: "e2#1",
+  });
+  await expect(peers.pull(memberAt(address), "known")).rejects.toMatchObject({ step: "pull" });
+  expect(replicated).toHaveLength(0);
+  expect(refused()).toBeGreaterThan(0);
+});
+
+test("a connection that went silent is replaced, and the peer is not blamed", async () => {
+  // Something between two instances loses track of their open connection: it stays open, and nothing comes
+  // through any more, while new connections work. Without a new one every accept on these slots would fail.
+  const { handlers, replicated } = recordingHandlers();
+  const { address } = await startPeer(handlers);
+  const path = await startPath(address);
+  const peers = peersWith("key-of-the-instances");
+  const to = memberAt(path.address);
+  const message = { from: "e1#1", slot: 1, epoch: 3, record: RECORD };
+  await peers.replicate(to, message);
+  path.silenceOpen();
+  const reply = await peers.replicate(to, message);
+  expect(reply.outcome).toBe(SlotOutcome.Acknowledged);
+  expect(replicated).toHaveLength(2);
+});
+
+interface Path {
+  readonly address: string;
+  silenceOpen(): void;
+}
+
+/** A path to an address that can lose track of the connections that are open on it. */
+async function startPath(target: string): Promise<Path> {
+  const open = new Set<Socket>();
+  const [host, port] = target.split(":");
+  const server: Server = createServer((near) => {
+    const far = connect({ host: host ?? "", port: Number(port) });
+    for (const socket of [near, far]) {
+      open.add(socket);
+      socket.on("error", () => socket.destroy());
+    }
+    near.pipe(far).pipe(near);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  closers.push(() => {
+    for (const socket of open) socket.destroy();
+    server.close();
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    silenceOpen: () => {
+      for (const socket of open) {
+        socket.unpipe();
+        socket.pause();
+      }
+    },
+  };
+}
--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -1,4 +1,6 @@
 export * from "./caller_routes.ts";
+export * from "./connect_peers.ts";
+export * from "./constant_time.ts";
 export * from "./entry_parts.ts";
 export * from "./event_stream.ts";
 export * from "./http_body.ts";
@@ -7,4 +9,6 @@
 export * from "./http_listener.ts";
 export * from "./http_object_store.ts";
 export * from "./operator_routes.ts";
+export * from "./peer_channel.ts";
+export * from "./peer_listener.ts";
 export * from "./route_parameter.ts";
--- /dev/null
+++ b/src/connection/peer_channel.ts
@@ -0,0 +1,76 @@
+import { createClient } from "@connectrpc/connect";
+import type { Client } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import type { ConnectTransportOptions } from "@connectrpc/connect-node";
+import { Peer } from "../gen/peer_pb.ts";
+
+/** How often an open connection is asked whether it still carries anything, in milliseconds. */
+const PING_INTERVAL = 1_000;
+/** How long the other end may take to say so. */
+const PING_TIMEOUT = 1_000;
+/** Bound on one message, in bytes: a cession may carry many records. */
+const MESSAGE_LIMIT = 64_000_000;
+
+/** Credentials and encryption of the connections between entry instances. */
+export interface PeerSecurity {
+  readonly peerKey: string;
+  /** PEM; absent where connections are plain. The certificate is its own authority. */
+  readonly tls?: { readonly certificate: string; readonly key: string };
+}
+
+/**
+ * One HTTP/2 connection to a peer, replaced when it has gone silent.
+ *
+ * Something between the two ends may lose track of an open connection while new ones work. Calls on it
+ * then wait for ever. Pings notice it within {@linkcode PING_INTERVAL} + {@linkcode PING_TIMEOUT}, and a
+ * call that timed out renews the connection before the peer is blamed.
+ */
+export interface PeerChannel {
+  client(): Client<typeof Peer>;
+  /** Gives the connection up; the next call opens a new one. */
+  renew(): void;
+  close(): void;
+}
+
+/** Makes a channel to `IP:PORT`; nothing is opened before the first call. */
+export function createPeerChannel(address: string, security: PeerSecurity): PeerChannel {
+  let open = openClient(address, security);
+  const give = (): void => {
+    open.manager.abort(new Error(`The connection to ${address} was given up.`));
+  };
+  return {
+    client: () => open.client,
+    renew: () => {
+      give();
+      open = openClient(address, security);
+    },
+    close: give,
+  };
+}
+
+interface OpenClient {
+  readonly client: Client<typeof Peer>;
+  readonly manager: Http2SessionManager;
+}
+
+function openClient(address: string, { peerKey, tls }: PeerSecurity): OpenClient {
+  const baseUrl = `${tls === undefined ? "http" : "https"}://${address}`;
+  const manager = new Http2SessionManager(
+    baseUrl,
+    { pingIntervalMs: PING_INTERVAL, pingTimeoutMs: PING_TIMEOUT, pingIdleConnection: true },
+    tls === undefined ? {} : { ca: tls.certificate },
+  );
+  const options: ConnectTransportOptions = {
+    httpVersion: "2",
+    baseUrl,
+    sessionManager: manager,
+    readMaxBytes: MESSAGE_LIMIT,
+    interceptors: [
+      (next) => (request) => {
+        request.header.set("authorization", `Bearer ${peerKey}`);
+        return next(request);
+      },
+    ],
+  };
+  return { client: createClient(Peer, createConnectTransport(options)), manager };
+}
--- /dev/null
+++ b/src/connection/peer_listener.ts
@@ -0,0 +1,116 @@
+import { createServer, createSecureServer } from "node:http2";
+import type { Http2Server, ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { Peer, PullReplySchema } from "../gen/peer_pb.ts";
+import type { PeerHandlers } from "../interface/index.ts";
+import { bearerOf, equalSecrets } from "./constant_time.ts";
+import { splitAddress } from "./http_listener.ts";
+import type { Listener } from "./http_listener.ts";
+import type { PeerSecurity } from "./peer_channel.ts";
+import {
+  decodeAsk,
+  decodeCede,
+  decodeProbe,
+  decodeRelay,
+  decodeReplicate,
+  encodeAskReply,
+  encodeCedeReply,
+  encodeProbeReply,
+  encodeRelayEvent,
+  encodeReplicateReply,
+} from "./peer_codec.ts";
+
+/** Bound on one message, in bytes. */
+const MESSAGE_LIMIT = 64_000_000;
+
+/** What a listener for peers is made with. */
+export interface PeerListenerOptions {
+  readonly security: PeerSecurity;
+  /** Called when a call came without the credential of the instances. */
+  readonly onUnauthenticated: () => void;
+}
+
+/** Listens for the calls of other entry instances. */
+export function listenPeers(
+  address: string,
+  handlers: PeerHandlers,
+  options: PeerListenerOptions,
+): Promise<Listener> {
+  const adapter = connectNodeAdapter({
+    routes: (router) => addPeerRoutes(router, handlers),
+    interceptors: [authentication(options)],
+    readMaxBytes: MESSAGE_LIMIT,
+  });
+  const { tls } = options.security;
+  const server =
+    tls === undefined
+      ? createServer(adapter)
+      : createSecureServer({ cert: tls.certificate, key: tls.key }, adapter);
+  return listen(server, address);
+}
+
+function listen(server: Http2Server, address: string): Promise<Listener> {
+  const sessions = new Set<ServerHttp2Session>();
+  server.on("session", (session) => {
+    sessions.add(session);
+    session.on("close", () => sessions.delete(session));
+  });
+  const [host, port] = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port }, () => {
+      const bound = server.address() as AddressInfo;
+      resolve({
+        address: `${bound.address}:${bound.port}`,
+        drain: () => server.close(),
+        close: () =>
+          new Promise((closed) => {
+            server.close(() => closed());
+            for (const session of sessions) session.destroy();
+          }),
+      });
+    });
+  });
+}
+
+function authentication({ security, onUnauthenticated }: PeerListenerOptions): Interceptor {
+  return (next) => (request) => {
+    if (equalSecrets(bearerOf(request.header.get("authorization")), security.peerKey)) {
+      return next(request);
+    }
+    onUnauthenticated();
+    throw new ConnectError(
+      "The call has no credential of the entry instances.",
+      Code.Unauthenticated,
+    );
+  };
+}
+
+function addPeerRoutes(router: ConnectRouter, handlers: PeerHandlers): void {
+  router.service(Peer, {
+    replicate: async function* (messages) {
+      for await (const message of messages) {
+        const reply = handlers.replicate(decodeReplicate(message));
+        yield encodeReplicateReply(reply, message.correlation);
+      }
+    },
+    cede: (message) => encodeCedeReply(handlers.cede(decodeCede(message))),
+    probe: async (message) => encodeProbeReply(await handlers.probe(decodeProbe(message))),
+    pull: ({ key }) => {
+      const found = handlers.pull(key);
+      if (found === undefined) return create(PullReplySchema, { found: false });
+      const { version, value } = found;
+      return create(PullReplySchema, { found: true, version: BigInt(version), value });
+    },
+    relay: async function* (message, { signal }) {
+      for await (const event of handlers.relay(decodeRelay(message), signal)) {
+        yield encodeRelayEvent(event);
+      }
+    },
+    ask: async (message) => encodeAskReply(await handlers.ask(decodeAsk(message))),
+  });
+}
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,44 +1,56 @@
 import { randomBytes } from "node:crypto";
+import type { RequestListener } from "node:http";
 import polka from "polka";
 import {
   addCallerRoutes,
   addOperatorRoutes,
+  createConnectPeers,
   createHttpEngine,
   createHttpInstanceList,
   createHttpObjectStore,
   listenHttp,
+  listenPeers,
+  sendJson,
 } from "../connection/index.ts";
-import type { Clock, Cloud, Peers, Random } from "../interface/index.ts";
+import type { Listener } from "../connection/index.ts";
+import { Refusal } from "../interface/index.ts";
+import type { Clock, Cloud, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
 
 /** A running entry instance. */
 export interface EntryInstance {
-  /** `IP:PORT` for callers, as bound. */
-  readonly callers: string;
+  /** The instance as its peers know it, with the addresses that were bound. */
+  readonly self: Member;
   readonly core: EntryCore;
   close(): Promise<void>;
 }
 
-/** Starts an entry instance; resolves once it knows a revision and listens. */
+/** What an entry instance runs on besides its settings. */
+export interface EntryRuntime {
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** Starts an entry instance; resolves once it knows a revision and takes requests. */
 export async function startEntry(
   settings: EntrySettings,
-  { clock, random }: { clock: Clock; random: Random },
+  runtime: EntryRuntime,
 ): Promise<EntryInstance> {
+  const sockets = await bindSockets(settings);
+  const self: Member = {
+    id: `${settings.name}#${randomBytes(6).toString("hex")}`,
+    address: sockets.peers.address,
+    callerAddress: sockets.callers.address,
+    zone: settings.zone,
+  };
   const store = createHttpObjectStore(settings.platform.objects);
   const engine = createHttpEngine();
+  const { clock, random } = runtime;
+  const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
   const core = createEntryCore(
-    {
-      self: {
-        id: `${settings.name}#${randomBytes(6).toString("hex")}`,
-        address: settings.peers,
-        callerAddress: settings.callers,
-        zone: settings.zone,
-      },
-      region: settings.region,
-      seeds: settings.seeds,
-    },
+    { self, region: settings.region, seeds: settings.seeds },
     {
       clock,
       random,
@@ -46,46 +58,81 @@
       engine,
       instances: createHttpInstanceList(settings.platform.instances),
       cloud: NO_CLOUD,
-      peers: NO_PEERS,
+      peers,
     },
   );
+  sockets.servePeers(core.handlers);
   await core.start();
   const app = polka();
-  const parts = {
-    ...core,
-    clock,
-    random,
-    store,
-    operatorKey: settings.secrets.operatorKey,
-  };
+  const parts = { ...core, clock, random, store, operatorKey: settings.secrets.operatorKey };
   addCallerRoutes(app, parts);
   addOperatorRoutes(app, parts);
-  const listener = await listenHttp(settings.callers, (request, response) => {
+  sockets.serveCallers((request, response) => {
     app.handler(request as polka.Request, response);
   });
   return {
-    callers: listener.address,
+    self,
     core,
     close: async () => {
       core.close();
-      await listener.close();
+      await Promise.all([sockets.callers.close(), sockets.peers.close()]);
+      peers.close();
       store.close();
       engine.close();
     },
   };
 }
 
-const NO_PEERS: Peers = {
-  replicate: () => Promise.reject(new Error("There are no peers yet.")),
-  cede: () => Promise.reject(new Error("There are no peers yet.")),
-  probe: () => Promise.reject(new Error("There are no peers yet.")),
-  pull: () => Promise.resolve(undefined),
-  relay: () => {
-    throw new Error("There are no peers yet.");
-  },
-  ask: () => Promise.reject(new Error("There are no peers yet.")),
-  close: () => undefined,
-};
+interface Sockets {
+  readonly callers: Listener;
+  readonly peers: Listener;
+  servePeers(handlers: PeerHandlers): void;
+  serveCallers(handle: RequestListener): void;
+}
+
+/**
+ * Binds both listeners before the tasks begin, since peers are told the addresses that were bound. What
+ * comes in before the instance is ready is turned away: it can't know yet what is in force.
+ */
+async function bindSockets(settings: EntrySettings): Promise<Sockets> {
+  let handle: RequestListener = (_request, response) => {
+    sendJson(response, { error: { code: Refusal.CutOff, not_run: true } }, { status: 503 });
+  };
+  let handlers: PeerHandlers | undefined;
+  const ready = (): PeerHandlers => {
+    if (handlers === undefined) throw new Error("The instance is not ready for its peers yet.");
+    return handlers;
+  };
+  const peers = await listenPeers(
+    settings.peers,
+    {
+      replicate: (message) => ready().replicate(message),
+      cede: (message) => ready().cede(message),
+      probe: (message) => ready().probe(message),
+      pull: (key) => ready().pull(key),
+      relay: (message, signal) => ready().relay(message, signal),
+      ask: (message) => ready().ask(message),
+    },
+    { security: securityOf(settings), onUnauthenticated: () => undefined },
+  );
+  const callers = await listenHttp(settings.callers, (request, response) => {
+    handle(request, response);
+  });
+  return {
+    callers,
+    peers,
+    servePeers: (given) => {
+      handlers = given;
+    },
+    serveCallers: (given) => {
+      handle = given;
+    },
+  };
+}
+
+function securityOf({ secrets }: EntrySettings): { peerKey: string } {
+  return { peerKey: secrets.peerKey };
+}
 
 const NO_CLOUD: Cloud = {
   launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud yet." }),
