Write and check whole settings sets from the command line

Cause: a new user had no settings to start from, and the embedded deployment kept a document of its own.

Result: both sets pass the schemas of every process (test); a document with an unknown key and a wrong unit shows both at their lines. Names that nothing defines are not shown together with faults of shape yet.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,12 +1,16 @@
 import type { Command } from "@oclif/core";
+import { Check } from "./check.ts";
 import { Dev } from "./dev.ts";
+import { Init } from "./init.ts";
 import { PresetUse } from "./preset_use.ts";
 import { Serve } from "./serve.ts";
 import { Standin } from "./standin.ts";
 
 /** Every command by its id; `:` stands where a person types a space. */
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  check: Check,
   dev: Dev,
+  init: Init,
   "preset:use": PresetUse,
   serve: Serve,
   standin: Standin,
--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -1,14 +1,11 @@
-import { randomBytes } from "node:crypto";
 import { Command, Flags } from "@oclif/core";
-import { ASSOCIATION_ACCOUNTS, ASSOCIATION_ZONES, associationDeployment } from "./association.ts";
-import type { AssociationAccount } from "./association.ts";
 import { startEmbedded } from "./embedded_deployment.ts";
+import { accountKeys, ASSOCIATION, documentValue, randomKey } from "./template/index.ts";
 import { untilStopped } from "./until_stopped.ts";
 
 const DEFAULT_PORT = 8080;
-const KEY_BYTES = 16;
 /** The client account that `--client-key` is the key of. */
-const CLIENT_ACCOUNT: AssociationAccount = "club-sofia";
+const CLIENT_ACCOUNT = "club-sofia";
 
 /** `samphireshore dev`: the embedded deployment, running until stopped. */
 export class Dev extends Command {
@@ -30,14 +27,14 @@
     const { flags } = await this.parse(Dev);
     const operatorKey = flags["operator-key"] ?? randomKey();
     const clientKey = flags["client-key"] ?? randomKey();
-    const keys = accountKeys({ [CLIENT_ACCOUNT]: clientKey });
+    const keys = accountKeys(ASSOCIATION, { [CLIENT_ACCOUNT]: clientKey });
     const deployment = await startEmbedded({
       port: flags.port,
       entryInstances: 3,
       workers: { "entry-model": 3, "finish-desk": 2 },
-      zones: ASSOCIATION_ZONES,
-      source: associationDeployment(keys),
-      preset: "day",
+      zones: ASSOCIATION.zones,
+      source: documentValue(ASSOCIATION, keys),
+      preset: ASSOCIATION.preset,
       operatorKey,
     });
     const callers = deployment.entries.map((entry) => entry.self.callerAddress);
@@ -48,15 +45,3 @@
     await deployment.close();
   }
 }
-
-/** A key for each of the Association's client accounts: the given ones, else random ones. */
-export function accountKeys(
-  given: Partial<Record<AssociationAccount, string>>,
-): Record<AssociationAccount, string> {
-  const entries = ASSOCIATION_ACCOUNTS.map((name) => [name, given[name] ?? randomKey()]);
-  return Object.fromEntries(entries) as Record<AssociationAccount, string>;
-}
-
-function randomKey(): string {
-  return randomBytes(KEY_BYTES).toString("hex");
-}
--- a/src/cli/embedded_deployment_test.ts
+++ b/src/cli/embedded_deployment_test.ts
@@ -1,8 +1,7 @@
 import OpenAI from "openai";
 import { expect, test } from "vitest";
-import { ASSOCIATION_ZONES, associationDeployment } from "./association.ts";
-import { accountKeys } from "./dev.ts";
 import { startEmbedded } from "./embedded_deployment.ts";
+import { accountKeys, ASSOCIATION, documentValue } from "./template/index.ts";
 
 const CLIENT_KEY = "client-key-of-tests";
 
@@ -10,8 +9,8 @@
   port: 0,
   entryInstances: 3,
   workers: { "entry-model": 1, "finish-desk": 1 },
-  zones: ASSOCIATION_ZONES,
-  source: associationDeployment(accountKeys({ "club-sofia": CLIENT_KEY })),
+  zones: ASSOCIATION.zones,
+  source: documentValue(ASSOCIATION, accountKeys(ASSOCIATION, { "club-sofia": CLIENT_KEY })),
   preset: "day",
   operatorKey: "operator-key-of-tests",
 };
--- /dev/null
+++ b/src/cli/init.ts
@@ -0,0 +1,51 @@
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { Args, Command, Flags } from "@oclif/core";
+import { ASSOCIATION, KORTFILM, settingsFiles } from "./template/index.ts";
+
+const TEMPLATES = { association: ASSOCIATION, kortfilm: KORTFILM };
+const OWNER_ONLY = 0o600;
+const EVERYONE_READS = 0o644;
+
+/** `samphireshore init`: writes a complete settings set. */
+export class Init extends Command {
+  static override description =
+    "Write a complete commented settings set for a deployment, which serve, apply and standin accept as it is.";
+  static override examples = ["samphireshore init association ./association"];
+  static override enableJsonFlag = true;
+  static override args = {
+    deployment: Args.string({ options: Object.keys(TEMPLATES), required: true }),
+    dir: Args.string({ description: "Folder to write to; files in it are kept.", required: true }),
+  };
+  static override flags = {
+    force: Flags.boolean({ description: "Write over files that are there." }),
+  };
+
+  override async run(): Promise<{ files: string[] }> {
+    const { args, flags } = await this.parse(Init);
+    const template = args.deployment === "kortfilm" ? KORTFILM : ASSOCIATION;
+    await mkdir(args.dir, { recursive: true });
+    const files: string[] = [];
+    for (const file of settingsFiles(template)) {
+      const path = join(args.dir, file.name);
+      await this.write(path, { ...file, force: flags.force });
+      files.push(path);
+      this.log(path);
+    }
+    return { files };
+  }
+
+  private async write(
+    path: string,
+    { text, secret, force }: { text: string; secret: boolean; force: boolean },
+  ): Promise<void> {
+    try {
+      const mode = secret ? OWNER_ONLY : EVERYONE_READS;
+      await writeFile(path, text, { mode, flag: force ? "w" : "wx" });
+    } catch (cause) {
+      this.error(`Writing ${path}: ${String(cause)}. With --force it is written over.`, {
+        exit: 1,
+      });
+    }
+  }
+}
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,7 +1,14 @@
-import { readFile } from "node:fs/promises";
+import { dirname, resolve } from "node:path";
 import { Command, Flags } from "@oclif/core";
-import { entrySettingsSchema, startEntry, systemClock, systemRandom } from "../process/index.ts";
-import { parseSettings } from "../version/index.ts";
+import {
+  entrySettingsSchema,
+  secretsSchema,
+  startEntry,
+  systemClock,
+  systemRandom,
+} from "../process/index.ts";
+import type { EntrySettingsFile, Secrets } from "../process/index.ts";
+import { readSettings } from "./read_settings.ts";
 import { untilStopped } from "./until_stopped.ts";
 
 /** `samphireshore serve`: one entry instance. */
@@ -14,18 +21,21 @@
 
   override async run(): Promise<void> {
     const { flags } = await this.parse(Serve);
-    const text = await readFile(flags.settings, "utf8");
-    const result = parseSettings(text, { schema: entrySettingsSchema, file: flags.settings });
-    if (result.kind === "invalid") {
-      for (const fault of result.faults)
-        this.logToStderr(`${fault.file}:${fault.line}: ${fault.path}: ${fault.message}`);
-      this.exit(1);
-    }
-    const entry = await startEntry(result.settings, { clock: systemClock, random: systemRandom });
-    this.log(
-      JSON.stringify({ ready: true, callers: entry.self.callerAddress, peers: entry.self.address }),
+    const settings = await readSettings(this, flags.settings, { schema: entrySettingsSchema });
+    const secrets = await this.secretsOf(settings, flags.settings);
+    const entry = await startEntry(
+      { ...settings, secrets },
+      { clock: systemClock, random: systemRandom },
     );
+    const { callerAddress, address } = entry.self;
+    this.log(JSON.stringify({ ready: true, callers: callerAddress, peers: address }));
     await untilStopped();
     await entry.close();
   }
+
+  private secretsOf({ secrets }: EntrySettingsFile, settingsFile: string): Promise<Secrets> {
+    if (typeof secrets !== "string") return Promise.resolve(secrets);
+    const file = resolve(dirname(settingsFile), secrets);
+    return readSettings(this, file, { schema: secretsSchema });
+  }
 }
--- a/src/cli/standin.ts
+++ b/src/cli/standin.ts
@@ -1,13 +1,18 @@
-import { readFile } from "node:fs/promises";
 import { Args, Command, Flags } from "@oclif/core";
 import { z } from "zod";
 import { Purchase, WorkerState } from "../interface/index.ts";
+import type { Listener } from "../connection/index.ts";
 import { systemClock } from "../process/index.ts";
 import { startBackend, startPlatform } from "../standin/index.ts";
-import { duration, parseSettings } from "../version/index.ts";
+import { duration } from "../version/index.ts";
+import { readSettings } from "./read_settings.ts";
 import { untilStopped } from "./until_stopped.ts";
 
-const backendSchema = z.strictObject({ listen: z.string(), tokenTime: duration });
+const backendSchema = z.strictObject({
+  tokenTime: duration,
+  servers: z.array(z.strictObject({ listen: z.string() })).min(1),
+});
+
 const platformSchema = z.strictObject({
   listen: z.string(),
   workers: z.array(
@@ -23,10 +28,13 @@
   ),
 });
 
-/** `samphireshore standin`: a stand-in as a process of its own. */
+/** `samphireshore standin`: stand-ins as a process of their own. */
 export class Standin extends Command {
-  static override description = "Run a stand-in for the platform or for a backend server.";
-  static override examples = ["samphireshore standin platform --settings platform.jsonc"];
+  static override description = "Run the stand-in for the platform, or those for backend servers.";
+  static override examples = [
+    "samphireshore standin platform --settings platform.jsonc",
+    "samphireshore standin backend --settings backends.jsonc",
+  ];
   static override args = {
     kind: Args.string({ options: ["platform", "backend"], required: true }),
   };
@@ -36,24 +44,25 @@
 
   override async run(): Promise<void> {
     const { args, flags } = await this.parse(Standin);
-    const file = flags.settings;
-    const text = await readFile(file, "utf8");
-    const listener =
+    const listeners =
       args.kind === "platform"
-        ? await startPlatform(this.checked(text, { schema: platformSchema, file }))
-        : await startBackend({
-            ...this.checked(text, { schema: backendSchema, file }),
-            clock: systemClock,
-          });
-    this.log(JSON.stringify({ ready: true, address: listener.address }));
+        ? await this.startPlatform(flags.settings)
+        : await this.startBackends(flags.settings);
+    const addresses = listeners.map((listener) => listener.address);
+    this.log(JSON.stringify({ ready: true, addresses }));
     await untilStopped();
-    await listener.close();
+    await Promise.all(listeners.map((listener) => listener.close()));
+  }
+
+  private async startPlatform(file: string): Promise<Listener[]> {
+    return [await startPlatform(await readSettings(this, file, { schema: platformSchema }))];
   }
 
-  private checked<T>(text: string, options: { schema: z.ZodType<T>; file: string }): T {
-    const result = parseSettings(text, options);
-    if (result.kind === "valid") return result.settings;
-    const lines = result.faults.map((fault) => `${fault.file}:${fault.line}: ${fault.message}`);
-    return this.error(lines.join("\n"), { exit: 1 });
+  private async startBackends(file: string): Promise<Listener[]> {
+    const { servers, tokenTime } = await readSettings(this, file, { schema: backendSchema });
+    const started = servers.map(({ listen }) =>
+      startBackend({ listen, tokenTime, clock: systemClock }),
+    );
+    return Promise.all(started);
   }
 }
--- /dev/null
+++ b/src/cli/template/settings_files.ts
@@ -0,0 +1,133 @@
+import { accountKeys, documentText, randomKey } from "./deployment_template.ts";
+import type { DeploymentTemplate } from "./deployment_template.ts";
+
+/** One file of a settings set. */
+export interface SettingsFile {
+  readonly name: string;
+  readonly text: string;
+  /** True where it holds credentials: readable by its owner only. */
+  readonly secret: boolean;
+}
+
+const ENTRY_INSTANCES = 6;
+const LOOPBACK = "127.0.0.1";
+const CALLER_PORT = 8080;
+const PEER_PORT = 9080;
+const PLATFORM_PORT = 7070;
+const BACKEND_PORT = 10_000;
+
+/**
+ * A complete settings set for a deployment at its size, on loopback addresses.
+ *
+ * @returns The files: the deployment document, one for each entry instance, and those of the stand-ins.
+ */
+export function settingsFiles(template: DeploymentTemplate): SettingsFile[] {
+  const keys = accountKeys(template);
+  const secrets = { operatorKey: randomKey(), peerKey: randomKey() };
+  return [
+    { name: "deployment.jsonc", text: documentText(template, keys), secret: false },
+    { name: "secrets.jsonc", text: secretsText(secrets), secret: true },
+    { name: "client-keys.jsonc", text: clientKeysText(keys), secret: true },
+    { name: "platform.jsonc", text: platformText(template), secret: false },
+    { name: "backends.jsonc", text: backendsText(template), secret: false },
+    ...Array.from({ length: ENTRY_INSTANCES }, (_, index) => entryFile(template, index)),
+  ];
+}
+
+function secretsText(secrets: { operatorKey: string; peerKey: string }): string {
+  return `// Credentials: of operators, and of the entry instances to each other. Keep this file out of version control.
+${JSON.stringify(secrets, undefined, 2)}
+`;
+}
+
+function clientKeysText(keys: Readonly<Record<string, string>>): string {
+  return `// The key of each client account, to hand out. No process reads this file; keep it out of version control.
+${JSON.stringify(keys, undefined, 2)}
+`;
+}
+
+function entryFile(template: DeploymentTemplate, index: number): SettingsFile {
+  const zone = template.zones[index % template.zones.length] ?? "";
+  const seeds = [0, 1, 2]
+    .filter((seed) => seed !== index)
+    .map((seed) => `"${at(PEER_PORT + seed)}"`);
+  const text = `// One entry instance: what it can't learn from the platform. Addresses are IP:PORT by number.
+{
+  "name": "entry-${index + 1}",
+  "zone": "${zone}",
+  "region": "${template.region}",
+  // Callers and operators.
+  "callers": "${at(CALLER_PORT + index)}",
+  // Other entry instances.
+  "peers": "${at(PEER_PORT + index)}",
+  // A few other entry instances to join by.
+  "seeds": [${seeds.join(", ")}],
+  "platform": {
+    "objects": "${at(PLATFORM_PORT)}",
+    "cloud": "${at(PLATFORM_PORT)}",
+    "instances": "${at(PLATFORM_PORT)}"
+  },
+  // A path beside this file, or { "operatorKey": …, "peerKey": … }.
+  "secrets": "secrets.jsonc"
+  // "tls": { "certificate": "entry.pem", "key": "entry.key" },
+  // "statsd": "127.0.0.1:8125",
+  // "record": "traffic.jsonl"
+}
+`;
+  return { name: `entry-${index + 1}.jsonc`, text, secret: false };
+}
+
+interface WorkerPlace {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly zone: string;
+}
+
+function workerPlaces({ workers, zones }: DeploymentTemplate): WorkerPlace[] {
+  const ids = Object.entries(workers).flatMap(([service, count]) =>
+    Array.from({ length: count }, (_, index) => ({
+      service,
+      id: `${service}-${index + 1}`,
+      index,
+    })),
+  );
+  return ids.map(({ service, id, index }, place) => ({
+    id,
+    service,
+    address: at(BACKEND_PORT + place),
+    zone: zones[index % zones.length] ?? "",
+  }));
+}
+
+function platformText(template: DeploymentTemplate): string {
+  const lines = workerPlaces(template).map(
+    ({ id, service, address, zone }) =>
+      `    { "id": "${id}", "address": "http://${address}", "service": "${service}", "zone": "${zone}", "machineClass": "${template.machineClass}", "purchase": "reclaimable" }`,
+  );
+  return `// The stand-in for the platform: samphireshore standin platform --settings platform.jsonc
+{
+  "listen": "${at(PLATFORM_PORT)}",
+  "workers": [
+${lines.join(",\n")}
+  ]
+}
+`;
+}
+
+function backendsText(template: DeploymentTemplate): string {
+  const lines = workerPlaces(template).map(({ address }) => `    { "listen": "${address}" }`);
+  return `// The stand-ins for the backend servers: samphireshore standin backend --settings backends.jsonc
+{
+  // Between two tokens of one answer.
+  "tokenTime": "20 ms",
+  "servers": [
+${lines.join(",\n")}
+  ]
+}
+`;
+}
+
+function at(port: number): string {
+  return `${LOOPBACK}:${port}`;
+}
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -15,6 +15,15 @@
   instances: address,
 });
 
+/** Credentials of operators, and of the entry instances to each other. */
+export const secretsSchema = z.strictObject({
+  operatorKey: z.string().min(8),
+  peerKey: z.string().min(8),
+});
+
+/** Credentials of one entry instance. */
+export type Secrets = z.infer<typeof secretsSchema>;
+
 /** The settings of one entry instance: what it can't learn from the platform. */
 export const entrySettingsSchema = z.strictObject({
   /** The instance's name; with its incarnation it makes the member id. */
@@ -28,11 +37,8 @@
   /** Listeners of a few other entry instances, to join by. */
   seeds: z.array(address),
   platform,
-  /** Credentials: given here, or in a file of the same shape. */
-  secrets: z.strictObject({
-    operatorKey: z.string().min(8),
-    peerKey: z.string().min(8),
-  }),
+  /** Credentials: given here, or the path of a file that holds them, from the settings' folder on. */
+  secrets: z.union([z.string().min(1), secretsSchema]),
   tls: z.strictObject({ certificate: z.string(), key: z.string() }).optional(),
   /** Where counters go by UDP, `IP:PORT`. */
   statsd: address.optional(),
@@ -42,5 +48,8 @@
   reread: duration.default(30_000),
 });
 
-/** The settings of one entry instance. */
-export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+/** The settings of one entry instance, as their file has them. */
+export type EntrySettingsFile = z.infer<typeof entrySettingsSchema>;
+
+/** The settings of one entry instance, its credentials read. */
+export type EntrySettings = Omit<EntrySettingsFile, "secrets"> & { readonly secrets: Secrets };
