Show faults of names together with faults of shape

Cause: names that nothing defines were looked up only in a document whose shape was right, so an operator who mistyped a unit and a zone saw one of the two.

Change: names are looked up in as much of the document as has its shape.

Result: before, a document with a wrong unit, an unknown key and an unknown zone showed two faults; after, three, each at its line (test).

--- a/src/cli/template/settings_files_test.ts
+++ b/src/cli/template/settings_files_test.ts
@@ -54,8 +54,9 @@
   const faults = result.kind === "invalid" ? result.faults : [];
   const lines = broken.split("\n");
   expect(faults.map((fault) => fault.path).sort()).toEqual([
+    "offers.3.zone",
     "services.entry-model.target.firstToken",
     "services.finish-desk.colour",
   ]);
-  for (const fault of faults) expect(lines[fault.line - 1]).toMatch(/seconds|colour/);
+  for (const fault of faults) expect(lines[fault.line - 1]).toMatch(/seconds|colour|sofia-x/);
 });
--- a/src/version/deployment.ts
+++ b/src/version/deployment.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { crossFaults } from "./deployment_names.ts";
 import { duration, price } from "./unit.ts";
 
 const name = z
@@ -102,11 +103,20 @@
   presets: z.record(name, preset),
 });
 
-/** The deployment document as it stands in a file: see `samphireshore init` for a commented one. */
-export const deploymentSchema = document.superRefine((value, context) => {
-  for (const fault of crossFaults(value)) {
-    context.addIssue({ code: "custom", path: [...fault.path], message: fault.message });
+/**
+ * The deployment document as it stands in a file: see `samphireshore init` for a commented one. Faults of
+ * single values and of names across the document are found in one go.
+ */
+export const deploymentSchema: z.ZodType<Deployment> = z.unknown().transform((source, context) => {
+  for (const { path, message } of crossFaults(source)) {
+    context.addIssue({ code: "custom", path: [...path], message });
   }
+  const shaped = document.safeParse(source);
+  if (shaped.success) return shaped.data;
+  for (const issue of shaped.error.issues) {
+    context.issues.push({ input: source, ...issue } as z.core.$ZodRawIssue);
+  }
+  return z.NEVER;
 });
 
 /** A deployment, checked. Times are in milliseconds, prices in euros an hour. */
@@ -123,39 +133,3 @@
 export type Offer = z.infer<typeof offer>;
 /** A service's latency target, in milliseconds. */
 export type Target = z.infer<typeof target>;
-
-interface Fault {
-  readonly path: readonly (string | number)[];
-  readonly message: string;
-}
-
-/** Faults that no single value shows: names that nothing defines, and bounds that cross. */
-function crossFaults(value: Deployment): Fault[] {
-  const faults: Fault[] = [];
-  const unknown = (path: Fault["path"], found: string, kind: string): void => {
-    faults.push({
-      path,
-      message: `Found the ${kind} "${found}", which the document doesn't define.`,
-    });
-  };
-  for (const [accountName, { services }] of Object.entries(value.accounts)) {
-    services.forEach((found, index) => {
-      if (!(found in value.services))
-        unknown(["accounts", accountName, "services", index], found, "service");
-    });
-  }
-  value.offers.forEach((found, index) => {
-    if (!value.zones.includes(found.zone)) unknown(["offers", index, "zone"], found.zone, "zone");
-    if (!(found.machineClass in value.machineClasses)) {
-      unknown(["offers", index, "machineClass"], found.machineClass, "machine class");
-    }
-  });
-  for (const [presetName, found] of Object.entries(value.presets)) {
-    for (const [serviceName, { least, most }] of Object.entries(found.services)) {
-      const path = ["presets", presetName, "services", serviceName];
-      if (!(serviceName in value.services)) unknown(path, serviceName, "service");
-      if (least > most) faults.push({ path, message: `Found least ${least} above most ${most}.` });
-    }
-  }
-  return faults;
-}
--- /dev/null
+++ b/src/version/deployment_names.ts
@@ -0,0 +1,85 @@
+import { z } from "zod";
+
+/** A fault that no single value shows. */
+export interface CrossFault {
+  readonly path: readonly (string | number)[];
+  readonly message: string;
+}
+
+const names = z.array(z.string()).catch([]);
+const table = z.record(z.string(), z.unknown()).optional().catch(undefined);
+const bounds = z.object({ least: z.number(), most: z.number() }).optional().catch(undefined);
+
+/**
+ * As much of a deployment document as its names need. What is missing or of another shape is passed over
+ * here: it is a fault of its own, and must not hide the others.
+ */
+const outline = z.object({
+  zones: z.array(z.string()).optional().catch(undefined),
+  services: table,
+  machineClasses: table,
+  accounts: z.record(z.string(), z.object({ services: names }).catch({ services: [] })).catch({}),
+  offers: z
+    .array(z.object({ zone: z.string().optional(), machineClass: z.string().optional() }).catch({}))
+    .catch([]),
+  presets: z
+    .record(
+      z.string(),
+      z
+        .object({ services: z.record(z.string(), bounds).catch({}), paused: names })
+        .catch({ services: {}, paused: [] }),
+    )
+    .catch({}),
+});
+
+/**
+ * Finds names that nothing in the document defines, and bounds that cross.
+ *
+ * @param source A deployment document as its file has it, of any shape.
+ * @returns Every fault found.
+ */
+export function crossFaults(source: unknown): CrossFault[] {
+  const parsed = outline.safeParse(source);
+  if (!parsed.success) return [];
+  const { zones, services, machineClasses, accounts, offers, presets } = parsed.data;
+  const faults: CrossFault[] = [];
+  const mustKnow = (
+    found: string | undefined,
+    { known, kind, path }: { known: object | undefined; kind: string; path: CrossFault["path"] },
+  ): void => {
+    if (found === undefined || known === undefined || found in known) return;
+    const message = `Found the ${kind} "${found}", which the document doesn't define.`;
+    faults.push({ path, message });
+  };
+  const zoneTable =
+    zones === undefined ? undefined : Object.fromEntries(zones.map((zone) => [zone, 1]));
+  for (const [name, account] of Object.entries(accounts)) {
+    account.services.forEach((found, index) => {
+      const path = ["accounts", name, "services", index];
+      mustKnow(found, { known: services, kind: "service", path });
+    });
+  }
+  offers.forEach((offer, index) => {
+    const path = ["offers", index];
+    mustKnow(offer.zone, { known: zoneTable, kind: "availability zone", path: [...path, "zone"] });
+    const classPath = [...path, "machineClass"];
+    mustKnow(offer.machineClass, { known: machineClasses, kind: "machine class", path: classPath });
+  });
+  for (const [name, preset] of Object.entries(presets)) {
+    for (const [service, found] of Object.entries(preset.services)) {
+      const path = ["presets", name, "services", service];
+      mustKnow(service, { known: services, kind: "service", path });
+      if (found !== undefined && found.least > found.most) {
+        faults.push({ path, message: `Found least ${found.least} above most ${found.most}.` });
+      }
+    }
+    preset.paused.forEach((found, index) => {
+      mustKnow(found, {
+        known: services,
+        kind: "service",
+        path: ["presets", name, "paused", index],
+      });
+    });
+  }
+  return faults;
+}
