Give requests an owner, a copy at a backup and a takeover

Cause: the entry instance ran a request once on one worker and kept nothing; every reclaim lost it.

RequestService gains whenIdle, which a planned stop waits for.

No speed is measured yet.

Conclusion: the whole path stands in its simplest form; the failure tests of each promise come next.

--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -70,9 +70,19 @@
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests = createRequestService(environment);
   workers.onChange(() => scheduler.setWorkers(workers.list(), outside.clock.now()));
-  const handOver = async (): Promise<void> => {
+  const stopTaking = (): void => {
     members.leave();
     requests.stopTaking();
+  };
+  const handOver = async (): Promise<void> => {
+    stopTaking();
+    await requests.cedeAll();
+  };
+  // A second signal to stop, or a notice during the drain, joins the drain that goes on.
+  let draining: Promise<void> | undefined;
+  const drain = async (): Promise<void> => {
+    stopTaking();
+    await requests.whenIdle();
     await requests.cedeAll();
   };
   return {
@@ -90,7 +100,7 @@
       await configuration.start();
       await workers.start();
     },
-    drain: handOver,
+    drain: () => (draining ??= drain()),
     reclaim: handOver,
     close: () => {
       requests.close();
--- a/src/request/request_api.ts
+++ b/src/request/request_api.ts
@@ -67,6 +67,8 @@
   copyTo(slots: readonly number[], member: Member): Promise<boolean>;
   /** Takes no new requests from now on; those in progress go on. */
   stopTaking(): void;
+  /** Resolves once nothing is in progress here: neither as owner nor on the way to another owner. */
+  whenIdle(): Promise<void>;
   /** Hands every slot over at once, to the named backup or else into custody, without the store. */
   cedeAll(): Promise<void>;
   /** Requests accepted and not ended of which this instance is the owner. */
--- /dev/null
+++ b/src/request/request_key.ts
@@ -0,0 +1,38 @@
+import { createHash } from "node:crypto";
+import type { Random } from "../interface/index.ts";
+import { SLOT_COUNT } from "../version/index.ts";
+import { formatRequestId } from "./request_id.ts";
+
+const UNIQUE_LENGTH = 32;
+const WORDS = 4;
+const WORD_RANGE = 2 ** 32;
+const WORD_DIGITS = 8;
+
+/**
+ * The id of a request whose caller gave an idempotency key: the same key of the same account is the same
+ * id, so it meets at one owner, whichever instance it comes to.
+ *
+ * @returns The id and its slot.
+ */
+export function keyedId(account: string, key: string): { id: string; slot: number } {
+  const digest = createHash("sha256").update(account).update("\0").update(key).digest();
+  const slot = digest.readUInt32BE(0) % SLOT_COUNT;
+  const unique = digest.subarray(WORDS).toString("hex").slice(0, UNIQUE_LENGTH);
+  return { id: formatRequestId(slot, unique), slot };
+}
+
+/** A new id of the given slot. */
+export function drawnId(slot: number, random: Random): string {
+  const words = Array.from({ length: WORDS }, () =>
+    Math.floor(random.next() * WORD_RANGE)
+      .toString(16)
+      .padStart(WORD_DIGITS, "0"),
+  );
+  return formatRequestId(slot, words.join(""));
+}
+
+/** Tells whether a key comes again with another request. */
+export function fingerprintOf(request: { service: string; path: string; body: string }): string {
+  const { service, path, body } = request;
+  return createHash("sha256").update(`${service}\0${path}\0`).update(body).digest("base64url");
+}
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -1,143 +1,274 @@
-import { randomBytes } from "node:crypto";
-import { Lane } from "../decision/index.ts";
-import type { Arrival, Job } from "../decision/index.ts";
-import { Refusal, RequestState, SlotOutcome } from "../interface/index.ts";
-import type { EngineEvent, RequestRecord, Worker } from "../interface/index.ts";
-import { SLOT_COUNT } from "../version/index.ts";
+import { hasEnded, Refusal, RequestState, SlotOutcome } from "../interface/index.ts";
+import type {
+  AskMessage,
+  AskReply,
+  CedeMessage,
+  RequestRecord,
+  SlotReply,
+} from "../interface/index.ts";
+import { carry, ownerAt } from "./caller_stream.ts";
+import type { Front } from "./caller_stream.ts";
 import type { Environment } from "./environment.ts";
+import { createHandover } from "./handover.ts";
+import { createOwnership } from "./ownership.ts";
+import { createReplicator } from "./replicator.ts";
 import type { CallerEvent, Rejection, RequestService, Submission } from "./request_api.ts";
-import { formatRequestId } from "./request_id.ts";
+import { slotOfRequestId } from "./request_id.ts";
+import { drawnId, fingerprintOf, keyedId } from "./request_key.ts";
+import { createRequestQueue } from "./request_queue.ts";
+import { createRetention } from "./retention.ts";
+import { ownsSlot, receiveCession, receiveRecord, Stance } from "./slot_replica.ts";
+import { createSlotTable } from "./slot_table.ts";
+import type { SlotChange } from "./slot_table.ts";
 
-/** How long a request may take when nobody says. */
+/** Milliseconds that a request may take when neither caller nor service says. */
 const DEFAULT_DEADLINE = 60_000;
+/** Milliseconds after which a caller that was turned away may try again. */
+const TRY_AGAIN = 1_000;
+/** Tries to reach a request's owner for a short question. */
+const ASK_TRIES = 6;
 
-/** The requests of one entry instance: each is run once on one worker, and nothing is kept. */
+/** The requests of one entry instance: those that it owns, and those that it carries to their owners. */
 export function createRequestService(environment: Environment): RequestService {
-  const unknown: Rejection = {
-    reason: Refusal.UnknownRequest,
-    notRun: false,
-    detail: "No request has this id.",
+  const { clock, configuration, members, scheduler, workers } = environment;
+  const table = createSlotTable(environment);
+  const replicator = createReplicator(environment, table);
+  const queue = createRequestQueue(scheduler, clock);
+  const retention = createRetention(clock, table);
+  const ownership = createOwnership({ environment, table, replicator, queue }, retention);
+  const front: Front = { environment, table, ownership };
+  const handover = createHandover(environment, { table, ownership });
+  const idle = new Set<() => void>();
+  let taking = true;
+  let carried = 0;
+
+  const onSlotChange = ({ before, after }: SlotChange): void => {
+    if (ownsSlot(after)) ownership.inherit(after.slot);
+    else if (ownsSlot(before)) ownership.leave(after.slot);
+    if (after.stance === Stance.None) void handover.forward(after.slot);
   };
-  return {
-    submit: (submission, signal) => run(environment, { submission, signal }),
-    // eslint-disable-next-line @typescript-eslint/require-await
-    follow: async function* () {
-      yield { kind: "rejected", rejection: unknown };
-    },
-    find: () => Promise.resolve(unknown),
-    cancel: () => Promise.resolve(unknown),
-    handlers: {
-      replicate: () => ({ outcome: SlotOutcome.Unable, epoch: 0 }),
-      cede: () => ({ outcome: SlotOutcome.Unable, epoch: 0 }),
-      relay: () => {
-        throw new Error("Requests are not relayed yet.");
-      },
-      ask: () => Promise.resolve({ outcome: SlotOutcome.Unable, epoch: 0 }),
-    },
-    copyTo: () => Promise.resolve(false),
-    stopTaking: () => undefined,
-    cedeAll: () => Promise.resolve(),
-    inProgress: () => 0,
-    close: () => undefined,
+  const subscriptions = [
+    table.onChange(onSlotChange),
+    configuration.onChange(() => replicator.wake()),
+    members.onChange(() => replicator.wake()),
+    workers.onChange(() => queue.adjust()),
+  ];
+  const tellIdle = (): void => {
+    if (ownership.inProgress() > 0 || carried > 0) return;
+    for (const resolve of idle) resolve();
+    idle.clear();
   };
-}
+  ownership.onSettled = tellIdle;
 
-async function* run(
-  environment: Environment,
-  { submission, signal }: { submission: Submission; signal: AbortSignal },
-): AsyncGenerator<CallerEvent> {
-  const { clock, engine, random, scheduler } = environment;
-  const arrival = arrivalOf(environment, submission);
-  const admission = scheduler.admit(arrival, clock.now());
-  if (admission.kind === "refused") {
-    const detail = "The request was turned away.";
-    yield { kind: "rejected", rejection: { ...admission, notRun: true, detail } };
-    return;
+  async function* submit(submission: Submission, signal: AbortSignal): AsyncGenerator<CallerEvent> {
+    const record = taking
+      ? recordOf(environment, { submission, draw: (random) => table.draw(random) })
+      : DRAINING;
+    if ("notRun" in record) {
+      environment.counters.refused(record.reason);
+      yield { kind: "rejected", rejection: record };
+      return;
+    }
+    yield* carrying({ record, fromToken: submission.fromToken, follow: false }, signal);
   }
-  const placement = scheduler.place(admission.job, {
-    now: clock.now(),
-    random,
-    avoid: new Set(),
-  });
-  const worker =
-    placement.kind === "placed" ? environment.workers.find(placement.worker) : undefined;
-  if (worker === undefined) {
-    const detail = "No backend server of the service takes work.";
-    yield {
-      kind: "rejected",
-      rejection: { reason: Refusal.NoBackendServer, notRun: true, detail },
-    };
-    return;
+  async function* carrying(
+    request: Parameters<typeof carry>[1],
+    signal: AbortSignal,
+  ): AsyncGenerator<CallerEvent> {
+    carried++;
+    try {
+      yield* carry(front, request, signal);
+    } finally {
+      carried--;
+      tellIdle();
+    }
   }
-  yield { kind: "accepted", id: arrival.id };
-  const dispatch = dispatchOf(admission.job, submission);
-  for await (const event of engine.run(worker, dispatch, signal)) {
-    const told = callerEvent(event, recordOf(submission, { arrival, worker }));
-    if (told !== undefined) yield told;
+  async function* follow(
+    id: string,
+    options: { account: string; fromToken: number; signal: AbortSignal },
+  ): AsyncGenerator<CallerEvent> {
+    const slot = slotOfRequestId(id);
+    if (slot === undefined) {
+      yield { kind: "rejected", rejection: unknownRequest(id) };
+      return;
+    }
+    const record = namedOnly({ id, slot, account: options.account });
+    const { fromToken } = options;
+    yield* carrying({ record, fromToken, follow: true }, options.signal);
   }
-}
 
-function dispatchOf(job: Job, submission: Submission): Parameters<Environment["engine"]["run"]>[1] {
+  const answerAsk = (message: AskMessage): AskReply => {
+    const replica = table.get(message.slot);
+    const { epoch } = replica.assignment;
+    if (!ownsSlot(replica)) return { outcome: SlotOutcome.NotNamed, epoch };
+    const found = ownership.find(message.slot, message.id);
+    if (found?.account !== message.account) return { outcome: SlotOutcome.Acknowledged, epoch };
+    if (message.cancel) ownership.cancel(message.id);
+    return { outcome: SlotOutcome.Acknowledged, epoch, record: found };
+  };
+  const ask = async (
+    id: string,
+    { account, cancel }: { account: string; cancel: boolean },
+  ): Promise<RequestRecord | Rejection> => {
+    const slot = slotOfRequestId(id);
+    if (slot === undefined) return unknownRequest(id);
+    for (let tries = 0; tries < ASK_TRIES; tries++) {
+      const owner = ownerAt(front, slot, tries);
+      const { epoch } = table.get(slot).assignment;
+      const message = { from: members.self.id, id, account, slot, epoch, hops: 1, cancel };
+      const asked =
+        owner?.id === members.self.id
+          ? Promise.resolve(answerAsk(message))
+          : ((owner && environment.peers.ask(owner, message)) ?? Promise.resolve(undefined));
+      const reply = await asked.catch(() => undefined);
+      if (reply?.outcome === SlotOutcome.Acknowledged) return reply.record ?? unknownRequest(id);
+      await configuration.refresh().catch(() => undefined);
+      await queue.changed(TRY_AGAIN / ASK_TRIES);
+    }
+    const detail = "The owner of the request can't be reached at present; ask again with the id.";
+    const reason = Refusal.OwnerUnavailable;
+    return { reason, notRun: false, retryAfter: TRY_AGAIN, detail, id };
+  };
+
+  const heard = (reply: SlotReply, { epoch }: { epoch: number }): SlotReply => {
+    if (epoch > reply.epoch) void configuration.refresh().catch(() => undefined);
+    return reply;
+  };
+  const receiveCede = (message: CedeMessage): SlotReply => {
+    const before = table.get(message.slot);
+    const reply = table.answer(receiveCession(before, message));
+    for (const record of message.records) if (hasEnded(record.state)) retention.note(record);
+    const after = table.get(message.slot);
+    // A change of stance has been seen to already; records that came to an owner go on here.
+    if (ownsSlot(before) && before !== after) ownership.inherit(message.slot);
+    if (after.stance === Stance.None) void handover.forward(message.slot);
+    return heard(reply, message);
+  };
+
   return {
-    id: job.id,
-    attempt: 1,
-    service: job.service,
-    path: submission.path,
-    body: submission.body,
-    tokens: [],
-    priority: 0,
-    timeLeft: job.deadlineAt - job.arrivedAt,
+    submit,
+    follow,
+    find: (id, account) => ask(id, { account, cancel: false }),
+    cancel: (id, account) => ask(id, { account, cancel: true }),
+    handlers: {
+      replicate: (message) => {
+        const reply = table.answer(receiveRecord(table.get(message.slot), message));
+        if (hasEnded(message.record.state)) retention.note(message.record);
+        return heard(reply, message);
+      },
+      cede: receiveCede,
+      relay: (message, signal) => ownership.serve(message, signal),
+      ask: (message) => Promise.resolve(answerAsk(message)),
+    },
+    copyTo: (slots, member) => handover.copyTo(slots, member),
+    stopTaking: () => {
+      taking = false;
+    },
+    whenIdle: () =>
+      new Promise((resolve) => {
+        idle.add(resolve);
+        tellIdle();
+      }),
+    cedeAll: () => handover.cede(table.all().map(({ slot }) => slot)),
+    inProgress: () => ownership.inProgress(),
+    close: () => {
+      for (const subscription of subscriptions) subscription.close();
+      table.close();
+      replicator.close();
+      retention.close();
+    },
   };
 }
 
-function callerEvent(event: EngineEvent, record: RequestRecord): CallerEvent | undefined {
-  if (event.kind === "token") return event;
-  if (event.kind === "finished") return { kind: "ended", record };
-  return undefined;
+const DRAINING: Rejection = {
+  reason: Refusal.Draining,
+  notRun: true,
+  retryAfter: TRY_AGAIN,
+  detail: "This entry instance is about to stop; resolve an address anew.",
+};
+
+function unknownRequest(id: string): Rejection {
+  const detail = "No request of this account has the id.";
+  return { reason: Refusal.UnknownRequest, notRun: false, detail, id };
 }
 
-function recordOf(
-  submission: Submission,
-  { arrival, worker }: { arrival: Arrival; worker: Worker },
-): RequestRecord {
+/** A record that only names a request, to follow it by. */
+function namedOnly({
+  id,
+  slot,
+  account,
+}: Pick<RequestRecord, "id" | "slot" | "account">): RequestRecord {
   return {
-    id: arrival.id,
-    slot: 0,
-    account: submission.account,
-    service: submission.service,
-    state: RequestState.Complete,
-    repeatable: arrival.repeatable,
-    detached: submission.detached,
-    keyed: submission.key !== undefined,
+    id,
+    slot,
+    account,
+    service: "",
+    state: RequestState.Accepted,
+    repeatable: false,
+    detached: false,
+    keyed: false,
     fingerprint: "",
-    path: submission.path,
-    body: submission.body,
-    attempt: 1,
-    worker: worker.id,
+    path: "",
+    body: "",
+    attempt: 0,
+    worker: "",
     tokens: [],
     tokensFrom: 0,
     reason: Refusal.None,
-    detail: "stop",
-    acceptedAt: arrival.arrivedAt,
-    deadlineAt: arrival.deadlineAt,
-    sequence: 1,
+    detail: "",
+    acceptedAt: 0,
+    deadlineAt: 0,
+    sequence: 0,
   };
 }
 
-function arrivalOf({ clock, random }: Environment, submission: Submission): Arrival {
-  const now = clock.now();
-  const slot = Math.floor(random.next() * SLOT_COUNT);
+interface RecordOptions {
+  readonly submission: Submission;
+  readonly draw: (random: Environment["random"]) => number | undefined;
+}
+
+/** The record of a submission, or why it is turned away before it has one. */
+function recordOf(
+  { clock, configuration, random }: Environment,
+  { submission, draw }: RecordOptions,
+): RequestRecord | Rejection {
+  if (configuration.isCutOff()) {
+    const detail =
+      "This entry instance can't know what is in force: it hears neither store nor peer.";
+    return { reason: Refusal.CutOff, notRun: true, retryAfter: TRY_AGAIN, detail };
+  }
+  const revision = configuration.revision();
+  const service = revision?.deployment.services[submission.service];
+  const named = nameOf({ submission, draw, random });
+  if (named === undefined) {
+    const detail = "This entry instance owns no slot with a live backup at present.";
+    return { reason: Refusal.OwnerUnavailable, notRun: true, retryAfter: TRY_AGAIN, detail };
+  }
+  const now = clock.date().getTime();
+  const deadline = submission.deadline ?? service?.target.deadline ?? DEFAULT_DEADLINE;
+  const { account, path, body, detached } = submission;
+  const keyed = submission.key !== undefined;
   return {
-    id: formatRequestId(slot, randomBytes(12).toString("hex")),
-    account: submission.account,
+    ...namedOnly({ ...named, account }),
     service: submission.service,
-    model: submission.model,
-    lane: Lane.Lookup,
-    promptTokens: submission.body.length / 4,
-    prefix: [],
-    repeatable: submission.repeatable ?? true,
-    detached: submission.detached,
-    arrivedAt: now,
-    deadlineAt: now + (submission.deadline ?? DEFAULT_DEADLINE),
+    repeatable: submission.repeatable ?? service?.repeatable ?? true,
+    detached,
+    keyed,
+    fingerprint: keyed ? fingerprintOf(submission) : "",
+    path,
+    body,
+    acceptedAt: now,
+    deadlineAt: now + deadline,
   };
 }
+
+function nameOf({
+  submission,
+  draw,
+  random,
+}: RecordOptions & { random: Environment["random"] }): { id: string; slot: number } | undefined {
+  const { account, key } = submission;
+  if (key !== undefined) return keyedId(account, key);
+  const slot = draw(random);
+  return slot === undefined ? undefined : { id: drawnId(slot, random), slot };
+}
--- a/src/request/slot_replica.ts
+++ b/src/request/slot_replica.ts
@@ -195,6 +195,10 @@
   if (refusal !== undefined) return { replica, reply: reply(replica, refusal) };
   const named = replica.stance === Stance.Backup || !rules.epochCheck;
   if (!named) return { replica, reply: reply(replica, SlotOutcome.NotNamed) };
+  // Tokens are missing between what is held and what came: the sender begins again with all of them.
+  if (lacksTokens(replica, message.record)) {
+    return { replica, reply: reply(replica, SlotOutcome.Unable) };
+  }
   return {
     replica: mergeRecord(replica, message.record),
     reply: reply(replica, SlotOutcome.Acknowledged),
@@ -217,7 +221,54 @@
 export function mergeRecord(replica: SlotReplica, record: RequestRecord): SlotReplica {
   const before = replica.held.get(record.id);
   if (before !== undefined && before.record.sequence >= record.sequence) return replica;
-  return withHeld(replica, { record, acknowledged: before?.acknowledged ?? 0 });
+  return withHeld(replica, {
+    record: wholeRecord(before?.record, record),
+    acknowledged: before?.acknowledged ?? 0,
+  });
+}
+
+function lacksTokens(replica: SlotReplica, record: RequestRecord): boolean {
+  const before = replica.held.get(record.id)?.record;
+  if (before !== undefined && before.sequence >= record.sequence) return false;
+  return record.tokensFrom > (before?.tokens.length ?? 0);
+}
+
+/** A copy sent from a later token on is joined to the tokens that are held. */
+function wholeRecord(before: RequestRecord | undefined, record: RequestRecord): RequestRecord {
+  if (record.tokensFrom === 0) return record;
+  const first = before?.tokens.slice(0, record.tokensFrom) ?? [];
+  return { ...record, tokens: [...first, ...record.tokens], tokensFrom: 0 };
+}
+
+/**
+ * Takes in that a peer knows a later owner: this instance acts no more at its epoch, although it doesn't
+ * know the later one yet.
+ *
+ * Without it a primary that was paused past a takeover would go on telling its callers ends that the new
+ * owner contradicts, until the slot map reaches it.
+ */
+export function standDown(replica: SlotReplica, epoch: number): SlotReplica {
+  if (epoch < replica.assignment.epoch || !ownsSlot(replica)) return replica;
+  return { ...replica, stance: Stance.Ceded };
+}
+
+/** Drops a record: one that was never sent anywhere, or whose retention is over. */
+export function forgetRecord(replica: SlotReplica, id: string): SlotReplica {
+  if (!replica.held.has(id)) return replica;
+  const held = new Map(replica.held);
+  held.delete(id);
+  return { ...replica, held };
+}
+
+/** The message that gives a member a copy of all records, to keep; nobody's ownership changes by it. */
+export function copyOf(replica: SlotReplica): CedeMessage {
+  return {
+    from: replica.self,
+    slot: replica.slot,
+    epoch: replica.assignment.epoch,
+    custody: true,
+    records: [...replica.held.values()].map((held) => held.record),
+  };
 }
 
 /** Takes in the backup's acknowledgement of a sequence, if it was given at the present epoch. */
--- /dev/null
+++ b/src/request/testing/request_fleet.ts
@@ -0,0 +1,266 @@
+import { createScheduler } from "../../decision/index.ts";
+import { createSeededRandom, MemberState, Purchase, WorkerState } from "../../interface/index.ts";
+import type { Member, PeerHandlers, RequestRecord, Worker } from "../../interface/index.ts";
+import {
+  createFreezer,
+  createMemoryEngines,
+  createMemoryNetwork,
+  createVirtualClock,
+} from "../../standin/memory/index.ts";
+import type {
+  Freezer,
+  MemoryEngines,
+  MemoryNetwork,
+  VirtualClock,
+} from "../../standin/memory/index.ts";
+import { EMPTY_SLOT_MAP } from "../../version/index.ts";
+import type { Assignment, SlotMap } from "../../version/index.ts";
+import type { Counters } from "../environment.ts";
+import type { CallerEvent, RequestService, Submission } from "../request_api.ts";
+import { createRequestService } from "../request_service.ts";
+
+/** One entry instance's requests, with the fakes around them. */
+export interface RequestNode {
+  readonly member: Member;
+  readonly requests: RequestService;
+  readonly freezer: Freezer;
+  readonly counts: ReadonlyMap<string, number>;
+  /** Cuts the instance off from news of the slot map and of members. */
+  deaf: boolean;
+}
+
+/** What a caller has got so far. */
+export interface CallerView {
+  readonly events: CallerEvent[];
+  readonly text: string;
+  /** The last event's kind once the iteration has ended. */
+  readonly done: boolean;
+  readonly id: string;
+  leave(): void;
+}
+
+/** Entry instances over fakes in memory: the test writes the slot map and says who is alive. */
+export interface RequestFleet {
+  readonly clock: VirtualClock;
+  readonly engines: MemoryEngines;
+  readonly network: MemoryNetwork;
+  readonly nodes: readonly RequestNode[];
+  node(index: number): RequestNode;
+  /** Gives all slots to a primary and a backup, by index; -1 for none. */
+  assign(primary: number, backup: number, options?: { historyLost?: boolean }): void;
+  setState(index: number, state: MemberState): void;
+  /** Takes an instance away without notice. */
+  kill(index: number): void;
+  setWorkers(workers: readonly Worker[]): void;
+  submit(index: number, submission?: Partial<Submission>): CallerView;
+  follow(index: number, id: string, fromToken?: number): CallerView;
+  close(): void;
+}
+
+/** Tokens of the answers of {@linkcode RequestFleet}, unless a submission says otherwise. */
+const ANSWER_TOKENS = 8;
+
+/** Makes a fleet of entry instances, each in an availability zone of its own, and two workers. */
+export function createRequestFleet(instances = 3): RequestFleet {
+  const clock = createVirtualClock();
+  const engines = createMemoryEngines(clock);
+  const network = createMemoryNetwork(clock);
+  const states = new Map<string, MemberState>();
+  const listeners = new Set<() => void>();
+  const workerListeners = new Set<() => void>();
+  let workers: readonly Worker[] = [workerNamed("w1"), workerNamed("w2")];
+  let map: SlotMap = EMPTY_SLOT_MAP;
+  const members = Array.from({ length: instances }, (_, index) => memberNamed(index));
+  const stateOf = (id: string): MemberState => states.get(id) ?? MemberState.Alive;
+
+  const makeNode = (self: Member, index: number): RequestNode => {
+    const freezer = createFreezer(clock);
+    const counts = new Map<string, number>();
+    const gate = (): Promise<void> => freezer.gate();
+    const scheduler = createScheduler();
+    scheduler.setWorkers(workers, 0);
+    workerListeners.add(() => scheduler.setWorkers(workers, clock.now()));
+    let seen = map;
+    const subscribe = (set: Set<() => void>, listener: () => void): { close(): void } => {
+      const heard = (): void => {
+        if (node.deaf) return;
+        void freezer.gate().then(() => {
+          seen = map;
+          listener();
+        });
+      };
+      set.add(heard);
+      return { close: () => set.delete(heard) };
+    };
+    const requests = createRequestService({
+      clock: freezer.clock,
+      random: createSeededRandom(index + 1),
+      configuration: {
+        revision: () => undefined,
+        slotMap: () => seen,
+        onChange: (listener) => subscribe(listeners, listener),
+        isCutOff: () => false,
+        refresh: () => Promise.resolve(),
+      },
+      members: {
+        self,
+        find: (id) => members.find((member) => member.id === id),
+        stateOf,
+        alive: () => members.filter(({ id }) => stateOf(id) === MemberState.Alive),
+        onChange: (listener) => subscribe(listeners, listener),
+      },
+      workers: {
+        list: () => workers,
+        find: (id) => workers.find((worker) => worker.id === id),
+        onChange: (listener) => subscribe(workerListeners, listener),
+      },
+      peers: network.peersOf(self.id),
+      engine: engines.connect(gate),
+      scheduler,
+      counters: countersInto(counts),
+    });
+    const node: RequestNode = { member: self, requests, freezer, counts, deaf: false };
+    network.join(self, withoutControl(requests), gate);
+    return node;
+  };
+  const nodes = members.map(makeNode);
+  const nodeAt = (index: number): RequestNode => {
+    const node = nodes[index];
+    if (node === undefined) throw new Error(`The fleet has no instance ${index}.`);
+    return node;
+  };
+  const tell = (): void => {
+    for (const listener of [...listeners]) listener();
+  };
+  return {
+    clock,
+    engines,
+    network,
+    nodes,
+    node: nodeAt,
+    assign: (primary, backup, { historyLost = false } = {}) => {
+      const historyLostAt = historyLost ? clock.date().getTime() : 0;
+      const epoch = (map.slots[0]?.epoch ?? 0) + 1;
+      const idAt = (index: number): string => members[index]?.id ?? "";
+      const names = { primary: idAt(primary), backup: idAt(backup) };
+      const assignment: Assignment = { epoch, ...names, historyLostAt };
+      map = { version: map.version + 1, slots: map.slots.map(() => assignment) };
+      tell();
+    },
+    setState: (index, state) => {
+      states.set(nodeAt(index).member.id, state);
+      tell();
+    },
+    kill: (index) => {
+      const { member, freezer, requests } = nodeAt(index);
+      network.kill(member.id);
+      freezer.freeze();
+      requests.close();
+      states.set(member.id, MemberState.Dead);
+      tell();
+    },
+    setWorkers: (next) => {
+      workers = next;
+      for (const listener of [...workerListeners]) listener();
+    },
+    submit: (index, submission = {}) =>
+      callerOf((signal) => nodeAt(index).requests.submit({ ...SUBMISSION, ...submission }, signal)),
+    follow: (index, id, fromToken = 0) =>
+      callerOf((signal) =>
+        nodeAt(index).requests.follow(id, { account: SUBMISSION.account, fromToken, signal }),
+      ),
+    close: () => {
+      for (const { requests } of nodes) requests.close();
+    },
+  };
+}
+
+/** A submission as the tests make it. */
+export const SUBMISSION: Submission = {
+  account: "club",
+  service: "entry-model",
+  model: "",
+  path: "/v1/chat/completions",
+  body: JSON.stringify({ model: "entry-model", max_tokens: ANSWER_TOKENS }),
+  detached: false,
+  fromToken: 0,
+};
+
+/** The answer of the fleet's backend servers with the given number of tokens. */
+export function answerOf(tokens = ANSWER_TOKENS): string {
+  return Array.from({ length: tokens }, (_, index) => `t${index} `).join("");
+}
+
+/** The record of an ended request, for what a test expects of a caller. */
+export function endOf(caller: CallerView): RequestRecord | undefined {
+  const last = caller.events.at(-1);
+  return last?.kind === "ended" ? last.record : undefined;
+}
+
+/** A worker of the service that {@linkcode SUBMISSION} names. */
+export function workerNamed(id: string): Worker {
+  return {
+    id,
+    address: "http://127.0.0.1:1",
+    service: "entry-model",
+    zone: "a",
+    machineClass: "standard",
+    purchase: Purchase.Reclaimable,
+    state: WorkerState.Live,
+  };
+}
+
+function memberNamed(index: number): Member {
+  const address = `127.0.0.1:${7_000 + index}`;
+  return { id: `e${index}#1`, address, callerAddress: address, zone: `zone-${index}` };
+}
+
+function withoutControl(requests: RequestService): PeerHandlers {
+  return {
+    ...requests.handlers,
+    probe: () => Promise.reject(new Error("The fleet has no control tasks.")),
+    pull: () => undefined,
+  };
+}
+
+function callerOf(open: (signal: AbortSignal) => AsyncIterable<CallerEvent>): CallerView {
+  const ending = new AbortController();
+  const events: CallerEvent[] = [];
+  const state = { text: "", done: false, id: "" };
+  const read = async (): Promise<void> => {
+    for await (const event of open(ending.signal)) {
+      events.push(event);
+      if (event.kind === "accepted") state.id = event.id;
+      if (event.kind === "token") state.text += event.text;
+    }
+    state.done = true;
+  };
+  void read();
+  return {
+    events,
+    get text() {
+      return state.text;
+    },
+    get done() {
+      return state.done;
+    },
+    get id() {
+      return state.id;
+    },
+    leave: () => ending.abort(new Error("The caller has gone.")),
+  };
+}
+
+function countersInto(counts: Map<string, number>): Counters {
+  const add = (name: string, amount = 1): void => {
+    counts.set(name, (counts.get(name) ?? 0) + amount);
+  };
+  return {
+    refused: (reason) => add(`refused.${reason}`),
+    retried: (cause) => add(`retried.${cause}`),
+    recomputed: (cause, tokens) => add(`recomputed.${cause}`, tokens),
+    firstToken: () => undefined,
+    betweenTokens: () => undefined,
+    count: (name) => add(name),
+  };
+}
