Model an engine: continuous batching, prefix cache and KV memory without timers

Cause: the replay of the decisions and the backend stand-in need the same engine, and a fixed time between tokens shows neither the price of a full batch nor what a prefix cache or a KV import saves.

Change: createEngineModel steps a batch whose time is a base, a part for each running sequence and the prompt chunk; a prefix cache drops the least recently used blocks when KV memory is needed; requests wait by priority and are preempted when memory runs out.

Conclusion: one pure model for both users; nothing uses it yet.

--- /dev/null
+++ b/src/standin/engine_model.ts
@@ -0,0 +1,278 @@
+import { BLOCK_TOKENS, createPrefixCache } from "./prefix_cache.ts";
+
+/** What a machine class makes of an engine; the deployment's machine classes have these fields. */
+export interface EngineSpeeds {
+  /** Tokens generated a second by a full batch. */
+  readonly tokensPerSecond: number;
+  /** Prompt tokens computed a second. */
+  readonly prefillPerSecond: number;
+  /** Tokens of KV cache, prefix cache included. */
+  readonly cacheTokens: number;
+}
+
+/** A request as the engine model sees it. */
+export interface EngineRequest {
+  readonly id: string;
+  readonly promptTokens: number;
+  /** Tokens of the whole answer, those that the caller has already included. */
+  readonly answerTokens: number;
+  /** Hashes of the prompt's leading blocks of `BLOCK_TOKENS` tokens, each over all up to it. */
+  readonly prefix: readonly string[];
+  /** Tokens of the answer that the caller has already. */
+  readonly resumedTokens: number;
+  /** Tokens of KV cache that are imported. */
+  readonly importedTokens: number;
+  /** Higher goes first. */
+  readonly priority: number;
+}
+
+/** What happens in an engine, with the time in milliseconds. */
+export type EngineModelEvent =
+  | {
+      readonly kind: "started";
+      readonly at: number;
+      readonly id: string;
+      /** Prompt and resumed tokens that are computed now. */
+      readonly computed: number;
+      /** Those that were imported or in the prefix cache. */
+      readonly cached: number;
+    }
+  | { readonly kind: "token"; readonly at: number; readonly id: string; readonly index: number }
+  | { readonly kind: "finished"; readonly at: number; readonly id: string }
+  /** The KV cache ran full: the request waits and is computed anew. */
+  | { readonly kind: "preempted"; readonly at: number; readonly id: string }
+  | {
+      readonly kind: "stored" | "evicted";
+      readonly at: number;
+      readonly blocks: readonly string[];
+    };
+
+/** How busy an engine is. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly cacheTokens: number;
+  readonly cacheCapacity: number;
+}
+
+/**
+ * A model engine without timers: whoever owns it moves it on.
+ *
+ * @example
+ * ```ts
+ * const engine = createEngineModel({ tokensPerSecond: 900, prefillPerSecond: 8_000, cacheTokens: 120_000 });
+ * engine.submit(request, 0);
+ * for (let at = engine.nextEventAt(); at !== undefined; at = engine.nextEventAt()) {
+ *   for (const event of engine.advanceTo(at)) console.log(event);
+ * }
+ * ```
+ */
+export interface EngineModel {
+  /**
+   * Takes a request in.
+   *
+   * @returns False where the request can never fit the KV cache.
+   */
+  submit(request: EngineRequest, now: number): boolean;
+  /** Ends a request; one that isn't there is ignored. */
+  cancel(id: string, now: number): void;
+  /** Moves the engine on, with all that happens until then in order. */
+  advanceTo(now: number): EngineModelEvent[];
+  /** When the next step ends, or undefined where nothing is in progress. */
+  nextEventAt(): number | undefined;
+  /** Tokens of KV cache that an export of the request holds now; undefined where it isn't running. */
+  exportable(id: string): number | undefined;
+  /** Makes every later step take this many times as long. */
+  slow(factor: number): void;
+  load(): EngineLoad;
+}
+
+/** Sequences of a full batch. */
+export const FULL_BATCH = 32;
+/** Part of a full batch's step that a step takes whatever its size: reading the weights. */
+const BASE_SHARE = 0.6;
+/** Milliseconds by which computing prompts may lengthen a step while answers are being generated. */
+const PREFILL_TIME = 12;
+/** How many such chunks a step computes while no answer is being generated. */
+const IDLE_CHUNKS = 8;
+
+interface Sequence {
+  readonly request: EngineRequest;
+  readonly order: number;
+  /** Tokens of the answer so far. */
+  produced: number;
+  /** Prompt and earlier tokens still to compute before the next token. */
+  toCompute: number;
+  /** Tokens of KV cache in use. */
+  held: number;
+}
+
+interface Step {
+  readonly endsAt: number;
+  readonly decoding: readonly Sequence[];
+  readonly chunks: readonly { readonly sequence: Sequence; readonly tokens: number }[];
+}
+
+/** Makes an idle engine. */
+export function createEngineModel(speeds: EngineSpeeds): EngineModel {
+  const fullStep = (FULL_BATCH * 1_000) / speeds.tokensPerSecond;
+  const baseTime = BASE_SHARE * fullStep;
+  const sequenceTime = (fullStep - baseTime) / FULL_BATCH;
+  const chunkTokens = Math.max(1, Math.round((PREFILL_TIME * speeds.prefillPerSecond) / 1_000));
+  const prefixes = createPrefixCache();
+  const running = new Map<string, Sequence>();
+  const waiting: Sequence[] = [];
+  let events: EngineModelEvent[] = [];
+  let step: Step | undefined;
+  let order = 0;
+  let factor = 1;
+  let held = 0;
+
+  const enqueue = (sequence: Sequence): void => {
+    const after = waiting.findIndex((other) => goesBefore(sequence, other));
+    waiting.splice(after < 0 ? waiting.length : after, 0, sequence);
+  };
+  const evict = (at: number): void => {
+    const room = Math.max(0, Math.floor((speeds.cacheTokens - held) / BLOCK_TOKENS));
+    const blocks = prefixes.shrink(room);
+    if (blocks.length > 0) events.push({ kind: "evicted", at, blocks });
+  };
+  const start = (sequence: Sequence, at: number): void => {
+    const { request } = sequence;
+    const needed = request.promptTokens + sequence.produced;
+    const found = prefixes.match(request.prefix) * BLOCK_TOKENS;
+    // The last token is always computed: its output is the next one.
+    const cached = Math.min(needed - 1, Math.max(found, sequence.held));
+    sequence.toCompute = needed - cached;
+    sequence.held = needed;
+    held += needed;
+    running.set(request.id, sequence);
+    evict(at);
+    events.push({ kind: "started", at, id: request.id, computed: sequence.toCompute, cached });
+  };
+  const admitWaiting = (at: number): void => {
+    while (running.size < FULL_BATCH) {
+      const [first] = waiting;
+      if (first === undefined) return;
+      const needed = first.request.promptTokens + first.produced + 1;
+      if (running.size > 0 && held + needed + running.size > speeds.cacheTokens) return;
+      waiting.shift();
+      start(first, at);
+    }
+  };
+  const planStep = (at: number): void => {
+    admitWaiting(at);
+    if (running.size === 0) {
+      step = undefined;
+      return;
+    }
+    const all = [...running.values()];
+    const decoding = all.filter((sequence) => sequence.toCompute === 0);
+    const budget = decoding.length > 0 ? chunkTokens : IDLE_CHUNKS * chunkTokens;
+    const chunks = chunksOf(all, budget);
+    const computed = chunks.reduce((sum, chunk) => sum + chunk.tokens, 0);
+    const prefillTime = (computed * 1_000) / speeds.prefillPerSecond;
+    const time = baseTime + sequenceTime * decoding.length + prefillTime;
+    step = { endsAt: at + factor * time, decoding, chunks };
+  };
+  const produce = (sequence: Sequence, at: number): void => {
+    const { id, answerTokens } = sequence.request;
+    events.push({ kind: "token", at, id, index: sequence.produced });
+    sequence.produced++;
+    sequence.held++;
+    held++;
+    if (sequence.produced < answerTokens) return;
+    release(sequence);
+    events.push({ kind: "finished", at, id });
+  };
+  const release = (sequence: Sequence): void => {
+    running.delete(sequence.request.id);
+    held -= sequence.held;
+  };
+  const preempt = (at: number): void => {
+    while (held > speeds.cacheTokens && running.size > 1) {
+      const last = [...running.values()].reduce((a, b) => (goesBefore(a, b) ? b : a));
+      release(last);
+      last.held = 0;
+      enqueue(last);
+      events.push({ kind: "preempted", at, id: last.request.id });
+    }
+  };
+  const endStep = ({ endsAt, decoding, chunks }: Step): void => {
+    for (const sequence of decoding) {
+      if (running.get(sequence.request.id) === sequence) produce(sequence, endsAt);
+    }
+    for (const { sequence, tokens } of chunks) {
+      if (running.get(sequence.request.id) !== sequence) continue;
+      sequence.toCompute -= tokens;
+      if (sequence.toCompute > 0) continue;
+      const blocks = prefixes.store(sequence.request.prefix);
+      if (blocks.length > 0) events.push({ kind: "stored", at: endsAt, blocks });
+      produce(sequence, endsAt);
+    }
+    preempt(endsAt);
+    evict(endsAt);
+    planStep(endsAt);
+  };
+  const advance = (now: number): void => {
+    while (step !== undefined && step.endsAt <= now) endStep(step);
+  };
+
+  return {
+    submit: (request, now) => {
+      advance(now);
+      if (request.promptTokens + request.answerTokens > speeds.cacheTokens) return false;
+      const { resumedTokens: produced, importedTokens } = request;
+      enqueue({ request, order: order++, produced, toCompute: 0, held: importedTokens });
+      if (step === undefined) planStep(now);
+      return true;
+    },
+    cancel: (id, now) => {
+      advance(now);
+      const index = waiting.findIndex((sequence) => sequence.request.id === id);
+      if (index >= 0) waiting.splice(index, 1);
+      const sequence = running.get(id);
+      if (sequence !== undefined) release(sequence);
+    },
+    advanceTo: (now) => {
+      advance(now);
+      const happened = events;
+      events = [];
+      return happened;
+    },
+    nextEventAt: () => step?.endsAt,
+    exportable: (id) => {
+      const sequence = running.get(id);
+      return sequence === undefined ? undefined : sequence.held - sequence.toCompute;
+    },
+    slow: (times) => {
+      factor = times;
+    },
+    load: () => ({
+      running: running.size,
+      waiting: waiting.length,
+      cacheTokens: held,
+      cacheCapacity: speeds.cacheTokens,
+    }),
+  };
+}
+
+function goesBefore(a: Sequence, b: Sequence): boolean {
+  if (a.request.priority !== b.request.priority) return a.request.priority > b.request.priority;
+  return a.order < b.order;
+}
+
+/** Shares a step's budget of prompt tokens out, the highest priority and the oldest first. */
+function chunksOf(sequences: readonly Sequence[], budget: number): Step["chunks"] {
+  const computing = sequences.filter((sequence) => sequence.toCompute > 0);
+  computing.sort((a, b) => (goesBefore(a, b) ? -1 : 1));
+  const chunks: { sequence: Sequence; tokens: number }[] = [];
+  let left = budget;
+  for (const sequence of computing) {
+    if (left <= 0) break;
+    const tokens = Math.min(left, sequence.toCompute);
+    chunks.push({ sequence, tokens });
+    left -= tokens;
+  }
+  return chunks;
+}
