Replay traces through the decisions on a virtual clock

Cause: the decisions are to be measured, not argued: against baselines, on the same course of events, with stated outcomes.

Change: a trace is JSON lines (header with the deployment document and the outcomes, arrivals, faults); replay plays it through three schedulers, their fair queues, triage and the fleet plan, against the engine model, with load reports a second late and cache events two seconds late and with a tenth missing. samphireshore replay prints each policy's report; 0, 1 or 2 tells whether the outcomes held. traces/generate.ts writes a weekend of the Association and a night of Kortfilm, calm, at peak, under a wave and with a slow server, and the lookups of the peaks alone and twice the load that a few workers bear. The outcomes come from the targets (95 in 100, 1.25 of the lower bound, a tenth of what is in progress), so that some fail until the decisions are built.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,6 +1,7 @@
 import type { Command } from "@oclif/core";
 import { Dev } from "./dev.ts";
 import { PresetUse } from "./preset_use.ts";
+import { Replay } from "./replay.ts";
 import { Serve } from "./serve.ts";
 import { Standin } from "./standin.ts";
 
@@ -8,6 +9,7 @@
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
   dev: Dev,
   "preset:use": PresetUse,
+  replay: Replay,
   serve: Serve,
   standin: Standin,
 };
--- /dev/null
+++ b/src/cli/replay.ts
@@ -0,0 +1,73 @@
+import { readFile } from "node:fs/promises";
+import { Command, Flags } from "@oclif/core";
+import {
+  formatComparison,
+  formatReport,
+  parseTrace,
+  PolicyName,
+  policyOf,
+  replay,
+} from "../standin/replay/index.ts";
+import type { Report, Trace } from "../standin/replay/index.ts";
+
+const ALL = "all";
+const OUTCOME_FAILED = 1;
+const UNREADABLE = 2;
+
+/** `samphireshore replay`: plays recorded traces through the decisions. */
+export class Replay extends Command {
+  static override description =
+    "Play traces through the decisions on a virtual clock, against a model of the engines. " +
+    "Exits with 0 if every stated outcome holds, 1 if one fails, 2 for a file that can't be read.";
+  static override examples = [
+    "samphireshore replay traces/association_calm.jsonl",
+    "samphireshore replay traces/kortfilm_wave.jsonl --policy all --json",
+  ];
+  static override strict = false;
+  static override flags = {
+    policy: Flags.string({
+      description: "Policy to play; all plays each and shows them side by side.",
+      options: [...Object.values(PolicyName), ALL],
+      default: PolicyName.Current,
+    }),
+    seed: Flags.integer({ description: "Seed of the replay; the trace's own if not given." }),
+    json: Flags.boolean({ description: "Print the reports as JSON, one a line." }),
+  };
+
+  override async run(): Promise<void> {
+    const { argv, flags } = await this.parse(Replay);
+    if (argv.length === 0) this.error("Found no file to replay.", { exit: UNREADABLE });
+    const traces: Trace[] = [];
+    for (const file of argv) traces.push(await this.read(String(file)));
+    const names = Object.values(PolicyName).filter((name) => [name, ALL].includes(flags.policy));
+    const reports: Report[] = [];
+    for (const trace of traces) {
+      for (const name of names) {
+        const seed = flags.seed ?? trace.header.seed;
+        reports.push(replay(trace, { policy: policyOf(name), seed }));
+        const report = reports.at(-1);
+        if (flags.json) this.log(JSON.stringify(report));
+      }
+    }
+    if (!flags.json) this.show(reports);
+    const judged = reports.filter(({ policy }) => names.length === 1 || policy === names[0]);
+    if (judged.some(({ holds }) => !holds)) this.exit(OUTCOME_FAILED);
+  }
+
+  private show(reports: readonly Report[]): void {
+    for (const report of reports) this.log(formatReport(report));
+    if (reports.length > 1) this.log(`\n${formatComparison(reports)}`);
+  }
+
+  private async read(file: string): Promise<Trace> {
+    let text: string;
+    try {
+      text = await readFile(file, "utf8");
+    } catch (error) {
+      return this.error(`${file}: Reading it failed: ${String(error)}.`, { exit: UNREADABLE });
+    }
+    const result = parseTrace(text, file);
+    if (result.kind === "read") return result.trace;
+    return this.error(`${file}:${result.line}: ${result.message}`, { exit: UNREADABLE });
+  }
+}
--- /dev/null
+++ b/src/cli/replay_test.ts
@@ -0,0 +1,35 @@
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { expect, test } from "vitest";
+import { sampleHeader } from "../standin/replay/sample_trace.ts";
+import { Replay } from "./replay.ts";
+
+const ARRIVAL = JSON.stringify({ t: 5, a: "club", s: "desk", p: 10, n: 3 });
+
+async function exitOf(lines: readonly string[]): Promise<{ code: number; message: string }> {
+  const file = path.join(await mkdtemp(path.join(tmpdir(), "replay-")), "trace.jsonl");
+  await writeFile(file, lines.join("\n"));
+  try {
+    await Replay.run([file, "--json"], import.meta.dirname);
+    return { code: 0, message: "" };
+  } catch (error) {
+    const { oclif, message } = error as Error & { oclif: { exit: number } };
+    return { code: oclif.exit, message };
+  }
+}
+
+test("the command ends with 0 where every stated outcome holds", async () => {
+  expect(await exitOf([sampleHeader(), ARRIVAL])).toMatchObject({ code: 0 });
+});
+
+test("the command ends with 1 where a stated outcome fails", async () => {
+  const header = sampleHeader({ lost: 0, cost: 0.000_001, services: {} });
+  expect(await exitOf([header, ARRIVAL])).toMatchObject({ code: 1 });
+});
+
+test("the command ends with 2 and names the line of a file that it can't read", async () => {
+  const { code, message } = await exitOf([sampleHeader(), ARRIVAL, "{"]);
+  expect(code).toBe(2);
+  expect(message).toContain("trace.jsonl:3:");
+});
--- a/src/standin/engine_model.ts
+++ b/src/standin/engine_model.ts
@@ -87,8 +87,8 @@
   load(): EngineLoad;
 }
 
-/** Sequences of a full batch. */
-export const FULL_BATCH = 32;
+/** Milliseconds that a step of a full batch takes; a faster machine class has a larger batch. */
+const FULL_STEP = 36;
 /** Part of a full batch's step that a step takes whatever its size: reading the weights. */
 const BASE_SHARE = 0.6;
 /** Milliseconds by which computing prompts may lengthen a step while answers are being generated. */
@@ -113,11 +113,17 @@
   readonly chunks: readonly { readonly sequence: Sequence; readonly tokens: number }[];
 }
 
+/** How many sequences a machine class generates for at once. */
+export function fullBatchOf({ tokensPerSecond }: EngineSpeeds): number {
+  return Math.max(1, Math.round((tokensPerSecond * FULL_STEP) / 1_000));
+}
+
 /** Makes an idle engine. */
 export function createEngineModel(speeds: EngineSpeeds): EngineModel {
-  const fullStep = (FULL_BATCH * 1_000) / speeds.tokensPerSecond;
+  const fullBatch = fullBatchOf(speeds);
+  const fullStep = (fullBatch * 1_000) / speeds.tokensPerSecond;
   const baseTime = BASE_SHARE * fullStep;
-  const sequenceTime = (fullStep - baseTime) / FULL_BATCH;
+  const sequenceTime = (fullStep - baseTime) / fullBatch;
   const chunkTokens = Math.max(1, Math.round((PREFILL_TIME * speeds.prefillPerSecond) / 1_000));
   const prefixes = createPrefixCache();
   const running = new Map<string, Sequence>();
@@ -151,7 +157,7 @@
     events.push({ kind: "started", at, id: request.id, computed: sequence.toCompute, cached });
   };
   const admitWaiting = (at: number): void => {
-    while (running.size < FULL_BATCH) {
+    while (running.size < fullBatch) {
       const [first] = waiting;
       if (first === undefined) return;
       const needed = first.request.promptTokens + first.produced + 1;
--- a/src/standin/engine_model_test.ts
+++ b/src/standin/engine_model_test.ts
@@ -1,8 +1,9 @@
 import { expect, test } from "vitest";
-import { createEngineModel, FULL_BATCH } from "./engine_model.ts";
+import { createEngineModel, fullBatchOf } from "./engine_model.ts";
 import type { EngineModel, EngineModelEvent, EngineRequest } from "./engine_model.ts";
 
 const SPEEDS = { tokensPerSecond: 1_000, prefillPerSecond: 8_000, cacheTokens: 20_000 };
+const FULL_BATCH = fullBatchOf(SPEEDS);
 
 function requestOf(id: string, fields: Partial<EngineRequest> = {}): EngineRequest {
   const zero = { prefix: [], resumedTokens: 0, importedTokens: 0, priority: 0 };
--- /dev/null
+++ b/src/standin/replay/measurements.ts
@@ -0,0 +1,105 @@
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import type { Refusal, RetryCause } from "../../interface/index.ts";
+import type { Target } from "../../version/index.ts";
+
+/** Times that came, and how many of them were within their target. */
+export interface Times {
+  add(milliseconds: number): void;
+  count(): number;
+  /** The value that the given percentage is at or under, in milliseconds; 0 where none came. */
+  percentile(percent: number): number;
+  /** Part of them that was within the target; 1 where none came. */
+  within(): number;
+}
+
+/** What is measured of the requests of one service and lane. */
+export interface GroupMeasurements {
+  arrived: number;
+  /** Answered whole before the deadline. */
+  answered: number;
+  /** Accepted, and ended without the whole answer. */
+  lost: number;
+  /** Of the lost, those whose deadline passed. */
+  late: number;
+  /** Tokens of answers that were whole and whose first token was within the target. */
+  timelyTokens: number;
+  readonly refused: Map<Refusal, number>;
+  readonly firstToken: Times;
+  readonly betweenTokens: Times;
+}
+
+/** What is measured of a whole replay. */
+export interface Measurements {
+  /** The group of a service and lane, made when it is first asked for. */
+  group(name: string, target: Target): GroupMeasurements;
+  readonly groups: ReadonlyMap<string, GroupMeasurements>;
+  readonly recomputed: ReadonlyMap<RetryCause, number>;
+  readonly retried: ReadonlyMap<RetryCause, number>;
+  addRecomputed(cause: RetryCause, tokens: number): void;
+  addRetried(cause: RetryCause): void;
+}
+
+/** Times are kept in tenths of a millisecond. */
+const SCALE = 10;
+const LONGEST = 36_000_000;
+
+function createTimes(target: number): Times {
+  const histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: LONGEST,
+    numberOfSignificantValueDigits: 3,
+  });
+  let timely = 0;
+  return {
+    add: (milliseconds) => {
+      histogram.recordValue(Math.min(LONGEST, Math.round(milliseconds * SCALE)));
+      if (milliseconds <= target) timely++;
+    },
+    count: () => histogram.totalCount,
+    percentile: (percent) =>
+      histogram.totalCount === 0 ? 0 : histogram.getValueAtPercentile(percent) / SCALE,
+    within: () => (histogram.totalCount === 0 ? 1 : timely / histogram.totalCount),
+  };
+}
+
+/** Makes measurements with nothing in them. */
+export function createMeasurements(): Measurements {
+  const groups = new Map<string, GroupMeasurements>();
+  const recomputed = new Map<RetryCause, number>();
+  const retried = new Map<RetryCause, number>();
+  return {
+    groups,
+    recomputed,
+    retried,
+    group: (name, target) => {
+      const known = groups.get(name);
+      if (known !== undefined) return known;
+      const made = createGroup(target);
+      groups.set(name, made);
+      return made;
+    },
+    addRecomputed: (cause, tokens) => {
+      if (tokens > 0) addTo(recomputed, cause, tokens);
+    },
+    addRetried: (cause) => addTo(retried, cause, 1),
+  };
+}
+
+function createGroup(target: Target): GroupMeasurements {
+  return {
+    arrived: 0,
+    answered: 0,
+    lost: 0,
+    late: 0,
+    timelyTokens: 0,
+    refused: new Map(),
+    firstToken: createTimes(target.firstToken),
+    betweenTokens: createTimes(target.betweenTokens),
+  };
+}
+
+/** Adds to a count by key. */
+export function addTo<Key>(counts: Map<Key, number>, key: Key, amount: number): void {
+  counts.set(key, (counts.get(key) ?? 0) + amount);
+}
--- /dev/null
+++ b/src/standin/replay/outcomes.ts
@@ -0,0 +1,50 @@
+import type { Report } from "./report.ts";
+import type { Outcomes } from "./trace.ts";
+
+/** One stated outcome against what was found. */
+export interface Check {
+  readonly name: string;
+  readonly bound: "at most" | "at least";
+  readonly stated: number;
+  readonly found: number;
+  readonly holds: boolean;
+}
+
+/** Compares what a replay found with what its trace states. */
+export function checkOutcomes(
+  stated: Outcomes,
+  found: Pick<Report, "groups" | "recomputedTotal" | "cost" | "goodput">,
+): Check[] {
+  const groups = Object.values(found.groups);
+  const checks = [
+    atMost("lost", stated.lost, sumOf(groups.map((group) => group.lost))),
+    atMost("recomputed", stated.recomputed, found.recomputedTotal),
+    atMost("cost", stated.cost, found.cost),
+    atLeast("goodput", stated.goodput, found.goodput),
+    ...Object.entries(stated.services).flatMap(([name, outcome]) => {
+      const group = found.groups[name];
+      const answered = (group?.answered ?? 0) / Math.max(1, group?.arrived ?? 0);
+      return [
+        atLeast(`${name} firstToken`, outcome.firstToken, group?.firstToken.within ?? 0),
+        atLeast(`${name} betweenTokens`, outcome.betweenTokens, group?.betweenTokens.within ?? 0),
+        atLeast(`${name} answered`, outcome.answered, answered),
+        atMost(`${name} firstTokenP99`, outcome.firstTokenP99, group?.firstToken.p99 ?? Infinity),
+      ];
+    }),
+  ];
+  return checks.filter((check) => check !== undefined);
+}
+
+function atMost(name: string, stated: number | undefined, found: number): Check | undefined {
+  if (stated === undefined) return undefined;
+  return { name, bound: "at most", stated, found, holds: found <= stated };
+}
+
+function atLeast(name: string, stated: number | undefined, found: number): Check | undefined {
+  if (stated === undefined) return undefined;
+  return { name, bound: "at least", stated, found, holds: found >= stated };
+}
+
+function sumOf(values: readonly number[]): number {
+  return values.reduce((a, b) => a + b, 0);
+}
--- /dev/null
+++ b/src/standin/replay/report_text.ts
@@ -0,0 +1,95 @@
+import type { GroupReport, Report, TimesReport } from "./report.ts";
+
+/** Writes a report for people: what was found of each service and lane, and of the whole. */
+export function formatReport(report: Report): string {
+  const lines = [
+    `${report.trace}, policy ${report.policy}, seed ${report.seed}`,
+    ...Object.entries(report.groups).flatMap(([name, group]) => groupLines(name, group)),
+    `  recomputed ${report.recomputedTotal} tokens${byKey(report.recomputed)}`,
+    `  retried${byKey(report.retried)}`,
+    `  cost ${report.cost} EUR, ${report.costPer1000} EUR for 1,000 answers, ` +
+      `${report.costOverBound} of the lower bound ${report.lowerBound.total} EUR`,
+    `  goodput ${report.goodput} tokens/s`,
+    `  workers: at most ${report.fleet.peak}, launched ${report.fleet.launched}, ` +
+      `refused ${report.fleet.refused}, reclaimed ${report.fleet.reclaimed}, ` +
+      `retired ${report.fleet.retired}`,
+    ...report.outcomes.map(
+      ({ name, bound, stated, found, holds }) =>
+        `  ${holds ? "holds" : "FAILS"}: ${name} ${bound} ${stated}, found ${found}`,
+    ),
+  ];
+  return lines.join("\n");
+}
+
+function groupLines(name: string, group: GroupReport): string[] {
+  const { arrived, answered, lost, late, refused } = group;
+  return [
+    `  ${name}: arrived ${arrived}, answered ${answered}, lost ${lost} (late ${late})` +
+      `, refused${byKey(refused)}`,
+    `    first token ${times(group.firstToken)}`,
+    `    between tokens ${times(group.betweenTokens)}`,
+  ];
+}
+
+function times({ p50, p95, p99, within }: TimesReport): string {
+  return `p50 ${p50} p95 ${p95} p99 ${p99} ms, ${within} within target`;
+}
+
+function byKey(counts: Readonly<Record<string, number>>): string {
+  const parts = Object.entries(counts).map(([key, value]) => `${key} ${value}`);
+  return parts.length === 0 ? " none" : `: ${parts.join(", ")}`;
+}
+
+/** Writes reports of one trace side by side, a line a policy. */
+export function formatComparison(reports: readonly Report[]): string {
+  const header = [
+    "trace",
+    "policy",
+    "holds",
+    "cost",
+    "of bound",
+    "recomputed",
+    "lost",
+    "refused",
+    "goodput",
+    "first token within, p99 by group",
+  ];
+  const rows = reports.map((report) => {
+    const groups = Object.entries(report.groups);
+    const total = (pick: (group: GroupReport) => number): number =>
+      groups.reduce((sum, [, group]) => sum + pick(group), 0);
+    return [
+      report.trace,
+      report.policy,
+      report.holds ? "yes" : "no",
+      String(report.cost),
+      String(report.costOverBound),
+      String(report.recomputedTotal),
+      String(total((group) => group.lost)),
+      String(total((group) => sumValues(group.refused))),
+      String(Math.round(report.goodput)),
+      groups
+        .map(([name, { firstToken }]) => `${name} ${firstToken.within} ${firstToken.p99}`)
+        .join("; "),
+    ];
+  });
+  return columns([header, ...rows]);
+}
+
+function sumValues(counts: Readonly<Record<string, number>>): number {
+  return Object.values(counts).reduce((a, b) => a + b, 0);
+}
+
+function columns(rows: readonly (readonly string[])[]): string {
+  const widths = (rows[0] ?? []).map((_, column) =>
+    Math.max(...rows.map((row) => (row[column] ?? "").length)),
+  );
+  return rows
+    .map((row) =>
+      row
+        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+        .join("  ")
+        .trimEnd(),
+    )
+    .join("\n");
+}
