--- a/traces/association.ts
+++ b/traces/association.ts
@@ -1,13 +1,9 @@
+import { accountOf, hill, modelService, STANDARD, swell } from "./common.ts";
 import type { RequestKind, Workload } from "./workload.ts";
 
 const MINUTE = 60_000;
 
-const KEY = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
-
-function account(weight: number): object {
-  const services = ["entry-model", "finish-desk"];
-  return { keySha256: KEY, weight, maxRequests: 400, maxTokens: 600_000, services };
-}
+const SERVICES = ["entry-model", "finish-desk"];
 
 /** The Association's deployment document, with prices that differ by availability zone. */
 export const ASSOCIATION_DEPLOYMENT = {
@@ -15,38 +11,23 @@
   region: "sofia",
   zones: ["sofia-a", "sofia-b", "sofia-c", "sofia-d"],
   services: {
-    "entry-model": {
-      kind: "model",
-      models: [{ name: "start-list", version: "1", adapters: [], weights: 16_000_000_000 }],
-      repeatable: true,
-      checksFence: true,
-      lane: "script",
-      target: { firstToken: "1.6 s", betweenTokens: "44 ms", deadline: "5 min" },
-    },
-    "finish-desk": {
-      kind: "model",
-      models: [{ name: "desk", version: "1", adapters: [], weights: 4_000_000_000 }],
-      repeatable: true,
-      checksFence: false,
-      lane: "lookup",
-      target: { firstToken: "400 ms", betweenTokens: "44 ms", deadline: "20 s" },
-    },
+    "entry-model": modelService(
+      { name: "start-list", weights: 16_000_000_000 },
+      { checksFence: true, lane: "script", firstToken: "1.6 s", deadline: "5 min" },
+    ),
+    "finish-desk": modelService(
+      { name: "desk", weights: 4_000_000_000 },
+      { checksFence: false, lane: "lookup", firstToken: "400 ms", deadline: "20 s" },
+    ),
   },
   accounts: {
-    "club-sofia": account(3),
-    "club-varna": account(3),
-    federation: account(2),
-    "club-ruse": account(1),
-    schools: account(1),
-  },
-  machineClasses: {
-    standard: {
-      tokensPerSecond: 225,
-      prefillPerSecond: 4_000,
-      cacheTokens: 40_000,
-      startUp: "40 s",
-    },
+    "club-sofia": accountOf(3, SERVICES),
+    "club-varna": accountOf(3, SERVICES),
+    federation: accountOf(2, SERVICES),
+    "club-ruse": accountOf(1, SERVICES),
+    schools: accountOf(1, SERVICES),
   },
+  machineClasses: { standard: STANDARD },
   offers: [
     { zone: "sofia-a", machineClass: "standard", reclaimable: "0.8 EUR/h", onDemand: "2.4 EUR/h" },
     { zone: "sofia-b", machineClass: "standard", reclaimable: "0.9 EUR/h", onDemand: "2.4 EUR/h" },
@@ -133,7 +114,7 @@
   kinds: KINDS,
   accounts: ACCOUNTS,
   duration: DURATION,
-  curve: (_kind, part) => 1 + 0.2 * Math.sin(2 * Math.PI * part),
+  curve: (_kind, part) => swell(part),
 };
 
 /** Entries close in the first half; the finish tent is busy in the second, in bursts. */
@@ -145,9 +126,3 @@
     return 1 + hill(part, 0.7) * (1 + BURST_FACTOR * burst);
   },
 };
-
-/** Rises from 0 to 1 at `top` and falls again, over three tenths of the duration to each side. */
-export function hill(part: number, top: number): number {
-  const distance = Math.abs(part - top) / 0.3;
-  return distance >= 1 ? 0 : 0.5 + 0.5 * Math.cos(Math.PI * distance);
-}
--- a/traces/kortfilm.ts
+++ b/traces/kortfilm.ts
@@ -1,15 +1,10 @@
+import { accountOf, hill, modelService, STANDARD, swell } from "./common.ts";
 import { Lane } from "../src/decision/index.ts";
-import { hill } from "./association.ts";
 import type { RequestKind, Workload } from "./workload.ts";
 
 const MINUTE = 60_000;
 
-const KEY = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
-
-function account(weight: number): object {
-  const services = ["samphire-pool", "booking-api"];
-  return { keySha256: KEY, weight, maxRequests: 400, maxTokens: 800_000, services };
-}
+const SERVICES = ["samphire-pool", "booking-api"];
 
 /** Kortfilm's deployment document: a pool for scripts and lookups, and a plain service. */
 export const KORTFILM_DEPLOYMENT = {
@@ -17,14 +12,10 @@
   region: "be-flanders",
   zones: ["gent-a", "gent-b", "antw-a", "antw-b"],
   services: {
-    "samphire-pool": {
-      kind: "model",
-      models: [{ name: "reel", version: "1", adapters: [], weights: 16_000_000_000 }],
-      repeatable: true,
-      checksFence: false,
-      lane: "script",
-      target: { firstToken: "1.6 s", betweenTokens: "44 ms", deadline: "10 min" },
-    },
+    "samphire-pool": modelService(
+      { name: "reel", weights: 16_000_000_000 },
+      { checksFence: false, lane: "script", firstToken: "1.6 s", deadline: "10 min" },
+    ),
     "booking-api": {
       kind: "plain",
       repeatable: false,
@@ -34,20 +25,13 @@
     },
   },
   accounts: {
-    "traffic-desk": account(3),
-    sales: account(3),
-    "cinema-gent": account(2),
-    "cinema-antwerp": account(2),
-    projection: account(1),
-  },
-  machineClasses: {
-    standard: {
-      tokensPerSecond: 225,
-      prefillPerSecond: 4_000,
-      cacheTokens: 40_000,
-      startUp: "40 s",
-    },
+    "traffic-desk": accountOf(3, SERVICES),
+    sales: accountOf(3, SERVICES),
+    "cinema-gent": accountOf(2, SERVICES),
+    "cinema-antwerp": accountOf(2, SERVICES),
+    projection: accountOf(1, SERVICES),
   },
+  machineClasses: { standard: STANDARD },
   offers: [
     { zone: "gent-a", machineClass: "standard", reclaimable: "0.7 EUR/h", onDemand: "2.2 EUR/h" },
     { zone: "gent-b", machineClass: "standard", reclaimable: "0.8 EUR/h", onDemand: "2.2 EUR/h" },
@@ -146,7 +130,7 @@
   kinds: KINDS,
   accounts: ACCOUNTS,
   duration: DURATION,
-  curve: (_kind, part) => 1 + 0.2 * Math.sin(2 * Math.PI * part),
+  curve: (_kind, part) => swell(part),
 };
 
 /** Scripts come in the evening, the desks and cinemas in the morning. */
