Keep the slot map, membership and configuration as tasks

Cause: an instance knew only itself and one revision, so no slot had an owner. Change: SWIM-style membership over probes, a follower of configuration objects by watch, peers and reread, and the task that assigns, takes over and balances slots. A member that sees most owners dead, or hears nobody, writes a claim first and takes over only when nobody answers. The core test now stores a revision, since an instance serves nothing before it has one; seeds are found by address in the memory network. Conclusion: the requests can follow the map; records are copied once copyTo does.

--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -12,11 +12,10 @@
 } from "../interface/index.ts";
 import { createRequestService } from "../request/index.ts";
 import type { RequestService } from "../request/index.ts";
-import { createConfiguration } from "./configuration.ts";
 import type { Configuration } from "./configuration.ts";
+import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
 import type { CounterTable } from "./counters.ts";
-import { createMembership } from "./membership.ts";
 import type { Membership } from "./membership.ts";
 import { createWorkerDirectory } from "./worker_directory.ts";
 import type { WorkerDirectory } from "./worker_directory.ts";
@@ -62,13 +61,18 @@
 
 /** Puts an entry instance together. */
 export function createEntryCore(settings: CoreSettings, outside: Outside): EntryCore {
-  const configuration = createConfiguration(outside);
-  const members = createMembership(settings.self);
+  const counters = createCounters();
+  const control = createControl({
+    ...settings,
+    ...outside,
+    requests: () => requests,
+    count: (name) => counters.count(name),
+  });
+  const { configuration, members } = control;
   const workers = createWorkerDirectory(outside.instances);
   const scheduler = createScheduler();
-  const counters = createCounters();
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
-  const requests = createRequestService(environment);
+  const requests: RequestService = createRequestService(environment);
   workers.onChange(() => scheduler.setWorkers(workers.list(), outside.clock.now()));
   const handOver = async (): Promise<void> => {
     members.leave();
@@ -83,20 +87,18 @@
     counters,
     handlers: {
       ...requests.handlers,
-      ...members.handlers,
-      pull: () => undefined,
+      ...control.handlers,
     },
     start: async () => {
-      await configuration.start();
+      await control.start();
       await workers.start();
     },
     drain: handOver,
     reclaim: handOver,
     close: () => {
       requests.close();
-      members.close();
       workers.close();
-      configuration.close();
+      control.close();
     },
   };
 }
--- a/src/process/entry_core_test.ts
+++ b/src/process/entry_core_test.ts
@@ -7,7 +7,9 @@
   createMemoryStore,
   createVirtualClock,
 } from "../standin/memory/index.ts";
+import { REVISION_KEY } from "../version/index.ts";
 import { createEntryCore } from "./entry_core.ts";
+import { MINIMAL_REVISION } from "./testing/minimal_revision.ts";
 
 const WORKER: Worker = {
   id: "w1",
@@ -23,13 +25,17 @@
   const clock = createVirtualClock();
   const engines = createMemoryEngines(clock);
   const network = createMemoryNetwork(clock);
+  const store = createMemoryStore(clock).connect();
+  const written = store.put(REVISION_KEY, MINIMAL_REVISION, { expect: 0 });
+  await clock.advance(10);
+  await written;
   const self = { id: "e1#1", address: "1", callerAddress: "1", zone: "a" };
   const core = createEntryCore(
     { self, region: "local", seeds: [] },
     {
       clock,
       random: createSeededRandom(1),
-      store: createMemoryStore(clock).connect(),
+      store,
       engine: engines.connect(),
       instances: { workers: () => Promise.resolve([WORKER]) },
       cloud: {
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -1,4 +1,5 @@
 export * from "./configuration.ts";
+export * from "./control.ts";
 export * from "./counters.ts";
 export * from "./entry_core.ts";
 export * from "./entry_instance.ts";
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -1,29 +1,298 @@
-import { MemberState } from "../interface/index.ts";
-import type { Member, PeerHandlers } from "../interface/index.ts";
+import { MemberState, sleep } from "../interface/index.ts";
+import type {
+  Clock,
+  Member,
+  MemberDelta,
+  PeerHandlers,
+  Peers,
+  ProbeMessage,
+  ProbeReply,
+  Random,
+  VersionMark,
+} from "../interface/index.ts";
 import type { MembershipView } from "../request/index.ts";
-import { subscribe } from "./configuration.ts";
+import { createMemberTable, nameOf } from "./member_table.ts";
+import type { MemberTable } from "./member_table.ts";
+import { subscribe } from "./subscription.ts";
+
+/** Milliseconds between probes. */
+const PROBE_PERIOD = 1_000;
+/** Members that are asked to probe on our behalf before one is suspected. */
+const HELPERS = 2;
+/** How long a suspected member has to refute, in milliseconds. */
+const SUSPICION = 2_000;
+/** Peers that news is sent to at once, and the delay in which more news joins it. */
+const NEWS_FANOUT = 2;
+const NEWS_DELAY = 50;
+/** Every so many periods a seed or a dead member is probed, which joins fleets that lost each other. */
+const REJOIN_PERIODS = 5;
 
 /** The task that keeps track of the entry instances. */
 export interface Membership extends MembershipView {
   readonly handlers: Pick<PeerHandlers, "probe">;
+  /** Joins by the seeds and begins to probe. */
+  start(): void;
   /** Tells everyone that this instance takes nothing new. */
   leave(): void;
+  /** Marks a backend server as leaving and tells everyone at once. */
+  markWorkerLeaving(id: string, zone: string): void;
+  /** Tells everyone, the member itself included, that the cloud takes this entry instance back. */
+  markMemberLeaving(name: string): void;
+  /** Ids of backend servers that are marked as leaving. */
+  leavingWorkers(): ReadonlySet<string>;
+  /** All members that are not dead, this one included, whatever their state. */
+  present(): readonly Member[];
+  /** When a peer was last heard, in the clock's milliseconds; undefined where none ever was. */
+  heardAt(): number | undefined;
+  /** Sends the versions that this instance has applied to a few peers at once. */
+  spreadVersions(): void;
+  /** Called when a peer says that this instance is to leave. */
+  onOwnNotice(listener: () => void): ReturnType<MembershipView["onChange"]>;
   close(): void;
 }
 
-/** A membership of one: this instance. */
-export function createMembership(self: Member): Membership {
+/** What the membership task is made with. */
+export interface MembershipParts {
+  readonly self: Member;
+  /** Addresses of a few entry instances; their ids are learned from their answers. */
+  readonly seeds: readonly string[];
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly peers: Peers;
+  /** The versions that this instance has applied. */
+  readonly versions: () => readonly VersionMark[];
+  /** Called with the versions that a peer says it has applied. */
+  readonly hearVersions: (from: Member, marks: readonly VersionMark[]) => void;
+}
+
+/**
+ * Makes the task: SWIM-style membership. Each second one random member is probed; one that doesn't answer
+ * is probed through others, then suspected, then dead unless it refutes by raising its own number. What
+ * each instance sends does not grow with the fleet.
+ */
+export function createMembership(parts: MembershipParts): Membership {
+  const { self, clock, random, peers } = parts;
+  const table = createMemberTable();
   const listeners = new Set<() => void>();
+  const noticeListeners = new Set<() => void>();
+  let own: MemberDelta = { member: self, state: MemberState.Alive, rise: 0, backend: false };
+  let heardAt: number | undefined;
+  let closed = false;
+  let newsDue = false;
+  let round: Member[] = [];
+
+  const changed = (): void => {
+    for (const listener of listeners) listener();
+  };
+  const merge = (delta: MemberDelta): boolean => {
+    if (delta.member.id === self.id) return hearOfSelf(delta);
+    const isNews = table.merge(delta, clock.now());
+    if (isNews && !delta.backend && delta.state === MemberState.Suspect) judgeLater(delta);
+    return isNews;
+  };
+  const hearOfSelf = (delta: MemberDelta): boolean => {
+    const noticed = delta.state === MemberState.Leaving && own.state === MemberState.Alive;
+    if (noticed && delta.rise >= own.rise) {
+      own = { ...own, state: MemberState.Leaving, rise: delta.rise + 1 };
+      for (const listener of noticeListeners) listener();
+      return true;
+    }
+    const accused = delta.state === MemberState.Suspect || delta.state === MemberState.Dead;
+    if (!accused || delta.rise < own.rise) return false;
+    // Only this instance can say that it lives: without the raise others would bury it, and its slots
+    // would be taken over while it serves them.
+    own = { ...own, rise: delta.rise + 1 };
+    return true;
+  };
+  const judgeLater = ({ member, rise }: MemberDelta): void => {
+    clock.after(SUSPICION, () => {
+      const known = table.find(member.id);
+      if (closed || known?.rise !== rise || known.state === MemberState.Dead) return;
+      tell({ member, state: MemberState.Dead, rise, backend: false });
+    });
+  };
+  /** A leaving member can't be marked as suspected, so it is probed once more before it is called dead. */
+  const judgeLeaving = ({ member, rise }: MemberDelta): void => {
+    const judge = async (): Promise<void> => {
+      if (closed || (await probe(member))) return;
+      tell({ member, state: MemberState.Dead, rise, backend: false });
+    };
+    clock.after(SUSPICION, () => void judge());
+  };
+  const tell = (delta: MemberDelta): void => {
+    if (!merge(delta)) return;
+    changed();
+    spreadNews();
+  };
+  const hear = (
+    from: string,
+    deltas: readonly MemberDelta[],
+    marks: readonly VersionMark[],
+  ): void => {
+    heardAt = clock.now();
+    const news = deltas.filter(merge);
+    const sender = table.find(from)?.member;
+    if (sender !== undefined) {
+      buryEarlier(sender);
+      parts.hearVersions(sender, marks);
+    }
+    if (news.length === 0) return;
+    changed();
+    spreadNews();
+  };
+  /** A restarted instance stands at the same address: the one before it is dead. */
+  const buryEarlier = (sender: Member): void => {
+    for (const { member, state, rise } of table.members()) {
+      if (member.id === sender.id || nameOf(member) !== nameOf(sender)) continue;
+      if (state !== MemberState.Dead) {
+        tell({ member, state: MemberState.Dead, rise, backend: false });
+      }
+    }
+  };
+  const outgoing = (to: string): Pick<ProbeMessage, "from" | "deltas" | "versions"> => ({
+    from: self.id,
+    deltas: [own, ...accusationOf(table, to), ...table.news(random)],
+    versions: parts.versions(),
+  });
+  const probe = async (to: Member): Promise<boolean> => {
+    try {
+      const reply = await peers.probe(to, outgoing(to.id));
+      if (closed) return true;
+      hear(reply.from, reply.deltas, reply.versions);
+      // It answered and yet we believe it dead: it has to hear so, or it can't refute.
+      const answered = table.find(reply.from);
+      if (to.id === "" && answered?.state === MemberState.Dead) void probe(answered.member);
+      // Another incarnation may have answered at the same address.
+      return to.id === "" || reply.from === to.id;
+    } catch {
+      return false;
+    }
+  };
+  const probeThrough = async (helper: Member, target: Member): Promise<boolean> => {
+    try {
+      const reply = await peers.probe(helper, { ...outgoing(helper.id), target });
+      hear(reply.from, reply.deltas, reply.versions);
+      return reply.reached;
+    } catch {
+      return false;
+    }
+  };
+  const examine = async (target: Member): Promise<void> => {
+    if (await probe(target)) return;
+    const helpers = shuffled(table, random)
+      .filter((member) => member.id !== target.id)
+      .slice(0, HELPERS);
+    const reached = await Promise.all(helpers.map((helper) => probeThrough(helper, target)));
+    if (reached.includes(true) || closed) return;
+    const known = table.find(target.id);
+    if (known === undefined || known.state === MemberState.Dead) return;
+    if (known.state === MemberState.Leaving) judgeLeaving(known);
+    else tell({ member: target, state: MemberState.Suspect, rise: known.rise, backend: false });
+  };
+  const nextTarget = (): Member | undefined => {
+    if (round.length === 0) round = shuffled(table, random);
+    const target = round.pop();
+    const gone = target !== undefined && stateOf(table, target.id) === MemberState.Dead;
+    return gone ? undefined : target;
+  };
+  const rejoin = async (): Promise<void> => {
+    const lost = table.members().filter(({ state }) => state === MemberState.Dead);
+    const addresses = [...parts.seeds, ...lost.map(({ member }) => member.address)];
+    const foreign = addresses.filter((address) => address !== self.address);
+    const address = foreign[Math.floor(random.next() * foreign.length)];
+    if (address !== undefined) await probe({ id: "", address, callerAddress: "", zone: "" });
+  };
+  const run = async (): Promise<void> => {
+    for (let period = 0; !isClosed(); period++) {
+      const target = nextTarget();
+      if (target !== undefined) void examine(target);
+      if (target === undefined || period % REJOIN_PERIODS === 0) void rejoin();
+      table.forget(clock.now());
+      await sleep(clock, PROBE_PERIOD * (0.9 + 0.2 * random.next()));
+    }
+  };
+  const isClosed = (): boolean => closed;
+  /** News doesn't wait for the next probe: each instance passes it on once, to a few others. */
+  const spreadNews = (): void => {
+    if (newsDue || closed) return;
+    newsDue = true;
+    clock.after(NEWS_DELAY, () => {
+      newsDue = false;
+      if (closed) return;
+      for (const peer of shuffled(table, random).slice(0, NEWS_FANOUT)) void probe(peer);
+    });
+  };
+  const answerProbe = async (message: ProbeMessage): Promise<ProbeReply> => {
+    const isNew = table.find(message.from) === undefined;
+    hear(message.from, message.deltas, message.versions);
+    const { target } = message;
+    const reached = target === undefined || target.id === self.id || (await probe(target));
+    const deltas = isNew ? [own, ...table.all()] : outgoing(message.from).deltas;
+    return { from: self.id, reached, deltas, versions: parts.versions() };
+  };
+  const isIn = (...states: MemberState[]): readonly Member[] => {
+    const others = table.members().filter(({ state }) => states.includes(state));
+    const found = others.map(({ member }) => member);
+    return states.includes(own.state) ? [self, ...found] : found;
+  };
+
   return {
     self,
-    find: (id) => (id === self.id ? self : undefined),
-    stateOf: (id) => (id === self.id ? MemberState.Alive : MemberState.Dead),
-    alive: () => [self],
+    find: (id) => (id === self.id ? self : table.find(id)?.member),
+    stateOf: (id) => (id === self.id ? own.state : stateOf(table, id)),
+    alive: () => isIn(MemberState.Alive, MemberState.Suspect),
+    present: () => isIn(MemberState.Alive, MemberState.Suspect, MemberState.Leaving),
     onChange: (listener) => subscribe(listeners, listener),
-    handlers: {
-      probe: () => Promise.resolve({ from: self.id, reached: true, deltas: [], versions: [] }),
+    onOwnNotice: (listener) => subscribe(noticeListeners, listener),
+    heardAt: () => heardAt,
+    leavingWorkers: () => table.leavingWorkers(),
+    handlers: { probe: answerProbe },
+    start: () => void run(),
+    spreadVersions: spreadNews,
+    leave: () => {
+      if (own.state === MemberState.Leaving) return;
+      own = { ...own, state: MemberState.Leaving, rise: own.rise + 1 };
+      changed();
+      spreadNews();
+    },
+    markWorkerLeaving: (id, zone) => {
+      const member = { id, address: "", callerAddress: "", zone };
+      tell({ member, state: MemberState.Leaving, rise: 1, backend: true });
+    },
+    markMemberLeaving: (name) => {
+      if (nameOf(self) === name) tell({ ...own, state: MemberState.Leaving });
+      for (const { member, state, rise, backend } of table.members()) {
+        const named = nameOf(member) === name && state !== MemberState.Dead;
+        if (named) tell({ member, state: MemberState.Leaving, rise, backend });
+      }
+    },
+    close: () => {
+      closed = true;
+      listeners.clear();
+      noticeListeners.clear();
     },
-    leave: () => undefined,
-    close: () => listeners.clear(),
   };
 }
+
+function stateOf(table: MemberTable, id: string): MemberState {
+  return table.find(id)?.state ?? MemberState.Dead;
+}
+
+/** What we hold against a member, for it to refute. */
+function accusationOf(table: MemberTable, id: string): MemberDelta[] {
+  const known = table.find(id);
+  if (known === undefined) return [];
+  const { member, state, rise, backend } = known;
+  const accused = state === MemberState.Suspect || state === MemberState.Dead;
+  return accused ? [{ member, state, rise, backend }] : [];
+}
+
+/** The members that are not dead, in random order. */
+function shuffled(table: MemberTable, random: Random): Member[] {
+  return table
+    .members()
+    .filter(({ state }) => state !== MemberState.Dead)
+    .map(({ member }) => ({ member, place: random.next() }))
+    .sort((a, b) => a.place - b.place)
+    .map(({ member }) => member);
+}
--- /dev/null
+++ b/src/process/slot_task.ts
@@ -0,0 +1,280 @@
+import { MemberState } from "../interface/index.ts";
+import type { Clock, Member, ObjectStore, PutOutcome, Random, Timer } from "../interface/index.ts";
+import type { RequestService } from "../request/index.ts";
+import {
+  applyChanges,
+  formatSlotMap,
+  planBackups,
+  planSwaps,
+  planTakeover,
+  promotedBackup,
+  rendezvousOrder,
+  SLOT_MAP_KEY,
+  withBackup,
+} from "../version/index.ts";
+import type { Assignment, SlotChange, SlotFleet, SlotMap } from "../version/index.ts";
+import type { Configuration } from "./configuration.ts";
+import type { Membership } from "./membership.ts";
+
+/** Delay between two survivors of consecutive ranks, so that the second finds the first one's write. */
+const RANK_DELAY = 150;
+/** Ranks beyond this act at the same time as it, with jitter. */
+const MOST_RANKS = 8;
+/** A fleet that forms is left to gather this long before the first assignment. */
+const GATHERING = 1_000;
+/** How often the plan is looked at without being woken, and the jitter before a primary's own writes. */
+const PERIOD = 2_000;
+const OWN_JITTER = 100;
+/** Slots of one primary that move at a time for balance's sake alone. */
+const MOST_MOVES = 32;
+/**
+ * A member that believes most owners dead may itself be the one that is cut off, and two sides that take
+ * the slots from each other serve nobody. So it writes a claim first, and takes over only when nobody has
+ * answered it for this long by writing the map.
+ */
+const CLAIM_TIME = 3_000;
+/** How long after an answer, or after another's claim, a member waits before it claims. */
+const CLAIM_PAUSE = 8_000;
+
+/** The task that keeps the slot map in step with the members. */
+export interface SlotTask {
+  start(): void;
+  close(): void;
+}
+
+/** What the slot task is made with. */
+export interface SlotTaskParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: ObjectStore;
+  readonly configuration: Configuration;
+  readonly members: Membership;
+  readonly requests: Pick<RequestService, "copyTo">;
+  readonly count: (name: string) => void;
+}
+
+/** Makes the task; it does nothing before it is started. */
+export function createSlotTask(parts: SlotTaskParts): SlotTask {
+  const { clock, random, configuration, members } = parts;
+  const self = members.self.id;
+  let timer: Timer | undefined;
+  let dueAt = Number.POSITIVE_INFINITY;
+  let busy = false;
+  let wokenMeanwhile = false;
+  let closed = false;
+  let startedAt = 0;
+  let map = configuration.slotMap();
+  let mapChangedAt = 0;
+  let claimedAt: number | undefined;
+
+  const wakeIn = (delay: number): void => {
+    if (closed || clock.now() + delay >= dueAt) return;
+    timer?.close();
+    dueAt = clock.now() + delay;
+    timer = clock.after(delay, () => {
+      dueAt = Number.POSITIVE_INFINITY;
+      void step();
+    });
+  };
+  const noteMap = (): void => {
+    if (configuration.slotMap().version === map.version) return;
+    map = configuration.slotMap();
+    mapChangedAt = clock.now();
+  };
+  const step = async (): Promise<void> => {
+    if (closed) return;
+    if (busy) {
+      wokenMeanwhile = true;
+      return;
+    }
+    busy = true;
+    wokenMeanwhile = false;
+    noteMap();
+    try {
+      const acted = (await takeOver()) || (await tendOwn()) || wokenMeanwhile;
+      wakeIn(acted ? OWN_JITTER * random.next() : PERIOD * (0.75 + 0.5 * random.next()));
+    } finally {
+      busy = false;
+    }
+  };
+  const takeOver = async (): Promise<boolean> => {
+    const asked = map.claim !== undefined && map.claim !== self;
+    if (asked && (isInTouch() || ownersOf(map).has(self))) return answerClaim();
+    if (planned().length === 0 || clock.now() - startedAt < GATHERING) return false;
+    if (map.version > 0 && !isInTouch() && !isClaimed()) return claim();
+    // Those of a lower rank write first; who comes later reads what they wrote and finds nothing to do.
+    await waitForRank(rankOf(self, { map, members: members.alive() }));
+    await configuration.refresh();
+    noteMap();
+    const changes = planned();
+    if (closed || changes.length === 0) return false;
+    const outcome = await write(changes);
+    if (outcome === "written") parts.count("slots.takeover");
+    return outcome !== "unavailable";
+  };
+  const planned = (): readonly SlotChange[] =>
+    planTakeover(map, fleetOf(members), clock.date().getTime());
+  const waitForRank = (rank: number): Promise<void> =>
+    new Promise((resolve) => {
+      const delay = RANK_DELAY * Math.min(rank, MOST_RANKS) + OWN_JITTER * random.next();
+      clock.after(rank === 0 ? 0 : delay, resolve);
+    });
+  /** With most owners, and with somebody to bear out that those it can't reach are dead. */
+  const isInTouch = (): boolean => {
+    const heardAt = members.heardAt();
+    const heard = heardAt !== undefined && clock.now() - heardAt < CLAIM_TIME;
+    return heard && seesMostOwners(map, members);
+  };
+  const isClaimed = (): boolean => map.claim === self && clock.now() - mapChangedAt >= CLAIM_TIME;
+  const claim = async (): Promise<boolean> => {
+    if (map.claim === self) return false;
+    const pause = map.claim === undefined && claimedAt === undefined ? CLAIM_TIME : CLAIM_PAUSE;
+    const since = Math.max(startedAt, mapChangedAt, claimedAt ?? 0);
+    if (clock.now() - since < pause) return false;
+    claimedAt = clock.now();
+    parts.count("slots.claim");
+    return (await writeMap(map.slots, self)) === "written";
+  };
+  const answerClaim = async (): Promise<boolean> => {
+    await waitForRank(rankOf(self, { map, members: members.alive() }));
+    await configuration.refresh();
+    noteMap();
+    if (closed || map.claim === undefined) return false;
+    return (await writeMap(map.slots)) === "written";
+  };
+  const tendOwn = async (): Promise<boolean> => {
+    const options = { self, fleet: fleetOf(members), mostMoves: MOST_MOVES };
+    const changes = [...(await copied(planBackups(map, options)))];
+    if (closed) return false;
+    const moving = new Set(changes.map(({ slot }) => slot));
+    changes.push(...planSwaps(map, options).filter(({ slot }) => !moving.has(slot)));
+    return changes.length > 0 && (await write(changes)) !== "unavailable";
+  };
+  /** The records go first: a backup is named only once it holds them. */
+  const copied = async (
+    plan: ReadonlyMap<string, readonly number[]>,
+  ): Promise<readonly SlotChange[]> => {
+    const basis = map;
+    const { present } = fleetOf(members);
+    const isLeaving = (): boolean => members.stateOf(self) === MemberState.Leaving;
+    const copies = [...plan].map(async ([backup, slots]) => {
+      const member = members.find(backup);
+      const has = member !== undefined && (await copy(slots, member));
+      if (has) return changesTo(basis, slots, (before) => withBackup(before, backup));
+      // A leaving primary that has ceded copies no more: its backup acts already and gets the slot.
+      return isLeaving()
+        ? changesTo(basis, slots, (before) => promotedBackup(before, present))
+        : [];
+    });
+    return (await Promise.all(copies)).flat();
+  };
+  const copy = async (slots: readonly number[], member: Member): Promise<boolean> => {
+    try {
+      return await parts.requests.copyTo(slots, member);
+    } catch {
+      parts.count("slots.copy-failed");
+      return false;
+    }
+  };
+  const write = async (changes: readonly SlotChange[]): Promise<PutOutcome["kind"]> => {
+    noteMap();
+    const slots = applyChanges(map, changes);
+    return slots === undefined ? "conflict" : writeMap(slots);
+  };
+  const writeMap = async (
+    slots: SlotMap["slots"],
+    claimant?: string,
+  ): Promise<PutOutcome["kind"]> => {
+    const value = formatSlotMap(slots, claimant);
+    const expect = map.version;
+    const outcome = await configuration.pace.run(() =>
+      parts.store.put(SLOT_MAP_KEY, value, { expect }),
+    );
+    parts.count(`slots.write.${outcome.kind}`);
+    await hearOutcome(outcome, value);
+    return outcome.kind;
+  };
+  const hearOutcome = async (outcome: PutOutcome, value: string): Promise<void> => {
+    if (outcome.kind === "written") {
+      configuration.hear(SLOT_MAP_KEY, { version: outcome.version, value });
+    } else if (outcome.kind === "conflict") {
+      if (outcome.current !== undefined) configuration.hear(SLOT_MAP_KEY, outcome.current);
+    } else if (outcome.kind === "unknown") {
+      // The write may stand although its answer was lost. What the store holds now is read back and
+      // planned on: a change that stands is not planned again.
+      await configuration.refresh();
+    }
+    noteMap();
+  };
+  const onNews = (): void => {
+    noteMap();
+    wakeIn(OWN_JITTER * random.next());
+  };
+  const subscriptions = [members.onChange(onNews), configuration.onChange(onNews)];
+  return {
+    start: () => {
+      startedAt = clock.now();
+      mapChangedAt = startedAt;
+      clock.after(GATHERING, () => wakeIn(0));
+    },
+    close: () => {
+      closed = true;
+      timer?.close();
+      for (const subscription of subscriptions) subscription.close();
+    },
+  };
+}
+
+function fleetOf(members: Membership): SlotFleet {
+  const present = members.present();
+  const able = members.alive();
+  const noticed = zonesUnderNotice(members, present);
+  const elsewhere = able.filter(({ zone }) => !noticed.has(zone));
+  const ids = new Set(present.map(({ id }) => id));
+  return { able: elsewhere.length > 0 ? elsewhere : able, present: ids };
+}
+
+/** Where most of a zone is leaving, the rest is about to: nothing is moved into it. */
+function zonesUnderNotice(members: Membership, present: readonly Member[]): ReadonlySet<string> {
+  const leaving = present.filter(({ id }) => members.stateOf(id) === MemberState.Leaving);
+  const zones = new Set(leaving.map(({ zone }) => zone));
+  return new Set(
+    [...zones].filter((zone) => {
+      const all = present.filter((member) => member.zone === zone).length;
+      return 2 * leaving.filter((member) => member.zone === zone).length > all;
+    }),
+  );
+}
+
+function rankOf(self: string, view: { map: SlotMap; members: readonly Member[] }): number {
+  const key = `${SLOT_MAP_KEY}/${view.map.version}`;
+  const order = rendezvousOrder(
+    key,
+    view.members.map(({ id }) => id),
+  );
+  return Math.max(0, order.indexOf(self));
+}
+
+function ownersOf(map: SlotMap): ReadonlySet<string> {
+  const owners = new Set(map.slots.flatMap(({ primary, backup }) => [primary, backup]));
+  owners.delete("");
+  return owners;
+}
+
+function seesMostOwners(map: SlotMap, members: Membership): boolean {
+  const owners = ownersOf(map);
+  const seen = [...owners].filter((id) => members.stateOf(id) !== MemberState.Dead).length;
+  return 2 * seen > owners.size;
+}
+
+function changesTo(
+  map: SlotMap,
+  slots: readonly number[],
+  change: (before: Assignment) => Assignment | undefined,
+): readonly SlotChange[] {
+  return slots.flatMap((slot) => {
+    const before = map.slots[slot];
+    const assignment = before === undefined ? undefined : change(before);
+    return assignment === undefined ? [] : [{ slot, assignment }];
+  });
+}
--- /dev/null
+++ b/src/process/subscription.ts
@@ -0,0 +1,7 @@
+import type { Subscription } from "../request/index.ts";
+
+/** Adds a listener to a set until the subscription is closed. */
+export function subscribe(listeners: Set<() => void>, listener: () => void): Subscription {
+  listeners.add(listener);
+  return { close: () => listeners.delete(listener) };
+}
--- a/src/process/worker_directory.ts
+++ b/src/process/worker_directory.ts
@@ -1,6 +1,6 @@
 import type { InstanceList, Worker } from "../interface/index.ts";
 import type { WorkerView } from "../request/index.ts";
-import { subscribe } from "./configuration.ts";
+import { subscribe } from "./subscription.ts";
 
 /** The task that keeps track of the workers. */
 export interface WorkerDirectory extends WorkerView {
--- a/src/standin/memory/memory_network.ts
+++ b/src/standin/memory/memory_network.ts
@@ -23,6 +23,7 @@
 const CALL_TIMEOUT = 1_000;
 
 interface Node {
+  readonly address: string;
   readonly handlers: PeerHandlers;
   readonly gate: () => Promise<void>;
 }
@@ -36,6 +37,12 @@
   const isCut = (a: string, b: string): boolean => cuts.has(pairOf(a, b));
   const eraOf = (a: string, b: string): number => eras.get(pairOf(a, b)) ?? 0;
 
+  /** A seed is known by its address alone. */
+  const idOf = (to: Member): string => {
+    if (to.id !== "") return to.id;
+    return [...nodes].findLast(([, { address }]) => address === to.address)?.[0] ?? to.address;
+  };
+
   const noAnswer = async (from: string, to: string, step: string): Promise<never> => {
     await sleep(clock, CALL_TIMEOUT);
     await nodes.get(from)?.gate();
@@ -73,7 +80,8 @@
     replicate: (to, message) =>
       call({ from, to: to.id, step: "replicate" }, (node) => node.replicate(message)),
     cede: (to, message) => call({ from, to: to.id, step: "cede" }, (node) => node.cede(message)),
-    probe: (to, message) => call({ from, to: to.id, step: "probe" }, (node) => node.probe(message)),
+    probe: (to, message) =>
+      call({ from, to: idOf(to), step: "probe" }, (node) => node.probe(message)),
     pull: (to, key) => call({ from, to: to.id, step: "pull" }, (node) => node.pull(key)),
     ask: (to, message) => call({ from, to: to.id, step: "ask" }, (node) => node.ask(message)),
     relay: async function* (to, message, signal) {
@@ -91,7 +99,7 @@
 
   return {
     join: (member, handlers, gate = () => Promise.resolve()) => {
-      nodes.set(member.id, { handlers, gate });
+      nodes.set(member.id, { address: member.address, handlers, gate });
     },
     kill: (id) => nodes.delete(id),
     peersOf,
--- a/src/version/slot_map.ts
+++ b/src/version/slot_map.ts
@@ -20,6 +20,11 @@
   /** The object's version in the store; 0 where it has not been written. */
   readonly version: number;
   readonly slots: readonly Assignment[];
+  /**
+   * Id of a member that sees most owners dead and asks whether anybody is there: it takes over only when
+   * nobody has written the map since.
+   */
+  readonly claim?: string;
 }
 
 /** The assignment of a slot that nobody has owned. */
--- a/src/version/slot_map_codec.ts
+++ b/src/version/slot_map_codec.ts
@@ -15,14 +15,16 @@
   epoch: z.array(z.number().int().min(0)).length(SLOT_COUNT),
   /** Slots whose history was lost, with the calendar time in milliseconds. */
   lost: z.array(z.tuple([z.number().int(), z.number()])),
+  claim: z.string().exactOptional(),
 });
 
 /**
  * The store's value of a slot map: about 14 kB at 380 members, far below the store's megabyte.
  *
  * @param slots One assignment a slot.
+ * @param claim Id of the member that asks whether anybody else is there, if one does.
  */
-export function formatSlotMap(slots: readonly Assignment[]): string {
+export function formatSlotMap(slots: readonly Assignment[], claim?: string): string {
   const members = [...new Set(slots.flatMap(({ primary, backup }) => [primary, backup]))]
     .filter((id) => id !== "")
     .sort();
@@ -36,6 +38,7 @@
     lost: slots.flatMap(({ historyLostAt }, slot) =>
       historyLostAt === 0 ? [] : [[slot, historyLostAt]],
     ),
+    ...(claim === undefined ? {} : { claim }),
   });
 }
 
@@ -48,7 +51,7 @@
  * @throws {Error} If the value is not a slot map.
  */
 export function parseSlotMap(version: number, value: string): SlotMap {
-  const { members, primary, backup, epoch, lost } = stored.parse(JSON.parse(value));
+  const { members, primary, backup, epoch, lost, claim } = stored.parse(JSON.parse(value));
   const lostAt = new Map(lost);
   const memberAt = (place: number | undefined): string => members[place ?? NOBODY] ?? "";
   const slots = epoch.map((assigned, slot) => ({
@@ -57,5 +60,5 @@
     backup: memberAt(backup[slot]),
     historyLostAt: lostAt.get(slot) ?? 0,
   }));
-  return { version, slots };
+  return claim === undefined ? { version, slots } : { version, slots, claim };
 }
--- a/src/version/slot_plan.ts
+++ b/src/version/slot_plan.ts
@@ -40,12 +40,19 @@
   });
 }
 
-function needsTakeover({ primary, backup }: Assignment, { able, present }: SlotFleet): boolean {
-  if (!present.has(primary)) return true;
+function needsTakeover(assignment: Assignment, fleet: SlotFleet): boolean {
+  const { primary, backup } = assignment;
+  const { able, present } = fleet;
+  if (!present.has(primary) || isLoneOwner(assignment, fleet)) return true;
   const isAble = (id: string): boolean => able.some((member) => member.id === id);
   return !isAble(primary) && isAble(backup);
 }
 
+/** Nobody is left to be the backup: the map says so, so that the owner doesn't wait for a dead one. */
+function isLoneOwner({ backup }: Assignment, { able, present }: SlotFleet): boolean {
+  return able.length === 1 && backup !== "" && !present.has(backup);
+}
+
 function takeover(
   before: Assignment,
   view: {
@@ -56,15 +63,30 @@
   },
 ): Assignment | undefined {
   const { fleet, able, target, date } = view;
-  const { primary, backup, historyLostAt } = before;
-  if (able.has(primary)) return undefined;
-  const epoch = before.epoch + 1;
-  const promoted = { epoch, primary: backup, backup: "", historyLostAt };
-  if (fleet.present.has(primary)) return able.has(backup) ? promoted : undefined;
-  if (fleet.present.has(backup)) return promoted;
+  const { primary, backup, epoch } = before;
+  if (able.has(primary)) return isLoneOwner(before, fleet) ? withBackup(before, "") : undefined;
+  if (fleet.present.has(primary)) return promotedBackup(before, able);
+  if (fleet.present.has(backup)) return promotedBackup(before, fleet.present);
   if (target === undefined || target.primary === "") return undefined;
   // Nobody holds a record of the slot any more, so a backup can be named at once.
-  return { epoch, ...target, historyLostAt: before.epoch === 0 ? 0 : date };
+  return { epoch: epoch + 1, ...target, historyLostAt: epoch === 0 ? 0 : date };
+}
+
+/**
+ * The assignment with the backup as primary, at a new epoch and with no backup yet.
+ *
+ * @param before The slot's present assignment.
+ * @param among Ids that may be promoted.
+ * @returns Undefined where the backup is not among them.
+ */
+export function promotedBackup(
+  before: Assignment,
+  among: ReadonlySet<string>,
+): Assignment | undefined {
+  const { epoch, backup } = before;
+  return among.has(backup)
+    ? { ...before, epoch: epoch + 1, primary: backup, backup: "" }
+    : undefined;
 }
 
 /**
--- a/src/version/slot_plan_test.ts
+++ b/src/version/slot_plan_test.ts
@@ -81,7 +81,7 @@
     const lost = was?.primary === "e0#1" || was?.primary === "e4#1";
     expect(historyLostAt).toBe(0);
     expect(epoch).toBe(lost ? 2 : 1);
-    expect(primary).toBe(lost ? was?.backup : was?.primary);
+    expect(primary).toBe(lost ? was.backup : was?.primary);
     // The promoted owner has copied nothing yet, so it names nobody.
     if (lost) expect(backup).toBe("");
   });
