Let a closed peer session report its end before it is aborted

Cause: with probes between instances, a peer that stops sends GOAWAY; the call that fails renews the channel, and aborting the session at that moment took away the listener for its error: an uncaught exception. Change: a connection that was given up is aborted a second later.

--- a/src/connection/peer_channel.ts
+++ b/src/connection/peer_channel.ts
@@ -8,6 +8,8 @@
 const PING_INTERVAL = 1_000;
 /** How long the other end may take to say so. */
 const PING_TIMEOUT = 1_000;
+/** How long a connection that was given up may take to report what ended it, in milliseconds. */
+const CLOSING_TIME = 1_000;
 /** Bound on one message, in bytes: a cession may carry many records. */
 const MESSAGE_LIMIT = 64_000_000;
 
@@ -36,7 +38,11 @@
 export function createPeerChannel(address: string, security: PeerSecurity): PeerChannel {
   let open = openClient(address, security);
   const give = (): void => {
-    open.manager.abort(new Error(`The connection to ${address} was given up.`));
+    const { manager } = open;
+    const reason = new Error(`The connection to ${address} was given up.`);
+    // A session that the peer has just closed still has an error to report, and aborting it takes away
+    // the listener for it: the process would end with an uncaught exception. It gets time to report.
+    setTimeout(() => manager.abort(reason), CLOSING_TIME).unref();
   };
   return {
     client: () => open.client,
