--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,6 +3,7 @@
 import { Dev } from "./dev.ts";
 import { Init } from "./init.ts";
 import { PresetUse } from "./preset_use.ts";
+import { Replay } from "./replay.ts";
 import { Serve } from "./serve.ts";
 import { Standin } from "./standin.ts";
 
@@ -12,6 +13,7 @@
   dev: Dev,
   init: Init,
   "preset:use": PresetUse,
+  replay: Replay,
   serve: Serve,
   standin: Standin,
 };
