--- /dev/null
+++ b/src/decision/admission.ts
@@ -0,0 +1,145 @@
+/**
+ * What is let in.
+ *
+ * Load that it answers: more work than the workers can do. Everything that is let in then waits longer
+ * than the one before, until all answers are late and none is of use: at twice the capacity, one would
+ * notice full machines and hardly an answer within its target. Refusing late is as bad: the caller has
+ * waited for nothing.
+ *
+ * So a request is turned away at once where its first token, or its end, can't come in time behind what is
+ * ahead of it; what is let in is never shed later. The wait is predicted for the account: behind its own
+ * waiting work at its fair part of the speed, and never behind more than all that waits. An account that
+ * asks for little is let in while one that floods the service is turned away.
+ *
+ * Predictions are held against what then happened: their ratio's 95th percentile corrects the next ones, so
+ * that a speed that is stated or measured wrongly shows in refusals, not in late answers. Where nothing
+ * waits and a worker has room a request is let in whatever was learned: otherwise one slow spell would
+ * teach that nothing can be met and nothing would come to teach otherwise.
+ *
+ * The time to come back is when the work ahead will have gone, plus a turn for each request that was told
+ * the same before: told the same moment, they would all come back at once and be turned away again.
+ *
+ * @module
+ */
+import { Refusal } from "../interface/index.ts";
+import type { AccountPolicy, ServicePolicy } from "./policy.ts";
+
+/** What the decision knows of the service, its waiting work and the account. */
+export interface AdmissionView {
+  readonly now: number;
+  readonly deadlineAt: number;
+  readonly detached: boolean;
+  readonly estimate: { readonly work: number; readonly serviceTime: number };
+  readonly target: ServicePolicy["target"];
+  /** Tokens of work a second that the lane can count on here. */
+  readonly rate: number;
+  /** A worker has room for the lane now. */
+  readonly hasRoom: boolean;
+  /** Live workers, in use or not. */
+  readonly workers: number;
+  /** Jobs of this instance that run on the service, and all that wait on this instance. */
+  readonly runningJobs: number;
+  readonly allWaitingJobs: number;
+  /** Tokens of work that wait in the lane, and the account's part of it. */
+  readonly waitingWork: number;
+  readonly ownWaitingWork: number;
+  /** The account's weight, and that of all accounts with waiting work in the lane, this one included. */
+  readonly weight: number;
+  readonly activeWeight: number;
+  /** What waits came to, as a multiple of their predictions. */
+  readonly correction: number;
+  /** Milliseconds from dispatch to first token for nine jobs in ten; undefined before enough were seen. */
+  readonly firstToken: number | undefined;
+  /** The account's requests and tokens of work that were accepted and have not ended. */
+  readonly heldJobs: number;
+  readonly heldWork: number;
+  /** The account's bounds on this instance; undefined for an account without bounds. */
+  readonly bounds: Pick<AccountPolicy, "maxRequests" | "maxTokens"> | undefined;
+  /** Until when room is promised to requests that were turned away before. */
+  readonly promisedUntil: number;
+}
+
+/** Whether the request is let in. */
+export type Verdict =
+  | { readonly kind: "admit"; readonly wait: number }
+  | { readonly kind: "refuse"; readonly reason: Refusal; readonly retryAfter: number };
+
+/** At some 16 kB a record, 160 MB: what a small instance can spare for work that waits. */
+const GREATEST_WAITING = 10_000;
+/** Waits are learned in steps of 9 in 100 either way: so much of the target is left for that error. */
+const TARGET_PART = 0.91;
+/** A part of the first token's target that waiting may use in any case. */
+const LEAST_WAIT_PART = 0.25;
+/** A part of the time left that waiting may use where the service time alone seems too long. */
+const LEAST_TIME_PART = 0.1;
+/** Below it a caller's own round trips are longer than what it is told to wait. */
+const LEAST_RETRY = 250;
+/** Beyond a minute a prediction of load means little. */
+const GREATEST_RETRY = 60_000;
+/** Without a worker nothing can be predicted: a start takes about this long. */
+const NO_WORKER_RETRY = 30_000;
+
+/** Lets a request in or turns it away. */
+export function judgeArrival(view: AdmissionView): Verdict {
+  const outOfBounds = boundsRefusal(view);
+  if (outOfBounds !== undefined) return outOfBounds;
+  if (view.deadlineAt <= view.now) return refuse(Refusal.TooLate, LEAST_RETRY);
+  if (view.workers === 0 && !view.detached) {
+    return refuse(Refusal.NoBackendServer, NO_WORKER_RETRY);
+  }
+  const wait = predictWait(view);
+  const excess = wait - allowedWait(view);
+  if (wait === 0 || excess <= 0) return { kind: "admit", wait };
+  return refuse(Refusal.TooLate, comeBackIn(view, excess));
+}
+
+/** Milliseconds that the request is expected to wait before it is dispatched. */
+export function predictWait(view: AdmissionView): number {
+  const nothingAhead = view.waitingWork === 0;
+  if (nothingAhead && view.hasRoom) return 0;
+  if (view.rate <= 0) return view.detached ? 0 : Number.POSITIVE_INFINITY;
+  const turn = view.estimate.serviceTime / Math.max(1, view.runningJobs);
+  const fair = (view.ownWaitingWork * view.activeWeight) / view.weight;
+  const ahead = Math.min(view.waitingWork, fair);
+  return ((ahead * 1_000) / view.rate) * view.correction + (view.hasRoom ? 0 : turn);
+}
+
+/** Milliseconds that the request may wait and still be in time. */
+function allowedWait(view: AdmissionView): number {
+  const left = view.deadlineAt - view.now;
+  const untilEnd = Math.max(left - view.estimate.serviceTime, left * LEAST_TIME_PART);
+  if (view.detached) return untilEnd;
+  const firstToken = view.target.firstToken * TARGET_PART;
+  const untilFirst = Math.max(firstToken - (view.firstToken ?? 0), firstToken * LEAST_WAIT_PART);
+  return Math.min(untilEnd, untilFirst);
+}
+
+function boundsRefusal(view: AdmissionView): Verdict | undefined {
+  const { bounds, heldJobs, heldWork, estimate } = view;
+  if (view.allWaitingJobs >= GREATEST_WAITING) {
+    return refuse(Refusal.QueueFull, comeBackIn(view, turnTime(view, view.waitingWork)));
+  }
+  if (bounds === undefined) return undefined;
+  const tooMany = heldJobs + 1 > bounds.maxRequests;
+  // A single request above the whole bound is let in alone: it could never be let in otherwise.
+  const tooMuch = heldJobs > 0 && heldWork + estimate.work > bounds.maxTokens;
+  if (!tooMany && !tooMuch) return undefined;
+  const excessWork = Math.max(estimate.work, heldWork + estimate.work - bounds.maxTokens);
+  return refuse(Refusal.AccountLimit, turnTime(view, excessWork));
+}
+
+/** Milliseconds in which the account's part of the speed does so much work. */
+function turnTime(view: AdmissionView, work: number): number {
+  const rate = (view.rate * view.weight) / Math.max(view.weight, view.activeWeight);
+  return rate <= 0 ? GREATEST_RETRY : (work * 1_000) / rate;
+}
+
+function comeBackIn(view: AdmissionView, excess: number): number {
+  const turn = view.rate <= 0 ? 0 : (view.estimate.work * 1_000) / view.rate;
+  return Math.max(excess, view.promisedUntil - view.now) + turn;
+}
+
+function refuse(reason: Refusal, after: number): Verdict {
+  const retryAfter = Math.round(Math.min(GREATEST_RETRY, Math.max(LEAST_RETRY, after)));
+  return { kind: "refuse", reason, retryAfter };
+}
--- /dev/null
+++ b/src/decision/heap.ts
@@ -0,0 +1,70 @@
+/** A binary heap: the first element by `before` comes out first, each operation in O(log n). */
+export interface Heap<Element> {
+  readonly size: number;
+  push(element: Element): void;
+  /** The first element, left in. */
+  peek(): Element | undefined;
+  /** The first element, taken out. */
+  pop(): Element | undefined;
+  /** All elements, in no order. */
+  values(): readonly Element[];
+}
+
+/**
+ * Makes an empty heap.
+ *
+ * @param before Says whether `a` comes out before `b`.
+ */
+export function createHeap<Element>(before: (a: Element, b: Element) => boolean): Heap<Element> {
+  const elements: Element[] = [];
+  const at = (index: number): Element => elements[index] as Element;
+  const swap = (a: number, b: number): void => {
+    const kept = at(a);
+    elements[a] = at(b);
+    elements[b] = kept;
+  };
+  const rise = (from: number): void => {
+    let index = from;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!before(at(index), at(parent))) return;
+      swap(index, parent);
+      index = parent;
+    }
+  };
+  const firstOf = (a: number, b: number): number => {
+    if (b >= elements.length) return a;
+    return before(at(b), at(a)) ? b : a;
+  };
+  const sink = (): void => {
+    let index = 0;
+    for (;;) {
+      const left = 2 * index + 1;
+      if (left >= elements.length) return;
+      const child = firstOf(left, left + 1);
+      if (!before(at(child), at(index))) return;
+      swap(index, child);
+      index = child;
+    }
+  };
+  return {
+    get size() {
+      return elements.length;
+    },
+    push: (element) => {
+      elements.push(element);
+      rise(elements.length - 1);
+    },
+    peek: () => elements[0],
+    pop: () => {
+      const first = elements[0];
+      const last = elements.pop();
+      if (elements.length > 0 && last !== undefined) {
+        elements[0] = last;
+        sink();
+      }
+      return first;
+    },
+    values: () => elements,
+  };
+}
--- /dev/null
+++ b/src/decision/hedge.ts
@@ -0,0 +1,41 @@
+/**
+ * Whether a lookup whose first token is late is sent to a second worker as well.
+ *
+ * Load that it answers: a worker stalls for a second (a long prompt ahead, a pause) while its peers are
+ * well. The lookups on it miss their target though there is room elsewhere. One would notice a p99 far
+ * above the p95 at moderate load.
+ *
+ * A hedge goes out when a first token takes longer than 95 in 100 do, so at most one job in twenty asks for
+ * one; it pays from the retry budget, so that hedges stop by themselves when the whole service is slow. Only
+ * lookups, whose doubled work is small, that may be repeated, and only onto a worker under three quarters of
+ * its limit: under saturation a hedge takes the place of somebody's first try.
+ *
+ * @module
+ */
+import { Lane } from "./job.ts";
+import type { Job } from "./job.ts";
+
+/** The percentile of the time to first token after which a hedge is due. */
+export const HEDGE_PERCENTILE = 0.95;
+/** A worker used beyond this part of its limit takes no hedges. */
+export const HEDGE_USE = 0.75;
+/** First tokens that must have been seen before their percentile means anything. */
+export const ENOUGH_FIRST_TOKENS = 40;
+
+/** Says whether hedges are made for such a job at all. */
+export function mayHedge(job: Job): boolean {
+  return job.repeatable && !job.detached && job.lane === Lane.Lookup;
+}
+
+/**
+ * Milliseconds until a hedge is due; 0 or less when it is due now.
+ *
+ * @param options `typical`: the percentile of the time to first token after dispatch.
+ */
+export function hedgeDelay(options: {
+  now: number;
+  dispatchedAt: number;
+  typical: number;
+}): number {
+  return options.dispatchedAt + options.typical - options.now;
+}
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -5,5 +5,6 @@
 export * from "./loads.ts";
 export * from "./policy.ts";
 export * from "./resolve.ts";
+export type { Retry } from "./retry_budget.ts";
 export * from "./scheduler.ts";
 export * from "./triage.ts";
--- /dev/null
+++ b/src/decision/placement.ts
@@ -0,0 +1,102 @@
+/**
+ * Where a job goes: everything that speaks for or against a worker, as expected milliseconds.
+ *
+ * Load that it answers: many entry instances choose at the same time from the same late reports. If each
+ * takes the best worker, all take the same one, and after the next report all take another. One would
+ * notice load that swings from worker to worker in the rhythm of the reports. So an instance compares only
+ * a few workers drawn at random, with those that probably hold the prompt's prefix: two instances rarely
+ * draw the same few. The number drawn grows with the logarithm of the workers, and so does the cost.
+ *
+ * All reasons are put in one unit, the delay that they cost this job or the next ones:
+ *
+ * - load: a convex price of the worker's use, small until it is half full and steep near its limit. Near
+ *   four fifths it comes to a fifth of the first token's target more than at one half; so a cached prefix
+ *   may draw work onto a worker only while that stays cheaper than computing the prefix elsewhere, and a
+ *   prefix that becomes hot spreads by itself: each worker it spills onto holds it next;
+ * - the part of the prompt that must be computed there;
+ * - the chance that the worker is taken, times what would be computed again; work that may not be repeated
+ *   counts ten times as much, because it can't be computed again;
+ * - a model or adapter that isn't loaded yet;
+ * - distance between availability zones, and price, which decide between equals.
+ *
+ * @module
+ */
+import type { Random } from "../interface/index.ts";
+import type { Job } from "./job.ts";
+import type { ServicePolicy } from "./policy.ts";
+
+/** A worker as the placement sees it. */
+export interface Candidate {
+  readonly worker: string;
+  /** Jobs there, as a part of its limit, from 0 to 1 and above. */
+  readonly use: number;
+  /** The part of the job's prompt, from 0 to 1, that is probably in its prefix cache. */
+  readonly cached: number;
+  readonly prefillPerSecond: number;
+  /** The chance that it is taken before the job ends. */
+  readonly risk: number;
+  readonly modelLoaded: boolean;
+  readonly sameZone: boolean;
+  /** Its price as a part of the dearest worker's, from 0 to 1. */
+  readonly price: number;
+}
+
+/** The first token's target is spent on waiting for a place in the batch in these parts. */
+const LOAD_PART = 0.1;
+/** Keeps the price of a full worker finite: twenty times that of a half full one. */
+const FULL = 1.05;
+const NOT_REPEATABLE_FACTOR = 10;
+/** Loading an adapter takes a few seconds; the true time is seen only by whoever orders it. */
+const MODEL_LOADING = 5_000;
+/** There and back between availability zones, at 1.5 ms one way. */
+const ZONE_DISTANCE = 3;
+/** Decides between workers that are as good otherwise. */
+const PRICE_RANGE = 10;
+
+/** The expected cost of putting a job on a worker, in milliseconds. */
+export function placementCost(
+  job: Job,
+  candidate: Candidate,
+  target: ServicePolicy["target"],
+): number {
+  const use = Math.min(1, candidate.use);
+  const load = target.firstToken * LOAD_PART * (use / (FULL - use));
+  const tokens = job.promptTokens + job.resumedTokens;
+  const prefill = (tokens * (1 - candidate.cached) * 1_000) / candidate.prefillPerSecond;
+  return (
+    load +
+    prefill +
+    reclaimCost(job, candidate) +
+    (candidate.modelLoaded ? 0 : MODEL_LOADING) +
+    (candidate.sameZone ? 0 : ZONE_DISTANCE) +
+    candidate.price * PRICE_RANGE
+  );
+}
+
+/** What would be computed again if the worker is taken with the answer half done. */
+function reclaimCost(job: Job, { risk, prefillPerSecond }: Candidate): number {
+  const tokens = job.promptTokens + job.resumedTokens + job.estimate.answerTokens / 2;
+  const again = (tokens * 1_000) / prefillPerSecond + job.estimate.serviceTime / 2;
+  return risk * again * (job.repeatable ? 1 : NOT_REPEATABLE_FACTOR);
+}
+
+/** How many workers are compared, out of `count`: two choices do most of the work of spreading. */
+export function sampleSize(count: number): number {
+  return Math.min(count, 2 + Math.ceil(Math.log2(Math.max(1, count)) / 2));
+}
+
+/**
+ * Draws different elements at random.
+ *
+ * @param elements What to draw from.
+ * @param count How many to draw.
+ */
+export function sample<Element>(
+  elements: readonly Element[],
+  { count, random }: { count: number; random: Random },
+): Element[] {
+  if (elements.length <= count) return [...elements];
+  const drawn = new Set<number>();
+  while (drawn.size < count) drawn.add(Math.floor(random.next() * elements.length));
+  return [...drawn].map((index) => elements[index] as Element);
+}
--- a/src/decision/policy.ts
+++ b/src/decision/policy.ts
@@ -65,3 +65,43 @@
 
 /** A policy that names nothing: every service and account gets the defaults. */
 export const EMPTY_POLICY: Policy = { services: {}, accounts: {}, machineClasses: {}, offers: [] };
+
+/**
+ * Used for a service that the policy doesn't name: the latency that the system is built for, 1.6 s to the
+ * first token and 44 ms between tokens for 95 in 100.
+ */
+const DEFAULT_TARGET: ServicePolicy["target"] = {
+  firstToken: 1_600,
+  betweenTokens: 44,
+  deadline: 300_000,
+};
+
+/** Used for a machine class that the policy doesn't name: a small accelerator of today. */
+const DEFAULT_MACHINE: MachinePolicy = {
+  tokensPerSecond: 900,
+  prefillPerSecond: 8_000,
+  cacheTokens: 100_000,
+};
+
+/** The target of a service. */
+export function targetOf(policy: Policy, service: string): ServicePolicy["target"] {
+  return policy.services[service]?.target ?? DEFAULT_TARGET;
+}
+
+/** What a machine class can do. */
+export function machineOf(policy: Policy, machineClass: string): MachinePolicy {
+  return policy.machineClasses[machineClass] ?? DEFAULT_MACHINE;
+}
+
+/** The middle of all machine classes, for work whose machine isn't chosen yet. */
+export function machineAverage(policy: Policy): MachinePolicy {
+  const machines = Object.values(policy.machineClasses);
+  if (machines.length === 0) return DEFAULT_MACHINE;
+  const average = (value: (machine: MachinePolicy) => number): number =>
+    machines.reduce((sum, machine) => sum + value(machine), 0) / machines.length;
+  return {
+    tokensPerSecond: average(({ tokensPerSecond }) => tokensPerSecond),
+    prefillPerSecond: average(({ prefillPerSecond }) => prefillPerSecond),
+    cacheTokens: average(({ cacheTokens }) => cacheTokens),
+  };
+}
--- /dev/null
+++ b/src/decision/run_table.ts
@@ -0,0 +1,67 @@
+/** The runs of this instance's jobs: one a job, two while a hedge is out. */
+import type { Job } from "./job.ts";
+import type { PoolWorker } from "./worker_pool.ts";
+
+/** A job on a worker. */
+export interface Run {
+  readonly job: Job;
+  readonly worker: PoolWorker;
+  readonly dispatchedAt: number;
+  lastTokenAt: number | undefined;
+}
+
+/** Runs by job id, with the workers that have failed each job. */
+export interface RunTable {
+  start(job: Job, details: { worker: PoolWorker; now: number }): void;
+  of(id: string): readonly Run[];
+  /** The job's run on the worker; without a worker, its only run. */
+  find(id: string, worker: string | undefined): Run | undefined;
+  end(run: Run, failed: boolean): void;
+  /** How many of the job's runs failed. */
+  failures(id: string): number;
+  /** Workers that must not get the job: those that failed it, those that run it, and those given. */
+  avoided(id: string, besides: ReadonlySet<string>): ReadonlySet<string>;
+  forget(id: string): void;
+}
+
+interface Entry {
+  runs: Run[];
+  readonly failedOn: Set<string>;
+  failures: number;
+}
+
+/** Makes a table without runs. */
+export function createRunTable(): RunTable {
+  const entries = new Map<string, Entry>();
+  const entryOf = (id: string): Entry => {
+    const known = entries.get(id) ?? { runs: [], failedOn: new Set(), failures: 0 };
+    entries.set(id, known);
+    return known;
+  };
+  const of = (id: string): readonly Run[] => entries.get(id)?.runs ?? [];
+  return {
+    start: (job, { worker, now }) => {
+      entryOf(job.id).runs.push({ job, worker, dispatchedAt: now, lastTokenAt: undefined });
+    },
+    of,
+    find: (id, worker) => {
+      if (worker === undefined) return of(id)[0];
+      return of(id).find((run) => run.worker.worker.id === worker);
+    },
+    end: (run, failed) => {
+      const entry = entryOf(run.job.id);
+      entry.runs = entry.runs.filter((other) => other !== run);
+      if (!failed) return;
+      entry.failures++;
+      entry.failedOn.add(run.worker.worker.id);
+    },
+    failures: (id) => entries.get(id)?.failures ?? 0,
+    avoided: (id, besides) => {
+      const entry = entries.get(id);
+      if (entry === undefined) return besides;
+      const running = entry.runs.map((run) => run.worker.worker.id);
+      return new Set([...besides, ...entry.failedOn, ...running]);
+    },
+    forget: (id) => entries.delete(id),
+  };
+}
--- a/src/decision/scheduler.ts
+++ b/src/decision/scheduler.ts
@@ -1,9 +1,32 @@
-import { RetryCause, WorkerState } from "../interface/index.ts";
+/**
+ * The face of all decisions about requests under load, and how they are put together.
+ *
+ * @module
+ */
+import { RetryCause } from "../interface/index.ts";
 import type { LoadReport, Random, Worker } from "../interface/index.ts";
+import { judgeArrival } from "./admission.ts";
+import type { AdmissionView } from "./admission.ts";
+import { createEstimator } from "./estimate.ts";
 import type { FairQueueOptions } from "./fair_queue.ts";
+import { ENOUGH_FIRST_TOKENS, HEDGE_PERCENTILE, HEDGE_USE, hedgeDelay, mayHedge } from "./hedge.ts";
+import { Lane } from "./job.ts";
 import type { Admission, Arrival, Job, Placement } from "./job.ts";
-import { EMPTY_POLICY } from "./policy.ts";
+import { EMPTY_POLICY, machineAverage, targetOf } from "./policy.ts";
 import type { Policy } from "./policy.ts";
+import { createPrefixBelief } from "./prefix_belief.ts";
+import { createReclaimRisk } from "./reclaim_risk.ts";
+import { createRetryBudget, decideRetry } from "./retry_budget.ts";
+import type { Retry } from "./retry_budget.ts";
+import { createRunTable } from "./run_table.ts";
+import type { Run } from "./run_table.ts";
+import { createServiceLedger, recentPeak } from "./service_ledger.ts";
+import type { ServiceLedger } from "./service_ledger.ts";
+import { createHeldWork } from "./held_work.ts";
+import { chooseWorker } from "./worker_choice.ts";
+import type { Choice } from "./worker_choice.ts";
+import { createWorkerPool, usableLimit } from "./worker_pool.ts";
+import type { PoolWorker } from "./worker_pool.ts";
 
 /** How a job's run ended, for what is learned from it. */
 export enum RunEnd {
@@ -22,9 +45,6 @@
   readonly blocks: readonly string[];
 }
 
-/** Whether a job that failed is sent again. */
-export type Retry = { readonly kind: "retry"; readonly delay: number } | { readonly kind: "stop" };
-
 /** What {@linkcode Scheduler.place} may use besides the job. */
 export interface PlaceOptions {
   readonly now: number;
@@ -103,6 +123,12 @@
   setInstances(count: number, now: number): void;
   /** Lets a request in or turns it away at once; counts it in when admitted. */
   admit(arrival: Arrival, now: number): Admission;
+  /**
+   * Counts in a job that another entry instance has accepted and this one inherits. Never refused.
+   *
+   * @returns The job, with this instance's own estimate.
+   */
+  adopt(arrival: Arrival, now: number): Job;
   /** What the queue class of the service's p-queue is made with. */
   queueOptions(service: string): FairQueueOptions;
   /**
@@ -129,56 +155,309 @@
   snapshot(now: number): SchedulerSnapshot;
 }
 
+/** What does not change while the scheduler lives. */
+export interface SchedulerOptions {
+  /** The entry instance's availability zone, to prefer near workers among equals. */
+  readonly zone?: string;
+}
+
+const LANES = [Lane.Lookup, Lane.Script];
+/** Nine first tokens in ten come within what admission counts on. */
+const ADMISSION_PERCENTILE = 0.9;
+/** Places kept free of scripts, as a multiple of the most lookups that ran at once lately. */
+const RESERVE_FACTOR = 1.5;
+/** The part of the speed that lookups get while scripts wait: the queue's weights, four to one. */
+const LOOKUP_PART = 0.8;
+const DRAIN_SPAN = 10_000;
+/** Accounts are bounded on each instance at twice its part: callers don't spread evenly. */
+const BOUND_FACTOR = 2;
+
 /**
- * The first scheduler: admits all, places on the worker with the fewest of our own jobs, retries at once.
+ * Makes the scheduler of one entry instance, or of a replay.
+ *
+ * @param policy The settings in force; a `Deployment` is one.
+ *
+ * @example
+ * ```ts
+ * const scheduler = createScheduler(revision.deployment, { zone: "sofia-a" });
+ * const admission = scheduler.admit(arrival, clock.now());
+ * ```
  */
-export function createScheduler(policy: Policy = EMPTY_POLICY): Scheduler {
+export function createScheduler(
+  policy: Policy = EMPTY_POLICY,
+  { zone }: SchedulerOptions = {},
+): Scheduler {
   let inForce = policy;
-  let workers: readonly Worker[] = [];
-  const running = new Map<string, string>();
-  const outstanding = (worker: string): number =>
-    [...running.values()].filter((other) => other === worker).length;
+  let instances = 1;
+  const estimator = createEstimator(policy);
+  const pool = createWorkerPool(policy);
+  const runs = createRunTable();
+  const budget = createRetryBudget();
+  const risk = createReclaimRisk();
+  const machine = machineAverage(policy);
+  const belief = createPrefixBelief((machine.cacheTokens * 1_000) / machine.tokensPerSecond);
+  const ledgers = new Map<string, ServiceLedger>();
+  const held = createHeldWork();
+  const debts = new Map<string, number>();
+
+  const ledgerOf = (service: string): ServiceLedger => {
+    const known = ledgers.get(service) ?? createServiceLedger(LANES);
+    ledgers.set(service, known);
+    return known;
+  };
+  const weightOf = (account: string): number => inForce.accounts[account]?.weight ?? 1;
+  const tick = (service: string, now: number): void => {
+    const lookups = recentPeak(ledgerOf(service).lanes[Lane.Lookup], now);
+    pool.setReserve(service, Math.ceil(lookups * RESERVE_FACTOR) * instances);
+    pool.tick(service, now);
+  };
+  /** Tokens of work a second that a lane can count on at this instance. */
+  const rateOf = (service: string, lane: Lane, now: number): number => {
+    const { lanes, drained } = ledgerOf(service);
+    const nominal = pool.service(service).speed / instances;
+    const rate = Math.max(nominal, drained.rate(now, { span: DRAIN_SPAN }));
+    if (lane === Lane.Lookup) return lanes[Lane.Script].waitingJobs > 0 ? rate * LOOKUP_PART : rate;
+    const lookups = lanes[Lane.Lookup].arrived.rate(now, { span: DRAIN_SPAN });
+    return Math.max(rate * (1 - LOOKUP_PART), rate - lookups);
+  };
+  const viewOf = (job: Job, now: number): AdmissionView => {
+    const { account, service, lane, estimate, deadlineAt, detached } = job;
+    const ledger = ledgerOf(service);
+    const book = ledger.lanes[lane];
+    const workers = pool.service(service);
+    const waiting = book.byAccount.get(account);
+    const weight = weightOf(account);
+    const enough = book.firstTokens.count >= ENOUGH_FIRST_TOKENS;
+    const bounds = inForce.accounts[account];
+    return {
+      now,
+      deadlineAt,
+      detached,
+      estimate,
+      target: targetOf(inForce, service),
+      rate: rateOf(service, lane, now),
+      hasRoom: workers.room[lane] > 0,
+      workers: workers.live,
+      runningJobs: workers.own,
+      allWaitingJobs: held.waitingJobs(ledgers),
+      waitingWork: book.waitingWork,
+      ownWaitingWork: waiting?.work ?? 0,
+      weight,
+      activeWeight: book.activeWeight + (waiting === undefined ? weight : 0),
+      correction: ledger.correction(),
+      firstToken: enough ? book.firstTokens.quantile(ADMISSION_PERCENTILE) : undefined,
+      heldJobs: held.jobs(account),
+      heldWork: held.work(account),
+      bounds: bounds === undefined ? undefined : boundsHere(bounds, instances),
+      promisedUntil: ledger.promisedUntil,
+    };
+  };
+  const countIn = (job: Job, now: number, predictedWait: number): void => {
+    held.add(job);
+    ledgerOf(job.service).admitted(job, {
+      now,
+      predictedWait,
+      weight: weightOf(job.account),
+    });
+  };
+  const start = (job: Job, { worker }: Choice, now: number): void => {
+    runs.start(job, { worker, now });
+    worker.load.dispatched(job.id, { cacheTokens: job.estimate.cacheTokens, now });
+    pool.service(job.service).own++;
+    belief.stored(worker.worker.id, job.prefix, now);
+    pool.refresh(worker, now);
+  };
+  const choose = (job: Job, options: PlaceOptions, greatestUse?: number): Choice | undefined => {
+    const { now, random } = options;
+    tick(job.service, now);
+    const avoid = runs.avoided(job.id, options.avoid);
+    const service = pool.service(job.service);
+    const target = targetOf(inForce, job.service);
+    return chooseWorker(job, {
+      now,
+      random,
+      avoid,
+      service,
+      target,
+      belief,
+      risk,
+      zone,
+      greatestUse,
+    });
+  };
+  const blame = (run: Run, end: RunEnd, { now, cause }: RunEndDetails): void => {
+    const isFailure = end === RunEnd.Failed;
+    if (isFailure && cause === RetryCause.ConnectFailed) pool.connectFailed(run.worker, now);
+    const failed = isFailure && !BLAMELESS.has(cause);
+    if (failed || end === RunEnd.Complete) pool.ended(run.worker, { failed, now });
+    else pool.refresh(run.worker, now);
+  };
+  const learnFrom = (job: Job, answerTokens: number): void => {
+    estimator.learn(job, answerTokens);
+    const key = debtKey(job.service, job.account);
+    const above = estimator.workOf(job.promptTokens, answerTokens) - job.estimate.work;
+    debts.set(key, (debts.get(key) ?? 0) + above);
+  };
+
   return {
     configure: (next) => {
       inForce = next;
+      estimator.configure(next);
+      pool.configure(next);
+    },
+    setInstances: (count) => {
+      instances = Math.max(1, count);
+      pool.setInstances(instances);
+    },
+    admit: (arrival, now) => {
+      tick(arrival.service, now);
+      const job = { ...arrival, estimate: estimator.estimate(arrival), resumedTokens: 0 };
+      const ledger = ledgerOf(arrival.service);
+      ledger.offered(arrival, job.estimate.work, now);
+      const verdict = judgeArrival(viewOf(job, now));
+      if (verdict.kind === "refuse") {
+        ledger.promisedUntil = now + verdict.retryAfter;
+        return { kind: "refused", reason: verdict.reason, retryAfter: verdict.retryAfter };
+      }
+      countIn(job, now, verdict.wait);
+      return { kind: "admitted", job };
+    },
+    adopt: (arrival, now) => {
+      const job = { ...arrival, estimate: estimator.estimate(arrival), resumedTokens: 0 };
+      if (!ledgerOf(job.service).has(job.id)) countIn(job, now, 0);
+      return job;
+    },
+    queueOptions: (service) => ({
+      weightOf,
+      mayStart: (lane) => pool.service(service).room[lane] > 0,
+      takeDebt: (account) => {
+        const key = debtKey(service, account);
+        const debt = debts.get(key) ?? 0;
+        debts.delete(key);
+        return debt;
+      },
+    }),
+    place: (job, options) => {
+      const choice = choose(job, options);
+      if (choice === undefined) return { kind: "wait" };
+      ledgerOf(job.service).placed(job, options.now);
+      start(job, choice, options.now);
+      return { kind: "placed", worker: choice.worker.worker.id };
+    },
+    hedge: (job, options) => {
+      const book = ledgerOf(job.service).lanes[job.lane];
+      const typical = book.firstTokens.quantile(HEDGE_PERCENTILE);
+      if (!mayHedge(job) || runs.of(job.id).length !== 1) return { kind: "none" };
+      if (typical === undefined || book.firstTokens.count < ENOUGH_FIRST_TOKENS)
+        return { kind: "none" };
+      const delay = hedgeDelay({ ...options, typical });
+      if (delay > 0) return { kind: "later", delay };
+      const choice = choose(job, options, HEDGE_USE);
+      if (choice === undefined || !budget.take(job)) return { kind: "none" };
+      start(job, choice, options.now);
+      return { kind: "hedge", worker: choice.worker.worker.id };
+    },
+    capacity: (service, now) => {
+      tick(service, now);
+      const { own, room } = pool.service(service);
+      return Math.max(1, own + Math.max(room[Lane.Lookup], room[Lane.Script]));
+    },
+    firstToken: (id, now, worker) => {
+      const run = runs.find(id, worker);
+      if (run === undefined) return;
+      const { job } = run;
+      const ledger = ledgerOf(job.service);
+      const waited = now - run.dispatchedAt;
+      run.lastTokenAt = now;
+      ledger.lanes[job.lane].firstTokens.add(waited);
+      ledger.drained.add(estimator.workOf(job.promptTokens, 1), now);
+      const prefill = (job.promptTokens * 1_000) / run.worker.machine.prefillPerSecond;
+      run.worker.limit.firstToken(Math.max(0, waited - prefill));
+    },
+    token: (id, now, worker) => {
+      const run = runs.find(id, worker);
+      if (run === undefined) return;
+      const gap = now - (run.lastTokenAt ?? now);
+      run.lastTokenAt = now;
+      ledgerOf(run.job.service).drained.add(1, now);
+      run.worker.limit.gap(gap);
+      run.worker.gaps.add(gap);
+      estimator.learnGap(run.job.service, gap);
     },
-    setInstances: () => undefined,
-    queueOptions: () => ({ weightOf: (account) => inForce.accounts[account]?.weight ?? 1 }),
-    hedge: () => ({ kind: "none" }),
-    snapshot: () => ({ workers: [], services: [] }),
-    admit: (arrival) => ({ kind: "admitted", job: admittedJob(arrival) }),
-    place: (job, { avoid }) => {
-      const able = workers.filter(
-        (worker) =>
-          worker.service === job.service &&
-          worker.state === WorkerState.Live &&
-          !avoid.has(worker.id),
-      );
-      able.sort((a, b) => outstanding(a.id) - outstanding(b.id));
-      const [first] = able;
-      if (first === undefined) return { kind: "wait" };
-      running.set(job.id, first.id);
-      return { kind: "placed", worker: first.id };
+    runEnded: (id, end, details) => {
+      const run = runs.find(id, details.worker);
+      if (run === undefined) return;
+      runs.end(run, end === RunEnd.Failed);
+      const took = run.worker.load.ended(id, details.now);
+      if (took !== undefined) pool.ranFor(run.job.service, took);
+      pool.service(run.job.service).own--;
+      blame(run, end, details);
+      const isOver = end === RunEnd.Complete || end === RunEnd.Cancelled;
+      if (!isOver && runs.of(id).length === 0) {
+        ledgerOf(run.job.service).returned(run.job, weightOf(run.job.account));
+      }
+      if (end === RunEnd.Complete) budget.succeeded(run.job);
+      if (end === RunEnd.Complete) learnFrom(run.job, details.answerTokens);
     },
-    capacity: (service) => 8 * workers.filter((worker) => worker.service === service).length,
-    firstToken: () => undefined,
-    token: () => undefined,
-    runEnded: (id) => {
-      running.delete(id);
+    settled: (job, now) => {
+      for (const run of runs.of(job.id)) {
+        runs.end(run, false);
+        run.worker.load.ended(job.id, now);
+        pool.service(job.service).own--;
+        pool.refresh(run.worker, now);
+      }
+      runs.forget(job.id);
+      held.remove(job);
+      ledgerOf(job.service).settled(job);
     },
-    settled: () => undefined,
-    retry: () => ({ kind: "retry", delay: 0 }),
-    setWorkers: (known) => {
-      workers = known;
+    retry: (job, cause, { now, random }) => {
+      const failures = Math.max(1, runs.failures(job.id));
+      return decideRetry(job, { cause, failures, budget, now, random });
     },
-    report: () => undefined,
-    cacheEvent: () => undefined,
+    setWorkers: (workers, now) => {
+      risk.observe(workers, now);
+      pool.setWorkers(workers, now);
+    },
+    report: (report, now) => pool.report(report, now),
+    cacheEvent: ({ worker, kind, blocks }, now) => {
+      if (kind === "stored") belief.stored(worker, blocks, now);
+      else belief.evicted(worker, blocks);
+    },
+    snapshot: (now) => ({
+      workers: [...pool.all()].map((entry) => snapshotOf(entry, now)),
+      services: [...ledgers].map(([service, ledger]) => ledger.snapshot(service, now)),
+    }),
   };
 }
 
-function admittedJob(arrival: Arrival): Job {
-  const answerTokens = arrival.maxTokens ?? 256;
-  const work = arrival.promptTokens + answerTokens;
-  const estimate = { work, answerTokens, cacheTokens: work, serviceTime: answerTokens * 20 };
-  return { ...arrival, estimate, resumedTokens: 0 };
+/** Failures that say nothing against the worker, or that are counted apart. */
+const BLAMELESS: ReadonlySet<RetryCause | undefined> = new Set([
+  RetryCause.ConnectFailed,
+  RetryCause.SilentConnection,
+  RetryCause.WorkerReclaimed,
+  RetryCause.OwnerMoved,
+  RetryCause.StaleEpoch,
+]);
+
+function debtKey(service: string, account: string): string {
+  return `${service} ${account}`;
+}
+
+function boundsHere(
+  { maxRequests, maxTokens }: { maxRequests: number; maxTokens: number },
+  instances: number,
+): { maxRequests: number; maxTokens: number } {
+  const part = Math.min(1, BOUND_FACTOR / instances);
+  return { maxRequests: Math.ceil(maxRequests * part), maxTokens: Math.ceil(maxTokens * part) };
+}
+
+function snapshotOf(entry: PoolWorker, now: number): WorkerSnapshot {
+  return {
+    worker: entry.worker.id,
+    service: entry.worker.service,
+    limit: usableLimit(entry, now),
+    load: Math.round(entry.load.load()),
+    own: entry.load.own(),
+    ejected: entry.ejection !== undefined && now < entry.ejection.until,
+  };
 }
--- /dev/null
+++ b/src/decision/scheduler_test.ts
@@ -0,0 +1,227 @@
+import { describe, expect, test } from "vitest";
+import { createSeededRandom, Refusal, RetryCause, WorkerState } from "../interface/index.ts";
+import { createScheduler, Lane, RunEnd } from "./index.ts";
+import type { Admission, Job, Scheduler } from "./index.ts";
+import {
+  firstTokenTimes,
+  percentile,
+  playLoad,
+  someArrival,
+  someWorkers,
+  steady,
+  TEST_POLICY,
+} from "./testing/load_play.ts";
+import type { Played, PlayedArrival } from "./testing/load_play.ts";
+
+const MINUTE = 60_000;
+const HOURS = 8 * 3_600_000;
+const TARGET = 400;
+
+/** Long detached work of the account `tent`. */
+const SCRIPT: Partial<PlayedArrival> = {
+  lane: Lane.Script,
+  account: "tent",
+  detached: true,
+  promptTokens: 1_000,
+  answerTokens: 2_000,
+  deadlineAt: HOURS,
+};
+
+function play(
+  arrivals: readonly PlayedArrival[],
+  changes: Partial<Parameters<typeof playLoad>[0]> = {},
+): Played[] {
+  const workers = someWorkers(4);
+  return playLoad({
+    policy: TEST_POLICY,
+    workers,
+    arrivals,
+    length: MINUTE,
+    seed: 1,
+    ...changes,
+  });
+}
+
+function lookups(perSecond: number, seed = 2): PlayedArrival[] {
+  return steady(perSecond, { from: 0, until: MINUTE, seed, name: "lookup" });
+}
+
+function named(played: readonly Played[], name: string): Played[] {
+  return played.filter(({ arrival }) => arrival.id.startsWith(name));
+}
+
+function inTime(played: readonly Played[]): number {
+  return firstTokenTimes(played, "").filter((time) => time <= TARGET).length;
+}
+
+describe.each([1, 6])("under load, with %i entry instances", (instances) => {
+  test("lookups among long scripts wait no longer than alone", () => {
+    // A desk's lookups come in while ten scripts a second are sent, four times what the workers can do.
+    // In one line the lookups would wait behind minutes of scripts, and managers at the desk with them.
+    const scripts = steady(10, { from: 0, until: MINUTE, seed: 3, name: "script", of: SCRIPT });
+    const alone = play(lookups(20), { instances });
+    const mixed = play([...scripts, ...lookups(20)], { instances });
+    expect(named(mixed, "lookup").every(({ refused }) => refused === Refusal.None)).toBe(true);
+    const before = percentile(firstTokenTimes(alone, "lookup"), 0.99);
+    const among = percentile(firstTokenTimes(mixed, "lookup"), 0.99);
+    expect(among).toBeLessThan(before * 1.4);
+    expect(firstTokenTimes(mixed, "script").length).toBeGreaterThan(60);
+  });
+
+  test("at twice what the workers can do, they still do what they can, in time", () => {
+    // The finish tent asks twice as much as the workers can answer. If all were let in, all would be late;
+    // so half is turned away at once with a time to come back, and the other half is answered in time.
+    const most = inTime(play(lookups(150), { instances }));
+    const flooded = play(lookups(320), { instances });
+    const refused = flooded.filter((one) => one.refused !== Refusal.None);
+    expect(inTime(flooded)).toBeGreaterThan(0.93 * most);
+    expect(refused.length).toBeGreaterThan(0.4 * flooded.length);
+    expect(refused.every(({ retryAfter }) => retryAfter >= 250)).toBe(true);
+    const letIn = flooded.filter((one) => one.refused === Refusal.None);
+    const early = letIn.filter(({ arrival }) => arrival.arrivedAt < MINUTE - 2_000);
+    expect(early.every(({ endedAt }) => endedAt !== undefined)).toBe(true);
+  });
+
+  test("a burst spreads over all workers", () => {
+    // Entries close and 100 requests arrive in a tenth of a second, all within one report. Sent by the
+    // reports alone they would all go to the worker that looked idle; its callers would wait for seconds.
+    const burst = steady(1_000, { from: 5_000, until: 5_100, seed: 4, name: "burst" });
+    const played = play([...burst, ...lookups(10)], { instances });
+    const perWorker = someWorkers(4).map(
+      ({ id }) => named(played, "burst").filter(({ worker }) => worker === id).length,
+    );
+    expect(Math.max(...perWorker)).toBeLessThan(40);
+    const times = firstTokenTimes(played, "burst");
+    expect(times).toHaveLength(100);
+    expect(percentile(times, 0.95)).toBeLessThan(TARGET * 2.5);
+  });
+
+  test("an account that floods the service doesn't delay another", () => {
+    // One club sends ten times its share while a small one asks now and then. The small one must not be
+    // turned away or wait for what the large one has piled up.
+    const flood = steady(300, { from: 0, until: MINUTE, seed: 5, name: "flood" });
+    const own = { account: "tent" };
+    const small = steady(10, { from: 0, until: MINUTE, seed: 6, name: "small", of: own });
+    const played = play([...flood, ...small], { instances });
+    const kept = named(played, "small").filter(({ refused }) => refused === Refusal.None);
+    expect(kept.length).toBeGreaterThan(0.95 * small.length);
+    expect(percentile(firstTokenTimes(played, "small"), 0.95)).toBeLessThan(TARGET);
+  });
+
+  test("a slow worker gets little, and its share back soon after", () => {
+    // One backend server runs five times slower for 20 s. Callers whose request lands there would wait;
+    // once it is well again it must not stay unused, for it is paid for.
+    const slowness = (worker: string, now: number): number =>
+      worker === "w0" && now > 10_000 && now < 30_000 ? 5 : 1;
+    const limits: number[] = [];
+    const observe = (now: number, [first]: readonly Scheduler[]): void => {
+      const seen = first?.snapshot(now).workers.find(({ worker }) => worker === "w0");
+      limits.push(seen?.limit ?? 0);
+    };
+    const played = play(lookups(60), { instances, slowness, observe });
+    expect(percentile(firstTokenTimes(played, "lookup"), 0.95)).toBeLessThan(TARGET);
+    expect(Math.min(...limits.slice(15, 30))).toBeLessThanOrEqual(5);
+    expect(limits[50]).toBeGreaterThan(10);
+  });
+});
+
+test("one hot prefix spreads over workers by itself", () => {
+  // Every request of the morning begins with the same roster. Sent only where its prefix is cached, one
+  // worker would carry all of them while three stand idle.
+  const of = { prefix: ["a", "b", "c", "d"], promptTokens: 800 };
+  const hot = steady(80, { from: 0, until: MINUTE, seed: 7, name: "hot", of });
+  const played = play(hot);
+  const used = someWorkers(4).map(({ id }) => played.filter(({ worker }) => worker === id).length);
+  expect(Math.max(...used) / played.length).toBeLessThan(0.6);
+  expect(percentile(firstTokenTimes(played, "hot"), 0.95)).toBeLessThan(TARGET);
+});
+
+describe("single decisions", () => {
+  const random = createSeededRandom(1);
+
+  function ready(workers = someWorkers(4)): Scheduler {
+    const scheduler = createScheduler(TEST_POLICY);
+    scheduler.setWorkers(workers, 0);
+    return scheduler;
+  }
+
+  function jobOf(admission: Admission): Job {
+    if (admission.kind === "refused") throw new Error(`Refused: ${admission.reason}.`);
+    return admission.job;
+  }
+
+  function placed(scheduler: Scheduler, job: Job, now: number): string {
+    const placement = scheduler.place(job, { now, random, avoid: new Set() });
+    return placement.kind === "placed" ? placement.worker : "none";
+  }
+
+  test("a leaving worker gets nothing", () => {
+    // Three of four workers are under notice; what is sent to them would be lost within seconds.
+    const workers = someWorkers(4).map((worker, index) =>
+      index === 2 ? worker : { ...worker, state: WorkerState.Leaving, reclaimAt: 5_000 },
+    );
+    const scheduler = ready(workers);
+    for (let index = 0; index < 20; index++) {
+      const job = jobOf(scheduler.admit(someArrival({ id: `r${index}` }), 0));
+      expect(placed(scheduler, job, 0)).toBe("w2");
+    }
+  });
+
+  test("a job that failed on a worker never goes there again", () => {
+    // A request that a worker can't digest would fail there again, however idle the worker looks.
+    const scheduler = ready(someWorkers(2));
+    const job = jobOf(scheduler.admit(someArrival(), 0));
+    const first = placed(scheduler, job, 0);
+    const details = { now: 10, answerTokens: 0, cause: RetryCause.BackendError };
+    scheduler.runEnded(job.id, RunEnd.Failed, details);
+    const second = placed(scheduler, job, 20);
+    expect([first, second].sort()).toEqual(["w0", "w1"]);
+    scheduler.runEnded(job.id, RunEnd.Failed, { ...details, now: 30 });
+    expect(placed(scheduler, job, 40)).toBe("none");
+  });
+
+  test("what ended is no longer held against its account", () => {
+    const policy = {
+      ...TEST_POLICY,
+      accounts: { club: { weight: 1, maxRequests: 1, maxTokens: 1_000_000 } },
+    };
+    const scheduler = createScheduler(policy);
+    scheduler.setWorkers(someWorkers(1), 0);
+    const job = jobOf(scheduler.admit(someArrival({ id: "first" }), 0));
+    const second = scheduler.admit(someArrival({ id: "second" }), 0);
+    expect(second).toMatchObject({ kind: "refused", reason: Refusal.AccountLimit });
+    placed(scheduler, job, 0);
+    scheduler.runEnded(job.id, RunEnd.Complete, { now: 10, answerTokens: 1 });
+    scheduler.settled(job, 10);
+    expect(scheduler.admit(someArrival({ id: "third" }), 20).kind).toBe("admitted");
+    expect(scheduler.snapshot(20).services[0]).toMatchObject({ waitingJobs: 1, runningJobs: 0 });
+  });
+
+  test("a lookup whose first token is late is sent to a second worker, once", () => {
+    // A worker stalls. Its lookups would wait with it, though another worker has room.
+    const scheduler = ready();
+    for (let index = 0; index < 50; index++) {
+      const job = jobOf(scheduler.admit(someArrival({ id: `r${index}` }), index));
+      placed(scheduler, job, index);
+      scheduler.firstToken(job.id, index + 50);
+      scheduler.runEnded(job.id, RunEnd.Complete, { now: index + 60, answerTokens: 2 });
+      scheduler.settled(job, index + 60);
+    }
+    const late = jobOf(scheduler.admit(someArrival({ id: "late" }), 1_000));
+    const first = placed(scheduler, late, 1_000);
+    const options = { random, avoid: new Set<string>(), dispatchedAt: 1_000 };
+    expect(scheduler.hedge(late, { ...options, now: 1_010 }).kind).toBe("later");
+    const hedge = scheduler.hedge(late, { ...options, now: 1_200 });
+    expect(hedge.kind === "hedge" && hedge.worker !== first).toBe(true);
+    expect(scheduler.hedge(late, { ...options, now: 1_300 }).kind).toBe("none");
+  });
+
+  test("an inherited job is counted in, never refused", () => {
+    // Another entry instance accepted the request before it was taken; to refuse it now would lose it.
+    const scheduler = ready([]);
+    const job = scheduler.adopt(someArrival({ id: "inherited" }), 0);
+    expect(placed(scheduler, job, 0)).toBe("none");
+    scheduler.setWorkers(someWorkers(1), 10);
+    expect(placed(scheduler, job, 10)).toBe("w0");
+  });
+});
--- /dev/null
+++ b/src/decision/testing/load_play.ts
@@ -0,0 +1,291 @@
+/**
+ * Plays a load through schedulers against small continuous-batching workers, on a time of its own, for the
+ * tests of the decisions.
+ *
+ * @module
+ */
+import { createSeededRandom, Purchase, Refusal, WorkerState } from "../../interface/index.ts";
+import type { Worker } from "../../interface/index.ts";
+import { createFairQueueClass, createScheduler, Lane, RunEnd } from "../index.ts";
+import type { Arrival, FairQueue, Job, Policy, Scheduler } from "../index.ts";
+
+/** A request of a load; `answerTokens` is what the worker will produce. */
+export interface PlayedArrival extends Arrival {
+  readonly answerTokens: number;
+}
+
+/** What became of a request. Times in milliseconds. */
+export interface Played {
+  readonly arrival: PlayedArrival;
+  readonly refused: Refusal;
+  readonly retryAfter: number;
+  worker: string;
+  firstTokenAt: number | undefined;
+  endedAt: number | undefined;
+}
+
+/** What a load is played on. */
+export interface PlaySettings {
+  readonly policy: Policy;
+  readonly workers: readonly Worker[];
+  readonly arrivals: readonly PlayedArrival[];
+  /** Milliseconds to play. */
+  readonly length: number;
+  readonly seed: number;
+  /** Entry instances, among which arrivals are drawn; 1 where not given. */
+  readonly instances?: number;
+  /** How many times slower than its class a worker is, now. */
+  readonly slowness?: (worker: string, now: number) => number;
+  /** Called once a second. */
+  readonly observe?: (now: number, schedulers: readonly Scheduler[]) => void;
+}
+
+interface Sequence {
+  readonly instance: Instance;
+  readonly played: Played;
+  readonly job: Job;
+  prefillLeft: number;
+  produced: number;
+  told: number;
+}
+
+interface Instance {
+  readonly scheduler: Scheduler;
+  readonly queue: FairQueue<Job>;
+  /** Taken out of the queue and without a worker yet. */
+  held: Job[];
+  running: number;
+}
+
+const STEP = 5;
+const REPORT_EVERY = 1_000;
+const REPORT_LAG = 500;
+
+/** Plays the load; the result holds one entry for each arrival, in order. */
+export function playLoad(settings: PlaySettings): Played[] {
+  const random = createSeededRandom(settings.seed);
+  const count = settings.instances ?? 1;
+  const instances = Array.from({ length: count }, () => createInstance(settings, count));
+  const batches = new Map(settings.workers.map(({ id }) => [id, [] as Sequence[]]));
+  const caches = new Map<string, Set<string>>();
+  const results = new Map<string, Played>();
+  const late: { at: number; worker: string; running: number }[] = [];
+  const arrivals = [...settings.arrivals].sort((a, b) => a.arrivedAt - b.arrivedAt);
+  let next = 0;
+
+  const takeIn = (arrival: PlayedArrival, now: number): void => {
+    const instance = instances[Math.floor(random.next() * count)];
+    if (instance === undefined) return;
+    const admission = instance.scheduler.admit(arrival, now);
+    const isIn = admission.kind === "admitted";
+    results.set(arrival.id, {
+      arrival,
+      refused: isIn ? Refusal.None : admission.reason,
+      retryAfter: isIn ? 0 : admission.retryAfter,
+      worker: "",
+      firstTokenAt: undefined,
+      endedAt: undefined,
+    });
+    if (isIn) instance.queue.enqueue(admission.job, { id: arrival.id, job: admission.job });
+  };
+  const dispatch = (instance: Instance, now: number): void => {
+    const { scheduler, queue } = instance;
+    const service = settings.workers[0]?.service ?? "";
+    const capacity = scheduler.capacity(service, now);
+    while (queue.size > 0 && instance.running + instance.held.length < capacity) {
+      const job = queue.dequeue();
+      if (job === undefined) break;
+      instance.held.push(job);
+      instance.held = instance.held.filter((held) => !start(instance, held, now));
+    }
+    instance.held = instance.held.filter((held) => !start(instance, held, now));
+  };
+  const start = (instance: Instance, job: Job, now: number): boolean => {
+    const placement = instance.scheduler.place(job, { now, random, avoid: new Set() });
+    const played = results.get(job.id);
+    if (placement.kind === "wait" || played === undefined) return false;
+    played.worker = placement.worker;
+    instance.running++;
+    const prefillLeft = uncached(job, placement.worker);
+    const sequence = { instance, played, job, prefillLeft, produced: 0, told: 0 };
+    batches.get(placement.worker)?.push(sequence);
+    return true;
+  };
+  const uncached = (job: Job, worker: string): number => {
+    const cache = caches.get(worker) ?? new Set();
+    caches.set(worker, cache);
+    const isNew = (block: string): boolean => !cache.has(block);
+    const part = job.prefix.length === 0 ? 1 : job.prefix.filter(isNew).length / job.prefix.length;
+    for (const block of job.prefix) cache.add(block);
+    return Math.max(1, job.promptTokens * part);
+  };
+  const tell = (sequence: Sequence, now: number): void => {
+    const { job, played, instance } = sequence;
+    while (sequence.told < Math.floor(sequence.produced)) {
+      if (sequence.told === 0) {
+        played.firstTokenAt = now;
+        instance.scheduler.firstToken(job.id, now);
+      } else instance.scheduler.token(job.id, now);
+      sequence.told++;
+    }
+  };
+  const finish = (sequence: Sequence, now: number): void => {
+    const { job, played, instance } = sequence;
+    played.endedAt = now;
+    instance.running--;
+    const answerTokens = played.arrival.answerTokens;
+    instance.scheduler.runEnded(job.id, RunEnd.Complete, { now, answerTokens });
+    instance.scheduler.settled(job, now);
+  };
+  const compute = (worker: Worker, now: number): void => {
+    const batch = batches.get(worker.id) ?? [];
+    const machine = settings.policy.machineClasses[worker.machineClass];
+    const slowness = settings.slowness?.(worker.id, now) ?? 1;
+    let prefill = ((machine?.prefillPerSecond ?? 0) * STEP) / 1_000 / slowness;
+    const decoding = batch.filter(({ prefillLeft }) => prefillLeft <= 0);
+    const pace = decodePace(machine?.tokensPerSecond ?? 0, decoding.length) / slowness;
+    for (const sequence of decoding) sequence.produced += (pace * STEP) / 1_000;
+    for (const sequence of byPriority(batch)) {
+      const done = Math.min(prefill, sequence.prefillLeft);
+      sequence.prefillLeft -= done;
+      prefill -= done;
+      sequence.produced = Math.min(sequence.produced, sequence.played.arrival.answerTokens);
+      tell(sequence, now);
+    }
+    const ended = batch.filter(({ told, played }) => told >= played.arrival.answerTokens);
+    batches.set(
+      worker.id,
+      batch.filter((sequence) => !ended.includes(sequence)),
+    );
+    for (const sequence of ended) finish(sequence, now);
+  };
+  const reportAll = (now: number): void => {
+    for (const { id } of settings.workers) {
+      late.push({ at: now, worker: id, running: batches.get(id)?.length ?? 0 });
+    }
+    settings.observe?.(
+      now,
+      instances.map(({ scheduler }) => scheduler),
+    );
+  };
+  const deliverReports = (now: number): void => {
+    for (let due = late[0]; due !== undefined && due.at + REPORT_LAG <= now; due = late[0]) {
+      late.shift();
+      const { at, worker, running } = due;
+      const report = { worker, takenAt: at, running, waiting: 0, cacheTokens: 0, loaded: [] };
+      const full = { ...report, cacheCapacity: 1_000_000 };
+      for (const { scheduler } of instances) scheduler.report(full, now);
+    }
+  };
+  for (let now = 0; now < settings.length; now += STEP) {
+    if (now % REPORT_EVERY === 0) reportAll(now);
+    deliverReports(now);
+    for (
+      let due = arrivals[next];
+      due !== undefined && due.arrivedAt <= now;
+      due = arrivals[next]
+    ) {
+      takeIn(due, now);
+      next++;
+    }
+    for (const instance of instances) dispatch(instance, now);
+    for (const worker of settings.workers) compute(worker, now);
+  }
+  return [...results.values()];
+}
+
+/** Engines compute prompts in the order of the priorities that they are given: lookups first. */
+function byPriority(batch: readonly Sequence[]): Sequence[] {
+  const isLookup = ({ job }: Sequence): boolean => job.lane === Lane.Lookup;
+  return [...batch.filter(isLookup), ...batch.filter((sequence) => !isLookup(sequence))];
+}
+
+/** Tokens a second that each of a batch gets: at most 40 alone, and the batch's full speed shared. */
+function decodePace(tokensPerSecond: number, batch: number): number {
+  return Math.min(40, tokensPerSecond / Math.max(1, batch));
+}
+
+function createInstance(settings: PlaySettings, count: number): Instance {
+  const scheduler = createScheduler(settings.policy);
+  scheduler.setInstances(count, 0);
+  scheduler.setWorkers(settings.workers, 0);
+  const service = settings.workers[0]?.service ?? "";
+  const queueClass = createFairQueueClass<Job>(scheduler.queueOptions(service));
+  return { scheduler, queue: new queueClass(), held: [], running: 0 };
+}
+
+/** Workers of one service over four availability zones, named `w0` and so on. */
+export function someWorkers(count: number, service = "desk"): Worker[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `w${index}`,
+    address: `http://127.0.0.1:${9_000 + index}`,
+    service,
+    zone: `zone-${index % 4}`,
+    machineClass: "standard",
+    purchase: Purchase.Reclaimable,
+    state: WorkerState.Live,
+  }));
+}
+
+/** A repeatable lookup of the account `club`, changed as given. */
+export function someArrival(changes: Partial<PlayedArrival> = {}): PlayedArrival {
+  const arrivedAt = changes.arrivedAt ?? 0;
+  return {
+    id: "request",
+    account: "club",
+    service: "desk",
+    model: "",
+    lane: Lane.Lookup,
+    promptTokens: 200,
+    prefix: [],
+    repeatable: true,
+    detached: false,
+    arrivedAt,
+    deadlineAt: arrivedAt + 300_000,
+    answerTokens: 20,
+    ...changes,
+  };
+}
+
+/** The policy of the tests: one service `desk`, one machine class, two accounts of equal weight. */
+export const TEST_POLICY: Policy = {
+  services: {
+    desk: { lane: "lookup", target: { firstToken: 400, betweenTokens: 44, deadline: 300_000 } },
+  },
+  accounts: {
+    club: { weight: 1, maxRequests: 10_000, maxTokens: 10_000_000 },
+    tent: { weight: 1, maxRequests: 10_000, maxTokens: 10_000_000 },
+  },
+  machineClasses: {
+    standard: { tokensPerSecond: 900, prefillPerSecond: 8_000, cacheTokens: 120_000 },
+  },
+  offers: [],
+};
+
+/** Arrivals at even distances with some jitter, `perSecond` of them from `from` until `until`. */
+export function steady(
+  perSecond: number,
+  options: { from: number; until: number; seed: number; of?: Partial<PlayedArrival>; name: string },
+): PlayedArrival[] {
+  const random = createSeededRandom(options.seed);
+  const count = Math.floor(((options.until - options.from) * perSecond) / 1_000);
+  return Array.from({ length: count }, (_, index) => {
+    const arrivedAt = options.from + ((index + random.next()) * 1_000) / perSecond;
+    const deadlineAt = arrivedAt + 300_000;
+    return someArrival({ arrivedAt, deadlineAt, ...options.of, id: `${options.name}-${index}` });
+  });
+}
+
+/** The value that the given part of the numbers doesn't exceed. */
+export function percentile(values: readonly number[], part: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))] ?? Number.NaN;
+}
+
+/** Milliseconds to the first token of all that came, of requests whose id begins so. */
+export function firstTokenTimes(played: readonly Played[], name: string): number[] {
+  const named = played.filter(({ arrival }) => arrival.id.startsWith(name));
+  return named
+    .filter(({ firstTokenAt }) => firstTokenAt !== undefined)
+    .map(({ arrival, firstTokenAt }) => (firstTokenAt ?? 0) - arrival.arrivedAt);
+}
