Fit the replay to the decisions: inherited jobs, and how far prefix hashes reach

The baselines' scheduler gets adopt, as the interface asks. An arrival may say how many prompt tokens its prefix hashes cover: without it a shared beginning of 128 tokens in a prompt of 2,000 looked like a whole prompt in the cache.

The replay's test of requests that may not be repeated now sends 24 of them instead of 8: placement prefers on-demand workers for such requests, and 8 all found room there, so none was lost and the test's baseline showed nothing. The assertion is the same.

A connection that failed or went silent no longer bars a worker from the job for good; the caller's own list still does.

--- a/src/decision/job.ts
+++ b/src/decision/job.ts
@@ -22,6 +22,8 @@
    * prefix exactly as far as their lists agree.
    */
   readonly prefix: readonly string[];
+  /** Tokens of the prompt that the whole list of hashes covers; all of them where not given. */
+  readonly prefixTokens?: number;
   readonly repeatable: boolean;
   /** Nobody waits for the first token. */
   readonly detached: boolean;
--- a/src/decision/run_table.ts
+++ b/src/decision/run_table.ts
@@ -16,6 +16,7 @@
   of(id: string): readonly Run[];
   /** The job's run on the worker; without a worker, its only run. */
   find(id: string, worker: string | undefined): Run | undefined;
+  /** Ends a run; where `failed`, the job never goes to its worker again. */
   end(run: Run, failed: boolean): void;
   /** How many of the job's runs failed. */
   failures(id: string): number;
--- a/src/decision/scheduler.ts
+++ b/src/decision/scheduler.ts
@@ -387,7 +387,7 @@
     runEnded: (id, end, details) => {
       const run = runs.find(id, details.worker);
       if (run === undefined) return;
-      runs.end(run, end === RunEnd.Failed);
+      runs.end(run, end === RunEnd.Failed && !BLAMELESS.has(details.cause));
       const took = run.worker.load.ended(id, details.now);
       if (took !== undefined) pool.ranFor(run.job.service, took);
       pool.service(run.job.service).own--;
--- a/src/decision/worker_choice.ts
+++ b/src/decision/worker_choice.ts
@@ -85,7 +85,7 @@
   return {
     worker: worker.id,
     use: useOf(entry, view.now),
-    cached: cached.get(worker.id) ?? 0,
+    cached: (cached.get(worker.id) ?? 0) * coveredPart(job),
     prefillPerSecond: machine.prefillPerSecond,
     risk: view.risk.chance(worker, view.now),
     modelLoaded: job.model === "" || loaded.size === 0 || loaded.has(job.model),
@@ -93,3 +93,8 @@
     price: price / Math.max(price, view.service.dearest, Number.MIN_VALUE),
   };
 }
+
+/** The part of the prompt that its list of hashes covers. */
+function coveredPart({ promptTokens, prefixTokens = promptTokens }: Job): number {
+  return Math.min(1, prefixTokens / Math.max(1, promptTokens));
+}
--- a/src/standin/replay/baseline_scheduler.ts
+++ b/src/standin/replay/baseline_scheduler.ts
@@ -1,4 +1,4 @@
-import type { Job, Scheduler, ServiceSnapshot } from "../../decision/index.ts";
+import type { Arrival, Job, Scheduler, ServiceSnapshot } from "../../decision/index.ts";
 import { WorkerState } from "../../interface/index.ts";
 import type { Worker } from "../../interface/index.ts";
 
@@ -49,16 +49,18 @@
       (arrivedBetween(service, now - 2 * RATE_WINDOW, now - RATE_WINDOW) * 1_000) / RATE_WINDOW,
     draining: 0,
   });
+  const adopt = (arrival: Arrival, now: number): Job => {
+    const answerTokens = arrival.maxTokens ?? DEFAULT_ANSWER;
+    const work = arrival.promptTokens + answerTokens;
+    arrived.push({ at: now, service: arrival.service, work });
+    const estimate = { work, answerTokens, cacheTokens: work, serviceTime: answerTokens * 20 };
+    return { ...arrival, estimate, resumedTokens: 0 };
+  };
   return {
     configure: () => undefined,
     setInstances: () => undefined,
-    admit: (arrival, now) => {
-      const answerTokens = arrival.maxTokens ?? DEFAULT_ANSWER;
-      const work = arrival.promptTokens + answerTokens;
-      arrived.push({ at: now, service: arrival.service, work });
-      const estimate = { work, answerTokens, cacheTokens: work, serviceTime: answerTokens * 20 };
-      return { kind: "admitted", job: { ...arrival, estimate, resumedTokens: 0 } };
-    },
+    adopt,
+    admit: (arrival, now) => ({ kind: "admitted", job: adopt(arrival, now) }),
     queueOptions: () => ({ weightOf: () => 1 }),
     place: (job, { avoid }) => {
       const able = workers.filter(
--- a/src/standin/replay/entry.ts
+++ b/src/standin/replay/entry.ts
@@ -339,6 +339,7 @@
     promptTokens: traced.p,
     ...(traced.m === undefined ? {} : { maxTokens: traced.m }),
     prefix: prefixOf(traced),
+    prefixTokens: prefixOf(traced).length * BLOCK_TOKENS,
     repeatable: traced.r ?? service?.repeatable ?? true,
     detached: traced.d ?? false,
     arrivedAt: traced.t,
--- a/src/standin/replay/replay_test.ts
+++ b/src/standin/replay/replay_test.ts
@@ -44,9 +44,10 @@
 
 test("a request that may not be repeated is lost with its worker, not run a second time", () => {
   // The baseline leaves requests on a worker until the cloud takes it. One that may not be repeated can't
-  // be sent again; its caller hears that it may have run.
+  // be sent again; its caller hears that it may have run. There are more of them than the workers that
+  // can't be taken have room for, since those are preferred for such requests.
   const once = { t: 29_500, a: "club", s: "desk", p: 100, n: 3_000, r: false };
-  const lines = Array.from({ length: 8 }, () => once);
+  const lines = Array.from({ length: 24 }, () => once);
   const report = play(sampleTrace([...lines, ...WAVE]), PolicyName.RestartOnReclaim);
   expect(report.groups["desk/script"]?.lost).toBeGreaterThan(0);
 });
