Give callers their whole HTTP face

Cause: callers had one streaming route without authentication, errors or ids to ask with.

Change: chat completions stream with the token's index as event id or come whole with usage; headers for an idempotency key, not to be repeated, a deadline and detached work; requests by id (state, stream, cancel); models; plain services under /services/NAME; resolve by the decision of that name. Errors have the OpenAI shape with reason, not_run and Retry-After; what may have run carries x-should-retry: false, since the openai client would otherwise send it again under a new id. Failures in a route end that request only. A plain service's record holds "METHOD /path" as its path, and its answer, status included, as the end's detail.

The usage's prompt tokens are an estimate from the body's length: engines don't say.

--- /dev/null
+++ b/src/connection/caller_refusal.ts
@@ -0,0 +1,79 @@
+import type { ServerResponse } from "node:http";
+import { Refusal } from "../interface/index.ts";
+import type { Rejection } from "../request/index.ts";
+import { sendJson } from "./http_body.ts";
+
+/** The HTTP status of each reason for which a caller is turned away. */
+const STATUS: Readonly<Record<Refusal, number>> = {
+  [Refusal.None]: 500,
+  [Refusal.Unauthenticated]: 401,
+  [Refusal.Forbidden]: 403,
+  [Refusal.BadRequest]: 400,
+  [Refusal.TooLarge]: 413,
+  [Refusal.UnknownService]: 404,
+  [Refusal.UnknownModel]: 404,
+  [Refusal.UnknownRequest]: 404,
+  [Refusal.KeyConflict]: 422,
+  [Refusal.KeyExpired]: 410,
+  [Refusal.HistoryLost]: 409,
+  [Refusal.AccountLimit]: 429,
+  [Refusal.QueueFull]: 429,
+  [Refusal.TooLate]: 503,
+  [Refusal.DeadlinePassed]: 504,
+  [Refusal.NoBackendServer]: 503,
+  [Refusal.EntryOverloaded]: 503,
+  [Refusal.Draining]: 503,
+  [Refusal.CutOff]: 503,
+  [Refusal.OwnerUnavailable]: 503,
+  [Refusal.StaleRoute]: 503,
+  [Refusal.BackupUnavailable]: 503,
+  [Refusal.BackendFailed]: 502,
+  [Refusal.BackendLost]: 502,
+  [Refusal.RetryBudget]: 503,
+  [Refusal.CancelledByCaller]: 409,
+};
+
+const CLIENT_FAULT = 400;
+const TOO_MANY = 429;
+const SERVER_FAULT = 500;
+const SECOND = 1_000;
+
+/** The HTTP status of a reason. */
+export function statusOf(reason: Refusal): number {
+  return STATUS[reason];
+}
+
+/** An error body in the shape of the OpenAI API, with what a caller needs to act on it. */
+export function errorBody(rejection: Rejection): object {
+  const status = statusOf(rejection.reason);
+  return {
+    error: {
+      message: rejection.detail,
+      type: errorType(status),
+      param: null,
+      code: rejection.reason,
+      not_run: rejection.notRun,
+      ...(rejection.id === undefined ? {} : { request_id: rejection.id }),
+    },
+  };
+}
+
+function errorType(status: number): string {
+  if (status === TOO_MANY) return "rate_limit_error";
+  const clientFault = status >= CLIENT_FAULT && status < SERVER_FAULT;
+  return clientFault ? "invalid_request_error" : "server_error";
+}
+
+/** Turns a caller away, saying why, whether its request was not run, and when to come back. */
+export function sendRejection(response: ServerResponse, rejection: Rejection): void {
+  const { retryAfter, notRun, id, reason } = rejection;
+  const headers: Record<string, string> = {};
+  if (retryAfter !== undefined) {
+    headers["retry-after"] = String(Math.max(1, Math.ceil(retryAfter / SECOND)));
+  }
+  if (id !== undefined) headers["x-request-id"] = id;
+  // A client that tries again by itself would run the request a second time under another id.
+  if (!notRun) headers["x-should-retry"] = "false";
+  if (reason === Refusal.TooLarge || reason === Refusal.Draining) headers["connection"] = "close";
+  sendJson(response, errorBody(rejection), { status: statusOf(reason), headers });
+}
--- a/src/connection/caller_routes.ts
+++ b/src/connection/caller_routes.ts
@@ -1,73 +1,163 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Polka } from "polka";
+import { resolve } from "../decision/index.ts";
+import { Refusal } from "../interface/index.ts";
+import type { Member } from "../interface/index.ts";
+import { chatRequestSchema, keyedId, splitModel } from "../request/index.ts";
+import type { ChatRequest, Rejection, Submission } from "../request/index.ts";
+import { assignmentOf } from "../version/index.ts";
+import { callerOf, isRejection, serviceRefusal } from "./caller_account.ts";
+import type { Caller } from "./caller_account.ts";
+import { callerWishes } from "./caller_headers.ts";
+import { sendRejection } from "./caller_refusal.ts";
+import { sendWholeChat, streamChat } from "./chat_answer.ts";
+import type { ChatAnswer } from "./chat_answer.ts";
 import type { EntryInstanceParts } from "./entry_parts.ts";
-import { readBody, sendEvent, sendJson } from "./http_body.ts";
-import { chatRequestSchema, splitModel } from "../request/index.ts";
-import type { CallerEvent, ChatRequest, Submission } from "../request/index.ts";
+import { guarded } from "./guarded_route.ts";
+import { BODY_LIMIT, readBody, sendJson } from "./http_body.ts";
+import { addRequestRoutes } from "./request_routes.ts";
+import { addServiceRoutes, sendAccepted } from "./service_routes.ts";
 
-const BODY_LIMIT = 4_000_000;
-/** How long a caller may keep the answer to which address to use, in seconds. */
-const RESOLVE_KEEP = 10;
+const SECOND = 1_000;
+/** Characters a token, to tell a prompt's length where the engine doesn't. */
+const TOKEN_CHARACTERS = 4;
 
 /** Adds the routes of callers. */
 export function addCallerRoutes(app: Polka, parts: EntryInstanceParts): void {
-  app.get("/v1/resolve", (_request, response) => {
-    const addresses = parts.members.alive().map((member) => member.callerAddress);
-    sendJson(response, { addresses, keepFor: RESOLVE_KEEP });
+  app.get("/v1/resolve", (request, response) => {
+    answerResolve(parts, request, response);
   });
-  app.post("/v1/chat/completions", async (request, response) => {
-    await answerChat(parts, { request, response });
+  app.get("/v1/models", (request, response) => {
+    const caller = callerOf(request, parts.configuration.revision());
+    if (isRejection(caller)) reject(parts, response, caller);
+    else sendJson(response, { object: "list", data: modelsOf(caller) });
   });
+  app.post(
+    "/v1/chat/completions",
+    guarded(parts, (request, response) => answerChat(parts, request, response)),
+  );
+  addRequestRoutes(app, parts);
+  addServiceRoutes(app, parts);
+}
+
+function reject(
+  { counters }: EntryInstanceParts,
+  response: ServerResponse,
+  rejection: Rejection,
+): void {
+  counters.refused(rejection.reason);
+  sendRejection(response, rejection);
+}
+
+function answerResolve(
+  parts: EntryInstanceParts,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const { members, random, requests } = parts;
+  const query = new URL(request.url ?? "/", "http://localhost").searchParams;
+  const caller = callerOf(request, parts.configuration.revision());
+  const key = query.get("key");
+  if (key !== null && isRejection(caller)) {
+    reject(parts, response, caller);
+    return;
+  }
+  const account = isRejection(caller) ? "" : caller.account;
+  const owner = key === null ? undefined : ownerOfKey(parts, account, key);
+  const load = new Map([[members.self.id, requests.inProgress()]]);
+  const zone = query.get("zone");
+  const view = { alive: members.alive(), owner, load, account };
+  sendJson(response, resolve(zone === null ? view : { ...view, zone }, random));
+}
+
+function ownerOfKey(
+  { configuration, members }: EntryInstanceParts,
+  account: string,
+  key: string,
+): Member | undefined {
+  const { slot } = keyedId(account, key);
+  return members.find(assignmentOf(configuration.slotMap(), slot).primary);
+}
+
+function modelsOf({ deployment, settings }: Caller): object[] {
+  return settings.services.flatMap((name) => {
+    const service = deployment.services[name];
+    if (service?.kind !== "model") return [];
+    const models = service.models.flatMap((model) => [
+      model.name,
+      ...model.adapters.map((adapter) => `${model.name}+${adapter}`),
+    ]);
+    const ids = [name, ...models.map((model) => `${name}/${model}`)];
+    return ids.map((id) => ({ id, object: "model", created: 0, owned_by: name }));
+  });
+}
+
+interface ChatCall {
+  readonly submission: Submission;
+  readonly chat: ChatRequest;
+  readonly answer: ChatAnswer;
 }
 
 async function answerChat(
   parts: EntryInstanceParts,
-  { request, response }: { request: IncomingMessage; response: ServerResponse },
+  request: IncomingMessage,
+  response: ServerResponse,
 ): Promise<void> {
-  const body = await readBody(request, BODY_LIMIT);
-  const parsed = chatRequestSchema.safeParse(JSON.parse(body));
-  if (!parsed.success) {
-    sendJson(response, { error: { message: parsed.error.message } }, { status: 400 });
+  const call = await chatCall(parts, request);
+  if (isRejection(call)) {
+    reject(parts, response, call);
     return;
   }
+  const { submission, chat, answer } = call;
   const ending = new AbortController();
   response.on("close", () => ending.abort(new Error("The caller has gone.")));
-  const submission = submissionOf(parsed.data, body);
-  for await (const event of parts.requests.submit(submission, ending.signal)) {
-    sendCallerEvent(response, { event, model: parsed.data.model });
-  }
+  const events = parts.requests.submit(submission, ending.signal);
+  if (submission.detached) await answerDetached(response, events);
+  else if (chat.stream === true) await streamChat(response, events, answer);
+  else await sendWholeChat(response, events, answer);
 }
 
-function submissionOf(chat: ChatRequest, body: string): Submission {
-  const { service, model } = splitModel(chat.model);
-  const path = "/v1/chat/completions";
-  return { account: "", service, model, path, body, detached: false, fromToken: 0 };
+async function answerDetached(
+  response: ServerResponse,
+  events: ReturnType<EntryInstanceParts["requests"]["submit"]>,
+): Promise<void> {
+  for await (const event of events) {
+    if (event.kind === "accepted") sendAccepted(response, event.id);
+    else if (event.kind === "rejected") sendRejection(response, event.rejection);
+    return;
+  }
 }
 
-function sendCallerEvent(
-  response: ServerResponse,
-  { event, model }: { event: CallerEvent; model: string },
-): void {
-  const chunk = (delta: object, finish: string | null): object => ({
-    id: "",
-    object: "chat.completion.chunk",
-    created: 0,
-    model,
-    choices: [{ index: 0, delta, finish_reason: finish }],
-  });
-  switch (event.kind) {
-    case "rejected":
-      sendJson(response, { error: event.rejection }, { status: 503 });
-      break;
-    case "accepted":
-      response.writeHead(200, { "content-type": "text/event-stream", "x-request-id": event.id });
-      break;
-    case "token":
-      sendEvent(response, chunk({ content: event.text }, null));
-      break;
-    case "ended":
-      sendEvent(response, chunk({}, event.record.detail));
-      response.end("data: [DONE]\n\n");
-      break;
+async function chatCall(
+  parts: EntryInstanceParts,
+  request: IncomingMessage,
+): Promise<ChatCall | Rejection> {
+  const { clock, configuration } = parts;
+  const caller = callerOf(request, configuration.revision());
+  if (isRejection(caller)) return caller;
+  const wishes = callerWishes(request);
+  if (isRejection(wishes)) return wishes;
+  const body = await readBody(request, BODY_LIMIT, { clock });
+  const parsed = chatRequestSchema.safeParse(JSON.parse(body));
+  if (!parsed.success) {
+    const detail = parsed.error.issues
+      .map(({ path, message }) => `${path.join(".")}: ${message}`)
+      .join("; ");
+    return { reason: Refusal.BadRequest, notRun: true, detail };
   }
+  const chat = parsed.data;
+  const { service, model } = splitModel(chat.model);
+  const refusal = serviceRefusal(caller, { service, model, kind: "model" });
+  if (refusal !== undefined) return refusal;
+  const path = "/v1/chat/completions";
+  const { account } = caller;
+  const submission = { ...wishes, account, service, model, path, body, fromToken: 0 };
+  const answer: ChatAnswer = {
+    model: chat.model,
+    created: Math.floor(clock.date().getTime() / SECOND),
+    promptTokens: Math.ceil(body.length / TOKEN_CHARACTERS),
+    usage: chat.stream_options?.include_usage === true,
+    fromStart: true,
+  };
+  return { submission, chat, answer };
 }
--- /dev/null
+++ b/src/connection/caller_routes_test.ts
@@ -0,0 +1,308 @@
+import { createHash } from "node:crypto";
+import { connect } from "node:net";
+import fc from "fast-check";
+import polka from "polka";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { createSeededRandom, Refusal, RequestState } from "../interface/index.ts";
+import type { Member, RequestRecord } from "../interface/index.ts";
+import type { CallerEvent, RequestService, Submission } from "../request/index.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
+import { EMPTY_SLOT_MAP } from "../version/index.ts";
+import type { Revision } from "../version/index.ts";
+import { addCallerRoutes } from "./caller_routes.ts";
+import type { EntryInstanceParts } from "./entry_parts.ts";
+import { listenHttp, splitAddress } from "./http_listener.ts";
+import type { Listener } from "./http_listener.ts";
+
+const KEY = "key-of-the-club";
+const ID = "r1-00000000000000000000000000000001";
+const SELF: Member = { id: "e1#1", address: "1", callerAddress: "127.0.0.1:1", zone: "a" };
+
+let listener: Listener;
+let submitted: Submission[];
+let outcome: CallerEvent[];
+let refused: Refusal[];
+
+beforeEach(async () => {
+  submitted = [];
+  refused = [];
+  outcome = answerEvents(["a", "b"]);
+  const app = polka();
+  addCallerRoutes(app, partsOfTest());
+  listener = await listenHttp("127.0.0.1:0", (request, response) => {
+    app.handler(request as polka.Request, response);
+  });
+});
+
+afterEach(() => listener.close());
+
+test("a whole answer has the OpenAI shape and its usage", async () => {
+  const answer = await post({ body: chatBody({}) });
+  expect(answer.status).toBe(200);
+  expect(await answer.json()).toMatchObject({
+    id: ID,
+    object: "chat.completion",
+    choices: [{ message: { role: "assistant", content: "ab" }, finish_reason: "stop" }],
+    usage: { completion_tokens: 2 },
+  });
+});
+
+test("a stream's event ids are the tokens' indexes, so that a caller can resume", async () => {
+  const answer = await post({ body: chatBody({ stream: true }) });
+  const text = await answer.text();
+  expect([...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id)).toEqual(["0", "1"]);
+  expect(text.endsWith("data: [DONE]\n\n")).toBe(true);
+});
+
+test("headers say how a request is to be treated", async () => {
+  const headers = {
+    "idempotency-key": "entry-17",
+    "x-samphireshore-repeat": "never",
+    "x-samphireshore-deadline": "30s",
+    prefer: "respond-async",
+  };
+  const answer = await post({ body: chatBody({}), headers });
+  expect(answer.status).toBe(202);
+  expect(await answer.json()).toMatchObject({ id: ID, url: `/v1/requests/${ID}` });
+  const wishes = { key: "entry-17", repeatable: false, deadline: 30_000, detached: true };
+  expect(submitted).toMatchObject([{ account: "club", ...wishes }]);
+});
+
+test("a plain service's answer comes with its own status", async () => {
+  const detail = JSON.stringify({ status: 404, type: "text/plain", body: "no such reel" });
+  outcome = [
+    { kind: "accepted", id: ID },
+    { kind: "ended", record: record({ detail }) },
+  ];
+  const answer = await fetch(`http://${listener.address}/services/booking/reels/7?x=1`, {
+    headers: { authorization: `Bearer ${KEY}` },
+  });
+  expect([answer.status, await answer.text()]).toEqual([404, "no such reel"]);
+  expect(submitted).toMatchObject([{ path: "GET /reels/7?x=1", repeatable: true }]);
+});
+
+test("a refusal says its reason, whether the request was not run, and when to come back", async () => {
+  const detail = "The queue is full.";
+  const rejection = { reason: Refusal.QueueFull, notRun: true, retryAfter: 1_500, detail };
+  outcome = [{ kind: "rejected", rejection }];
+  const answer = await post({ body: chatBody({}) });
+  expect(answer.status).toBe(429);
+  expect(answer.headers.get("retry-after")).toBe("2");
+  expect(await answer.json()).toMatchObject({ error: { code: "queue-full", not_run: true } });
+});
+
+test("what may have run tells the client's library not to try again by itself", async () => {
+  // The answer of a billed summary was lost. The openai client tries a 502 again on its own: without the
+  // header the summary would be made, and billed, under a second id.
+  const lost = { state: RequestState.MayHaveRun, reason: Refusal.BackendLost };
+  outcome = [
+    { kind: "accepted", id: ID },
+    { kind: "ended", record: record(lost) },
+  ];
+  const answer = await post({ body: chatBody({}) });
+  expect(answer.status).toBe(502);
+  expect(answer.headers.get("x-should-retry")).toBe("false");
+});
+
+test.each([
+  ["no key", { body: chatBody({}), headers: { authorization: "" } }, 401, Refusal.Unauthenticated],
+  ["a wrong key", { headers: { authorization: "Bearer x" } }, 401, Refusal.Unauthenticated],
+  ["wrong JSON", { body: '{"model":' }, 400, Refusal.BadRequest],
+  ["no messages", { body: '{"model":"desk"}' }, 400, Refusal.BadRequest],
+  ["an unknown service", { body: chatBody({ model: "none" }) }, 404, Refusal.UnknownService],
+  ["a name of Object", { body: chatBody({ model: "toString" }) }, 404, Refusal.UnknownService],
+  ["an unknown model", { body: chatBody({ model: "desk/none" }) }, 404, Refusal.UnknownModel],
+  ["another's service", { body: chatBody({ model: "scripts" }) }, 403, Refusal.Forbidden],
+  ["a body over the bound", { body: "x".repeat(4_000_001) }, 413, Refusal.TooLarge],
+  [
+    "a wrong deadline",
+    { headers: { "x-samphireshore-deadline": "soon" } },
+    400,
+    Refusal.BadRequest,
+  ],
+  ["a wrong repeat", { headers: { "x-samphireshore-repeat": "no" } }, 400, Refusal.BadRequest],
+  ["a long key", { headers: { "idempotency-key": "k".repeat(256) } }, 400, Refusal.BadRequest],
+])(
+  "bad input with %s is a typed error, counted, and runs nothing",
+  async (_, call, status, reason) => {
+    const answer = await post(call);
+    const body = (await answer.json()) as { error: { code: string; not_run: boolean } };
+    expect([answer.status, body.error.code, body.error.not_run]).toEqual([status, reason, true]);
+    expect(refused).toEqual([reason]);
+    expect(submitted).toEqual([]);
+  },
+);
+
+test("any body and headers get an answer, and the instance goes on", async () => {
+  const headerText = fc.string({ maxLength: 40 }).map((text) => text.replace(/[^ -~]/g, ""));
+  await fc.assert(
+    fc.asyncProperty(
+      fc.oneof(fc.string(), fc.json(), fc.constant(chatBody({}))),
+      fc.record({
+        "idempotency-key": headerText,
+        "x-samphireshore-repeat": headerText,
+        "x-samphireshore-deadline": headerText,
+        prefer: headerText,
+      }),
+      async (body, headers) => {
+        const answer = await post({ body, headers });
+        await answer.text();
+        expect([200, 202, 400, 404, 403]).toContain(answer.status);
+      },
+    ),
+    { seed: 7, numRuns: 100 },
+  );
+});
+
+test("any request path gets an answer, and the instance goes on", async () => {
+  // A caller's broken URL must end its own request only. A thrown error in a route that nobody catches
+  // would end the process, with everybody's requests.
+  await fc.assert(
+    fc.asyncProperty(fc.webPath(), async (path) => {
+      const status = await rawGet(`/v1/requests/${path.slice(1)}%zz`);
+      expect(status).toBeGreaterThanOrEqual(200);
+    }),
+    { seed: 7, numRuns: 50 },
+  );
+  expect((await post({ body: chatBody({}) })).status).toBe(200);
+});
+
+interface Call {
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+function post({ body = chatBody({}), headers = {} }: Call): Promise<Response> {
+  return fetch(`http://${listener.address}/v1/chat/completions`, {
+    method: "POST",
+    headers: { authorization: `Bearer ${KEY}`, "content-type": "application/json", ...headers },
+    body,
+  });
+}
+
+/** A request with a path that `fetch` would refuse to send. */
+function rawGet(path: string): Promise<number> {
+  const [host, port] = splitAddress(listener.address);
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, host);
+    let text = "";
+    socket.on("data", (data) => (text += data.toString()));
+    socket.on("error", reject);
+    socket.on("close", () => resolve(Number(text.split(" ")[1] ?? 0)));
+    socket.end(
+      `GET ${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${KEY}\r\nconnection: close\r\n\r\n`,
+    );
+  });
+}
+
+function chatBody(more: object): string {
+  return JSON.stringify({
+    model: "desk",
+    messages: [{ role: "user", content: "chip 9" }],
+    ...more,
+  });
+}
+
+function record(more: Partial<RequestRecord>): RequestRecord {
+  return {
+    id: ID,
+    slot: 1,
+    account: "club",
+    service: "desk",
+    state: RequestState.Complete,
+    repeatable: true,
+    detached: false,
+    keyed: false,
+    fingerprint: "",
+    path: "/v1/chat/completions",
+    body: "",
+    attempt: 1,
+    worker: "w1",
+    tokens: [],
+    tokensFrom: 0,
+    reason: Refusal.None,
+    detail: "stop",
+    acceptedAt: 0,
+    deadlineAt: 0,
+    sequence: 1,
+    ...more,
+  };
+}
+
+function answerEvents(tokens: readonly string[]): CallerEvent[] {
+  return [
+    { kind: "accepted", id: ID },
+    ...tokens.map((text, index) => ({ kind: "token" as const, index, text })),
+    { kind: "ended", record: record({}) },
+  ];
+}
+
+function partsOfTest(): EntryInstanceParts {
+  const unknown = { reason: Refusal.UnknownRequest, notRun: false, detail: "none" };
+  const requests = {
+    submit: async function* (submission: Submission) {
+      submitted.push(submission);
+      await Promise.resolve();
+      yield* outcome;
+    },
+    find: () => Promise.resolve(unknown),
+    inProgress: () => 0,
+  } as unknown as RequestService;
+  const close = (): void => undefined;
+  return {
+    requests,
+    clock: createVirtualClock(),
+    random: createSeededRandom(1),
+    configuration: {
+      revision: () => REVISION,
+      slotMap: () => EMPTY_SLOT_MAP,
+      onChange: () => ({ close }),
+      isCutOff: () => false,
+      refresh: () => Promise.resolve(),
+    },
+    members: {
+      self: SELF,
+      alive: () => [SELF],
+      find: () => SELF,
+    } as unknown as EntryInstanceParts["members"],
+    workers: {} as EntryInstanceParts["workers"],
+    counters: {
+      refused: (reason: Refusal) => refused.push(reason),
+    } as unknown as EntryInstanceParts["counters"],
+    store: {} as EntryInstanceParts["store"],
+    operatorKey: "",
+  };
+}
+
+const TARGET = { firstToken: 400, betweenTokens: 44, deadline: 20_000 };
+const SERVICE = { repeatable: true, checksFence: false, lane: "lookup", target: TARGET } as const;
+const MODEL = { name: "small", version: "1", adapters: [], weights: 1 };
+
+const REVISION: Revision = {
+  version: 1,
+  source: {},
+  preset: "day",
+  changes: [],
+  deployment: {
+    deployment: "test",
+    region: "test",
+    zones: ["a"],
+    services: {
+      desk: { kind: "model", models: [MODEL], ...SERVICE },
+      scripts: { kind: "model", models: [MODEL], ...SERVICE },
+      booking: { kind: "plain", ...SERVICE },
+    },
+    accounts: {
+      club: {
+        keySha256: createHash("sha256").update(KEY).digest("hex"),
+        weight: 1,
+        maxRequests: 10,
+        maxTokens: 1_000,
+        services: ["desk", "booking"],
+      },
+    },
+    machineClasses: {},
+    offers: [],
+    presets: {},
+  },
+};
--- /dev/null
+++ b/src/connection/guarded_route.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Refusal } from "../interface/index.ts";
+import type { Rejection } from "../request/index.ts";
+import { sendRejection } from "./caller_refusal.ts";
+import type { EntryInstanceParts } from "./entry_parts.ts";
+import { BodyTooLarge, BodyTooSlow } from "./http_body.ts";
+
+/** A request with the parts of its route's path. */
+export type RoutedRequest = IncomingMessage & {
+  params: Readonly<Record<string, string | string[]>>;
+};
+
+type Route = (request: RoutedRequest, response: ServerResponse) => Promise<void>;
+
+/**
+ * A route whose failures reach the caller as a typed error. Without it a failure in an asynchronous route
+ * would leave the caller without an answer and end the process.
+ */
+export function guarded(parts: Pick<EntryInstanceParts, "counters">, route: Route): Route {
+  return async (request, response) => {
+    try {
+      await route(request, response);
+    } catch (error) {
+      const rejection = rejectionFor(error);
+      parts.counters.refused(rejection.reason);
+      if (response.headersSent) response.destroy();
+      else sendRejection(response, rejection);
+    }
+  };
+}
+
+function rejectionFor(error: unknown): Rejection {
+  const detail = error instanceof Error ? error.message : String(error);
+  if (error instanceof BodyTooLarge) return { reason: Refusal.TooLarge, notRun: true, detail };
+  if (error instanceof BodyTooSlow) return { reason: Refusal.BadRequest, notRun: true, detail };
+  if (error instanceof SyntaxError) {
+    return { reason: Refusal.BadRequest, notRun: true, detail: `The body is no JSON: ${detail}.` };
+  }
+  return { reason: Refusal.BackendFailed, notRun: false, detail };
+}
--- a/src/connection/http_body.ts
+++ b/src/connection/http_body.ts
@@ -1,25 +1,51 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../interface/index.ts";
+
+/** Greatest body of a caller's request, in bytes. */
+export const BODY_LIMIT = 4_000_000;
+/** Milliseconds that a caller may take over its body. */
+const BODY_TIME = 30_000;
 
 /** A body that is longer than its bound. */
 export class BodyTooLarge extends Error {
   override readonly name = "BodyTooLarge";
 }
 
+/** A body that took longer than its bound (slow-loris). */
+export class BodyTooSlow extends Error {
+  override readonly name = "BodyTooSlow";
+}
+
 /**
  * Reads a request's body up to a bound.
  *
  * @param message The request.
  * @param most Greatest number of bytes.
+ * @param options With a clock, a body that takes longer than 30 s is given up.
  * @returns The body as text.
  * @throws {BodyTooLarge} As soon as more than `most` bytes have come.
+ * @throws {BodyTooSlow} When the body takes too long.
  */
-export async function readBody(message: IncomingMessage, most: number): Promise<string> {
+export async function readBody(
+  message: IncomingMessage,
+  most: number,
+  options: { clock?: Clock } = {},
+): Promise<string> {
+  const timer = options.clock?.after(BODY_TIME, () => {
+    message.destroy(new BodyTooSlow(`The body took longer than ${BODY_TIME} ms.`));
+  });
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > most) throw new BodyTooLarge(`The body is longer than the bound of ${most} bytes.`);
-    chunks.push(chunk);
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > most) {
+        throw new BodyTooLarge(`The body is longer than the bound of ${most} bytes.`);
+      }
+      chunks.push(chunk);
+    }
+  } finally {
+    timer?.close();
   }
   return Buffer.concat(chunks).toString("utf8");
 }
--- a/src/connection/http_engine.ts
+++ b/src/connection/http_engine.ts
@@ -55,7 +55,9 @@
   };
   return {
     run: (worker, dispatch, signal) =>
-      events(agent, { worker, path: "/engine/run", body: dispatch, signal }),
+      dispatch.path.startsWith("/")
+        ? events(agent, { worker, path: "/engine/run", body: dispatch, signal })
+        : plainCall(agent, { worker, dispatch, signal }),
     attach: (worker, id, { fromToken, signal }) =>
       events(agent, { worker, path: "/engine/attach", body: { id, fromToken }, signal }),
     cancel: async (worker, id) => {
@@ -104,6 +106,43 @@
   }
 }
 
+interface PlainCall {
+  readonly worker: Worker;
+  readonly dispatch: Dispatch;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * A call of a plain service, as ordinary HTTP. The service's own status is part of its answer; the request's
+ * id goes with it for services that drop what they have had before.
+ */
+async function* plainCall(
+  agent: Agent,
+  { worker, dispatch, signal }: PlainCall,
+): AsyncGenerator<EngineEvent> {
+  const [method = "GET", path = "/"] = dispatch.path.split(" ", 2);
+  yield { kind: "started", recomputed: 0, cached: 0 };
+  try {
+    const answer = await request(`${worker.address}${path}`, {
+      method: method,
+      dispatcher: agent,
+      headers: {
+        "content-type": "application/json",
+        "x-request-id": dispatch.id,
+        "idempotency-key": dispatch.id,
+      },
+      ...(dispatch.body === "" ? {} : { body: dispatch.body }),
+      signal,
+    });
+    const type = answer.headers["content-type"];
+    const found = { status: answer.statusCode, type: typeof type === "string" ? type : "" };
+    const body = JSON.stringify({ ...found, body: await answer.body.text() });
+    yield { kind: "finished", reason: "stop", body };
+  } catch (error) {
+    throw engineFailure("connect", worker, error);
+  }
+}
+
 function engineFailure(step: EngineFailure["step"], worker: Worker, cause: unknown): EngineFailure {
   const message = `The call to ${worker.id} at ${worker.address} failed at ${step}: ${String(cause)}.`;
   // Only a refused connection proves that no byte was sent.
--- a/src/request/chat_request.ts
+++ b/src/request/chat_request.ts
@@ -13,6 +13,7 @@
     )
     .min(1),
   stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().nullish() }).nullish(),
   max_tokens: z.number().int().positive().nullish(),
   max_completion_tokens: z.number().int().positive().nullish(),
 });
