Serve the engine protocol whole from the backend stand-in

Cause: the stand-in answered only /engine/run, at one pace whatever the load, and its report could not be read.

Change: run, attach, cancel, ask with bar, export, report and order, with fencing checked or not; a duplicate id joins the run in progress, and older attempts are refused. The engine model sets the pace unless tokenTime does; 0 answers at once. Plain services echo and count. The engine client now rejects a call that a server refused: a refused order was taken for an accepted one before.

--- a/src/connection/http_engine.ts
+++ b/src/connection/http_engine.ts
@@ -48,7 +48,10 @@
         body: JSON.stringify(body),
         signal: AbortSignal.timeout(CALL_TIMEOUT),
       });
-      return await answer.body.json();
+      const answered: unknown = await answer.body.json();
+      // A refused order that is taken for an accepted one would leave a worker as it was, unnoticed.
+      if (answer.statusCode >= 400) throw new Error(`Status ${answer.statusCode}`);
+      return answered;
     } catch (error) {
       throw engineFailure("order", worker, error);
     }
--- a/src/standin/backend_server.ts
+++ b/src/standin/backend_server.ts
@@ -1,48 +1,204 @@
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import polka from "polka";
-import { listenHttp, readBody, sendEvent, sendJson } from "../connection/index.ts";
+import { z } from "zod";
+import { listenHttp, readBody, sendJson } from "../connection/index.ts";
 import type { Listener } from "../connection/index.ts";
-import { sleep } from "../interface/index.ts";
-import type { Clock, Dispatch } from "../interface/index.ts";
+import type { Clock, Dispatch, EngineEvent, Order } from "../interface/index.ts";
+import { CHAT_PATH, formatCacheName } from "./engine_prompt.ts";
+import type { EngineSpeeds } from "./engine_model.ts";
+import { createPlainTable } from "./plain_table.ts";
+import type { PlainTable } from "./plain_table.ts";
+import { createRequestTable } from "./request_table.ts";
+import type { Follower, RequestTable, RunRefusal } from "./request_table.ts";
+import { createConstantSource, createModelSource } from "./token_source.ts";
+import type { TokenSource } from "./token_source.ts";
 
 /** What a backend server stand-in is made with. */
 export interface BackendStandin {
   /** `IP:PORT` to listen on. */
   readonly listen: string;
-  /** Milliseconds between tokens. */
-  readonly tokenTime: number;
   readonly clock: Clock;
+  /**
+   * Milliseconds between tokens, the same whatever else is in progress; 0 answers at once. Where it is
+   * absent, the engine model of the machine class sets the pace.
+   */
+  readonly tokenTime?: number;
+  /** What the machine class can do; an ordinary one if absent. */
+  readonly speeds?: EngineSpeeds;
+  /** How many times as fast as the clock the engine model runs; 1 if absent. */
+  readonly speed?: number;
+  /** Whether orders and dispatches with an old fencing number are refused; not so if absent. */
+  readonly checksFence?: boolean;
+  /** Models that are loaded at the start. */
+  readonly loaded?: readonly string[];
+  /** The worker's id in its load reports; its address if absent. */
+  readonly worker?: string;
+}
+
+/** A running backend server stand-in. */
+export interface BackendListener extends Listener {
+  /** How often each request was begun here, by its id. */
+  readonly runs: ReadonlyMap<string, number>;
+  /** What it was last ordered to be. */
+  order(): Order;
 }
 
 const BODY_LIMIT = 4_000_000;
-const DEFAULT_ANSWER_TOKENS = 16;
+const ORDINARY: EngineSpeeds = {
+  tokensPerSecond: 900,
+  prefillPerSecond: 8_000,
+  cacheTokens: 120_000,
+};
+const BAD_REQUEST = 400;
+const CONFLICT = 409;
+const NOT_FOUND = 404;
+
+const dispatchSchema: z.ZodType<Dispatch> = z.object({
+  id: z.string(),
+  attempt: z.number().int(),
+  service: z.string(),
+  path: z.string(),
+  body: z.string(),
+  tokens: z.array(z.string()),
+  priority: z.number(),
+  timeLeft: z.number(),
+  fence: z.number().exactOptional(),
+  cache: z.string().exactOptional(),
+});
+const attachSchema = z.object({ id: z.string(), fromToken: z.number().int() });
+const idSchema = z.object({ id: z.string() });
+const askSchema = z.object({ id: z.string(), bar: z.boolean() });
+const orderSchema: z.ZodType<Order> = z.object({
+  fence: z.number(),
+  models: z.array(z.string()),
+  role: z.string(),
+});
 
-/** Starts a small stand-in for a model engine: it answers with the words of the request, one a token. */
-export function startBackend(settings: BackendStandin): Promise<Listener> {
+/**
+ * Starts a small stand-in for a backend server: a model engine that answers ` word0 word1 …`, and a plain
+ * service that answers with what it was sent.
+ */
+export async function startBackend(settings: BackendStandin): Promise<BackendListener> {
+  const source = sourceOf(settings);
+  const checksFence = settings.checksFence ?? false;
+  const requests = createRequestTable(source, { checksFence });
+  const plain = createPlainTable();
+  let order: Order = { fence: 0, models: settings.loaded ?? [], role: "serve" };
+  let address = settings.listen;
   const app = polka();
-  app.post("/engine/run", async (request, response) => {
-    const dispatch = JSON.parse(await readBody(request, BODY_LIMIT)) as Dispatch;
-    response.writeHead(200, { "content-type": "text/event-stream" });
-    await generate(settings, dispatch, response);
-    response.end();
-  });
-  app.post("/engine/report", (_request, response) => sendJson(response, {}));
-  return listenHttp(settings.listen, (request, response) => {
+  const route = <T>(
+    path: string,
+    schema: z.ZodType<T>,
+    handle: (body: T, response: ServerResponse) => void,
+  ): void => {
+    app.post(`/engine/${path}`, async (request, response) => {
+      const body = await readAs(request, schema);
+      if (body === undefined) sendJson(response, { error: "bad body" }, { status: BAD_REQUEST });
+      else handle(body, response);
+    });
+  };
+  route("run", dispatchSchema, (dispatch, response) => {
+    if (dispatch.path === CHAT_PATH) runModel(requests, dispatch, response);
+    else runPlain(plain, dispatch, response);
+  });
+  route("attach", attachSchema, ({ id, fromToken }, response) => {
+    const follower = followerOf(response, requests, id);
+    if (requests.attach(id, fromToken, follower)) return;
+    sendJson(response, { error: `No request ${id}.` }, { status: NOT_FOUND });
+  });
+  route("cancel", idSchema, ({ id }, response) => {
+    requests.cancel(id);
+    sendJson(response, {});
+  });
+  route("ask", askSchema, ({ id, bar }, response) => {
+    sendJson(response, { knowledge: plain.ask(id, bar) ?? requests.ask(id, bar) });
+  });
+  route("export", idSchema, ({ id }, response) => {
+    const tokens = source.exportable(id);
+    if (tokens === undefined) sendJson(response, { error: "Not running." }, { status: NOT_FOUND });
+    else sendJson(response, { cache: formatCacheName(address, id, tokens) });
+  });
+  route("report", z.unknown(), (_body, response) => {
+    const worker = settings.worker ?? address;
+    const takenAt = settings.clock.now();
+    sendJson(response, { worker, takenAt, ...source.load(), loaded: order.models });
+  });
+  route("order", orderSchema, (given, response) => {
+    if (checksFence && given.fence < order.fence) {
+      const error = `Fencing number ${given.fence} is older than ${order.fence}.`;
+      sendJson(response, { error }, { status: CONFLICT });
+      return;
+    }
+    order = given;
+    sendJson(response, {});
+  });
+  const listener = await listenHttp(settings.listen, (request, response) => {
     app.handler(request as polka.Request, response);
   });
+  address = listener.address;
+  return {
+    ...listener,
+    runs: requests.runs,
+    order: () => order,
+    close: async () => {
+      source.close();
+      await listener.close();
+    },
+  };
+}
+
+function sourceOf(settings: BackendStandin): TokenSource {
+  const { clock, tokenTime, speeds = ORDINARY, speed = 1 } = settings;
+  return tokenTime === undefined
+    ? createModelSource(clock, { speeds, speed })
+    : createConstantSource(clock, tokenTime);
 }
 
-async function generate(
-  { clock, tokenTime }: BackendStandin,
-  dispatch: Dispatch,
-  response: ServerResponse,
-): Promise<void> {
-  const body = JSON.parse(dispatch.body) as { max_tokens?: number; max_completion_tokens?: number };
-  const bound = body.max_completion_tokens ?? body.max_tokens;
-  sendEvent(response, { kind: "started", recomputed: 0, cached: 0 });
-  for (let index = dispatch.tokens.length; index < (bound ?? DEFAULT_ANSWER_TOKENS); index++) {
-    await sleep(clock, tokenTime);
-    sendEvent(response, { kind: "token", index, text: ` word${index}` });
+/** Undefined for a body that is too long, not JSON or of another shape. */
+async function readAs<T>(request: IncomingMessage, schema: z.ZodType<T>): Promise<T | undefined> {
+  try {
+    return schema.parse(JSON.parse(await readBody(request, BODY_LIMIT)));
+  } catch {
+    return undefined;
   }
-  sendEvent(response, { kind: "finished", reason: "stop" });
+}
+
+function runModel(requests: RequestTable, dispatch: Dispatch, response: ServerResponse): void {
+  const refusal = requests.run(dispatch, followerOf(response, requests, dispatch.id));
+  if (refusal !== undefined) sendJson(response, { error: refusal }, { status: statusOf(refusal) });
+}
+
+function runPlain(plain: PlainTable, dispatch: Dispatch, response: ServerResponse): void {
+  const answer = plain.run(dispatch);
+  if (answer === undefined) sendJson(response, { error: "barred" }, { status: CONFLICT });
+  else sendEvents(response, [{ kind: "finished", reason: "stop", body: answer }]);
+}
+
+function statusOf(refusal: RunRefusal): number {
+  switch (refusal) {
+    case "bad body":
+      return BAD_REQUEST;
+    case "too large":
+      return 413;
+    case "barred":
+    case "old attempt":
+    case "old fencing number":
+      return CONFLICT;
+  }
+}
+
+function followerOf(response: ServerResponse, requests: RequestTable, id: string): Follower {
+  const follower: Follower = (events) => {
+    sendEvents(response, events);
+  };
+  response.on("close", () => requests.leave(id, follower));
+  return follower;
+}
+
+/** Sends events in one write, and ends the answer after the last. */
+function sendEvents(response: ServerResponse, events: readonly EngineEvent[]): void {
+  if (events.length === 0) return;
+  if (!response.headersSent) response.writeHead(200, { "content-type": "text/event-stream" });
+  response.write(events.map((event) => `data: ${JSON.stringify(event)}\n\n`).join(""));
+  if (events.some(({ kind }) => kind === "finished")) response.end();
 }
--- a/src/standin/index.ts
+++ b/src/standin/index.ts
@@ -1,3 +1,4 @@
 export * from "./backend_server.ts";
+export * from "./engine_model.ts";
 export * from "./object_table.ts";
 export * from "./platform_server.ts";
