Record live traffic as a trace that replays

Cause: generated traces show what was thought of; an operator wants to replay last night's.

Change: record in the settings names a file; the scheduler of the entry instance is wrapped so that every request let in or turned away is written with its answer's length, as are reclaim notices and preset switches. The request service is unchanged but for an exported constant, the prompt tokens of a prefix block. A trace's duration may be absent: it then lasts until its last line.

Edits of services during a recording are not in it.

--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -1,4 +1,5 @@
 import { createScheduler } from "../decision/index.ts";
+import type { Scheduler } from "../decision/index.ts";
 import type {
   Clock,
   Cloud,
@@ -11,12 +12,13 @@
   Random,
 } from "../interface/index.ts";
 import { createRequestService } from "../request/index.ts";
-import type { RequestService } from "../request/index.ts";
+import type { ConfigurationView, RequestService } from "../request/index.ts";
 import type { Configuration } from "./configuration.ts";
 import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
 import type { CounterTable } from "./counters.ts";
 import type { Membership } from "./membership.ts";
+import { recordScheduler } from "./recorder.ts";
 import { createWorkerDirectory } from "./worker_directory.ts";
 import type { WorkerDirectory } from "./worker_directory.ts";
 
@@ -37,6 +39,8 @@
   readonly region: string;
   /** Addresses of a few other entry instances, to join by. */
   readonly seeds: readonly string[];
+  /** Takes the lines of a recording of the traffic; nothing is recorded where it is absent. */
+  readonly record?: (line: string) => void;
 }
 
 /** An entry instance without its sockets: the tasks and the requests that they serve. */
@@ -70,7 +74,7 @@
   });
   const { configuration, members } = control;
   const workers = createWorkerDirectory(outside.instances);
-  const scheduler = createScheduler();
+  const scheduler = schedulerOf(settings, { clock: outside.clock, configuration });
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests: RequestService = createRequestService(environment);
   workers.onChange(() => scheduler.setWorkers(workers.list(), outside.clock.now()));
@@ -112,3 +116,13 @@
     },
   };
 }
+
+function schedulerOf(
+  { self, record }: CoreSettings,
+  { clock, configuration }: { clock: Clock; configuration: ConfigurationView },
+): Scheduler {
+  const scheduler = createScheduler();
+  if (record === undefined) return scheduler;
+  const revision = (): ReturnType<ConfigurationView["revision"]> => configuration.revision();
+  return recordScheduler(scheduler, { name: self.id, now: clock.now(), revision, write: record });
+}
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { createWriteStream } from "node:fs";
 import type { RequestListener } from "node:http";
 import polka from "polka";
 import {
@@ -49,8 +50,9 @@
   const engine = createHttpEngine();
   const { clock, random } = runtime;
   const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
+  const recording = openRecording(settings.record);
   const core = createEntryCore(
-    { self, region: settings.region, seeds: settings.seeds },
+    { self, region: settings.region, seeds: settings.seeds, ...recording.settings },
     {
       clock,
       random,
@@ -79,10 +81,24 @@
       peers.close();
       store.close();
       engine.close();
+      await recording.close();
     },
   };
 }
 
+/** Opens the file that the traffic is recorded to, where the settings name one. */
+function openRecording(file: string | undefined): {
+  settings: { record?: (line: string) => void };
+  close(): Promise<void>;
+} {
+  if (file === undefined) return { settings: {}, close: () => Promise.resolve() };
+  const stream = createWriteStream(file);
+  return {
+    settings: { record: (line) => void stream.write(line) },
+    close: () => new Promise((resolve) => stream.end(resolve)),
+  };
+}
+
 interface Sockets {
   readonly callers: Listener;
   readonly peers: Listener;
--- /dev/null
+++ b/src/process/recorder.ts
@@ -0,0 +1,140 @@
+import type { Arrival, Scheduler } from "../decision/index.ts";
+import { PREFIX_BLOCK_TOKENS } from "../request/index.ts";
+import type { Revision } from "../version/index.ts";
+
+/** What a recorder works with. */
+export interface RecorderOptions {
+  /** The entry instance's name, which names the trace. */
+  readonly name: string;
+  /** When the recording begins, in the clock's milliseconds. */
+  readonly now: number;
+  /** The configuration in force; nothing is recorded before it is known. */
+  readonly revision: () => Revision | undefined;
+  /** Takes one line of the trace. */
+  readonly write: (line: string) => void;
+}
+
+/** What is remembered of a request until its answer's length is known. */
+interface Pending {
+  readonly arrival: Arrival;
+  readonly sharedBlocks: number;
+  answerTokens: number;
+}
+
+/** Answer tokens of a request that was turned away: nobody knows what it would have come to. */
+const UNKNOWN_ANSWER = 256;
+/** Prefix blocks that are remembered to see which prompts open alike. */
+const MOST_BLOCKS = 50_000;
+/** The rates of the platform and the instances can't be seen from the traffic: those of ordinary ones. */
+const PLATFORM_RATES = {
+  weightStore: 2_000_000_000,
+  transferRate: 1_250_000_000,
+  bytesPerToken: 130_000,
+};
+
+/**
+ * Has a scheduler write down, as a trace that `samphireshore replay` reads, what passes through it: every
+ * request that is let in or turned away, reclaim notices and switches of the preset.
+ *
+ * A request is written when it has ended, since only then is its answer's length known. Edits of services
+ * are not in the trace: its header has the deployment as it was at the first request.
+ *
+ * @example
+ * ```ts
+ * const recorded = recordScheduler(createScheduler(), { name, now: clock.now(), revision, write });
+ * ```
+ */
+export function recordScheduler(scheduler: Scheduler, options: RecorderOptions): Scheduler {
+  const pending = new Map<string, Pending>();
+  const seenBlocks = new Set<string>();
+  const noticed = new Set<string>();
+  let preset: string | undefined;
+  const at = (now: number): number => Math.max(0, Math.round(now - options.now));
+  const write = (line: object): void => options.write(`${JSON.stringify(line)}\n`);
+
+  const writeRevision = (now: number): void => {
+    const revision = options.revision();
+    if (revision === undefined || revision.preset === preset) return;
+    write(
+      preset === undefined
+        ? headerOf(options.name, revision)
+        : { kind: "preset", t: at(now), preset: revision.preset },
+    );
+    preset = revision.preset;
+  };
+  const writeArrival = ({ arrival, sharedBlocks, answerTokens }: Pending): void => {
+    if (preset !== undefined)
+      write(lineOf(arrival, { t: at(arrival.arrivedAt), sharedBlocks, answerTokens }));
+  };
+  const countShared = (blocks: readonly string[]): number => {
+    const unseen = blocks.findIndex((block) => !seenBlocks.has(block));
+    for (const block of blocks) seenBlocks.add(block);
+    for (const block of seenBlocks) {
+      if (seenBlocks.size <= MOST_BLOCKS) break;
+      seenBlocks.delete(block);
+    }
+    return unseen < 0 ? blocks.length : unseen;
+  };
+  return {
+    ...scheduler,
+    admit: (arrival, now) => {
+      writeRevision(now);
+      const admission = scheduler.admit(arrival, now);
+      const sharedBlocks = countShared(arrival.prefix);
+      const answerTokens = arrival.maxTokens ?? UNKNOWN_ANSWER;
+      const seen = { arrival, sharedBlocks, answerTokens };
+      if (admission.kind === "admitted") pending.set(arrival.id, { ...seen, answerTokens: 0 });
+      else writeArrival(seen);
+      return admission;
+    },
+    runEnded: (id, end, details) => {
+      scheduler.runEnded(id, end, details);
+      const known = pending.get(id);
+      if (known !== undefined)
+        known.answerTokens = Math.max(known.answerTokens, details.answerTokens);
+    },
+    settled: (job, now) => {
+      scheduler.settled(job, now);
+      const known = pending.get(job.id);
+      if (known === undefined) return;
+      pending.delete(job.id);
+      writeArrival(known);
+    },
+    setWorkers: (workers, now) => {
+      scheduler.setWorkers(workers, now);
+      for (const { id, service, reclaimAt } of workers) {
+        if (reclaimAt === undefined || noticed.has(id) || preset === undefined) continue;
+        noticed.add(id);
+        const index = workers.filter((other) => other.service === service && other.id < id).length;
+        const within = Math.max(0, Math.round(reclaimAt - now));
+        write({ kind: "reclaim", t: at(now), within, service, index });
+      }
+    },
+  };
+}
+
+function headerOf(name: string, { source, preset }: Revision): object {
+  const outcomes = { lost: 0, services: {} };
+  return { kind: "header", name, seed: 1, preset, ...PLATFORM_RATES, deployment: source, outcomes };
+}
+
+function lineOf(
+  arrival: Arrival,
+  { t, sharedBlocks, answerTokens }: { t: number; sharedBlocks: number; answerTokens: number },
+): object {
+  const { account, service, promptTokens, lane, maxTokens, repeatable, detached } = arrival;
+  const [firstBlock = ""] = arrival.prefix;
+  return {
+    t,
+    a: account,
+    s: service,
+    p: Math.max(1, Math.round(promptTokens)),
+    n: Math.max(1, answerTokens),
+    l: lane,
+    r: repeatable,
+    dl: Math.max(1, Math.round(arrival.deadlineAt - arrival.arrivedAt)),
+    ...(sharedBlocks === 0 ? {} : { x: firstBlock, xt: sharedBlocks * PREFIX_BLOCK_TOKENS }),
+    ...(maxTokens === undefined ? {} : { m: maxTokens }),
+    ...(detached ? { d: true } : {}),
+  };
+}
--- a/src/request/arrival.ts
+++ b/src/request/arrival.ts
@@ -8,6 +8,8 @@
 const TOKEN_CHARACTERS = 4;
 /** Characters of the prompt that one block of the prefix covers. */
 const BLOCK_CHARACTERS = 1_024;
+/** Prompt tokens that one block of the prefix stands for. */
+export const PREFIX_BLOCK_TOKENS = BLOCK_CHARACTERS / TOKEN_CHARACTERS;
 /** Longest prefix that placement looks at, in blocks. */
 const MOST_BLOCKS = 32;
 /** Tokens of an answer for which nothing is known, where a job is made without admission. */
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,3 +1,4 @@
+export { PREFIX_BLOCK_TOKENS } from "./arrival.ts";
 export * from "./request_id.ts";
 export * from "./slot_replica.ts";
 export * from "./chat_request.ts";
--- a/src/standin/replay/sample_trace.ts
+++ b/src/standin/replay/sample_trace.ts
@@ -41,6 +41,11 @@
   },
 };
 
+/** The deployment document of the small trace, as a file has it. */
+export function sampleDeployment(): object {
+  return DEPLOYMENT;
+}
+
 /** The header of a small trace, as its first line has it. */
 export function sampleHeader(outcomes: object = { lost: 0, services: {} }): string {
   return JSON.stringify({
--- a/src/standin/replay/trace.ts
+++ b/src/standin/replay/trace.ts
@@ -36,8 +36,11 @@
   kind: z.literal("header"),
   name: z.string().min(1),
   seed: z.number().int(),
-  /** Milliseconds from the first arrival that are counted; what was accepted is played to its end. */
-  duration: z.number().positive(),
+  /**
+   * Milliseconds that are counted; what was accepted is played to its end. A recording doesn't know it when
+   * it begins: until its last line, then.
+   */
+  duration: z.number().positive().optional(),
   /** Preset in force at the start. */
   preset: z.string(),
   /** Bytes a second at which the weight store gives out models, to all launches together. */
@@ -112,7 +115,7 @@
 ]);
 
 /** A trace's first line. */
-export type TraceHeader = z.infer<typeof header>;
+export type TraceHeader = z.infer<typeof header> & { readonly duration: number };
 /** One request of a trace. */
 export type TraceArrival = z.infer<typeof arrival>;
 /** One fault of a trace. */
@@ -168,12 +171,11 @@
     else arrivals.push(parsed.value);
   }
   const byTime = (a: { t: number }, b: { t: number }): number => a.t - b.t;
-  const trace = {
-    header: first.value,
-    arrivals: arrivals.sort(byTime),
-    faults: faults.sort(byTime),
-  };
-  return { kind: "read", trace };
+  arrivals.sort(byTime);
+  faults.sort(byTime);
+  const lastAt = Math.max(1, arrivals.at(-1)?.t ?? 0, faults.at(-1)?.t ?? 0);
+  const { duration = lastAt } = first.value;
+  return { kind: "read", trace: { header: { ...first.value, duration }, arrivals, faults } };
 }
 
 type Line<T> =
@@ -200,7 +202,7 @@
 
 /** Names that the header doesn't define would otherwise show only as requests that nobody serves. */
 function unknownName(
-  { deployment }: TraceHeader,
+  { deployment }: z.infer<typeof header>,
   event: TraceArrival | TraceFault,
 ): string | undefined {
   const unknown = (kind: string, name: string): string =>
