--- a/src/request/handover.ts
+++ b/src/request/handover.ts
@@ -1,5 +1,6 @@
 import { MemberState, SlotOutcome, sleep } from "../interface/index.ts";
-import type { CedeMessage, Member } from "../interface/index.ts";
+import type { CedeMessage, Member, Timer } from "../interface/index.ts";
+import { rendezvousOrder } from "../version/index.ts";
 import type { Environment } from "./environment.ts";
 import type { Ownership } from "./ownership.ts";
 import { cedeSlot, copyOf, ownsSlot, Stance } from "./slot_replica.ts";
@@ -12,8 +13,13 @@
   copyTo(slots: readonly number[], member: Member): Promise<boolean>;
   /** Hands over the given slots that this instance owns, or whose copies nobody else will hand on. */
   cede(slots: readonly number[]): Promise<void>;
-  /** Brings records that are kept here in custody to the slot's primary. */
-  forward(slot: number): Promise<void>;
+  /**
+   * Brings records that are kept here in custody to the slot's primary, and drops them once it has them.
+   *
+   * @param delay Milliseconds to keep them before that, while a new backup gets its copies.
+   */
+  forward(slot: number, delay: number): void;
+  close(): void;
 }
 
 const TRIES = 4;
@@ -24,7 +30,7 @@
   environment: Environment,
   { table, ownership }: { table: SlotTable; ownership: Ownership },
 ): Handover {
-  const { clock, counters, members, peers, random } = environment;
+  const { clock, counters, members, peers } = environment;
 
   const tell = async (to: Member, message: CedeMessage): Promise<SlotOutcome | undefined> => {
     for (let tries = 0; tries < TRIES; tries++) {
@@ -41,12 +47,15 @@
   const isAlive = (id: string): boolean =>
     id !== "" && id !== members.self.id && members.stateOf(id) === MemberState.Alive;
 
-  /** Another live instance that isn't leaving, in another availability zone where there is one. */
-  const keeper = (not: string): Member | undefined => {
+  /**
+   * A live instance that isn't leaving, the same one for all who hand on records of the slot. With two
+   * custodians the older copy could reach the new owner first, which would begin anew what runs already.
+   */
+  const keeper = (slot: number, not: string): Member | undefined => {
     const others = members.alive().filter(({ id }) => isAlive(id) && id !== not);
-    const apart = others.filter(({ zone }) => zone !== members.self.zone);
-    const able = apart.length > 0 ? apart : others;
-    return able[Math.floor(random.next() * able.length)];
+    const ids = others.map(({ id }) => id);
+    const [first] = rendezvousOrder(`custody/${slot}`, ids);
+    return others.find(({ id }) => id === first);
   };
 
   const cedeOne = async (replica: SlotReplica): Promise<void> => {
@@ -61,7 +70,7 @@
     }
     // The named backup may own the slot by now: any other only keeps the records.
     const current = table.get(slot);
-    const other = keeper(backup);
+    const other = keeper(slot, backup);
     if (other === undefined) {
       counters.count("cede.nobody");
       return;
@@ -75,8 +84,26 @@
   const mustHandOn = ({ stance, assignment, held }: SlotReplica): boolean =>
     stance === Stance.Backup && held.size > 0 && !isAlive(assignment.primary);
 
+  const waiting = new Map<number, { readonly timer: Timer; readonly dueAt: number }>();
+  const forwardNow = async (slot: number): Promise<void> => {
+    const replica = table.get(slot);
+    const { primary } = replica.assignment;
+    if (replica.stance !== Stance.None || replica.held.size === 0 || !isAlive(primary)) return;
+    const member = members.find(primary);
+    if (member === undefined) return;
+    const outcome = await tell(member, copyOf(replica));
+    if (outcome !== SlotOutcome.Acknowledged) return;
+    // Only what was sent and hasn't changed since is dropped.
+    for (const [id, held] of replica.held) {
+      if (table.find(slot, id) === held.record && !ownsSlot(table.get(slot)))
+        table.forget(slot, id);
+    }
+  };
+
   return {
     copyTo: async (slots, member) => {
+      // What has been handed over goes on at the receiver: a copy from here would be of the past.
+      if (!slots.every((slot) => ownsSlot(table.get(slot)))) return false;
       ownership.writeAll();
       const copies = slots.map((slot) => copyOf(table.get(slot)));
       const full = copies.filter(({ records }) => records.length > 0);
@@ -89,15 +116,20 @@
       const ours = replicas.filter((replica) => ownsSlot(replica) || mustHandOn(replica));
       await Promise.all(ours.map(cedeOne));
     },
-    forward: async (slot) => {
-      const replica = table.get(slot);
-      const { primary } = replica.assignment;
-      if (replica.stance !== Stance.None || replica.held.size === 0 || !isAlive(primary)) return;
-      const member = members.find(primary);
-      if (member === undefined) return;
-      const outcome = await tell(member, copyOf(replica));
-      if (outcome !== SlotOutcome.Acknowledged) return;
-      for (const id of replica.held.keys()) table.forget(slot, id);
+    forward: (slot, delay) => {
+      const dueAt = clock.now() + delay;
+      const before = waiting.get(slot);
+      if (before !== undefined && before.dueAt <= dueAt) return;
+      before?.timer.close();
+      const timer = clock.after(delay, () => {
+        waiting.delete(slot);
+        void forwardNow(slot);
+      });
+      waiting.set(slot, { timer, dueAt });
+    },
+    close: () => {
+      for (const { timer } of waiting.values()) timer.close();
+      waiting.clear();
     },
   };
 }
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -344,7 +344,9 @@
     if (end.kind !== "silent" && end.kind !== "broken") return end;
     if (live.tokens.length > had) tries = -1;
   }
-  return live.stopped === undefined ? end : { kind: "stopped", cause: live.stopped };
+  if (live.stopped !== undefined) return { kind: "stopped", cause: live.stopped };
+  // That this connection sent nothing says nothing of the one before it.
+  return end.kind === "broken" ? { ...end, notSent: false } : end;
 }
 
 /** Copies the tokens of an answer that must outlive its owner to the backup, now and then. */
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -25,6 +25,10 @@
 const DEFAULT_DEADLINE = 60_000;
 /** Milliseconds after which a caller that was turned away may try again. */
 const TRY_AGAIN = 1_000;
+/** Milliseconds for which a slot's former backup keeps its copies: the new one may not have them yet. */
+const EX_BACKUP_TIME = 5_000;
+/** Milliseconds for which copies are kept that a slot map has not come to name this instance for. */
+const COPY_TIME = 30_000;
 /** Tries to reach a request's owner for a short question. */
 const ASK_TRIES = 6;
 
@@ -45,7 +49,10 @@
   const onSlotChange = ({ before, after }: SlotChange): void => {
     if (ownsSlot(after)) ownership.inherit(after.slot);
     else if (ownsSlot(before)) ownership.leave(after.slot);
-    if (after.stance === Stance.None) void handover.forward(after.slot);
+    if (after.stance === Stance.None) {
+      const wasBackup = before.stance === Stance.Backup;
+      handover.forward(after.slot, wasBackup ? EX_BACKUP_TIME : 0);
+    }
   };
   const subscriptions = [
     table.onChange(onSlotChange),
@@ -141,7 +148,11 @@
     const after = table.get(message.slot);
     // A change of stance has been seen to already; records that came to an owner go on here.
     if (ownsSlot(before) && before !== after) ownership.inherit(message.slot);
-    if (after.stance === Stance.None) void handover.forward(message.slot);
+    if (after.stance === Stance.None) {
+      environment.counters.count("custody.taken");
+      const copied = message.from === after.assignment.primary;
+      handover.forward(message.slot, copied ? COPY_TIME : 0);
+    }
     return heard(reply, message);
   };
 
@@ -176,6 +187,7 @@
       table.close();
       replicator.close();
       retention.close();
+      handover.close();
     },
   };
 }
