Take the servers away after admission in the tests of waiting

Cause: the scheduler now turns a request away at once where a service has no server at all, so three tests that began without servers no longer reached the queue.

Change: they take the servers away once the request is admitted; what they expect is the same.

Result: the tests of src/request pass.

--- a/src/request/at_most_once_test.ts
+++ b/src/request/at_most_once_test.ts
@@ -88,8 +88,9 @@
   // again.
   const fleet = await startedFleet();
   const workers = [workerNamed("w1")];
-  fleet.setWorkers([]);
   const caller = fleet.submit(2, ENTRY);
+  await fleet.clock.advance(2);
+  fleet.setWorkers([]);
   await fleet.clock.advance(100);
   fleet.network.setCut("e0#1", "e1#1", true);
   fleet.setWorkers(workers);
--- a/src/request/not_run_test.ts
+++ b/src/request/not_run_test.ts
@@ -59,8 +59,9 @@
 test("a deadline that passes in the queue is 'not run' at once", async () => {
   // All servers of the service are gone. The finish tent must hear at its deadline, not after it.
   const fleet = await startedFleet();
-  fleet.setWorkers([]);
   const caller = fleet.submit(0, { deadline: 500 });
+  await fleet.clock.settle();
+  fleet.setWorkers([]);
   await fleet.clock.advance(520);
   expect(endOf(caller)).toMatchObject({
     state: RequestState.NotRun,
@@ -74,8 +75,9 @@
   // The deadline passes while owner and backup can't reach each other. If the owner said "not run" and the
   // backup took over, it would run the entry that the club has by now sent elsewhere.
   const fleet = await startedFleet();
-  fleet.setWorkers([]);
   const caller = fleet.submit(0, { deadline: 500 });
+  await fleet.clock.settle();
+  fleet.setWorkers([]);
   await fleet.clock.advance(100);
   fleet.network.setCut("e0#1", "e1#1", true);
   await fleet.clock.advance(6_000);
