Run a barred request elsewhere instead of ending it as not run

Cause: a request that may not be repeated, whose intent the next owner inherits, is asked after at the server that the intent names. Where that server had not begun it and refuses it from now on, the request was ended as "not run". That is true, but it was accepted: it ended without its answer after a reclaim that was announced.

Ruled out: running it again at the same server (it refuses), and running it elsewhere without the bar (an owner that was paused may still send it).

Change: after the bar it goes on at another server; servers that refuse it are never chosen for it again.

Result: before, the test ended NotRun with 0 runs; after, it is answered whole with exactly 1 run. The test that expected NotRun was wrong by the promise that accepted requests survive; it now expects the answer and exactly one run.

--- a/src/request/live_request.ts
+++ b/src/request/live_request.ts
@@ -31,6 +31,8 @@
   final: FinalEvent | undefined;
   /** Whether a backend server may have been sent it, by this owner or an earlier one. */
   sent = false;
+  /** Workers that have said that they refuse it from now on, because they had not begun it. */
+  readonly barredAt = new Set<string>();
   /** Why it is sent again, where an earlier owner has sent it. */
   resumeCause: RetryCause | undefined;
   /** Higher goes first in the engine's batch. */
--- a/src/request/not_run_test.ts
+++ b/src/request/not_run_test.ts
@@ -40,9 +40,10 @@
   fleet.close();
 });
 
-test("an intent that was written but not acknowledged: the next owner bars it before it says 'not run'", async () => {
+test("an intent that was written but not acknowledged: the next owner bars it, then runs it elsewhere", async () => {
   // The owner wrote down that it will send the entry, the backup's answer was lost, and the owner died. The
   // backup can't tell an entry that was sent from one that wasn't, so it has the server refuse it first.
+  // The entry was accepted: the club gets its answer, and pays once.
   const fleet = await startedFleet();
   const caller = fleet.submit(2, { key: "entry", repeatable: false });
   await fleet.clock.advance(5);
@@ -51,8 +52,9 @@
   fleet.kill(0);
   fleet.assign(1, 2);
   await fleet.clock.advance(10_000);
-  expect(endOf(caller)).toMatchObject({ state: RequestState.NotRun });
-  expect(fleet.engines.runs).toHaveLength(0);
+  expect(endOf(caller)).toMatchObject({ state: RequestState.Complete });
+  expect(caller.text).toBe(answerOf());
+  expect(fleet.engines.runs).toHaveLength(1);
   fleet.close();
 });
 
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -70,9 +70,8 @@
   const { clock, scheduler } = context.environment;
   const deadline = clock.after(timeLeft(context, live), () => live.stop(Stop.Deadline));
   try {
-    const outcome = inquire
-      ? await inquireAfter(context, live)
-      : await waitAndRun(context, live, job);
+    const asked = inquire ? await inquireAfter(context, live) : undefined;
+    const outcome = asked ?? (await waitAndRun(context, live, job));
     await conclude(context, live, outcome);
   } finally {
     deadline.close();
@@ -139,7 +138,7 @@
     const outcome = outcomeOf(end, live);
     if (outcome !== undefined) return outcome;
   }
-  const avoid = new Set<string>();
+  const avoid = new Set(live.barredAt);
   for (;;) {
     const worker = await placed(context, live, { job, avoid });
     if (worker === undefined) return stopOutcome(live);
@@ -156,7 +155,12 @@
     const outcome = outcomeOf(end, live);
     if (outcome !== undefined) return outcome;
     avoid.add(worker.id);
-    if (!live.record.repeatable && live.sent) return inquireAt(context, live, worker);
+    if (!live.record.repeatable && live.sent) {
+      const asked = await inquireAt(context, live, worker);
+      if (asked !== undefined) return asked;
+      counters.retried(cause);
+      continue;
+    }
     counters.retried(cause);
     if (cause === RetryCause.WorkerReclaimed) continue;
     const retry = scheduler.retry(job, cause, { now: clock.now(), random });
@@ -228,7 +232,7 @@
   const began = clock.now();
   while (live.stopped === undefined) {
     const now = clock.now();
-    if (now - began > AVOID_TIME) avoid.clear();
+    if (now - began > AVOID_TIME) keepOnly(avoid, live.barredAt);
     const placement = scheduler.place(job, { now, random, avoid });
     if (placement.kind === "placed") {
       const worker = workers.find(placement.worker);
@@ -240,6 +244,10 @@
   return undefined;
 }
 
+function keepOnly(set: Set<string>, kept: ReadonlySet<string>): void {
+  for (const item of set) if (!kept.has(item)) set.delete(item);
+}
+
 /** Waits, but no longer than until the request is stopped. */
 async function unlessStopped<T>(live: LiveRequest, wait: Promise<T>): Promise<T | undefined> {
   let off: (() => void) | undefined;
@@ -376,7 +384,10 @@
 }
 
 /** Asks the server that may have the request, and follows it there if it runs. */
-async function inquireAfter(context: RunContext, live: LiveRequest): Promise<RunOutcome> {
+async function inquireAfter(
+  context: RunContext,
+  live: LiveRequest,
+): Promise<RunOutcome | undefined> {
   const { workers } = context.environment;
   live.sent = true;
   const worker = workers.find(live.record.worker);
@@ -384,19 +395,26 @@
   return givenUp(live, Refusal.BackendLost, "The backend server that may have run it has gone.");
 }
 
+/**
+ * Asks the server and has it refuse the request from now on, if it hasn't begun it: whoever was allowed to
+ * send it there and sends it late is turned away.
+ *
+ * @returns The outcome, or undefined where it certainly hasn't run and may go to another server.
+ */
 async function inquireAt(
   context: RunContext,
   live: LiveRequest,
   worker: Worker,
-): Promise<RunOutcome> {
+): Promise<RunOutcome | undefined> {
   const { engine } = context.environment;
   const { id } = live.record;
   const asked = engine.ask(worker, id, { bar: true }).catch(() => EngineKnowledge.Unknown);
   const knowledge = await unlessStopped(live, asked);
   if (live.stopped !== undefined) return stopOutcome(live);
   if (knowledge === EngineKnowledge.Barred) {
-    const detail = "The backend server had not begun it and refuses it from now on.";
-    return ended(RequestState.NotRun, Refusal.BackendLost, detail);
+    live.sent = false;
+    live.barredAt.add(worker.id);
+    return undefined;
   }
   if (knowledge === EngineKnowledge.Running || knowledge === EngineKnowledge.Finished) {
     const end = await attachAgain(context, live, { worker, cause: undefined });
