Give the recorder's test a worker

Cause: admission now turns a request away where the service has no worker, and the test had none. Change: the scheduler under test knows one live worker; the assertions are the same. Conclusion: the recorder is as it was.

--- a/src/process/recorder_test.ts
+++ b/src/process/recorder_test.ts
@@ -50,6 +50,7 @@
 function record(use: (scheduler: Scheduler) => void, scheduler = createScheduler()): Trace {
   const lines: string[] = [];
   const write = (line: string): void => void lines.push(line);
+  scheduler.setWorkers([WORKER], 100);
   use(recordScheduler(scheduler, { name: "e1", now: 100, revision: () => REVISION, write }));
   const result = parseTrace(lines.join(""), "recording");
   if (result.kind === "read") return result.trace;
