--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -17,6 +17,7 @@
 import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
 import type { CounterTable } from "./counters.ts";
+import { createLoadReports } from "./load_reports.ts";
 import type { Membership } from "./membership.ts";
 import { recordScheduler } from "./recorder.ts";
 import { createWorkerDirectory } from "./worker_directory.ts";
@@ -77,7 +78,15 @@
   const scheduler = schedulerOf(settings, { clock: outside.clock, configuration });
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests: RequestService = createRequestService(environment);
+  const reports = createLoadReports({ ...outside, workers, scheduler, counters });
   workers.onChange(() => scheduler.setWorkers(workers.list(), outside.clock.now()));
+  members.onChange(() => {
+    scheduler.setInstances(Math.max(1, members.alive().length), outside.clock.now());
+  });
+  configuration.onChange(() => {
+    const revision = configuration.revision();
+    if (revision !== undefined) scheduler.configure(revision.deployment, outside.clock.now());
+  });
   const stopTaking = (): void => {
     members.leave();
     requests.stopTaking();
@@ -106,11 +115,13 @@
     start: async () => {
       await control.start();
       await workers.start();
+      reports.start();
     },
     drain: () => (draining ??= drain()),
     reclaim: handOver,
     close: () => {
       requests.close();
+      reports.close();
       workers.close();
       control.close();
     },
--- /dev/null
+++ b/src/process/testing/core_fleet.ts
@@ -0,0 +1,132 @@
+import { createSeededRandom, Purchase, WorkerState } from "../../interface/index.ts";
+import type { Worker } from "../../interface/index.ts";
+import type { Submission } from "../../request/index.ts";
+import {
+  createMemoryEngines,
+  createMemoryNetwork,
+  createMemoryStore,
+  createVirtualClock,
+} from "../../standin/memory/index.ts";
+import type { MemoryEngines, MemoryStore, VirtualClock } from "../../standin/memory/index.ts";
+import { REVISION_KEY } from "../../version/index.ts";
+import { createEntryCore } from "../entry_core.ts";
+import type { EntryCore } from "../entry_core.ts";
+import { MINIMAL_REVISION } from "./minimal_revision.ts";
+
+/** What a caller of a {@linkcode CoreFleet} has got so far. */
+export interface Answer {
+  readonly text: string;
+  /** The last event: an end's state, or a rejection's reason; empty while none has come. */
+  readonly end: string;
+}
+
+/** Whole entry instances over fakes in memory. */
+export interface CoreFleet {
+  readonly clock: VirtualClock;
+  readonly store: MemoryStore;
+  readonly engines: MemoryEngines;
+  core(index: number): EntryCore;
+  /** Takes an instance away. */
+  kill(index: number): void;
+  submit(index: number, submission?: Partial<Submission>): Answer;
+  close(): void;
+}
+
+/** Time in which a new fleet finds its members and assigns its slots, in milliseconds. */
+const FORMING = 8_000;
+
+/** Starts entry instances in availability zones of their own, and lets them form a fleet. */
+export async function startCoreFleet(count = 3): Promise<CoreFleet> {
+  const clock = createVirtualClock();
+  const store = createMemoryStore(clock);
+  const engines = createMemoryEngines(clock);
+  const network = createMemoryNetwork(clock);
+  const written = store.connect().put(REVISION_KEY, MINIMAL_REVISION, { expect: 0 });
+  await clock.advance(10);
+  await written;
+  const cores = Array.from({ length: count }, (_, index) => {
+    const address = `a${index}`;
+    const self = { id: `e${index}#1`, address, callerAddress: address, zone: `z${index}` };
+    const core = createEntryCore(
+      { self, region: "test", seeds: ["a0", "a1"] },
+      {
+        clock,
+        random: createSeededRandom(index + 1),
+        store: store.connect(),
+        engine: engines.connect(),
+        instances: { workers: () => Promise.resolve([workerNamed("w1"), workerNamed("w2")]) },
+        cloud: {
+          launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud." }),
+          terminate: () => Promise.resolve(),
+          notices: () => Promise.resolve([]),
+        },
+        peers: network.peersOf(self.id),
+      },
+    );
+    network.join(self, core.handlers);
+    void core.start();
+    return core;
+  });
+  await clock.advance(FORMING);
+  const coreAt = (index: number): EntryCore => {
+    const core = cores[index];
+    if (core === undefined) throw new Error(`The fleet has no instance ${index}.`);
+    return core;
+  };
+  return {
+    clock,
+    store,
+    engines,
+    core: coreAt,
+    kill: (index) => {
+      network.kill(coreAt(index).members.self.id);
+      coreAt(index).close();
+    },
+    submit: (index, submission = {}) =>
+      answerOf(
+        coreAt(index).requests.submit(
+          { ...SUBMISSION, ...submission },
+          new AbortController().signal,
+        ),
+      ),
+    close: () => {
+      for (const core of cores) core.close();
+    },
+  };
+}
+
+const SUBMISSION: Submission = {
+  account: "club",
+  service: "desk",
+  model: "",
+  path: "/v1/chat/completions",
+  body: '{"max_tokens":8}',
+  detached: false,
+  deadline: 600_000,
+  fromToken: 0,
+};
+
+function workerNamed(id: string): Worker {
+  return {
+    id,
+    address: "http://127.0.0.1:1",
+    service: "desk",
+    zone: "z0",
+    machineClass: "standard",
+    purchase: Purchase.Reclaimable,
+    state: WorkerState.Live,
+  };
+}
+
+function answerOf(events: ReturnType<EntryCore["requests"]["submit"]>): Answer {
+  const answer = { text: "", end: "" };
+  const read = async (): Promise<void> => {
+    for await (const event of events) {
+      if (event.kind === "token") answer.text += event.text;
+      if (event.kind === "ended") answer.end = event.record.state;
+      if (event.kind === "rejected") answer.end = event.rejection.reason;
+    }
+  };
+  void read();
+  return answer;
+}
--- a/src/request/live_request.ts
+++ b/src/request/live_request.ts
@@ -31,6 +31,8 @@
   final: FinalEvent | undefined;
   /** Whether a backend server may have been sent it, by this owner or an earlier one. */
   sent = false;
+  /** Whether this owner has sent it. */
+  dispatched = false;
   /** Why it is sent again, where an earlier owner has sent it. */
   resumeCause: RetryCause | undefined;
   /** Higher goes first in the engine's batch. */
--- a/src/request/not_run_test.ts
+++ b/src/request/not_run_test.ts
@@ -98,3 +98,18 @@
   expect(fleet.engines.runs).toHaveLength(1);
   fleet.close();
 });
+
+test("a new owner doesn't say 'not run' of what the earlier one may have sent without telling it", async () => {
+  // What may be repeated is sent at once. The owner sent it and died before its backup heard of that; all
+  // servers go too, and the deadline passes at the new owner, which has never sent it itself.
+  const fleet = await startedFleet();
+  const caller = fleet.submit(2, { key: "k", deadline: 5_000 });
+  await fleet.clock.advance(30);
+  expect(fleet.engines.runs).toHaveLength(1);
+  fleet.kill(0);
+  fleet.setWorkers([]);
+  fleet.assign(1, 2);
+  await fleet.clock.advance(10_000);
+  expect(endOf(caller)).toMatchObject({ state: RequestState.MayHaveRun });
+  fleet.close();
+});
--- a/src/request/ownership.ts
+++ b/src/request/ownership.ts
@@ -200,8 +200,10 @@
   const inheritOne = (record: RequestRecord): LiveRequest => {
     const live = add(record);
     live.accepted = true;
-    const { state } = record;
-    live.sent = state === RequestState.Dispatched || state === RequestState.Streaming;
+    // What may be repeated is sent without telling the backup: the earlier owner may have done so.
+    const { state, repeatable } = record;
+    const told = state === RequestState.Dispatched || state === RequestState.Streaming;
+    live.sent = repeatable || told;
     if (live.sent) live.resumeCause = RetryCause.OwnerMoved;
     const inquire = inheritanceOf(record) === Inheritance.Inquire;
     replicator.send(record);
@@ -258,6 +260,6 @@
 
 /** Tokens that the caller has had from an earlier owner, which this one didn't get to know. */
 function takeTokens(live: LiveRequest, { record, fromToken }: RelayMessage): void {
-  if (!live.record.repeatable || live.sent || record.tokens.length !== fromToken) return;
+  if (!live.record.repeatable || live.dispatched || record.tokens.length !== fromToken) return;
   for (const token of record.tokens.slice(live.tokens.length)) live.add(token);
 }
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -55,6 +55,8 @@
 /** Tokens and milliseconds after which a guarded answer's tokens go to the backup. */
 const COPY_TOKENS = 50;
 const COPY_TIME = 100;
+/** Milliseconds after which the backup is told once which worker runs any other request. */
+const PLAIN_COPY_TIME = 250;
 /** Milliseconds after which a caller is told to ask again. */
 const ASK_AGAIN = 1_000;
 
@@ -287,6 +289,7 @@
   const { environment } = context;
   const sentBefore = live.sent;
   live.sent = true;
+  live.dispatched = true;
   const attempt = live.record.repeatable ? live.record.attempt + 1 : live.record.attempt;
   live.record = { ...live.record, state: RequestState.Dispatched, worker: worker.id, attempt };
   const message = dispatchOf(context, live);
@@ -352,7 +355,7 @@
 /** Copies the tokens of an answer that must outlive its owner to the backup, now and then. */
 function copying(context: RunContext, live: LiveRequest): () => void {
   const { repeatable, detached, keyed } = live.record;
-  if (repeatable && !detached && !keyed) return () => undefined;
+  if (repeatable && !detached && !keyed) return copyingOnce(context, live);
   const { clock } = context.environment;
   let tokens = live.tokens.length;
   let at = clock.now();
@@ -365,6 +368,21 @@
   };
 }
 
+/**
+ * Tells the backup once which worker runs the request. Without it a new owner would not know where to join
+ * the run, and the whole answer would be computed again.
+ */
+function copyingOnce(context: RunContext, live: LiveRequest): () => void {
+  const { clock } = context.environment;
+  const at = clock.now();
+  let done = false;
+  return () => {
+    if (done || clock.now() - at < PLAIN_COPY_TIME) return;
+    done = true;
+    if (writeProgress(context, live)) context.replicator.send(live.record);
+  };
+}
+
 /** Writes the answer so far into the slot; false where this instance doesn't own it. */
 export function writeProgress({ table }: RunContext, live: LiveRequest): boolean {
   if (live.final !== undefined || !ownsSlot(table.get(live.record.slot))) return false;
