--- a/src/request/live_request.ts
+++ b/src/request/live_request.ts
@@ -33,6 +33,8 @@
   sent = false;
   /** Workers that have said that they refuse it from now on, because they had not begun it. */
   readonly barredAt = new Set<string>();
+  /** Whether this owner has sent it. */
+  dispatched = false;
   /** Why it is sent again, where an earlier owner has sent it. */
   resumeCause: RetryCause | undefined;
   /** Higher goes first in the engine's batch. */
