--- /dev/null
+++ b/src/cli/apply.ts
@@ -0,0 +1,36 @@
+import { Args, Command, Flags } from "@oclif/core";
+import type { ChangeOutcomeMessage } from "../connection/index.ts";
+import { deploymentSchema, parseSettings } from "../version/index.ts";
+import { requestChange } from "./change_report.ts";
+import { faultLine, readText } from "./check.ts";
+import { OPERATOR_FLAGS } from "./operator_client.ts";
+
+/** `samphireshore apply`: puts a deployment document in force. */
+export class Apply extends Command {
+  static override description =
+    "Put a deployment document in force everywhere. Says one of: accepted (exit 0), refused (1), conflict (3), not known (4).";
+  static override examples = [
+    "samphireshore apply deployment.jsonc --wait --secrets secrets.jsonc",
+  ];
+  static override enableJsonFlag = true;
+  static override args = { file: Args.string({ required: true }) };
+  static override flags = {
+    ...OPERATOR_FLAGS,
+    wait: Flags.boolean({ description: "Wait until it is in force at every live entry instance." }),
+    base: Flags.integer({
+      description: "The revision that the document was edited from; the one in force if not given.",
+    }),
+  };
+
+  override async run(): Promise<ChangeOutcomeMessage> {
+    const { args, flags } = await this.parse(Apply);
+    const text = await readText(this, args.file);
+    const result = parseSettings(text, { schema: deploymentSchema, file: args.file });
+    if (result.kind === "invalid") {
+      return this.error(result.faults.map(faultLine).join("\n"), { exit: 1 });
+    }
+    const { base, wait } = flags;
+    const body = { source: result.source, ...(base === undefined ? {} : { base }) };
+    return requestChange(this, flags, { path: "/v1/operator/deployment", body, wait });
+  }
+}
--- /dev/null
+++ b/src/cli/change.ts
@@ -0,0 +1,25 @@
+import { Args, Command } from "@oclif/core";
+import { changeOutcomeMessage } from "../connection/index.ts";
+import type { ChangeOutcomeMessage } from "../connection/index.ts";
+import { reportChange } from "./change_report.ts";
+import { askOperator, OPERATOR_FLAGS } from "./operator_client.ts";
+
+/** `samphireshore change`: what became of a change whose answer was lost. */
+export class Change extends Command {
+  static override description = "Ask what became of a change whose answer was lost.";
+  static override examples = ["samphireshore change 5d0c… --secrets secrets.jsonc"];
+  static override enableJsonFlag = true;
+  static override args = {
+    id: Args.string({ description: "The id that apply or preset use printed.", required: true }),
+  };
+  static override flags = OPERATOR_FLAGS;
+
+  override async run(): Promise<ChangeOutcomeMessage> {
+    const { args, flags } = await this.parse(Change);
+    const path = `/v1/operator/changes/${encodeURIComponent(args.id)}`;
+    const call = { method: "GET", path, schema: changeOutcomeMessage } as const;
+    const outcome = await askOperator(this, flags, call);
+    reportChange(this, outcome);
+    return outcome;
+  }
+}
--- /dev/null
+++ b/src/cli/change_report.ts
@@ -0,0 +1,98 @@
+import type { Command } from "@oclif/core";
+import { changeOutcomeMessage } from "../connection/index.ts";
+import type { ChangeOutcomeMessage } from "../connection/index.ts";
+import { callOperator, newChangeId } from "./operator_client.ts";
+import type { OperatorFlags } from "./operator_client.ts";
+
+/** Exit codes of commands that change something: each outcome has its own. */
+export enum ChangeExit {
+  Accepted = 0,
+  Refused = 1,
+  Conflict = 3,
+  NotKnown = 4,
+}
+
+/** A change that a command asks for. */
+export interface ChangeRequest {
+  readonly path: string;
+  readonly body: object;
+  /** Waits until it is in force at every live entry instance. */
+  readonly wait: boolean;
+}
+
+/** How long a change with `--wait` may take, in milliseconds. */
+const WAIT_TIMEOUT = 30_000;
+
+/**
+ * Asks for a change, prints its outcome and sets the exit code.
+ *
+ * The command draws the change's id itself: where the answer is lost on the way to the operator, the
+ * outcome is "not known" with an id to ask with, never a guess.
+ */
+export async function requestChange(
+  command: Command,
+  flags: OperatorFlags,
+  { path, body, wait }: ChangeRequest,
+): Promise<ChangeOutcomeMessage> {
+  const change = newChangeId();
+  const answer = await callOperator(command, flags, {
+    method: "PUT",
+    path: wait ? `${path}?wait=1` : path,
+    body: { ...body, change },
+    schema: changeOutcomeMessage,
+    ...(wait ? { timeout: WAIT_TIMEOUT } : {}),
+  });
+  const outcome = outcomeOf(answer, change);
+  reportChange(command, outcome);
+  return outcome;
+}
+
+function outcomeOf(
+  answer: Awaited<ReturnType<typeof callOperator<ChangeOutcomeMessage>>>,
+  change: string,
+): ChangeOutcomeMessage {
+  switch (answer.kind) {
+    case "answered":
+      return answer.value;
+    case "turned-away":
+    case "not-sent":
+      return { kind: "refused", change, reasons: [answer.detail] };
+    case "lost":
+      return { kind: "unknown", change, detail: answer.detail };
+  }
+}
+
+/** Prints a change's outcome and sets the exit code. */
+export function reportChange(command: Command, outcome: ChangeOutcomeMessage): void {
+  switch (outcome.kind) {
+    case "accepted":
+      command.log(`accepted: in force from revision ${outcome.revision}${whereOf(outcome)}`);
+      process.exitCode = ChangeExit.Accepted;
+      break;
+    case "refused":
+      command.log(`refused: ${outcome.reasons.join("\n         ")}`);
+      process.exitCode = ChangeExit.Refused;
+      break;
+    case "conflict":
+      command.log(`conflict with revision ${outcome.revision}, nothing was changed:`);
+      for (const { path, ours, theirs } of outcome.conflicts) {
+        command.log(`  ${path}\n    yours:  ${shown(ours)}\n    theirs: ${shown(theirs)}`);
+      }
+      process.exitCode = ChangeExit.Conflict;
+      break;
+    case "unknown":
+      command.log(`not known: ${outcome.detail}`);
+      command.log(`ask later with: samphireshore change ${outcome.change}`);
+      process.exitCode = ChangeExit.NotKnown;
+      break;
+  }
+}
+
+function whereOf({ everywhere }: { everywhere?: boolean | undefined }): string {
+  if (everywhere === undefined) return "";
+  return everywhere ? ", at every live entry instance" : ", not yet at every live entry instance";
+}
+
+function shown(value: unknown): string {
+  return value === undefined ? "(not there)" : JSON.stringify(value);
+}
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,19 +1,33 @@
 import type { Command } from "@oclif/core";
+import { Apply } from "./apply.ts";
+import { Change } from "./change.ts";
 import { Check } from "./check.ts";
 import { Dev } from "./dev.ts";
+import { Drain } from "./drain.ts";
 import { Init } from "./init.ts";
+import { PresetList } from "./preset_list.ts";
 import { PresetUse } from "./preset_use.ts";
 import { Replay } from "./replay.ts";
+import { Request } from "./request.ts";
 import { Serve } from "./serve.ts";
+import { Services } from "./services.ts";
 import { Standin } from "./standin.ts";
+import { Status } from "./status.ts";
 
 /** Every command by its id; `:` stands where a person types a space. */
 export const COMMANDS: Readonly<Record<string, Command.Class>> = {
+  apply: Apply,
+  change: Change,
   check: Check,
   dev: Dev,
+  drain: Drain,
   init: Init,
+  "preset:list": PresetList,
   "preset:use": PresetUse,
   replay: Replay,
+  request: Request,
   serve: Serve,
+  services: Services,
   standin: Standin,
+  status: Status,
 };
--- /dev/null
+++ b/src/cli/drain.ts
@@ -0,0 +1,30 @@
+import { Args, Command } from "@oclif/core";
+import { drainMessage } from "../connection/index.ts";
+import type { DrainMessage } from "../connection/index.ts";
+import { askOperator, OPERATOR_FLAGS } from "./operator_client.ts";
+
+/** `samphireshore drain`: a planned stop of an entry instance. */
+export class Drain extends Command {
+  static override description =
+    "Stop an entry instance as planned: it takes nothing new, finishes what it has, hands over and ends.";
+  static override examples = ["samphireshore drain entry-2 --secrets secrets.jsonc"];
+  static override enableJsonFlag = true;
+  static override args = {
+    instance: Args.string({ description: "Name or member id.", required: true }),
+  };
+  static override flags = OPERATOR_FLAGS;
+
+  override async run(): Promise<DrainMessage> {
+    const { args, flags } = await this.parse(Drain);
+    const path = `/v1/operator/drain/${encodeURIComponent(args.instance)}`;
+    const call = { method: "POST", path, schema: drainMessage } as const;
+    const found = await askOperator(this, flags, call);
+    this.log(
+      found.kind === "unreachable"
+        ? `unreachable: ${found.detail}`
+        : `${found.instance}: ${found.kind}`,
+    );
+    if (found.kind !== "draining") process.exitCode = 1;
+    return found;
+  }
+}
--- a/src/cli/preset_use.ts
+++ b/src/cli/preset_use.ts
@@ -1,20 +1,23 @@
 import { Args, Command, Flags } from "@oclif/core";
-import { request } from "undici";
+import type { ChangeOutcomeMessage } from "../connection/index.ts";
+import { requestChange } from "./change_report.ts";
+import { OPERATOR_FLAGS } from "./operator_client.ts";
 
 /** `samphireshore preset use`: puts another preset in force. */
 export class PresetUse extends Command {
-  static override description = "Put a preset in force everywhere.";
-  static override examples = ["samphireshore preset use peak --entry 127.0.0.1:8080"];
+  static override description =
+    "Put a preset in force everywhere. Says one of: accepted (exit 0), refused (1), conflict (3), not known (4).";
+  static override examples = ["samphireshore preset use peak --wait --secrets secrets.jsonc"];
+  static override enableJsonFlag = true;
   static override args = { name: Args.string({ required: true }) };
   static override flags = {
-    entry: Flags.string({ description: "IP:PORT of an entry instance.", required: true }),
+    ...OPERATOR_FLAGS,
+    wait: Flags.boolean({ description: "Wait until it is in force at every live entry instance." }),
   };
 
-  override async run(): Promise<void> {
+  override async run(): Promise<ChangeOutcomeMessage> {
     const { args, flags } = await this.parse(PresetUse);
-    const path = `http://${flags.entry}/v1/preset/${encodeURIComponent(args.name)}`;
-    const answer = await request(path, { method: "PUT" });
-    this.log(await answer.body.text());
-    if (answer.statusCode !== 200) this.exit(1);
+    const path = `/v1/operator/preset/${encodeURIComponent(args.name)}`;
+    return requestChange(this, flags, { path, body: {}, wait: flags.wait });
   }
 }
--- /dev/null
+++ b/src/cli/request.ts
@@ -0,0 +1,28 @@
+import { Args, Command } from "@oclif/core";
+import { requestMessage } from "../connection/index.ts";
+import type { RequestMessage } from "../connection/index.ts";
+import { askOperator, OPERATOR_FLAGS } from "./operator_client.ts";
+
+/** `samphireshore request`: where one request stands. */
+export class Request extends Command {
+  static override description = "Show where a request stands, and who owns it.";
+  static override examples = ["samphireshore request r17-4f0c9a… --secrets secrets.jsonc"];
+  static override enableJsonFlag = true;
+  static override args = { id: Args.string({ required: true }) };
+  static override flags = OPERATOR_FLAGS;
+
+  override async run(): Promise<RequestMessage> {
+    const { args, flags } = await this.parse(Request);
+    const path = `/v1/operator/requests/${encodeURIComponent(args.id)}`;
+    const call = { method: "GET", path, schema: requestMessage } as const;
+    const found = await askOperator(this, flags, call);
+    const times = {
+      accepted: new Date(found.acceptedAt).toISOString(),
+      deadline: new Date(found.deadlineAt).toISOString(),
+    };
+    for (const [name, value] of Object.entries({ ...found, ...times })) {
+      if (value !== "") this.log(`${name}: ${value}`);
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/src/cli/services.ts
@@ -0,0 +1,39 @@
+import { Command } from "@oclif/core";
+import { servicesMessage } from "../connection/index.ts";
+import type { ServicesMessage } from "../connection/index.ts";
+import { askOperator, OPERATOR_FLAGS } from "./operator_client.ts";
+import type { OperatorFlags } from "./operator_client.ts";
+import { textTable } from "./text_table.ts";
+
+/** `samphireshore services`: the services with their workers and the preset's bounds. */
+export class Services extends Command {
+  static override description =
+    "List the services, with their workers by state and the preset's bounds.";
+  static override examples = ["samphireshore services --secrets secrets.jsonc"];
+  static override enableJsonFlag = true;
+  static override flags = OPERATOR_FLAGS;
+
+  override async run(): Promise<ServicesMessage> {
+    const { flags } = await this.parse(Services);
+    const found = await askServices(this, flags);
+    const rows = found.services.map((service) => [
+      service.name,
+      service.kind,
+      service.models.join(" "),
+      service.paused ? "paused" : "",
+      `${service.least}..${service.most}`,
+      Object.entries(service.workers)
+        .map(([state, count]) => `${count} ${state}`)
+        .join(", "),
+    ]);
+    this.log(`revision ${found.revision}, preset ${found.preset}`);
+    this.log(textTable([["SERVICE", "KIND", "MODELS", "", "PRESET", "WORKERS"], ...rows]));
+    return found;
+  }
+}
+
+/** Asks an entry instance for the services and presets. */
+export function askServices(command: Command, flags: OperatorFlags): Promise<ServicesMessage> {
+  const call = { method: "GET", path: "/v1/operator/services", schema: servicesMessage } as const;
+  return askOperator(command, flags, call);
+}
--- /dev/null
+++ b/src/cli/status.ts
@@ -0,0 +1,68 @@
+import { Command } from "@oclif/core";
+import { statusMessage } from "../connection/index.ts";
+import type { StatusMessage } from "../connection/index.ts";
+import { askOperator, OPERATOR_FLAGS } from "./operator_client.ts";
+import { textTable } from "./text_table.ts";
+
+/** `samphireshore status`: who owns what, what is in force where, who leaves, what was refused. */
+export class Status extends Command {
+  static override description =
+    "Show who owns what, the versions in force at each entry instance, leaving backend servers, and refusals by reason.";
+  static override examples = [
+    "samphireshore status --entry 127.0.0.1:8080 --secrets secrets.jsonc",
+  ];
+  static override enableJsonFlag = true;
+  static override flags = OPERATOR_FLAGS;
+
+  override async run(): Promise<StatusMessage> {
+    const { flags } = await this.parse(Status);
+    const call = { method: "GET", path: "/v1/operator/status", schema: statusMessage } as const;
+    const found = await askOperator(this, flags, call);
+    this.show(found);
+    return found;
+  }
+
+  private show(found: StatusMessage): void {
+    const { slots } = found;
+    this.log(
+      `${found.instance}: revision ${found.revision}, preset ${found.preset}, slot map ${found.slotMap}`,
+    );
+    if (found.cutOff)
+      this.log("cut off: it hears neither the store nor any peer, and takes no new work");
+    const rows = found.instances.map((instance) => [
+      instance.id,
+      instance.zone,
+      instance.callers,
+      instance.state,
+      String(instance.revision ?? "?"),
+      String(instance.slotMap ?? "?"),
+      String(instance.primaryOf),
+      String(instance.backupOf),
+    ]);
+    const heads = [
+      "INSTANCE",
+      "ZONE",
+      "CALLERS",
+      "STATE",
+      "REVISION",
+      "SLOT MAP",
+      "PRIMARY",
+      "BACKUP",
+    ];
+    this.log(textTable([heads, ...rows]));
+    this.log(
+      `slots: ${slots.unassigned} unassigned, ${slots.withoutBackup} without a backup, ${slots.historyLost} with lost history`,
+    );
+    this.log(
+      `leaving backend servers: ${found.leaving.length === 0 ? "none" : found.leaving.join(", ")}`,
+    );
+    this.log(`refusals: ${countsOf(found.refusals)}`);
+    this.log(`retries: ${countsOf(found.retries)}`);
+  }
+}
+
+function countsOf(counts: Readonly<Record<string, number>>): string {
+  const present = Object.entries(counts).filter(([, count]) => count > 0);
+  if (present.length === 0) return "none";
+  return present.map(([reason, count]) => `${reason} ${count}`).join(", ");
+}
--- /dev/null
+++ b/src/cli/text_table.ts
@@ -0,0 +1,18 @@
+/**
+ * Lays rows out in columns for a terminal.
+ *
+ * @param rows The cells, the first row the headings.
+ * @returns One line a row, each column as wide as its widest cell.
+ */
+export function textTable(rows: readonly (readonly string[])[]): string {
+  const widths: number[] = [];
+  for (const row of rows) {
+    row.forEach((cell, column) => {
+      widths[column] = Math.max(widths[column] ?? 0, cell.length);
+    });
+  }
+  const lines = rows.map((row) =>
+    row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  "),
+  );
+  return lines.map((line) => line.trimEnd()).join("\n");
+}
