Put operators' changes in force and prove how versions spread

Cause: a preset switch was one blind write, and nothing showed that an accepted one reaches everybody. Change: three-way merge of changes by path, a writer that ends in accepted, refused, conflict or unknown, a worker directory that obeys leaving marks, and failure tests of membership and configuration. Probes and pulls have a time limit of their own; the targets of slots are remembered, as they were worked out anew every two seconds. An instance looks for the store only after 2 s without a peer: with 1 s healthy instances read it between two probes.

--- a/src/process/configuration.ts
+++ b/src/process/configuration.ts
@@ -20,7 +20,8 @@
 const WATCHERS_PER_ZONE = 2;
 /** Silence of the store and of all peers after which an instance can't know what is in force. */
 const CUT_OFF_AFTER = 3_000;
-/** How often an instance that hears no peer looks for the store. */
+/** Silence of all peers after which an instance looks for the store, and how often it does. */
+const LONELY_AFTER = 2_000;
 const LONELY_READ = 1_000;
 /** Pause between tries of a starting instance, and how long it listens to peers where the store is down. */
 const START_PAUSE = 200;
@@ -106,7 +107,7 @@
   /** An instance alone has only the store to tell it that it is not cut off. */
   const watchLoneliness = async (): Promise<void> => {
     while (!isClosed()) {
-      const lonely = silentFor(parts.peerHeardAt()) > LONELY_READ;
+      const lonely = silentFor(parts.peerHeardAt()) > LONELY_AFTER;
       if (lonely && silentFor(storeHeardAt) > LONELY_READ) await find(REVISION_KEY)?.reread();
       await sleep(clock, LONELY_READ);
     }
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -69,7 +69,11 @@
     count: (name) => counters.count(name),
   });
   const { configuration, members } = control;
-  const workers = createWorkerDirectory(outside.instances);
+  const workers = createWorkerDirectory({
+    ...outside,
+    members,
+    count: (name) => counters.count(name),
+  });
   const scheduler = createScheduler();
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests: RequestService = createRequestService(environment);
--- a/src/process/entry_core_test.ts
+++ b/src/process/entry_core_test.ts
@@ -9,7 +9,7 @@
 } from "../standin/memory/index.ts";
 import { REVISION_KEY } from "../version/index.ts";
 import { createEntryCore } from "./entry_core.ts";
-import { MINIMAL_REVISION } from "./testing/minimal_revision.ts";
+import { MINIMAL_REVISION } from "../version/testing/minimal_revision.ts";
 
 const WORKER: Worker = {
   id: "w1",
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -14,9 +14,12 @@
 import { createMemberTable, nameOf } from "./member_table.ts";
 import type { MemberTable } from "./member_table.ts";
 import { subscribe } from "./subscription.ts";
+import { withinTime } from "./time_limit.ts";
 
 /** Milliseconds between probes. */
 const PROBE_PERIOD = 1_000;
+/** How long a probe may take; one through a helper gets twice that. */
+const PROBE_TIMEOUT = 1_000;
 /** Members that are asked to probe on our behalf before one is suspected. */
 const HELPERS = 2;
 /** How long a suspected member has to refute, in milliseconds. */
@@ -154,9 +157,13 @@
     deltas: [own, ...accusationOf(table, to), ...table.news(random)],
     versions: parts.versions(),
   });
+  const ask = (to: Member, message: ProbeMessage): Promise<ProbeReply> => {
+    const limit = message.target === undefined ? PROBE_TIMEOUT : 2 * PROBE_TIMEOUT;
+    return withinTime(clock, peers.probe(to, message), { limit, step: `probe ${to.id}` });
+  };
   const probe = async (to: Member): Promise<boolean> => {
     try {
-      const reply = await peers.probe(to, outgoing(to.id));
+      const reply = await ask(to, outgoing(to.id));
       if (closed) return true;
       hear(reply.from, reply.deltas, reply.versions);
       // It answered and yet we believe it dead: it has to hear so, or it can't refute.
@@ -170,7 +177,7 @@
   };
   const probeThrough = async (helper: Member, target: Member): Promise<boolean> => {
     try {
-      const reply = await peers.probe(helper, { ...outgoing(helper.id), target });
+      const reply = await ask(helper, { ...outgoing(helper.id), target });
       hear(reply.from, reply.deltas, reply.versions);
       return reply.reached;
     } catch {
--- /dev/null
+++ b/src/process/membership_test.ts
@@ -0,0 +1,150 @@
+import { expect, test } from "vitest";
+import { createSeededRandom, MemberState, Purchase, WorkerState } from "../interface/index.ts";
+import type { Worker } from "../interface/index.ts";
+import { MINIMAL_REVISION } from "../version/testing/minimal_revision.ts";
+import { startControlFleet } from "./testing/control_fleet.ts";
+import type { ControlFleet } from "./testing/control_fleet.ts";
+import { createWorkerDirectory } from "./worker_directory.ts";
+
+const WORKER: Worker = {
+  id: "w1",
+  address: "http://127.0.0.1:1",
+  service: "desk",
+  zone: "z0",
+  machineClass: "standard",
+  purchase: Purchase.Reclaimable,
+  state: WorkerState.Live,
+};
+
+async function startFleet(count: number): Promise<ControlFleet> {
+  const fleet = await startControlFleet({ count, zones: 4, revision: MINIMAL_REVISION });
+  await fleet.clock.advance(8_000);
+  return fleet;
+}
+
+function statesOf(fleet: ControlFleet, id: string): Set<MemberState> {
+  const others = fleet.nodes.filter(({ self }) => self.id !== id);
+  return new Set(others.map(({ members }) => members.stateOf(id)));
+}
+
+test("instances that know two seeds find all others", async () => {
+  const fleet = await startFleet(20);
+  for (const { members } of fleet.nodes) expect(members.alive()).toHaveLength(20);
+  fleet.close();
+});
+
+test("a dead instance is known as dead within seconds", async () => {
+  const fleet = await startFleet(12);
+  fleet.nodes[5]?.kill();
+  await fleet.clock.advance(15_000);
+  const others = fleet.nodes.filter((_, index) => index !== 5);
+  expect(new Set(others.map(({ members }) => members.stateOf("e5#1")))).toEqual(
+    new Set([MemberState.Dead]),
+  );
+  fleet.close();
+});
+
+test("an instance that one peer can't reach is not taken for dead", async () => {
+  // A fault on one path only: without probes through others, the one peer would have the instance buried
+  // and its slots taken over while it serves its callers.
+  const fleet = await startFleet(6);
+  fleet.network.setCut("e0#1", "e1#1", true);
+  await fleet.clock.advance(60_000);
+  expect(statesOf(fleet, "e1#1")).toEqual(new Set([MemberState.Alive]));
+  fleet.close();
+});
+
+test("a paused instance that was called dead is alive again once it wakes", async () => {
+  const fleet = await startFleet(6);
+  const [paused] = fleet.nodes;
+  paused?.freezer.freeze();
+  await fleet.clock.advance(15_000);
+  expect(statesOf(fleet, "e0#1")).toEqual(new Set([MemberState.Dead]));
+  paused?.freezer.wake();
+  await fleet.clock.advance(15_000);
+  expect(statesOf(fleet, "e0#1")).toEqual(new Set([MemberState.Alive]));
+  fleet.close();
+});
+
+test("two halves that lost each other join again", async () => {
+  const fleet = await startFleet(8);
+  const isLeft = (index: number): boolean => index < 4;
+  const pairs = fleet.nodes.flatMap(({ self: a }, i) =>
+    fleet.nodes.flatMap(({ self: b }, j) => (isLeft(i) && !isLeft(j) ? [[a.id, b.id]] : [])),
+  );
+  for (const [a = "", b = ""] of pairs) fleet.network.setCut(a, b, true);
+  await fleet.clock.advance(30_000);
+  expect(fleet.nodes[0]?.members.alive()).toHaveLength(4);
+  for (const [a = "", b = ""] of pairs) fleet.network.setCut(a, b, false);
+  await fleet.clock.advance(30_000);
+  for (const { members } of fleet.nodes) expect(members.alive()).toHaveLength(8);
+  fleet.close();
+});
+
+test("a leaving instance is out of everyone's answers within 3 s, and stays known", async () => {
+  const fleet = await startFleet(16);
+  fleet.nodes[3]?.members.leave();
+  await fleet.clock.advance(3_000);
+  expect(statesOf(fleet, "e3#1")).toEqual(new Set([MemberState.Leaving]));
+  expect(fleet.nodes[0]?.members.find("e3#1")).toBeDefined();
+  fleet.close();
+});
+
+test("an instance whose own notice was missed hears it from the others", async () => {
+  const fleet = await startFleet(8);
+  let heard = 0;
+  fleet.nodes[2]?.members.onOwnNotice(() => heard++);
+  fleet.nodes[6]?.members.markMemberLeaving("e2");
+  await fleet.clock.advance(3_000);
+  expect(heard).toBe(1);
+  expect(statesOf(fleet, "e2#1")).toEqual(new Set([MemberState.Leaving]));
+  fleet.close();
+});
+
+test("a leaving worker is leaving everywhere within 3 s, though the list lags and one missed the notice", async () => {
+  // The cloud takes a backend server back. The platform's list shows it as live for another minute, and
+  // one instance was cut off while the mark went round. Work sent there would be lost half way.
+  const fleet = await startFleet(16);
+  const directories = fleet.nodes.map(({ members }, index) =>
+    createWorkerDirectory({
+      clock: fleet.clock,
+      random: createSeededRandom(index),
+      instances: { workers: () => Promise.resolve([WORKER]) },
+      members,
+      count: () => undefined,
+    }),
+  );
+  for (const directory of directories) await directory.start();
+  const missing = "e9#1";
+  const cut = (isCut: boolean): void => {
+    for (const { self } of fleet.nodes) {
+      if (self.id !== missing) fleet.network.setCut(missing, self.id, isCut);
+    }
+  };
+  cut(true);
+  fleet.nodes[4]?.members.markWorkerLeaving("w1", "z0");
+  await fleet.clock.advance(600);
+  cut(false);
+  await fleet.clock.advance(2_400);
+  expect(directories.map((directory) => directory.find("w1")?.state)).toEqual(
+    directories.map(() => WorkerState.Leaving),
+  );
+  fleet.close();
+});
+
+test("what an instance sends does not grow with the fleet", async () => {
+  const sizes = await Promise.all(
+    [8, 32].map(async (count) => {
+      const fleet = await startFleet(count);
+      await fleet.clock.advance(10_000);
+      const reply = fleet.nodes[0]?.members.handlers.probe({
+        from: "e1#1",
+        deltas: [],
+        versions: [],
+      });
+      fleet.close();
+      return JSON.stringify(await reply).length;
+    }),
+  );
+  expect(sizes[1]).toBeLessThanOrEqual((sizes[0] ?? 0) + 200);
+});
--- a/src/process/object_follower.ts
+++ b/src/process/object_follower.ts
@@ -1,6 +1,7 @@
 import { sleep } from "../interface/index.ts";
 import type { Clock, GetOutcome, Member, ObjectStore, Peers, Random } from "../interface/index.ts";
 import type { StorePace } from "./store_pace.ts";
+import { withinTime } from "./time_limit.ts";
 
 /**
  * How long one watch is kept. An open connection can go silent for good; a new watch takes a new one, so
@@ -10,6 +11,9 @@
 /** How often an instance without a watch looks whether it is to hold one. */
 const STANDBY = 1_000;
 
+/** How long a peer may take to send an object. */
+const PULL_TIMEOUT = 2_000;
+
 /** A version of an object with its value. */
 export interface Version {
   readonly version: number;
@@ -79,7 +83,8 @@
     if (version <= Math.max(latest?.version ?? 0, pulling)) return;
     pulling = version;
     try {
-      const object = await peers.pull(from, key);
+      const answer = peers.pull(from, key);
+      const object = await withinTime(clock, answer, { limit: PULL_TIMEOUT, step: `pull ${key}` });
       if (object !== undefined) hear(object);
     } catch {
       parts.count("configuration.pull-failed");
--- a/src/process/slot_task_test.ts
+++ b/src/process/slot_task_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { EMPTY_SLOT_MAP } from "../version/index.ts";
 import type { SlotMap } from "../version/index.ts";
-import { MINIMAL_REVISION } from "./testing/minimal_revision.ts";
+import { MINIMAL_REVISION } from "../version/testing/minimal_revision.ts";
 import { startControlFleet } from "./testing/control_fleet.ts";
 import type { ControlFleet, ControlNode } from "./testing/control_fleet.ts";
 
--- /dev/null
+++ b/src/version/change_test.ts
@@ -0,0 +1,82 @@
+import { expect, test } from "vitest";
+import { planChange } from "./change.ts";
+import type { PlannedChange } from "./change.ts";
+import { parseRevision } from "./revision.ts";
+import type { Revision } from "./revision.ts";
+import { MINIMAL_DOCUMENT, MINIMAL_REVISION } from "./testing/minimal_revision.ts";
+
+const BASE = parseRevision(1, MINIMAL_REVISION);
+
+function withLane(lane: string): typeof MINIMAL_DOCUMENT {
+  const { services } = MINIMAL_DOCUMENT;
+  return { ...MINIMAL_DOCUMENT, services: { ...services, desk: { ...services.desk, lane } } };
+}
+
+function written(planned: PlannedChange, version: number): Revision {
+  if (planned.kind === "ended") throw new Error(`Nothing was written: ${planned.outcome.kind}.`);
+  return parseRevision(version, planned.value);
+}
+
+test("a preset switch and an edit of a service that race are both in force", () => {
+  // One operator switches to the peak while another edits a service. The store takes one of them first;
+  // if the other were written over it, the peak would be served under the presets of an ordinary day.
+  const edit = { kind: "deployment", id: "c1", source: withLane("script") } as const;
+  const current = written(planChange(edit, { base: BASE, current: BASE }), 2);
+  const use = { kind: "preset", id: "c2", preset: "peak" } as const;
+  const both = written(planChange(use, { base: BASE, current }), 3);
+  expect(both.preset).toBe("peak");
+  expect(both.deployment.services["desk"]?.lane).toBe("script");
+  expect(both.changes).toEqual(["c2", "c1"]);
+});
+
+test("two edits of the same place end in a conflict that shows both sides", () => {
+  // Two operators change the same setting differently at once. Neither may be lost without a word.
+  const first = { kind: "preset", id: "c1", preset: "peak" } as const;
+  const current = { ...written(planChange(first, { base: BASE, current: BASE }), 2) };
+  const document = {
+    ...MINIMAL_DOCUMENT,
+    presets: { ...MINIMAL_DOCUMENT.presets, night: MINIMAL_DOCUMENT.presets.day },
+  };
+  const withNight = written(
+    planChange({ kind: "deployment", id: "c2", source: document }, { base: BASE, current }),
+    3,
+  );
+  const second = { kind: "preset", id: "c3", preset: "night" } as const;
+  const planned = planChange(second, { base: BASE, current: withNight });
+  expect(planned).toMatchObject({
+    kind: "ended",
+    outcome: {
+      kind: "conflict",
+      revision: 3,
+      conflicts: [{ path: "preset in force", base: "day", ours: "night", theirs: "peak" }],
+    },
+  });
+});
+
+test("a change whose id is in the revision is accepted and not written again", () => {
+  // The write took effect and its answer was lost. Written again it would undo what came after it.
+  const change = { kind: "preset", id: "c1", preset: "peak" } as const;
+  const current = written(planChange(change, { base: BASE, current: BASE }), 2);
+  expect(planChange(change, { base: BASE, current })).toEqual({
+    kind: "ended",
+    outcome: { kind: "accepted", change: "c1", revision: 2 },
+  });
+});
+
+test.each([
+  [{ kind: "preset", id: "c", preset: "none" } as const, /"none" is not among/],
+  [{ kind: "deployment", id: "c", source: withLane("fast") } as const, /services\.desk\.lane/],
+  [
+    {
+      kind: "deployment",
+      id: "c",
+      source: { ...MINIMAL_DOCUMENT, presets: { peak: MINIMAL_DOCUMENT.presets.peak } },
+    } as const,
+    /"day" is not among/,
+  ],
+])("a change that can't be put in force is refused with the reason", (change, reason) => {
+  const planned = planChange(change, { base: BASE, current: BASE });
+  const outcome = planned.kind === "ended" ? planned.outcome : undefined;
+  expect(outcome?.kind).toBe("refused");
+  expect(outcome?.kind === "refused" ? outcome.reasons.join() : "").toMatch(reason);
+});
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -7,3 +7,5 @@
 export * from "./slot_map_codec.ts";
 export * from "./slot_target.ts";
 export * from "./slot_plan.ts";
+export * from "./three_way_merge.ts";
+export * from "./change.ts";
--- a/src/version/slot_plan.ts
+++ b/src/version/slot_plan.ts
@@ -31,21 +31,22 @@
  * @returns The changes, none where nothing is to be done.
  */
 export function planTakeover(map: SlotMap, fleet: SlotFleet, date: number): readonly SlotChange[] {
-  if (map.slots.every((assignment) => !needsTakeover(assignment, fleet))) return [];
-  const targets = slotTargets(fleet.able);
   const able = new Set(fleet.able.map(({ id }) => id));
+  if (map.slots.every((assignment) => !needsTakeover(assignment, { fleet, able }))) return [];
+  const targets = slotTargets(fleet.able);
   return map.slots.flatMap((before, slot) => {
     const assignment = takeover(before, { fleet, able, target: targets[slot], date });
     return assignment === undefined ? [] : [{ slot, assignment }];
   });
 }
 
-function needsTakeover(assignment: Assignment, fleet: SlotFleet): boolean {
+function needsTakeover(
+  assignment: Assignment,
+  { fleet, able }: { fleet: SlotFleet; able: ReadonlySet<string> },
+): boolean {
   const { primary, backup } = assignment;
-  const { able, present } = fleet;
-  if (!present.has(primary) || isLoneOwner(assignment, fleet)) return true;
-  const isAble = (id: string): boolean => able.some((member) => member.id === id);
-  return !isAble(primary) && isAble(backup);
+  if (!fleet.present.has(primary) || isLoneOwner(assignment, fleet)) return true;
+  return !able.has(primary) && able.has(backup);
 }
 
 /** Nobody is left to be the backup: the map says so, so that the owner doesn't wait for a dead one. */
--- a/src/version/slot_target.ts
+++ b/src/version/slot_target.ts
@@ -22,6 +22,10 @@
  */
 const MOST_ABOVE_MEAN = 1.15;
 
+/** Results kept: the members change seldom, and the targets are asked for every second or two. */
+const REMEMBERED = 4;
+const remembered = new Map<string, readonly SlotTarget[]>();
+
 /**
  * The target of every slot: rendezvous hashing with a bound on each member's part. A member that goes
  * leaves its slots to their second choice, which is the backup, so a takeover needs no further moves but
@@ -31,35 +35,57 @@
  * @returns One target a slot.
  */
 export function slotTargets(holders: readonly SlotHolder[]): readonly SlotTarget[] {
-  const hashed = holders
-    .map((holder) => ({ holder, hash: hashText(holder.id) }))
-    .sort((a, b) => (a.holder.id < b.holder.id ? -1 : 1));
+  const sorted = [...holders].sort((a, b) => (a.id < b.id ? -1 : 1));
+  const key = sorted.map(({ id, zone }) => `${id} ${zone}`).join("\n");
+  const known = remembered.get(key);
+  if (known !== undefined) return known;
+  const targets = computeTargets(sorted);
+  const [oldest] = remembered.keys();
+  if (remembered.size >= REMEMBERED && oldest !== undefined) remembered.delete(oldest);
+  remembered.set(key, targets);
+  return targets;
+}
+
+interface Candidate extends SlotHolder {
+  readonly hash: number;
+  primaries: number;
+  backups: number;
+}
+
+function computeTargets(holders: readonly SlotHolder[]): readonly SlotTarget[] {
   const bound = Math.ceil((SLOT_COUNT / Math.max(1, holders.length)) * MOST_ABOVE_MEAN);
-  const primaries = new Map<string, number>();
-  const backups = new Map<string, number>();
+  const all: Candidate[] = holders.map(({ id, zone }) => ({
+    id,
+    zone,
+    hash: hashText(id),
+    primaries: 0,
+    backups: 0,
+  }));
   return Array.from({ length: SLOT_COUNT }, (_, slot) => {
-    const order = hashed
-      .map(({ holder, hash }) => ({ holder, score: mixHashes(hash, slot + 1) }))
-      .sort((a, b) => b.score - a.score)
-      .map(({ holder }) => holder);
-    const primary = chooseWithin(order, { counts: primaries, bound });
+    const primary = best(all, { slot, fits: ({ primaries }) => primaries < bound });
     if (primary === undefined) return { primary: "", backup: "" };
-    const others = order.filter((holder) => holder.id !== primary.id);
-    const elsewhere = others.filter((holder) => holder.zone !== primary.zone);
-    const backup = chooseWithin(elsewhere.length > 0 ? elsewhere : others, {
-      counts: backups,
-      bound,
-    });
+    primary.primaries++;
+    const others = all.filter((other) => other !== primary);
+    const elsewhere = others.filter(({ zone }) => zone !== primary.zone);
+    const candidates = elsewhere.length > 0 ? elsewhere : others;
+    const backup = best(candidates, { slot, fits: ({ backups }) => backups < bound });
+    if (backup !== undefined) backup.backups++;
     return { primary: primary.id, backup: backup?.id ?? "" };
   });
 }
 
-/** The first of an order whose part is within the bound, else the first. */
-function chooseWithin(
-  order: readonly SlotHolder[],
-  { counts, bound }: { counts: Map<string, number>; bound: number },
-): SlotHolder | undefined {
-  const chosen = order.find(({ id }) => (counts.get(id) ?? 0) < bound) ?? order[0];
-  if (chosen !== undefined) counts.set(chosen.id, (counts.get(chosen.id) ?? 0) + 1);
-  return chosen;
+/** The first choice that fits, or the first choice where none does. */
+function best(
+  candidates: readonly Candidate[],
+  { slot, fits }: { slot: number; fits: (candidate: Candidate) => boolean },
+): Candidate | undefined {
+  let first: Candidate | undefined;
+  let fitting: Candidate | undefined;
+  for (const candidate of candidates) {
+    const score = mixHashes(candidate.hash, slot + 1);
+    if (first === undefined || score > mixHashes(first.hash, slot + 1)) first = candidate;
+    if (!fits(candidate)) continue;
+    if (fitting === undefined || score > mixHashes(fitting.hash, slot + 1)) fitting = candidate;
+  }
+  return fitting ?? first;
 }
--- a/src/process/testing/minimal_revision.ts
+++ b/src/version/testing/minimal_revision.ts
@@ -1,4 +1,4 @@
-import { formatRevision } from "../../version/index.ts";
+import { formatRevision } from "../revision.ts";
 
 /** The smallest deployment document that the schema takes, with two presets. */
 export const MINIMAL_DOCUMENT = {
