Give operators typed routes, counters and metrics

Cause: operators had a blind preset write without a credential, and counters were lost at the end. The earlier preset route stays until the command has moved. The test of the routes of callers no longer passes a store, which the routes do not take any more.

--- /dev/null
+++ b/src/cli/embedded_operator_test.ts
@@ -0,0 +1,94 @@
+import { expect, test } from "vitest";
+import { changeOutcomeMessage, servicesMessage, statusMessage } from "../connection/index.ts";
+import { ASSOCIATION } from "./association.ts";
+import { startEmbedded } from "./embedded_deployment.ts";
+import type { EmbeddedDeployment } from "./embedded_deployment.ts";
+
+const OPERATOR_KEY = "operator-key-of-tests";
+
+const SETTINGS = {
+  port: 0,
+  entryInstances: 3,
+  workers: { "entry-model": 1, "finish-desk": 1 },
+  zones: ASSOCIATION.zones,
+  source: ASSOCIATION,
+  preset: "day",
+  operatorKey: OPERATOR_KEY,
+};
+
+async function call(
+  deployment: EmbeddedDeployment,
+  path: string,
+  options: { method?: string; key?: string; body?: unknown } = {},
+): Promise<{ status: number; text: string }> {
+  const address = deployment.entries[0]?.self.callerAddress ?? "";
+  const answer = await fetch(`http://${address}${path}`, {
+    method: options.method ?? "GET",
+    headers: { authorization: `Bearer ${options.key ?? OPERATOR_KEY}` },
+    ...(options.body === undefined ? {} : { body: JSON.stringify(options.body) }),
+  });
+  return { status: answer.status, text: await answer.text() };
+}
+
+test("operators switch presets, see where they are in force, and drain an instance", async () => {
+  const deployment = await startEmbedded(SETTINGS);
+  try {
+    const used = await call(deployment, "/v1/operator/preset/peak?wait=1", { method: "PUT" });
+    const outcome = changeOutcomeMessage.parse(JSON.parse(used.text));
+    expect([used.status, outcome]).toMatchObject([
+      200,
+      { kind: "accepted", revision: 2, everywhere: true },
+    ]);
+    const asked = await call(deployment, `/v1/operator/changes/${outcome.change}`);
+    expect(changeOutcomeMessage.parse(JSON.parse(asked.text)).kind).toBe("accepted");
+
+    const bad = { ...ASSOCIATION, zones: [] };
+    const applied = await call(deployment, "/v1/operator/deployment", {
+      method: "PUT",
+      body: { source: bad },
+    });
+    expect([applied.status, changeOutcomeMessage.parse(JSON.parse(applied.text)).kind]).toEqual([
+      422,
+      "refused",
+    ]);
+
+    const status = statusMessage.parse(
+      JSON.parse((await call(deployment, "/v1/operator/status")).text),
+    );
+    expect(status.preset).toBe("peak");
+    expect(status.instances.map(({ revision }) => revision)).toEqual([2, 2, 2]);
+    const services = await call(deployment, "/v1/operator/services");
+    expect(servicesMessage.parse(JSON.parse(services.text)).services).toHaveLength(2);
+
+    const drained = await call(deployment, "/v1/operator/drain/entry-2", { method: "POST" });
+    expect([drained.status, JSON.parse(drained.text)]).toMatchObject([202, { kind: "draining" }]);
+    const nobody = await call(deployment, "/v1/operator/drain/entry-9", { method: "POST" });
+    expect(nobody.status).toBe(404);
+
+    const metrics = await call(deployment, "/metrics");
+    expect(metrics.text).toContain('samphireshore_refused_total{name="queue-full"} 0');
+  } finally {
+    await deployment.close();
+  }
+});
+
+test("without the operators' credential nothing is told or changed, and it is counted", async () => {
+  // Somebody who can reach the callers' port tries the operators' routes with a wrong key.
+  const deployment = await startEmbedded(SETTINGS);
+  try {
+    const paths = ["/v1/operator/status", "/v1/operator/services", "/metrics"];
+    for (const path of paths) {
+      expect((await call(deployment, path, { key: "wrong-key" })).status).toBe(401);
+    }
+    const used = await call(deployment, "/v1/operator/preset/peak", {
+      method: "PUT",
+      key: "wrong-key",
+    });
+    expect(used.status).toBe(401);
+    const core = deployment.entries[0]?.core;
+    expect(core?.configuration.revision()?.preset).toBe("day");
+    expect(core?.counters.values.get("refused.unauthenticated")).toBe(4);
+  } finally {
+    await deployment.close();
+  }
+});
--- a/src/connection/caller_routes_test.ts
+++ b/src/connection/caller_routes_test.ts
@@ -269,7 +269,6 @@
     counters: {
       refused: (reason: Refusal) => refused.push(reason),
     } as unknown as EntryInstanceParts["counters"],
-    store: {} as EntryInstanceParts["store"],
     operatorKey: "",
   };
 }
--- a/src/connection/entry_parts.ts
+++ b/src/connection/entry_parts.ts
@@ -1,5 +1,6 @@
-import type { ObjectStore } from "../interface/index.ts";
+import type { Member } from "../interface/index.ts";
 import type { Environment, RequestService } from "../request/index.ts";
+import type { OperatorService } from "./operator_service.ts";
 
 /** What the routes of an entry instance work with. */
 export interface EntryInstanceParts extends Pick<
@@ -7,6 +8,14 @@
   "clock" | "configuration" | "members" | "workers" | "counters" | "random"
 > {
   readonly requests: RequestService;
-  readonly store: ObjectStore;
   readonly operatorKey: string;
 }
+
+/** What the routes of operators work with besides. */
+export interface OperatorParts extends EntryInstanceParts {
+  readonly operators: OperatorService;
+  /** All members that are not dead, this one included. */
+  readonly present: () => readonly Member[];
+  /** Whether callers' connections are encrypted. */
+  readonly secure: boolean;
+}
--- a/src/connection/operator_routes.ts
+++ b/src/connection/operator_routes.ts
@@ -1,32 +1,199 @@
-import type { ServerResponse } from "node:http";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Polka } from "polka";
-import { formatRevision, REVISION_KEY } from "../version/index.ts";
-import type { EntryInstanceParts } from "./entry_parts.ts";
-import { sendJson } from "./http_body.ts";
+import { request as send } from "undici";
+import type { z } from "zod";
+import { Refusal } from "../interface/index.ts";
+import type { Member } from "../interface/index.ts";
+import type { Change } from "../version/index.ts";
+import { sendRejection } from "./caller_refusal.ts";
+import { bearerOf, equalSecrets } from "./constant_time.ts";
+import type { OperatorParts } from "./entry_parts.ts";
+import { guarded } from "./guarded_route.ts";
+import type { RoutedRequest } from "./guarded_route.ts";
+import { readBody, sendJson } from "./http_body.ts";
+import { deploymentMessage, presetMessage } from "./operator_messages.ts";
+import type { ChangeOutcomeMessage, DrainMessage } from "./operator_messages.ts";
 import { routeParameter } from "./route_parameter.ts";
 
-/** Adds the routes of operators. */
-export function addOperatorRoutes(app: Polka, parts: EntryInstanceParts): void {
+/** Bound on a deployment document, as the platform's on a value. */
+const DOCUMENT_LIMIT = 1_000_000;
+/** How long another instance may take to say that it drains. */
+const FORWARD_TIMEOUT = 2_000;
+
+const STATUS_OF: Readonly<Record<ChangeOutcomeMessage["kind"], number>> = {
+  accepted: 200,
+  refused: 422,
+  conflict: 409,
+  unknown: 202,
+};
+
+type Route = (request: RoutedRequest, response: ServerResponse) => Promise<void> | void;
+
+/** Adds the routes of operators; each needs their credential, but for health. */
+export function addOperatorRoutes(app: Polka, parts: OperatorParts): void {
+  const { operators } = parts;
+  const forOperators = (route: Route): ReturnType<typeof guarded> =>
+    guarded(parts, async (request, response) => {
+      if (isOperator(request, parts)) await route(request, response);
+      else refuse(parts, response);
+    });
+  addEarlierRoutes(app, parts);
+  app.get("/v1/health", (_request, response) => sendHealth(parts, response));
+  app.get(
+    "/metrics",
+    forOperators((_request, response) => {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(operators.metrics());
+    }),
+  );
+  app.put(
+    "/v1/operator/deployment",
+    forOperators(async (request, response) => {
+      const message = await bodyOf(request, deploymentMessage);
+      const change = { kind: "deployment", id: idOf(message), source: message.source } as const;
+      await apply(parts, { change, base: message.base, request, response });
+    }),
+  );
+  app.put(
+    "/v1/operator/preset/:name",
+    forOperators(async (request, response) => {
+      const message = await bodyOf(request, presetMessage);
+      const preset = routeParameter(request, "name");
+      const change = { kind: "preset", id: idOf(message), preset } as const;
+      await apply(parts, { change, base: message.base, request, response });
+    }),
+  );
+  app.get(
+    "/v1/operator/changes/:id",
+    forOperators(async (request, response) => {
+      const outcome = await operators.ask(routeParameter(request, "id"));
+      sendJson(response, outcome, { status: STATUS_OF[outcome.kind] });
+    }),
+  );
+  app.get(
+    "/v1/operator/status",
+    forOperators(async (_request, response) => sendJson(response, await operators.status())),
+  );
+  app.get(
+    "/v1/operator/services",
+    forOperators((_request, response) => sendJson(response, operators.services())),
+  );
+  app.post(
+    "/v1/operator/drain/:instance",
+    forOperators(async (request, response) => {
+      const message = await drain(parts, routeParameter(request, "instance"));
+      const status = { draining: 202, "unknown-instance": 404, unreachable: 503 }[message.kind];
+      sendJson(response, message, { status });
+    }),
+  );
+  app.get(
+    "/v1/operator/requests/:id",
+    forOperators(async (request, response) => {
+      const id = routeParameter(request, "id");
+      const found = await operators.request(id);
+      if (found !== undefined) sendJson(response, found);
+      else {
+        const detail = `No instance that could be asked knows the request ${id}.`;
+        sendRejection(response, { reason: Refusal.UnknownRequest, notRun: false, detail });
+      }
+    }),
+  );
+}
+
+/** The routes of before; they go when no command uses them any more. */
+function addEarlierRoutes(app: Polka, { configuration, operators }: OperatorParts): void {
   app.get("/v1/status", (_request, response) => {
-    const revision = parts.configuration.revision();
+    const revision = configuration.revision();
     sendJson(response, { revision: revision?.version ?? 0, preset: revision?.preset ?? "" });
   });
   app.put("/v1/preset/:name", async (request, response) => {
-    await usePreset(parts, routeParameter(request, "name"), response);
+    const preset = routeParameter(request, "name");
+    const outcome = await operators.apply({ kind: "preset", id: randomUUID(), preset });
+    const written = { kind: "written", version: outcome.kind === "accepted" && outcome.revision };
+    sendJson(response, outcome.kind === "accepted" ? written : outcome, {
+      status: STATUS_OF[outcome.kind],
+    });
   });
 }
 
-async function usePreset(
-  parts: EntryInstanceParts,
-  preset: string,
-  response: ServerResponse,
+function isOperator(request: IncomingMessage, { operatorKey }: OperatorParts): boolean {
+  return equalSecrets(bearerOf(request.headers.authorization), operatorKey);
+}
+
+function refuse({ counters }: OperatorParts, response: ServerResponse): void {
+  const reason = Refusal.Unauthenticated;
+  counters.refused(reason);
+  const detail = "This route needs the credential of operators.";
+  sendRejection(response, { reason, notRun: true, detail });
+}
+
+/** Whether this instance takes new work: for whoever watches it from outside, without a credential. */
+function sendHealth({ configuration, members }: OperatorParts, response: ServerResponse): void {
+  const isTaking =
+    configuration.revision() !== undefined &&
+    !configuration.isCutOff() &&
+    members.alive().some(({ id }) => id === members.self.id);
+  sendJson(response, { takesWork: isTaking }, { status: isTaking ? 200 : 503 });
+}
+
+async function bodyOf<T>(request: IncomingMessage, schema: z.ZodType<T>): Promise<T> {
+  const body = await readBody(request, DOCUMENT_LIMIT);
+  const parsed = schema.safeParse(JSON.parse(body === "" ? "{}" : body));
+  if (parsed.success) return parsed.data;
+  throw new SyntaxError(parsed.error.issues.map(({ message }) => message).join("; "));
+}
+
+function idOf({ change }: { readonly change?: string }): string {
+  return change ?? randomUUID();
+}
+
+async function apply(
+  { operators }: OperatorParts,
+  call: {
+    readonly change: Change;
+    readonly base: number | undefined;
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+  },
 ): Promise<void> {
-  const revision = parts.configuration.revision();
-  if (revision === undefined || !(preset in revision.deployment.presets)) {
-    sendJson(response, { outcome: "refused" }, { status: 409 });
+  const { change, base, request, response } = call;
+  const outcome = await operators.apply(change, base);
+  const status = STATUS_OF[outcome.kind];
+  const query = new URL(request.url ?? "/", "http://localhost").searchParams;
+  if (outcome.kind !== "accepted" || query.get("wait") !== "1") {
+    sendJson(response, outcome, { status });
     return;
   }
-  const value = formatRevision({ ...revision, preset });
-  const outcome = await parts.store.put(REVISION_KEY, value, { expect: revision.version });
-  sendJson(response, outcome, { status: outcome.kind === "written" ? 200 : 409 });
+  const everywhere = await operators.everywhere(outcome.revision);
+  sendJson(response, { ...outcome, everywhere }, { status });
+}
+
+async function drain(parts: OperatorParts, instance: string): Promise<DrainMessage> {
+  const { members, operators, present } = parts;
+  const isNamed = ({ id }: Member): boolean =>
+    id === instance || id.slice(0, id.lastIndexOf("#")) === instance;
+  if (isNamed(members.self)) {
+    operators.drain();
+    return { kind: "draining", instance: members.self.id };
+  }
+  const member = present().find(isNamed);
+  if (member === undefined) return { kind: "unknown-instance", instance };
+  try {
+    const answer = await send(drainAddress(parts, member), {
+      method: "POST",
+      headers: { authorization: `Bearer ${parts.operatorKey}` },
+      signal: AbortSignal.timeout(FORWARD_TIMEOUT),
+    });
+    const detail = await answer.body.text();
+    if (answer.statusCode === 202) return { kind: "draining", instance: member.id };
+    return { kind: "unreachable", instance: member.id, detail };
+  } catch (error) {
+    return { kind: "unreachable", instance: member.id, detail: String(error) };
+  }
+}
+
+function drainAddress({ secure }: OperatorParts, member: Member): string {
+  const scheme = secure ? "https" : "http";
+  return `${scheme}://${member.callerAddress}/v1/operator/drain/${encodeURIComponent(member.id)}`;
 }
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -1,3 +1,4 @@
+import type { OperatorService } from "../connection/index.ts";
 import { createScheduler } from "../decision/index.ts";
 import type { Scheduler } from "../decision/index.ts";
 import type {
@@ -16,9 +17,11 @@
 import type { Configuration } from "./configuration.ts";
 import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
-import type { CounterTable } from "./counters.ts";
+import type { CounterSink, CounterTable } from "./counters.ts";
 import type { Membership } from "./membership.ts";
 import { recordScheduler } from "./recorder.ts";
+import { createOperatorChanges } from "./operator_changes.ts";
+import { createOperatorService } from "./operator_service.ts";
 import { createWorkerDirectory } from "./worker_directory.ts";
 import type { WorkerDirectory } from "./worker_directory.ts";
 
@@ -41,6 +44,10 @@
   readonly seeds: readonly string[];
   /** Takes the lines of a recording of the traffic; nothing is recorded where it is absent. */
   readonly record?: (line: string) => void;
+  /** Milliseconds between slow rereads of the store. */
+  readonly reread?: number;
+  /** Where counts go besides the table. */
+  readonly sink?: CounterSink;
 }
 
 /** An entry instance without its sockets: the tasks and the requests that they serve. */
@@ -50,6 +57,7 @@
   readonly members: Membership;
   readonly workers: WorkerDirectory;
   readonly counters: CounterTable;
+  readonly operators: OperatorService;
   readonly handlers: PeerHandlers;
   /** Resolves once a revision is known. */
   start(): Promise<void>;
@@ -65,7 +73,7 @@
 
 /** Puts an entry instance together. */
 export function createEntryCore(settings: CoreSettings, outside: Outside): EntryCore {
-  const counters = createCounters();
+  const counters = createCounters(settings.sink);
   const control = createControl({
     ...settings,
     ...outside,
@@ -97,12 +105,21 @@
     await requests.whenIdle();
     await requests.cedeAll();
   };
+  const changes = createOperatorChanges({ ...outside, configuration });
+  const drainOnce = (): Promise<void> => (draining ??= drain());
+  const operators = createOperatorService({
+    ...environment,
+    requests,
+    changes,
+    drain: () => void drainOnce(),
+  });
   return {
     requests,
     configuration,
     members,
     workers,
     counters,
+    operators,
     handlers: {
       ...requests.handlers,
       ...control.handlers,
@@ -111,10 +128,11 @@
       await control.start();
       await workers.start();
     },
-    drain: () => (draining ??= drain()),
+    drain: drainOnce,
     reclaim: handOver,
     close: () => {
       requests.close();
+      changes.close();
       workers.close();
       control.close();
     },
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -19,6 +19,7 @@
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
+import { createStatsdSink } from "./statsd_sink.ts";
 
 /** A running entry instance. */
 export interface EntryInstance {
@@ -51,8 +52,16 @@
   const { clock, random } = runtime;
   const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
   const recording = openRecording(settings.record);
+  const sink = openSink(settings);
   const core = createEntryCore(
-    { self, region: settings.region, seeds: settings.seeds, ...recording.settings },
+    {
+      self,
+      region: settings.region,
+      seeds: settings.seeds,
+      reread: settings.reread,
+      ...recording.settings,
+      ...(sink === undefined ? {} : { sink }),
+    },
     {
       clock,
       random,
@@ -66,7 +75,10 @@
   sockets.servePeers(core.handlers);
   await core.start();
   const app = polka();
-  const parts = { ...core, clock, random, store, operatorKey: settings.secrets.operatorKey };
+  const { operatorKey } = settings.secrets;
+  const present = (): readonly Member[] => core.members.present();
+  const secure = settings.tls !== undefined;
+  const parts = { ...core, clock, random, operatorKey, present, secure };
   addCallerRoutes(app, parts);
   addOperatorRoutes(app, parts);
   sockets.serveCallers((request, response) => {
@@ -81,11 +93,20 @@
       peers.close();
       store.close();
       engine.close();
+      sink?.close();
       await recording.close();
     },
   };
 }
 
+function openSink({
+  statsd,
+  name,
+  zone,
+}: EntrySettings): ReturnType<typeof createStatsdSink> | undefined {
+  return statsd === undefined ? undefined : createStatsdSink(statsd, { instance: name, zone });
+}
+
 /** Opens the file that the traffic is recorded to, where the settings name one. */
 function openRecording(file: string | undefined): {
   settings: { record?: (line: string) => void };
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -45,6 +45,8 @@
   leavingWorkers(): ReadonlySet<string>;
   /** All members that are not dead, this one included, whatever their state. */
   present(): readonly Member[];
+  /** Asks every live member which versions it has in force; those that don't answer are left out. */
+  survey(): Promise<ReadonlyMap<string, readonly VersionMark[]>>;
   /** When a peer was last heard, in the clock's milliseconds; undefined where none ever was. */
   heardAt(): number | undefined;
   /** Sends the versions that this instance has applied to a few peers at once. */
@@ -237,6 +239,19 @@
     const deltas = isNew ? [own, ...table.all()] : outgoing(message.from).deltas;
     return { from: self.id, reached, deltas, versions: parts.versions() };
   };
+  const survey = async (): Promise<ReadonlyMap<string, readonly VersionMark[]>> => {
+    const found = new Map([[self.id, parts.versions()]]);
+    const askOne = async (member: Member): Promise<void> => {
+      try {
+        const reply = await ask(member, outgoing(member.id));
+        found.set(reply.from, reply.versions);
+      } catch {
+        // One that doesn't answer is missing from the result, which is what the asker has to know.
+      }
+    };
+    await Promise.all(shuffled(table, random).map(askOne));
+    return found;
+  };
   const isIn = (...states: MemberState[]): readonly Member[] => {
     const others = table.members().filter(({ state }) => states.includes(state));
     const found = others.map(({ member }) => member);
@@ -252,6 +267,7 @@
     onChange: (listener) => subscribe(listeners, listener),
     onOwnNotice: (listener) => subscribe(noticeListeners, listener),
     heardAt: () => heardAt,
+    survey,
     leavingWorkers: () => table.leavingWorkers(),
     handlers: { probe: answerProbe },
     start: () => void run(),
