Check connections with open relays by a call and not by HTTP/2 pings

Change: no pings; one check a second by an ordinary call for all relays of a connection, which ends them when it has gone silent. Idle connections cost nothing now (they were pinged each second, per peer).

--- a/src/cli/embedded_operator_test.ts
+++ b/src/cli/embedded_operator_test.ts
@@ -1,17 +1,22 @@
 import { expect, test } from "vitest";
 import { changeOutcomeMessage, servicesMessage, statusMessage } from "../connection/index.ts";
-import { ASSOCIATION } from "./association.ts";
 import { startEmbedded } from "./embedded_deployment.ts";
 import type { EmbeddedDeployment } from "./embedded_deployment.ts";
+import { accountKeys, ASSOCIATION, documentValue } from "./template/index.ts";
 
 const OPERATOR_KEY = "operator-key-of-tests";
 
+const DOCUMENT = documentValue(
+  ASSOCIATION,
+  accountKeys(ASSOCIATION, { "club-sofia": "client-key-of-tests" }),
+);
+
 const SETTINGS = {
   port: 0,
   entryInstances: 3,
   workers: { "entry-model": 1, "finish-desk": 1 },
   zones: ASSOCIATION.zones,
-  source: ASSOCIATION,
+  source: DOCUMENT,
   preset: "day",
   operatorKey: OPERATOR_KEY,
 };
@@ -42,7 +47,7 @@
     const asked = await call(deployment, `/v1/operator/changes/${outcome.change}`);
     expect(changeOutcomeMessage.parse(JSON.parse(asked.text)).kind).toBe("accepted");
 
-    const bad = { ...ASSOCIATION, zones: [] };
+    const bad = { ...(DOCUMENT as object), zones: [] };
     const applied = await call(deployment, "/v1/operator/deployment", {
       method: "PUT",
       body: { source: bad },
--- a/src/connection/connect_peers.ts
+++ b/src/connection/connect_peers.ts
@@ -21,9 +21,16 @@
 /** Tries on a new connection after the first: something between the ends may have lost the old one. */
 const RENEWALS = 1;
 
+/** How often a connection with open relays is asked whether it still carries anything, in milliseconds. */
+const CHECK_PERIOD = 1_000;
+/** Names no object: a peer answers a pull of it at once, with nothing. */
+const NO_OBJECT = "";
+
 interface Link {
   readonly channel: PeerChannel;
   replicate: ReplicateStream | undefined;
+  /** Relays that are open on the connection; each is ended when it has gone silent. */
+  readonly relays: Set<AbortController>;
 }
 
 /** What the peers' calls are made with. */
@@ -40,7 +47,11 @@
   const linkTo = (address: string): Link => {
     const known = links.get(address);
     if (known !== undefined) return known;
-    const link = { channel: createPeerChannel(address, security), replicate: undefined };
+    const link = {
+      channel: createPeerChannel(address, security),
+      replicate: undefined,
+      relays: new Set<AbortController>(),
+    };
     links.set(address, link);
     return link;
   };
@@ -59,6 +70,29 @@
       }
     }
   };
+  const openRelay = (link: Link, silence: AbortController): void => {
+    link.relays.add(silence);
+    if (link.relays.size === 1) checkLater(link);
+  };
+  const checkLater = (link: Link): void => {
+    clock.after(CHECK_PERIOD, () => void check(link));
+  };
+  /**
+   * A relay waits for tokens, which may be long in coming. On a connection that has gone silent they never
+   * come, and the caller would wait until its deadline: one check for all relays of the connection tells.
+   */
+  const check = async (link: Link): Promise<void> => {
+    const relays = [...link.relays];
+    if (relays.length === 0) return;
+    try {
+      await withTimeout(clock, link.channel.client().pull({ from: self, key: NO_OBJECT }));
+    } catch (cause) {
+      for (const silence of relays) silence.abort(cause);
+      for (const silence of relays) link.relays.delete(silence);
+      renew(link);
+    }
+    if (link.relays.size > 0) checkLater(link);
+  };
   const unary = <T>(
     path: { to: Member; step: string },
     run: (client: Client<typeof Peer>) => Promise<T>,
@@ -85,13 +119,19 @@
         decodeAskReply(await client.ask(encodeAsk(message))),
       ),
     relay: async function* (to, message, signal) {
+      const link = linkTo(to.address);
+      const silence = new AbortController();
+      openRelay(link, silence);
       try {
-        const client = linkTo(to.address).channel.client();
-        for await (const event of client.relay(encodeRelay(message), { signal })) {
+        const client = link.channel.client();
+        const ending = AbortSignal.any([signal, silence.signal]);
+        for await (const event of client.relay(encodeRelay(message), { signal: ending })) {
           yield decodeRelayEvent(event);
         }
       } catch (cause) {
         throw peerFailure({ to, step: "relay" }, cause);
+      } finally {
+        link.relays.delete(silence);
       }
     },
     close: () => {
--- a/src/connection/connect_peers_test.ts
+++ b/src/connection/connect_peers_test.ts
@@ -145,6 +145,32 @@
   expect(replicated).toHaveLength(2);
 });
 
+test("a relay on a connection that went silent ends with a failure", async () => {
+  // The owner streams a long script to the instance that the caller is connected to, and the connection
+  // between the two goes silent half way. Without a check the caller would wait for tokens until its
+  // deadline, though the owner has them and new connections work.
+  const { handlers } = recordingHandlers();
+  const { address } = await startPeer({
+    ...handlers,
+    relay: async function* (_message, signal) {
+      yield { kind: "token", index: 0, text: "Yes" };
+      await new Promise((resolve) => signal.addEventListener("abort", resolve));
+    },
+  });
+  const path = await startPath(address);
+  const peers = peersWith("key-of-the-instances");
+  const relayed = { from: "e1#1", slot: 1, epoch: 3, record: RECORD };
+  const events = peers.relay(
+    memberAt(path.address),
+    { ...relayed, hops: 0, fromToken: 0, follow: false },
+    new AbortController().signal,
+  );
+  const iterator = events[Symbol.asyncIterator]();
+  expect(await iterator.next()).toMatchObject({ value: { kind: "token" } });
+  path.silenceOpen();
+  await expect(iterator.next()).rejects.toMatchObject({ step: "relay" });
+});
+
 interface Path {
   readonly address: string;
   silenceOpen(): void;
--- a/src/connection/operator_routes.ts
+++ b/src/connection/operator_routes.ts
@@ -82,7 +82,7 @@
   app.post(
     "/v1/operator/drain/:instance",
     forOperators(async (request, response) => {
-      const message = await drain(parts, routeParameter(request, "instance"));
+      const message = await drain(parts, decodeURIComponent(routeParameter(request, "instance")));
       const status = { draining: 202, "unknown-instance": 404, unreachable: 503 }[message.kind];
       sendJson(response, message, { status });
     }),
--- a/src/connection/peer_channel.ts
+++ b/src/connection/peer_channel.ts
@@ -4,10 +4,6 @@
 import type { ConnectTransportOptions } from "@connectrpc/connect-node";
 import { Peer } from "../gen/peer_pb.ts";
 
-/** How often an open connection is asked whether it still carries anything, in milliseconds. */
-const PING_INTERVAL = 1_000;
-/** How long the other end may take to say so. */
-const PING_TIMEOUT = 1_000;
 /** How long a connection that was given up may take to report what ended it, in milliseconds. */
 const CLOSING_TIME = 1_000;
 /** Bound on one message, in bytes: a cession may carry many records. */
@@ -24,8 +20,9 @@
  * One HTTP/2 connection to a peer, replaced when it has gone silent.
  *
  * Something between the two ends may lose track of an open connection while new ones work. Calls on it
- * then wait for ever. Pings notice it within {@linkcode PING_INTERVAL} + {@linkcode PING_TIMEOUT}, and a
- * call that timed out renews the connection before the peer is blamed.
+ * then wait for ever. A call that timed out renews the connection before the peer is blamed. The pings of
+ * the session manager stay off: it begins them again on a session that is destroyed, when the last stream
+ * ends, and the ping then throws in a timer and ends the process.
  */
 export interface PeerChannel {
   client(): Client<typeof Peer>;
@@ -63,7 +60,7 @@
   const baseUrl = `${tls === undefined ? "http" : "https"}://${address}`;
   const manager = new Http2SessionManager(
     baseUrl,
-    { pingIntervalMs: PING_INTERVAL, pingTimeoutMs: PING_TIMEOUT, pingIdleConnection: true },
+    {},
     tls === undefined ? {} : { ca: tls.certificate },
   );
   const options: ConnectTransportOptions = {
