--- a/src/standin/replay/measurements.ts
+++ b/src/standin/replay/measurements.ts
@@ -22,7 +22,7 @@
   lost: number;
   /** Of the lost, those whose deadline passed. */
   late: number;
-  /** Tokens of answers that were whole and whose first token was within the target. */
+  /** Tokens of answers that ended within the trace and whose first token was within the target. */
   timelyTokens: number;
   readonly refused: Map<Refusal, number>;
   readonly firstToken: Times;
--- a/src/standin/replay/report.ts
+++ b/src/standin/replay/report.ts
@@ -48,7 +48,7 @@
   readonly lowerBound: LowerBound;
   /** Cost over the lower bound. */
   readonly costOverBound: number;
-  /** Tokens a second of answers that were whole and began in time. */
+  /** Tokens a second of answers that were whole within the trace and began in time. */
   readonly goodput: number;
   readonly fleet: FleetCounts;
   /** The trace's stated outcomes. */
--- a/src/standin/replay/tracked_request.ts
+++ b/src/standin/replay/tracked_request.ts
@@ -35,6 +35,8 @@
   /** What the worker's engine knows it by. */
   readonly id: string;
   readonly request: TrackedRequest;
+  /** Which of the request's runs it is, counted from 1. */
+  readonly number: number;
   readonly worker: string;
   readonly dispatchedAt: number;
   readonly cause: RetryCause;
@@ -79,6 +81,7 @@
   const run: Run = {
     id: `${request.job.id}#${request.attempts}`,
     request,
+    number: request.attempts,
     worker,
     dispatchedAt: now,
     cause,
