--- a/src/process/testing/core_fleet.ts
+++ b/src/process/testing/core_fleet.ts
@@ -11,7 +11,7 @@
 import { REVISION_KEY } from "../../version/index.ts";
 import { createEntryCore } from "../entry_core.ts";
 import type { EntryCore } from "../entry_core.ts";
-import { MINIMAL_REVISION } from "./minimal_revision.ts";
+import { MINIMAL_REVISION } from "../../version/testing/minimal_revision.ts";
 
 /** What a caller of a {@linkcode CoreFleet} has got so far. */
 export interface Answer {
