--- a/src/standin/replay/replay_test.ts
+++ b/src/standin/replay/replay_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import { PolicyName, policyOf } from "./policy.ts";
+import { ratiosOf } from "./ratios.ts";
 import { replay } from "./replay.ts";
 import type { Report } from "./report.ts";
 import { sampleTrace } from "./sample_trace.ts";
@@ -75,3 +76,14 @@
     ["desk/script answered", true],
   ]);
 });
+
+test("the ratios compare the policy in use with the others and with the lookups alone", () => {
+  const trace = sampleTrace(WAVE);
+  const reports = Object.values(PolicyName).map((policy) => play(trace, policy));
+  const current = reports.find(({ policy }) => policy === PolicyName.Current);
+  if (current === undefined) throw new Error("Nothing was played under the policy in use.");
+  const [ratios] = ratiosOf([...reports, { ...current, trace: "sample_lookups" }]);
+  expect(ratios?.costOverOnDemand).toBeLessThan(1);
+  expect(ratios?.goodputOverBest).toBeLessThanOrEqual(1);
+  expect(ratios?.lookupsOverAlone).toEqual({ "desk/script": 1 });
+});
--- a/src/standin/replay/report_text.ts
+++ b/src/standin/replay/report_text.ts
@@ -1,3 +1,5 @@
+import { ratiosOf } from "./ratios.ts";
+import type { Ratios } from "./ratios.ts";
 import type { GroupReport, Report, TimesReport } from "./report.ts";
 
 /** Writes a report for people: what was found of each service and lane, and of the whole. */
@@ -73,7 +75,23 @@
         .join("; "),
     ];
   });
-  return columns([header, ...rows]);
+  return [columns([header, ...rows]), ...ratiosOf(reports).map(ratioLine)].join("\n");
+}
+
+function ratioLine(ratios: Ratios): string {
+  const { trace, costOverOnDemand, costOverBound, recomputedOverRestart, goodputOverBest } = ratios;
+  const parts = [
+    `cost ${costOverBound} of the lower bound`,
+    ...(costOverOnDemand === undefined ? [] : [`${costOverOnDemand} of on-demand-only`]),
+    ...(recomputedOverRestart === undefined
+      ? []
+      : [`recomputed ${recomputedOverRestart} of restart-on-reclaim`]),
+    `goodput ${goodputOverBest} of the best`,
+    ...Object.entries(ratios.lookupsOverAlone).map(
+      ([name, value]) => `p99 of ${name} ${value} of alone`,
+    ),
+  ];
+  return `${trace}, current: ${parts.join(", ")}`;
 }
 
 function sumValues(counts: Readonly<Record<string, number>>): number {
