Plot a replay's latency, workers and cost over time

Cause: a report says how much, not when: whether first tokens are late during the wave or all the time.

--- a/src/cli/replay.ts
+++ b/src/cli/replay.ts
@@ -1,14 +1,15 @@
-import { readFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import { Command, Flags } from "@oclif/core";
 import {
   formatComparison,
   formatReport,
   parseTrace,
+  plotReplay,
   PolicyName,
   policyOf,
   replay,
 } from "../standin/replay/index.ts";
-import type { Report, Trace } from "../standin/replay/index.ts";
+import type { Report, Sample, Trace } from "../standin/replay/index.ts";
 
 const ALL = "all";
 const OUTCOME_FAILED = 1;
@@ -31,6 +32,10 @@
       default: PolicyName.Current,
     }),
     seed: Flags.integer({ description: "Seed of the replay; the trace's own if not given." }),
+    plot: Flags.string({
+      description:
+        "File for a plot (SVG) of the first trace under the first policy: latency, workers and cost.",
+    }),
     json: Flags.boolean({ description: "Print the reports as JSON, one a line." }),
   };
 
@@ -41,14 +46,20 @@
     for (const file of argv) traces.push(await this.read(String(file)));
     const names = Object.values(PolicyName).filter((name) => [name, ALL].includes(flags.policy));
     const reports: Report[] = [];
+    const samples: Sample[] = [];
     for (const trace of traces) {
       for (const name of names) {
         const seed = flags.seed ?? trace.header.seed;
-        reports.push(replay(trace, { policy: policyOf(name), seed }));
-        const report = reports.at(-1);
+        const first = reports.length === 0;
+        const sample = (taken: Sample): void => {
+          if (first) samples.push(taken);
+        };
+        const report = replay(trace, { policy: policyOf(name), seed, sample });
+        reports.push(report);
         if (flags.json) this.log(JSON.stringify(report));
       }
     }
+    if (flags.plot !== undefined) await writePlot(flags.plot, { trace: traces[0], samples });
     if (!flags.json) this.show(reports);
     const judged = reports.filter(({ policy }) => names.length === 1 || policy === names[0]);
     if (judged.some(({ holds }) => !holds)) this.exit(OUTCOME_FAILED);
@@ -71,3 +82,10 @@
     return this.error(`${file}:${result.line}: ${result.message}`, { exit: UNREADABLE });
   }
 }
+
+async function writePlot(
+  file: string,
+  { trace, samples }: { trace: Trace | undefined; samples: readonly Sample[] },
+): Promise<void> {
+  if (trace !== undefined) await writeFile(file, plotReplay(trace, samples));
+}
--- a/src/standin/replay/entry.ts
+++ b/src/standin/replay/entry.ts
@@ -217,7 +217,10 @@
     }
     const now = at + NETWORK_TIME;
     if (index > 0) group.betweenTokens.add(now - request.lastTokenAt);
-    else if (arrival.d !== true) group.firstToken.add(now - arrival.t);
+    else if (arrival.d !== true) {
+      group.firstToken.add(now - arrival.t);
+      group.recentFirstTokens.push(now - arrival.t);
+    }
     if (index === 0) request.firstTokenTime = now - arrival.t;
     request.lastTokenAt = now;
     request.produced = index + 1;
--- a/src/standin/replay/measurements.ts
+++ b/src/standin/replay/measurements.ts
@@ -27,6 +27,8 @@
   readonly refused: Map<Refusal, number>;
   readonly firstToken: Times;
   readonly betweenTokens: Times;
+  /** Times to the first token since the last sample of a plot, in milliseconds. */
+  recentFirstTokens: number[];
 }
 
 /** What is measured of a whole replay. */
@@ -96,6 +98,7 @@
     refused: new Map(),
     firstToken: createTimes(target.firstToken),
     betweenTokens: createTimes(target.betweenTokens),
+    recentFirstTokens: [],
   };
 }
 
--- /dev/null
+++ b/src/standin/replay/plot_test.ts
@@ -0,0 +1,25 @@
+import { expect, test } from "vitest";
+import { plotReplay } from "./plot.ts";
+import { PolicyName, policyOf } from "./policy.ts";
+import { replay } from "./replay.ts";
+import type { Sample } from "./sample.ts";
+import { sampleTrace } from "./sample_trace.ts";
+
+test("a plot has a line for each group, kind of purchase and cost, and marks the faults", () => {
+  const trace = sampleTrace([{ kind: "reclaim", t: 30_000, within: 3_000, zone: "sofia-a" }]);
+  const samples: Sample[] = [];
+  const sample = (taken: Sample): void => void samples.push(taken);
+  replay(trace, { policy: policyOf(PolicyName.Current), seed: 1, sample });
+  expect(samples.length).toBeGreaterThan(5);
+  const plot = plotReplay(trace, samples);
+  expect(plot.match(/<polyline /g)).toHaveLength(4);
+  expect(plot).toContain("reclaim</text>");
+  expect(plot).toContain("desk/script");
+});
+
+test("taking samples changes nothing in the report", () => {
+  const trace = sampleTrace([]);
+  const options = { policy: policyOf(PolicyName.Current), seed: 1 };
+  const sampled = replay(trace, { ...options, sample: () => undefined });
+  expect(sampled).toEqual(replay(trace, options));
+});
--- a/src/standin/replay/replay.ts
+++ b/src/standin/replay/replay.ts
@@ -11,6 +11,8 @@
 import type { Machine } from "./machine.ts";
 import { createMeasurements } from "./measurements.ts";
 import type { ReplayPolicy } from "./policy.ts";
+import { takeSamples } from "./sample.ts";
+import type { Sample } from "./sample.ts";
 import { saveRequests } from "./reclaim.ts";
 import { buildReport } from "./report.ts";
 import type { Report } from "./report.ts";
@@ -21,6 +23,8 @@
 export interface ReplayOptions {
   readonly policy: ReplayPolicy;
   readonly seed: number;
+  /** Takes what stands at each moment of a plot. */
+  readonly sample?: (sample: Sample) => void;
 }
 
 /** Entry instances that share the fleet. */
@@ -41,7 +45,7 @@
  *
  * @returns What was measured: the same for the same trace, policy and seed.
  */
-export function replay(trace: Trace, { policy, seed }: ReplayOptions): Report {
+export function replay(trace: Trace, { policy, seed, sample }: ReplayOptions): Report {
   const events = createEventQueue();
   const random = createSeededRandom(seed);
   const measurements = createMeasurements();
@@ -112,6 +116,7 @@
     const taker = entries[Math.floor(random.next() * entries.length)];
     events.add(arrival.t, () => taker?.arrive(arrival, `r${index}`));
   });
+  if (sample !== undefined) takeSamples({ fleet, measurements, events, sample });
   for (const fault of trace.faults) events.add(fault.t, () => fleet.fault(fault));
   const longest = trace.header.duration + LONGEST_TAIL;
   while (unfinished() && events.now() < longest && events.runNext());
