Drive a deployment from the command line, from its first document to a planned stop

Cause: a new deployment could not begin: an entry instance waited for a revision, and only one that had a revision took a document. SIGTERM ended an instance with its requests.

Change: operators' routes answer before a revision is known; a first document is written where the store itself says that there is none; SIGTERM and `drain` are the same planned stop, and the process ends when it is over; the earlier routes are gone.

--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -2,7 +2,7 @@
 import { Flags } from "@oclif/core";
 import type { Command } from "@oclif/core";
 import { request } from "undici";
-import type { z } from "zod";
+import { z } from "zod";
 import { secretsSchema } from "../process/index.ts";
 import { readSettings } from "./read_settings.ts";
 
@@ -50,6 +50,8 @@
 
 const DEFAULT_TIMEOUT = 15_000;
 
+const refusalSchema = z.object({ error: z.object({ message: z.string() }) });
+
 /** Calls an operators' route of an entry instance. */
 export async function callOperator<T>(
   command: Command,
@@ -78,7 +80,9 @@
 ): OperatorAnswer<T> {
   const parsed = call.schema.safeParse(jsonOf(text));
   if (parsed.success) return { kind: "answered", value: parsed.data, status };
-  const detail = `Asking ${asked}: it answered with status ${status}: ${text}`;
+  const refusal = refusalSchema.safeParse(jsonOf(text));
+  const found = refusal.success ? refusal.data.error.message : text;
+  const detail = `Asking ${asked}: it answered with status ${status}: ${found}`;
   return { kind: "turned-away", detail };
 }
 
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -29,7 +29,9 @@
     );
     const { callerAddress, address } = entry.self;
     this.log(JSON.stringify({ ready: true, callers: callerAddress, peers: address }));
-    await untilStopped();
+    // A signal asks for a planned stop, which cuts no request in progress; further ones join it.
+    void untilStopped().then(() => entry.core.drain());
+    await entry.core.whenDrained();
     await entry.close();
   }
 
--- a/src/connection/operator_routes.ts
+++ b/src/connection/operator_routes.ts
@@ -38,7 +38,6 @@
       if (isOperator(request, parts)) await route(request, response);
       else refuse(parts, response);
     });
-  addEarlierRoutes(app, parts);
   app.get("/v1/health", (_request, response) => sendHealth(parts, response));
   app.get(
     "/metrics",
@@ -101,22 +100,6 @@
   );
 }
 
-/** The routes of before; they go when no command uses them any more. */
-function addEarlierRoutes(app: Polka, { configuration, operators }: OperatorParts): void {
-  app.get("/v1/status", (_request, response) => {
-    const revision = configuration.revision();
-    sendJson(response, { revision: revision?.version ?? 0, preset: revision?.preset ?? "" });
-  });
-  app.put("/v1/preset/:name", async (request, response) => {
-    const preset = routeParameter(request, "name");
-    const outcome = await operators.apply({ kind: "preset", id: randomUUID(), preset });
-    const written = { kind: "written", version: outcome.kind === "accepted" && outcome.revision };
-    sendJson(response, outcome.kind === "accepted" ? written : outcome, {
-      status: STATUS_OF[outcome.kind],
-    });
-  });
-}
-
 function isOperator(request: IncomingMessage, { operatorKey }: OperatorParts): boolean {
   return equalSecrets(bearerOf(request.headers.authorization), operatorKey);
 }
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -67,6 +67,8 @@
    * instance may go.
    */
   drain(): Promise<void>;
+  /** Resolves when a drain, whoever asked for it, is over. */
+  whenDrained(): Promise<void>;
   /** A notice that this instance is taken in the given number of milliseconds: hands over at once. */
   reclaim(within: number): Promise<void>;
   close(): void;
@@ -115,7 +117,11 @@
     await requests.cedeAll();
   };
   const changes = createOperatorChanges({ ...outside, configuration });
-  const drainOnce = (): Promise<void> => (draining ??= drain());
+  const drained = new Set<() => void>();
+  const drainOnce = (): Promise<void> =>
+    (draining ??= drain().then(() => {
+      for (const resolve of drained) resolve();
+    }));
   const operators = createOperatorService({
     ...environment,
     requests,
@@ -139,6 +145,10 @@
       reports.start();
     },
     drain: drainOnce,
+    whenDrained: () =>
+      new Promise((resolve) => {
+        drained.add(resolve);
+      }),
     reclaim: handOver,
     close: () => {
       requests.close();
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -73,7 +73,6 @@
     },
   );
   sockets.servePeers(core.handlers);
-  await core.start();
   const app = polka();
   const { operatorKey } = settings.secrets;
   const present = (): readonly Member[] => core.members.present();
@@ -84,6 +83,9 @@
   sockets.serveCallers((request, response) => {
     app.handler(request as polka.Request, response);
   });
+  // Operators are answered from here on: a deployment's first document is put in force by an instance
+  // that has none. Callers are turned away until a revision is known.
+  await core.start();
   return {
     self,
     core,
--- a/src/process/operator_changes.ts
+++ b/src/process/operator_changes.ts
@@ -1,6 +1,6 @@
 import { sleep } from "../interface/index.ts";
 import type { Clock, ObjectStore, Random } from "../interface/index.ts";
-import { parseRevision, planChange, REVISION_KEY } from "../version/index.ts";
+import { deploymentSchema, parseRevision, planChange, REVISION_KEY } from "../version/index.ts";
 import type { Change, ChangeOutcome, Revision } from "../version/index.ts";
 import type { Configuration } from "./configuration.ts";
 
@@ -50,9 +50,7 @@
     apply: async (change, base) => {
       remember();
       const current = configuration.revision();
-      if (current === undefined) {
-        return refused(change, "This instance knows no revision yet; try another one.");
-      }
+      if (current === undefined) return applyFirst(parts, change);
       const from = base === undefined ? current : earlier.get(base);
       if (from === undefined) {
         return refused(
@@ -79,6 +77,25 @@
   };
 }
 
+/**
+ * Puts a deployment's first document in force. Only the store can say that there is none yet: an instance
+ * that merely has not heard of one must not write over it.
+ */
+async function applyFirst(parts: ChangesParts, change: Change): Promise<ChangeOutcome> {
+  if (change.kind !== "deployment") {
+    return refused(change, "No deployment is in force yet; apply one first.");
+  }
+  const read = await parts.store.get(REVISION_KEY);
+  if (read.kind !== "absent") {
+    return refused(change, "This instance knows no revision yet; try again, or another one.");
+  }
+  const parsed = deploymentSchema.safeParse(change.source);
+  if (!parsed.success) return refused(change, "The document has faults; samphireshore check FILE.");
+  const [preset = ""] = Object.keys(parsed.data.presets);
+  const nothing = { version: 0, deployment: parsed.data, source: {}, preset, changes: [] };
+  return write(parts, { change, base: nothing, current: nothing });
+}
+
 interface Attempt {
   readonly change: Change;
   readonly base: Revision;
