--- a/src/interface/peer.ts
+++ b/src/interface/peer.ts
@@ -61,6 +61,8 @@
   readonly epoch: number;
   /** True where the receiver is not the named backup and only keeps the records. */
   readonly custody: boolean;
+  /** True where these are all records that the slot has ever had, as its owner has them. */
+  readonly complete?: boolean;
   readonly records: readonly RequestRecord[];
 }
 
--- a/src/request/slot_replica.ts
+++ b/src/request/slot_replica.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import { hasEnded, RequestState, SlotOutcome } from "../interface/index.ts";
+import { hasEnded, Refusal, RequestState, SlotOutcome } from "../interface/index.ts";
 import type {
   CedeMessage,
   ReplicateMessage,
@@ -37,6 +37,12 @@
   readonly record: RequestRecord;
   /** Highest sequence that the backup has acknowledged at the present epoch; 0 for none. */
   readonly acknowledged: number;
+  /** Epoch of the owner that this copy comes from. */
+  readonly epoch: number;
+  /** Epoch up to which no later copy can exist elsewhere. */
+  readonly latestTo: number;
+  /** Written here, and the slot owned without a gap since: only then can this instance know what it sent. */
+  readonly own: boolean;
 }
 
 /** The rules of the protocol that the model checker can switch off, to show that each is needed. */
@@ -55,6 +61,10 @@
   readonly actingWaits: boolean;
   /** A slot taken over from two dead owners runs no unknown key that may not be repeated. */
   readonly historyLost: boolean;
+  /** A copy from a later epoch replaces one from an earlier epoch, whatever their sequences. */
+  readonly copyOrder: boolean;
+  /** An owner runs nothing that may not be repeated from a copy, or a history, that may be out of date. */
+  readonly freshCopy: boolean;
 }
 
 /** All rules in force, as in every running instance. */
@@ -66,6 +76,8 @@
   cedeToNamed: true,
   actingWaits: true,
   historyLost: true,
+  copyOrder: true,
+  freshCopy: true,
 };
 
 /** One slot at one instance. */
@@ -76,6 +88,8 @@
   /** The latest assignment heard of. */
   readonly assignment: Assignment;
   readonly stance: Stance;
+  /** Epoch up to which this instance has had every record of the slot. */
+  readonly completeTo: number;
   readonly held: ReadonlyMap<string, Held>;
 }
 
@@ -93,6 +107,8 @@
   NeedsIntent = "needs-intent",
   /** The record waits for the backup's acknowledgement. */
   NeedsAcknowledgement = "needs-acknowledgement",
+  /** An earlier owner may have sent it: see {@linkcode Inheritance.Inquire}. */
+  NeedsInquiry = "needs-inquiry",
   /** The slot map must first name this instance, with a backup. */
   NeedsMap = "needs-map",
   /** This instance doesn't own the slot. */
@@ -116,7 +132,14 @@
  * @param slot The slot's number.
  */
 export function emptyReplica(self: string, slot: number): SlotReplica {
-  return { self, slot, assignment: UNASSIGNED, stance: Stance.None, held: new Map() };
+  return {
+    self,
+    slot,
+    assignment: UNASSIGNED,
+    stance: Stance.None,
+    completeTo: 0,
+    held: new Map(),
+  };
 }
 
 /**
@@ -133,12 +156,77 @@
  * Takes in an assignment from the slot map. An epoch that is not higher changes nothing, whoever says it.
  *
  * All acknowledgements are forgotten: they were another backup's, or given at an epoch that has passed.
+ *
+ * An instance that missed an epoch, or that kept records in custody while others owned the slot, may hold
+ * copies older than what was done since. A new primary that ran from such a copy would run an entry a
+ * second time; so it ends them as {@linkcode RequestState.MayHaveRun}.
  */
-export function hearAssignment(replica: SlotReplica, assignment: Assignment): SlotReplica {
+export function hearAssignment(
+  replica: SlotReplica,
+  assignment: Assignment,
+  rules: Rules = ALL_RULES,
+): SlotReplica {
   if (assignment.epoch <= replica.assignment.epoch) return replica;
+  const stance = stanceIn(assignment, replica.self);
+  const goesOn =
+    replica.stance === Stance.Primary &&
+    stance === Stance.Primary &&
+    assignment.epoch === replica.assignment.epoch + 1;
+  const heard: SlotReplica = {
+    ...replica,
+    assignment,
+    stance,
+    completeTo: completeAfter(replica, { assignment, stance }),
+  };
   const held = new Map<string, Held>();
-  for (const [id, { record }] of replica.held) held.set(id, { record, acknowledged: 0 });
-  return { ...replica, assignment, stance: stanceIn(assignment, replica.self), held };
+  for (const [id, one] of replica.held) {
+    const latestTo = carried(heard, one.latestTo);
+    // The new primary's copy is the slot's truth from here on, before whatever is still under way.
+    const isTruth = stance === Stance.Primary && latestTo >= assignment.epoch;
+    const epoch = isTruth ? assignment.epoch : one.epoch;
+    const kept = { ...one, acknowledged: 0, epoch, latestTo, own: one.own && goesOn };
+    held.set(id, doubted(heard, kept, rules));
+  }
+  return { ...heard, held };
+}
+
+/**
+ * What was true up to the epoch before is true at this one for an instance that it names: nothing that
+ * matters is done at an epoch without its primary and its backup.
+ */
+function carried({ assignment, stance }: SlotReplica, upTo: number): number {
+  if (stance === Stance.None) return upTo;
+  return upTo >= assignment.epoch - 1 ? Math.max(upTo, assignment.epoch) : upTo;
+}
+
+function completeAfter(
+  replica: SlotReplica,
+  { assignment, stance }: { assignment: Assignment; stance: Stance },
+): number {
+  // The history begins anew where the map says so; what was before is refused by the map's own mark.
+  const begins =
+    stance === Stance.Primary &&
+    assignment.historyLostAt !== 0 &&
+    assignment.historyLostAt !== replica.assignment.historyLostAt &&
+    assignment.epoch === replica.assignment.epoch + 1;
+  if (begins) return assignment.epoch;
+  return carried({ ...replica, assignment, stance }, replica.completeTo);
+}
+
+/** A primary's copy that may be out of date, ended as what it is. */
+function doubted(replica: SlotReplica, held: Held, rules: Rules): Held {
+  const { record } = held;
+  const isFresh = held.latestTo >= replica.assignment.epoch || !rules.freshCopy;
+  if (isFresh || replica.stance !== Stance.Primary) return held;
+  if (record.repeatable || hasEnded(record.state)) return held;
+  const ended = {
+    ...record,
+    state: RequestState.MayHaveRun,
+    reason: Refusal.HistoryLost,
+    sequence: record.sequence + 1,
+  };
+  const { epoch } = replica.assignment;
+  return { record: ended, acknowledged: 0, epoch, latestTo: epoch, own: true };
 }
 
 function stanceIn(assignment: Assignment, self: string): Stance {
@@ -155,9 +243,13 @@
 export function writeRecord(replica: SlotReplica, record: RequestRecord): SlotReplica {
   const before = replica.held.get(record.id);
   const sequence = (before?.record.sequence ?? 0) + 1;
+  const { epoch } = replica.assignment;
   return withHeld(replica, {
     record: { ...record, sequence },
     acknowledged: before?.acknowledged ?? 0,
+    epoch,
+    latestTo: epoch,
+    own: true,
   });
 }
 
@@ -196,7 +288,7 @@
   const named = replica.stance === Stance.Backup || !rules.epochCheck;
   if (!named) return { replica, reply: reply(replica, SlotOutcome.NotNamed) };
   return {
-    replica: mergeRecord(replica, message.record),
+    replica: mergeRecord(replica, message.record, { epoch: message.epoch, rules }),
     reply: reply(replica, SlotOutcome.Acknowledged),
   };
 }
@@ -213,11 +305,35 @@
   return { outcome, epoch: replica.assignment.epoch };
 }
 
-/** Keeps the later of two copies of a record; a duplicate or late message changes nothing. */
-export function mergeRecord(replica: SlotReplica, record: RequestRecord): SlotReplica {
+/**
+ * Keeps the later of two copies of a record; a duplicate or late message changes nothing.
+ *
+ * The epoch goes before the sequence: a primary that was paused may hold a high sequence that no backup
+ * ever had. Were that kept as the later copy, the instance would acknowledge what its new primary sends
+ * without keeping it, and after the next takeover contradict what the caller was told.
+ *
+ * @param options The epoch of the owner that the copy comes from.
+ */
+export function mergeRecord(
+  replica: SlotReplica,
+  record: RequestRecord,
+  options: { epoch: number; rules?: Rules },
+): SlotReplica {
+  const { epoch, rules = ALL_RULES } = options;
   const before = replica.held.get(record.id);
-  if (before !== undefined && before.record.sequence >= record.sequence) return replica;
-  return withHeld(replica, { record, acknowledged: before?.acknowledged ?? 0 });
+  if (before !== undefined && !isLater({ record, epoch }, before, rules)) return replica;
+  const latestTo = carried(replica, epoch);
+  const held = { record, acknowledged: 0, epoch, latestTo, own: false };
+  return withHeld(replica, doubted(replica, held, rules));
+}
+
+function isLater(
+  { record, epoch }: Pick<Held, "record" | "epoch">,
+  before: Held,
+  rules: Rules,
+): boolean {
+  if (rules.copyOrder && epoch !== before.epoch) return epoch > before.epoch;
+  return record.sequence > before.record.sequence;
 }
 
 /** Takes in the backup's acknowledgement of a sequence, if it was given at the present epoch. */
@@ -249,8 +365,10 @@
   const held = replica.held.get(id);
   if (held === undefined || !ownsSlot(replica)) return Permission.NotOwner;
   if (held.record.repeatable) return Permission.Send;
-  if (replica.stance === Stance.Acting && rules.actingWaits) return Permission.NeedsMap;
+  if (replica.stance === Stance.Acting)
+    return rules.actingWaits ? Permission.NeedsMap : Permission.Send;
   if (held.record.state !== RequestState.DispatchIntent) return Permission.NeedsIntent;
+  if (!held.own && rules.intentBlocks) return Permission.NeedsInquiry;
   const acknowledged = isAcknowledged(replica, id) || !rules.backupAck;
   return acknowledged ? Permission.Send : Permission.NeedsAcknowledgement;
 }
@@ -284,25 +402,56 @@
 
 /**
  * Hands the slot over: from here on this instance acts no more at this epoch, whether or not the message
- * arrives.
+ * arrives. An instance that doesn't own the slot hands on what it holds in custody.
  *
- * @param replica A slot that this instance owns.
  * @param to The receiver's member id; one that is not the named backup gets custody only. Ceding to a
  * second instance because the first did not answer would make two owners.
  */
 export function cedeSlot(replica: SlotReplica, to: string, rules: Rules = ALL_RULES): Cession {
   const custody = rules.cedeToNamed && !(replica.assignment.backup === to && canHandOver(replica));
+  const owned = ownsSlot(replica) || replica.stance === Stance.Ceded;
+  const { epoch } = replica.assignment;
   const message: CedeMessage = {
     from: replica.self,
     slot: replica.slot,
-    epoch: replica.assignment.epoch,
+    epoch: owned ? epoch : oldestCopy(replica),
     custody,
-    records: [...replica.held.values()].map((held) => held.record),
+    complete: owned && replica.completeTo >= epoch,
+    records: recordsOf(replica),
   };
   const stance = ownsSlot(replica) ? Stance.Ceded : replica.stance;
   return { replica: { ...replica, stance }, message };
 }
 
+/**
+ * The message that copies the whole slot from its primary, which goes on acting, to another instance.
+ *
+ * A backup that the map has just named counts as having the slot's history only after this message:
+ * were it to take over before, it would run a key again that it has never seen. Sent to an instance that
+ * is not the named backup it saves time later, but is worth nothing for what is not to be repeated.
+ */
+export function copyOf(replica: SlotReplica, to: string): CedeMessage {
+  const { epoch, backup } = replica.assignment;
+  const named = replica.stance === Stance.Primary && backup === to;
+  return {
+    from: replica.self,
+    slot: replica.slot,
+    epoch: named ? epoch : 0,
+    custody: true,
+    complete: named && replica.completeTo >= epoch,
+    records: recordsOf(replica),
+  };
+}
+
+function recordsOf(replica: SlotReplica): RequestRecord[] {
+  return [...replica.held.values()].map((held) => held.record);
+}
+
+function oldestCopy(replica: SlotReplica): number {
+  const epochs = [...replica.held.values()].map((held) => held.latestTo);
+  return epochs.length === 0 ? 0 : Math.min(...epochs);
+}
+
 /** Only the primary of the map, before or after it has ceded, can make its named backup the owner. */
 function canHandOver(replica: SlotReplica): boolean {
   return replica.assignment.primary === replica.self;
@@ -314,7 +463,13 @@
   message: CedeMessage,
   rules: Rules = ALL_RULES,
 ): Answered {
-  const merged = message.records.reduce(mergeRecord, replica);
+  const { epoch } = message;
+  const merged = message.records.reduce(
+    (into, record) => mergeRecord(into, record, { epoch, rules }),
+    message.complete === true
+      ? { ...replica, completeTo: Math.max(replica.completeTo, carried(replica, epoch)) }
+      : replica,
+  );
   if (message.custody) {
     return { replica: merged, reply: reply(merged, SlotOutcome.Acknowledged) };
   }
@@ -335,13 +490,30 @@
 /**
  * Says whether a request with a caller's key that this owner has never seen may be run.
  *
- * @returns False where both earlier owners were lost with their records and the request may not be
- * repeated: they may have run the same key.
+ * @returns False where the request may not be repeated and an earlier owner may have run the same key:
+ * both earlier owners were lost with their records, or this one was named before it had them all.
  */
 export function mayAcceptUnknownKey(
   replica: SlotReplica,
   repeatable: boolean,
   rules: Rules = ALL_RULES,
 ): boolean {
-  return repeatable || replica.assignment.historyLostAt === 0 || !rules.historyLost;
+  if (repeatable) return true;
+  const isLost = replica.assignment.historyLostAt !== 0 && rules.historyLost;
+  const isPartial = replica.completeTo < replica.assignment.epoch && rules.freshCopy;
+  return !isLost && !isPartial;
+}
+
+/**
+ * Says whether a request that has not been answered may end as {@linkcode RequestState.NotRun}.
+ *
+ * @param sent True where this instance has written the request to a backend server, or was permitted to
+ * and can't take that back.
+ * @returns True only if nobody else can have sent it either: what may be repeated is sent without telling
+ * the backup, so only the instance that accepted it can know.
+ */
+export function mayEndNotRun(replica: SlotReplica, id: string, sent: boolean): boolean {
+  const held = replica.held.get(id);
+  if (held === undefined || sent || !ownsSlot(replica)) return false;
+  return held.own || (!held.record.repeatable && held.record.state === RequestState.Accepted);
 }
