--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -17,7 +17,7 @@
 import { drawnId, fingerprintOf, keyedId } from "./request_key.ts";
 import { createRequestQueue } from "./request_queue.ts";
 import { createRetention } from "./retention.ts";
-import { ownsSlot, receiveCession, receiveRecord, Stance } from "./slot_replica.ts";
+import { isKeeper, ownsSlot, receiveCession, receiveRecord, Stance } from "./slot_replica.ts";
 import { createSlotTable } from "./slot_table.ts";
 import type { SlotChange } from "./slot_table.ts";
 
@@ -47,10 +47,12 @@
   let carried = 0;
 
   const onSlotChange = ({ before, after }: SlotChange): void => {
+    handover.complete(after.slot);
     if (ownsSlot(after)) ownership.inherit(after.slot);
     else if (ownsSlot(before)) ownership.leave(after.slot);
-    if (after.stance === Stance.None) {
-      const wasBackup = before.stance === Stance.Backup;
+    if (isKeeper(after)) {
+      // A backup gets from its primary what that one has; what it then still lacks has to be handed on.
+      const wasBackup = before.stance === Stance.Backup || after.stance === Stance.Backup;
       handover.forward(after.slot, wasBackup ? EX_BACKUP_TIME : 0);
     }
   };
