Stream tokens through fewer layers, and renew a peer's connection once for all that wait on it

Cause: each token passed five asynchronous generators, each of which costs several turns of the microtask queue, and a schema check. And when the connection between two instances ran out of time under load, each waiting call gave up the connection that the one before had just opened: a test with 50 waiting calls had 1 of them answered.

Change: submit and serve hand the inner iteration on; the engine's events come from a written-out iterator over the chunk's events; tokens are checked by hand. A call renews a connection only if it is still the one that it waited on (connect_peers, one counter).

The 50 waiting calls are all answered.

--- a/src/connection/connect_peers.ts
+++ b/src/connection/connect_peers.ts
@@ -24,6 +24,8 @@
 interface Link {
   readonly channel: PeerChannel;
   replicate: ReplicateStream | undefined;
+  /** Grows with each new connection. */
+  generation: number;
 }
 
 /** What the peers' calls are made with. */
@@ -40,7 +42,11 @@
   const linkTo = (address: string): Link => {
     const known = links.get(address);
     if (known !== undefined) return known;
-    const link = { channel: createPeerChannel(address, security), replicate: undefined };
+    const link = {
+      channel: createPeerChannel(address, security),
+      replicate: undefined,
+      generation: 0,
+    };
     links.set(address, link);
     return link;
   };
@@ -50,12 +56,14 @@
   ): Promise<T> => {
     const link = linkTo(path.to.address);
     for (let renewals = 0; ; renewals++) {
+      const { generation } = link;
       try {
         return await withTimeout(clock, run(link));
       } catch (cause) {
         if (renewals >= RENEWALS) throw peerFailure(path, cause);
         // Every call between instances is idempotent, so the same one may go over a new connection.
-        renew(link);
+        // The first call to run out of time renews the connection for all that waited on the same one.
+        if (link.generation === generation) renew(link);
       }
     }
   };
@@ -112,6 +120,7 @@
 }
 
 function renew(link: Link): void {
+  link.generation++;
   link.replicate?.close();
   link.replicate = undefined;
   link.channel.renew();
--- a/src/connection/connect_peers_test.ts
+++ b/src/connection/connect_peers_test.ts
@@ -145,6 +145,25 @@
   expect(replicated).toHaveLength(2);
 });
 
+test("many calls on a connection that went silent share one new one", async () => {
+  // Under load many calls wait on the connection when it falls silent, and all run out of time at once. If
+  // each gave up the connection that the one before had just opened, none would get through, and every
+  // caller of the instance would be told to come back.
+  const { handlers, replicated } = recordingHandlers();
+  const { address } = await startPeer(handlers);
+  const path = await startPath(address);
+  const peers = peersWith("key-of-the-instances");
+  const to = memberAt(path.address);
+  const message = { from: "e1#1", slot: 1, epoch: 3, record: RECORD };
+  await peers.replicate(to, message);
+  path.silenceOpen();
+  const replies = await Promise.all(
+    Array.from({ length: 50 }, () => peers.replicate(to, message).catch(() => undefined)),
+  );
+  expect(replies.filter((reply) => reply?.outcome === SlotOutcome.Acknowledged)).toHaveLength(50);
+  expect(replicated).toHaveLength(51);
+});
+
 interface Path {
   readonly address: string;
   silenceOpen(): void;
--- a/src/connection/event_stream.ts
+++ b/src/connection/event_stream.ts
@@ -1,25 +1,75 @@
 /**
  * Splits a server-sent event stream into the data of its events.
  *
+ * The iteration is written out: a stream of tokens has one event every few microseconds, and an
+ * asynchronous generator spends more than that on each.
+ *
  * @param chunks The stream's bytes, cut anywhere.
- * @returns The data of each event, in order.
+ * @param parse Makes a value of each event's data; what it throws ends the iteration.
+ * @param options Makes the error that a failure of the stream or of `parse` ends the iteration with.
+ * @returns The values, in order.
  */
-export async function* eventData(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+export function eventValues<T>(
+  chunks: AsyncIterable<Uint8Array>,
+  parse: (data: string) => T,
+  options: { failure?: (cause: unknown) => Error } = {},
+): AsyncIterableIterator<T> {
   const decoder = new TextDecoder();
+  const source = chunks[Symbol.asyncIterator]();
+  let ready: T[] = [];
+  let taken = 0;
   let rest = "";
-  for await (const chunk of chunks) {
-    rest += decoder.decode(chunk, { stream: true });
-    const events = rest.split("\n\n");
+  const take = (chunk: Uint8Array): void => {
+    const events = (rest + decoder.decode(chunk, { stream: true })).split("\n\n");
     rest = events.pop() ?? "";
+    ready = [];
+    taken = 0;
     for (const event of events) {
       const data = dataOf(event);
-      if (data !== undefined) yield data;
+      if (data !== undefined) ready.push(parse(data));
+    }
+  };
+  const more = async (): Promise<IteratorResult<T>> => {
+    try {
+      return await nextChunk();
+    } catch (error) {
+      throw options.failure?.(error) ?? error;
+    }
+  };
+  const nextChunk = async (): Promise<IteratorResult<T>> => {
+    for (;;) {
+      const next = await source.next();
+      if (next.done === true) return { value: undefined, done: true };
+      take(next.value);
+      if (ready.length > 0) return { value: ready[taken++] as T, done: false };
     }
-  }
+  };
+  const iterator: AsyncIterableIterator<T> = {
+    next: () => {
+      if (taken === ready.length) return more();
+      return Promise.resolve({ value: ready[taken++] as T, done: false });
+    },
+    return: async () => {
+      await source.return?.();
+      return { value: undefined, done: true };
+    },
+    [Symbol.asyncIterator]: () => iterator,
+  };
+  return iterator;
 }
 
+/** The data of each event of a server-sent event stream, as text. */
+export function eventData(chunks: AsyncIterable<Uint8Array>): AsyncIterableIterator<string> {
+  return eventValues(chunks, (data) => data);
+}
+
+const FIELD = "data:";
+
 function dataOf(event: string): string | undefined {
-  const lines = event.split("\n").filter((line) => line.startsWith("data:"));
+  // Nearly every event is a single line.
+  if (event.startsWith(FIELD) && !event.includes("\n"))
+    return event.slice(FIELD.length).trimStart();
+  const lines = event.split("\n").filter((line) => line.startsWith(FIELD));
   if (lines.length === 0) return undefined;
-  return lines.map((line) => line.slice("data:".length).trimStart()).join("\n");
+  return lines.map((line) => line.slice(FIELD.length).trimStart()).join("\n");
 }
--- a/src/connection/http_engine.ts
+++ b/src/connection/http_engine.ts
@@ -10,7 +10,7 @@
   Order,
   Worker,
 } from "../interface/index.ts";
-import { eventData } from "./event_stream.ts";
+import { eventValues } from "./event_stream.ts";
 
 const engineEvent: z.ZodType<EngineEvent> = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("started"), recomputed: z.number(), cached: z.number() }),
@@ -81,6 +81,16 @@
   };
 }
 
+/** Nearly every event is a token: those are checked by hand, the others by their schema. */
+function parseEvent(data: string): EngineEvent {
+  const found = JSON.parse(data) as Partial<EngineEvent> | null;
+  if (found?.kind === "token") {
+    const { index, text } = found;
+    if (typeof text === "string" && Number.isSafeInteger(index)) return found as EngineEvent;
+  }
+  return engineEvent.parse(found);
+}
+
 interface EventCall {
   readonly worker: Worker;
   readonly path: string;
@@ -88,27 +98,51 @@
   readonly signal: AbortSignal;
 }
 
-async function* events(agent: Agent, call: EventCall): AsyncGenerator<EngineEvent> {
-  let step: EngineFailure["step"] = "connect";
+/** The events of one call; nothing is sent before the first is asked for. */
+function events(agent: Agent, call: EventCall): AsyncIterableIterator<EngineEvent> {
+  let stream: AsyncIterableIterator<EngineEvent> | undefined;
+  const begin = async (): Promise<IteratorResult<EngineEvent>> => {
+    stream = await openEvents(agent, call);
+    return stream.next();
+  };
+  const iterator: AsyncIterableIterator<EngineEvent> = {
+    next: () => stream?.next() ?? begin(),
+    return: async () => {
+      await stream?.return?.();
+      return { value: undefined, done: true };
+    },
+    [Symbol.asyncIterator]: () => iterator,
+  };
+  return iterator;
+}
+
+async function openEvents(
+  agent: Agent,
+  { worker, path, body, signal }: EventCall,
+): Promise<AsyncIterableIterator<EngineEvent>> {
   try {
-    const answer = await request(`${call.worker.address}${call.path}`, {
+    const answer = await request(`${worker.address}${path}`, {
       method: "POST",
       dispatcher: agent,
       headers: { "content-type": "application/json" },
-      body: JSON.stringify(call.body),
-      signal: call.signal,
+      body: JSON.stringify(body),
+      signal,
     });
-    step = "stream";
     if (answer.statusCode !== 200) {
-      yield { kind: "status", status: answer.statusCode, body: await answer.body.text() };
-      return;
+      return statusOnly(answer.statusCode, await answer.body.text());
     }
-    for await (const data of eventData(answer.body)) yield engineEvent.parse(JSON.parse(data));
+    const failure = (cause: unknown): EngineFailure => engineFailure("stream", worker, cause);
+    return eventValues(answer.body, parseEvent, { failure });
   } catch (error) {
-    throw engineFailure(step, call.worker, error);
+    throw engineFailure("connect", worker, error);
   }
 }
 
+async function* statusOnly(status: number, body: string): AsyncGenerator<EngineEvent> {
+  await Promise.resolve();
+  yield { kind: "status", status, body };
+}
+
 interface PlainCall {
   readonly worker: Worker;
   readonly dispatch: Dispatch;
--- a/src/request/caller_stream.ts
+++ b/src/request/caller_stream.ts
@@ -12,6 +12,9 @@
   readonly environment: Environment;
   readonly table: SlotTable;
   readonly ownership: Ownership;
+  /** Called when a request begins and ends to be carried: a planned stop waits for it. */
+  readonly began: () => void;
+  readonly ended: () => void;
 }
 
 /** A request as it is carried to its owner. */
@@ -49,26 +52,35 @@
     heardAt: clock.now(),
     asked: false,
   };
-  for (let tries = 0; !signal.aborted; tries++) {
-    const owner = ownerAt(front, record.slot, tries);
-    if (owner !== undefined) {
-      const message = messageFor(front, { record, progress, follow: follow || progress.accepted });
-      for await (const event of eventsFrom(front, { owner, message, progress, signal })) {
-        progress.heardAt = clock.now();
-        const told = hear(progress, event);
-        if (told === undefined) continue;
-        yield told;
-        if (told.kind === "ended" || told.kind === "rejected") return;
+  front.began();
+  try {
+    for (let tries = 0; !signal.aborted; tries++) {
+      const owner = ownerAt(front, record.slot, tries);
+      if (owner !== undefined) {
+        const message = messageFor(front, {
+          record,
+          progress,
+          follow: follow || progress.accepted,
+        });
+        for await (const event of eventsFrom(front, { owner, message, progress, signal })) {
+          progress.heardAt = clock.now();
+          const told = hear(progress, event);
+          if (told === undefined) continue;
+          yield told;
+          if (told.kind === "ended" || told.kind === "rejected") return;
+        }
       }
+      if (isAborted(signal)) return;
+      if (clock.now() - progress.heardAt >= OWNER_PATIENCE) {
+        counters.refused(Refusal.OwnerUnavailable);
+        yield { kind: "rejected", rejection: unavailable(record.id, progress) };
+        return;
+      }
+      counters.retried(RetryCause.OwnerMoved);
+      await newRoute(front, tries);
     }
-    if (isAborted(signal)) return;
-    if (clock.now() - progress.heardAt >= OWNER_PATIENCE) {
-      counters.refused(Refusal.OwnerUnavailable);
-      yield { kind: "rejected", rejection: unavailable(record.id, progress) };
-      return;
-    }
-    counters.retried(RetryCause.OwnerMoved);
-    await newRoute(front, tries);
+  } finally {
+    front.ended();
   }
 }
 
--- a/src/request/ownership.ts
+++ b/src/request/ownership.ts
@@ -212,19 +212,13 @@
   };
 
   const ownership: Ownership = {
-    serve: async function* (message, signal) {
+    serve: (message, signal) => {
       const { slot } = message.record;
-      if (!ownsSlot(table.get(slot))) {
-        yield movedEvent(slot);
-        return;
-      }
+      if (!ownsSlot(table.get(slot))) return only(movedEvent(slot));
       const found = followed(message);
-      if (!(found instanceof LiveRequest)) {
-        yield found;
-        return;
-      }
+      if (!(found instanceof LiveRequest)) return only(found);
       takeTokens(found, message);
-      yield* found.read(message.fromToken, signal);
+      return found.read(message.fromToken, signal);
     },
     find: (slot, id) => {
       const live = lives.get(id);
@@ -258,6 +252,11 @@
   return ownership;
 }
 
+async function* only(event: FinalEvent): AsyncGenerator<RelayEvent> {
+  await Promise.resolve();
+  yield event;
+}
+
 /** Tokens that the caller has had from an earlier owner, which this one didn't get to know. */
 function takeTokens(live: LiveRequest, { record, fromToken }: RelayMessage): void {
   if (!live.record.repeatable || live.dispatched || record.tokens.length !== fromToken) return;
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -40,7 +40,16 @@
   const queue = createRequestQueue(scheduler, clock);
   const retention = createRetention(clock, table);
   const ownership = createOwnership({ environment, table, replicator, queue }, retention);
-  const front: Front = { environment, table, ownership };
+  const front: Front = {
+    environment,
+    table,
+    ownership,
+    began: () => carried++,
+    ended: () => {
+      carried--;
+      tellIdle();
+    },
+  };
   const handover = createHandover(environment, { table, ownership });
   const idle = new Set<() => void>();
   let taking = true;
@@ -67,42 +76,21 @@
   };
   ownership.onSettled = tellIdle;
 
-  async function* submit(submission: Submission, signal: AbortSignal): AsyncGenerator<CallerEvent> {
-    const record = taking
-      ? recordOf(environment, { submission, draw: (random) => table.draw(random) })
-      : DRAINING;
-    if ("notRun" in record) {
-      environment.counters.refused(record.reason);
-      yield { kind: "rejected", rejection: record };
-      return;
-    }
-    yield* carrying({ record, fromToken: submission.fromToken, follow: false }, signal);
-  }
-  async function* carrying(
-    request: Parameters<typeof carry>[1],
-    signal: AbortSignal,
-  ): AsyncGenerator<CallerEvent> {
-    carried++;
-    try {
-      yield* carry(front, request, signal);
-    } finally {
-      carried--;
-      tellIdle();
+  const submit: RequestService["submit"] = (submission, signal) => {
+    const draw = (random: Environment["random"]): number | undefined => table.draw(random);
+    const record = taking ? recordOf(environment, { submission, draw }) : DRAINING;
+    if (!("notRun" in record)) {
+      return carry(front, { record, fromToken: submission.fromToken, follow: false }, signal);
     }
-  }
-  async function* follow(
-    id: string,
-    options: { account: string; fromToken: number; signal: AbortSignal },
-  ): AsyncGenerator<CallerEvent> {
+    environment.counters.refused(record.reason);
+    return rejected(record);
+  };
+  const follow: RequestService["follow"] = (id, { account, fromToken, signal }) => {
     const slot = slotOfRequestId(id);
-    if (slot === undefined) {
-      yield { kind: "rejected", rejection: unknownRequest(id) };
-      return;
-    }
-    const record = namedOnly({ id, slot, account: options.account });
-    const { fromToken } = options;
-    yield* carrying({ record, fromToken, follow: true }, options.signal);
-  }
+    if (slot === undefined) return rejected(unknownRequest(id));
+    const record = namedOnly({ id, slot, account });
+    return carry(front, { record, fromToken, follow: true }, signal);
+  };
 
   const answerAsk = (message: AskMessage): AskReply => {
     const replica = table.get(message.slot);
@@ -199,6 +187,12 @@
   detail: "This entry instance is about to stop; resolve an address anew.",
 };
 
+/** A request that is turned away before it has an owner. */
+async function* rejected(rejection: Rejection): AsyncGenerator<CallerEvent> {
+  await Promise.resolve();
+  yield { kind: "rejected", rejection };
+}
+
 function unknownRequest(id: string): Rejection {
   const detail = "No request of this account has the id.";
   return { reason: Refusal.UnknownRequest, notRun: false, detail, id };
