--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -14,9 +14,12 @@
 import { createMemberTable, nameOf } from "./member_table.ts";
 import type { MemberTable } from "./member_table.ts";
 import { subscribe } from "./subscription.ts";
+import { withinTime } from "./time_limit.ts";
 
 /** Milliseconds between probes. */
 const PROBE_PERIOD = 1_000;
+/** How long a probe may take; one through a helper gets twice that. */
+const PROBE_TIMEOUT = 1_000;
 /** Members that are asked to probe on our behalf before one is suspected. */
 const HELPERS = 2;
 /** How long a suspected member has to refute, in milliseconds. */
@@ -42,6 +45,8 @@
   leavingWorkers(): ReadonlySet<string>;
   /** All members that are not dead, this one included, whatever their state. */
   present(): readonly Member[];
+  /** Asks every live member which versions it has in force; those that don't answer are left out. */
+  survey(): Promise<ReadonlyMap<string, readonly VersionMark[]>>;
   /** When a peer was last heard, in the clock's milliseconds; undefined where none ever was. */
   heardAt(): number | undefined;
   /** Sends the versions that this instance has applied to a few peers at once. */
@@ -154,9 +159,13 @@
     deltas: [own, ...accusationOf(table, to), ...table.news(random)],
     versions: parts.versions(),
   });
+  const ask = (to: Member, message: ProbeMessage): Promise<ProbeReply> => {
+    const limit = message.target === undefined ? PROBE_TIMEOUT : 2 * PROBE_TIMEOUT;
+    return withinTime(clock, peers.probe(to, message), { limit, step: `probe ${to.id}` });
+  };
   const probe = async (to: Member): Promise<boolean> => {
     try {
-      const reply = await peers.probe(to, outgoing(to.id));
+      const reply = await ask(to, outgoing(to.id));
       if (closed) return true;
       hear(reply.from, reply.deltas, reply.versions);
       // It answered and yet we believe it dead: it has to hear so, or it can't refute.
@@ -170,7 +179,7 @@
   };
   const probeThrough = async (helper: Member, target: Member): Promise<boolean> => {
     try {
-      const reply = await peers.probe(helper, { ...outgoing(helper.id), target });
+      const reply = await ask(helper, { ...outgoing(helper.id), target });
       hear(reply.from, reply.deltas, reply.versions);
       return reply.reached;
     } catch {
@@ -230,6 +239,19 @@
     const deltas = isNew ? [own, ...table.all()] : outgoing(message.from).deltas;
     return { from: self.id, reached, deltas, versions: parts.versions() };
   };
+  const survey = async (): Promise<ReadonlyMap<string, readonly VersionMark[]>> => {
+    const found = new Map([[self.id, parts.versions()]]);
+    const askOne = async (member: Member): Promise<void> => {
+      try {
+        const reply = await ask(member, outgoing(member.id));
+        found.set(reply.from, reply.versions);
+      } catch {
+        // One that doesn't answer is missing from the result, which is what the asker has to know.
+      }
+    };
+    await Promise.all(shuffled(table, random).map(askOne));
+    return found;
+  };
   const isIn = (...states: MemberState[]): readonly Member[] => {
     const others = table.members().filter(({ state }) => states.includes(state));
     const found = others.map(({ member }) => member);
@@ -245,6 +267,7 @@
     onChange: (listener) => subscribe(listeners, listener),
     onOwnNotice: (listener) => subscribe(noticeListeners, listener),
     heardAt: () => heardAt,
+    survey,
     leavingWorkers: () => table.leavingWorkers(),
     handlers: { probe: answerProbe },
     start: () => void run(),
