--- a/.ci/smoke.mjs
+++ b/.ci/smoke.mjs
@@ -27,7 +27,16 @@
   });
   assert.equal(answer.status, 200);
   assert.match(await answer.text(), /data: \[DONE\]/);
-  const used = await run(BINARY, ["preset", "use", "peak", "--wait", "--entry", callers[0], "--operator-key", operatorKey]);
+  const used = await run(BINARY, [
+    "preset",
+    "use",
+    "peak",
+    "--wait",
+    "--entry",
+    callers[0],
+    "--operator-key",
+    operatorKey,
+  ]);
   assert.match(used.stdout, /^accepted/);
   console.log("smoke run of the built binary: passed");
 } finally {
