Hold a lease per service, and give orders and heed notices under it

Cause: nobody gave orders to backend servers or read the cloud's notices. Change: one lease a service, spread by rendezvous, its version the fencing number; orders level-triggered and sent only while more of the lease is left than the order may take; a successor waits out the longest order; one instance a zone reads the notices and spreads them as leaving marks; the cloud by HTTP. Orders of a paused holder that were already on the way reach servers that ignore the number and are put right by the next reading, within about 5 s.

--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -4,6 +4,7 @@
 export * from "./entry_parts.ts";
 export * from "./event_stream.ts";
 export * from "./http_body.ts";
+export * from "./http_cloud.ts";
 export * from "./http_engine.ts";
 export * from "./http_instance_list.ts";
 export * from "./http_listener.ts";
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -18,8 +18,11 @@
 import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
 import type { CounterSink, CounterTable } from "./counters.ts";
+import { createLeaseTask } from "./lease_task.ts";
 import { createLoadReports } from "./load_reports.ts";
 import type { Membership } from "./membership.ts";
+import { createNoticeTask } from "./notice_task.ts";
+import { createOrderTask, ORDER_TIMEOUT } from "./order_task.ts";
 import { recordScheduler } from "./recorder.ts";
 import { createOperatorChanges } from "./operator_changes.ts";
 import { createOperatorService } from "./operator_service.ts";
@@ -75,18 +78,10 @@
 /** Puts an entry instance together. */
 export function createEntryCore(settings: CoreSettings, outside: Outside): EntryCore {
   const counters = createCounters(settings.sink);
-  const control = createControl({
-    ...settings,
-    ...outside,
-    requests: () => requests,
-    count: (name) => counters.count(name),
-  });
+  const count = (name: string): void => counters.count(name);
+  const control = createControl({ ...settings, ...outside, requests: () => requests, count });
   const { configuration, members } = control;
-  const workers = createWorkerDirectory({
-    ...outside,
-    members,
-    count: (name) => counters.count(name),
-  });
+  const workers = createWorkerDirectory({ ...outside, members, count });
   const scheduler = schedulerOf(settings, { clock: outside.clock, configuration });
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests: RequestService = createRequestService(environment);
@@ -101,6 +96,7 @@
   });
   const stopTaking = (): void => {
     members.leave();
+    void leases.release();
     requests.stopTaking();
   };
   const handOver = async (): Promise<void> => {
@@ -114,6 +110,11 @@
     await requests.whenIdle();
     await requests.cedeAll();
   };
+  const tasks = { ...outside, configuration, members, workers, count };
+  const leases = createLeaseTask({ ...tasks, longestOrder: ORDER_TIMEOUT });
+  const orders = createOrderTask({ ...tasks, leases });
+  const notices = createNoticeTask(tasks);
+  members.onOwnNotice(() => void handOver());
   const changes = createOperatorChanges({ ...outside, configuration });
   const drainOnce = (): Promise<void> => (draining ??= drain());
   const operators = createOperatorService({
@@ -137,6 +138,9 @@
       await control.start();
       await workers.start();
       reports.start();
+      leases.start();
+      orders.start();
+      notices.start();
     },
     drain: drainOnce,
     reclaim: handOver,
@@ -144,6 +148,9 @@
       requests.close();
       changes.close();
       reports.close();
+      notices.close();
+      orders.close();
+      leases.close();
       workers.close();
       control.close();
     },
--- /dev/null
+++ b/src/process/lease_task.ts
@@ -0,0 +1,193 @@
+import { sleep } from "../interface/index.ts";
+import type { Clock, ObjectStore, PutOutcome, Random } from "../interface/index.ts";
+import {
+  formatLease,
+  LEASE_TERM,
+  leaseKey,
+  parseLease,
+  rendezvousOrder,
+} from "../version/index.ts";
+import type { Lease } from "../version/index.ts";
+import type { Configuration } from "./configuration.ts";
+import type { Membership } from "./membership.ts";
+
+/** How often a holder renews, and how often the one whose turn it is looks whether it may take over. */
+const RENEW_PERIOD = LEASE_TERM / 4;
+const LOOK_PERIOD = 2_000;
+/** How long a holder goes on after another instance's turn has come, so that a change is no flapping. */
+const HANDOVER_AFTER = 20_000;
+
+/** The leases that this instance holds, one a service at most. */
+export interface LeaseTask {
+  /** Services whose orders this instance may give now. */
+  held(): readonly string[];
+  /**
+   * The fencing number for an order.
+   *
+   * @param service The service that the order is for.
+   * @param orderTime Milliseconds that the order may take until its answer is given up.
+   * @returns Undefined where this instance may not send it: the lease is another's, or would run out
+   * before the order is over.
+   */
+  fence(service: string, orderTime: number): number | undefined;
+  start(): void;
+  /** Gives every lease back, so that another instance needn't wait for them to run out. */
+  release(): Promise<void>;
+  close(): void;
+}
+
+/** What the task is made with. */
+export interface LeaseTaskParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: ObjectStore;
+  readonly configuration: Configuration;
+  readonly members: Membership;
+  /** Longest time that any order may take, in milliseconds. */
+  readonly longestOrder: number;
+  readonly count: (name: string) => void;
+}
+
+interface Held {
+  readonly version: number;
+  /** In the clock's milliseconds. */
+  readonly until: number;
+  /** Before this no order is sent: one of the holder before may still be under way. */
+  readonly ordersFrom: number;
+}
+
+interface Seen {
+  readonly lease: Lease;
+  /** When this version was first seen, in the clock's milliseconds. */
+  readonly since: number;
+}
+
+/**
+ * Makes the task. Each service's lease goes to the first live member in rendezvous order, which spreads
+ * them over the instances. Nobody trusts another's clock: a holder counts its term from before its write
+ * was sent, and a successor from when it first saw that version, which is later.
+ */
+export function createLeaseTask(parts: LeaseTaskParts): LeaseTask {
+  const { clock, random, store, configuration, members, count } = parts;
+  const self = members.self.id;
+  const held = new Map<string, Held>();
+  const seen = new Map<string, Seen>();
+  const turnLostAt = new Map<string, number>();
+  let closed = false;
+  const isClosed = (): boolean => closed;
+
+  const services = (): readonly string[] =>
+    Object.keys(configuration.revision()?.deployment.services ?? {});
+  const isMyTurn = (service: string): boolean => {
+    const able = members.alive().map(({ id }) => id);
+    return rendezvousOrder(leaseKey(service), able)[0] === self;
+  };
+  const isHeld = (service: string): boolean => (held.get(service)?.until ?? 0) > clock.now();
+  const write = async (
+    service: string,
+    lease: { holder: string; expect: number },
+  ): Promise<PutOutcome> => {
+    const value = formatLease({ holder: lease.holder, term: LEASE_TERM });
+    const { expect } = lease;
+    return configuration.pace.run(() => store.put(leaseKey(service), value, { expect }));
+  };
+  /** Notes what the store says; a lease of ours whose write was answered late or never is found again. */
+  const look = async (service: string): Promise<Seen | undefined | "unavailable"> => {
+    const read = await configuration.pace.run(() => store.get(leaseKey(service)));
+    if (read.kind === "unavailable") return "unavailable";
+    if (read.kind === "absent") return undefined;
+    const lease = parseLease(read.object.version, read.object.value);
+    const before = seen.get(service);
+    const since = before?.lease.version === lease.version ? before.since : clock.now();
+    const now = { lease, since };
+    seen.set(service, now);
+    return now;
+  };
+  const take = async (service: string): Promise<void> => {
+    const found = await look(service);
+    if (found === "unavailable") return;
+    const given = found === undefined || found.lease.holder === "";
+    const ranOut = found !== undefined && clock.now() - found.since >= found.lease.term;
+    if (!given && !ranOut) return;
+    const sentAt = clock.now();
+    const outcome = await write(service, { holder: self, expect: found?.lease.version ?? 0 });
+    // After a lost answer nothing is held: the version is seen at the next look and waited out like
+    // another's, and then taken again.
+    if (outcome.kind !== "written") return;
+    // One who gave the lease back had no order under way; one who didn't may have sent its last order in
+    // the last moment of its term.
+    const ordersFrom = given ? clock.now() : clock.now() + parts.longestOrder;
+    held.set(service, { version: outcome.version, until: sentAt + LEASE_TERM, ordersFrom });
+    count("lease.taken");
+  };
+  const renew = async (service: string, { version, ordersFrom }: Held): Promise<void> => {
+    const sentAt = clock.now();
+    const outcome = await write(service, { holder: self, expect: version });
+    if (outcome.kind === "written") {
+      held.set(service, { version: outcome.version, until: sentAt + LEASE_TERM, ordersFrom });
+    } else if (outcome.kind === "conflict") {
+      held.delete(service);
+      count("lease.lost");
+    } else if (outcome.kind === "unknown") {
+      await adopt(service, { version, ordersFrom, sentAt });
+    }
+  };
+  /** The answer of a renewal was lost: if it stands, the next version is ours. */
+  const adopt = async (
+    service: string,
+    renewal: { version: number; ordersFrom: number; sentAt: number },
+  ): Promise<void> => {
+    const found = await look(service);
+    if (found === "unavailable" || found === undefined) return;
+    const { holder, version } = found.lease;
+    if (holder !== self) held.delete(service);
+    else if (version === renewal.version + 1) {
+      const { ordersFrom, sentAt } = renewal;
+      held.set(service, { version, until: sentAt + LEASE_TERM, ordersFrom });
+    }
+  };
+  const giveBack = async (service: string): Promise<void> => {
+    const mine = held.get(service);
+    held.delete(service);
+    if (mine !== undefined) await write(service, { holder: "", expect: mine.version });
+  };
+  const tend = async (service: string): Promise<void> => {
+    const mine = held.get(service);
+    const isMine = isMyTurn(service);
+    if (mine === undefined || !isHeld(service)) {
+      held.delete(service);
+      if (isMine) await take(service);
+      return;
+    }
+    if (isMine) turnLostAt.delete(service);
+    else if (!turnLostAt.has(service)) turnLostAt.set(service, clock.now());
+    const lostFor = clock.now() - (turnLostAt.get(service) ?? clock.now());
+    if (lostFor > HANDOVER_AFTER) await giveBack(service);
+    else await renew(service, mine);
+  };
+  const run = async (): Promise<void> => {
+    while (!isClosed()) {
+      await Promise.all(services().map((service) => tend(service)));
+      const period = held.size > 0 ? RENEW_PERIOD : LOOK_PERIOD;
+      await sleep(clock, period * (0.8 + 0.2 * random.next()));
+    }
+  };
+  return {
+    held: () => services().filter(isHeld),
+    fence: (service, orderTime) => {
+      const mine = held.get(service);
+      const now = clock.now();
+      if (mine === undefined || now < mine.ordersFrom) return undefined;
+      return mine.until - now > orderTime ? mine.version : undefined;
+    },
+    start: () => void run(),
+    release: async () => {
+      closed = true;
+      await Promise.all([...held.keys()].map(giveBack));
+    },
+    close: () => {
+      closed = true;
+      held.clear();
+    },
+  };
+}
--- /dev/null
+++ b/src/process/lease_task_test.ts
@@ -0,0 +1,244 @@
+import { expect, test } from "vitest";
+import { createSeededRandom, Purchase, sleep, WorkerState } from "../interface/index.ts";
+import type { Engine, LoadReport, Worker } from "../interface/index.ts";
+import { formatRevision, REVISION_KEY } from "../version/index.ts";
+import { MINIMAL_DOCUMENT } from "../version/testing/minimal_revision.ts";
+import { createLeaseTask } from "./lease_task.ts";
+import type { LeaseTask } from "./lease_task.ts";
+import { createOrderTask, ORDER_TIMEOUT } from "./order_task.ts";
+import { startControlFleet, writeObject } from "./testing/control_fleet.ts";
+import type { ControlFleet, ControlNode } from "./testing/control_fleet.ts";
+
+const SERVICES = ["checking", "ignoring"];
+
+function revisionWith(model: string): string {
+  const modelService = (checksFence: boolean): object => ({
+    ...MINIMAL_DOCUMENT.services.desk,
+    kind: "model",
+    checksFence,
+    models: [{ name: model, version: "1", weights: 1 }],
+  });
+  const services = { checking: modelService(true), ignoring: modelService(false) };
+  const presets = { day: { about: "", services: {} } };
+  const source = { ...MINIMAL_DOCUMENT, services, presets };
+  return formatRevision({ source, preset: "day", changes: [] });
+}
+
+function workerOf(service: string): Worker {
+  return {
+    id: `${service}-1`,
+    address: "http://127.0.0.1:1",
+    service,
+    zone: "z0",
+    machineClass: "standard",
+    purchase: Purchase.Reclaimable,
+    state: WorkerState.Live,
+  };
+}
+
+interface SentOrder {
+  readonly by: string;
+  readonly service: string;
+  readonly fence: number;
+  readonly model: string;
+  readonly at: number;
+}
+
+/** Two workers, one of a service whose servers check fencing numbers and one of another. */
+interface Servers {
+  /** Orders in the order of their arrival, refused ones included. */
+  readonly orders: readonly SentOrder[];
+  loaded(service: string): string;
+  engineOf(node: ControlNode, fleet: ControlFleet): Engine;
+}
+
+function createServers(): Servers {
+  const orders: SentOrder[] = [];
+  const loaded = new Map<string, string>();
+  const highest = new Map<string, number>();
+  const engineOf: Servers["engineOf"] = (node, fleet) => {
+    const part: Pick<Engine, "report" | "order"> = {
+      report: async (worker) => {
+        await sleep(fleet.clock, 1);
+        await node.freezer.gate();
+        const model = loaded.get(worker.service);
+        return {
+          worker: worker.id,
+          loaded: model === undefined ? [] : [model],
+        } as unknown as LoadReport;
+      },
+      order: async (worker, { fence, models }) => {
+        // What was handed to the network before the pause reaches the server after it.
+        await node.freezer.gate();
+        await sleep(fleet.clock, 1);
+        const { service } = worker;
+        const model = models[0] ?? "";
+        orders.push({ by: node.self.id, service, fence, model, at: fleet.clock.now() });
+        if (service === "checking" && fence < (highest.get(service) ?? 0)) throw new Error("Old.");
+        highest.set(service, fence);
+        loaded.set(service, model);
+      },
+    };
+    return part as Engine;
+  };
+  return { orders, engineOf, loaded: (service) => loaded.get(service) ?? "" };
+}
+
+interface LeaseFleet {
+  readonly fleet: ControlFleet;
+  readonly servers: Servers;
+  readonly tasks: readonly LeaseTask[];
+  readonly holderOf: (service: string) => number;
+  readonly close: () => void;
+}
+
+async function startLeases(count: number): Promise<LeaseFleet> {
+  const fleet = await startControlFleet({ count, zones: count, revision: revisionWith("a") });
+  const servers = createServers();
+  const workers = SERVICES.map(workerOf);
+  await fleet.clock.advance(5_000);
+  const made = fleet.nodes.map((node, index) => {
+    const parts = {
+      ...node,
+      clock: node.freezer.clock,
+      random: createSeededRandom(index + 50),
+      store: fleet.store.connect(() => node.freezer.gate()),
+      longestOrder: ORDER_TIMEOUT,
+      count: () => undefined,
+    };
+    const leases = createLeaseTask(parts);
+    const view = {
+      list: () => workers,
+      find: () => undefined,
+      onChange: () => ({ close: () => undefined }),
+    };
+    const engine = servers.engineOf(node, fleet);
+    const orders = createOrderTask({ ...parts, leases, engine, workers: view });
+    leases.start();
+    orders.start();
+    return { leases, orders };
+  });
+  await fleet.clock.advance(10_000);
+  return {
+    fleet,
+    servers,
+    tasks: made.map(({ leases }) => leases),
+    holderOf: (service) => made.findIndex(({ leases }) => leases.held().includes(service)),
+    close: () => {
+      for (const { leases, orders } of made) {
+        leases.close();
+        orders.close();
+      }
+      fleet.close();
+    },
+  };
+}
+
+test("each service has one holder, who orders its workers to be what the configuration says", async () => {
+  const { servers, tasks, close } = await startLeases(4);
+  for (const service of SERVICES) {
+    expect(tasks.filter((task) => task.held().includes(service))).toHaveLength(1);
+    expect(servers.loaded(service)).toBe("a");
+    // Level-triggered: what is so already is not ordered again.
+    expect(servers.orders.filter((order) => order.service === service)).toHaveLength(1);
+  }
+  close();
+});
+
+test.each(SERVICES)(
+  "a holder paused past its lease gives the %s servers no old order when it wakes",
+  async (service) => {
+    // The holder stands still for a minute, as when its machine swaps. Another takes over and the models
+    // change meanwhile. When it wakes it still believes it is the holder; with the old models loaded again,
+    // the answers of a night would come from the wrong model.
+    const { fleet, servers, holderOf, tasks, close } = await startLeases(4);
+    const before = holderOf(service);
+    const paused = fleet.nodes[before];
+    paused?.freezer.freeze();
+    await writeObject(fleet, { key: REVISION_KEY, value: revisionWith("b") });
+    await fleet.clock.advance(60_000);
+    expect(servers.loaded(service)).toBe("b");
+    const orders = servers.orders.length;
+    paused?.freezer.wake();
+    expect(tasks[before]?.fence(service, ORDER_TIMEOUT)).toBeUndefined();
+    await fleet.clock.advance(30_000);
+    expect(servers.orders.slice(orders)).toEqual([]);
+    expect(servers.loaded(service)).toBe("b");
+    close();
+  },
+);
+
+test.each(SERVICES)(
+  "an order that was under way when its sender was paused does the %s servers no lasting harm",
+  async (service) => {
+    // The order had left the holder's hands when it was paused, and reaches the server a minute later. A
+    // server that checks refuses it; one that ignores the number obeys, and the next reading shows it.
+    const { fleet, servers, holderOf, close } = await startLeases(4);
+    const node = fleet.nodes[holderOf(service)];
+    if (node === undefined) throw new Error("Nobody holds the lease.");
+    const stale = servers.engineOf(node, fleet);
+    node.freezer.freeze();
+    const late = stale.order(workerOf(service), { fence: 1, models: ["a"], role: "serve" });
+    const ended = late.then(
+      () => "obeyed",
+      () => "refused",
+    );
+    await writeObject(fleet, { key: REVISION_KEY, value: revisionWith("b") });
+    await fleet.clock.advance(60_000);
+    node.freezer.wake();
+    await fleet.clock.advance(10);
+    expect(await ended).toBe(service === "checking" ? "refused" : "obeyed");
+    await fleet.clock.advance(15_000);
+    expect(servers.loaded(service)).toBe("b");
+    close();
+  },
+);
+
+test("a successor sends its first order only when none of the holder before can be under way", async () => {
+  // The holder dies without a word, its last order perhaps still on the way to a server that ignores
+  // fencing numbers. The successor's first order must not be overtaken by it.
+  const { fleet, tasks, holderOf, close } = await startLeases(4);
+  const before = holderOf("ignoring");
+  const others = tasks.filter((_, index) => index !== before);
+  const until = async (isSo: (task: LeaseTask) => boolean): Promise<number> => {
+    while (!others.some(isSo)) await fleet.clock.advance(50);
+    return fleet.clock.now();
+  };
+  const diedAt = fleet.clock.now();
+  fleet.nodes[before]?.freezer.freeze();
+  const takenAt = await until((task) => task.held().includes("ignoring"));
+  // The last renewal was at most a quarter of the term before the pause.
+  expect(takenAt - diedAt).toBeGreaterThanOrEqual(7_500);
+  const orderedAt = await until((task) => task.fence("ignoring", ORDER_TIMEOUT) !== undefined);
+  expect(orderedAt - takenAt).toBeGreaterThanOrEqual(ORDER_TIMEOUT - 50);
+  close();
+});
+
+test("renewals whose answers were lost make no second holder", async () => {
+  const { fleet, servers, tasks, close } = await startLeases(3);
+  for (let round = 0; round < 10; round++) {
+    fleet.store.loseAnswers(2);
+    await fleet.clock.advance(3_000);
+    for (const service of SERVICES) {
+      expect(tasks.filter((task) => task.fence(service, 0) !== undefined).length).toBeLessThan(2);
+    }
+  }
+  await fleet.clock.advance(30_000);
+  expect(
+    SERVICES.map((service) => tasks.filter((task) => task.held().includes(service)).length),
+  ).toEqual([1, 1]);
+  expect(servers.orders).toHaveLength(2);
+  close();
+});
+
+test("a holder that gives its lease back is followed within seconds", async () => {
+  const { fleet, tasks, holderOf, close } = await startLeases(3);
+  const before = holderOf("checking");
+  fleet.nodes[before]?.members.leave();
+  const released = tasks[before]?.release();
+  await fleet.clock.advance(4_000);
+  await released;
+  expect(holderOf("checking")).not.toBe(before);
+  expect(holderOf("checking")).toBeGreaterThanOrEqual(0);
+  close();
+});
--- /dev/null
+++ b/src/process/notice_task.ts
@@ -0,0 +1,82 @@
+import { sleep } from "../interface/index.ts";
+import type { Clock, Cloud, Random } from "../interface/index.ts";
+import type { WorkerView } from "../request/index.ts";
+import { rendezvousOrder } from "../version/index.ts";
+import { nameOf } from "./member_table.ts";
+import type { Membership } from "./membership.ts";
+import { withinTime } from "./time_limit.ts";
+
+/** How often the cloud is asked for notices, and how long it may take to answer. */
+const PERIOD = 500;
+const NOTICE_TIMEOUT = 1_000;
+/** Instances of each availability zone that ask; all others hear of notices from their peers. */
+const ASKERS_PER_ZONE = 1;
+
+/** The task that turns the cloud's notices into leaving marks. */
+export interface NoticeTask {
+  start(): void;
+  close(): void;
+}
+
+/** What the task is made with. */
+export interface NoticeTaskParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly cloud: Cloud;
+  readonly members: Membership;
+  readonly workers: WorkerView;
+  readonly count: (name: string) => void;
+}
+
+/**
+ * Makes the task. One instance in each zone asks, so the calls don't grow with the fleet, and no zone's
+ * loss leaves the notices unread.
+ */
+export function createNoticeTask(parts: NoticeTaskParts): NoticeTask {
+  const { clock, random, cloud, members, workers, count } = parts;
+  const told = new Set<string>();
+  let closed = false;
+  const isClosed = (): boolean => closed;
+
+  const isAsker = (): boolean => {
+    const { self } = members;
+    const zone = members.present().filter((member) => member.zone === self.zone);
+    const order = rendezvousOrder(
+      "notices",
+      zone.map(({ id }) => id),
+    );
+    return order.slice(0, ASKERS_PER_ZONE).includes(self.id);
+  };
+  const tell = (instance: string): void => {
+    if (told.has(instance)) return;
+    told.add(instance);
+    count("notice.heard");
+    const isMember = members.present().some((member) => nameOf(member) === instance);
+    if (isMember) members.markMemberLeaving(instance);
+    else members.markWorkerLeaving(instance, workers.find(instance)?.zone ?? "");
+  };
+  const read = async (): Promise<void> => {
+    try {
+      const limit = NOTICE_TIMEOUT;
+      const notices = await withinTime(clock, cloud.notices(), { limit, step: "read notices" });
+      const standing = new Set(notices.map(({ instance }) => instance));
+      // A name that is no longer under notice may be noticed again, under another incarnation.
+      for (const name of told) if (!standing.has(name)) told.delete(name);
+      for (const name of standing) tell(name);
+    } catch {
+      count("notice.unavailable");
+    }
+  };
+  const run = async (): Promise<void> => {
+    while (!isClosed()) {
+      if (isAsker()) await read();
+      await sleep(clock, PERIOD * (0.8 + 0.4 * random.next()));
+    }
+  };
+  return {
+    start: () => void run(),
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -9,3 +9,4 @@
 export * from "./slot_plan.ts";
 export * from "./three_way_merge.ts";
 export * from "./change.ts";
+export * from "./lease.ts";
