--- a/src/connection/connect_peers.ts
+++ b/src/connection/connect_peers.ts
@@ -29,6 +29,8 @@
 interface Link {
   readonly channel: PeerChannel;
   replicate: ReplicateStream | undefined;
+  /** Grows with each new connection. */
+  generation: number;
   /** Relays that are open on the connection; each is ended when it has gone silent. */
   readonly relays: Set<AbortController>;
 }
@@ -50,6 +52,7 @@
     const link = {
       channel: createPeerChannel(address, security),
       replicate: undefined,
+      generation: 0,
       relays: new Set<AbortController>(),
     };
     links.set(address, link);
@@ -61,12 +64,14 @@
   ): Promise<T> => {
     const link = linkTo(path.to.address);
     for (let renewals = 0; ; renewals++) {
+      const { generation } = link;
       try {
         return await withTimeout(clock, run(link));
       } catch (cause) {
         if (renewals >= RENEWALS) throw peerFailure(path, cause);
         // Every call between instances is idempotent, so the same one may go over a new connection.
-        renew(link);
+        // The first call to run out of time renews the connection for all that waited on the same one.
+        if (link.generation === generation) renew(link);
       }
     }
   };
@@ -152,6 +157,7 @@
 }
 
 function renew(link: Link): void {
+  link.generation++;
   link.replicate?.close();
   link.replicate = undefined;
   link.channel.renew();
--- a/src/request/handover.ts
+++ b/src/request/handover.ts
@@ -3,7 +3,7 @@
 import { rendezvousOrder } from "../version/index.ts";
 import type { Environment } from "./environment.ts";
 import type { Ownership } from "./ownership.ts";
-import { cedeSlot, copyOf, ownsSlot, Stance } from "./slot_replica.ts";
+import { cedeSlot, completionOf, copyOf, isKeeper, ownsSlot, Stance } from "./slot_replica.ts";
 import type { SlotReplica } from "./slot_replica.ts";
 import type { SlotTable } from "./slot_table.ts";
 
@@ -19,11 +19,15 @@
    * @param delay Milliseconds to keep them before that, while a new backup gets its copies.
    */
   forward(slot: number, delay: number): void;
+  /** Brings a newly named backup to where it may take the slot over, and tells it so. */
+  complete(slot: number): void;
   close(): void;
 }
 
 const TRIES = 4;
 const TRY_PAUSE = 100;
+/** Milliseconds between two looks at whether a new backup has acknowledged every record. */
+const COMPLETION_PAUSE = 250;
 
 /** Makes the part that hands over. */
 export function createHandover(
@@ -88,11 +92,11 @@
   const forwardNow = async (slot: number): Promise<void> => {
     const replica = table.get(slot);
     const { primary } = replica.assignment;
-    if (replica.stance !== Stance.None || replica.held.size === 0 || !isAlive(primary)) return;
+    if (!isKeeper(replica) || !isAlive(primary)) return;
     const member = members.find(primary);
     if (member === undefined) return;
-    const outcome = await tell(member, copyOf(replica));
-    if (outcome !== SlotOutcome.Acknowledged) return;
+    const outcome = await tell(member, cedeSlot(replica, member.id).message);
+    if (outcome !== SlotOutcome.Acknowledged || replica.stance === Stance.Backup) return;
     // Only what was sent and hasn't changed since is dropped.
     for (const [id, held] of replica.held) {
       if (table.find(slot, id) === held.record && !ownsSlot(table.get(slot)))
@@ -100,7 +104,34 @@
     }
   };
 
-  return {
+  let closed = false;
+  const completing = new Set<number>();
+  const completeNow = async (slot: number): Promise<void> => {
+    const { epoch, backup } = table.get(slot).assignment;
+    while (!closed && table.get(slot).assignment.epoch === epoch && ownsSlot(table.get(slot))) {
+      const member = isAlive(backup) ? members.find(backup) : undefined;
+      const message = completionOf(table.get(slot));
+      if (member !== undefined && message !== undefined) {
+        if ((await tell(member, message)) !== undefined) return;
+      }
+      await sleep(clock, COMPLETION_PAUSE);
+    }
+  };
+
+  const handover: Handover = {
+    complete: (slot) => {
+      const { stance, assignment, completeTo } = table.get(slot);
+      const wanted = stance === Stance.Primary && completeTo >= assignment.epoch;
+      // The backup of the first epoch knows that nothing came before it.
+      if (!wanted || assignment.epoch <= 1 || assignment.backup === "") return;
+      if (completing.has(slot)) return;
+      completing.add(slot);
+      void completeNow(slot).finally(() => {
+        completing.delete(slot);
+        const later = table.get(slot).assignment.epoch > assignment.epoch;
+        if (later && !closed) handover.complete(slot);
+      });
+    },
     copyTo: async (slots, member) => {
       // What has been handed over goes on at the receiver: a copy from here would be of the past.
       if (!slots.every((slot) => ownsSlot(table.get(slot)))) return false;
@@ -128,8 +159,10 @@
       waiting.set(slot, { timer, dueAt });
     },
     close: () => {
+      closed = true;
       for (const { timer } of waiting.values()) timer.close();
       waiting.clear();
     },
   };
+  return handover;
 }
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -1,6 +1,13 @@
 import { RunEnd } from "../decision/index.ts";
 import type { Job } from "../decision/index.ts";
-import { EngineKnowledge, Refusal, RequestState, RetryCause, sleep } from "../interface/index.ts";
+import {
+  EngineKnowledge,
+  hasEnded,
+  Refusal,
+  RequestState,
+  RetryCause,
+  sleep,
+} from "../interface/index.ts";
 import type { Dispatch, Worker } from "../interface/index.ts";
 import { followEngine } from "./engine_stream.ts";
 import type { StreamEnd } from "./engine_stream.ts";
@@ -270,6 +277,8 @@
 async function permit(context: RunContext, live: LiveRequest, worker: Worker): Promise<Permission> {
   const { replicator, table } = context;
   const { id, slot, repeatable } = live.record;
+  // Ended meanwhile by the slot itself, because this instance may have missed another owner's doings.
+  if (hasEnded(table.find(slot, id)?.state ?? live.record.state)) return Permission.NotOwner;
   if (!repeatable && ownsSlot(table.get(slot))) {
     live.record = table.write({
       ...live.record,
