--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -18,8 +18,11 @@
 import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
 import type { CounterSink, CounterTable } from "./counters.ts";
+import { createLeaseTask } from "./lease_task.ts";
 import { createLoadReports } from "./load_reports.ts";
 import type { Membership } from "./membership.ts";
+import { createNoticeTask } from "./notice_task.ts";
+import { createOrderTask, ORDER_TIMEOUT } from "./order_task.ts";
 import { recordScheduler } from "./recorder.ts";
 import { createOperatorChanges } from "./operator_changes.ts";
 import { createOperatorService } from "./operator_service.ts";
@@ -77,18 +80,10 @@
 /** Puts an entry instance together. */
 export function createEntryCore(settings: CoreSettings, outside: Outside): EntryCore {
   const counters = createCounters(settings.sink);
-  const control = createControl({
-    ...settings,
-    ...outside,
-    requests: () => requests,
-    count: (name) => counters.count(name),
-  });
+  const count = (name: string): void => counters.count(name);
+  const control = createControl({ ...settings, ...outside, requests: () => requests, count });
   const { configuration, members } = control;
-  const workers = createWorkerDirectory({
-    ...outside,
-    members,
-    count: (name) => counters.count(name),
-  });
+  const workers = createWorkerDirectory({ ...outside, members, count });
   const scheduler = schedulerOf(settings, { clock: outside.clock, configuration });
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests: RequestService = createRequestService(environment);
@@ -103,6 +98,7 @@
   });
   const stopTaking = (): void => {
     members.leave();
+    void leases.release();
     requests.stopTaking();
   };
   const handOver = async (): Promise<void> => {
@@ -116,6 +112,11 @@
     await requests.whenIdle();
     await requests.cedeAll();
   };
+  const tasks = { ...outside, configuration, members, workers, count };
+  const leases = createLeaseTask({ ...tasks, longestOrder: ORDER_TIMEOUT });
+  const orders = createOrderTask({ ...tasks, leases });
+  const notices = createNoticeTask(tasks);
+  members.onOwnNotice(() => void handOver());
   const changes = createOperatorChanges({ ...outside, configuration });
   const drained = new Set<() => void>();
   const drainOnce = (): Promise<void> =>
@@ -143,6 +144,9 @@
       await control.start();
       await workers.start();
       reports.start();
+      leases.start();
+      orders.start();
+      notices.start();
     },
     drain: drainOnce,
     whenDrained: () =>
@@ -154,6 +158,9 @@
       requests.close();
       changes.close();
       reports.close();
+      notices.close();
+      orders.close();
+      leases.close();
       workers.close();
       control.close();
     },
