Save requests from servers under notice, and keep paused services closed

Cause: a request ran on a server under notice until the server was gone; a preset's paused services and services that the deployment doesn't name were let in.

Change: worker_reclaim asks the triage what becomes of each request on a server under notice and follows its choice: stay, resume elsewhere now or late, or export the cache first. An answer that has outgrown its estimate counts as having half as much again to come; taken to be at its end it stayed and was lost with the server, as the test showed.

--- a/src/process/planned_stop_test.ts
+++ b/src/process/planned_stop_test.ts
@@ -1,4 +1,6 @@
 import { expect, test } from "vitest";
+import { formatRevision } from "../version/index.ts";
+import { MINIMAL_DOCUMENT } from "../version/testing/minimal_revision.ts";
 import { startCoreFleet } from "./testing/core_fleet.ts";
 
 const SCRIPT = { body: '{"max_tokens":500}' };
@@ -84,3 +86,29 @@
   expect(new Set(scripts.map((script) => script.text))).toEqual(new Set([wholeAnswer(500)]));
   fleet.close();
 });
+
+test("a maintenance preset lets scripts end and takes no new work of the service", async () => {
+  // An operator switches to maintenance in the evening. Scripts that run must end; a new one let in now
+  // would be cut when the servers go.
+  const fleet = await startCoreFleet();
+  const script = fleet.submit(0, SCRIPT);
+  await fleet.clock.advance(200);
+  await fleet.use(MAINTENANCE);
+  await fleet.clock.advance(5_000);
+  const refused = [0, 1, 2].map((index) => fleet.submit(index));
+  await fleet.clock.advance(SCRIPT_TIME);
+  expect(refused.map(({ end }) => end)).toEqual(["draining", "draining", "draining"]);
+  expect([script.end, script.text]).toEqual(["complete", wholeAnswer(500)]);
+  fleet.close();
+});
+
+const MAINTENANCE = formatRevision({
+  source: {
+    ...MINIMAL_DOCUMENT,
+    presets: {
+      maintenance: { about: "A planned stop.", services: {}, paused: ["desk"] },
+    },
+  },
+  preset: "maintenance",
+  changes: [],
+});
--- a/src/process/testing/core_fleet.ts
+++ b/src/process/testing/core_fleet.ts
@@ -26,6 +26,8 @@
   readonly store: MemoryStore;
   readonly engines: MemoryEngines;
   core(index: number): EntryCore;
+  /** Writes the store's value of a new revision. */
+  use(revision: string): Promise<void>;
   /** Takes an instance away. */
   kill(index: number): void;
   submit(index: number, submission?: Partial<Submission>): Answer;
@@ -78,6 +80,11 @@
     store,
     engines,
     core: coreAt,
+    use: async (revision) => {
+      const writing = store.connect().put(REVISION_KEY, revision, { expect: 1 });
+      await clock.advance(10);
+      await writing;
+    },
     kill: (index) => {
       network.kill(coreAt(index).members.self.id);
       coreAt(index).close();
--- a/src/request/announced_reclaim_test.ts
+++ b/src/request/announced_reclaim_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
-import { MemberState, RequestState } from "../interface/index.ts";
-import { answerOf, createRequestFleet, endOf } from "./testing/request_fleet.ts";
+import { MemberState, RequestState, WorkerState } from "../interface/index.ts";
+import { answerOf, createRequestFleet, endOf, workerNamed } from "./testing/request_fleet.ts";
 import type { RequestFleet } from "./testing/request_fleet.ts";
 
 async function startedFleet(): Promise<RequestFleet> {
@@ -131,3 +131,24 @@
   expect(fleet.engines.runs).toHaveLength(1);
   fleet.close();
 });
+
+test("a script on a server under notice goes on elsewhere before the server is taken", async () => {
+  // The cloud announces that it takes the server in three seconds; the script has a minute to go. Run to the
+  // end of the server, the script would stand still until its loss is noticed.
+  const fleet = await startedFleet();
+  const caller = fleet.submit(0, { body: '{"max_tokens":3000}', deadline: 600_000 });
+  await fleet.clock.advance(10_000);
+  const had = caller.text.split(" ").length - 1;
+  const reclaimAt = fleet.clock.now() + 3_000;
+  const leaving = { ...workerNamed("w1"), state: WorkerState.Leaving, reclaimAt };
+  fleet.setWorkers([leaving, workerNamed("w2")]);
+  await fleet.clock.advance(5_000);
+  fleet.engines.kill("w1");
+  await fleet.clock.advance(60_000);
+  expect(caller.text).toBe(answerOf(3_000));
+  expect(fleet.engines.runs.map(({ worker }) => worker)).toEqual(["w1", "w2"]);
+  expect(fleet.engines.runs[1]?.resumedFrom).toBeGreaterThanOrEqual(had);
+  expect(fleet.engines.runs[1]?.startedAt).toBeLessThan(reclaimAt);
+  expect(fleet.node(0).counts.get("retried.worker-lost")).toBeUndefined();
+  fleet.close();
+});
--- a/src/request/live_request.ts
+++ b/src/request/live_request.ts
@@ -35,6 +35,12 @@
   readonly barredAt = new Set<string>();
   /** Whether this owner has sent it. */
   dispatched = false;
+  /** When this owner sent it last, in the clock's milliseconds. */
+  dispatchedAt = 0;
+  /** Tokens that the answer is expected to come to. */
+  expectedTokens = 0;
+  /** An export of its KV cache to go on from, as the engine named it. */
+  cache: string | undefined;
   /** Why it is sent again, where an earlier owner has sent it. */
   resumeCause: RetryCause | undefined;
   /** Higher goes first in the engine's batch. */
--- a/src/request/ownership.ts
+++ b/src/request/ownership.ts
@@ -24,8 +24,8 @@
   leave(slot: number): void;
   /** Writes all answers in progress into their slots, before these are copied or handed over. */
   writeAll(): void;
-  /** Requests in progress, by slot. */
-  live(slot: number): readonly LiveRequest[];
+  /** Requests that this instance has running on a worker. */
+  running(worker: string): readonly LiveRequest[];
   inProgress(): number;
   /** Called when a request of a slot has ended or moved. */
   onSettled: (slot: number) => void;
@@ -35,6 +35,8 @@
 const ACCEPT_PATIENCE = 2_000;
 /** Milliseconds after which a caller is told to try again. */
 const TRY_AGAIN = 1_000;
+/** Milliseconds after which a caller of a paused service may ask whether another preset is in force. */
+const PAUSED_TIME = 30_000;
 /** Bound on records held, in progress or ended. */
 const MOST_RECORDS = 200_000;
 
@@ -95,6 +97,10 @@
       const detail = "No owner of the key's slot is known yet.";
       return refusal(record, { reason: Refusal.OwnerUnavailable, detail, retryAfter: TRY_AGAIN });
     }
+    if (isPaused(environment, record.service)) {
+      const detail = `The preset in force has the service ${record.service} take no new work.`;
+      return refusal(record, { reason: Refusal.Draining, detail, retryAfter: PAUSED_TIME });
+    }
     const alone = table.actsAlone(replica, record.repeatable);
     if (!alone && !table.hasLiveBackup(replica)) {
       const detail = "No second entry instance can hold the request at present.";
@@ -245,13 +251,19 @@
     writeAll: () => {
       for (const live of lives.values()) writeProgress(context, live);
     },
-    live: (slot) => [...(bySlot.get(slot) ?? [])],
+    running: (worker) =>
+      [...lives.values()].filter((live) => live.dispatched && live.record.worker === worker),
     inProgress: () => lives.size,
     onSettled: () => undefined,
   };
   return ownership;
 }
 
+function isPaused({ configuration }: RunContext["environment"], service: string): boolean {
+  const revision = configuration.revision();
+  return revision?.deployment.presets[revision.preset]?.paused.includes(service) === true;
+}
+
 async function* only(event: FinalEvent): AsyncGenerator<RelayEvent> {
   await Promise.resolve();
   yield event;
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -77,6 +77,7 @@
   { job, inquire }: RunOptions,
 ): Promise<void> {
   const { clock, scheduler } = context.environment;
+  live.expectedTokens = job.estimate.answerTokens;
   const deadline = clock.after(timeLeft(context, live), () => live.stop(Stop.Deadline));
   try {
     const asked = inquire ? await inquireAfter(context, live) : undefined;
@@ -139,7 +140,7 @@
 }
 
 async function tryWorkers(context: RunContext, live: LiveRequest, job: Job): Promise<RunOutcome> {
-  const { clock, counters, random, scheduler, workers } = context.environment;
+  const { clock, counters, engine, random, scheduler, workers } = context.environment;
   let cause = live.resumeCause;
   const before = workers.find(live.record.worker);
   if (before !== undefined && live.record.repeatable && live.sent) {
@@ -171,7 +172,11 @@
       continue;
     }
     counters.retried(cause);
-    if (cause === RetryCause.WorkerReclaimed) continue;
+    if (cause === RetryCause.WorkerReclaimed) {
+      // It goes on elsewhere: the server under notice is to spend nothing more on it.
+      void engine.cancel(worker, live.record.id).catch(() => undefined);
+      continue;
+    }
     const retry = scheduler.retry(job, cause, { now: clock.now(), random });
     if (retry.kind === "stop") return givenUp(live, Refusal.RetryBudget, detailOf(end));
     if (retry.delay > 0) await sleep(clock, retry.delay);
@@ -307,9 +312,11 @@
   const sentBefore = live.sent;
   live.sent = true;
   live.dispatched = true;
+  live.dispatchedAt = environment.clock.now();
   const attempt = live.record.repeatable ? live.record.attempt + 1 : live.record.attempt;
   live.record = { ...live.record, state: RequestState.Dispatched, worker: worker.id, attempt };
   const message = dispatchOf(context, live);
+  live.cache = undefined;
   const end = await followEngine(environment, live, {
     worker: worker.id,
     open: (signal) => environment.engine.run(worker, message, signal),
@@ -337,6 +344,7 @@
     priority: live.priority,
     timeLeft: timeLeft(context, live),
     fence: context.table.get(slot).assignment.epoch,
+    ...(live.cache === undefined ? {} : { cache: live.cache }),
   };
 }
 
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -18,6 +18,7 @@
 import { createRequestQueue } from "./request_queue.ts";
 import { createRetention } from "./retention.ts";
 import { isKeeper, ownsSlot, receiveCession, receiveRecord, Stance } from "./slot_replica.ts";
+import { followReclaims } from "./worker_reclaim.ts";
 import { createSlotTable } from "./slot_table.ts";
 import type { SlotChange } from "./slot_table.ts";
 
@@ -70,6 +71,7 @@
     configuration.onChange(() => replicator.wake()),
     members.onChange(() => replicator.wake()),
     workers.onChange(() => queue.adjust()),
+    followReclaims(environment, (worker) => ownership.running(worker)),
   ];
   const tellIdle = (): void => {
     if (ownership.inProgress() > 0 || carried > 0) return;
@@ -247,6 +249,10 @@
   }
   const revision = configuration.revision();
   const service = revision?.deployment.services[submission.service];
+  if (revision !== undefined && service === undefined) {
+    const detail = `The deployment has no service "${submission.service}".`;
+    return { reason: Refusal.UnknownService, notRun: true, detail };
+  }
   const named = nameOf({ submission, draw, random });
   if (named === undefined) {
     const detail = "This entry instance owns no slot with a live backup at present.";
--- /dev/null
+++ b/src/request/worker_reclaim.ts
@@ -0,0 +1,149 @@
+import { triage, TriageChoice } from "../decision/index.ts";
+import type { Endangered, Triage } from "../decision/index.ts";
+import { WorkerState } from "../interface/index.ts";
+import type { Timer, Worker } from "../interface/index.ts";
+import type { Environment, Subscription } from "./environment.ts";
+import { Stop } from "./live_request.ts";
+import type { LiveRequest } from "./live_request.ts";
+
+/** KV cache bytes a second that an instance can send, where nothing better is known. */
+const TRANSFER_RATE = 1_250_000_000;
+/** Bytes of KV cache a token, where nothing better is known. */
+const BYTES_PER_TOKEN = 130_000;
+/** Prompt tokens computed a second by a machine class that the settings don't name. */
+const PREFILL_RATE = 8_000;
+/** Milliseconds a token where a request has shown no pace yet. */
+const USUAL_TOKEN_TIME = 30;
+/** Characters of a prompt for each token. */
+const TOKEN_CHARACTERS = 4;
+/** How long before an instance is taken its last requests leave it, in milliseconds. */
+const LATE_MARGIN = 500;
+
+/**
+ * Saves the requests in progress from workers under notice, as the triage chooses.
+ *
+ * Without it a request would run until its server is gone and then be resumed with its whole KV cache
+ * computed again: the caller notices a gap, the operators the recomputed tokens.
+ *
+ * @param running The requests that this instance has running on a worker.
+ */
+export function followReclaims(
+  environment: Environment,
+  running: (worker: string) => readonly LiveRequest[],
+): Subscription {
+  const { clock, workers } = environment;
+  const noticed = new Set<string>();
+  const timers = new Set<Timer>();
+  const later = (at: number, act: () => void): void => {
+    const timer = clock.after(Math.max(0, at - clock.now()), () => {
+      timers.delete(timer);
+      act();
+    });
+    timers.add(timer);
+  };
+  const follow = ({ choice, at }: Triage, { live, worker }: Case): void => {
+    const isStillThere = (): boolean => live.record.worker === worker.id;
+    const move = (): void => {
+      if (isStillThere()) live.interrupt(Stop.Reclaimed);
+    };
+    switch (choice) {
+      case TriageChoice.Finish:
+      case TriageChoice.Stay:
+        break;
+      case TriageChoice.ResumeNow:
+        move();
+        break;
+      case TriageChoice.ResumeLate:
+        later(at ?? (worker.reclaimAt ?? 0) - LATE_MARGIN, move);
+        break;
+      case TriageChoice.ExportCache:
+        later(at ?? clock.now(), () => {
+          if (isStillThere()) void exportCache(environment, { live, worker }).finally(move);
+        });
+        break;
+    }
+  };
+  const save = (worker: Worker): void => {
+    const lives = new Map(running(worker.id).map((live) => [live.record.id, live]));
+    const endangered = [...lives.values()].map((live) => endangeredOf(environment, live));
+    for (const choice of choose(environment, worker, endangered)) {
+      const live = lives.get(choice.id);
+      environment.counters.count(`triage.${choice.choice}`);
+      if (live !== undefined) follow(choice, { live, worker });
+    }
+  };
+  const look = (): void => {
+    for (const worker of workers.list()) {
+      const isUnderNotice = worker.state === WorkerState.Leaving && worker.reclaimAt !== undefined;
+      if (!isUnderNotice || noticed.has(worker.id)) continue;
+      noticed.add(worker.id);
+      save(worker);
+    }
+    for (const id of noticed) if (workers.find(id) === undefined) noticed.delete(id);
+  };
+  const subscription = workers.onChange(look);
+  return {
+    close: () => {
+      subscription.close();
+      for (const timer of timers) timer.close();
+    },
+  };
+}
+
+interface Case {
+  readonly live: LiveRequest;
+  readonly worker: Worker;
+}
+
+function choose(
+  { clock, configuration, workers }: Environment,
+  worker: Worker,
+  endangered: readonly Endangered[],
+): readonly Triage[] {
+  const fellows = workers.list().filter(({ service }) => service === worker.service);
+  const classes = configuration.revision()?.deployment.machineClasses ?? {};
+  return triage(endangered, {
+    now: clock.now(),
+    reclaimAt: worker.reclaimAt ?? clock.now(),
+    transferRate: TRANSFER_RATE,
+    bytesPerToken: BYTES_PER_TOKEN,
+    targets: fellows.filter(({ state }) => state === WorkerState.Live),
+    prefillPerSecond: classes[worker.machineClass]?.prefillPerSecond ?? PREFILL_RATE,
+    underNotice: fellows.filter(({ reclaimAt }) => reclaimAt !== undefined),
+  });
+}
+
+function endangeredOf({ clock }: Environment, live: LiveRequest): Endangered {
+  const { id, repeatable, body, deadlineAt } = live.record;
+  const produced = live.tokens.length;
+  const since = clock.now() - live.dispatchedAt;
+  return {
+    id,
+    repeatable,
+    promptTokens: Math.ceil(body.length / TOKEN_CHARACTERS),
+    producedTokens: produced,
+    remainingTokens: remainingTokens(live),
+    tokenTime: produced > 0 ? since / produced : USUAL_TOKEN_TIME,
+    deadlineAt: clock.now() + deadlineAt - clock.date().getTime(),
+  };
+}
+
+/**
+ * Tokens still to come. An answer that has outgrown its estimate is a long one: were it taken to be at its
+ * end, it would stay on a server under notice and be lost with it.
+ */
+function remainingTokens({ expectedTokens, tokens }: LiveRequest): number {
+  return Math.max(1, expectedTokens - tokens.length, tokens.length / 2);
+}
+
+/** Exports the request's KV cache; without one it is resumed from its tokens. */
+async function exportCache(
+  { counters, engine }: Environment,
+  { live, worker }: Case,
+): Promise<void> {
+  try {
+    live.cache = await engine.exportCache(worker, live.record.id);
+  } catch {
+    counters.count("export.failed");
+  }
+}
