Encrypt the listeners where settings say so, and log changes of state

Cause: settings named a certificate that nothing used, and no change of state was logged anywhere.

Change: both listeners take the certificate; peers trust it as their own authority; a log by roarr follows membership, revisions, slot maps and workers and writes a line a change, with step and peer.

--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -99,6 +99,7 @@
       platform: { objects: platform, cloud: platform, instances: platform },
       secrets: { operatorKey: settings.operatorKey, peerKey: settings.operatorKey },
       reread: 30_000,
+      log: false,
     };
     entries.push(await startEntry(entry, { clock: systemClock, random: systemRandom }));
   }
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -4,6 +4,7 @@
   entrySettingsSchema,
   secretsSchema,
   startEntry,
+  startStateLog,
   systemClock,
   systemRandom,
 } from "../process/index.ts";
@@ -24,9 +25,14 @@
     const settings = await readSettings(this, flags.settings, { schema: entrySettingsSchema });
     const secrets = await this.secretsOf(settings, flags.settings);
     const entry = await startEntry(
-      { ...settings, secrets },
+      { ...settings, ...tlsOf(settings, flags.settings), secrets },
       { clock: systemClock, random: systemRandom },
     );
+    if (settings.log) {
+      startStateLog({ ...entry.core, self: entry.self }, (line) =>
+        process.stderr.write(`${line}\n`),
+      );
+    }
     const { callerAddress, address } = entry.self;
     this.log(JSON.stringify({ ready: true, callers: callerAddress, peers: address }));
     // A signal asks for a planned stop, which cuts no request in progress; further ones join it.
@@ -41,3 +47,11 @@
     return readSettings(this, file, { schema: secretsSchema });
   }
 }
+
+/** Paths of the certificate and its key, from the settings' folder on. */
+function tlsOf({ tls }: EntrySettingsFile, settingsFile: string): Pick<EntrySettingsFile, "tls"> {
+  if (tls === undefined) return {};
+  const folder = dirname(settingsFile);
+  const certificate = resolve(folder, tls.certificate);
+  return { tls: { certificate, key: resolve(folder, tls.key) } };
+}
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
+import { createServer as createSecureServer } from "node:https";
 import type { AddressInfo } from "node:net";
 
 /** A listening HTTP server. */
@@ -12,6 +13,12 @@
   close(): Promise<void>;
 }
 
+/** A certificate and its key, both PEM. */
+export interface Certificate {
+  readonly certificate: string;
+  readonly key: string;
+}
+
 /** How long a client may take over its headers before the connection is ended (slow-loris). */
 const HEADERS_TIMEOUT = 10_000;
 /** Bound on the size of all headers together, in bytes. */
@@ -22,13 +29,23 @@
  *
  * @param address `IP:PORT`; port 0 binds a free one.
  * @param handle Called for each request.
+ * @param options With `tls`, connections are encrypted.
  * @returns The listener, once it listens.
  */
-export function listenHttp(address: string, handle: RequestListener): Promise<Listener> {
-  const server = createServer(
-    { headersTimeout: HEADERS_TIMEOUT, maxHeaderSize: MAX_HEADER_SIZE, requestTimeout: 0 },
-    handle,
-  );
+export function listenHttp(
+  address: string,
+  handle: RequestListener,
+  { tls }: { tls?: Certificate | undefined } = {},
+): Promise<Listener> {
+  const bounds = {
+    headersTimeout: HEADERS_TIMEOUT,
+    maxHeaderSize: MAX_HEADER_SIZE,
+    requestTimeout: 0,
+  };
+  const server =
+    tls === undefined
+      ? createServer(bounds, handle)
+      : createSecureServer({ ...bounds, cert: tls.certificate, key: tls.key }, handle);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- /dev/null
+++ b/src/connection/http_listener_test.ts
@@ -0,0 +1,32 @@
+import { connect } from "node:net";
+import { Agent, request } from "undici";
+import { expect, test } from "vitest";
+import { listenHttp, splitAddress } from "./http_listener.ts";
+import { LOOPBACK_TLS } from "./testing/loopback_tls.ts";
+
+test("a listener with a certificate answers over TLS, and to nobody without", async () => {
+  const listener = await listenHttp("127.0.0.1:0", (_request, response) => response.end("yes"), {
+    tls: LOOPBACK_TLS,
+  });
+  const dispatcher = new Agent({ connect: { ca: LOOPBACK_TLS.certificate } });
+  const answer = await request(`https://${listener.address}/`, { dispatcher });
+  expect(await answer.body.text()).toBe("yes");
+  await expect(request(`http://${listener.address}/`)).rejects.toThrow();
+  await dispatcher.close();
+  await listener.close();
+});
+
+test("headers beyond the bound are refused", async () => {
+  // A client sends headers without end. Unbounded, a few such clients would fill the memory of an entry
+  // instance and everybody's answers would stop.
+  const listener = await listenHttp("127.0.0.1:0", (_request, response) => response.end());
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.write(`GET / HTTP/1.1\r\nhost: x\r\nbig: ${"x".repeat(20_000)}\r\n\r\n`);
+  const answer = await new Promise<string>((resolve) => {
+    socket.once("data", (data) => resolve(String(data)));
+  });
+  expect(answer).toMatch(/^HTTP\/1.1 431 /);
+  socket.destroy();
+  await listener.close();
+});
--- a/src/connection/peer_channel.ts
+++ b/src/connection/peer_channel.ts
@@ -3,6 +3,7 @@
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { ConnectTransportOptions } from "@connectrpc/connect-node";
 import { Peer } from "../gen/peer_pb.ts";
+import type { Certificate } from "./http_listener.ts";
 
 /** How long a connection that was given up may take to report what ended it, in milliseconds. */
 const CLOSING_TIME = 1_000;
@@ -13,7 +14,7 @@
 export interface PeerSecurity {
   readonly peerKey: string;
   /** PEM; absent where connections are plain. The certificate is its own authority. */
-  readonly tls?: { readonly certificate: string; readonly key: string };
+  readonly tls?: Certificate | undefined;
 }
 
 /**
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { createWriteStream } from "node:fs";
+import { readFile } from "node:fs/promises";
 import type { RequestListener } from "node:http";
 import polka from "polka";
 import {
@@ -13,7 +14,7 @@
   listenPeers,
   sendJson,
 } from "../connection/index.ts";
-import type { Listener } from "../connection/index.ts";
+import type { Listener, PeerSecurity } from "../connection/index.ts";
 import { Refusal } from "../interface/index.ts";
 import type { Clock, Cloud, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
@@ -40,7 +41,8 @@
   settings: EntrySettings,
   runtime: EntryRuntime,
 ): Promise<EntryInstance> {
-  const sockets = await bindSockets(settings);
+  const security = await securityOf(settings);
+  const sockets = await bindSockets(settings, security);
   const self: Member = {
     id: `${settings.name}#${randomBytes(6).toString("hex")}`,
     address: sockets.peers.address,
@@ -50,7 +52,7 @@
   const store = createHttpObjectStore(settings.platform.objects);
   const engine = createHttpEngine();
   const { clock, random } = runtime;
-  const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
+  const peers = createConnectPeers({ self: self.id, clock, security });
   const recording = openRecording(settings.record);
   const sink = openSink(settings);
   const core = createEntryCore(
@@ -133,7 +135,7 @@
  * Binds both listeners before the tasks begin, since peers are told the addresses that were bound. What
  * comes in before the instance is ready is turned away: it can't know yet what is in force.
  */
-async function bindSockets(settings: EntrySettings): Promise<Sockets> {
+async function bindSockets(settings: EntrySettings, security: PeerSecurity): Promise<Sockets> {
   let handle: RequestListener = (_request, response) => {
     sendJson(response, { error: { code: Refusal.CutOff, not_run: true } }, { status: 503 });
   };
@@ -152,11 +154,15 @@
       relay: (message, signal) => ready().relay(message, signal),
       ask: (message) => ready().ask(message),
     },
-    { security: securityOf(settings), onUnauthenticated: () => undefined },
+    { security, onUnauthenticated: () => undefined },
+  );
+  const callers = await listenHttp(
+    settings.callers,
+    (request, response) => {
+      handle(request, response);
+    },
+    { tls: security.tls },
   );
-  const callers = await listenHttp(settings.callers, (request, response) => {
-    handle(request, response);
-  });
   return {
     callers,
     peers,
@@ -169,8 +175,14 @@
   };
 }
 
-function securityOf({ secrets }: EntrySettings): { peerKey: string } {
-  return { peerKey: secrets.peerKey };
+/** The certificate of both listeners; peers trust it as its own authority. */
+async function securityOf({ secrets, tls }: EntrySettings): Promise<PeerSecurity> {
+  if (tls === undefined) return { peerKey: secrets.peerKey };
+  const [certificate, key] = await Promise.all([
+    readFile(tls.certificate, "utf8"),
+    readFile(tls.key, "utf8"),
+  ]);
+  return { peerKey: secrets.peerKey, tls: { certificate, key } };
 }
 
 const NO_CLOUD: Cloud = {
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -8,3 +8,4 @@
 export * from "./system_clock.ts";
 export * from "./system_random.ts";
 export * from "./worker_directory.ts";
+export * from "./state_log.ts";
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -42,6 +42,8 @@
   tls: z.strictObject({ certificate: z.string(), key: z.string() }).optional(),
   /** Where counters go by UDP, `IP:PORT`. */
   statsd: address.optional(),
+  /** Whether changes of state are logged to standard error, a JSON line each. */
+  log: z.boolean().default(true),
   /** A file to record a trace of the traffic to. */
   record: z.string().optional(),
   /** How long the platform may be silent before a read of its objects is tried. */
--- /dev/null
+++ b/src/process/state_log.ts
@@ -0,0 +1,96 @@
+import "./log_switch.ts";
+import { ROARR, Roarr } from "roarr";
+import type { Member, MemberState } from "../interface/index.ts";
+import { WorkerState } from "../interface/index.ts";
+import type {
+  ConfigurationView,
+  MembershipView,
+  Subscription,
+  WorkerView,
+} from "../request/index.ts";
+
+/** What a state log follows. */
+export interface StateLogParts {
+  readonly self: Member;
+  readonly configuration: ConfigurationView;
+  readonly members: MembershipView & { present(): readonly Member[] };
+  readonly workers: WorkerView;
+}
+
+/** Writes one line of the log, JSON. */
+export type LogWriter = (line: string) => void;
+
+/**
+ * Logs changes of state, each with its step and peer, and nothing else: what happens often is counted.
+ *
+ * It compares what it sees with what it saw, so that no task has to speak of its changes, and a state that
+ * is reported twice is logged once.
+ *
+ * @param parts What is followed.
+ * @param write Takes each line.
+ * @returns Closing it ends the log.
+ */
+export function startStateLog(parts: StateLogParts, write: LogWriter): Subscription {
+  ROARR.write = write;
+  const { self, configuration, members, workers } = parts;
+  const log = Roarr.child({ instance: self.id });
+  const subscriptions = [
+    members.onChange(memberChanges(parts, log)),
+    configuration.onChange(versionChanges(parts, log)),
+    workers.onChange(workerChanges(parts, log)),
+  ];
+  return {
+    close: () => {
+      for (const subscription of subscriptions) subscription.close();
+    },
+  };
+}
+
+type Log = ReturnType<typeof Roarr.child>;
+
+function memberChanges({ members }: StateLogParts, log: Log): () => void {
+  const seen = new Map<string, MemberState | undefined>();
+  return () => {
+    for (const { id } of members.present()) if (!seen.has(id)) seen.set(id, undefined);
+    for (const [peer, before] of seen) {
+      const state = members.stateOf(peer);
+      if (state === before) continue;
+      seen.set(peer, state);
+      log.info({ step: "membership", peer, state, before }, "an entry instance changed its state");
+    }
+  };
+}
+
+function versionChanges({ configuration }: StateLogParts, log: Log): () => void {
+  let revision = 0;
+  let preset = "";
+  let slotMap = 0;
+  return () => {
+    const current = configuration.revision();
+    if (current !== undefined && current.version !== revision) {
+      const before = preset;
+      ({ version: revision, preset } = current);
+      const context = { step: "revision", peer: "store", revision, preset, before };
+      log.info(context, "a revision is in force");
+    }
+    const { version } = configuration.slotMap();
+    if (version === slotMap) return;
+    slotMap = version;
+    log.info({ step: "slot map", peer: "store", slotMap }, "a slot map is in force");
+  };
+}
+
+function workerChanges({ workers }: StateLogParts, log: Log): () => void {
+  const seen = new Map<string, WorkerState>();
+  return () => {
+    const present = new Map(workers.list().map(({ id, state }) => [id, state]));
+    for (const id of seen.keys()) if (!present.has(id)) present.set(id, WorkerState.Gone);
+    for (const [peer, state] of present) {
+      const before = seen.get(peer);
+      if (before === state) continue;
+      seen.set(peer, state);
+      log.info({ step: "workers", peer, state, before }, "a backend server changed its state");
+    }
+    for (const [id, state] of seen) if (state === WorkerState.Gone) seen.delete(id);
+  };
+}
