--- a/src/decision/admission.ts
+++ b/src/decision/admission.ts
@@ -11,7 +11,8 @@
  * waiting work at its fair part of the speed, and never behind more than all that waits. An account that
  * asks for little is let in while one that floods the service is turned away.
  *
- * Predictions are held against what then happened: their ratio's 95th percentile corrects the next ones, so
+ * Predictions are held against what then happened, those of work ahead and those of a free place apart:
+ * the ratio's 95th percentile corrects the next ones, so
  * that a speed that is stated or measured wrongly shows in refusals, not in late answers. Where nothing
  * waits and a worker has room a request is let in whatever was learned: otherwise one slow spell would
  * teach that nothing can be met and nothing would come to teach otherwise.
@@ -37,17 +38,20 @@
   readonly hasRoom: boolean;
   /** Live workers, in use or not. */
   readonly workers: number;
-  /** Jobs of this instance that run on the service, and all that wait on this instance. */
-  readonly runningJobs: number;
+  /** Milliseconds until one of this instance's runs ends, on the average. */
+  readonly turn: number;
+  /** Jobs that wait on this instance, over all services. */
   readonly allWaitingJobs: number;
-  /** Tokens of work that wait in the lane, and the account's part of it. */
+  /** Tokens of work that wait in the lane, and those of the account that would go first. */
   readonly waitingWork: number;
   readonly ownWaitingWork: number;
   /** The account's weight, and that of all accounts with waiting work in the lane, this one included. */
   readonly weight: number;
   readonly activeWeight: number;
-  /** What waits came to, as a multiple of their predictions. */
+  /** What waits for work ahead came to, as a multiple of their predictions. */
   readonly correction: number;
+  /** The same for waits for a place. */
+  readonly turnCorrection: number;
   /** Milliseconds from dispatch to first token for nine jobs in ten; undefined before enough were seen. */
   readonly firstToken: number | undefined;
   /** The account's requests and tokens of work that were accepted and have not ended. */
@@ -59,9 +63,23 @@
   readonly promisedUntil: number;
 }
 
+/** What a wait mostly consists of. */
+export enum WaitKind {
+  /** Work of the own account that goes first. */
+  Ahead = "ahead",
+  /** The time until a place becomes free. */
+  Turn = "turn",
+}
+
+/** A predicted wait, in milliseconds. */
+export interface PredictedWait {
+  readonly wait: number;
+  readonly kind: WaitKind;
+}
+
 /** Whether the request is let in. */
 export type Verdict =
-  | { readonly kind: "admit"; readonly wait: number }
+  | { readonly kind: "admit"; readonly predicted: PredictedWait }
   | { readonly kind: "refuse"; readonly reason: Refusal; readonly retryAfter: number };
 
 /** At some 16 kB a record, 160 MB: what a small instance can spare for work that waits. */
@@ -69,7 +87,7 @@
 /** Waits are learned in steps of 9 in 100 either way: so much of the target is left for that error. */
 const TARGET_PART = 0.91;
 /** A part of the first token's target that waiting may use in any case. */
-const LEAST_WAIT_PART = 0.25;
+const LEAST_WAIT_PART = 1 / 3;
 /** A part of the time left that waiting may use where the service time alone seems too long. */
 const LEAST_TIME_PART = 0.1;
 /** Below it a caller's own round trips are longer than what it is told to wait. */
@@ -87,21 +105,25 @@
   if (view.workers === 0 && !view.detached) {
     return refuse(Refusal.NoBackendServer, NO_WORKER_RETRY);
   }
-  const wait = predictWait(view);
+  const predicted = predictWait(view);
+  const { wait } = predicted;
   const excess = wait - allowedWait(view);
-  if (wait === 0 || excess <= 0) return { kind: "admit", wait };
+  if (wait === 0 || excess <= 0) return { kind: "admit", predicted };
   return refuse(Refusal.TooLate, comeBackIn(view, excess));
 }
 
-/** Milliseconds that the request is expected to wait before it is dispatched. */
-export function predictWait(view: AdmissionView): number {
+/** How long the request is expected to wait before it is dispatched. */
+export function predictWait(view: AdmissionView): PredictedWait {
   const nothingAhead = view.waitingWork === 0;
-  if (nothingAhead && view.hasRoom) return 0;
-  if (view.rate <= 0) return view.detached ? 0 : Number.POSITIVE_INFINITY;
-  const turn = view.estimate.serviceTime / Math.max(1, view.runningJobs);
+  if (nothingAhead && view.hasRoom) return { wait: 0, kind: WaitKind.Turn };
+  if (view.rate <= 0) {
+    return { wait: view.detached ? 0 : Number.POSITIVE_INFINITY, kind: WaitKind.Ahead };
+  }
   const fair = (view.ownWaitingWork * view.activeWeight) / view.weight;
-  const ahead = Math.min(view.waitingWork, fair);
-  return ((ahead * 1_000) / view.rate) * view.correction + (view.hasRoom ? 0 : turn);
+  const work = Math.min(view.waitingWork, fair);
+  const ahead = ((work * 1_000) / view.rate) * view.correction;
+  const turn = view.hasRoom ? 0 : view.turn * view.turnCorrection;
+  return { wait: ahead + turn, kind: turn > ahead ? WaitKind.Turn : WaitKind.Ahead };
 }
 
 /** Milliseconds that the request may wait and still be in time. */
--- a/src/decision/estimate.ts
+++ b/src/decision/estimate.ts
@@ -83,11 +83,15 @@
     estimate: (arrival) => {
       const answerTokens = Math.max(1, Math.round(answerOf(arrival)));
       const prefill = (arrival.promptTokens / machine.prefillPerSecond) * 1_000;
+      const serviceTime = prefill + answerTokens * tokenTime(arrival.service);
+      const { firstToken } = targetOf(inForce, arrival.service);
+      const forFirst = arrival.detached ? Number.POSITIVE_INFINITY : arrival.arrivedAt + firstToken;
       return {
         work: workOf(arrival.promptTokens, answerTokens),
         answerTokens,
         cacheTokens: arrival.promptTokens + answerTokens,
-        serviceTime: prefill + answerTokens * tokenTime(arrival.service),
+        serviceTime,
+        startBy: Math.min(arrival.deadlineAt - serviceTime, forFirst),
       };
     },
     learn: (job, answerTokens) => {
--- a/src/decision/fair_queue.ts
+++ b/src/decision/fair_queue.ts
@@ -7,7 +7,8 @@
  * follows somebody else's load: desks that wait whenever the night's scripts are sent.
  *
  * Order: start-time fair queueing twice over. Between the lanes, then between the accounts of a lane, the
- * one with the least work started for its weight goes first; inside an account the earliest deadline does.
+ * one with the least work started for its weight goes first; inside an account the one that must start first
+ * to be in time, so that a caller who waits for a first token goes before work that has until the morning.
  * Work is counted in tokens, not requests, so that splitting work in small requests or hiding it in long
  * ones gains nothing. What an account's answers came to above their estimates is added to its account
  * later, so neither does understating. Nothing starves: an account's tag only grows by its own work, and a
@@ -260,8 +261,12 @@
 }
 
 function isEarlier(a: Waiting<unknown>, b: Waiting<unknown>): boolean {
-  const deadlines = (a.job?.deadlineAt ?? 0) - (b.job?.deadlineAt ?? 0);
-  return deadlines === 0 ? a.sequence < b.sequence : deadlines < 0;
+  const difference = startOf(a) - startOf(b);
+  return difference === 0 ? a.sequence < b.sequence : difference < 0;
+}
+
+function startOf({ job }: Waiting<unknown>): number {
+  return job?.estimate.startBy ?? job?.deadlineAt ?? 0;
 }
 
 function queueAccount<Element>(line: LaneLine<Element>, account: AccountLine<Element>): void {
--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -1,4 +1,24 @@
+/**
+ * How many workers of which machine class in which availability zone, bought how.
+ *
+ * Load that it answers: work that doubles within minutes and is gone an hour later; a cloud that takes back
+ * a whole availability zone of reclaimable instances in seconds and then refuses new ones there. Too few
+ * workers, and every first token is late until the next ones have started and loaded; too many, and the
+ * contract is lost on cost. Each plan compares what is needed with what is there and coming, and says what
+ * to launch and what to retire; nothing is remembered but the smoothed demand and since when there
+ * has been too much.
+ *
+ * How much is needed is in `fleet_need.ts`, where it is bought in `fleet_pools.ts`, what is given back in
+ * `fleet_surplus.ts`; each has its reasons with it.
+ *
+ * @module
+ */
 import type { Purchase, Worker } from "../interface/index.ts";
+import { levelOf, needOf } from "./fleet_need.ts";
+import type { Level } from "./fleet_need.ts";
+import { capacityOf, chooseLaunches } from "./fleet_pools.ts";
+import type { Capacity } from "./fleet_pools.ts";
+import { chooseRetirements, hasSurplus, LEAST_HOLD } from "./fleet_surplus.ts";
 
 /** A place to launch workers in: one machine class in one availability zone, bought one way. */
 export interface Pool {
@@ -59,6 +79,8 @@
 export interface FleetMemory {
   /** Since when a service has had more workers than it needs, by service. */
   readonly surplusSince: Readonly<Record<string, number>>;
+  /** The smoothed demand, by service. */
+  readonly levels?: Readonly<Record<string, Level>>;
 }
 
 /** What is to be done now. */
@@ -69,15 +91,55 @@
   readonly memory: FleetMemory;
 }
 
-/** Plans the fleet: the preset's least number of workers, in the cheapest pools in turn. */
+/**
+ * Plans the fleet.
+ *
+ * @returns What to launch and to retire now, and what the next plan is to be given.
+ */
 export function planFleet(view: FleetView): FleetPlan {
-  const pools = [...view.pools].sort((a, b) => a.price - b.price);
-  const launches = view.services.flatMap((service) => {
-    const coming = view.launching.filter((launch) => launch.service === service.service).length;
-    const missing = Math.max(0, service.least - service.workers.length - coming);
-    return Array.from({ length: missing }, (_, index) => pools[index % pools.length])
-      .filter((pool) => pool !== undefined)
-      .map((pool) => ({ service: service.service, pool }));
-  });
-  return { launches, retire: [], memory: { surplusSince: {} } };
+  const plans = view.services.map((demand) => planService(demand, view));
+  const since = plans.flatMap(({ service, surplusSince }) =>
+    surplusSince === undefined ? [] : [[service, surplusSince] as const],
+  );
+  return {
+    launches: plans.flatMap(({ service, launches }) => launches.map((pool) => ({ service, pool }))),
+    retire: plans.flatMap(({ retire }) => retire),
+    memory: {
+      surplusSince: Object.fromEntries(since),
+      levels: Object.fromEntries(plans.map(({ service, level }) => [service, level])),
+    },
+  };
+}
+
+interface ServicePlan {
+  readonly service: string;
+  readonly launches: readonly Pool[];
+  readonly retire: readonly string[];
+  readonly surplusSince: number | undefined;
+  readonly level: Level;
+}
+
+function planService(demand: ServiceDemand, view: FleetView): ServicePlan {
+  const { service } = demand;
+  const capacity = capacityOf(demand, view);
+  const before = view.memory?.levels?.[service];
+  const level = levelOf(demand, { before, now: view.now });
+  const need = needOf(demand, { level, startUp: capacity.startUp });
+  const launches = chooseLaunches(demand, { view, need, capacity });
+  if (launches.length > 0 || !hasSurplus(demand, { need, capacity })) {
+    return { service, launches, retire: [], surplusSince: undefined, level };
+  }
+  const surplusSince = view.memory?.surplusSince[service] ?? view.now;
+  const held = view.now - surplusSince >= holdTime(capacity);
+  const retire = held ? chooseRetirements(demand, { need, capacity }) : [];
+  return { service, launches: [], retire, surplusSince, level };
+}
+
+/**
+ * How long a surplus is kept. To launch again costs a start-up that is paid for and does nothing; keeping
+ * the worker for just as long costs the same. Whoever gives it back then pays at most twice what knowing
+ * the future would have cost.
+ */
+function holdTime(capacity: Capacity): number {
+  return Math.max(LEAST_HOLD, capacity.startUp);
 }
--- /dev/null
+++ b/src/decision/fleet_pools.ts
@@ -0,0 +1,184 @@
+/**
+ * Where workers are launched.
+ *
+ * Load that it answers: prices that differ by zone and machine class, zones that are taken back, and
+ * launches that are refused for minutes in one pool while another has room. Buying only the cheapest, one
+ * would notice a whole service gone in one wave; asking a refusing pool again and again, a fleet that stays
+ * too small while other pools have room.
+ *
+ * Workers are added one at a time, each in the pool that covers the most of what is missing for its price.
+ * A worker in the fullest zone covers nothing of what is missing after that zone's loss, so the cheap zone
+ * fills first and the others follow by themselves as far as the loss demands. A pool that refused is left
+ * alone, twice as long with each refusal in a row, from 10 s, about twice the time that an answer takes, up
+ * to 5 min. A zone where a notice stands gets no reclaimable worker: it would most likely be taken next.
+ * Reclaimable workers stay within the preset's part, to the nearest whole worker; on-demand ones take their place only where that part
+ * or the refusals leave nothing else.
+ *
+ * Loads share the weight store's rate. More loads at once than it feeds in a start-up's time only make all
+ * of them later, so the rest waits for the next plan.
+ *
+ * @module
+ */
+import { Purchase, WorkerState } from "../interface/index.ts";
+import type { FleetView, Pool, ServiceDemand } from "./fleet.ts";
+import type { Need } from "./fleet_need.ts";
+
+/** One worker as the plan counts it. */
+export interface Unit {
+  /** The worker's id; undefined for one that is being launched. */
+  readonly id: string | undefined;
+  readonly zone: string;
+  readonly purchase: Purchase;
+  readonly tokensPerSecond: number;
+  readonly price: number;
+}
+
+/** What a service has and what is coming. */
+export interface Capacity {
+  readonly units: readonly Unit[];
+  readonly launching: number;
+  /** Milliseconds until a launch takes work. */
+  readonly startUp: number;
+}
+
+/** A demand at the edge of what the workers can do must not launch and retire by turns. */
+const TOLERANCE = 0.03;
+const FIRST_BACK_OFF = 10_000;
+const GREATEST_BACK_OFF = 300_000;
+
+/** Counts a service's workers that stay, and its launches under way. */
+export function capacityOf(demand: ServiceDemand, view: FleetView): Capacity {
+  const staying = demand.workers.filter(
+    ({ state, reclaimAt }) =>
+      reclaimAt === undefined && (state === WorkerState.Live || state === WorkerState.Starting),
+  );
+  const there = staying.map((worker): Unit => {
+    const pool = view.pools.find((one) => samePlace(one, worker));
+    const { id, zone, purchase } = worker;
+    const { tokensPerSecond = 0, price = 0 } = pool ?? {};
+    return { id, zone, purchase, tokensPerSecond, price };
+  });
+  const coming = view.launching
+    .filter(({ service }) => service === demand.service)
+    .map(({ pool }): Unit => unitOf(pool));
+  const startUp = Math.max(0, ...view.pools.map((pool) => pool.startUp));
+  return { units: [...there, ...coming], launching: coming.length, startUp };
+}
+
+/** Chooses the pools to launch in now, one entry a worker. */
+export function chooseLaunches(
+  demand: ServiceDemand,
+  { view, need, capacity }: { view: FleetView; need: Need; capacity: Capacity },
+): Pool[] {
+  const units = [...capacity.units];
+  const launches: Pool[] = [];
+  const most = Math.min(demand.most - units.length, launchBound(demand, { view, capacity }));
+  while (launches.length < most && isShort(units, { demand, need })) {
+    const pool = bestPool(units, { demand, view, need });
+    if (pool === undefined) break;
+    launches.push(pool);
+    units.push(unitOf(pool));
+  }
+  return launches;
+}
+
+/** Says whether workers are missing, by number or by what they can do. */
+export function isShort(
+  units: readonly Unit[],
+  { demand, need }: { demand: ServiceDemand; need: Need },
+): boolean {
+  return units.length < demand.least || missing(units, need) > need.usual * TOLERANCE;
+}
+
+/** Tokens of work a second that are missing, usually and after the loss of the fullest zone. */
+function missing(units: readonly Unit[], need: Need): number {
+  const all = speedOf(units);
+  const usual = Math.max(0, need.usual - all);
+  return usual + Math.max(0, need.afterLoss - (all - fullestZone(units)));
+}
+
+function speedOf(units: readonly Unit[]): number {
+  return units.reduce((sum, unit) => sum + unit.tokensPerSecond, 0);
+}
+
+/** The speed that one zone's reclaimable workers have together, in the zone where it is greatest. */
+function fullestZone(units: readonly Unit[]): number {
+  const zones = new Map<string, number>();
+  for (const { zone, purchase, tokensPerSecond } of units) {
+    if (purchase === Purchase.OnDemand) continue;
+    zones.set(zone, (zones.get(zone) ?? 0) + tokensPerSecond);
+  }
+  return Math.max(0, ...zones.values());
+}
+
+function bestPool(
+  units: readonly Unit[],
+  { demand, view, need }: { demand: ServiceDemand; view: FleetView; need: Need },
+): Pool | undefined {
+  const before = missing(units, need);
+  const open = view.pools.filter(
+    (pool) => isOpen(pool, view) && isAllowed(pool, { units, demand }),
+  );
+  const worth = (pool: Pool): number => {
+    const covered = before - missing([...units, unitOf(pool)], need);
+    // Where nothing is missing but the number of workers, the cheapest in the emptiest zone is taken.
+    const spread = 1 / (1 + units.filter(({ zone }) => zone === pool.zone).length);
+    return (covered + spread) / Math.max(pool.price, Number.MIN_VALUE);
+  };
+  return open.reduce<Pool | undefined>(
+    (best, pool) => (best === undefined || worth(pool) > worth(best) ? pool : best),
+    undefined,
+  );
+}
+
+function isOpen(pool: Pool, view: FleetView): boolean {
+  const backOff = Math.min(GREATEST_BACK_OFF, FIRST_BACK_OFF * 2 ** Math.max(0, pool.refusals - 1));
+  const refused = pool.refusals > 0 && view.now < (pool.refusedAt ?? 0) + backOff;
+  return !refused && !(pool.purchase === Purchase.Reclaimable && isBeingTaken(pool.zone, view));
+}
+
+function isBeingTaken(zone: string, { services }: FleetView): boolean {
+  return services.some(({ workers }) =>
+    workers.some(
+      (worker) =>
+        worker.zone === zone &&
+        worker.reclaimAt !== undefined &&
+        worker.state === WorkerState.Leaving,
+    ),
+  );
+}
+
+function isAllowed(
+  pool: Pool,
+  { units, demand }: { units: readonly Unit[]; demand: ServiceDemand },
+): boolean {
+  if (pool.purchase === Purchase.OnDemand) return true;
+  const reclaimable = units.filter(({ purchase }) => purchase === Purchase.Reclaimable).length;
+  return reclaimable + 1 <= Math.round(demand.reclaimable * (units.length + 1));
+}
+
+function launchBound(
+  demand: ServiceDemand,
+  { view, capacity }: { view: FleetView; capacity: Capacity },
+): number {
+  const { weightStoreRate } = view;
+  const weights = demand.weights ?? 0;
+  if (weightStoreRate === undefined || weights === 0) return Number.POSITIVE_INFINITY;
+  const fed = Math.floor((weightStoreRate * capacity.startUp) / 1_000 / weights);
+  return Math.max(1, fed) - capacity.launching;
+}
+
+function unitOf({ zone, purchase, tokensPerSecond, price }: Pool): Unit {
+  return { id: undefined, zone, purchase, tokensPerSecond, price };
+}
+
+function samePlace(
+  pool: Pool,
+  worker: { zone: string; machineClass: string; purchase: Purchase },
+): boolean {
+  return (
+    pool.zone === worker.zone &&
+    pool.machineClass === worker.machineClass &&
+    pool.purchase === worker.purchase
+  );
+}
--- a/src/decision/job.ts
+++ b/src/decision/job.ts
@@ -41,6 +41,8 @@
   readonly cacheTokens: number;
   /** Milliseconds from dispatch to the last token on an unloaded worker. */
   readonly serviceTime: number;
+  /** When it must be dispatched to meet its targets; its deadline where not given. */
+  readonly startBy?: number;
 }
 
 /** An admitted request that waits or runs. */
--- a/src/decision/placement.ts
+++ b/src/decision/placement.ts
@@ -13,7 +13,9 @@
  *   four fifths it comes to a fifth of the first token's target more than at one half; so a cached prefix
  *   may draw work onto a worker only while that stays cheaper than computing the prefix elsewhere, and a
  *   prefix that becomes hot spreads by itself: each worker it spills onto holds it next;
- * - the part of the prompt that must be computed there;
+ * - the part of the prompt that must be computed there, behind the prompts that are computed before it, at
+ *   the speed that was measured while the batch is busy: four times slower than alone is usual, and with
+ *   the idle speed a cached prefix would seem worth a quarter of what it is;
  * - the chance that the worker is taken, times what would be computed again; work that may not be repeated
  *   counts ten times as much, because it can't be computed again;
  * - a model or adapter that isn't loaded yet;
@@ -30,8 +32,11 @@
   readonly worker: string;
   /** Jobs there, as a part of its limit, from 0 to 1 and above. */
   readonly use: number;
-  /** The part of the job's prompt, from 0 to 1, that is probably in its prefix cache. */
-  readonly cached: number;
+  /** Tokens of the job that it would have to compute before the first new one. */
+  readonly computes: number;
+  /** Prompt tokens of other jobs that it computes first. */
+  readonly prefillAhead: number;
+  /** Prompt tokens a second, as they were lately while answers were being generated. */
   readonly prefillPerSecond: number;
   /** The chance that it is taken before the job ends. */
   readonly risk: number;
@@ -61,8 +66,8 @@
 ): number {
   const use = Math.min(1, candidate.use);
   const load = target.firstToken * LOAD_PART * (use / (FULL - use));
-  const tokens = job.promptTokens + job.resumedTokens;
-  const prefill = (tokens * (1 - candidate.cached) * 1_000) / candidate.prefillPerSecond;
+  const tokens = candidate.computes + candidate.prefillAhead;
+  const prefill = (tokens * 1_000) / candidate.prefillPerSecond;
   return (
     load +
     prefill +
--- a/src/decision/prefix_belief.ts
+++ b/src/decision/prefix_belief.ts
@@ -7,9 +7,11 @@
  * small: a belief that isn't renewed goes stale. Trusting it for good, one would notice work that follows
  * caches long emptied, onto busy workers, for nothing.
  *
- * So a belief halves with age. The time is that in which a full batch writes the whole cache anew, the
- * machine's cache divided by its speed: after it an unused prefix has most likely been evicted. Own
- * dispatches count as a belief as well: the prefix is computed there, whether or not an event says so.
+ * So a belief weakens with age. In the time in which a full batch writes the whole cache anew, the machine's
+ * cache divided by its speed, half of the unused prefixes will have been evicted. Where eviction events come
+ * at all, hearing of none speaks for the prefix: one in five is reckoned as missed, twice the part that is
+ * usual, and the chance that it is still there follows from both. Own dispatches count as a belief as well:
+ * the prefix is computed there, whether or not an event says so.
  *
  * @module
  */
@@ -35,15 +37,23 @@
 /** About 10 MB of memory at 100 bytes a belief. */
 const GREATEST_BLOCKS = 50_000;
 const GREATEST_HOLDERS = 8;
+/** The part of eviction events that is reckoned as lost, once any have come. */
+const MISSED_EVENTS = 0.2;
 
 /**
  * Makes beliefs about caches that nothing is known of.
  *
- * @param halfLife Milliseconds after which an unrenewed belief has halved.
+ * @param halfLife Milliseconds in which half of the unused blocks are evicted.
  */
 export function createPrefixBelief(halfLife: number): PrefixBelief {
   /** By block hash, the least recently renewed block first. */
   const holders = new Map<string, Map<string, number>>();
+  let missed = 1;
+  /** The chance that a block is still there, of which nothing was heard for so long. */
+  const chance = (age: number): number => {
+    const stays = 2 ** (-age / halfLife);
+    return stays / (stays + missed * (1 - stays));
+  };
   const renew = (block: string, worker: string, now: number): void => {
     const known = holders.get(block) ?? new Map<string, number>();
     holders.delete(block);
@@ -58,6 +68,7 @@
       while (holders.size > GREATEST_BLOCKS) removeFirst(holders);
     },
     evicted: (worker, blocks) => {
+      missed = MISSED_EVENTS;
       for (const block of blocks) {
         const known = holders.get(block);
         known?.delete(worker);
@@ -70,7 +81,7 @@
         const known = holders.get(prefix[length - 1] ?? "");
         for (const [worker, at] of known ?? []) {
           if (found.has(worker) || found.size >= GREATEST_MATCHES) continue;
-          found.set(worker, (length / prefix.length) * 2 ** (-(now - at) / halfLife));
+          found.set(worker, (length / prefix.length) * chance(now - at));
         }
       }
       return found;
--- a/src/decision/run_table.ts
+++ b/src/decision/run_table.ts
@@ -1,4 +1,5 @@
 /** The runs of this instance's jobs: one a job, two while a hedge is out. */
+import { Lane } from "./job.ts";
 import type { Job } from "./job.ts";
 import type { PoolWorker } from "./worker_pool.ts";
 
@@ -7,12 +8,14 @@
   readonly job: Job;
   readonly worker: PoolWorker;
   readonly dispatchedAt: number;
+  /** Prompt tokens that the worker is expected to compute before the first token. */
+  readonly computes: number;
   lastTokenAt: number | undefined;
 }
 
 /** Runs by job id, with the workers that have failed each job. */
 export interface RunTable {
-  start(job: Job, details: { worker: PoolWorker; now: number }): void;
+  start(job: Job, details: { worker: PoolWorker; computes: number; now: number }): void;
   of(id: string): readonly Run[];
   /** The job's run on the worker; without a worker, its only run. */
   find(id: string, worker: string | undefined): Run | undefined;
@@ -41,8 +44,11 @@
   };
   const of = (id: string): readonly Run[] => entries.get(id)?.runs ?? [];
   return {
-    start: (job, { worker, now }) => {
-      entryOf(job.id).runs.push({ job, worker, dispatchedAt: now, lastTokenAt: undefined });
+    start: (job, { worker, computes, now }) => {
+      const run = { job, worker, computes, dispatchedAt: now, lastTokenAt: undefined };
+      entryOf(job.id).runs.push(run);
+      worker.prefillAhead += computes;
+      if (job.lane === Lane.Lookup) worker.lookups++;
     },
     of,
     find: (id, worker) => {
@@ -50,6 +56,8 @@
       return of(id).find((run) => run.worker.worker.id === worker);
     },
     end: (run, failed) => {
+      if (run.lastTokenAt === undefined) run.worker.prefillAhead -= run.computes;
+      if (run.job.lane === Lane.Lookup) run.worker.lookups--;
       const entry = entryOf(run.job.id);
       entry.runs = entry.runs.filter((other) => other !== run);
       if (!failed) return;
--- a/src/decision/scheduler.ts
+++ b/src/decision/scheduler.ts
@@ -5,11 +5,18 @@
  */
 import { RetryCause } from "../interface/index.ts";
 import type { LoadReport, Random, Worker } from "../interface/index.ts";
-import { judgeArrival } from "./admission.ts";
-import type { AdmissionView } from "./admission.ts";
+import { judgeArrival, WaitKind } from "./admission.ts";
+import type { AdmissionView, PredictedWait } from "./admission.ts";
 import { createEstimator } from "./estimate.ts";
 import type { FairQueueOptions } from "./fair_queue.ts";
-import { ENOUGH_FIRST_TOKENS, HEDGE_PERCENTILE, HEDGE_USE, hedgeDelay, mayHedge } from "./hedge.ts";
+import {
+  ENOUGH_FIRST_TOKENS,
+  HEDGE_PERCENTILE,
+  HEDGE_TARGET_PART,
+  HEDGE_USE,
+  hedgeDelay,
+  mayHedge,
+} from "./hedge.ts";
 import { Lane } from "./job.ts";
 import type { Admission, Arrival, Job, Placement } from "./job.ts";
 import { EMPTY_POLICY, machineAverage, targetOf } from "./policy.ts";
@@ -20,12 +27,12 @@
 import type { Retry } from "./retry_budget.ts";
 import { createRunTable } from "./run_table.ts";
 import type { Run } from "./run_table.ts";
-import { createServiceLedger, recentPeak } from "./service_ledger.ts";
+import { createServiceLedger, reserveFor } from "./service_ledger.ts";
 import type { ServiceLedger } from "./service_ledger.ts";
 import { createHeldWork } from "./held_work.ts";
 import { chooseWorker } from "./worker_choice.ts";
 import type { Choice } from "./worker_choice.ts";
-import { createWorkerPool, usableLimit } from "./worker_pool.ts";
+import { createWorkerPool, learnPrefill, prefillFactor, usableLimit } from "./worker_pool.ts";
 import type { PoolWorker } from "./worker_pool.ts";
 
 /** How a job's run ended, for what is learned from it. */
@@ -164,11 +171,11 @@
 const LANES = [Lane.Lookup, Lane.Script];
 /** Nine first tokens in ten come within what admission counts on. */
 const ADMISSION_PERCENTILE = 0.9;
-/** Places kept free of scripts, as a multiple of the most lookups that ran at once lately. */
-const RESERVE_FACTOR = 1.5;
 /** The part of the speed that lookups get while scripts wait: the queue's weights, four to one. */
 const LOOKUP_PART = 0.8;
 const DRAIN_SPAN = 10_000;
+/** Prompts whose computing takes at most this part of the target tell how full a batch is. */
+const SHORT_PROMPT_PART = 0.25;
 /** Accounts are bounded on each instance at twice its part: callers don't spread evenly. */
 const BOUND_FACTOR = 2;
 
@@ -189,6 +196,7 @@
 ): Scheduler {
   let inForce = policy;
   let instances = 1;
+  let salted = false;
   const estimator = createEstimator(policy);
   const pool = createWorkerPool(policy);
   const runs = createRunTable();
@@ -207,8 +215,7 @@
   };
   const weightOf = (account: string): number => inForce.accounts[account]?.weight ?? 1;
   const tick = (service: string, now: number): void => {
-    const lookups = recentPeak(ledgerOf(service).lanes[Lane.Lookup], now);
-    pool.setReserve(service, Math.ceil(lookups * RESERVE_FACTOR) * instances);
+    pool.setReserve(service, reserveFor(ledgerOf(service).lanes[Lane.Lookup], { now, instances }));
     pool.tick(service, now);
   };
   /** Tokens of work a second that a lane can count on at this instance. */
@@ -220,6 +227,15 @@
     const lookups = lanes[Lane.Lookup].arrived.rate(now, { span: DRAIN_SPAN });
     return Math.max(rate * (1 - LOOKUP_PART), rate - lookups);
   };
+  /** Milliseconds until one of this instance's runs ends, on the average. */
+  const turnOf = ({ service, estimate }: Job): number => {
+    const { lanes } = ledgerOf(service);
+    const { meanRun } = pool.service(service);
+    const endsAt = (lane: Lane): number =>
+      lanes[lane].running / (meanRun[lane] || estimate.serviceTime);
+    const rate = LANES.reduce((sum, lane) => sum + endsAt(lane), 0);
+    return rate === 0 ? estimate.serviceTime : 1 / rate;
+  };
   const viewOf = (job: Job, now: number): AdmissionView => {
     const { account, service, lane, estimate, deadlineAt, detached } = job;
     const ledger = ledgerOf(service);
@@ -238,13 +254,14 @@
       rate: rateOf(service, lane, now),
       hasRoom: workers.room[lane] > 0,
       workers: workers.live,
-      runningJobs: workers.own,
+      turn: turnOf(job),
       allWaitingJobs: held.waitingJobs(ledgers),
       waitingWork: book.waitingWork,
-      ownWaitingWork: waiting?.work ?? 0,
+      ownWaitingWork: (detached ? waiting?.work : waiting?.urgent) ?? 0,
       weight,
       activeWeight: book.activeWeight + (waiting === undefined ? weight : 0),
-      correction: ledger.correction(),
+      correction: ledger.correction(WaitKind.Ahead),
+      turnCorrection: ledger.correction(WaitKind.Turn),
       firstToken: enough ? book.firstTokens.quantile(ADMISSION_PERCENTILE) : undefined,
       heldJobs: held.jobs(account),
       heldWork: held.work(account),
@@ -252,16 +269,12 @@
       promisedUntil: ledger.promisedUntil,
     };
   };
-  const countIn = (job: Job, now: number, predictedWait: number): void => {
+  const countIn = (job: Job, now: number, predicted: PredictedWait): void => {
     held.add(job);
-    ledgerOf(job.service).admitted(job, {
-      now,
-      predictedWait,
-      weight: weightOf(job.account),
-    });
+    ledgerOf(job.service).admitted(job, { now, predicted, weight: weightOf(job.account) });
   };
-  const start = (job: Job, { worker }: Choice, now: number): void => {
-    runs.start(job, { worker, now });
+  const start = (job: Job, { worker, computes }: Choice, now: number): void => {
+    runs.start(job, { worker, computes, now });
     worker.load.dispatched(job.id, { cacheTokens: job.estimate.cacheTokens, now });
     pool.service(job.service).own++;
     belief.stored(worker.worker.id, job.prefix, now);
@@ -269,6 +282,8 @@
   };
   const choose = (job: Job, options: PlaceOptions, greatestUse?: number): Choice | undefined => {
     const { now, random } = options;
+    if (!salted) pool.setSalt(random.next());
+    salted = true;
     tick(job.service, now);
     const avoid = runs.avoided(job.id, options.avoid);
     const service = pool.service(job.service);
@@ -319,12 +334,12 @@
         ledger.promisedUntil = now + verdict.retryAfter;
         return { kind: "refused", reason: verdict.reason, retryAfter: verdict.retryAfter };
       }
-      countIn(job, now, verdict.wait);
+      countIn(job, now, verdict.predicted);
       return { kind: "admitted", job };
     },
     adopt: (arrival, now) => {
       const job = { ...arrival, estimate: estimator.estimate(arrival), resumedTokens: 0 };
-      if (!ledgerOf(job.service).has(job.id)) countIn(job, now, 0);
+      if (!ledgerOf(job.service).has(job.id)) countIn(job, now, { wait: 0, kind: WaitKind.Ahead });
       return job;
     },
     queueOptions: (service) => ({
@@ -346,10 +361,12 @@
     },
     hedge: (job, options) => {
       const book = ledgerOf(job.service).lanes[job.lane];
-      const typical = book.firstTokens.quantile(HEDGE_PERCENTILE);
+      const percentile = book.firstTokens.quantile(HEDGE_PERCENTILE);
       if (!mayHedge(job) || runs.of(job.id).length !== 1) return { kind: "none" };
-      if (typical === undefined || book.firstTokens.count < ENOUGH_FIRST_TOKENS)
+      if (percentile === undefined || book.firstTokens.count < ENOUGH_FIRST_TOKENS)
         return { kind: "none" };
+      const { firstToken } = targetOf(inForce, job.service);
+      const typical = Math.max(percentile, firstToken * HEDGE_TARGET_PART);
       const delay = hedgeDelay({ ...options, typical });
       if (delay > 0) return { kind: "later", delay };
       const choice = choose(job, options, HEDGE_USE);
@@ -365,14 +382,20 @@
     firstToken: (id, now, worker) => {
       const run = runs.find(id, worker);
       if (run === undefined) return;
+      if (run.lastTokenAt !== undefined) return;
       const { job } = run;
+      run.worker.prefillAhead -= run.computes;
       const ledger = ledgerOf(job.service);
       const waited = now - run.dispatchedAt;
       run.lastTokenAt = now;
       ledger.lanes[job.lane].firstTokens.add(waited);
       ledger.drained.add(estimator.workOf(job.promptTokens, 1), now);
-      const prefill = (job.promptTokens * 1_000) / run.worker.machine.prefillPerSecond;
-      run.worker.limit.firstToken(Math.max(0, waited - prefill));
+      const prefill = (run.computes * 1_000) / run.worker.machine.prefillPerSecond;
+      const usual = prefill * prefillFactor(pool.service(job.service));
+      const { firstToken } = targetOf(inForce, job.service);
+      // A long prompt's first token is late by itself, whatever the batch.
+      if (usual <= firstToken * SHORT_PROMPT_PART) run.worker.limit.firstToken(waited);
+      learnPrefill(pool.service(job.service), waited, prefill);
     },
     token: (id, now, worker) => {
       const run = runs.find(id, worker);
@@ -389,7 +412,7 @@
       if (run === undefined) return;
       runs.end(run, end === RunEnd.Failed && !BLAMELESS.has(details.cause));
       const took = run.worker.load.ended(id, details.now);
-      if (took !== undefined) pool.ranFor(run.job.service, took);
+      if (took !== undefined) pool.ranFor(run.job, took);
       pool.service(run.job.service).own--;
       blame(run, end, details);
       const isOver = end === RunEnd.Complete || end === RunEnd.Cancelled;
@@ -408,7 +431,7 @@
       }
       runs.forget(job.id);
       held.remove(job);
-      ledgerOf(job.service).settled(job);
+      ledgerOf(job.service).settled(job, now);
     },
     retry: (job, cause, { now, random }) => {
       const failures = Math.max(1, runs.failures(job.id));
--- a/src/decision/service_ledger.ts
+++ b/src/decision/service_ledger.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { WaitKind } from "./admission.ts";
+import type { PredictedWait } from "./admission.ts";
 import type { Job, Lane } from "./job.ts";
 import { createQuantileSketch } from "./quantile.ts";
 import type { QuantileSketch } from "./quantile.ts";
@@ -14,6 +16,8 @@
 interface AccountWaiting {
   jobs: number;
   work: number;
+  /** The part of the work whose callers wait for a first token. */
+  urgent: number;
   readonly weight: number;
 }
 
@@ -25,9 +29,11 @@
   /** Weights of the accounts with waiting work, summed. */
   activeWeight: number;
   running: number;
-  /** The most that ran at once lately. */
-  peak: number;
-  peakAt: number;
+  /** How many ran at once on the average lately, as of `meanAt`. */
+  meanRunning: number;
+  meanAt: number;
+  /** Seconds that the mean is taken over, older ones with less weight. */
+  meanWeight: number;
   readonly arrived: RateMeter;
   /** Milliseconds from dispatch to first token. */
   readonly firstTokens: QuantileSketch;
@@ -37,7 +43,7 @@
 interface JobEntry {
   readonly job: Job;
   readonly admittedAt: number;
-  readonly predictedWait: number;
+  readonly predicted: PredictedWait;
   waiting: boolean;
   everPlaced: boolean;
 }
@@ -50,14 +56,14 @@
   /** When room is promised until, to requests that were turned away. */
   promisedUntil: number;
   /** The 95th percentile of waits as multiples of their predictions. */
-  correction(): number;
+  correction(kind: WaitKind): number;
   offered(arrival: { lane: Lane }, work: number, now: number): void;
-  admitted(job: Job, details: { now: number; predictedWait: number; weight: number }): void;
+  admitted(job: Job, details: { now: number; predicted: PredictedWait; weight: number }): void;
   /** The job goes to a worker. */
   placed(job: Job, now: number): void;
   /** The job's last run ended before the job did: it waits again. */
   returned(job: Job, weight: number): void;
-  settled(job: Job): void;
+  settled(job: Job, now: number): void;
   has(id: string): boolean;
   snapshot(service: string, now: number): ServiceSnapshot;
 }
@@ -66,15 +72,22 @@
 const PERCENT = 100;
 const ENOUGH_WAITS = 10;
 /** Shorter waits are a matter of single turns, not of the speed that a correction is about. */
-const LEAST_PREDICTION = 50;
-/** The target is for 95 in 100 as well. */
-const PERCENTILE = 0.95;
+const LEAST_PREDICTION = { [WaitKind.Ahead]: 50, [WaitKind.Turn]: 1 };
+/**
+ * For work ahead that of the target, 95 in 100. A single turn is as often double as half of its mean by
+ * chance: only what it is off by on the whole is corrected.
+ */
+const PERCENTILE = { [WaitKind.Ahead]: 0.95, [WaitKind.Turn]: 0.5 };
 /** Beyond these the cause is another than a wrong speed, and a correction would overshoot. */
 const LEAST_CORRECTION = 0.5;
-const GREATEST_CORRECTION = 3;
+const GREATEST_CORRECTION = { [WaitKind.Ahead]: 3, [WaitKind.Turn]: 10 };
 const MINUTE = 60_000;
-/** A peak of lookups is expected again for this long: callers at a desk come in rounds of about a minute. */
-const PEAK_HALF_LIFE = 60_000;
+/** Callers at a desk come in rounds of about a minute. */
+const MEAN_HALF_LIFE = 60_000;
+/** Seconds: beyond it, a time in which nothing ran would outweigh what runs now. */
+const LONGEST_MEAN = 60;
+/** Below one lookup in twenty seconds of a second each, a place kept free costs more than it saves. */
+const LEAST_MEAN = 0.05;
 
 /** Opens the books of a service. */
 export function createServiceLedger(lanes: readonly Lane[]): ServiceLedger {
@@ -85,15 +98,19 @@
   const entries = new Map<string, JobEntry>();
   const drained = createRateMeter();
   const arrived = createRateMeter();
-  const waits = createQuantileSketch(HALF_LIFE);
+  const waits = {
+    [WaitKind.Ahead]: createQuantileSketch(HALF_LIFE),
+    [WaitKind.Turn]: createQuantileSketch(HALF_LIFE),
+  };
   let promisedUntil = 0;
 
   const wait = (job: Job, weight: number): void => {
     const book = books[job.lane];
-    const own = book.byAccount.get(job.account) ?? { jobs: 0, work: 0, weight };
+    const own = book.byAccount.get(job.account) ?? { jobs: 0, work: 0, urgent: 0, weight };
     if (own.jobs === 0) book.activeWeight += weight;
     own.jobs++;
     own.work += job.estimate.work;
+    if (!job.detached) own.urgent += job.estimate.work;
     book.byAccount.set(job.account, own);
     book.waitingJobs++;
     book.waitingWork += job.estimate.work;
@@ -104,6 +121,7 @@
     if (own === undefined) return;
     own.jobs--;
     own.work -= job.estimate.work;
+    if (!job.detached) own.urgent -= job.estimate.work;
     book.waitingJobs--;
     book.waitingWork = book.waitingJobs === 0 ? 0 : book.waitingWork - job.estimate.work;
     if (own.jobs > 0) return;
@@ -111,8 +129,9 @@
     book.activeWeight = book.byAccount.size === 0 ? 0 : book.activeWeight - own.weight;
   };
   const compare = (entry: JobEntry, now: number): void => {
-    if (entry.predictedWait < LEAST_PREDICTION) return;
-    waits.add((PERCENT * (now - entry.admittedAt)) / entry.predictedWait);
+    const { wait: predicted, kind } = entry.predicted;
+    if (predicted < LEAST_PREDICTION[kind]) return;
+    waits[kind].add((PERCENT * (now - entry.admittedAt)) / predicted);
   };
   return {
     lanes: books,
@@ -123,17 +142,17 @@
     set promisedUntil(time) {
       promisedUntil = time;
     },
-    correction: () => {
-      if (waits.count < ENOUGH_WAITS) return 1;
-      const ratio = (waits.quantile(PERCENTILE) ?? PERCENT) / PERCENT;
-      return Math.min(GREATEST_CORRECTION, Math.max(LEAST_CORRECTION, ratio));
+    correction: (kind) => {
+      if (waits[kind].count < ENOUGH_WAITS) return 1;
+      const ratio = (waits[kind].quantile(PERCENTILE[kind]) ?? PERCENT) / PERCENT;
+      return Math.min(GREATEST_CORRECTION[kind], Math.max(LEAST_CORRECTION, ratio));
     },
     offered: ({ lane }, work, now) => {
       books[lane].arrived.add(work, now);
       arrived.add(work, now);
     },
-    admitted: (job, { now, predictedWait, weight }) => {
-      const entry = { job, admittedAt: now, predictedWait, waiting: true, everPlaced: false };
+    admitted: (job, { now, predicted, weight }) => {
+      const entry = { job, admittedAt: now, predicted, waiting: true, everPlaced: false };
       entries.set(job.id, entry);
       wait(job, weight);
     },
@@ -145,8 +164,8 @@
       entry.everPlaced = true;
       leave(entry.job);
       const book = books[job.lane];
+      settleMean(book, now);
       book.running++;
-      raisePeak(book, now);
     },
     returned: (job, weight) => {
       const entry = entries.get(job.id);
@@ -155,12 +174,16 @@
       books[job.lane].running--;
       wait(entry.job, weight);
     },
-    settled: (job) => {
+    settled: (job, now) => {
       const entry = entries.get(job.id);
       if (entry === undefined) return;
       entries.delete(job.id);
-      if (entry.waiting) leave(entry.job);
-      else books[job.lane].running--;
+      if (entry.waiting) {
+        leave(entry.job);
+        return;
+      }
+      settleMean(books[job.lane], now);
+      books[job.lane].running--;
     },
     has: (id) => entries.has(id),
     snapshot: (service, now) => {
@@ -185,19 +208,34 @@
     byAccount: new Map(),
     activeWeight: 0,
     running: 0,
-    peak: 0,
-    peakAt: 0,
+    meanRunning: 0,
+    meanAt: 0,
+    meanWeight: 0,
     arrived: createRateMeter(),
     firstTokens: createQuantileSketch(HALF_LIFE),
   };
 }
 
-/** The most jobs of the lane that ran at once lately. */
-export function recentPeak(book: LaneBook, now: number): number {
-  return Math.max(book.running, book.peak * 2 ** (-(now - book.peakAt) / PEAK_HALF_LIFE));
+/**
+ * Places to keep free of scripts, over all entry instances: the lookups that run on the average, and three
+ * times the root of it, which independent arrivals exceed in one moment of a thousand.
+ */
+export function reserveFor(
+  book: LaneBook,
+  { now, instances }: { now: number; instances: number },
+): number {
+  settleMean(book, now);
+  const mean = book.meanRunning * instances;
+  return mean < LEAST_MEAN ? 0 : Math.ceil(mean + 3 * Math.sqrt(mean));
 }
 
-function raisePeak(book: LaneBook, now: number): void {
-  book.peak = recentPeak(book, now);
-  book.peakAt = now;
+/** Brings the mean of what ran at once up to now. */
+function settleMean(book: LaneBook, now: number): void {
+  const passed = Math.max(0, now - book.meanAt) / 1_000;
+  const kept = 2 ** ((-passed * 1_000) / MEAN_HALF_LIFE);
+  const before = book.meanWeight * kept;
+  const weight = before + passed;
+  if (weight > 0) book.meanRunning = (book.meanRunning * before + book.running * passed) / weight;
+  book.meanWeight = Math.min(weight, LONGEST_MEAN);
+  book.meanAt = Math.max(now, book.meanAt);
 }
--- a/src/decision/worker_choice.ts
+++ b/src/decision/worker_choice.ts
@@ -10,12 +10,14 @@
 import type { ServicePolicy } from "./policy.ts";
 import type { PrefixBelief } from "./prefix_belief.ts";
 import type { ReclaimRisk } from "./reclaim_risk.ts";
-import { fitsMemory, usableLimit } from "./worker_pool.ts";
+import { fitsMemory, prefillFactor, usableLimit } from "./worker_pool.ts";
 import type { PoolWorker, ServicePool } from "./worker_pool.ts";
 
 /** The worker that was chosen. */
 export interface Choice {
   readonly worker: PoolWorker;
+  /** Prompt tokens that it is expected to compute. */
+  readonly computes: number;
 }
 
 /** What the choice is made from. */
@@ -54,17 +56,17 @@
   },
 ): Choice | undefined {
   const { cached, view } = options;
-  let best: PoolWorker | undefined;
+  let best: Choice | undefined;
   let least = Number.POSITIVE_INFINITY;
   for (const entry of options.candidates) {
     if (!isFit(job, entry, view)) continue;
     const candidate = candidateOf(entry, { job, cached, view });
     const cost = placementCost(job, candidate, view.target);
     if (cost >= least) continue;
-    best = entry;
+    best = { worker: entry, computes: candidate.computes };
     least = cost;
   }
-  return best === undefined ? undefined : { worker: best };
+  return best;
 }
 
 function isFit(job: Job, entry: PoolWorker, view: ChoiceView): boolean {
@@ -82,11 +84,13 @@
   { job, cached, view }: { job: Job; cached: ReadonlyMap<string, number>; view: ChoiceView },
 ): Candidate {
   const { worker, machine, loaded, price } = entry;
+  const known = (cached.get(worker.id) ?? 0) * coveredPart(job);
   return {
     worker: worker.id,
     use: useOf(entry, view.now),
-    cached: (cached.get(worker.id) ?? 0) * coveredPart(job),
-    prefillPerSecond: machine.prefillPerSecond,
+    computes: job.promptTokens * (1 - known) + job.resumedTokens,
+    prefillAhead: entry.prefillAhead,
+    prefillPerSecond: machine.prefillPerSecond / prefillFactor(view.service),
     risk: view.risk.chance(worker, view.now),
     modelLoaded: job.model === "" || loaded.size === 0 || loaded.has(job.model),
     sameZone: view.zone === undefined || view.zone === worker.zone,
--- a/src/decision/worker_load.ts
+++ b/src/decision/worker_load.ts
@@ -13,14 +13,27 @@
  * says nothing more about this worker than that it is one of them. For long scripts it stays true for a
  * minute, for lookups for half a second.
  *
- * Each instance adds at most twice its part of the room that the report showed, so that a burst which all
- * of them see at once overfills a worker by no more than its room; and it may always use its even part of
- * the limit, so that a stale report can't keep an instance from a worker altogether.
+ * The room that a report showed is divided among the instances: each takes its even part before the next
+ * report, twice that for lookups, which end soon. What doesn't divide falls to some of them by a hash of
+ * the report, another few each time. Without this a place that one script could have used gets a script
+ * from every instance, and the places kept free for lookups are gone for as long as scripts take. The even
+ * part of the limit itself, rounded down, is always an instance's own: all of them together can't exceed
+ * the limit by it, and a stale report can't keep an instance from a worker altogether.
  *
  * @module
  */
 import type { LoadReport } from "../interface/index.ts";
 
+/** How a worker's room is shared with the other entry instances. */
+export interface Sharing {
+  /** Entry instances that send to the worker. */
+  readonly instances: number;
+  /** This instance's own number for drawing its part, from 0 to 1. */
+  readonly salt: number;
+  /** How many times its even part an instance may take. */
+  readonly factor: number;
+}
+
 /** What is known of one worker's load. */
 export interface WorkerLoad {
   /** Jobs believed to be there, from all entry instances. */
@@ -37,8 +50,8 @@
   cacheTokens(): number;
   /** Tokens of KV cache in all, once a report has said. */
   cacheCapacity(): number | undefined;
-  /** Jobs that this instance may add, given the worker's limit and the number of entry instances. */
-  room(limit: number, instances: number): number;
+  /** Jobs that this instance may add. */
+  room(limit: number, sharing: Sharing): number;
   dispatched(run: string, options: { cacheTokens: number; now: number }): void;
   /** Ends a run; returns how long it took, or undefined where it isn't known. */
   ended(run: string, now: number): number | undefined;
@@ -58,7 +71,6 @@
 
 /** Ended runs that a late report may still count; past this many, reports don't come at all. */
 const REMEMBERED_ENDS = 1_000;
-const CLAIM_FACTOR = 2;
 
 /** Makes the load of a worker that nothing is known of. */
 export function createWorkerLoad(): WorkerLoad {
@@ -85,13 +97,14 @@
     },
     cacheTokens: () => (runs.size === 0 ? 0 : (ownCache / runs.size) * load()),
     cacheCapacity: () => latest?.cacheCapacity,
-    room: (limit, instances) => {
+    room: (limit, { instances, salt, factor }) => {
       const free = limit - load();
-      if (latest === undefined || instances <= 1) return free;
-      const shown = Math.max(0, limit - reported());
-      const claim = ownAtReport + Math.ceil((CLAIM_FACTOR * shown) / instances) - runs.size;
-      const evenPart = Math.ceil(limit / instances) - runs.size;
-      return Math.max(evenPart, Math.min(free, claim));
+      if (instances <= 1) return free;
+      const part = (Math.max(0, limit - reported()) * factor) / instances;
+      const whole = Math.floor(part);
+      const drawn = draw(salt, latest?.takenAt ?? 0) < part - whole ? 1 : 0;
+      const evenPart = Math.floor(limit / instances) - runs.size;
+      return Math.max(evenPart, Math.min(free, ownAtReport + whole + drawn - runs.size));
     },
     dispatched: (run, { cacheTokens, now }) => {
       runs.set(run, { dispatchedAt: now, cacheTokens });
@@ -114,3 +127,9 @@
     },
   };
 }
+
+/** A number from 0 to 1 that two salts, and two reports, give independently of each other. */
+function draw(salt: number, takenAt: number): number {
+  const mixed = Math.sin(salt * 12_345.678 + takenAt * 0.618) * 43_758.545;
+  return mixed - Math.floor(mixed);
+}
--- a/src/decision/worker_pool.ts
+++ b/src/decision/worker_pool.ts
@@ -6,11 +6,12 @@
  */
 import { Purchase, WorkerState } from "../interface/index.ts";
 import type { LoadReport, Worker } from "../interface/index.ts";
-import { createConcurrencyLimit } from "./concurrency_limit.ts";
+import { createConcurrencyLimit, LOOKUP_OVERFLOW } from "./concurrency_limit.ts";
 import type { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { chooseEjections, ejectedAgain, usablePart } from "./ejection.ts";
 import type { EjectionState, PeerReading } from "./ejection.ts";
 import { Lane } from "./job.ts";
+import type { Job } from "./job.ts";
 import { machineOf, targetOf } from "./policy.ts";
 import type { MachinePolicy, Policy } from "./policy.ts";
 import { createQuantileSketch } from "./quantile.ts";
@@ -39,6 +40,14 @@
   room: Readonly<Record<Lane, number>>;
   /** Where it stands in the service's list of workers with room, or -1. */
   openIndex: number;
+  /** Its place among the service's live workers in the order of their ids: alike on all instances. */
+  rank: number;
+  /** Tells its room's draws from the other workers'. */
+  readonly salt: number;
+  /** Prompt tokens of this instance's jobs that the worker is still to compute. */
+  prefillAhead: number;
+  /** Lookups of this instance that run on the worker. */
+  lookups: number;
 }
 
 /** All workers of one service. */
@@ -61,6 +70,10 @@
   /** Sums of run times and of their squares, old runs with less weight. */
   runTime: number;
   runTimeSquared: number;
+  /** Times to first token in hundredths of what computing the prompt alone would take. */
+  readonly prefill: QuantileSketch;
+  /** Mean run time by lane, old runs with less weight; 0 before the first. */
+  readonly meanRun: Record<Lane, number>;
   judgedAt: number;
 }
 
@@ -70,6 +83,8 @@
   service(service: string): ServicePool;
   configure(policy: Policy): void;
   setInstances(count: number): void;
+  /** Gives this instance a number of its own, to tell its part of a shared room from the others'. */
+  setSalt(salt: number): void;
   setWorkers(workers: readonly Worker[], now: number): void;
   report(report: LoadReport, now: number): void;
   /** Brings a worker's room up to date after its load or limit has changed. */
@@ -77,7 +92,7 @@
   /** Sets how many places of a service are kept free of scripts. */
   setReserve(service: string, places: number): void;
   /** Takes in how long a run took. */
-  ranFor(service: string, milliseconds: number): void;
+  ranFor(job: Job, milliseconds: number): void;
   /** A run on the worker ended; `failed` where it says something against the worker. */
   ended(worker: PoolWorker, details: { failed: boolean; now: number }): void;
   connectFailed(worker: PoolWorker, now: number): void;
@@ -86,20 +101,29 @@
   all(): Iterable<PoolWorker>;
 }
 
-/** Lookups may go this far above the limit: they are short, and scripts are kept below it. */
-const LOOKUP_OVERFLOW = 1.25;
 /** However many lookups come, scripts may use this part of each worker. */
 const LEAST_SCRIPT_PART = 0.5;
 const ENOUGH_GAPS = 20;
 const GAP_HALF_LIFE = 200;
+const PREFILL_HALF_LIFE = 200;
+const HUNDREDTHS = 100;
+/** Engines give prompts a quarter of each step or more: what is slower than that is a line of prompts. */
+const GREATEST_PREFILL_FACTOR = 4;
 /** The count of runs halves in about 35 runs: a worker that fails is known after a few. */
 const RUN_DECAY = 0.98;
 /** Run times are remembered for about a hundred runs. */
 const RUN_TIME_DECAY = 0.99;
+const MEAN_STEP = 0.05;
 /** Gaps are compared once a second, as often as limits change. */
 const JUDGE_EVERY = 1_000;
 /** An engine that is full to the last token evicts what it runs. */
 const CACHE_PART = 0.95;
+/** Any step will do that keeps the numbers of thousands of workers apart. */
+const SALT_STEP = 7_919;
+/** Reports that stay away for so long say nothing about now. */
+const REPORT_EXPIRY = 30_000;
+/** Milliseconds of computing below which a first token says nothing about the speed of prompts. */
+const LEAST_PREFILL = 50;
 const FIRST_UNREACHABLE = 1_000;
 const GREATEST_UNREACHABLE = 10_000;
 
@@ -109,6 +133,8 @@
   const byId = new Map<string, PoolWorker>();
   let inForce = policy;
   let instances = 1;
+  let salt = 0;
+  let added = 0;
 
   const serviceOf = (service: string): ServicePool => {
     const known = services.get(service);
@@ -123,13 +149,17 @@
     entry.load.believe(othersNow(pool, entry, now));
     entry.limit.loaded(entry.load.load());
     entry.limit.adjust(now);
-    const reserve = Math.min(
-      Math.ceil(pool.reserve / Math.max(1, pool.live)),
-      limit * LEAST_SCRIPT_PART,
-    );
+    const reserve = Math.min(reserveOf(pool, entry), limit * LEAST_SCRIPT_PART);
     const memory = memoryRoom(entry);
-    const lookups = entry.load.room(Math.ceil(limit * LOOKUP_OVERFLOW), instances);
-    const scripts = entry.load.room(Math.floor(limit - reserve), instances);
+    const sharing = { instances, salt: entry.salt + salt };
+    // Scripts that run already may exceed a limit that has fallen. The places kept free are lookups' own
+    // all the same: without them a desk would be turned away until the last of those scripts has ended.
+    const kept = Math.ceil(reserve / instances) - entry.lookups;
+    const held = entry.limit.ceiling() - entry.load.load();
+    const lookupLimit = Math.min(limit * LOOKUP_OVERFLOW, entry.limit.ceiling());
+    const shared = entry.load.room(Math.ceil(lookupLimit), { ...sharing, factor: 2 });
+    const lookups = Math.max(shared, Math.min(kept, held));
+    const scripts = entry.load.room(Math.floor(limit - reserve), { ...sharing, factor: 1 });
     setRoom(pool, entry, {
       [Lane.Lookup]: limit === 0 ? 0 : Math.max(0, Math.floor(Math.min(memory, lookups))),
       [Lane.Script]: limit === 0 ? 0 : Math.max(0, Math.floor(Math.min(memory, scripts))),
@@ -169,13 +199,15 @@
       known.worker = worker;
       return;
     }
-    const entry = emptyWorker(worker, inForce);
+    const entry = emptyWorker(worker, { policy: inForce, salt: added++ / SALT_STEP });
     byId.set(worker.id, entry);
     serviceOf(worker.service).workers.set(worker.id, entry);
   };
   const recount = (now: number): void => {
     for (const [service, pool] of services) {
       const live = [...pool.workers.values()].filter(isLive);
+      live.sort((a, b) => (a.worker.id < b.worker.id ? -1 : 1));
+      for (const [rank, entry] of live.entries()) entry.rank = rank;
       pool.live = live.length;
       pool.dearest = live.reduce((most, { price }) => Math.max(most, price), 0);
       refreshService(service, now);
@@ -191,6 +223,9 @@
     setInstances: (count) => {
       instances = Math.max(1, count);
     },
+    setSalt: (own) => {
+      salt = own;
+    },
     setWorkers: (workers, now) => {
       const named = new Set(workers.map(({ id }) => id));
       for (const entry of byId.values()) if (!named.has(entry.worker.id)) remove(entry);
@@ -201,6 +236,7 @@
       const entry = byId.get(report.worker);
       if (entry === undefined) return;
       entry.load.report(report);
+      entry.limit.reported(report.running, report.waiting, now);
       entry.loaded = new Set(report.loaded);
       refresh(entry, now);
       judge(entry.worker.service, now);
@@ -209,8 +245,10 @@
     setReserve: (service, places) => {
       serviceOf(service).reserve = places;
     },
-    ranFor: (service, milliseconds) => {
+    ranFor: ({ service, lane }, milliseconds) => {
       const pool = serviceOf(service);
+      const mean = pool.meanRun[lane];
+      pool.meanRun[lane] = mean === 0 ? milliseconds : mean + (milliseconds - mean) * MEAN_STEP;
       pool.runTime = pool.runTime * RUN_TIME_DECAY + milliseconds;
       pool.runTimeSquared = pool.runTimeSquared * RUN_TIME_DECAY + milliseconds ** 2;
     },
@@ -248,11 +286,16 @@
     limits: 0,
     runTime: 0,
     runTimeSquared: 0,
+    prefill: createQuantileSketch(PREFILL_HALF_LIFE),
+    meanRun: { ...NO_ROOM },
     judgedAt: Number.NEGATIVE_INFINITY,
   };
 }
 
-function emptyWorker(worker: Worker, policy: Policy): PoolWorker {
+function emptyWorker(
+  worker: Worker,
+  { policy, salt }: { policy: Policy; salt: number },
+): PoolWorker {
   const machine = machineOf(policy, worker.machineClass);
   return {
     worker,
@@ -269,6 +312,10 @@
     price: priceOf(worker, policy),
     room: NO_ROOM,
     openIndex: -1,
+    rank: 0,
+    salt,
+    prefillAhead: 0,
+    lookups: 0,
   };
 }
 
@@ -292,6 +339,21 @@
   return part === 0 ? 0 : Math.max(1, Math.floor(entry.limit.value() * part));
 }
 
+/**
+ * How many times longer a prompt takes than on an idle worker: engines compute prompts in small pieces
+ * between the tokens of what runs.
+ */
+export function prefillFactor({ prefill }: ServicePool): number {
+  const factor = (prefill.quantile(0.5) ?? HUNDREDTHS) / HUNDREDTHS;
+  return Math.min(GREATEST_PREFILL_FACTOR, Math.max(1, factor));
+}
+
+/** Takes in a time to first token, and what computing the prompt alone would have taken. */
+export function learnPrefill(pool: ServicePool, waited: number, alone: number): void {
+  // A short prompt's time is mostly the step that was under way.
+  if (alone >= LEAST_PREFILL) pool.prefill.add((HUNDREDTHS * waited) / alone);
+}
+
 /** How many more jobs of the usual size fit in the worker's KV cache. */
 function memoryRoom({ load, machine }: PoolWorker): number {
   const jobs = load.load();
@@ -308,6 +370,13 @@
   return load.cacheTokens() + cacheTokens <= capacity * CACHE_PART;
 }
 
+/** This worker's part of the places kept free of scripts: whole places, on the first workers by id. */
+function reserveOf(pool: ServicePool, entry: PoolWorker): number {
+  const live = Math.max(1, pool.live);
+  const whole = Math.floor(pool.reserve / live);
+  return whole + (entry.rank < pool.reserve - whole * live ? 1 : 0);
+}
+
 /** Sums up what the means of the service are taken from. */
 function sumLoads(pool: ServicePool, now: number): void {
   const usable = [...pool.workers.values()].filter((entry) => usableLimit(entry, now) > 0);
@@ -319,7 +388,7 @@
 function othersNow(pool: ServicePool, entry: PoolWorker, now: number): number {
   const { load } = entry;
   const takenAt = load.takenAt();
-  if (takenAt === undefined) return 0;
+  if (takenAt === undefined || now - takenAt > REPORT_EXPIRY) return 0;
   const mean = (pool.others * usableLimit(entry, now)) / Math.max(1, pool.limits);
   // What runs at a given moment is mostly long runs: their mean is that of times weighted by themselves.
   const runTime = Math.max(1, pool.runTimeSquared / Math.max(1, pool.runTime));
--- a/src/standin/replay/fleet_control.ts
+++ b/src/standin/replay/fleet_control.ts
@@ -302,7 +302,11 @@
 function warmDemand({ header, arrivals }: Trace): ServiceSnapshot[] {
   return Object.keys(header.deployment.services).map((service) => {
     const early = arrivals.filter((arrival) => arrival.s === service && arrival.t < WARM_UP);
-    const work = early.reduce((sum, arrival) => sum + arrival.p + arrival.n, 0);
+    // Prompt tokens count as far as they take a machine's time from answers, as the decisions count them.
+    const [machine] = Object.values(header.deployment.machineClasses);
+    const perPrompt =
+      machine === undefined ? 1 : machine.tokensPerSecond / machine.prefillPerSecond;
+    const work = early.reduce((sum, arrival) => sum + arrival.p * perPrompt + arrival.n, 0);
     const arriving = (work * 1_000) / Math.min(WARM_UP, header.duration);
     const none = { waitingJobs: 0, waitingWork: 0, runningJobs: 0, draining: 0 };
     return { service, ...none, arriving, arrivedBefore: arriving };
