--- a/src/connection/connect_peers.ts
+++ b/src/connection/connect_peers.ts
@@ -21,9 +21,18 @@
 /** Tries on a new connection after the first: something between the ends may have lost the old one. */
 const RENEWALS = 1;
 
+/** How often a connection with open relays is asked whether it still carries anything, in milliseconds. */
+const CHECK_PERIOD = 1_000;
+/** Names no object: a peer answers a pull of it at once, with nothing. */
+const NO_OBJECT = "";
+
 interface Link {
   readonly channel: PeerChannel;
   replicate: ReplicateStream | undefined;
+  /** Grows with each new connection. */
+  generation: number;
+  /** Relays that are open on the connection; each is ended when it has gone silent. */
+  readonly relays: Set<AbortController>;
 }
 
 /** What the peers' calls are made with. */
@@ -40,7 +49,12 @@
   const linkTo = (address: string): Link => {
     const known = links.get(address);
     if (known !== undefined) return known;
-    const link = { channel: createPeerChannel(address, security), replicate: undefined };
+    const link = {
+      channel: createPeerChannel(address, security),
+      replicate: undefined,
+      generation: 0,
+      relays: new Set<AbortController>(),
+    };
     links.set(address, link);
     return link;
   };
@@ -50,15 +64,40 @@
   ): Promise<T> => {
     const link = linkTo(path.to.address);
     for (let renewals = 0; ; renewals++) {
+      const { generation } = link;
       try {
         return await withTimeout(clock, run(link));
       } catch (cause) {
         if (renewals >= RENEWALS) throw peerFailure(path, cause);
         // Every call between instances is idempotent, so the same one may go over a new connection.
-        renew(link);
+        // The first call to run out of time renews the connection for all that waited on the same one.
+        if (link.generation === generation) renew(link);
       }
     }
   };
+  const openRelay = (link: Link, silence: AbortController): void => {
+    link.relays.add(silence);
+    if (link.relays.size === 1) checkLater(link);
+  };
+  const checkLater = (link: Link): void => {
+    clock.after(CHECK_PERIOD, () => void check(link));
+  };
+  /**
+   * A relay waits for tokens, which may be long in coming. On a connection that has gone silent they never
+   * come, and the caller would wait until its deadline: one check for all relays of the connection tells.
+   */
+  const check = async (link: Link): Promise<void> => {
+    const relays = [...link.relays];
+    if (relays.length === 0) return;
+    try {
+      await withTimeout(clock, link.channel.client().pull({ from: self, key: NO_OBJECT }));
+    } catch (cause) {
+      for (const silence of relays) silence.abort(cause);
+      for (const silence of relays) link.relays.delete(silence);
+      renew(link);
+    }
+    if (link.relays.size > 0) checkLater(link);
+  };
   const unary = <T>(
     path: { to: Member; step: string },
     run: (client: Client<typeof Peer>) => Promise<T>,
@@ -85,13 +124,19 @@
         decodeAskReply(await client.ask(encodeAsk(message))),
       ),
     relay: async function* (to, message, signal) {
+      const link = linkTo(to.address);
+      const silence = new AbortController();
+      openRelay(link, silence);
       try {
-        const client = linkTo(to.address).channel.client();
-        for await (const event of client.relay(encodeRelay(message), { signal })) {
+        const client = link.channel.client();
+        const ending = AbortSignal.any([signal, silence.signal]);
+        for await (const event of client.relay(encodeRelay(message), { signal: ending })) {
           yield decodeRelayEvent(event);
         }
       } catch (cause) {
         throw peerFailure({ to, step: "relay" }, cause);
+      } finally {
+        link.relays.delete(silence);
       }
     },
     close: () => {
@@ -112,6 +157,7 @@
 }
 
 function renew(link: Link): void {
+  link.generation++;
   link.replicate?.close();
   link.replicate = undefined;
   link.channel.renew();
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -1,4 +1,6 @@
+import type { OperatorService } from "../connection/index.ts";
 import { createScheduler } from "../decision/index.ts";
+import type { Scheduler } from "../decision/index.ts";
 import type {
   Clock,
   Cloud,
@@ -11,12 +13,19 @@
   Random,
 } from "../interface/index.ts";
 import { createRequestService } from "../request/index.ts";
-import type { RequestService } from "../request/index.ts";
+import type { ConfigurationView, RequestService } from "../request/index.ts";
 import type { Configuration } from "./configuration.ts";
 import { createControl } from "./control.ts";
 import { createCounters } from "./counters.ts";
-import type { CounterTable } from "./counters.ts";
+import type { CounterSink, CounterTable } from "./counters.ts";
+import { createLeaseTask } from "./lease_task.ts";
+import { createLoadReports } from "./load_reports.ts";
 import type { Membership } from "./membership.ts";
+import { createNoticeTask } from "./notice_task.ts";
+import { createOrderTask, ORDER_TIMEOUT } from "./order_task.ts";
+import { recordScheduler } from "./recorder.ts";
+import { createOperatorChanges } from "./operator_changes.ts";
+import { createOperatorService } from "./operator_service.ts";
 import { createWorkerDirectory } from "./worker_directory.ts";
 import type { WorkerDirectory } from "./worker_directory.ts";
 
@@ -37,6 +46,12 @@
   readonly region: string;
   /** Addresses of a few other entry instances, to join by. */
   readonly seeds: readonly string[];
+  /** Takes the lines of a recording of the traffic; nothing is recorded where it is absent. */
+  readonly record?: (line: string) => void;
+  /** Milliseconds between slow rereads of the store. */
+  readonly reread?: number;
+  /** Where counts go besides the table. */
+  readonly sink?: CounterSink;
 }
 
 /** An entry instance without its sockets: the tasks and the requests that they serve. */
@@ -46,6 +61,7 @@
   readonly members: Membership;
   readonly workers: WorkerDirectory;
   readonly counters: CounterTable;
+  readonly operators: OperatorService;
   readonly handlers: PeerHandlers;
   /** Resolves once a revision is known. */
   start(): Promise<void>;
@@ -54,6 +70,8 @@
    * instance may go.
    */
   drain(): Promise<void>;
+  /** Resolves when a drain, whoever asked for it, is over. */
+  whenDrained(): Promise<void>;
   /** A notice that this instance is taken in the given number of milliseconds: hands over at once. */
   reclaim(within: number): Promise<void>;
   close(): void;
@@ -61,21 +79,26 @@
 
 /** Puts an entry instance together. */
 export function createEntryCore(settings: CoreSettings, outside: Outside): EntryCore {
-  const counters = createCounters();
-  const control = createControl({
-    ...settings,
-    ...outside,
-    requests: () => requests,
-    count: (name) => counters.count(name),
-  });
+  const counters = createCounters(settings.sink);
+  const count = (name: string): void => counters.count(name);
+  const control = createControl({ ...settings, ...outside, requests: () => requests, count });
   const { configuration, members } = control;
-  const workers = createWorkerDirectory(outside.instances);
-  const scheduler = createScheduler();
+  const workers = createWorkerDirectory({ ...outside, members, count });
+  const scheduler = schedulerOf(settings, { clock: outside.clock, configuration });
   const environment = { ...outside, configuration, members, workers, scheduler, counters };
   const requests: RequestService = createRequestService(environment);
+  const reports = createLoadReports({ ...outside, workers, scheduler, counters });
   workers.onChange(() => scheduler.setWorkers(workers.list(), outside.clock.now()));
+  members.onChange(() => {
+    scheduler.setInstances(Math.max(1, members.alive().length), outside.clock.now());
+  });
+  configuration.onChange(() => {
+    const revision = configuration.revision();
+    if (revision !== undefined) scheduler.configure(revision.deployment, outside.clock.now());
+  });
   const stopTaking = (): void => {
     members.leave();
+    void leases.release();
     requests.stopTaking();
   };
   const handOver = async (): Promise<void> => {
@@ -89,12 +112,30 @@
     await requests.whenIdle();
     await requests.cedeAll();
   };
+  const tasks = { ...outside, configuration, members, workers, count };
+  const leases = createLeaseTask({ ...tasks, longestOrder: ORDER_TIMEOUT });
+  const orders = createOrderTask({ ...tasks, leases });
+  const notices = createNoticeTask(tasks);
+  members.onOwnNotice(() => void handOver());
+  const changes = createOperatorChanges({ ...outside, configuration });
+  const drained = new Set<() => void>();
+  const drainOnce = (): Promise<void> =>
+    (draining ??= drain().then(() => {
+      for (const resolve of drained) resolve();
+    }));
+  const operators = createOperatorService({
+    ...environment,
+    requests,
+    changes,
+    drain: () => void drainOnce(),
+  });
   return {
     requests,
     configuration,
     members,
     workers,
     counters,
+    operators,
     handlers: {
       ...requests.handlers,
       ...control.handlers,
@@ -102,13 +143,36 @@
     start: async () => {
       await control.start();
       await workers.start();
+      reports.start();
+      leases.start();
+      orders.start();
+      notices.start();
     },
-    drain: () => (draining ??= drain()),
+    drain: drainOnce,
+    whenDrained: () =>
+      new Promise((resolve) => {
+        drained.add(resolve);
+      }),
     reclaim: handOver,
     close: () => {
       requests.close();
+      changes.close();
+      reports.close();
+      notices.close();
+      orders.close();
+      leases.close();
       workers.close();
       control.close();
     },
   };
 }
+
+function schedulerOf(
+  { self, record }: CoreSettings,
+  { clock, configuration }: { clock: Clock; configuration: ConfigurationView },
+): Scheduler {
+  const scheduler = createScheduler();
+  if (record === undefined) return scheduler;
+  const revision = (): ReturnType<ConfigurationView["revision"]> => configuration.revision();
+  return recordScheduler(scheduler, { name: self.id, now: clock.now(), revision, write: record });
+}
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from "node:crypto";
+import { createWriteStream } from "node:fs";
 import type { RequestListener } from "node:http";
 import polka from "polka";
 import {
@@ -18,6 +19,7 @@
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
+import { createStatsdSink } from "./statsd_sink.ts";
 
 /** A running entry instance. */
 export interface EntryInstance {
@@ -49,8 +51,17 @@
   const engine = createHttpEngine();
   const { clock, random } = runtime;
   const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
+  const recording = openRecording(settings.record);
+  const sink = openSink(settings);
   const core = createEntryCore(
-    { self, region: settings.region, seeds: settings.seeds },
+    {
+      self,
+      region: settings.region,
+      seeds: settings.seeds,
+      reread: settings.reread,
+      ...recording.settings,
+      ...(sink === undefined ? {} : { sink }),
+    },
     {
       clock,
       random,
@@ -62,14 +73,19 @@
     },
   );
   sockets.servePeers(core.handlers);
-  await core.start();
   const app = polka();
-  const parts = { ...core, clock, random, store, operatorKey: settings.secrets.operatorKey };
+  const { operatorKey } = settings.secrets;
+  const present = (): readonly Member[] => core.members.present();
+  const secure = settings.tls !== undefined;
+  const parts = { ...core, clock, random, operatorKey, present, secure };
   addCallerRoutes(app, parts);
   addOperatorRoutes(app, parts);
   sockets.serveCallers((request, response) => {
     app.handler(request as polka.Request, response);
   });
+  // Operators are answered from here on: a deployment's first document is put in force by an instance
+  // that has none. Callers are turned away until a revision is known.
+  await core.start();
   return {
     self,
     core,
@@ -79,10 +95,33 @@
       peers.close();
       store.close();
       engine.close();
+      sink?.close();
+      await recording.close();
     },
   };
 }
 
+function openSink({
+  statsd,
+  name,
+  zone,
+}: EntrySettings): ReturnType<typeof createStatsdSink> | undefined {
+  return statsd === undefined ? undefined : createStatsdSink(statsd, { instance: name, zone });
+}
+
+/** Opens the file that the traffic is recorded to, where the settings name one. */
+function openRecording(file: string | undefined): {
+  settings: { record?: (line: string) => void };
+  close(): Promise<void>;
+} {
+  if (file === undefined) return { settings: {}, close: () => Promise.resolve() };
+  const stream = createWriteStream(file);
+  return {
+    settings: { record: (line) => void stream.write(line) },
+    close: () => new Promise((resolve) => stream.end(resolve)),
+  };
+}
+
 interface Sockets {
   readonly callers: Listener;
   readonly peers: Listener;
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -1,6 +1,13 @@
 import { RunEnd } from "../decision/index.ts";
 import type { Job } from "../decision/index.ts";
-import { EngineKnowledge, Refusal, RequestState, RetryCause, sleep } from "../interface/index.ts";
+import {
+  EngineKnowledge,
+  hasEnded,
+  Refusal,
+  RequestState,
+  RetryCause,
+  sleep,
+} from "../interface/index.ts";
 import type { Dispatch, Worker } from "../interface/index.ts";
 import { followEngine } from "./engine_stream.ts";
 import type { StreamEnd } from "./engine_stream.ts";
@@ -55,6 +62,8 @@
 /** Tokens and milliseconds after which a guarded answer's tokens go to the backup. */
 const COPY_TOKENS = 50;
 const COPY_TIME = 100;
+/** Milliseconds after which the backup is told once which worker runs any other request. */
+const PLAIN_COPY_TIME = 250;
 /** Milliseconds after which a caller is told to ask again. */
 const ASK_AGAIN = 1_000;
 
@@ -70,9 +79,8 @@
   const { clock, scheduler } = context.environment;
   const deadline = clock.after(timeLeft(context, live), () => live.stop(Stop.Deadline));
   try {
-    const outcome = inquire
-      ? await inquireAfter(context, live)
-      : await waitAndRun(context, live, job);
+    const asked = inquire ? await inquireAfter(context, live) : undefined;
+    const outcome = asked ?? (await waitAndRun(context, live, job));
     await conclude(context, live, outcome);
   } finally {
     deadline.close();
@@ -139,7 +147,7 @@
     const outcome = outcomeOf(end, live);
     if (outcome !== undefined) return outcome;
   }
-  const avoid = new Set<string>();
+  const avoid = new Set(live.barredAt);
   for (;;) {
     const worker = await placed(context, live, { job, avoid });
     if (worker === undefined) return stopOutcome(live);
@@ -156,7 +164,12 @@
     const outcome = outcomeOf(end, live);
     if (outcome !== undefined) return outcome;
     avoid.add(worker.id);
-    if (!live.record.repeatable && live.sent) return inquireAt(context, live, worker);
+    if (!live.record.repeatable && live.sent) {
+      const asked = await inquireAt(context, live, worker);
+      if (asked !== undefined) return asked;
+      counters.retried(cause);
+      continue;
+    }
     counters.retried(cause);
     if (cause === RetryCause.WorkerReclaimed) continue;
     const retry = scheduler.retry(job, cause, { now: clock.now(), random });
@@ -228,7 +241,7 @@
   const began = clock.now();
   while (live.stopped === undefined) {
     const now = clock.now();
-    if (now - began > AVOID_TIME) avoid.clear();
+    if (now - began > AVOID_TIME) keepOnly(avoid, live.barredAt);
     const placement = scheduler.place(job, { now, random, avoid });
     if (placement.kind === "placed") {
       const worker = workers.find(placement.worker);
@@ -240,6 +253,10 @@
   return undefined;
 }
 
+function keepOnly(set: Set<string>, kept: ReadonlySet<string>): void {
+  for (const item of set) if (!kept.has(item)) set.delete(item);
+}
+
 /** Waits, but no longer than until the request is stopped. */
 async function unlessStopped<T>(live: LiveRequest, wait: Promise<T>): Promise<T | undefined> {
   let off: (() => void) | undefined;
@@ -260,6 +277,8 @@
 async function permit(context: RunContext, live: LiveRequest, worker: Worker): Promise<Permission> {
   const { replicator, table } = context;
   const { id, slot, repeatable } = live.record;
+  // Ended meanwhile by the slot itself, because this instance may have missed another owner's doings.
+  if (hasEnded(table.find(slot, id)?.state ?? live.record.state)) return Permission.NotOwner;
   if (!repeatable && ownsSlot(table.get(slot))) {
     live.record = table.write({
       ...live.record,
@@ -287,6 +306,7 @@
   const { environment } = context;
   const sentBefore = live.sent;
   live.sent = true;
+  live.dispatched = true;
   const attempt = live.record.repeatable ? live.record.attempt + 1 : live.record.attempt;
   live.record = { ...live.record, state: RequestState.Dispatched, worker: worker.id, attempt };
   const message = dispatchOf(context, live);
@@ -344,13 +364,15 @@
     if (end.kind !== "silent" && end.kind !== "broken") return end;
     if (live.tokens.length > had) tries = -1;
   }
-  return live.stopped === undefined ? end : { kind: "stopped", cause: live.stopped };
+  if (live.stopped !== undefined) return { kind: "stopped", cause: live.stopped };
+  // That this connection sent nothing says nothing of the one before it.
+  return end.kind === "broken" ? { ...end, notSent: false } : end;
 }
 
 /** Copies the tokens of an answer that must outlive its owner to the backup, now and then. */
 function copying(context: RunContext, live: LiveRequest): () => void {
   const { repeatable, detached, keyed } = live.record;
-  if (repeatable && !detached && !keyed) return () => undefined;
+  if (repeatable && !detached && !keyed) return copyingOnce(context, live);
   const { clock } = context.environment;
   let tokens = live.tokens.length;
   let at = clock.now();
@@ -363,6 +385,21 @@
   };
 }
 
+/**
+ * Tells the backup once which worker runs the request. Without it a new owner would not know where to join
+ * the run, and the whole answer would be computed again.
+ */
+function copyingOnce(context: RunContext, live: LiveRequest): () => void {
+  const { clock } = context.environment;
+  const at = clock.now();
+  let done = false;
+  return () => {
+    if (done || clock.now() - at < PLAIN_COPY_TIME) return;
+    done = true;
+    if (writeProgress(context, live)) context.replicator.send(live.record);
+  };
+}
+
 /** Writes the answer so far into the slot; false where this instance doesn't own it. */
 export function writeProgress({ table }: RunContext, live: LiveRequest): boolean {
   if (live.final !== undefined || !ownsSlot(table.get(live.record.slot))) return false;
@@ -374,7 +411,10 @@
 }
 
 /** Asks the server that may have the request, and follows it there if it runs. */
-async function inquireAfter(context: RunContext, live: LiveRequest): Promise<RunOutcome> {
+async function inquireAfter(
+  context: RunContext,
+  live: LiveRequest,
+): Promise<RunOutcome | undefined> {
   const { workers } = context.environment;
   live.sent = true;
   const worker = workers.find(live.record.worker);
@@ -382,19 +422,26 @@
   return givenUp(live, Refusal.BackendLost, "The backend server that may have run it has gone.");
 }
 
+/**
+ * Asks the server and has it refuse the request from now on, if it hasn't begun it: whoever was allowed to
+ * send it there and sends it late is turned away.
+ *
+ * @returns The outcome, or undefined where it certainly hasn't run and may go to another server.
+ */
 async function inquireAt(
   context: RunContext,
   live: LiveRequest,
   worker: Worker,
-): Promise<RunOutcome> {
+): Promise<RunOutcome | undefined> {
   const { engine } = context.environment;
   const { id } = live.record;
   const asked = engine.ask(worker, id, { bar: true }).catch(() => EngineKnowledge.Unknown);
   const knowledge = await unlessStopped(live, asked);
   if (live.stopped !== undefined) return stopOutcome(live);
   if (knowledge === EngineKnowledge.Barred) {
-    const detail = "The backend server had not begun it and refuses it from now on.";
-    return ended(RequestState.NotRun, Refusal.BackendLost, detail);
+    live.sent = false;
+    live.barredAt.add(worker.id);
+    return undefined;
   }
   if (knowledge === EngineKnowledge.Running || knowledge === EngineKnowledge.Finished) {
     const end = await attachAgain(context, live, { worker, cause: undefined });
--- a/src/standin/replay/measurements.ts
+++ b/src/standin/replay/measurements.ts
@@ -22,11 +22,13 @@
   lost: number;
   /** Of the lost, those whose deadline passed. */
   late: number;
-  /** Tokens of answers that were whole and whose first token was within the target. */
+  /** Tokens of answers that ended within the trace and whose first token was within the target. */
   timelyTokens: number;
   readonly refused: Map<Refusal, number>;
   readonly firstToken: Times;
   readonly betweenTokens: Times;
+  /** Times to the first token since the last sample of a plot, in milliseconds. */
+  recentFirstTokens: number[];
 }
 
 /** What is measured of a whole replay. */
@@ -96,6 +98,7 @@
     refused: new Map(),
     firstToken: createTimes(target.firstToken),
     betweenTokens: createTimes(target.betweenTokens),
+    recentFirstTokens: [],
   };
 }
 
