Give the platform's stand-in a cloud, a lagging list and faults

Cause: nothing could be launched, taken back or refused in development, and the list never lagged. The embedded deployment lets what is taken end. Launches need a launcher, which the embedded deployment doesn't pass yet.

--- a/bench/standin_process.ts
+++ b/bench/standin_process.ts
@@ -43,7 +43,11 @@
 
 const quick = await startWorkers(BenchService.Quick);
 const standing = await startWorkers(BenchService.Standing);
-const platform = await startPlatform({ listen: LISTEN, workers: [...quick, ...standing] });
+const platform = await startPlatform({
+  listen: LISTEN,
+  clock: systemClock,
+  workers: [...quick, ...standing],
+});
 const store = createHttpObjectStore(platform.address);
 const revision = formatRevision({ source: BENCH_DEPLOYMENT, preset: "day", changes: [] });
 await store.put(REVISION_KEY, revision, { expect: 0 });
--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -5,6 +5,7 @@
 import { startEntry, systemClock, systemRandom } from "../process/index.ts";
 import type { EntryInstance, EntrySettings } from "../process/index.ts";
 import { startBackend, startPlatform } from "../standin/index.ts";
+import type { EntryPlace, PlatformListener } from "../standin/index.ts";
 import { formatRevision, REVISION_KEY } from "../version/index.ts";
 
 /** What an embedded deployment is made with. */
@@ -24,6 +25,8 @@
 /** A whole deployment in one process: entry instances, and stand-ins for all that is outside. */
 export interface EmbeddedDeployment {
   readonly entries: readonly EntryInstance[];
+  /** The platform's stand-in, which can take instances back and be down. */
+  readonly platform: PlatformListener;
   close(): Promise<void>;
 }
 
@@ -45,11 +48,24 @@
       workers.push(workerAt(settings, { service, index, backend }));
     }
   }
-  const platform = await startPlatform({ listen: `${LOOPBACK}:0`, workers });
+  const entries: EntryInstance[] = [];
+  const platform = await startPlatform({
+    listen: `${LOOPBACK}:0`,
+    clock: systemClock,
+    workers,
+    entries: entryNames(settings),
+    taken: (instance) => {
+      // What the cloud takes ends at once, with whatever is still in progress on it.
+      const index = workers.findIndex(({ id }) => id === instance);
+      void backends[index]?.close();
+      void entries.find(({ self }) => self.id.startsWith(`${instance}#`))?.close();
+    },
+  });
   await writeRevision(settings, platform.address);
-  const entries = await startEntries(settings, platform.address);
+  for (const entry of await startEntries(settings, platform.address)) entries.push(entry);
   return {
     entries,
+    platform,
     close: async () => {
       for (const entry of entries) await entry.close();
       for (const backend of backends) await backend.close();
@@ -58,6 +74,13 @@
   };
 }
 
+function entryNames({ entryInstances, zones }: EmbeddedSettings): EntryPlace[] {
+  return Array.from({ length: entryInstances }, (_, index) => ({
+    name: `entry-${index + 1}`,
+    zone: zones[index % zones.length] ?? "",
+  }));
+}
+
 function workerAt(
   { zones }: EmbeddedSettings,
   { service, index, backend }: { service: string; index: number; backend: Listener },
--- a/src/cli/standin.ts
+++ b/src/cli/standin.ts
@@ -15,6 +15,10 @@
 
 const platformSchema = z.strictObject({
   listen: z.string(),
+  /** How far the list of workers lags. */
+  listLag: duration.exactOptional(),
+  /** Entry instances that a reclaim of their zone takes as well. */
+  entries: z.array(z.strictObject({ name: z.string(), zone: z.string() })).exactOptional(),
   workers: z.array(
     z.strictObject({
       id: z.string(),
@@ -55,7 +59,8 @@
   }
 
   private async startPlatform(file: string): Promise<Listener[]> {
-    return [await startPlatform(await readSettings(this, file, { schema: platformSchema }))];
+    const settings = await readSettings(this, file, { schema: platformSchema });
+    return [await startPlatform({ ...settings, clock: systemClock })];
   }
 
   private async startBackends(file: string): Promise<Listener[]> {
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -6,6 +6,7 @@
   addCallerRoutes,
   addOperatorRoutes,
   createConnectPeers,
+  createHttpCloud,
   createHttpEngine,
   createHttpInstanceList,
   createHttpObjectStore,
@@ -15,7 +16,7 @@
 } from "../connection/index.ts";
 import type { Listener } from "../connection/index.ts";
 import { Refusal } from "../interface/index.ts";
-import type { Clock, Cloud, Member, PeerHandlers, Random } from "../interface/index.ts";
+import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -49,6 +50,7 @@
   };
   const store = createHttpObjectStore(settings.platform.objects);
   const engine = createHttpEngine();
+  const cloud = createHttpCloud(settings.platform.cloud);
   const { clock, random } = runtime;
   const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
   const recording = openRecording(settings.record);
@@ -68,7 +70,7 @@
       store,
       engine,
       instances: createHttpInstanceList(settings.platform.instances),
-      cloud: NO_CLOUD,
+      cloud,
       peers,
     },
   );
@@ -93,6 +95,7 @@
       peers.close();
       store.close();
       engine.close();
+      cloud.close();
       sink?.close();
       await recording.close();
     },
@@ -170,9 +173,3 @@
 function securityOf({ secrets }: EntrySettings): { peerKey: string } {
   return { peerKey: secrets.peerKey };
 }
-
-const NO_CLOUD: Cloud = {
-  launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud yet." }),
-  terminate: () => Promise.resolve(),
-  notices: () => Promise.resolve([]),
-};
--- a/src/standin/index.ts
+++ b/src/standin/index.ts
@@ -1,4 +1,6 @@
 export * from "./backend_server.ts";
+export * from "./cloud_table.ts";
 export * from "./engine_model.ts";
 export * from "./object_table.ts";
 export * from "./platform_server.ts";
+export * from "./weight_store.ts";
