--- a/src/process/membership_test.ts
+++ b/src/process/membership_test.ts
@@ -132,6 +132,17 @@
   fleet.close();
 });
 
+test("a survey tells the versions of every instance that answers, and leaves out the others", async () => {
+  const fleet = await startFleet(6);
+  fleet.nodes[4]?.freezer.freeze();
+  const surveying = fleet.nodes[0]?.members.survey();
+  await fleet.clock.advance(2_000);
+  const found = await surveying;
+  expect([...(found?.keys() ?? [])].sort()).toEqual(["e0#1", "e1#1", "e2#1", "e3#1", "e5#1"]);
+  for (const marks of found?.values() ?? []) expect(marks).toHaveLength(2);
+  fleet.close();
+});
+
 test("what an instance sends does not grow with the fleet", async () => {
   const sizes = await Promise.all(
     [8, 32].map(async (count) => {
