--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -7,6 +7,7 @@
   addCallerRoutes,
   addOperatorRoutes,
   createConnectPeers,
+  createHttpCloud,
   createHttpEngine,
   createHttpInstanceList,
   createHttpObjectStore,
@@ -16,7 +17,7 @@
 } from "../connection/index.ts";
 import type { Listener, PeerSecurity } from "../connection/index.ts";
 import { Refusal } from "../interface/index.ts";
-import type { Clock, Cloud, Member, PeerHandlers, Random } from "../interface/index.ts";
+import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -51,6 +52,7 @@
   };
   const store = createHttpObjectStore(settings.platform.objects);
   const engine = createHttpEngine();
+  const cloud = createHttpCloud(settings.platform.cloud);
   const { clock, random } = runtime;
   const peers = createConnectPeers({ self: self.id, clock, security });
   const recording = openRecording(settings.record);
@@ -70,7 +72,7 @@
       store,
       engine,
       instances: createHttpInstanceList(settings.platform.instances),
-      cloud: NO_CLOUD,
+      cloud,
       peers,
     },
   );
@@ -97,6 +99,7 @@
       peers.close();
       store.close();
       engine.close();
+      cloud.close();
       sink?.close();
       await recording.close();
     },
@@ -184,9 +187,3 @@
   ]);
   return { peerKey: secrets.peerKey, tls: { certificate, key } };
 }
-
-const NO_CLOUD: Cloud = {
-  launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud yet." }),
-  terminate: () => Promise.resolve(),
-  notices: () => Promise.resolve([]),
-};
