Run the demonstration

Cause: the promises were to be checked together, over sockets.

Change: the embedded deployment shows its backend servers; the demonstration runs.

--- a/src/cli/demo/scenario.ts
+++ b/src/cli/demo/scenario.ts
@@ -78,11 +78,11 @@
   const taken = new Set(deployment.platform.cloud.reclaim({ zone, within }));
   progress(`the cloud takes ${zone} back in ${within / 1_000} s: ${[...taken].join(", ")}`);
   await sleep(clock, LEAVING_BOUND);
-  const servers = deployment.backends.filter(({ worker }) => taken.has(worker));
+  const servers = deployment.backends.filter(({ worker }) => taken.has(worker.id));
   const byBound = servers.map(({ listener }) => begun(listener.runs));
   return () =>
     servers.map(({ worker, listener }, index) => ({
-      worker,
+      worker: worker.id,
       begunByBound: byBound[index] ?? 0,
       begunAtEnd: begun(listener.runs),
     }));
@@ -94,7 +94,7 @@
 
 function runsOf({ backends }: EmbeddedDeployment): RecordedRuns[] {
   return backends.flatMap(({ worker, listener }) =>
-    [...listener.runs].map(([id, count]) => ({ id, worker, count })),
+    [...listener.runs].map(([id, count]) => ({ id, worker: worker.id, count })),
   );
 }
 
--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -5,7 +5,7 @@
 import { startEntry, systemClock, systemRandom } from "../process/index.ts";
 import type { EntryInstance, EntrySettings } from "../process/index.ts";
 import { startBackend, startPlatform } from "../standin/index.ts";
-import type { EntryPlace, PlatformListener } from "../standin/index.ts";
+import type { BackendListener, EntryPlace, PlatformListener } from "../standin/index.ts";
 import { formatRevision, REVISION_KEY } from "../version/index.ts";
 
 /** What an embedded deployment is made with. */
@@ -22,9 +22,16 @@
   readonly operatorKey: string;
 }
 
+/** A backend server's stand-in with the worker that it is. */
+export interface EmbeddedBackend {
+  readonly worker: Worker;
+  readonly listener: BackendListener;
+}
+
 /** A whole deployment in one process: entry instances, and stand-ins for all that is outside. */
 export interface EmbeddedDeployment {
   readonly entries: readonly EntryInstance[];
+  readonly backends: readonly EmbeddedBackend[];
   /** The platform's stand-in, which can take instances back and be down. */
   readonly platform: PlatformListener;
   close(): Promise<void>;
@@ -35,29 +42,16 @@
 
 /** Starts a deployment on loopback sockets in this process. */
 export async function startEmbedded(settings: EmbeddedSettings): Promise<EmbeddedDeployment> {
-  const backends: Listener[] = [];
-  const workers: Worker[] = [];
-  for (const [service, count] of Object.entries(settings.workers)) {
-    for (let index = 0; index < count; index++) {
-      const backend = await startBackend({
-        listen: `${LOOPBACK}:0`,
-        tokenTime: TOKEN_TIME,
-        clock: systemClock,
-      });
-      backends.push(backend);
-      workers.push(workerAt(settings, { service, index, backend }));
-    }
-  }
+  const backends = await startBackends(settings);
   const entries: EntryInstance[] = [];
   const platform = await startPlatform({
     listen: `${LOOPBACK}:0`,
     clock: systemClock,
-    workers,
+    workers: backends.map(({ worker }) => worker),
     entries: entryNames(settings),
     taken: (instance) => {
       // What the cloud takes ends at once, with whatever is still in progress on it.
-      const index = workers.findIndex(({ id }) => id === instance);
-      void backends[index]?.close();
+      void backends.find(({ worker }) => worker.id === instance)?.listener.close();
       void entries.find(({ self }) => self.id.startsWith(`${instance}#`))?.close();
     },
   });
@@ -65,15 +59,31 @@
   for (const entry of await startEntries(settings, platform.address)) entries.push(entry);
   return {
     entries,
+    backends,
     platform,
     close: async () => {
       for (const entry of entries) await entry.close();
-      for (const backend of backends) await backend.close();
+      for (const { listener } of backends) await listener.close();
       await platform.close();
     },
   };
 }
 
+async function startBackends(settings: EmbeddedSettings): Promise<EmbeddedBackend[]> {
+  const places = Object.entries(settings.workers).flatMap(([service, count]) =>
+    Array.from({ length: count }, (_, index) => ({ service, index })),
+  );
+  const started = places.map(async ({ service, index }) => {
+    const listener = await startBackend({
+      listen: `${LOOPBACK}:0`,
+      tokenTime: TOKEN_TIME,
+      clock: systemClock,
+    });
+    return { listener, worker: workerAt(settings, { service, index, backend: listener }) };
+  });
+  return Promise.all(started);
+}
+
 function entryNames({ entryInstances, zones }: EmbeddedSettings): EntryPlace[] {
   return Array.from({ length: entryInstances }, (_, index) => ({
     name: `entry-${index + 1}`,
