Test cancelling, forged ids and retention; wake waiting replications without an abort signal

Cause: cancelling, ids of other accounts and the retention of answers had no test; the replicator's pauses hung more than ten listeners on one signal, which Node reports as a leak; every finished answer aborted its connection's signal, which makes an error with a stack for nothing.

Change: three tests; the pauses wait in a set; only a stream that didn't end whole is aborted.

--- a/src/request/engine_stream.ts
+++ b/src/request/engine_stream.ts
@@ -64,7 +64,7 @@
     silent = true;
     ending.abort(new Error(`Nothing came from ${options.worker} in time.`));
   });
-  const seen = { token: false, at: clock.now() };
+  const seen = { token: false, whole: false, at: clock.now() };
   const hearToken = (event: Extract<EngineEvent, { kind: "token" }>): boolean => {
     if (event.index < live.tokens.length) {
       counters.count("token.duplicate");
@@ -94,6 +94,7 @@
       if (early !== undefined) return early;
       watch.progress(event.kind === "token" || seen.token ? "nextToken" : "firstToken");
       if (event.kind === "finished") {
+        seen.whole = true;
         return { kind: "finished", reason: event.reason, body: event.body ?? "" };
       }
       if (event.kind === "status") return event;
@@ -110,7 +111,7 @@
   } finally {
     watch.close();
     offStop();
-    ending.abort(new Error("The stream is no longer followed."));
+    if (!seen.whole) ending.abort(new Error("The stream is no longer followed."));
   }
 }
 
--- a/src/request/replicator.ts
+++ b/src/request/replicator.ts
@@ -1,4 +1,4 @@
-import { hasEnded, RequestState, SlotOutcome, sleep } from "../interface/index.ts";
+import { hasEnded, RequestState, SlotOutcome } from "../interface/index.ts";
 import type { ReplicateMessage, RequestRecord } from "../interface/index.ts";
 import type { Environment } from "./environment.ts";
 import {
@@ -63,7 +63,7 @@
   const { clock, configuration, counters, members, peers } = environment;
   const sendings = new Map<string, Sending>();
   const copiedTokens = new Map<string, CopiedTokens>();
-  let waking = new AbortController();
+  const sleeping = new Set<() => void>();
   let closed = false;
 
   const settle = (sending: Sending, state: CopyState): void => {
@@ -73,11 +73,21 @@
     for (const tell of sending.waiting) tell(state);
     sending.waiting.clear();
   };
-  const pauseOf = async (sending: Sending): Promise<void> => {
-    const { signal } = waking;
+  const pauseOf = (sending: Sending): Promise<void> => {
     const pause = sending.pause;
     sending.pause = Math.min(LONGEST_PAUSE, pause * 2);
-    await sleep(clock, pause, { signal }).catch(() => undefined);
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        sleeping.delete(wake);
+        timer.close();
+        resolve();
+      };
+      const timer = clock.after(pause, wake);
+      sleeping.add(wake);
+    });
+  };
+  const wakeAll = (): void => {
+    for (const wake of [...sleeping]) wake();
   };
 
   /** Sends once; resolves false where the next try has to wait. */
@@ -176,14 +186,10 @@
         const sending = begin(place, tell);
       });
     },
-    wake: () => {
-      const before = waking;
-      waking = new AbortController();
-      before.abort(new Error("The slot map has changed."));
-    },
+    wake: wakeAll,
     close: () => {
       closed = true;
-      waking.abort(new Error("The instance is closing."));
+      wakeAll();
     },
   };
 }
--- a/src/request/request_service_test.ts
+++ b/src/request/request_service_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
-import { MemberState, Refusal, RequestState } from "../interface/index.ts";
-import { answerOf, createRequestFleet, endOf } from "./testing/request_fleet.ts";
+import { EngineKnowledge, MemberState, Refusal, RequestState } from "../interface/index.ts";
+import { answerOf, createRequestFleet, endOf, workerNamed } from "./testing/request_fleet.ts";
 
 test("an answer comes whole, after its acceptance was copied to the backup", async () => {
   const fleet = createRequestFleet();
@@ -68,3 +68,52 @@
   expect(fleet.engines.runs).toHaveLength(1);
   fleet.close();
 });
+
+test("a request that is cancelled at another instance ends for its caller and at the server", async () => {
+  const fleet = createRequestFleet();
+  fleet.assign(0, 1);
+  await fleet.clock.advance(10);
+  const caller = fleet.submit(2, { key: "k", body: '{"max_tokens":500}' });
+  await fleet.clock.advance(200);
+  const cancelled = fleet.node(1).requests.cancel(caller.id, "club");
+  await fleet.clock.advance(100);
+  await cancelled;
+  expect(endOf(caller)?.state).toBe(RequestState.Cancelled);
+  const knowledge = fleet.engines.connect().ask(workerNamed("w1"), caller.id, { bar: false });
+  await fleet.clock.advance(100);
+  expect(await knowledge).toBe(EngineKnowledge.Cancelled);
+  fleet.close();
+});
+
+test("a request's id is worth nothing to another account", async () => {
+  // Somebody guesses or finds the id of another club's request. Its answer must not be theirs to read or end.
+  const fleet = createRequestFleet();
+  fleet.assign(0, 1);
+  await fleet.clock.advance(10);
+  const caller = fleet.submit(0, { body: '{"max_tokens":50}' });
+  await fleet.clock.advance(100);
+  const found = fleet.node(2).requests.find(caller.id, "other-club");
+  const cancelled = fleet.node(0).requests.cancel(caller.id, "other-club");
+  const forged = fleet.node(0).requests.find("r9999-0000000000000000", "club");
+  await fleet.clock.advance(2_000);
+  for (const answer of [found, cancelled, forged]) {
+    expect(await answer).toMatchObject({ reason: Refusal.UnknownRequest });
+  }
+  expect(caller.text).toBe(answerOf(50));
+  fleet.close();
+});
+
+test("answers without a key are dropped after a while, keyed ones are kept", async () => {
+  // The instance runs for weeks. If it kept every answer, its memory would be full in a day.
+  const fleet = createRequestFleet();
+  fleet.assign(0, 1);
+  await fleet.clock.advance(10);
+  const plain = fleet.submit(0);
+  const keyed = fleet.submit(0, { key: "k" });
+  await fleet.clock.advance(3_600_000);
+  const [lost, kept] = [plain, keyed].map(({ id }) => fleet.node(0).requests.find(id, "club"));
+  await fleet.clock.advance(100);
+  expect(await lost).toMatchObject({ reason: Refusal.UnknownRequest });
+  expect(await kept).toMatchObject({ state: RequestState.Complete });
+  fleet.close();
+});
