Give up a body that comes drop by drop, with an answer

Cause: a body that took too long ended the connection without a word, and the bodies of plain services had no bound on their time.

Change: both are given up after 30 s with a typed refusal (bad-request, not run); then the connection is closed. The virtual clock tells how many timers wait, so that the test needs no pause.

--- a/src/connection/caller_routes_test.ts
+++ b/src/connection/caller_routes_test.ts
@@ -2,11 +2,12 @@
 import { connect } from "node:net";
 import fc from "fast-check";
 import polka from "polka";
-import { afterEach, beforeEach, expect, test } from "vitest";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { createSeededRandom, Refusal, RequestState } from "../interface/index.ts";
 import type { Member, RequestRecord } from "../interface/index.ts";
 import type { CallerEvent, RequestService, Submission } from "../request/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
+import type { VirtualClock } from "../standin/memory/index.ts";
 import { EMPTY_SLOT_MAP } from "../version/index.ts";
 import type { Revision } from "../version/index.ts";
 import { addCallerRoutes } from "./caller_routes.ts";
@@ -19,11 +20,13 @@
 const SELF: Member = { id: "e1#1", address: "1", callerAddress: "127.0.0.1:1", zone: "a" };
 
 let listener: Listener;
+let clock: VirtualClock;
 let submitted: Submission[];
 let outcome: CallerEvent[];
 let refused: Refusal[];
 
 beforeEach(async () => {
+  clock = createVirtualClock();
   submitted = [];
   refused = [];
   outcome = answerEvents(["a", "b"]);
@@ -167,6 +170,23 @@
   expect((await post({ body: chatBody({}) })).status).toBe(200);
 });
 
+test("a body that comes drop by drop is given up, and the caller is told", async () => {
+  // Somebody opens many connections and sends a byte now and then. Each would hold memory and a place for
+  // as long as it likes, until no secretary gets through.
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect(port, host);
+  let text = "";
+  socket.on("data", (data) => (text += data.toString()));
+  const head = `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${KEY}`;
+  socket.write(`${head}\r\ncontent-length: 100\r\n\r\n{`);
+  await vi.waitFor(() => expect(clock.pending()).toBe(1));
+  await clock.advance(30_000);
+  await vi.waitFor(() => expect(text).toContain("HTTP/1.1 400"));
+  expect(text).toContain('"not_run":true');
+  expect(refused).toEqual([Refusal.BadRequest]);
+  socket.destroy();
+});
+
 interface Call {
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
@@ -251,7 +271,7 @@
   const close = (): void => undefined;
   return {
     requests,
-    clock: createVirtualClock(),
+    clock,
     random: createSeededRandom(1),
     configuration: {
       revision: () => REVISION,
--- a/src/connection/guarded_route.ts
+++ b/src/connection/guarded_route.ts
@@ -25,6 +25,8 @@
       parts.counters.refused(rejection.reason);
       if (response.headersSent) response.destroy();
       else sendRejection(response, rejection);
+      // What is left of a body that was given up is not waited for.
+      if (error instanceof BodyTooSlow) response.on("finish", () => request.destroy());
     }
   };
 }
--- a/src/connection/http_body.ts
+++ b/src/connection/http_body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Clock } from "../interface/index.ts";
+import type { Clock, Timer } from "../interface/index.ts";
 
 /** Greatest body of a caller's request, in bytes. */
 export const BODY_LIMIT = 4_000_000;
@@ -31,22 +31,28 @@
   most: number,
   options: { clock?: Clock } = {},
 ): Promise<string> {
-  const timer = options.clock?.after(BODY_TIME, () => {
-    message.destroy(new BodyTooSlow(`The body took longer than ${BODY_TIME} ms.`));
+  let timer: Timer | undefined;
+  // The connection stays open for the answer that says so; it is closed with it.
+  const tooSlow = new Promise<never>((_resolve, reject) => {
+    timer = options.clock?.after(BODY_TIME, () => {
+      reject(new BodyTooSlow(`The body took longer than ${BODY_TIME} ms.`));
+    });
   });
-  const chunks: Buffer[] = [];
-  let size = 0;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > most) {
-        throw new BodyTooLarge(`The body is longer than the bound of ${most} bytes.`);
-      }
-      chunks.push(chunk);
-    }
+    return await Promise.race([readAll(message, most), tooSlow]);
   } finally {
     timer?.close();
   }
+}
+
+async function readAll(message: IncomingMessage, most: number): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of message as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > most) throw new BodyTooLarge(`The body is longer than the bound of ${most} bytes.`);
+    chunks.push(chunk);
+  }
   return Buffer.concat(chunks).toString("utf8");
 }
 
--- a/src/connection/service_routes.ts
+++ b/src/connection/service_routes.ts
@@ -69,7 +69,7 @@
   if (isRejection(wishes)) return wishes;
   const method = request.method ?? "GET";
   const rest = (request.url ?? "").slice(`/services/${service}`.length);
-  const body = await readBody(request, BODY_LIMIT);
+  const body = await readBody(request, BODY_LIMIT, { clock: parts.clock });
   const asMethod = IDEMPOTENT.has(method) ? { repeatable: true } : {};
   const { account } = caller;
   return {
--- a/src/standin/memory/virtual_clock.ts
+++ b/src/standin/memory/virtual_clock.ts
@@ -9,6 +9,8 @@
    * @param milliseconds How far.
    */
   advance(milliseconds: number): Promise<void>;
+  /** Timers that wait for their time. */
+  pending(): number;
   /** Lets everything happen that needs no time. */
   settle(): Promise<void>;
 }
@@ -39,6 +41,7 @@
       pending.add(timer);
       return { close: () => pending.delete(timer) };
     },
+    pending: () => pending.size,
     settle,
     advance: async (milliseconds) => {
       const until = now + milliseconds;
