--- a/src/connection/peer_codec.ts
+++ b/src/connection/peer_codec.ts
@@ -140,6 +140,7 @@
     slot: message.slot,
     epoch: Number(message.epoch),
     custody: message.custody,
+    ...(message.complete ? { complete: true } : {}),
     records: message.records.map(decodeRecord),
   };
 }
--- a/src/request/ownership.ts
+++ b/src/request/ownership.ts
@@ -24,8 +24,8 @@
   leave(slot: number): void;
   /** Writes all answers in progress into their slots, before these are copied or handed over. */
   writeAll(): void;
-  /** Requests in progress, by slot. */
-  live(slot: number): readonly LiveRequest[];
+  /** Requests that this instance has running on a worker. */
+  running(worker: string): readonly LiveRequest[];
   inProgress(): number;
   /** Called when a request of a slot has ended or moved. */
   onSettled: (slot: number) => void;
@@ -35,6 +35,8 @@
 const ACCEPT_PATIENCE = 2_000;
 /** Milliseconds after which a caller is told to try again. */
 const TRY_AGAIN = 1_000;
+/** Milliseconds after which a caller of a paused service may ask whether another preset is in force. */
+const PAUSED_TIME = 30_000;
 /** Bound on records held, in progress or ended. */
 const MOST_RECORDS = 200_000;
 
@@ -95,6 +97,10 @@
       const detail = "No owner of the key's slot is known yet.";
       return refusal(record, { reason: Refusal.OwnerUnavailable, detail, retryAfter: TRY_AGAIN });
     }
+    if (isPaused(environment, record.service)) {
+      const detail = `The preset in force has the service ${record.service} take no new work.`;
+      return refusal(record, { reason: Refusal.Draining, detail, retryAfter: PAUSED_TIME });
+    }
     const alone = table.actsAlone(replica, record.repeatable);
     if (!alone && !table.hasLiveBackup(replica)) {
       const detail = "No second entry instance can hold the request at present.";
@@ -212,19 +218,13 @@
   };
 
   const ownership: Ownership = {
-    serve: async function* (message, signal) {
+    serve: (message, signal) => {
       const { slot } = message.record;
-      if (!ownsSlot(table.get(slot))) {
-        yield movedEvent(slot);
-        return;
-      }
+      if (!ownsSlot(table.get(slot))) return only(movedEvent(slot));
       const found = followed(message);
-      if (!(found instanceof LiveRequest)) {
-        yield found;
-        return;
-      }
+      if (!(found instanceof LiveRequest)) return only(found);
       takeTokens(found, message);
-      yield* found.read(message.fromToken, signal);
+      return found.read(message.fromToken, signal);
     },
     find: (slot, id) => {
       const live = lives.get(id);
@@ -251,13 +251,24 @@
     writeAll: () => {
       for (const live of lives.values()) writeProgress(context, live);
     },
-    live: (slot) => [...(bySlot.get(slot) ?? [])],
+    running: (worker) =>
+      [...lives.values()].filter((live) => live.dispatched && live.record.worker === worker),
     inProgress: () => lives.size,
     onSettled: () => undefined,
   };
   return ownership;
 }
 
+function isPaused({ configuration }: RunContext["environment"], service: string): boolean {
+  const revision = configuration.revision();
+  return revision?.deployment.presets[revision.preset]?.paused.includes(service) === true;
+}
+
+async function* only(event: FinalEvent): AsyncGenerator<RelayEvent> {
+  await Promise.resolve();
+  yield event;
+}
+
 /** Tokens that the caller has had from an earlier owner, which this one didn't get to know. */
 function takeTokens(live: LiveRequest, { record, fromToken }: RelayMessage): void {
   if (!live.record.repeatable || live.dispatched || record.tokens.length !== fromToken) return;
