Play faults over whole entry instances, and don't call a key not run by hearsay

Cause: an instance that was draining or cut off rejected a caller's key as "not run" without asking the key's owner, while the same key ran by way of another instance. The caller would bring its entry anew.

Change: npm run faults draws workloads and faults from a seed, plays them over the real entry instance on a virtual clock, checks the promises from the callers' and backend servers' own records, and shrinks what fails. A rejection by an instance that has asked no owner says "not run" only where there is no key. In the memory network a call to a frozen instance that is killed now fails, as a connection to a dead machine does.

--- /dev/null
+++ b/bench/faults/faults_test.ts
@@ -0,0 +1,59 @@
+import { expect, test } from "vitest";
+import { RequestState } from "../../src/interface/index.ts";
+import { keyedId } from "../../src/request/request_key.ts";
+import { ACCOUNT, emptyNotes } from "./caller.ts";
+import { play } from "./play.ts";
+import { brokenPromises } from "./promises.ts";
+import { drawScenario } from "./scenario.ts";
+import { shrink } from "./shrink.ts";
+
+test.each([1, 2, 57, 127])("seed %i keeps every promise", async (seed) => {
+  // Instances, zones, paths, the store and workers fail together while clubs bring their entries. A user
+  // would see a doubled entry, a mixed-up answer, or none.
+  expect((await play(drawScenario(seed))).broken).toEqual([]);
+});
+
+test.each([32, 44, 46, 116, 133])(
+  "seed %i: a key that runs elsewhere is not called not run",
+  async (seed) => {
+    // A club brings its key to two instances. One that is stopping or cut off turned it away as "not run",
+    // while the other ran it: the club would bring the entry anew, under a new key, and pay twice.
+    expect((await play(drawScenario(seed))).broken).toEqual([]);
+  },
+);
+
+test("each broken promise is seen", () => {
+  const scenario = { ...drawScenario(1), faults: [] };
+  const demand = { at: 0, instance: 0, repeatable: false, detached: false, tokens: 2, key: "k" };
+  const { id } = keyedId(ACCOUNT, "k");
+  const run = { id, worker: "w0", attempt: 1, startedAt: 1, resumedFrom: 0 };
+  const broken = brokenPromises({
+    scenario,
+    runs: [run, run],
+    notes: [
+      { ...emptyNotes(demand), id, endedAt: 9, ends: [RequestState.NotRun] },
+      { ...emptyNotes(demand), id, accepted: true, tokens: ["t1 "] },
+      { ...emptyNotes(demand), id, tokens: ["t0 "], ends: [RequestState.Complete] },
+    ],
+    versions: [[2, 1]],
+  });
+  expect(broken.map((sentence) => sentence.replace(/^\S+ /, ""))).toEqual([
+    "ran 2 times, though it may not be repeated.",
+    "ran 2 times, though it may not be repeated.",
+    "the caller got the tokens t1 .",
+    "it was accepted, and the caller got no end ().",
+    "ran 2 times, though it may not be repeated.",
+    "the answer ended whole with 1 of 2 tokens.",
+    'the caller was told "not run", and it had run.',
+    "0 went back to an earlier revision: 2 1.",
+  ]);
+});
+
+test("a failing scenario is shrunk to what it needs", async () => {
+  const scenario = drawScenario(133);
+  const [needed] = scenario.faults;
+  const smallest = await shrink(scenario, ({ faults }) =>
+    Promise.resolve(faults.some((fault) => fault === needed)),
+  );
+  expect(smallest).toEqual({ ...scenario, faults: [needed], demands: [] });
+});
--- /dev/null
+++ b/bench/faults/main.ts
@@ -0,0 +1,54 @@
+import { parseArgs } from "node:util";
+import { play } from "./play.ts";
+import { drawScenario } from "./scenario.ts";
+import type { Scenario } from "./scenario.ts";
+import { shrink } from "./shrink.ts";
+
+const HELP = `Plays workloads with faults over entry instances in memory, and checks the promises.
+
+  npm run faults -- [--seed N] [--count K] [--json]
+
+Exit code 1 where a promise was broken. Example: npm run faults -- --seed 1 --count 100`;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string", default: "1" },
+    count: { type: "string", default: "100" },
+    json: { type: "boolean", default: false },
+    help: { type: "boolean", default: false },
+  },
+});
+
+interface Failure {
+  readonly seed: number;
+  readonly broken: readonly string[];
+  readonly repeat: string;
+  readonly smallest: Scenario;
+}
+
+async function runSeed(seed: number): Promise<Failure | undefined> {
+  const scenario = drawScenario(seed);
+  const { broken } = await play(scenario);
+  if (broken.length === 0) return undefined;
+  const smallest = await shrink(scenario, async (left) => (await play(left)).broken.length > 0);
+  return { seed, broken, repeat: `npm run faults -- --seed ${seed} --count 1`, smallest };
+}
+
+if (values.help) {
+  console.log(HELP);
+} else {
+  const first = Number(values.seed);
+  const count = Number(values.count);
+  const started = performance.now();
+  const failures: Failure[] = [];
+  for (let seed = first; seed < first + count; seed++) {
+    const failure = await runSeed(seed);
+    if (failure === undefined) continue;
+    failures.push(failure);
+    if (!values.json) console.log(failure.repeat, JSON.stringify(failure, undefined, 1));
+  }
+  const time = Math.round(performance.now() - started);
+  const report = { seed: first, count, failed: failures.length, time };
+  console.log(JSON.stringify(values.json ? { ...report, failures } : report));
+  if (failures.length > 0) process.exitCode = 1;
+}
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -75,7 +75,7 @@
       : DRAINING;
     if ("notRun" in record) {
       environment.counters.refused(record.reason);
-      yield { kind: "rejected", rejection: record };
+      yield { kind: "rejected", rejection: hereOnly(record, submission) };
       return;
     }
     yield* carrying({ record, fromToken: submission.fromToken, follow: false }, signal);
@@ -194,6 +194,15 @@
   };
 }
 
+/**
+ * A rejection by an instance that asked no owner. A key may have come to another instance as well, and run
+ * there: a caller that is told "not run" of its key by this one would bring the entry anew, and pay twice.
+ */
+function hereOnly(rejection: Rejection, { account, key }: Submission): Rejection {
+  if (key === undefined) return rejection;
+  return { ...rejection, notRun: false, id: keyedId(account, key).id };
+}
+
 const DRAINING: Rejection = {
   reason: Refusal.Draining,
   notRun: true,
--- a/src/standin/memory/memory_network.ts
+++ b/src/standin/memory/memory_network.ts
@@ -26,6 +26,8 @@
   readonly address: string;
   readonly handlers: PeerHandlers;
   readonly gate: () => Promise<void>;
+  /** Aborted when the instance is killed: a frozen one that is killed answers nobody. */
+  readonly ending: AbortController;
 }
 
 /** Makes a network without instances. */
@@ -53,7 +55,7 @@
     await sleep(clock, PATH_TIME);
     const node = nodes.get(to);
     if (node === undefined) throw peerFailure(step, to, "The connection was refused.");
-    await node.gate();
+    await Promise.race([node.gate(), aborted(node.ending.signal)]);
     if (nodes.get(to) !== node) throw peerFailure(step, to, "The connection broke.");
     return node;
   };
@@ -99,9 +101,14 @@
 
   return {
     join: (member, handlers, gate = () => Promise.resolve()) => {
-      nodes.set(member.id, { address: member.address, handlers, gate });
+      const ending = new AbortController();
+      nodes.set(member.id, { address: member.address, handlers, gate, ending });
+    },
+    kill: (id) => {
+      const node = nodes.get(id);
+      nodes.delete(id);
+      node?.ending.abort();
     },
-    kill: (id) => nodes.delete(id),
     peersOf,
     setCut: (a, b, cut) => {
       if (cut) cuts.add(pairOf(a, b));
@@ -112,6 +119,13 @@
   };
 }
 
+function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) resolve();
+    else signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
+
 function pairOf(a: string, b: string): string {
   return [a, b].sort().join("|");
 }
