--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -18,6 +18,7 @@
 import { createRequestQueue } from "./request_queue.ts";
 import { createRetention } from "./retention.ts";
 import { isKeeper, ownsSlot, receiveCession, receiveRecord, Stance } from "./slot_replica.ts";
+import { followReclaims } from "./worker_reclaim.ts";
 import { createSlotTable } from "./slot_table.ts";
 import type { SlotChange } from "./slot_table.ts";
 
@@ -40,7 +41,16 @@
   const queue = createRequestQueue(scheduler, clock);
   const retention = createRetention(clock, table);
   const ownership = createOwnership({ environment, table, replicator, queue }, retention);
-  const front: Front = { environment, table, ownership };
+  const front: Front = {
+    environment,
+    table,
+    ownership,
+    began: () => carried++,
+    ended: () => {
+      carried--;
+      tellIdle();
+    },
+  };
   const handover = createHandover(environment, { table, ownership });
   const idle = new Set<() => void>();
   let taking = true;
@@ -61,6 +71,7 @@
     configuration.onChange(() => replicator.wake()),
     members.onChange(() => replicator.wake()),
     workers.onChange(() => queue.adjust()),
+    followReclaims(environment, (worker) => ownership.running(worker)),
   ];
   const tellIdle = (): void => {
     if (ownership.inProgress() > 0 || carried > 0) return;
@@ -69,42 +80,21 @@
   };
   ownership.onSettled = tellIdle;
 
-  async function* submit(submission: Submission, signal: AbortSignal): AsyncGenerator<CallerEvent> {
-    const record = taking
-      ? recordOf(environment, { submission, draw: (random) => table.draw(random) })
-      : DRAINING;
-    if ("notRun" in record) {
-      environment.counters.refused(record.reason);
-      yield { kind: "rejected", rejection: hereOnly(record, submission) };
-      return;
+  const submit: RequestService["submit"] = (submission, signal) => {
+    const draw = (random: Environment["random"]): number | undefined => table.draw(random);
+    const record = taking ? recordOf(environment, { submission, draw }) : DRAINING;
+    if (!("notRun" in record)) {
+      return carry(front, { record, fromToken: submission.fromToken, follow: false }, signal);
     }
-    yield* carrying({ record, fromToken: submission.fromToken, follow: false }, signal);
-  }
-  async function* carrying(
-    request: Parameters<typeof carry>[1],
-    signal: AbortSignal,
-  ): AsyncGenerator<CallerEvent> {
-    carried++;
-    try {
-      yield* carry(front, request, signal);
-    } finally {
-      carried--;
-      tellIdle();
-    }
-  }
-  async function* follow(
-    id: string,
-    options: { account: string; fromToken: number; signal: AbortSignal },
-  ): AsyncGenerator<CallerEvent> {
+    environment.counters.refused(record.reason);
+    return rejected(hereOnly(record, submission));
+  };
+  const follow: RequestService["follow"] = (id, { account, fromToken, signal }) => {
     const slot = slotOfRequestId(id);
-    if (slot === undefined) {
-      yield { kind: "rejected", rejection: unknownRequest(id) };
-      return;
-    }
-    const record = namedOnly({ id, slot, account: options.account });
-    const { fromToken } = options;
-    yield* carrying({ record, fromToken, follow: true }, options.signal);
-  }
+    if (slot === undefined) return rejected(unknownRequest(id));
+    const record = namedOnly({ id, slot, account });
+    return carry(front, { record, fromToken, follow: true }, signal);
+  };
 
   const answerAsk = (message: AskMessage): AskReply => {
     const replica = table.get(message.slot);
@@ -210,6 +200,12 @@
   detail: "This entry instance is about to stop; resolve an address anew.",
 };
 
+/** A request that is turned away before it has an owner. */
+async function* rejected(rejection: Rejection): AsyncGenerator<CallerEvent> {
+  await Promise.resolve();
+  yield { kind: "rejected", rejection };
+}
+
 function unknownRequest(id: string): Rejection {
   const detail = "No request of this account has the id.";
   return { reason: Refusal.UnknownRequest, notRun: false, detail, id };
@@ -262,6 +258,10 @@
   }
   const revision = configuration.revision();
   const service = revision?.deployment.services[submission.service];
+  if (revision !== undefined && service === undefined) {
+    const detail = `The deployment has no service "${submission.service}".`;
+    return { reason: Refusal.UnknownService, notRun: true, detail };
+  }
   const named = nameOf({ submission, draw, random });
   if (named === undefined) {
     const detail = "This entry instance owns no slot with a live backup at present.";
