--- a/src/cli/demo/caller.ts
+++ b/src/cli/demo/caller.ts
@@ -2,7 +2,7 @@
 import type { Agent } from "undici";
 import { z } from "zod";
 import { eventData } from "../../connection/index.ts";
-import { sleep } from "../../interface/index.ts";
+import { Refusal, sleep } from "../../interface/index.ts";
 import type { Clock, Random } from "../../interface/index.ts";
 
 /** A request of the demonstration's load. */
@@ -63,6 +63,11 @@
   run(errand: Errand): Promise<ErrandRecord>;
 }
 
+/** Reasons that are no end: the request's state isn't known at present, and the key tells it later. */
+const ASK_AGAIN: ReadonlySet<string> = new Set([
+  Refusal.OwnerUnavailable,
+  Refusal.BackupUnavailable,
+]);
 const RETRY_PAUSE = 200;
 const MAX_RETRY_PAUSE = 2_000;
 /** Milliseconds without a byte after which a caller gives a connection up. */
@@ -229,7 +234,8 @@
   if (!parsed.success) return { kind: "again", pause: RETRY_PAUSE };
   const { code, not_run: notRun } = parsed.data.error;
   progress.reason = code;
-  if (typeof retryAfter === "string" || notRun === undefined) {
+  const isOpen = ASK_AGAIN.has(code);
+  if (typeof retryAfter === "string" || notRun === undefined || isOpen) {
     const pause = Math.min(MAX_RETRY_PAUSE, Number(retryAfter ?? 0) * 1_000);
     return { kind: "again", pause: Math.max(RETRY_PAUSE, pause) };
   }
--- a/src/request/live_request.ts
+++ b/src/request/live_request.ts
@@ -33,6 +33,8 @@
   sent = false;
   /** Workers that have said that they refuse it from now on, because they had not begun it. */
   readonly barredAt = new Set<string>();
+  /** Whether a server has run a part of it that is gone on from elsewhere. */
+  partlyRun = false;
   /** Whether this owner has sent it. */
   dispatched = false;
   /** When this owner sent it last, in the clock's milliseconds. */
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -136,7 +136,8 @@
 
 /** "Not run" only where nothing was sent: with one byte sent, nobody but the server can know. */
 function givenUp(live: LiveRequest, reason: Refusal, detail: string): RunOutcome {
-  return ended(live.sent ? RequestState.MayHaveRun : RequestState.NotRun, reason, detail);
+  const mayHaveRun = live.sent || live.partlyRun;
+  return ended(mayHaveRun ? RequestState.MayHaveRun : RequestState.NotRun, reason, detail);
 }
 
 async function tryWorkers(context: RunContext, live: LiveRequest, job: Job): Promise<RunOutcome> {
@@ -166,7 +167,9 @@
     if (outcome !== undefined) return outcome;
     avoid.add(worker.id);
     if (!live.record.repeatable && live.sent) {
-      const asked = await inquireAt(context, live, worker);
+      const takenAway =
+        cause === RetryCause.WorkerReclaimed && (await takeAway(context, live, worker));
+      const asked = takenAway ? undefined : await inquireAt(context, live, worker);
       if (asked !== undefined) return asked;
       counters.retried(cause);
       continue;
@@ -418,6 +421,32 @@
   return true;
 }
 
+/**
+ * Takes a request that may not be repeated from a server under notice, to go on with it elsewhere.
+ *
+ * An entry that was accepted must survive the reclaim, and must not run twice. So it is moved and not begun
+ * again: the server first confirms that it has stopped, and the next one goes on from the exported KV cache or
+ * the tokens that were had. Where nothing was had yet, or the server doesn't confirm, it stays where it is.
+ *
+ * @returns True where it may go on elsewhere.
+ */
+async function takeAway(
+  { environment }: RunContext,
+  live: LiveRequest,
+  worker: Worker,
+): Promise<boolean> {
+  if (live.tokens.length === 0) return false;
+  const stopped = environment.engine.cancel(worker, live.record.id).then(
+    () => true,
+    () => false,
+  );
+  if ((await unlessStopped(live, stopped)) !== true) return false;
+  live.partlyRun = true;
+  live.sent = false;
+  live.barredAt.add(worker.id);
+  return true;
+}
+
 /** Asks the server that may have the request, and follows it there if it runs. */
 async function inquireAfter(
   context: RunContext,
@@ -455,6 +484,10 @@
     const end = await attachAgain(context, live, { worker, cause: undefined });
     const outcome = outcomeOf(end, live);
     if (outcome !== undefined) return outcome;
+    if (end.kind === "stopped" && end.cause === Stop.Reclaimed) {
+      const takenAway = await takeAway(context, live, worker);
+      return takenAway ? undefined : inquireAt(context, live, worker);
+    }
   }
   return givenUp(live, Refusal.BackendLost, "The backend server that may have run it was lost.");
 }
--- a/src/request/worker_reclaim.ts
+++ b/src/request/worker_reclaim.ts
@@ -49,6 +49,8 @@
     switch (choice) {
       case TriageChoice.Finish:
       case TriageChoice.Stay:
+        // What was expected to end and hasn't would be lost with the instance.
+        later((worker.reclaimAt ?? 0) - LATE_MARGIN, move);
         break;
       case TriageChoice.ResumeNow:
         move();
