Let no run of an earlier ownership go on in a later one

An instance that was paused past a takeover had accepted a key; it lost the slot, owned it again half a second later, and its first run, which still waited for a copy, took the slot's record for its own: it wrote "accepted" over "streaming" and sent an entry that another owner had sent. A club pays twice.

Change: on becoming the owner, a run whose record is not the slot's is stopped and its reader told that the request has moved; a run that is no longer the current one sends nothing after its copy is acknowledged.

--- a/src/request/ownership.ts
+++ b/src/request/ownership.ts
@@ -128,6 +128,10 @@
 
   const begin = async (live: LiveRequest, job: Job): Promise<void> => {
     const copy = await replicator.copied(live.record, ACCEPT_PATIENCE);
+    if (lives.get(live.record.id) !== live) {
+      scheduler.settled(job, clock.now());
+      return;
+    }
     if (copy === CopyState.Acknowledged) {
       live.accepted = true;
       live.wake();
@@ -237,6 +241,14 @@
     cancel: (id) => lives.get(id)?.stop(Stop.Cancelled),
     inherit: (slot) => {
       for (const { record } of table.get(slot).held.values()) {
+        const live = lives.get(record.id);
+        // One that was begun in an earlier ownership knows nothing of what the owners between have done:
+        // going on, it would send again what they have sent.
+        if (live !== undefined && live.record.sequence !== record.sequence) {
+          live.stop(Stop.Moved);
+          live.finish(movedEvent(slot));
+          remove(live);
+        }
         if (lives.has(record.id)) replicator.send(record);
         else if (!hasEnded(record.state)) inheritOne(record);
         else {
