--- /dev/null
+++ b/src/decision/estimate_test.ts
@@ -0,0 +1,58 @@
+import { expect, test } from "vitest";
+import { createEstimator } from "./estimate.ts";
+import type { Estimator } from "./estimate.ts";
+import type { Job } from "./job.ts";
+import { createPrefixBelief } from "./prefix_belief.ts";
+import { someArrival, TEST_POLICY } from "./testing/load_play.ts";
+
+function learn(estimator: Estimator, changes: Partial<Job>, lengths: readonly number[]): void {
+  for (const length of lengths) {
+    const arrival = someArrival(changes);
+    const estimate = estimator.estimate(arrival);
+    estimator.learn({ ...arrival, estimate, resumedTokens: 0 }, length);
+  }
+}
+
+function answerOf(estimator: Estimator, changes: Partial<Job>): number {
+  return estimator.estimate(someArrival(changes)).answerTokens;
+}
+
+test("one very long answer doesn't change what the next ones are taken for", () => {
+  // Of a hundred short answers one runs to 100,000 tokens. A mean would be 50 times too high for an hour.
+  const estimator = createEstimator(TEST_POLICY);
+  learn(estimator, {}, [...Array<number>(99).fill(20), 100_000]);
+  expect(answerOf(estimator, {})).toBeGreaterThan(16);
+  expect(answerOf(estimator, {})).toBeLessThan(25);
+});
+
+test("a caller's own bound counts only as far as it has kept to it", () => {
+  // A caller states 16 tokens each time and is sent 400. Believed, it would be let in and served as if its
+  // work were a twentieth of what it is.
+  const estimator = createEstimator(TEST_POLICY);
+  learn(estimator, { account: "honest", maxTokens: 400 }, Array<number>(50).fill(300));
+  learn(estimator, { account: "other", maxTokens: 16 }, Array<number>(50).fill(400));
+  expect(answerOf(estimator, { account: "other", maxTokens: 16 })).toBeGreaterThan(320);
+  expect(answerOf(estimator, { account: "honest", maxTokens: 100 })).toBe(100);
+});
+
+test("an unknown account starts from what the service's answers come to", () => {
+  const estimator = createEstimator(TEST_POLICY);
+  learn(estimator, { account: "club" }, Array<number>(50).fill(1_000));
+  expect(answerOf(estimator, { account: "new" })).toBeGreaterThan(800);
+  learn(estimator, { account: "new" }, Array<number>(20).fill(30));
+  expect(answerOf(estimator, { account: "new" })).toBeLessThan(40);
+});
+
+test("a belief in a cached prefix weakens with age and ends with an eviction", () => {
+  // Cache events come late and some never do. Trusted for good, work would follow caches long emptied.
+  const belief = createPrefixBelief(100_000);
+  belief.stored("w1", ["a", "b", "c", "d"], 0);
+  expect(belief.match(["a", "b", "x", "y"], 0).get("w1")).toBe(0.5);
+  expect(belief.match(["a", "b", "c", "d"], 100_000).get("w1")).toBe(0.5);
+  belief.evicted("w1", ["c", "d"]);
+  const heard = belief.match(["a", "b", "c", "d"], 100_000).get("w1") ?? 0;
+  expect(heard).toBeGreaterThan(0.35);
+  expect(heard).toBeLessThanOrEqual(0.5);
+  belief.evicted("w1", ["a", "b"]);
+  expect(belief.match(["a", "b", "c", "d"], 0).size).toBe(0);
+});
--- /dev/null
+++ b/src/decision/loads_test.ts
@@ -0,0 +1,42 @@
+import { expect, test } from "vitest";
+import { planLoads } from "./loads.ts";
+import type { LoadsView, ModelDemand } from "./loads.ts";
+import { someWorkers } from "./testing/load_play.ts";
+
+function demandFor(model: string, arriving: number): ModelDemand {
+  return { model, arriving, waiting: 0, weights: 1_000 };
+}
+
+function someView(changes: Partial<LoadsView>): LoadsView {
+  const workers = someWorkers(8);
+  const loaded = new Map(workers.map(({ id }) => [id, ["old", "idle"]]));
+  const rates = { perWorker: 2, weightStoreRate: 1_000, loading: 0 };
+  return { now: 0, workers, loaded, demand: [], ...rates, ...changes };
+}
+
+function holders(view: LoadsView, model: string): number {
+  return planLoads(view).filter(({ models }) => models.includes(model)).length;
+}
+
+test("holders follow demand, at least two a model, and models without demand make room", () => {
+  // Desks switch to another adapter in the morning. Loaded by their first request, each worker would keep
+  // a caller waiting for the load.
+  const demand = [demandFor("new", 700), demandFor("old", 250), demandFor("rare", 10)];
+  const view = someView({ demand });
+  expect(holders(view, "new")).toBe(6);
+  expect(holders(view, "rare")).toBe(2);
+  expect(holders(view, "old")).toBeGreaterThanOrEqual(2);
+  expect(planLoads(view).every(({ models }) => models.length <= 2)).toBe(true);
+});
+
+test("only as many loads begin at once as the weight store feeds in a minute", () => {
+  // All workers load at once: each gets an eighth of the rate, and none is ready for minutes.
+  const view = someView({ demand: [demandFor("new", 700)], weightStoreRate: 40, loading: 0 });
+  expect(holders(view, "new")).toBe(3);
+  expect(holders({ ...view, loading: 3 }, "new")).toBe(0);
+});
+
+test("nothing changes while what is loaded serves the demand", () => {
+  const view = someView({ demand: [demandFor("old", 500)] });
+  expect(planLoads(view).every(({ models }) => models.join() === "old,idle")).toBe(true);
+});
--- /dev/null
+++ b/src/decision/retry_budget_test.ts
@@ -0,0 +1,79 @@
+import { describe, expect, test } from "vitest";
+import { createSeededRandom, RetryCause } from "../interface/index.ts";
+import type { Job } from "./job.ts";
+import { createRetryBudget, decideRetry } from "./retry_budget.ts";
+import type { Retry, RetryBudget } from "./retry_budget.ts";
+import { someArrival } from "./testing/load_play.ts";
+
+const random = createSeededRandom(1);
+
+function someJob(changes: Partial<Job> = {}): Job {
+  const estimate = { work: 50, answerTokens: 20, cacheTokens: 220, serviceTime: 500 };
+  return { ...someArrival(), estimate, resumedTokens: 0, ...changes };
+}
+
+function decide(
+  job: Job,
+  { budget = createRetryBudget(), cause = RetryCause.BackendError, failures = 1, now = 0 } = {},
+): Retry {
+  return decideRetry(job, { cause, failures, budget, now, random });
+}
+
+function retriesOf(budget: RetryBudget, job: Job, failures: number): number {
+  const all = Array.from({ length: failures }, () => decide(job, { budget }));
+  return all.filter(({ kind }) => kind === "retry").length;
+}
+
+describe("retries", () => {
+  test("an outage gets at most a tenth more load from retries", () => {
+    // All servers of a service fail for a while. Three tries for each request would be three times the
+    // load, on servers that have too much already.
+    const budget = createRetryBudget();
+    for (let index = 0; index < 500; index++) budget.succeeded(someJob());
+    expect(retriesOf(budget, someJob(), 1_000)).toBeLessThanOrEqual(60);
+  });
+
+  test("one account's failing requests leave the others their retries", () => {
+    const budget = createRetryBudget();
+    for (let index = 0; index < 500; index++) budget.succeeded(someJob({ account: "tent" }));
+    expect(retriesOf(budget, someJob({ account: "club" }), 1_000)).toBe(10);
+    expect(retriesOf(budget, someJob({ account: "tent" }), 20)).toBe(20);
+  });
+
+  test("what may have run and may not be repeated is never sent again", () => {
+    // The server broke off after the request was sent. A second run would bill a brand twice.
+    const once = someJob({ repeatable: false });
+    expect(decide(once, { cause: RetryCause.WorkerLost }).kind).toBe("stop");
+    expect(decide(once, { cause: RetryCause.SilentConnection }).kind).toBe("stop");
+    expect(decide(once, { cause: RetryCause.ConnectFailed }).kind).toBe("retry");
+  });
+
+  test("an announced reclaim costs no budget", () => {
+    const budget = createRetryBudget();
+    retriesOf(budget, someJob(), 50);
+    expect(decide(someJob(), { budget, cause: RetryCause.WorkerReclaimed })).toEqual({
+      kind: "retry",
+      delay: 0,
+    });
+  });
+
+  test("without budget, detached work waits instead of ending, and a caller is told at once", () => {
+    const budget = createRetryBudget();
+    retriesOf(budget, someJob(), 50);
+    const detached = decide(someJob({ detached: true }), { budget });
+    expect(detached.kind === "retry" && detached.delay >= 10_000).toBe(true);
+    expect(decide(someJob(), { budget }).kind).toBe("stop");
+  });
+
+  test("delays are spread, grow, and end with the deadline", () => {
+    const job = someJob({ deadlineAt: 100_000 });
+    const delays = Array.from({ length: 100 }, () => {
+      const retry = decide(job, { failures: 4 });
+      return retry.kind === "retry" ? retry.delay : 0;
+    });
+    expect(Math.min(...delays)).toBeLessThan(40);
+    expect(Math.max(...delays)).toBeGreaterThan(300);
+    expect(Math.max(...delays)).toBeLessThanOrEqual(400);
+    expect(decide(job, { now: 100_000 }).kind).toBe("stop");
+  });
+});
