--- /dev/null
+++ b/bench/faults/operators_page_test.ts
@@ -0,0 +1,12 @@
+import { readFileSync } from "node:fs";
+import { expect, test } from "vitest";
+import { Refusal, RetryCause } from "../../src/interface/index.ts";
+
+test("the operators' page explains every reason for a refusal or a retry", () => {
+  const page = readFileSync(new URL("../../docs/OPERATORS.md", import.meta.url), "utf8");
+  const reasons = [...Object.values(Refusal), ...Object.values(RetryCause)];
+  const missing = reasons.filter(
+    (reason) => !new RegExp(`^\\| \`${reason}\` +\\| \\S`, "m").test(page),
+  );
+  expect(missing).toEqual([]);
+});
