Move what may not be repeated from a server under notice, and take no cancelled run for whole

Ruled out: beginning it again elsewhere (runs twice); waiting for the export alone (an engine may refuse it).

A run that was cancelled ends as broken and is gone on with.

--- a/bench/faults/faults_test.ts
+++ b/bench/faults/faults_test.ts
@@ -39,10 +39,13 @@
   });
   expect(broken.map((sentence) => sentence.replace(/^\S+ /, ""))).toEqual([
     "ran 2 times, though it may not be repeated.",
+    "went on at w0, though w0 had not stopped it.",
     "ran 2 times, though it may not be repeated.",
+    "went on at w0, though w0 had not stopped it.",
     "the caller got the tokens t1 .",
     "it was accepted, and the caller got no end ().",
     "ran 2 times, though it may not be repeated.",
+    "went on at w0, though w0 had not stopped it.",
     "the answer ended whole with 1 of 2 tokens.",
     'the caller was told "not run", and it had run.',
     "0 went back to an earlier revision: 2 1.",
--- a/src/interface/engine.ts
+++ b/src/interface/engine.ts
@@ -22,6 +22,9 @@
   readonly cache?: string;
 }
 
+/** The reason with which a cancelled run finishes. */
+export const CANCELLED_RUN = "cancelled";
+
 /** What a backend server says while it runs a request. */
 export type EngineEvent =
   | {
@@ -31,6 +34,7 @@
       readonly cached: number;
     }
   | { readonly kind: "token"; readonly index: number; readonly text: string }
+  /** `reason` is {@linkcode CANCELLED_RUN} where the run was cancelled before its answer was whole. */
   | { readonly kind: "finished"; readonly reason: string; readonly body?: string }
   | { readonly kind: "status"; readonly status: number; readonly body: string };
 
--- a/src/request/engine_stream.ts
+++ b/src/request/engine_stream.ts
@@ -1,4 +1,4 @@
-import { RetryCause } from "../interface/index.ts";
+import { CANCELLED_RUN, RetryCause } from "../interface/index.ts";
 import type { EngineEvent, EngineFailure } from "../interface/index.ts";
 import type { Environment } from "./environment.ts";
 import { Stop } from "./live_request.ts";
@@ -94,6 +94,11 @@
       if (early !== undefined) return early;
       watch.progress(event.kind === "token" || seen.token ? "nextToken" : "firstToken");
       if (event.kind === "finished") {
+        // An earlier owner cancels a run that it moves; to whoever still follows it the answer is cut, and
+        // taken for whole it would reach the caller truncated.
+        if (event.reason === CANCELLED_RUN) {
+          return { kind: "broken", notSent: false, detail: "The run was cancelled at its server." };
+        }
         seen.whole = true;
         return { kind: "finished", reason: event.reason, body: event.body ?? "" };
       }
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -441,10 +441,15 @@
     () => false,
   );
   if ((await unlessStopped(live, stopped)) !== true) return false;
+  goOnElsewhere(live, worker);
+  return true;
+}
+
+/** The server has stopped it: the rest may be made by another, from the tokens that were had. */
+function goOnElsewhere(live: LiveRequest, worker: Worker): void {
   live.partlyRun = true;
   live.sent = false;
   live.barredAt.add(worker.id);
-  return true;
 }
 
 /** Asks the server that may have the request, and follows it there if it runs. */
@@ -480,6 +485,10 @@
     live.barredAt.add(worker.id);
     return undefined;
   }
+  if (knowledge === EngineKnowledge.Cancelled && live.tokens.length > 0) {
+    goOnElsewhere(live, worker);
+    return undefined;
+  }
   if (knowledge === EngineKnowledge.Running || knowledge === EngineKnowledge.Finished) {
     const end = await attachAgain(context, live, { worker, cause: undefined });
     const outcome = outcomeOf(end, live);
