Say when an instance acts alone, and what a plain service's path holds

Cause: both rules stood in the code only.

Change: doc comments of actsAlone and of the path in records, dispatches and submissions.

Result: type check and format check clean; no code is changed.

--- a/src/interface/engine.ts
+++ b/src/interface/engine.ts
@@ -6,7 +6,7 @@
   /** Grows with each attempt of the same request; answers of an older one are dropped. */
   readonly attempt: number;
   readonly service: string;
-  /** HTTP path below the service, `/v1/chat/completions` for model services. */
+  /** HTTP path below the service, `/v1/chat/completions`; for plain services `METHOD /path`. */
   readonly path: string;
   /** The caller's body, JSON. */
   readonly body: string;
--- a/src/interface/record.ts
+++ b/src/interface/record.ts
@@ -79,7 +79,7 @@
   readonly keyed: boolean;
   /** Hash of the body, to tell a key that is used again for another request. */
   readonly fingerprint: string;
-  /** HTTP path below the service. */
+  /** HTTP path below the service, `/v1/chat/completions`; for plain services `METHOD /path`. */
   readonly path: string;
   readonly body: string;
   readonly attempt: number;
--- a/src/request/request_api.ts
+++ b/src/request/request_api.ts
@@ -12,7 +12,7 @@
   readonly service: string;
   /** `MODEL` or `MODEL+ADAPTER`; empty for the service's first, and for plain services. */
   readonly model: string;
-  /** HTTP path below the service. */
+  /** HTTP path below the service, `/v1/chat/completions`; for plain services `METHOD /path`. */
   readonly path: string;
   readonly body: string;
   /** The caller's idempotency key; absent where it gave none. */
--- a/src/request/slot_table.ts
+++ b/src/request/slot_table.ts
@@ -31,7 +31,14 @@
   forget(slot: number, id: string): void;
   /** A slot of this instance with a live backup, in another availability zone where there is one. */
   draw(random: Random): number | undefined;
-  /** Whether the slot's records need no second holder, because there is none to be had. */
+  /**
+   * Whether the slot's records need no second holder, because there is none to be had.
+   *
+   * A lone instance acts alone: where the slot map names no backup, for every request, since whoever is
+   * given the slot without its records refuses keys that it doesn't know; and where the map names one but
+   * no other member lives, for what may be repeated only, since the backup may be alive on the other side
+   * of a partition and would run the same key again.
+   */
   actsAlone(replica: SlotReplica, repeatable: boolean): boolean;
   /** Whether the backup that the map names can be asked. */
   hasLiveBackup(replica: SlotReplica): boolean;
