Hold the waves' replays to their stated outcomes

Cause: with the fleet, triage and the learned limits landed, the waves meet more than that nothing is lost, and the test asked for no more.

Change: in both waves the stated bounds on lost requests, recomputed tokens, first tokens and gaps must hold under current; the lookups of kortfilm's peak alone must meet every stated outcome.

--- a/traces/traces_test.ts
+++ b/traces/traces_test.ts
@@ -29,18 +29,29 @@
 );
 
 test.each(["association_wave", "kortfilm_wave"])(
-  "%s: nothing that was accepted is lost when an availability zone is taken",
+  "%s: an availability zone is taken, and requests end whole, in time and hardly computed again",
   (name) => {
     // The cloud takes all reclaimable instances of a zone at fifteen seconds' notice and refuses launches
-    // there. Without triage and resumption, entries vanish and scripts are missing in the morning.
-    const report = play(name);
-    expect(report.fleet.reclaimed).toBeGreaterThan(0);
-    expect(Object.values(report.groups).map(({ lost }) => lost)).toEqual(
-      Object.values(report.groups).map(() => 0),
-    );
+    // there. Without triage and resumption, entries vanish, scripts are missing in the morning, and what was
+    // in progress is computed from its beginning while finish-tent lookups wait.
+    const { fleet, outcomes } = play(name);
+    expect(fleet.reclaimed).toBeGreaterThan(0);
+    const failed = outcomes.filter((check) => isAboutWave(check.name) && !check.holds);
+    expect(failed).toEqual([]);
   },
 );
 
+/** The other outcomes, cost and the part answered, are the command's to judge: see its exit code. */
+function isAboutWave(outcome: string): boolean {
+  return /^lost$|^recomputed$|Token/.test(outcome);
+}
+
+test("the lookups of a peak alone meet every stated outcome", () => {
+  const report = play("kortfilm_peak_lookups");
+  expect(report.outcomes.filter(({ holds }) => !holds)).toEqual([]);
+  expect(report.outcomes.length).toBeGreaterThan(5);
+});
+
 test("another seed of the generator makes another course of events, and nothing is lost there either", () => {
   const [usual, other] = [traceOf("association_wave"), traceOf("association_wave", 8)];
   expect(other.arrivals).not.toEqual(usual.arrivals);
