--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -87,7 +87,7 @@
       return carry(front, { record, fromToken: submission.fromToken, follow: false }, signal);
     }
     environment.counters.refused(record.reason);
-    return rejected(record);
+    return rejected(hereOnly(record, submission));
   };
   const follow: RequestService["follow"] = (id, { account, fromToken, signal }) => {
     const slot = slotOfRequestId(id);
@@ -184,6 +184,15 @@
   };
 }
 
+/**
+ * A rejection by an instance that asked no owner. A key may have come to another instance as well, and run
+ * there: a caller that is told "not run" of its key by this one would bring the entry anew, and pay twice.
+ */
+function hereOnly(rejection: Rejection, { account, key }: Submission): Rejection {
+  if (key === undefined) return rejection;
+  return { ...rejection, notRun: false, id: keyedId(account, key).id };
+}
+
 const DRAINING: Rejection = {
   reason: Refusal.Draining,
   notRun: true,
