--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -1,6 +1,6 @@
 import { createHttpObjectStore } from "../connection/index.ts";
 import type { Listener } from "../connection/index.ts";
-import { Purchase, WorkerState } from "../interface/index.ts";
+import { Purchase, sleep, WorkerState } from "../interface/index.ts";
 import type { Worker } from "../interface/index.ts";
 import { startEntry, systemClock, systemRandom } from "../process/index.ts";
 import type { EntryInstance, EntrySettings } from "../process/index.ts";
@@ -30,6 +30,9 @@
   close(): Promise<void>;
 }
 
+/** How long a new deployment may take to give every slot its owners, and how often it is looked. */
+const FORMING_PATIENCE = 20_000;
+const FORMING_PERIOD = 20;
 const LOOPBACK = "127.0.0.1";
 const TOKEN_TIME = 20;
 
@@ -63,6 +66,7 @@
   });
   await writeRevision(settings, platform.address);
   for (const entry of await startEntries(settings, platform.address)) entries.push(entry);
+  await untilFormed(entries);
   return {
     entries,
     platform,
@@ -74,6 +78,20 @@
   };
 }
 
+/** Waits until every slot has its owners: before that a request may find no second holder. */
+async function untilFormed(entries: readonly EntryInstance[]): Promise<void> {
+  const isOwned = ({ core }: EntryInstance): boolean =>
+    core.configuration
+      .slotMap()
+      .slots.every(
+        ({ primary, backup }) => primary !== "" && (backup !== "" || entries.length < 2),
+      );
+  const startedAt = systemClock.now();
+  while (!entries.every(isOwned) && systemClock.now() - startedAt < FORMING_PATIENCE) {
+    await sleep(systemClock, FORMING_PERIOD);
+  }
+}
+
 function entryNames({ entryInstances, zones }: EmbeddedSettings): EntryPlace[] {
   return Array.from({ length: entryInstances }, (_, index) => ({
     name: `entry-${index + 1}`,
