Speak HTTPS to callers where the settings name a certificate

Cause: the settings could name a certificate and key, and callers were still served in the clear. Change: the callers' listener takes a certificate; serve reads its files beside the settings, and an instance whose files are missing doesn't start. Connections between instances stay plain with their credential: the peers' channel trusts one certificate only, so instances with one each could not speak to each other. An operator's drain of another instance over HTTPS is answered as unreachable unless Node trusts the certificate.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -24,7 +24,7 @@
     const settings = await readSettings(this, flags.settings, { schema: entrySettingsSchema });
     const secrets = await this.secretsOf(settings, flags.settings);
     const entry = await startEntry(
-      { ...settings, secrets },
+      { ...settings, secrets, tls: certificateBeside(flags.settings, settings.tls) },
       { clock: systemClock, random: systemRandom },
     );
     const { callerAddress, address } = entry.self;
@@ -41,3 +41,13 @@
     return readSettings(this, file, { schema: secretsSchema });
   }
 }
+
+/** The files of a certificate stand beside the settings that name them, as the secrets do. */
+function certificateBeside(
+  settingsFile: string,
+  tls: EntrySettingsFile["tls"],
+): EntrySettingsFile["tls"] {
+  if (tls === undefined) return undefined;
+  const folder = dirname(settingsFile);
+  return { certificate: resolve(folder, tls.certificate), key: resolve(folder, tls.key) };
+}
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import { createServer as createSecureServer } from "node:https";
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
 
@@ -17,18 +18,34 @@
 /** Bound on the size of all headers together, in bytes. */
 const MAX_HEADER_SIZE = 16_384;
 
+/** A certificate with its key, both PEM. */
+export interface Certificate {
+  readonly certificate: string;
+  readonly key: string;
+}
+
 /**
- * Listens for HTTP.
+ * Listens for HTTP, or for HTTPS where a certificate is given.
  *
  * @param address `IP:PORT`; port 0 binds a free one.
  * @param handle Called for each request.
  * @returns The listener, once it listens.
  */
-export function listenHttp(address: string, handle: RequestListener): Promise<Listener> {
-  const server = createServer(
-    { headersTimeout: HEADERS_TIMEOUT, maxHeaderSize: MAX_HEADER_SIZE, requestTimeout: 0 },
-    handle,
-  );
+export function listenHttp(
+  address: string,
+  handle: RequestListener,
+  options: { readonly tls?: Certificate } = {},
+): Promise<Listener> {
+  const { tls } = options;
+  const bounds = {
+    headersTimeout: HEADERS_TIMEOUT,
+    maxHeaderSize: MAX_HEADER_SIZE,
+    requestTimeout: 0,
+  };
+  const server =
+    tls === undefined
+      ? createServer(bounds, handle)
+      : createSecureServer({ ...bounds, cert: tls.certificate, key: tls.key }, handle);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { createWriteStream } from "node:fs";
+import { readFile } from "node:fs/promises";
 import type { RequestListener } from "node:http";
 import polka from "polka";
 import {
@@ -14,7 +15,7 @@
   listenPeers,
   sendJson,
 } from "../connection/index.ts";
-import type { Listener } from "../connection/index.ts";
+import type { Certificate, Listener } from "../connection/index.ts";
 import { Refusal } from "../interface/index.ts";
 import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
@@ -157,9 +158,11 @@
     },
     { security: securityOf(settings), onUnauthenticated: () => undefined },
   );
-  const callers = await listenHttp(settings.callers, (request, response) => {
-    handle(request, response);
-  });
+  const callers = await listenHttp(
+    settings.callers,
+    (request, response) => handle(request, response),
+    settings.tls === undefined ? {} : { tls: await readCertificate(settings.tls) },
+  );
   return {
     callers,
     peers,
@@ -172,6 +175,15 @@
   };
 }
 
+/** The settings name files; a missing one keeps the instance from starting in the clear. */
+async function readCertificate(files: Certificate): Promise<Certificate> {
+  const [certificate, key] = await Promise.all([
+    readFile(files.certificate, "utf8"),
+    readFile(files.key, "utf8"),
+  ]);
+  return { certificate, key };
+}
+
 function securityOf({ secrets }: EntrySettings): { peerKey: string } {
   return { peerKey: secrets.peerKey };
 }
