--- a/src/connection/http_listener_test.ts
+++ b/src/connection/http_listener_test.ts
@@ -12,6 +12,7 @@
   const answer = await request(`https://${listener.address}/`, { dispatcher });
   expect(await answer.body.text()).toBe("yes");
   await expect(request(`http://${listener.address}/`)).rejects.toThrow();
+  await expect(request(`https://${listener.address}/`)).rejects.toThrow(/certificate/);
   await dispatcher.close();
   await listener.close();
 });
