--- a/src/standin/replay/trace.ts
+++ b/src/standin/replay/trace.ts
@@ -115,7 +115,7 @@
 ]);
 
 /** A trace's first line. */
-export type TraceHeader = z.infer<typeof header> & { readonly duration: number };
+type TraceHeader = z.infer<typeof header> & { readonly duration: number };
 /** One request of a trace. */
 export type TraceArrival = z.infer<typeof arrival>;
 /** One fault of a trace. */
@@ -131,7 +131,7 @@
 }
 
 /** A line of a trace that can't be read. */
-export interface TraceFailure {
+interface TraceFailure {
   readonly kind: "unreadable";
   readonly file: string;
   /** Counted from 1. */
