--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -1,10 +1,11 @@
 import { createHttpObjectStore } from "../connection/index.ts";
 import type { Listener } from "../connection/index.ts";
-import { Purchase, WorkerState } from "../interface/index.ts";
+import { Purchase, sleep, WorkerState } from "../interface/index.ts";
 import type { Worker } from "../interface/index.ts";
 import { startEntry, systemClock, systemRandom } from "../process/index.ts";
 import type { EntryInstance, EntrySettings } from "../process/index.ts";
 import { startBackend, startPlatform } from "../standin/index.ts";
+import type { EntryPlace, PlatformListener } from "../standin/index.ts";
 import { formatRevision, REVISION_KEY } from "../version/index.ts";
 
 /** What an embedded deployment is made with. */
@@ -24,9 +25,14 @@
 /** A whole deployment in one process: entry instances, and stand-ins for all that is outside. */
 export interface EmbeddedDeployment {
   readonly entries: readonly EntryInstance[];
+  /** The platform's stand-in, which can take instances back and be down. */
+  readonly platform: PlatformListener;
   close(): Promise<void>;
 }
 
+/** How long a new deployment may take to give every slot its owners, and how often it is looked. */
+const FORMING_PATIENCE = 20_000;
+const FORMING_PERIOD = 20;
 const LOOPBACK = "127.0.0.1";
 const TOKEN_TIME = 20;
 
@@ -45,11 +51,25 @@
       workers.push(workerAt(settings, { service, index, backend }));
     }
   }
-  const platform = await startPlatform({ listen: `${LOOPBACK}:0`, workers });
+  const entries: EntryInstance[] = [];
+  const platform = await startPlatform({
+    listen: `${LOOPBACK}:0`,
+    clock: systemClock,
+    workers,
+    entries: entryNames(settings),
+    taken: (instance) => {
+      // What the cloud takes ends at once, with whatever is still in progress on it.
+      const index = workers.findIndex(({ id }) => id === instance);
+      void backends[index]?.close();
+      void entries.find(({ self }) => self.id.startsWith(`${instance}#`))?.close();
+    },
+  });
   await writeRevision(settings, platform.address);
-  const entries = await startEntries(settings, platform.address);
+  for (const entry of await startEntries(settings, platform.address)) entries.push(entry);
+  await untilFormed(entries);
   return {
     entries,
+    platform,
     close: async () => {
       for (const entry of entries) await entry.close();
       for (const backend of backends) await backend.close();
@@ -58,6 +78,27 @@
   };
 }
 
+/** Waits until every slot has its owners: before that a request may find no second holder. */
+async function untilFormed(entries: readonly EntryInstance[]): Promise<void> {
+  const isOwned = ({ core }: EntryInstance): boolean =>
+    core.configuration
+      .slotMap()
+      .slots.every(
+        ({ primary, backup }) => primary !== "" && (backup !== "" || entries.length < 2),
+      );
+  const startedAt = systemClock.now();
+  while (!entries.every(isOwned) && systemClock.now() - startedAt < FORMING_PATIENCE) {
+    await sleep(systemClock, FORMING_PERIOD);
+  }
+}
+
+function entryNames({ entryInstances, zones }: EmbeddedSettings): EntryPlace[] {
+  return Array.from({ length: entryInstances }, (_, index) => ({
+    name: `entry-${index + 1}`,
+    zone: zones[index % zones.length] ?? "",
+  }));
+}
+
 function workerAt(
   { zones }: EmbeddedSettings,
   { service, index, backend }: { service: string; index: number; backend: Listener },
