--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,11 +1,13 @@
 import { randomBytes } from "node:crypto";
 import { createWriteStream } from "node:fs";
+import { readFile } from "node:fs/promises";
 import type { RequestListener } from "node:http";
 import polka from "polka";
 import {
   addCallerRoutes,
   addOperatorRoutes,
   createConnectPeers,
+  createHttpCloud,
   createHttpEngine,
   createHttpInstanceList,
   createHttpObjectStore,
@@ -13,9 +15,9 @@
   listenPeers,
   sendJson,
 } from "../connection/index.ts";
-import type { Listener } from "../connection/index.ts";
+import type { Certificate, Listener } from "../connection/index.ts";
 import { Refusal } from "../interface/index.ts";
-import type { Clock, Cloud, Member, PeerHandlers, Random } from "../interface/index.ts";
+import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -49,6 +51,7 @@
   };
   const store = createHttpObjectStore(settings.platform.objects);
   const engine = createHttpEngine();
+  const cloud = createHttpCloud(settings.platform.cloud);
   const { clock, random } = runtime;
   const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
   const recording = openRecording(settings.record);
@@ -68,7 +71,7 @@
       store,
       engine,
       instances: createHttpInstanceList(settings.platform.instances),
-      cloud: NO_CLOUD,
+      cloud,
       peers,
     },
   );
@@ -95,6 +98,7 @@
       peers.close();
       store.close();
       engine.close();
+      cloud.close();
       sink?.close();
       await recording.close();
     },
@@ -154,9 +158,11 @@
     },
     { security: securityOf(settings), onUnauthenticated: () => undefined },
   );
-  const callers = await listenHttp(settings.callers, (request, response) => {
-    handle(request, response);
-  });
+  const callers = await listenHttp(
+    settings.callers,
+    (request, response) => handle(request, response),
+    settings.tls === undefined ? {} : { tls: await readCertificate(settings.tls) },
+  );
   return {
     callers,
     peers,
@@ -169,12 +175,15 @@
   };
 }
 
+/** The settings name files; a missing one keeps the instance from starting in the clear. */
+async function readCertificate(files: Certificate): Promise<Certificate> {
+  const [certificate, key] = await Promise.all([
+    readFile(files.certificate, "utf8"),
+    readFile(files.key, "utf8"),
+  ]);
+  return { certificate, key };
+}
+
 function securityOf({ secrets }: EntrySettings): { peerKey: string } {
   return { peerKey: secrets.peerKey };
 }
-
-const NO_CLOUD: Cloud = {
-  launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud yet." }),
-  terminate: () => Promise.resolve(),
-  notices: () => Promise.resolve([]),
-};
