--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -1,6 +1,6 @@
 import { createServer } from "node:http";
-import { createServer as createSecureServer } from "node:https";
 import type { RequestListener, Server } from "node:http";
+import { createServer as createSecureServer } from "node:https";
 import type { AddressInfo } from "node:net";
 
 /** A listening HTTP server. */
@@ -13,30 +13,30 @@
   close(): Promise<void>;
 }
 
-/** How long a client may take over its headers before the connection is ended (slow-loris). */
-const HEADERS_TIMEOUT = 10_000;
-/** Bound on the size of all headers together, in bytes. */
-const MAX_HEADER_SIZE = 16_384;
-
-/** A certificate with its key, both PEM. */
+/** A certificate and its key, both PEM. */
 export interface Certificate {
   readonly certificate: string;
   readonly key: string;
 }
 
+/** How long a client may take over its headers before the connection is ended (slow-loris). */
+const HEADERS_TIMEOUT = 10_000;
+/** Bound on the size of all headers together, in bytes. */
+const MAX_HEADER_SIZE = 16_384;
+
 /**
- * Listens for HTTP, or for HTTPS where a certificate is given.
+ * Listens for HTTP.
  *
  * @param address `IP:PORT`; port 0 binds a free one.
  * @param handle Called for each request.
+ * @param options With `tls`, connections are encrypted.
  * @returns The listener, once it listens.
  */
 export function listenHttp(
   address: string,
   handle: RequestListener,
-  options: { readonly tls?: Certificate } = {},
+  { tls }: { tls?: Certificate | undefined } = {},
 ): Promise<Listener> {
-  const { tls } = options;
   const bounds = {
     headersTimeout: HEADERS_TIMEOUT,
     maxHeaderSize: MAX_HEADER_SIZE,
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -15,7 +15,7 @@
   listenPeers,
   sendJson,
 } from "../connection/index.ts";
-import type { Certificate, Listener } from "../connection/index.ts";
+import type { Listener, PeerSecurity } from "../connection/index.ts";
 import { Refusal } from "../interface/index.ts";
 import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
@@ -42,7 +42,8 @@
   settings: EntrySettings,
   runtime: EntryRuntime,
 ): Promise<EntryInstance> {
-  const sockets = await bindSockets(settings);
+  const security = await securityOf(settings);
+  const sockets = await bindSockets(settings, security);
   const self: Member = {
     id: `${settings.name}#${randomBytes(6).toString("hex")}`,
     address: sockets.peers.address,
@@ -53,7 +54,7 @@
   const engine = createHttpEngine();
   const cloud = createHttpCloud(settings.platform.cloud);
   const { clock, random } = runtime;
-  const peers = createConnectPeers({ self: self.id, clock, security: securityOf(settings) });
+  const peers = createConnectPeers({ self: self.id, clock, security });
   const recording = openRecording(settings.record);
   const sink = openSink(settings);
   const core = createEntryCore(
@@ -137,7 +138,7 @@
  * Binds both listeners before the tasks begin, since peers are told the addresses that were bound. What
  * comes in before the instance is ready is turned away: it can't know yet what is in force.
  */
-async function bindSockets(settings: EntrySettings): Promise<Sockets> {
+async function bindSockets(settings: EntrySettings, security: PeerSecurity): Promise<Sockets> {
   let handle: RequestListener = (_request, response) => {
     sendJson(response, { error: { code: Refusal.CutOff, not_run: true } }, { status: 503 });
   };
@@ -156,12 +157,14 @@
       relay: (message, signal) => ready().relay(message, signal),
       ask: (message) => ready().ask(message),
     },
-    { security: securityOf(settings), onUnauthenticated: () => undefined },
+    { security, onUnauthenticated: () => undefined },
   );
   const callers = await listenHttp(
     settings.callers,
-    (request, response) => handle(request, response),
-    settings.tls === undefined ? {} : { tls: await readCertificate(settings.tls) },
+    (request, response) => {
+      handle(request, response);
+    },
+    { tls: security.tls },
   );
   return {
     callers,
@@ -175,15 +178,12 @@
   };
 }
 
-/** The settings name files; a missing one keeps the instance from starting in the clear. */
-async function readCertificate(files: Certificate): Promise<Certificate> {
+/** The certificate of both listeners; peers trust it as its own authority. */
+async function securityOf({ secrets, tls }: EntrySettings): Promise<PeerSecurity> {
+  if (tls === undefined) return { peerKey: secrets.peerKey };
   const [certificate, key] = await Promise.all([
-    readFile(files.certificate, "utf8"),
-    readFile(files.key, "utf8"),
+    readFile(tls.certificate, "utf8"),
+    readFile(tls.key, "utf8"),
   ]);
-  return { certificate, key };
-}
-
-function securityOf({ secrets }: EntrySettings): { peerKey: string } {
-  return { peerKey: secrets.peerKey };
+  return { peerKey: secrets.peerKey, tls: { certificate, key } };
 }
