Go on with a stream from Last-Event-ID where the same key is sent again

Cause, found by the demonstration: after a reclaim of its entry instance a caller sent the same request and key again with the last token it had; the header was only read on the route by id, so the answer came from its start once more (492 of 251 tokens).

Change: a streamed request with a key goes on after the token that Last-Event-ID names.

--- a/src/cli/demo/promises.ts
+++ b/src/cli/demo/promises.ts
@@ -64,16 +64,29 @@
 
 function wholeAnswers({ errands }: Evidence): PromiseCheck {
   const complete = errands.filter(({ end }) => end === ErrandEnd.Complete);
-  const wrong = complete.filter((record) => !isWhole(record)).length;
-  return check("each caller gets its own whole answer, each token once", wrong, {
-    detail: `${complete.length} answers, ${wrong} not whole`,
+  const wrong = complete.filter((record) => !isWhole(record));
+  const [first] = wrong;
+  const example = first === undefined ? "" : `, such as ${describeAnswer(first)}`;
+  return check("each caller gets its own whole answer, each token once", wrong.length, {
+    detail: `${complete.length} answers, ${wrong.length} not whole${example}`,
   });
 }
 
+function describeAnswer({ errand, id, tokens, reconnects }: ErrandRecord): string {
+  const at = tokens.findIndex(({ text }, index) => numberOf(text) !== index);
+  const place = at < 0 ? "" : `, the first wrong one at ${at}: "${tokens[at]?.text ?? ""}"`;
+  const got = `${tokens.length} of ${errand.answerTokens} tokens${place}`;
+  return `${id} (${errand.service}, ${reconnects} reconnects) with ${got}`;
+}
+
 /** The stand-ins number the words of an answer from 0 on. */
 function isWhole({ errand, tokens }: ErrandRecord): boolean {
   if (tokens.length !== errand.answerTokens) return false;
-  return tokens.every(({ text }, index) => Number(/\d+/.exec(text)?.[0]) === index);
+  return tokens.every(({ text }, index) => numberOf(text) === index);
+}
+
+function numberOf(text: string): number {
+  return Number(/\d+/.exec(text)?.[0]);
 }
 
 function notRunIsTrue({ errands, runs }: Evidence): PromiseCheck {
--- a/src/connection/caller_routes.ts
+++ b/src/connection/caller_routes.ts
@@ -8,7 +8,7 @@
 import { assignmentOf } from "../version/index.ts";
 import { callerOf, isRejection, serviceRefusal } from "./caller_account.ts";
 import type { Caller } from "./caller_account.ts";
-import { callerWishes } from "./caller_headers.ts";
+import { callerWishes, firstTokenWanted } from "./caller_headers.ts";
 import { sendRejection } from "./caller_refusal.ts";
 import { sendWholeChat, streamChat } from "./chat_answer.ts";
 import type { ChatAnswer } from "./chat_answer.ts";
@@ -151,13 +151,16 @@
   if (refusal !== undefined) return refusal;
   const path = "/v1/chat/completions";
   const { account } = caller;
-  const submission = { ...wishes, account, service, model, path, body, fromToken: 0 };
+  // The same key brings a caller back to its answer, which goes on from the token where it broke off.
+  const isResumable = chat.stream === true && wishes.key !== undefined;
+  const fromToken = isResumable ? firstTokenWanted(request) : 0;
+  const submission = { ...wishes, account, service, model, path, body, fromToken };
   const answer: ChatAnswer = {
     model: chat.model,
     created: Math.floor(clock.date().getTime() / SECOND),
     promptTokens: Math.ceil(body.length / TOKEN_CHARACTERS),
     usage: chat.stream_options?.include_usage === true,
-    fromStart: true,
+    fromStart: fromToken === 0,
   };
   return { submission, chat, answer };
 }
--- a/src/connection/caller_routes_test.ts
+++ b/src/connection/caller_routes_test.ts
@@ -57,6 +57,16 @@
   expect(text.endsWith("data: [DONE]\n\n")).toBe(true);
 });
 
+test("the same key goes on with a stream from the token where it broke off", async () => {
+  // A caller's connection breaks in the middle of a script. It sends the same request and key again and says
+  // which token it had last; begun from the start, the cinema would get the first half twice.
+  const headers = { "last-event-id": "240" };
+  const body = chatBody({ stream: true });
+  await post({ body, headers: { ...headers, "idempotency-key": "script-9" } });
+  await post({ body, headers });
+  expect(submitted.map(({ fromToken }) => fromToken)).toEqual([241, 0]);
+});
+
 test("headers say how a request is to be treated", async () => {
   const headers = {
     "idempotency-key": "entry-17",
