End the process when a planned stop is over, and log what was there before the log

Cause: slow periodic timers held a drained process for up to half a minute (seen: three instances still there 26 s after the signal); the log began after the first revision and missed it.

Change: serve exits once everything is closed; the log's first lines are the state that it finds.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -39,6 +39,8 @@
     void untilStopped().then(() => entry.core.drain());
     await entry.core.whenDrained();
     await entry.close();
+    // Timers of slow periodic reads would hold the process for up to half a minute with nothing to do.
+    this.exit(0);
   }
 
   private secretsOf({ secrets }: EntrySettingsFile, settingsFile: string): Promise<Secrets> {
--- a/src/process/state_log.ts
+++ b/src/process/state_log.ts
@@ -34,11 +34,16 @@
   ROARR.write = write;
   const { self, configuration, members, workers } = parts;
   const log = Roarr.child({ instance: self.id });
+  const onMembers = memberChanges(parts, log);
+  const onVersions = versionChanges(parts, log);
+  const onWorkers = workerChanges(parts, log);
   const subscriptions = [
-    members.onChange(memberChanges(parts, log)),
-    configuration.onChange(versionChanges(parts, log)),
-    workers.onChange(workerChanges(parts, log)),
+    members.onChange(onMembers),
+    configuration.onChange(onVersions),
+    workers.onChange(onWorkers),
   ];
+  // What has come to be before the log began is its first lines.
+  for (const look of [onMembers, onVersions, onWorkers]) look();
   return {
     close: () => {
       for (const subscription of subscriptions) subscription.close();
