Let an entry instance protect itself before it fails

Cause: the decision on entry overload existed and nothing called it: an instance that can hardly keep up took every request, and its heartbeats would have been late with the rest.

Change: serve measures its event loop and memory twice a second; new scripts, then all new requests are turned away as entry-overloaded, at once and with a time to come back; what was accepted goes on. Deployments in one process don't measure: the loop is not one instance's alone.

Result: with readings of 300 ms the step to control work only comes at the next reading, and the way back in two steps (test); an accepted answer goes on meanwhile, and a key is not called "not run" (test).

--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -151,6 +151,7 @@
       secrets: { operatorKey: settings.operatorKey, peerKey: settings.operatorKey },
       reread: 30_000,
       log: false,
+      memory: 1_000_000_000,
     };
     entries.push(await startEntry(entry, { clock: systemClock, random: systemRandom }));
   }
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -5,6 +5,7 @@
   secretsSchema,
   startEntry,
   startStateLog,
+  startSystemLoad,
   systemClock,
   systemRandom,
 } from "../process/index.ts";
@@ -26,7 +27,11 @@
     const secrets = await this.secretsOf(settings, flags.settings);
     const entry = await startEntry(
       { ...settings, ...tlsOf(settings, flags.settings), secrets },
-      { clock: systemClock, random: systemRandom },
+      {
+        clock: systemClock,
+        random: systemRandom,
+        readLoad: startSystemLoad(settings.memory),
+      },
     );
     if (settings.log) {
       startStateLog({ ...entry.core, self: entry.self }, (line) =>
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -1,6 +1,6 @@
 import type { OperatorService } from "../connection/index.ts";
 import { createScheduler } from "../decision/index.ts";
-import type { Scheduler } from "../decision/index.ts";
+import type { EntryLoad, EntryStance, Scheduler } from "../decision/index.ts";
 import type {
   Clock,
   Cloud,
@@ -24,6 +24,7 @@
 import { createNoticeTask } from "./notice_task.ts";
 import { createOrderTask, ORDER_TIMEOUT } from "./order_task.ts";
 import { recordScheduler } from "./recorder.ts";
+import { createOverloadTask } from "./overload_task.ts";
 import { createOperatorChanges } from "./operator_changes.ts";
 import { createOperatorService } from "./operator_service.ts";
 import { createWorkerDirectory } from "./worker_directory.ts";
@@ -50,6 +51,8 @@
   readonly record?: (line: string) => void;
   /** Milliseconds between slow rereads of the store. */
   readonly reread?: number;
+  /** Reads the instance's own load; absent where it protects itself from nothing, as in tests. */
+  readonly readLoad?: () => EntryLoad;
   /** Where counts go besides the table. */
   readonly sink?: CounterSink;
 }
@@ -112,6 +115,12 @@
     await requests.whenIdle();
     await requests.cedeAll();
   };
+  const { readLoad } = settings;
+  const onStance = (stance: EntryStance): void => requests.setStance(stance);
+  const overload =
+    readLoad === undefined
+      ? undefined
+      : createOverloadTask({ clock: outside.clock, readLoad, onStance, count });
   const tasks = { ...outside, configuration, members, workers, count };
   const leases = createLeaseTask({ ...tasks, longestOrder: ORDER_TIMEOUT });
   const orders = createOrderTask({ ...tasks, leases });
@@ -144,6 +153,7 @@
       await control.start();
       await workers.start();
       reports.start();
+      overload?.start();
       leases.start();
       orders.start();
       notices.start();
@@ -158,6 +168,7 @@
       requests.close();
       changes.close();
       reports.close();
+      overload?.close();
       notices.close();
       orders.close();
       leases.close();
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -16,6 +16,7 @@
   sendJson,
 } from "../connection/index.ts";
 import type { Listener, PeerSecurity } from "../connection/index.ts";
+import type { EntryLoad } from "../decision/index.ts";
 import { Refusal } from "../interface/index.ts";
 import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
 import { createEntryCore } from "./entry_core.ts";
@@ -35,6 +36,8 @@
 export interface EntryRuntime {
   readonly clock: Clock;
   readonly random: Random;
+  /** Reads the process's own load; absent where the process isn't the instance's alone. */
+  readonly readLoad?: () => EntryLoad;
 }
 
 /** Starts an entry instance; resolves once it knows a revision and takes requests. */
@@ -64,6 +67,7 @@
       seeds: settings.seeds,
       reread: settings.reread,
       ...recording.settings,
+      ...(runtime.readLoad === undefined ? {} : { readLoad: runtime.readLoad }),
       ...(sink === undefined ? {} : { sink }),
     },
     {
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -9,3 +9,4 @@
 export * from "./system_random.ts";
 export * from "./worker_directory.ts";
 export * from "./state_log.ts";
+export * from "./system_load.ts";
--- /dev/null
+++ b/src/process/overload_task_test.ts
@@ -0,0 +1,31 @@
+import { expect, test } from "vitest";
+import { EntryStance } from "../decision/index.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
+import { createOverloadTask } from "./overload_task.ts";
+
+test("an instance whose event loop lags turns work away, and takes it again step by step", async () => {
+  // More callers come than one small process can serve. If it took them all, its heartbeats would be late,
+  // its peers would take its slots over, and the next instance would go the same way.
+  const clock = createVirtualClock();
+  const stances: EntryStance[] = [];
+  let loopDelay = 0;
+  const task = createOverloadTask({
+    clock,
+    readLoad: () => ({ loopDelay, memory: 0, memoryLimit: 1, inProgress: 0 }),
+    onStance: (stance) => stances.push(stance),
+    count: () => undefined,
+  });
+  task.start();
+  await clock.advance(2_000);
+  expect(stances).toEqual([]);
+  loopDelay = 300;
+  await clock.advance(500);
+  expect(stances).toEqual([EntryStance.ControlOnly]);
+  loopDelay = 5;
+  await clock.advance(1_000);
+  expect(stances.slice(1)).toEqual([EntryStance.LookupsOnly, EntryStance.Open]);
+  task.close();
+  loopDelay = 300;
+  await clock.advance(2_000);
+  expect(stances).toHaveLength(3);
+});
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { duration } from "../version/index.ts";
+import { byteSize, duration } from "../version/index.ts";
 
 const address = z
   .string()
@@ -42,6 +42,8 @@
   tls: z.strictObject({ certificate: z.string(), key: z.string() }).optional(),
   /** Where counters go by UDP, `IP:PORT`. */
   statsd: address.optional(),
+  /** Memory that the process may use; near it new requests are turned away. */
+  memory: byteSize.default(1_000_000_000),
   /** Whether changes of state are logged to standard error, a JSON line each. */
   log: z.boolean().default(true),
   /** A file to record a trace of the traffic to. */
--- /dev/null
+++ b/src/request/overloaded_entry_test.ts
@@ -0,0 +1,29 @@
+import { expect, test } from "vitest";
+import { EntryStance } from "../decision/index.ts";
+import { Refusal } from "../interface/index.ts";
+import { answerOf, createRequestFleet } from "./testing/request_fleet.ts";
+
+test("an overloaded instance turns new work away at once, and what it had accepted goes on", async () => {
+  // The process can hardly keep up. New callers must hear so at once and go elsewhere; those who were
+  // accepted must not notice.
+  const fleet = createRequestFleet();
+  fleet.assign(0, 1);
+  await fleet.clock.advance(10);
+  const accepted = fleet.submit(0);
+  await fleet.clock.advance(30);
+  fleet.node(0).requests.setStance(EntryStance.ControlOnly);
+  const refused = fleet.submit(0);
+  const keyed = fleet.submit(0, { key: "entry" });
+  await fleet.clock.advance(1_000);
+  expect(accepted.text).toBe(answerOf());
+  expect(refused.events).toMatchObject([
+    { kind: "rejected", rejection: { reason: Refusal.EntryOverloaded, notRun: true } },
+  ]);
+  // A key may run at another instance: only its owner can say that it was not run.
+  expect(keyed.events).toMatchObject([{ kind: "rejected", rejection: { notRun: false } }]);
+  fleet.node(0).requests.setStance(EntryStance.Open);
+  const later = fleet.submit(0);
+  await fleet.clock.advance(1_000);
+  expect(later.text).toBe(answerOf());
+  fleet.close();
+});
--- a/src/request/request_api.ts
+++ b/src/request/request_api.ts
@@ -1,3 +1,4 @@
+import type { EntryStance } from "../decision/index.ts";
 import type {
   Member,
   PeerHandlers,
@@ -65,6 +66,8 @@
    * @returns True once the member has them all.
    */
   copyTo(slots: readonly number[], member: Member): Promise<boolean>;
+  /** Takes only what the stance allows from now on; what was accepted goes on. */
+  setStance(stance: EntryStance): void;
   /** Takes no new requests from now on; those in progress go on. */
   stopTaking(): void;
   /** Resolves once nothing is in progress here: neither as owner nor on the way to another owner. */
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -1,3 +1,4 @@
+import { EntryStance, Lane } from "../decision/index.ts";
 import { hasEnded, Refusal, RequestState, SlotOutcome } from "../interface/index.ts";
 import type {
   AskMessage,
@@ -54,6 +55,7 @@
   const handover = createHandover(environment, { table, ownership });
   const idle = new Set<() => void>();
   let taking = true;
+  let stance = EntryStance.Open;
   let carried = 0;
 
   const onSlotChange = ({ before, after }: SlotChange): void => {
@@ -82,7 +84,8 @@
 
   const submit: RequestService["submit"] = (submission, signal) => {
     const draw = (random: Environment["random"]): number | undefined => table.draw(random);
-    const record = taking ? recordOf(environment, { submission, draw }) : DRAINING;
+    const refusal = taking ? overloadRefusal(environment, { stance, submission }) : DRAINING;
+    const record = refusal ?? recordOf(environment, { submission, draw });
     if (!("notRun" in record)) {
       return carry(front, { record, fromToken: submission.fromToken, follow: false }, signal);
     }
@@ -164,6 +167,9 @@
       ask: (message) => Promise.resolve(answerAsk(message)),
     },
     copyTo: (slots, member) => handover.copyTo(slots, member),
+    setStance: (next) => {
+      stance = next;
+    },
     stopTaking: () => {
       taking = false;
     },
@@ -200,6 +206,18 @@
   detail: "This entry instance is about to stop; resolve an address anew.",
 };
 
+/** Turns new requests away in steps while the instance itself can hardly keep up. */
+function overloadRefusal(
+  { configuration }: Environment,
+  { stance, submission }: { stance: EntryStance; submission: Submission },
+): Rejection | undefined {
+  if (stance === EntryStance.Open) return undefined;
+  const service = configuration.revision()?.deployment.services[submission.service];
+  if (stance === EntryStance.LookupsOnly && service?.lane === Lane.Lookup) return undefined;
+  const detail = "This entry instance can hardly keep up; resolve an address anew.";
+  return { reason: Refusal.EntryOverloaded, notRun: true, retryAfter: TRY_AGAIN, detail };
+}
+
 /** A request that is turned away before it has an owner. */
 async function* rejected(rejection: Rejection): AsyncGenerator<CallerEvent> {
   await Promise.resolve();
