Let the operators' commands speak to an encrypted listener

Cause: with a certificate in the settings, apply ended as "not known": it spoke in the clear.

Change: `--ca FILE` trusts that certificate and asks by HTTPS.

--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from "node:crypto";
 import { Flags } from "@oclif/core";
 import type { Command } from "@oclif/core";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 import { secretsSchema } from "../process/index.ts";
+import { readText } from "./check.ts";
 import { readSettings } from "./read_settings.ts";
 
 /** Flags of every command that talks to an entry instance. */
@@ -18,6 +19,10 @@
     env: "SAMPHIRESHORE_OPERATOR_KEY",
   }),
   secrets: Flags.string({ description: "File with the credential, as init writes it." }),
+  ca: Flags.string({
+    description: "File with the certificate to trust, PEM; the entry instance is asked by HTTPS.",
+    env: "SAMPHIRESHORE_CA",
+  }),
 };
 
 /** Values of {@linkcode OPERATOR_FLAGS}. */
@@ -25,6 +30,7 @@
   readonly entry: string;
   readonly "operator-key"?: string | undefined;
   readonly secrets?: string | undefined;
+  readonly ca?: string | undefined;
 }
 
 /** A call on an operators' route. */
@@ -60,9 +66,13 @@
 ): Promise<OperatorAnswer<T>> {
   const key = await operatorKey(command, flags);
   const asked = `${call.method} ${call.path} at ${flags.entry}`;
+  const ca = flags.ca === undefined ? undefined : await readText(command, flags.ca);
+  const scheme = ca === undefined ? "http" : "https";
+  const dispatcher = new Agent(ca === undefined ? {} : { connect: { ca } });
   try {
-    const answer = await request(`http://${flags.entry}${call.path}`, {
+    const answer = await request(`${scheme}://${flags.entry}${call.path}`, {
       method: call.method,
+      dispatcher,
       headers: { authorization: `Bearer ${key}`, "content-type": "application/json" },
       body: call.body === undefined ? null : JSON.stringify(call.body),
       signal: AbortSignal.timeout(call.timeout ?? DEFAULT_TIMEOUT),
@@ -71,6 +81,8 @@
   } catch (cause) {
     const detail = `Asking ${asked}: ${String(cause)}.`;
     return isRefused(cause) ? { kind: "not-sent", detail } : { kind: "lost", detail };
+  } finally {
+    await dispatcher.destroy();
   }
 }
 
