--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -5,6 +5,7 @@
   secretsSchema,
   startEntry,
   startStateLog,
+  startSystemLoad,
   systemClock,
   systemRandom,
 } from "../process/index.ts";
@@ -26,7 +27,11 @@
     const secrets = await this.secretsOf(settings, flags.settings);
     const entry = await startEntry(
       { ...settings, ...tlsOf(settings, flags.settings), secrets },
-      { clock: systemClock, random: systemRandom },
+      {
+        clock: systemClock,
+        random: systemRandom,
+        readLoad: startSystemLoad(settings.memory),
+      },
     );
     if (settings.log) {
       startStateLog({ ...entry.core, self: entry.self }, (line) =>
@@ -39,6 +44,8 @@
     void untilStopped().then(() => entry.core.drain());
     await entry.core.whenDrained();
     await entry.close();
+    // Timers of slow periodic reads would hold the process for up to half a minute with nothing to do.
+    this.exit(0);
   }
 
   private secretsOf({ secrets }: EntrySettingsFile, settingsFile: string): Promise<Secrets> {
--- a/src/request/ownership.ts
+++ b/src/request/ownership.ts
@@ -5,8 +5,10 @@
 import { endedEvent, LiveRequest, notKnownYet, Stop } from "./live_request.ts";
 import type { FinalEvent } from "./live_request.ts";
 import { CopyState } from "./replicator.ts";
-import { runRequest, tellEnd, writeProgress } from "./request_run.ts";
-import type { RunContext } from "./request_run.ts";
+import { writeProgress } from "./engine_attempt.ts";
+import { tellEnd } from "./request_end.ts";
+import { runRequest } from "./request_run.ts";
+import type { RunContext } from "./run_context.ts";
 import type { Retention } from "./retention.ts";
 import { Inheritance, inheritanceOf, mayAcceptUnknownKey, ownsSlot } from "./slot_replica.ts";
 import type { SlotReplica } from "./slot_replica.ts";
@@ -264,7 +266,7 @@
       for (const live of lives.values()) writeProgress(context, live);
     },
     running: (worker) =>
-      [...lives.values()].filter((live) => live.dispatched && live.record.worker === worker),
+      [...lives.values()].filter((live) => live.sent && live.record.worker === worker),
     inProgress: () => lives.size,
     onSettled: () => undefined,
   };
