Save a request from each server that is taken in turn

Cause, found on reading the change again: servers under notice are looked at repeatedly, and a request was remembered as saved for good. Moved to a server that the next wave took, it stayed there and was lost.

Change: it is remembered from which server a request was last saved. The late move that every choice has by now is no longer set a second time for those that resume late, and a comment stands at what it explains.

--- a/src/request/moved_run_test.ts
+++ b/src/request/moved_run_test.ts
@@ -105,3 +105,23 @@
   expect(caller.text).toBe(answerOf(TOKENS));
   fleet.close();
 });
+
+test("an entry that was moved once is moved again from the next server to be taken", async () => {
+  // Waves follow each other: the server that the entry went to is taken as well. Saved only once, the entry
+  // would be lost with the second server, and the club would hear that it may have run.
+  const fleet = await fleetWith([workerNamed("w1")]);
+  const caller = fleet.submit(0, { key: "entry", repeatable: false, body: BODY });
+  await fleet.clock.advance(1_000);
+  await reclaimFirst(fleet);
+  await fleet.clock.advance(500);
+  const reclaimAt = fleet.clock.now() + NOTICE / 2;
+  const leaving = { ...workerNamed("w2"), state: WorkerState.Leaving, reclaimAt };
+  fleet.setWorkers([leaving, workerNamed("w3")]);
+  await fleet.clock.advance(NOTICE / 2);
+  fleet.engines.kill("w2");
+  await fleet.clock.advance(10_000);
+  expect(endOf(caller)?.state).toBe(RequestState.Complete);
+  expect(caller.text).toBe(answerOf(TOKENS));
+  expect(fleet.engines.runs.map(({ worker }) => worker)).toEqual(["w1", "w2", "w3"]);
+  fleet.close();
+});
--- a/src/request/worker_reclaim.ts
+++ b/src/request/worker_reclaim.ts
@@ -34,7 +34,8 @@
   running: (worker: string) => readonly LiveRequest[],
 ): Subscription {
   const { clock, workers } = environment;
-  const seen = new WeakSet<LiveRequest>();
+  // The server from which a request was last saved: waves follow each other, and it may go as well.
+  const savedFrom = new WeakMap<LiveRequest, string>();
   const timers = new Set<Timer>();
   const later = (at: number, act: () => void): void => {
     const timer = clock.after(Math.max(0, at - clock.now()), () => {
@@ -58,7 +59,7 @@
         move();
         break;
       case TriageChoice.ResumeLate:
-        later(at ?? (worker.reclaimAt ?? 0) - LATE_MARGIN, move);
+        if (at !== undefined) later(at, move);
         break;
       case TriageChoice.ExportCache:
         later(at ?? clock.now(), () => {
@@ -68,10 +69,10 @@
     }
   };
   const save = (worker: Worker): void => {
-    const fresh = running(worker.id).filter((live) => !seen.has(live));
+    const fresh = running(worker.id).filter((live) => savedFrom.get(live) !== worker.id);
     if (fresh.length === 0) return;
     const lives = new Map(fresh.map((live) => [live.record.id, live]));
-    for (const live of fresh) seen.add(live);
+    for (const live of fresh) savedFrom.set(live, worker.id);
     const endangered = [...lives.values()].map((live) => endangeredOf(environment, live));
     for (const choice of choose(environment, worker, endangered)) {
       const live = lives.get(choice.id);
@@ -79,11 +80,11 @@
       if (live !== undefined) follow(choice, { live, worker });
     }
   };
+  let next: Timer | undefined;
   /**
    * Requests come to a server under notice after its notice as well: with a slot whose owner goes in the
    * same wave. Looked at only once, they would stay on the server and be lost with it.
    */
-  let next: Timer | undefined;
   const look = (): void => {
     next?.close();
     const threatened = workers
