Wait on a silent connection in one place

Cause: the fakes of the store and of the network each had the same wait.

Change: one function, used by both; no behaviour changed.

--- a/src/standin/memory/memory_network.ts
+++ b/src/standin/memory/memory_network.ts
@@ -1,5 +1,6 @@
 import { sleep } from "../../interface/index.ts";
 import type { Clock, Member, PeerFailure, PeerHandlers, Peers } from "../../interface/index.ts";
+import { silentUntil } from "./silence.ts";
 
 /** The paths between entry instances in memory, with the ways in which they fail. */
 export interface MemoryNetwork {
@@ -133,12 +134,3 @@
 function peerFailure(step: string, peer: string, found: string): PeerFailure {
   return Object.assign(new Error(`Calling ${peer} to ${step}: ${found}`), { step, peer });
 }
-
-/** A silent connection: ends only when the one who waits gives up. */
-function silentUntil(signal: AbortSignal): Promise<never> {
-  return new Promise((_resolve, reject) => {
-    const onAbort = (): void => reject(signal.reason as Error);
-    if (signal.aborted) onAbort();
-    else signal.addEventListener("abort", onAbort, { once: true });
-  });
-}
--- a/src/standin/memory/memory_store.ts
+++ b/src/standin/memory/memory_store.ts
@@ -1,6 +1,7 @@
 import { sleep } from "../../interface/index.ts";
 import type { Clock, ObjectStore, PutOutcome } from "../../interface/index.ts";
 import { createObjectTable } from "../object_table.ts";
+import { silentUntil } from "./silence.ts";
 
 /** The platform's object API in memory, with the ways in which it fails. */
 export interface MemoryStore {
@@ -66,7 +67,7 @@
         const timer = clock.after(WATCH_TIME, () => ended.abort(new Error("Nothing changed.")));
         const object = await table.changed(key, after, AbortSignal.any([signal, ended.signal]));
         timer.close();
-        if (era !== watchEra || isDown()) await neverUnless(signal);
+        if (era !== watchEra || isDown()) await silentUntil(signal);
         await gate();
         return object;
       },
@@ -87,12 +88,3 @@
     calls: () => calls,
   };
 }
-
-/** A silent connection: ends only when the one who waits gives up. */
-function neverUnless(signal: AbortSignal): Promise<void> {
-  return new Promise((_resolve, reject) => {
-    const onAbort = (): void => reject(signal.reason as Error);
-    if (signal.aborted) onAbort();
-    else signal.addEventListener("abort", onAbort, { once: true });
-  });
-}
