--- a/build.mjs
+++ b/build.mjs
@@ -1,4 +1,5 @@
 // Builds dist/samphireshore: one self-contained binary, a Node single-executable application.
+// With the word "platform" it builds target/entry.cjs instead: the entry instance with the users' adapter.
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { build } from "esbuild";
@@ -6,10 +7,8 @@
 
 const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-mkdirSync("dist", { recursive: true });
-await build({
-  entryPoints: ["src/cli/main.ts"],
-  outfile: "dist/main.cjs",
+/** What both bundles are built with. */
+const BUNDLE = {
   bundle: true,
   minify: true,
   // A stack trace prints the line that failed: a bundle on one line would print all of itself.
@@ -26,7 +25,20 @@
   banner: { js: 'require=require("node:module").createRequire(process.execPath);' },
   logLevel: "warning",
   logOverride: { "empty-import-meta": "silent" },
-});
+};
+
+if (process.argv[2] === "platform") {
+  await build({
+    ...BUNDLE,
+    banner: {},
+    entryPoints: ["platform/main.ts"],
+    outfile: "target/entry.cjs",
+  });
+  process.exit(0);
+}
+
+mkdirSync("dist", { recursive: true });
+await build({ ...BUNDLE, entryPoints: ["src/cli/main.ts"], outfile: "dist/main.cjs" });
 writeFileSync(
   "dist/sea.json",
   JSON.stringify({
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,17 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "src/gen/", "node_modules/", ".worktrees/", "*.config.js", "**/*.mjs"] },
+  {
+    ignores: [
+      "dist/",
+      "target/",
+      "src/gen/",
+      "node_modules/",
+      ".worktrees/",
+      "*.config.js",
+      "**/*.mjs",
+    ],
+  },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- /dev/null
+++ b/src/decision/usage_ledger.ts
@@ -0,0 +1,82 @@
+/**
+ * Counts of runs by client account and by window of time, over all entry instances.
+ *
+ * Every instance counts the runs that it began and tells the others its counts as they grow; a count never
+ * falls, so the larger of two statements of the same instance is the later one, and messages may be lost,
+ * repeated or overtaken. An instance that dies takes with it only what it counted since its last message.
+ *
+ * @module
+ */
+
+/** Counts by account. */
+export type AccountCounts = Readonly<Record<string, number>>;
+
+/** One window's counts as one instance has them. */
+export interface WindowCounts {
+  /** The window's number: the time since 1970 over the window's length. */
+  readonly window: number;
+  readonly counts: AccountCounts;
+}
+
+/** What all instances have counted, as far as it is known here. */
+export interface UsageLedger {
+  /** A run of the account began in the window. */
+  began(account: string, window: number): void;
+  /** The counts of this instance for the windows that may still change or be asked for. */
+  own(): readonly WindowCounts[];
+  /** Takes in what an instance says of its counts. */
+  heard(incarnation: string, counts: readonly WindowCounts[]): void;
+  /** The sum over all instances. */
+  total(window: number): AccountCounts;
+  /** Forgets windows before this one. */
+  forgetBefore(window: number): void;
+}
+
+const OWN = "";
+
+/** Makes an empty ledger. */
+export function createUsageLedger(): UsageLedger {
+  /** By window, by incarnation. */
+  const windows = new Map<number, Map<string, Record<string, number>>>();
+  const countsOf = (window: number, incarnation: string): Record<string, number> => {
+    const instances = windows.get(window) ?? new Map<string, Record<string, number>>();
+    windows.set(window, instances);
+    const counts = instances.get(incarnation) ?? {};
+    instances.set(incarnation, counts);
+    return counts;
+  };
+  let oldest = -Infinity;
+  return {
+    began: (account, window) => {
+      const counts = countsOf(window, OWN);
+      counts[account] = (counts[account] ?? 0) + 1;
+    },
+    own: () =>
+      [...windows].flatMap(([window, instances]) => {
+        const counts = instances.get(OWN);
+        return counts === undefined ? [] : [{ window, counts }];
+      }),
+    heard: (incarnation, counts) => {
+      for (const { window, counts: said } of counts) {
+        if (window < oldest) continue;
+        const known = countsOf(window, incarnation);
+        for (const [account, count] of Object.entries(said)) {
+          known[account] = Math.max(known[account] ?? 0, count);
+        }
+      }
+    },
+    total: (window) => {
+      const total: Record<string, number> = {};
+      for (const counts of windows.get(window)?.values() ?? []) {
+        for (const [account, count] of Object.entries(counts)) {
+          total[account] = (total[account] ?? 0) + count;
+        }
+      }
+      return total;
+    },
+    forgetBefore: (window) => {
+      oldest = window;
+      for (const known of windows.keys()) if (known < window) windows.delete(known);
+    },
+  };
+}
--- /dev/null
+++ b/src/decision/worker_ranking.ts
@@ -0,0 +1,130 @@
+/**
+ * Which worker a routed request goes to.
+ *
+ * Load that it answers: long prompts among short questions, sessions that share long prompt parts, and many
+ * entry instances that choose at the same moment. By least outstanding alone a prompt of 12,000 tokens counts
+ * as one question of 600, and a session's roster is read again at every worker that it meets; by the prefix
+ * alone one popular session fills one worker while the others idle. One would notice first tokens that are
+ * late on some workers only, or prompt tokens read many times over.
+ *
+ * Every reason is put in milliseconds that the request, or those that run beside it, would lose:
+ *
+ * - prompt tokens that are read before its own first token, its own and those that wait there, at the
+ *   engine's speed of reading;
+ * - runs beside which its tokens are made: each makes every token of the others a little later;
+ * - runs over the engine's slots: the request waits for one of them to end;
+ * - the chance that the worker fails it, times what a failed try costs;
+ * - the way to another availability zone.
+ *
+ * A session's home is found by rendezvous hashing over the workers that are there, so that all instances
+ * find the same one without a word between them, and a worker that goes moves only its own sessions. The
+ * second in that order is a home as well: it takes over when the first is busy and has the parts from then
+ * on, so a session that gets much of the traffic spreads over two workers before it spreads further.
+ *
+ * @module
+ */
+import { hashText, mixHashes } from "../version/index.ts";
+
+/** One part of a prompt, in order; requests that begin with the same parts share them. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** A worker as the ranking sees it. */
+export interface RankedWorker {
+  readonly id: string;
+  /** Hash of the id. */
+  readonly hash: number;
+  /** Requests that all instances have there. */
+  readonly running: number;
+  /** Prompt tokens there that no first token has come of yet. */
+  readonly unreadTokens: number;
+  readonly slots: number;
+  /** The chance that it fails a run beyond what is usual, from 0 to 1. */
+  readonly failing: number;
+  readonly sameZone: boolean;
+  /** Milliseconds for which it is still slow after its start. */
+  readonly coldFor: number;
+}
+
+/** What the ranking knows of the request. */
+export interface RankedRequest {
+  /** All parts of its prompt; empty where nothing is known of it. */
+  readonly parts: readonly PromptPart[];
+}
+
+/** What is known of a service's workers in general. */
+export interface ServiceSpeed {
+  /** Prompt tokens read a millisecond; undefined for services without engines. */
+  readonly readRate: number | undefined;
+  /** Milliseconds that a run occupies a slot. */
+  readonly runTime: number;
+}
+
+/** Milliseconds that one more run beside it costs a run: a tenth of a millisecond a step, some tens of steps. */
+const BESIDE = 4;
+/** A failed try costs the time until it is noticed and another try, or the request itself. */
+const FAILED_TRY = 3_000;
+/** There and back between availability zones; it also decides between equals, and its bytes are paid for. */
+const ZONE_DISTANCE = 3;
+/** Sending to a worker that is still warming up costs about as much of what is left. */
+const COLD_PART = 0.1;
+/** Homes of a session. */
+const HOMES = 2;
+
+/** Workers with what each would cost the request in milliseconds, the cheapest first. */
+export interface Ranking<W extends RankedWorker> {
+  readonly worker: W;
+  readonly cost: number;
+  /** The same without the price of failures and distance: how long the first token is expected to take. */
+  readonly wait: number;
+}
+
+/** Ranks the workers of a service for one request. */
+export function rankWorkers<W extends RankedWorker>(
+  workers: readonly W[],
+  { request, speed }: { request: RankedRequest; speed: ServiceSpeed },
+): Ranking<W>[] {
+  const homes = homesOf(workers, request);
+  const all = sum(request.parts);
+  const own = request.parts.at(-1)?.tokens ?? 0;
+  return workers
+    .map((worker) => {
+      const unread = homes.has(worker.id) ? own : all;
+      const wait = waitAt(worker, { unread, speed });
+      const cost =
+        wait +
+        worker.running * BESIDE +
+        worker.failing * FAILED_TRY +
+        worker.coldFor * COLD_PART +
+        (worker.sameZone ? 0 : ZONE_DISTANCE);
+      return { worker, cost, wait };
+    })
+    .sort((a, b) => a.cost - b.cost);
+}
+
+/** The workers at which the shared parts of the prompt are kept. */
+function homesOf(workers: readonly RankedWorker[], { parts }: RankedRequest): ReadonlySet<string> {
+  if (parts.length < 2) return new Set();
+  // The last part is the request's own: what it shares is all before it.
+  const shared = parts.slice(0, -1).map(({ id }) => id);
+  const key = hashText(shared.join(","));
+  const scored = workers.map(({ id, hash }) => ({ id, score: mixHashes(hash, key) }));
+  scored.sort((a, b) => b.score - a.score);
+  return new Set(scored.slice(0, HOMES).map(({ id }) => id));
+}
+
+function waitAt(
+  { running, slots, unreadTokens }: RankedWorker,
+  { unread, speed }: { unread: number; speed: ServiceSpeed },
+): number {
+  const reading = speed.readRate === undefined ? 0 : (unreadTokens + unread) / speed.readRate;
+  const over = running + 1 - slots;
+  const queued = over > 0 ? (over * speed.runTime) / slots : 0;
+  return reading + queued;
+}
+
+function sum(parts: readonly PromptPart[]): number {
+  return parts.reduce((total, { tokens }) => total + tokens, 0);
+}
--- a/src/interface/index.ts
+++ b/src/interface/index.ts
@@ -7,3 +7,7 @@
 export * from "./random.ts";
 export * from "./record.ts";
 export * from "./seeded_random.ts";
+export * from "./header_names.ts";
+export * from "./fleet_orders.ts";
+export * from "./object_feed.ts";
+export * from "./routed_worker.ts";
--- /dev/null
+++ b/src/interface/object_feed.ts
@@ -0,0 +1,38 @@
+/** An object of a kind, as the platform's store keeps it. */
+export interface FeedObject {
+  readonly name: string;
+  /** The store's version of the object's last change; grows over all objects together. */
+  readonly version: number;
+  /** What it holds, as it was decoded from the wire; nothing is checked yet. */
+  readonly value: unknown;
+}
+
+/** All objects of a kind at one moment. */
+export interface FeedList {
+  readonly objects: readonly FeedObject[];
+  /** The version from which to watch on. */
+  readonly version: number;
+}
+
+/** What became of one object. */
+export interface FeedChange {
+  readonly object: FeedObject;
+  readonly removed: boolean;
+}
+
+/** What a watch found. */
+export type WatchOutcome =
+  | { readonly kind: "changed"; readonly changes: readonly FeedChange[]; readonly version: number }
+  /** The changes since the given version are gone: only a new list tells what there is. */
+  | { readonly kind: "history-lost" };
+
+/** Kinds of objects that can be listed and watched. A call that isn't answered in time rejects. */
+export interface ObjectFeed {
+  listKind(kind: string): Promise<FeedList>;
+  /**
+   * Waits for changes after `version`.
+   *
+   * @param wait Milliseconds after which the store answers that there were none.
+   */
+  watchKind(kind: string, version: number, wait: number): Promise<WatchOutcome>;
+}
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -122,7 +122,12 @@
       ? undefined
       : createOverloadTask({ clock: outside.clock, readLoad, onStance, count });
   const tasks = { ...outside, configuration, members, workers, count };
-  const leases = createLeaseTask({ ...tasks, longestOrder: ORDER_TIMEOUT });
+  const leases = createLeaseTask({
+    ...tasks,
+    pace: configuration.pace,
+    duties: () => Object.keys(configuration.revision()?.deployment.services ?? {}),
+    longestOrder: ORDER_TIMEOUT,
+  });
   const orders = createOrderTask({ ...tasks, leases });
   const notices = createNoticeTask(tasks);
   members.onOwnNotice(() => void handOver());
--- /dev/null
+++ b/src/process/feed_follower.ts
@@ -0,0 +1,153 @@
+import { sleep } from "../interface/index.ts";
+import type {
+  Clock,
+  FeedChange,
+  FeedList,
+  FeedObject,
+  ObjectFeed,
+  Random,
+} from "../interface/index.ts";
+
+/** Follows all objects of one kind. */
+export interface FeedFollower {
+  /** By name. Empty until a first list was had. */
+  readonly objects: ReadonlyMap<string, FeedObject>;
+  /** The store's version up to which `objects` is known; 0 until a first list was had. */
+  readonly version: number;
+  /** The store's version of the last change that is known; 0 until a first list was had. */
+  readonly changedAt: number;
+  /** When the store last answered, in the clock's milliseconds. */
+  readonly answeredAt: number | undefined;
+  /** Takes in what another instance has, where that is later. */
+  adopt(list: FeedList): void;
+  start(): void;
+  close(): void;
+}
+
+/** What a follower is made with. */
+export interface FeedFollowerParts {
+  readonly kind: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly feed: ObjectFeed;
+  /** Called after objects have changed. */
+  readonly onChange: (changes: readonly FeedChange[]) => void;
+  /** Called when the store begins or ceases to answer. */
+  readonly onReach: (reached: boolean, detail: string) => void;
+}
+
+/**
+ * How long one watch waits, in milliseconds. An open connection can go silent for good, and only the end of
+ * the wait shows it: a change is then seen this much later.
+ */
+const WATCH_WAIT = 2_500;
+/** Pauses after failed calls double between these bounds, in milliseconds. */
+const FIRST_PAUSE = 100;
+const LONGEST_PAUSE = 800;
+
+/** Makes a follower that knows nothing yet. */
+export function createFeedFollower(parts: FeedFollowerParts): FeedFollower {
+  const { kind, clock, random, feed } = parts;
+  let objects = new Map<string, FeedObject>();
+  let version = 0;
+  let changedAt = 0;
+  let answeredAt: number | undefined;
+  let isReached: boolean | undefined;
+  let failures = 0;
+  let mustList = true;
+  let closed = false;
+  const isClosed = (): boolean => closed;
+
+  const reach = (reached: boolean, detail: string): void => {
+    if (reached === isReached) return;
+    isReached = reached;
+    parts.onReach(reached, detail);
+  };
+  const adopt = (found: FeedList): void => {
+    // A list from before what is known already would bring back what has gone.
+    if (found.version < version) return;
+    const before = objects;
+    objects = new Map(found.objects.map((object) => [object.name, object]));
+    version = found.version;
+    const changes = differences(before, objects);
+    if (changes.length === 0) return;
+    const latest = found.objects.reduce((most, object) => Math.max(most, object.version), 0);
+    const isRemoval = changes.some(({ removed }) => removed);
+    changedAt = Math.max(changedAt, isRemoval ? found.version : latest);
+    parts.onChange(changes);
+  };
+  const list = async (): Promise<void> => {
+    adopt(await feed.listKind(kind));
+    mustList = false;
+  };
+  const watch = async (): Promise<void> => {
+    const outcome = await feed.watchKind(kind, version, WATCH_WAIT);
+    if (outcome.kind === "history-lost") {
+      mustList = true;
+      return;
+    }
+    // Another instance's list may have been taken in while the watch waited: what it tells of is older then.
+    if (outcome.version <= version) return;
+    const changes = outcome.changes.filter(({ object }) => !isOlder(object, objects));
+    for (const { object, removed } of changes) {
+      if (removed) objects.delete(object.name);
+      else objects.set(object.name, object);
+    }
+    version = outcome.version;
+    if (changes.length === 0) return;
+    changedAt = version;
+    parts.onChange(changes);
+  };
+  const run = async (): Promise<void> => {
+    while (!isClosed()) {
+      try {
+        await (mustList ? list() : watch());
+        failures = 0;
+        answeredAt = clock.now();
+        reach(true, "");
+      } catch (error) {
+        reach(false, String(error));
+        failures++;
+        const bound = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** failures);
+        await sleep(clock, bound * (0.5 + 0.5 * random.next()));
+      }
+    }
+  };
+  return {
+    get objects() {
+      return objects;
+    },
+    get version() {
+      return version;
+    },
+    get changedAt() {
+      return changedAt;
+    },
+    get answeredAt() {
+      return answeredAt;
+    },
+    adopt,
+    start: () => void run(),
+    close: () => {
+      closed = true;
+    },
+  };
+}
+
+function isOlder(object: FeedObject, objects: ReadonlyMap<string, FeedObject>): boolean {
+  return object.version < (objects.get(object.name)?.version ?? 0);
+}
+
+function differences(
+  before: ReadonlyMap<string, FeedObject>,
+  after: ReadonlyMap<string, FeedObject>,
+): FeedChange[] {
+  const changes: FeedChange[] = [];
+  for (const [name, object] of before) {
+    if (!after.has(name)) changes.push({ object, removed: true });
+  }
+  for (const [name, object] of after) {
+    if (before.get(name)?.version !== object.version) changes.push({ object, removed: false });
+  }
+  return changes;
+}
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -8,12 +8,14 @@
   rendezvousOrder,
 } from "../version/index.ts";
 import type { Lease } from "../version/index.ts";
-import type { Configuration } from "./configuration.ts";
-import type { Membership } from "./membership.ts";
+import type { StorePace } from "./store_pace.ts";
 
-/** How often a holder renews, and how often the one whose turn it is looks whether it may take over. */
-const RENEW_PERIOD = LEASE_TERM / 4;
+/** A holder renews so many times in a term. */
+const RENEWALS = 4;
+/** How often the one whose turn it is looks whether it may take over, in milliseconds. */
 const LOOK_PERIOD = 2_000;
+/** Differences between the time of day and the steady clock up to this are corrections of the time of day. */
+const CLOCK_TOLERANCE = 100;
 /** How long a holder goes on after another instance's turn has come, so that a change is no flapping. */
 const HANDOVER_AFTER = 20_000;
 
@@ -40,16 +42,31 @@
 export interface LeaseTaskParts {
   readonly clock: Clock;
   readonly random: Random;
-  readonly store: ObjectStore;
-  readonly configuration: Configuration;
-  readonly members: Membership;
+  readonly store: Pick<ObjectStore, "get" | "put">;
+  readonly pace: StorePace;
+  /** What there is a lease of each: services, or duties of the whole deployment. */
+  readonly duties: () => readonly string[];
+  readonly members: {
+    readonly self: { readonly id: string };
+    /** Instances that may hold a lease. */
+    alive(): readonly { readonly id: string }[];
+  };
   /** Longest time that any order may take, in milliseconds. */
   readonly longestOrder: number;
+  /** Milliseconds for which a lease holds after each write. */
+  readonly term?: number;
+  /** Milliseconds between looks of the one whose turn it is. */
+  readonly lookPeriod?: number;
   readonly count: (name: string) => void;
 }
 
 interface Held {
+  /** The store's version of the last renewal. */
   readonly version: number;
+  /** The version at which it was taken: renewals don't change the fencing number, whose rise is a new holder. */
+  readonly fence: number;
+  /** The time of day less the steady clock at the last renewal. */
+  readonly dayOffset: number;
   /** In the clock's milliseconds. */
   readonly until: number;
   /** Before this no order is sent: one of the holder before may still be under way. */
@@ -68,32 +85,45 @@
  * was sent, and a successor from when it first saw that version, which is later.
  */
 export function createLeaseTask(parts: LeaseTaskParts): LeaseTask {
-  const { clock, random, store, configuration, members, count } = parts;
+  const { clock, random, store, pace, duties, members, count } = parts;
+  const { term = LEASE_TERM, lookPeriod = LOOK_PERIOD } = parts;
   const self = members.self.id;
   const held = new Map<string, Held>();
   const seen = new Map<string, Seen>();
   const turnLostAt = new Map<string, number>();
+  let writes = 0;
   let closed = false;
   const isClosed = (): boolean => closed;
 
-  const services = (): readonly string[] =>
-    Object.keys(configuration.revision()?.deployment.services ?? {});
   const isMyTurn = (service: string): boolean => {
     const able = members.alive().map(({ id }) => id);
     return rendezvousOrder(leaseKey(service), able)[0] === self;
   };
-  const isHeld = (service: string): boolean => (held.get(service)?.until ?? 0) > clock.now();
+  const dayOffset = (): number => clock.date().getTime() - clock.now();
+  /**
+   * Milliseconds that are left of a lease. The steady clock stands still while an instance is suspended and
+   * the time of day doesn't: without counting that, an instance that wakes would act on a lease that another
+   * one has taken meanwhile.
+   */
+  const timeLeft = (mine: Held): number => {
+    const suspended = dayOffset() - mine.dayOffset;
+    return mine.until - clock.now() - (suspended > CLOCK_TOLERANCE ? suspended : 0);
+  };
+  const isHeld = (service: string): boolean => {
+    const mine = held.get(service);
+    return mine !== undefined && timeLeft(mine) > 0;
+  };
   const write = async (
     service: string,
     lease: { holder: string; expect: number },
   ): Promise<PutOutcome> => {
-    const value = formatLease({ holder: lease.holder, term: LEASE_TERM });
+    const value = formatLease({ holder: lease.holder, term, renewal: ++writes });
     const { expect } = lease;
-    return configuration.pace.run(() => store.put(leaseKey(service), value, { expect }));
+    return pace.run(() => store.put(leaseKey(service), value, { expect }));
   };
   /** Notes what the store says; a lease of ours whose write was answered late or never is found again. */
   const look = async (service: string): Promise<Seen | undefined | "unavailable"> => {
-    const read = await configuration.pace.run(() => store.get(leaseKey(service)));
+    const read = await pace.run(() => store.get(leaseKey(service)));
     if (read.kind === "unavailable") return "unavailable";
     if (read.kind === "absent") return undefined;
     const lease = parseLease(read.object.version, read.object.value);
@@ -110,6 +140,7 @@
     const ranOut = found !== undefined && clock.now() - found.since >= found.lease.term;
     if (!given && !ranOut) return;
     const sentAt = clock.now();
+    const offsetThen = dayOffset();
     const outcome = await write(service, { holder: self, expect: found?.lease.version ?? 0 });
     // After a lost answer nothing is held: the version is seen at the next look and waited out like
     // another's, and then taken again.
@@ -117,34 +148,33 @@
     // One who gave the lease back had no order under way; one who didn't may have sent its last order in
     // the last moment of its term.
     const ordersFrom = given ? clock.now() : clock.now() + parts.longestOrder;
-    held.set(service, { version: outcome.version, until: sentAt + LEASE_TERM, ordersFrom });
+    const { version } = outcome;
+    const until = sentAt + term;
+    held.set(service, { version, fence: version, dayOffset: offsetThen, until, ordersFrom });
     count("lease.taken");
   };
-  const renew = async (service: string, { version, ordersFrom }: Held): Promise<void> => {
-    const sentAt = clock.now();
-    const outcome = await write(service, { holder: self, expect: version });
+  const renew = async (service: string, mine: Held): Promise<void> => {
+    const renewed = { ...mine, until: clock.now() + term, dayOffset: dayOffset() };
+    const outcome = await write(service, { holder: self, expect: mine.version });
     if (outcome.kind === "written") {
-      held.set(service, { version: outcome.version, until: sentAt + LEASE_TERM, ordersFrom });
+      held.set(service, { ...renewed, version: outcome.version });
     } else if (outcome.kind === "conflict") {
       held.delete(service);
       count("lease.lost");
     } else if (outcome.kind === "unknown") {
-      await adopt(service, { version, ordersFrom, sentAt });
+      await adopt(service, renewed);
     }
   };
-  /** The answer of a renewal was lost: if it stands, the next version is ours. */
-  const adopt = async (
-    service: string,
-    renewal: { version: number; ordersFrom: number; sentAt: number },
-  ): Promise<void> => {
+  /**
+   * The answer of a renewal was lost. If a later version names this instance, the renewal stands: nobody else
+   * writes its id, and it writes one renewal at a time.
+   */
+  const adopt = async (service: string, renewal: Held): Promise<void> => {
     const found = await look(service);
     if (found === "unavailable" || found === undefined) return;
     const { holder, version } = found.lease;
     if (holder !== self) held.delete(service);
-    else if (version === renewal.version + 1) {
-      const { ordersFrom, sentAt } = renewal;
-      held.set(service, { version, until: sentAt + LEASE_TERM, ordersFrom });
-    }
+    else if (version > renewal.version) held.set(service, { ...renewal, version });
   };
   const giveBack = async (service: string): Promise<void> => {
     const mine = held.get(service);
@@ -167,18 +197,18 @@
   };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
-      await Promise.all(services().map((service) => tend(service)));
-      const period = held.size > 0 ? RENEW_PERIOD : LOOK_PERIOD;
+      await Promise.all(duties().map((duty) => tend(duty)));
+      const period = held.size > 0 ? term / RENEWALS : lookPeriod;
       await sleep(clock, period * (0.8 + 0.2 * random.next()));
     }
   };
   return {
-    held: () => services().filter(isHeld),
+    held: () => duties().filter(isHeld),
     fence: (service, orderTime) => {
       const mine = held.get(service);
       const now = clock.now();
       if (mine === undefined || now < mine.ordersFrom) return undefined;
-      return mine.until - now > orderTime ? mine.version : undefined;
+      return timeLeft(mine) > orderTime ? mine.fence : undefined;
     },
     start: () => void run(),
     release: async () => {
--- a/src/process/lease_task_test.ts
+++ b/src/process/lease_task_test.ts
@@ -100,6 +100,8 @@
   const made = fleet.nodes.map((node, index) => {
     const parts = {
       ...node,
+      pace: node.configuration.pace,
+      duties: () => SERVICES,
       clock: node.freezer.clock,
       random: createSeededRandom(index + 50),
       store: fleet.store.connect(() => node.freezer.gate()),
--- /dev/null
+++ b/src/process/routed_board.ts
@@ -0,0 +1,228 @@
+import type { RankedWorker, RunTally, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
+import type { Clock, RoutedWorker, Timer } from "../interface/index.ts";
+import { RunResult } from "../request/index.ts";
+import type { BoardRun, BoardWorker, WorkerBoard } from "../request/index.ts";
+import { hashText } from "../version/index.ts";
+import type { RoutedService } from "../version/index.ts";
+
+/** What an instance has at one worker, as the others are told. */
+export interface WorkerUse {
+  readonly running: number;
+  readonly unreadTokens: number;
+  readonly tally: RunTally;
+}
+
+/** The board with what fills it. */
+export interface RoutedBoard extends WorkerBoard {
+  /** Takes the workers as the store has them now. */
+  setWorkers(workers: readonly RoutedWorker[]): void;
+  workers(): readonly RoutedWorker[];
+  /** Requests that all instances have at the service's workers. */
+  running(service: string): number;
+  /** What another instance has at the workers; it replaces what it said before. */
+  heard(instance: string, use: ReadonlyMap<string, WorkerUse>): void;
+  /** Other instances know that these workers leave; each is named with its start, as by `leaving`. */
+  heardLeaving(leaving: readonly string[]): void;
+  /** Forgets instances that weren't heard for a while: what they had at workers has ended. */
+  keepInstances(names: ReadonlySet<string>): void;
+  /** What this instance has at the workers. */
+  use(): ReadonlyMap<string, WorkerUse>;
+  /** Workers that are known to leave, each with its start: a restarted one may have the same id. */
+  leaving(): readonly string[];
+  close(): void;
+}
+
+/** What the board is made with. */
+export interface RoutedBoardParts {
+  readonly clock: Clock;
+  readonly zone: string;
+  readonly health: WorkerHealth;
+  /** How many instances share the workers' connections. */
+  readonly members: () => number;
+}
+
+/** Prompt tokens that an engine reads a millisecond, until it is known better: half of a current one's. */
+const FIRST_READ_RATE = 50;
+/** Milliseconds that a run takes until any was seen. */
+const FIRST_RUN_TIME = { engine: 2_000, plain: 50 };
+/** The weight of the newest run in the mean. */
+const NEWEST_PART = 0.05;
+/** The part of a worker's connections that the instances use together. */
+const CONNECTION_PART = 0.9;
+/** How long a worker that refused a connection, or has another id by now, gets nothing, in milliseconds. */
+const REPLACED_PAUSE = 60_000;
+/** How long before the end of a leaving worker what still runs there goes on elsewhere, in milliseconds. */
+const LEAVE_MARGIN = 450;
+
+interface Entry {
+  readonly worker: RoutedWorker;
+  readonly hash: number;
+  readonly seenAt: number;
+  running: number;
+  unreadTokens: number;
+  replacedUntil: number;
+  isLeaving: boolean;
+  readonly leaveListeners: Set<() => void>;
+  leaveTimer: Timer | undefined;
+}
+
+/** Makes an empty board. */
+export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
+  const { clock, zone, health, members } = parts;
+  const entries = new Map<string, Entry>();
+  const others = new Map<string, ReadonlyMap<string, WorkerUse>>();
+  const runTimes = new Map<string, number>();
+
+  const announceLeave = (entry: Entry): void => {
+    if (entry.leaveTimer !== undefined || entry.worker.leavesIn === undefined) return;
+    const left = Math.max(0, entry.worker.leavesIn - (clock.now() - entry.seenAt) - LEAVE_MARGIN);
+    entry.leaveTimer = clock.after(left, () => {
+      for (const listener of [...entry.leaveListeners]) listener();
+    });
+  };
+  const entryOf = (worker: RoutedWorker): Entry => {
+    const known = entries.get(worker.id);
+    const isSame = known?.worker.born === worker.born;
+    const isLeaving = worker.isLeaving || (isSame && known.isLeaving);
+    const changed = !isSame || known.worker.isLeaving !== worker.isLeaving;
+    return {
+      worker,
+      hash: known?.hash ?? hashText(worker.id),
+      seenAt: changed ? clock.now() : known.seenAt,
+      running: isSame ? known.running : 0,
+      unreadTokens: isSame ? known.unreadTokens : 0,
+      replacedUntil: isSame ? known.replacedUntil : 0,
+      isLeaving,
+      leaveListeners: isSame ? known.leaveListeners : new Set(),
+      leaveTimer: isSame ? known.leaveTimer : undefined,
+    };
+  };
+  const otherUse = (id: string): { running: number; unreadTokens: number } => {
+    let running = 0;
+    let unreadTokens = 0;
+    for (const use of others.values()) {
+      const at = use.get(id);
+      running += at?.running ?? 0;
+      unreadTokens += at?.unreadTokens ?? 0;
+    }
+    return { running, unreadTokens };
+  };
+  const ranked = (entry: Entry): RankedWorker => {
+    const other = otherUse(entry.worker.id);
+    const { worker } = entry;
+    return {
+      id: worker.id,
+      hash: entry.hash,
+      running: entry.running + other.running,
+      unreadTokens: entry.unreadTokens + other.unreadTokens,
+      slots: worker.slots,
+      failing: health.excess(worker.id, worker.service, clock.now()),
+      sameZone: worker.zone === zone,
+      coldFor: Math.max(0, worker.coldFor - (clock.now() - entry.seenAt)),
+    };
+  };
+  const candidates = (service: RoutedService): BoardWorker[] => {
+    const now = clock.now();
+    const most = Math.max(1, Math.floor((service.maxConnections * CONNECTION_PART) / members()));
+    return [...entries.values()]
+      .filter(({ worker }) => worker.service === service.name)
+      .filter(({ isLeaving, replacedUntil }) => !isLeaving && now >= replacedUntil)
+      .map((entry) => ({
+        ...ranked(entry),
+        address: entry.worker.address,
+        service: service.name,
+        mostConnections: most,
+      }));
+  };
+  const begin = ({ id, service }: BoardWorker, tokens: number): BoardRun => {
+    const startedAt = clock.now();
+    const change = (by: number, tokensBy: number): void => {
+      const entry = entries.get(id);
+      if (entry === undefined) return;
+      entry.running = Math.max(0, entry.running + by);
+      entry.unreadTokens = Math.max(0, entry.unreadTokens + tokensBy);
+    };
+    let unread = tokens;
+    const read = (): void => {
+      change(0, -unread);
+      unread = 0;
+    };
+    change(1, tokens);
+    return {
+      read,
+      end: (result) => {
+        read();
+        change(-1, 0);
+        const now = clock.now();
+        if (result === RunResult.Answered) noteTime(service, now - startedAt);
+        if (result === RunResult.Answered || result === RunResult.Failed) {
+          health.ended({ worker: id, service, failed: result === RunResult.Failed, now });
+        }
+        const entry = entries.get(id);
+        if (result === RunResult.Replaced && entry !== undefined) {
+          entry.replacedUntil = now + REPLACED_PAUSE;
+        }
+      },
+    };
+  };
+  const noteTime = (service: string, took: number): void => {
+    const before = runTimes.get(service) ?? took;
+    runTimes.set(service, before + (took - before) * NEWEST_PART);
+  };
+  return {
+    candidates,
+    begin,
+    speed: ({ name, engine }): ServiceSpeed => ({
+      readRate: engine === undefined ? undefined : FIRST_READ_RATE,
+      runTime:
+        runTimes.get(name) ?? (engine === undefined ? FIRST_RUN_TIME.plain : FIRST_RUN_TIME.engine),
+    }),
+    onLeaving: (id, listener) => {
+      const entry = entries.get(id);
+      entry?.leaveListeners.add(listener);
+      return { close: () => void entry?.leaveListeners.delete(listener) };
+    },
+    setWorkers: (workers) => {
+      const kept = new Set(workers.map(({ id }) => id));
+      for (const [id, entry] of entries) {
+        if (kept.has(id)) continue;
+        entry.leaveTimer?.close();
+        entries.delete(id);
+      }
+      for (const worker of workers) {
+        const entry = entryOf(worker);
+        entries.set(worker.id, entry);
+        if (entry.isLeaving) announceLeave(entry);
+      }
+      health.keepOnly(kept);
+    },
+    workers: () => [...entries.values()].map(({ worker }) => worker),
+    running: (service) =>
+      [...entries.values()]
+        .filter(({ worker }) => worker.service === service)
+        .reduce((sum, entry) => sum + ranked(entry).running, 0),
+    heard: (instance, use) => void others.set(instance, use),
+    heardLeaving: (leaving) => {
+      const told = new Set(leaving);
+      for (const entry of entries.values()) if (told.has(startOf(entry))) entry.isLeaving = true;
+    },
+    keepInstances: (names) => {
+      for (const name of others.keys()) if (!names.has(name)) others.delete(name);
+    },
+    use: () =>
+      new Map(
+        [...entries].map(([id, { running, unreadTokens }]) => [
+          id,
+          { running, unreadTokens, tally: health.tally(id, clock.now()) },
+        ]),
+      ),
+    leaving: () => [...entries.values()].filter(({ isLeaving }) => isLeaving).map(startOf),
+    close: () => {
+      for (const { leaveTimer } of entries.values()) leaveTimer?.close();
+    },
+  };
+}
+
+function startOf({ worker }: Entry): string {
+  return `${worker.id}@${worker.born}`;
+}
--- /dev/null
+++ b/src/process/routed_entry.ts
@@ -0,0 +1,437 @@
+import { randomBytes } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createWorkerConnections } from "../connection/index.ts";
+import {
+  createRepeatAllowance,
+  createSharedQuota,
+  createTrueTime,
+  createUsageLedger,
+  createWorkerHealth,
+} from "../decision/index.ts";
+import { sleep } from "../interface/index.ts";
+import type {
+  Clock,
+  FeedObject,
+  HeaderNames,
+  ObjectFeed,
+  ObjectStore,
+  Platform,
+  Random,
+  RoutedWorker,
+} from "../interface/index.ts";
+import { createRoutedRequests } from "../request/index.ts";
+import type { RoutedContext } from "../request/index.ts";
+import { createRouteTable } from "../version/index.ts";
+import type { RoutedService, RouteTable, Routing } from "../version/index.ts";
+import { createFeedFollower } from "./feed_follower.ts";
+import type { FeedFollower } from "./feed_follower.ts";
+import { createLeaseTask } from "./lease_task.ts";
+import { createMixTask, ORDER_CALL_TIME } from "./mix_task.ts";
+import { createPeerExchange, fetchObjects } from "./peer_exchange.ts";
+import type { Digest } from "./peer_exchange.ts";
+import { createRoutedBoard } from "./routed_board.ts";
+import type { RoutedBoard, WorkerUse } from "./routed_board.ts";
+import type { RoutedLog } from "./routed_log.ts";
+import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
+import type { RoutedSettings } from "./routed_settings.ts";
+import { createStorePace } from "./store_pace.ts";
+import { createUsageTask } from "./usage_task.ts";
+import { createWorkerRoster } from "./worker_roster.ts";
+
+/** Where an instance finds its configuration and workers in the store, and how they are read. */
+export interface StoredKinds {
+  /** The object that holds the whole configuration. */
+  readonly routing: { readonly kind: string; readonly name: string };
+  /** The kind of the workers' entries. */
+  readonly workers: string;
+  /** Reads a configuration; throws where it isn't one. */
+  readonly readRouting: (value: unknown) => Routing;
+  /** Reads a worker's entry; undefined where it names no worker that can be used. */
+  readonly readWorker: (object: FeedObject) => RoutedWorker | undefined;
+}
+
+/** What is outside an instance that serves routed requests. */
+export interface RoutedOutside {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly feed: ObjectFeed;
+  readonly store: Pick<ObjectStore, "get" | "put">;
+  readonly platform: Platform;
+  readonly kinds: StoredKinds;
+  readonly names: HeaderNames;
+  readonly log: RoutedLog;
+  readonly metrics: RoutedMetricsRegistry;
+}
+
+/** An entry instance that serves routed requests. */
+export interface RoutedEntry {
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Whether it takes new requests. */
+  isReady(): boolean;
+  isStopping(): boolean;
+  /** Addresses that callers may use now, and for how many milliseconds. */
+  resolve(): { addresses: string[]; life: number };
+  /** Objects of a kind as this instance has them; undefined for kinds that it doesn't follow. */
+  objects(kind: string): { version: number; objects: FeedObject[] } | undefined;
+  routing(): Routing | undefined;
+  start(): Promise<void>;
+  /** Ends in a planned way: no request in progress is cut. Resolves when the process may exit. */
+  stop(): Promise<void>;
+  close(): void;
+}
+
+/** Addresses in an answer to a caller that resolves. */
+const GREATEST_ADDRESSES = 64;
+/** How long callers may keep a resolved address: an instance that stops is out of use about as fast. */
+const RESOLVE_LIFE = 1_000;
+/** How long an instance that stops still begins requests: callers keep old addresses for up to three lives. */
+const STOP_TAKING_AFTER = 3_200;
+/** Kept back of the grace for closing connections and writing the last lines. */
+const STOP_MARGIN = 700;
+const STOP_LOOK = 50;
+/** How long a change that a peer knows is awaited from the store before it is fetched from the peer. */
+const FETCH_AFTER = 350;
+const DUTIES = ["usage", "fleet"];
+/** Milliseconds between two looks whether a lease can be taken over. */
+const LEASE_LOOK = 500;
+/** Runs at a worker at which its streams are quick: a fifth of its places. */
+const RUNS_A_WORKER = 10;
+/** Least workers of a service that can be ordered, a zone: one alone is a zone without any when it goes. */
+const LEAST_A_ZONE = 3;
+
+/** Makes an instance; it does nothing before it is started. */
+export function createRoutedEntry(settings: RoutedSettings, outside: RoutedOutside): RoutedEntry {
+  const { clock, random, log, metrics, kinds } = outside;
+  const incarnation = `${settings.name}/${randomBytes(6).toString("hex")}`;
+  const startedAt = clock.now();
+  let table: RouteTable | undefined;
+  let stoppingSince: number | undefined;
+  let hasWorkers = false;
+
+  const health = createWorkerHealth();
+  const quota = createSharedQuota();
+  const repeats = createRepeatAllowance(settings.repeats);
+  const ledger = createUsageLedger();
+  const time = createTrueTime({ date: clock.date().getTime(), steady: startedAt });
+  const trueNow = (): number => time.now(clock.now());
+  const connections = createWorkerConnections({
+    clock,
+    matching: { idHeader: outside.names.requestId, notRunHeader: outside.names.notRun },
+  });
+  const members = (): number => exchange.members;
+  const board = createRoutedBoard({ clock, zone: settings.zone, health, members });
+
+  const isStopping = (): boolean => stoppingSince !== undefined;
+  const isReady = (): boolean => table !== undefined && hasWorkers && !isStopping();
+
+  const routingFeed: FeedFollower = createFeedFollower({
+    kind: kinds.routing.kind,
+    clock,
+    random,
+    feed: outside.feed,
+    onChange: () => applyRouting(),
+    onReach: (reached, detail) =>
+      log.changed("store-reached", { kind: "routing", reached, detail }),
+  });
+  const workerFeed: FeedFollower = createFeedFollower({
+    kind: kinds.workers,
+    clock,
+    random,
+    feed: outside.feed,
+    onChange: (changes) => {
+      roster.changed(changes);
+      applyWorkers();
+    },
+    onReach: (reached, detail) => {
+      if (reached) roster.storeReturned();
+      log.changed("store-reached", { kind: "workers", reached, detail });
+    },
+  });
+  const feeds = new Map([
+    [kinds.routing.kind, routingFeed],
+    [kinds.workers, workerFeed],
+  ]);
+  const roster = createWorkerRoster({
+    clock,
+    decode: kinds.readWorker,
+    onChange: () => applyWorkers(),
+    onUnreadable: (name) => log.changed("worker-entry-unreadable", { worker: name }),
+  });
+  const applyWorkers = (): void => {
+    const before = new Map(board.workers().map((worker) => [worker.id, worker]));
+    const workers = roster.list();
+    board.setWorkers(workers);
+    connections.keepOnly(new Set(workers.map(({ id }) => id)));
+    hasWorkers ||= workers.length > 0;
+    logWorkers(before, workers);
+  };
+  const logWorkers = (
+    before: ReadonlyMap<string, RoutedWorker>,
+    workers: readonly RoutedWorker[],
+  ): void => {
+    const gone = new Set(before.keys());
+    for (const worker of workers) {
+      gone.delete(worker.id);
+      const known = before.get(worker.id);
+      if (known?.born === worker.born && known.isLeaving === worker.isLeaving) continue;
+      const { id, service, zone, purchase, isLeaving, leavesIn } = worker;
+      log.changed("worker", { worker: id, service, zone, purchase, isLeaving, leavesIn });
+    }
+    for (const worker of gone) log.changed("worker-gone", { worker });
+  };
+  const applyRouting = (): void => {
+    const object = routingFeed.objects.get(kinds.routing.name);
+    if (object === undefined) return;
+    try {
+      const routing = kinds.readRouting(object.value);
+      // Versions only rise: one that an instance has acted on is never taken back.
+      if (routing.version <= (table?.routing.version ?? -1)) return;
+      table = createRouteTable(routing);
+      const { version, routes } = routing;
+      log.changed("routing", { version, routes: routes.length, store: object.version });
+    } catch (error) {
+      log.fault("routing-unreadable", { store: object.version, detail: String(error) });
+    }
+  };
+
+  const digest = (): Omit<Digest, "known" | "sequence"> => ({
+    name: settings.name,
+    incarnation,
+    zone: settings.zone,
+    callers: settings.listen.callers,
+    peers: settings.listen.peers,
+    ready: isReady(),
+    reachesStore: reachesStore(),
+    time: Math.round(trueNow()),
+    versions: Object.fromEntries([...feeds].map(([kind, feed]) => [kind, feed.changedAt])),
+    admitted: Object.fromEntries(quota.admitted()),
+    usage: ledger
+      .own()
+      .slice(-4)
+      .map(({ window, counts }) => ({ window, counts })),
+    use: usedWorkers(board),
+    leaving: [...board.leaving()],
+  });
+  const reachesStore = (): boolean =>
+    clock.now() - (workerFeed.answeredAt ?? -Infinity) < settings.leaseTerm + LEASE_LOOK;
+  const onDigest = (heard: Digest): void => {
+    time.heard(heard.name, { time: heard.time, steady: clock.now() });
+    quota.heard(heard.incarnation, new Map(Object.entries(heard.admitted)));
+    ledger.heard(heard.incarnation, heard.usage);
+    const use = new Map(Object.entries(heard.use).map(([id, found]) => [id, useOf(found)]));
+    board.heard(heard.name, use);
+    const tallies = [...use].map(([id, { tally }]) => [id, tally] as const);
+    health.heard(heard.name, new Map(tallies), clock.now());
+    board.heardLeaving(heard.leaving);
+    for (const [kind, feed] of feeds) void catchUp(heard, kind, feed);
+  };
+  const fetching = new Set<string>();
+  /** Fetches what a peer knows and the store hasn't told this instance, because it can't reach the store. */
+  const catchUp = async (peer: Digest, kind: string, feed: FeedFollower): Promise<void> => {
+    const theirs = peer.versions[kind] ?? 0;
+    if (theirs <= feed.version || fetching.has(kind)) return;
+    fetching.add(kind);
+    try {
+      await sleep(clock, feed.version === 0 ? 0 : FETCH_AFTER);
+      if (theirs <= feed.version) return;
+      const found = await fetchObjects(peer.peers, kind);
+      log.changed("fetched-from-peer", { kind, peer: peer.name, version: found.version });
+      feed.adopt(found);
+    } catch (error) {
+      log.fault("fetch-failed", { kind, peer: peer.name, detail: String(error) });
+    } finally {
+      fetching.delete(kind);
+    }
+  };
+  const exchange = createPeerExchange({
+    clock,
+    random,
+    listen: settings.listen.peers,
+    digest,
+    onDigest,
+    onChange: () => onMembers(),
+    onFault: (detail) => log.fault("digest", { detail }),
+  });
+  const onMembers = (): void => {
+    const live = exchange.live();
+    const count = exchange.members;
+    repeats.setMembers(count);
+    quota.setReach({ heard: live.length + 1, members: count });
+    board.keepInstances(new Set(live.map(({ digest: { name } }) => name)));
+    const names = live.map(({ digest: { name, ready } }) => `${name}${ready ? "" : "-"}`);
+    log.changed("members", { expected: count, heard: names.sort().join(" ") });
+  };
+
+  const lease = createLeaseTask({
+    clock,
+    random,
+    store: outside.store,
+    pace: createStorePace({ clock, random, members }),
+    duties: () => DUTIES,
+    members: {
+      self: { id: incarnation },
+      alive: () => [
+        { id: incarnation },
+        ...exchange
+          .live()
+          .filter(({ digest: { reachesStore: reaches, ready } }) => reaches && ready)
+          .map(({ digest: { incarnation: id } }) => ({ id })),
+      ],
+    },
+    longestOrder: ORDER_CALL_TIME,
+    term: settings.leaseTerm,
+    lookPeriod: LEASE_LOOK,
+    count: (name) => log.changed(name, {}),
+  });
+  const usage = createUsageTask({
+    clock,
+    store: outside.store,
+    platform: outside.platform,
+    ledger,
+    time: trueNow,
+    windowLength: settings.usage.window,
+    lateAfter: settings.usage.lateAfter,
+    fence: (callTime) => lease.fence("usage", callTime),
+    holder: settings.name,
+    log: (step, fields) => log.changed(step, fields),
+  });
+  const mix = createMixTask({
+    clock,
+    platform: outside.platform,
+    services: () => table?.routing.services ?? [],
+    workers: () => board.workers(),
+    needed: (service) => neededWorkers(service, board),
+    fence: (callTime) => lease.fence("fleet", callTime),
+    holder: settings.name,
+    log: (step, fields) => log.changed(step, fields),
+  });
+
+  const context: RoutedContext = {
+    clock,
+    random,
+    names: outside.names,
+    table: () => table,
+    board,
+    connections,
+    quota,
+    repeats,
+    began: (account, at) => {
+      if (account === undefined) return;
+      ledger.began(account, Math.floor(time.now(at) / settings.usage.window));
+    },
+    isStopping,
+    isClosedToNew: () =>
+      stoppingSince !== undefined && clock.now() - stoppingSince > STOP_TAKING_AFTER,
+    decided: log.decided,
+    metrics,
+  };
+  const requests = createRoutedRequests(context);
+  metrics.watch(
+    "samphireshore_requests_in_progress",
+    "Requests not ended.",
+    () => requests.inProgress,
+  );
+  metrics.watch(
+    "samphireshore_routing_version",
+    "Configuration in force.",
+    () => table?.routing.version ?? 0,
+  );
+  metrics.watch("samphireshore_members", "Entry instances expected.", members);
+  metrics.watch(
+    "samphireshore_worker_connections_opened",
+    "Connections opened.",
+    () => connections.opened,
+  );
+
+  const stop = async (): Promise<void> => {
+    if (stoppingSince !== undefined) return;
+    stoppingSince = clock.now();
+    log.changed("stopping", { inProgress: requests.inProgress });
+    exchange.announce();
+    void lease.release();
+    const lastAt = stoppingSince + settings.grace - STOP_MARGIN;
+    while (clock.now() < lastAt) {
+      const isTaking = !context.isClosedToNew();
+      if (!isTaking && requests.inProgress === 0) break;
+      await sleep(clock, STOP_LOOK);
+    }
+    log.changed("stopped", { inProgress: requests.inProgress });
+  };
+  return {
+    handle: requests.handle,
+    isReady,
+    isStopping,
+    resolve: () => {
+      const others = exchange.live().filter(({ digest: { ready } }) => ready);
+      const own = isReady() ? [settings.listen.callers] : [];
+      const addresses = [...own, ...others.map(({ digest: { callers } }) => callers)];
+      return {
+        addresses: addresses.slice(0, GREATEST_ADDRESSES),
+        life: Math.min(RESOLVE_LIFE, settings.resolveLife),
+      };
+    },
+    objects: (kind) => {
+      const feed = feeds.get(kind);
+      return feed === undefined || feed.version === 0
+        ? undefined
+        : { version: feed.version, objects: [...feed.objects.values()] };
+    },
+    routing: () => table?.routing,
+    start: async () => {
+      log.changed("starting", { incarnation, zone: settings.zone });
+      exchange.introduce(settings.seeds);
+      await exchange.start();
+      routingFeed.start();
+      workerFeed.start();
+      lease.start();
+      usage.start();
+      mix.start();
+    },
+    stop,
+    close: () => {
+      for (const part of [
+        exchange,
+        routingFeed,
+        workerFeed,
+        lease,
+        usage,
+        mix,
+        board,
+        connections,
+      ]) {
+        part.close();
+      }
+    },
+  };
+}
+
+/** Workers that a service needs, by what runs on them. */
+function neededWorkers({ name, scaling }: RoutedService, board: RoutedBoard): number {
+  const zones = scaling?.zonePrices.size ?? 1;
+  const running = board.running(name);
+  return Math.max(LEAST_A_ZONE * zones, Math.ceil(running / RUNS_A_WORKER));
+}
+
+/** What the instance has at workers, without those at which it has nothing. */
+function usedWorkers(board: RoutedBoard): Digest["use"] {
+  const used: Digest["use"] = {};
+  for (const [id, { running, unreadTokens, tally }] of board.use()) {
+    const { runs, failures } = tally;
+    if (running === 0 && runs < 0.1) continue;
+    used[id] = [running, unreadTokens, round(runs), round(failures)];
+  }
+  return used;
+}
+
+function useOf([running, unreadTokens, runs, failures]: [
+  number,
+  number,
+  number,
+  number,
+]): WorkerUse {
+  return { running, unreadTokens, tally: { runs, failures } };
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/src/process/routed_metrics.ts
@@ -0,0 +1,72 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { RoutedMetrics } from "../request/index.ts";
+
+/** Metrics of one instance's routed requests, and their text for whoever fetches them. */
+export interface RoutedMetricsRegistry extends RoutedMetrics {
+  /** The text exposition format. */
+  text(): Promise<string>;
+  /** Adds a figure that is read when the metrics are fetched. */
+  watch(name: string, help: string, read: () => number): void;
+}
+
+/** Bounds of the latency histograms in seconds: from one cross-zone way to the longest deadline. */
+const BOUNDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+const MILLISECONDS = 1_000;
+
+/** Makes the metrics. */
+export function createRoutedMetrics(): RoutedMetricsRegistry {
+  const registers = [new Registry()];
+  const [registry] = registers;
+  const answered = new Counter({
+    name: "samphireshore_answers_total",
+    help: "Answers of workers that were passed on, by route and status.",
+    labelNames: ["route", "status"],
+    registers,
+  });
+  const refused = new Counter({
+    name: "samphireshore_refusals_total",
+    help: "Requests ended by the entry instance itself, by reason.",
+    labelNames: ["reason"],
+    registers,
+  });
+  const repeated = new Counter({
+    name: "samphireshore_repeats_total",
+    help: "Requests sent to a further worker, by cause.",
+    labelNames: ["cause"],
+    registers,
+  });
+  const duration = new Histogram({
+    name: "samphireshore_answer_seconds",
+    help: "Time from the arrival of a request to the end of its answer, by route.",
+    labelNames: ["route"],
+    buckets: BOUNDS,
+    registers,
+  });
+  const firstEvent = new Histogram({
+    name: "samphireshore_first_event_seconds",
+    help: "Time from the arrival of a request to the first event of its stream, by route.",
+    labelNames: ["route"],
+    buckets: BOUNDS,
+    registers,
+  });
+  return {
+    answered: (route, status, milliseconds) => {
+      answered.inc({ route, status: String(status) });
+      duration.observe({ route }, milliseconds / MILLISECONDS);
+    },
+    firstEvent: (route, milliseconds) => firstEvent.observe({ route }, milliseconds / MILLISECONDS),
+    refused: (reason) => refused.inc({ reason }),
+    repeated: (cause) => repeated.inc({ cause }),
+    text: () => (registry === undefined ? Promise.resolve("") : registry.metrics()),
+    watch: (name, help, read) => {
+      new Gauge({
+        name,
+        help,
+        registers,
+        collect() {
+          this.set(read());
+        },
+      });
+    },
+  };
+}
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -6,3 +6,6 @@
 export * from "./request_api.ts";
 export * from "./request_key.ts";
 export * from "./request_service.ts";
+export * from "./caller_answer.ts";
+export * from "./routed_context.ts";
+export * from "./routed_service.ts";
--- /dev/null
+++ b/src/request/routed_arrival.ts
@@ -0,0 +1,94 @@
+import type { IncomingMessage } from "node:http";
+import type { PromptPart } from "../decision/index.ts";
+import type { HeaderNames } from "../interface/index.ts";
+import { QuotaUnit } from "../version/index.ts";
+import type { Quota, Route, RoutedAccount, RouteTable } from "../version/index.ts";
+
+/** A request that may be served, as its head says. */
+export interface RoutedArrival {
+  /** The caller's id; undefined where it named none. */
+  readonly id: string | undefined;
+  readonly route: Route;
+  readonly account: RoutedAccount | undefined;
+  /** When it arrived, in the clock's milliseconds. */
+  readonly arrivedAt: number;
+  /** When its final answer is due: the caller's deadline or the route's timeout, whichever is first. */
+  readonly deadlineAt: number;
+  /** Prompt and answer tokens together; undefined where the caller said nothing. */
+  readonly statedTokens: number | undefined;
+  readonly promptParts: readonly PromptPart[];
+  /** 0 is the most urgent. */
+  readonly rank: number;
+}
+
+/** Why a request isn't served, by its head alone. */
+export type ArrivalRefusal = { readonly kind: "no-route" } | { readonly kind: "unknown-key" };
+
+/** What {@linkcode readArrival} goes by. */
+export interface ArrivalContext {
+  readonly table: RouteTable;
+  readonly names: HeaderNames;
+  /** The clock's milliseconds. */
+  readonly now: number;
+}
+
+/** Finds the route and the client account of a request and how long it may take. */
+export function readArrival(
+  request: IncomingMessage,
+  { table, names, now }: ArrivalContext,
+): RoutedArrival | ArrivalRefusal {
+  const header = (name: string): string | undefined => singleHeader(request, name);
+  const route = table.route(request.headers.host ?? "", request.url ?? "");
+  if (route === undefined) return { kind: "no-route" };
+  let account: RoutedAccount | undefined;
+  if (table.routing.accounts !== undefined && !route.isPublic) {
+    account = table.accountOf(header(names.key) ?? "");
+    if (account === undefined) return { kind: "unknown-key" };
+  }
+  const deadline = positiveNumber(header(names.deadline)) ?? Infinity;
+  return {
+    id: header(names.requestId),
+    route,
+    account,
+    arrivedAt: now,
+    deadlineAt: now + Math.min(deadline, route.timeout),
+    statedTokens: parseTokens(header(names.tokens)),
+    promptParts: parsePromptParts(header(names.promptParts)),
+    rank: account?.rank ?? route.rank,
+  };
+}
+
+/** What a request counts as against its account's quota. */
+export function quotaSize({ unit, unstatedTokens }: Quota, stated: number | undefined): number {
+  return unit === QuotaUnit.Requests ? 1 : (stated ?? unstatedTokens);
+}
+
+/** A header's value; where it was sent several times, what a receiver would make of them together. */
+function singleHeader({ headers }: IncomingMessage, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(", ") : value;
+}
+
+function positiveNumber(text: string | undefined): number | undefined {
+  if (text === undefined || !/^\d{1,12}(\.\d{1,6})?$/.test(text.trim())) return undefined;
+  return Number(text);
+}
+
+function parseTokens(text: string | undefined): number | undefined {
+  const match = /^\s*(\d{1,9})\s*,\s*(\d{1,9})\s*$/.exec(text ?? "");
+  return match === null ? undefined : Number(match[1]) + Number(match[2]);
+}
+
+const PART = /^\s*([0-9a-fA-F]{1,64}):(\d{1,9})\s*$/;
+/** Parts that are looked at; a longer list is taken for a caller's mistake and placed by load alone. */
+const GREATEST_PARTS = 64;
+
+function parsePromptParts(text: string | undefined): PromptPart[] {
+  if (text === undefined) return [];
+  const entries = text.split(",", GREATEST_PARTS + 1);
+  if (entries.length > GREATEST_PARTS) return [];
+  const parts = entries.map((entry) => PART.exec(entry));
+  return parts.every((part) => part !== null)
+    ? parts.map((part) => ({ id: part[1] ?? "", tokens: Number(part[2]) }))
+    : [];
+}
--- /dev/null
+++ b/src/request/routed_context.ts
@@ -0,0 +1,80 @@
+import type { WorkerConnections, WorkerPlace } from "../connection/index.ts";
+import type {
+  RankedWorker,
+  RepeatAllowance,
+  ServiceSpeed,
+  SharedQuota,
+} from "../decision/index.ts";
+import type { Clock, HeaderNames, Random } from "../interface/index.ts";
+import type { RoutedService, RouteTable } from "../version/index.ts";
+
+/** How a run at a worker ended, as far as it speaks for or against the worker. */
+export enum RunResult {
+  /** It answered, whatever it answered. */
+  Answered = "answered",
+  /** It refused without running the request: it is full, or its queue outlasted the deadline. */
+  Refused = "refused",
+  /** It failed the request: an error of its own, a cut answer, no answer. */
+  Failed = "failed",
+  /** The address belongs to another worker by now. */
+  Replaced = "replaced",
+  /** The caller left or the time was up; says nothing of the worker. */
+  Abandoned = "abandoned",
+}
+
+/** A run that this instance has at a worker. */
+export interface BoardRun {
+  /** The first event has come: its prompt has been read. */
+  read(): void;
+  end(result: RunResult): void;
+}
+
+/** A worker that may be given requests. */
+export interface BoardWorker extends RankedWorker, WorkerPlace {
+  readonly service: string;
+  /** Connections that this instance may have open to it. */
+  readonly mostConnections: number;
+}
+
+/** The workers and what runs on them, over all instances. */
+export interface WorkerBoard {
+  /** Workers of the service that take new requests now. */
+  candidates(service: RoutedService): BoardWorker[];
+  begin(worker: BoardWorker, tokens: number): BoardRun;
+  speed(service: RoutedService): ServiceSpeed;
+  /** Called when a worker is about to leave: what runs there had better go on elsewhere. */
+  onLeaving(worker: string, listener: () => void): { close(): void };
+}
+
+/** What a line of the decision log holds besides the request's id. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** What a routed request needs of its instance. */
+export interface RoutedContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly names: HeaderNames;
+  /** Undefined until a first configuration is known. */
+  table(): RouteTable | undefined;
+  readonly board: WorkerBoard;
+  readonly connections: WorkerConnections;
+  readonly quota: SharedQuota;
+  readonly repeats: RepeatAllowance;
+  /** A run of the account began at this moment of the clock. */
+  began(account: string | undefined, at: number): void;
+  /** Whether the instance has been asked to stop: connections are closed after their answer. */
+  readonly isStopping: () => boolean;
+  /** Whether it is too late in a planned stop to begin a request. */
+  isClosedToNew(): boolean;
+  /** Writes a line of the decision log. */
+  readonly decided: (step: string, id: string | undefined, fields: DecisionFields) => void;
+  readonly metrics: RoutedMetrics;
+}
+
+/** What is counted and timed of routed requests. */
+export interface RoutedMetrics {
+  answered(route: string, status: number, milliseconds: number): void;
+  firstEvent(route: string, milliseconds: number): void;
+  refused(reason: string): void;
+  repeated(cause: string): void;
+}
--- /dev/null
+++ b/src/request/routed_headers.ts
@@ -0,0 +1,63 @@
+import type { IncomingMessage } from "node:http";
+import type { AnswerHead } from "../connection/index.ts";
+import type { HeaderNames } from "../interface/index.ts";
+
+/** Headers that concern one connection only. The body's framing is set anew for the next connection. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "expect",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Headers that an entry instance sets on the way to a worker, by name. */
+export type AddedHeaders = Readonly<Record<string, string>>;
+
+/**
+ * The headers of a request on its way to a worker: what the caller sent, in its order, without what concerns
+ * the connection, the key, and what only the system may set; then what it sets.
+ */
+export function requestHeaders(
+  request: IncomingMessage,
+  { names, added }: { names: HeaderNames; added: AddedHeaders },
+): string[] {
+  const dropped = new Set([
+    ...CONNECTION_HEADERS,
+    ...listedIn(request.headers.connection),
+    ...names.reserved,
+    ...Object.keys(added),
+    names.key,
+    names.account,
+    names.deadline,
+  ]);
+  const kept = without(request.rawHeaders, dropped);
+  for (const [name, value] of Object.entries(added)) kept.push(name, value);
+  return kept;
+}
+
+/** The headers of a worker's answer on its way to the caller. */
+export function answerHeaders({ headers, byName }: AnswerHead): string[] {
+  const dropped = new Set([...CONNECTION_HEADERS, ...listedIn(byName.get("connection"))]);
+  return without(headers, dropped);
+}
+
+/** Names in a `Connection` header. */
+function listedIn(connection: string | undefined): string[] {
+  return (connection ?? "").split(",").map((name) => name.trim().toLowerCase());
+}
+
+function without(headers: readonly string[], dropped: ReadonlySet<string>): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? "";
+    if (!dropped.has(name.toLowerCase())) kept.push(name, headers[index + 1] ?? "");
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/request/routed_run.ts
@@ -0,0 +1,421 @@
+import type { IncomingMessage } from "node:http";
+import { createEventSplitter } from "../connection/index.ts";
+import type { AnswerHead, Exchange, ExchangeEnd } from "../connection/index.ts";
+import { rankWorkers } from "../decision/index.ts";
+import type { Timer } from "../interface/index.ts";
+import { Delivery, Repetition } from "../version/index.ts";
+import type { RoutedService } from "../version/index.ts";
+import { RoutedRefusal } from "./caller_answer.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+import type { RoutedArrival } from "./routed_arrival.ts";
+import { RunResult } from "./routed_context.ts";
+import type { BoardRun, BoardWorker, RoutedContext } from "./routed_context.ts";
+import { requestHeaders } from "./routed_headers.ts";
+
+/** A request whose body is whole and whose quota was taken. */
+export interface AdmittedRequest {
+  readonly request: IncomingMessage;
+  readonly arrival: RoutedArrival;
+  readonly service: RoutedService;
+  readonly body: Buffer;
+}
+
+/** A run of a request that can be given up from outside. */
+export interface RoutedRun {
+  /** The caller has gone: whatever runs is stopped. */
+  abandon(): void;
+}
+
+/** How long after the deadline the worker's own last word is waited for, in milliseconds. */
+const DEADLINE_GRACE = 100;
+/** Least deadline that is passed on: a worker takes 0 for none at all. */
+const LEAST_DEADLINE = 1;
+/** Lowest priority that engines know. */
+const LOWEST_PRIORITY = 9;
+/** Bodies are kept until they are whole, so that a cut one can be had again; larger ones pass through. */
+const GREATEST_KEPT = 1_048_576;
+/** Silence after which a whole answer is sought elsewhere: this many times its target, where it may be. */
+const PATIENCE_TARGETS = 2.5;
+/** The same for a stream's first event: in a burst first events are late without any fault. */
+const STREAM_PATIENCE_TARGETS = 3;
+const LEAST_PATIENCE = 200;
+/** A worker that has sent nothing to anybody for so long, while a stream waits for events, is lost. */
+const WORKER_SILENCE = 900;
+const SILENCE_LOOK = 150;
+/** When a caller whose request found no worker may come back, in milliseconds: an order's usual start-up part. */
+const NO_WORKER_RETRY = 800;
+/** The same where workers were full: places are given back within some hundred milliseconds. */
+const BUSY_RETRY = 300;
+const SUCCESS = 200;
+const REDIRECTION = 300;
+const SERVER_ERROR = 500;
+const MISDIRECTED = 421;
+const GATEWAY_TIMEOUT = 504;
+
+/** One try at one worker. */
+interface Attempt {
+  readonly worker: BoardWorker;
+  readonly run: BoardRun;
+  readonly startedAt: number;
+  exchange: Exchange | undefined;
+  head: AnswerHead | undefined;
+  readonly chunks: Buffer[];
+  size: number;
+  /** Bytes of it have gone to the caller already. */
+  streaming: boolean;
+  heardAt: number;
+  hasEvent: boolean;
+}
+
+/**
+ * Serves a request: sends it to a worker, passes the answer on, and tries another worker where the first one
+ * fails and the request may run again.
+ *
+ * At most once: a request whose route doesn't allow a second run is sent again only if no byte of it was taken
+ * or the worker said that it didn't run it. The statuses that promise "not run" are given on the same grounds.
+ *
+ * @param admitted The request.
+ * @param answer Where its answer goes.
+ */
+export function startRoutedRun(
+  context: RoutedContext,
+  admitted: AdmittedRequest,
+  answer: CallerAnswer,
+): RoutedRun {
+  const { clock, names, connections, board, repeats } = context;
+  const { request, arrival, service, body } = admitted;
+  const { route } = arrival;
+  const isStream = route.delivery === Delivery.Events;
+  const repeatable = route.repetition === Repetition.Idempotent || (isStream && route.resumable);
+  const splitter = createEventSplitter();
+  const tried = new Set<string>();
+  /** Sends after which a run can't be excluded. */
+  let runs = 0;
+  let mayHaveRun = false;
+  let current: Attempt | undefined;
+  let isDone = false;
+  let look: Timer | undefined;
+
+  const note = (step: string, fields: Record<string, string | number | undefined>): void =>
+    context.decided(step, arrival.id, { route: route.name, ...fields });
+  const finish = (): void => {
+    isDone = true;
+    deadline.close();
+    look?.close();
+    leaving?.close();
+  };
+  const refuse = (reason: RoutedRefusal, retryAfter?: number): void => {
+    finish();
+    if (answer.isOver) return;
+    context.metrics.refused(reason);
+    note("refused", { reason, runs, after: Math.round(clock.now() - arrival.arrivedAt) });
+    if (answer.isBegun) answer.cut();
+    else answer.refuse(reason, retryAfter);
+  };
+  /** Ends a request that no further worker gets. */
+  const giveUp = (reason: RoutedRefusal, retryAfter?: number): void => {
+    if (mayHaveRun) refuse(RoutedRefusal.WorkerLost);
+    else refuse(reason, retryAfter);
+  };
+  const deadline = clock.after(arrival.deadlineAt + DEADLINE_GRACE - clock.now(), () => {
+    if (isDone) return;
+    endAttempt(RunResult.Abandoned)?.abort();
+    refuse(RoutedRefusal.DeadlinePassed);
+  });
+  let leaving: { close(): void } | undefined;
+
+  /** Takes the current attempt away, so that nothing that it still says counts. */
+  const endAttempt = (result: RunResult): Exchange | undefined => {
+    const attempt = current;
+    current = undefined;
+    leaving?.close();
+    attempt?.run.end(result);
+    return attempt?.exchange;
+  };
+  const tryNext = (): void => {
+    if (isDone) return;
+    const now = clock.now();
+    const left = arrival.deadlineAt - now;
+    if (left <= 0) {
+      giveUp(RoutedRefusal.DeadlinePassed);
+      return;
+    }
+    const candidates = board.candidates(service).filter(({ id }) => !tried.has(id));
+    const ranked = rankWorkers(candidates, {
+      request: { parts: arrival.promptParts },
+      speed: board.speed(service),
+    });
+    if (ranked.length === 0) {
+      giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
+      return;
+    }
+    if ((ranked[0]?.wait ?? 0) > left) {
+      giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
+      return;
+    }
+    for (const { worker, cost } of ranked) {
+      if (!send(worker, cost)) continue;
+      return;
+    }
+    giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
+  };
+  const send = (worker: BoardWorker, cost: number): boolean => {
+    const now = clock.now();
+    splitter.resume();
+    const tokens = arrival.promptParts.reduce((sum, part) => sum + part.tokens, 0);
+    const attempt: Attempt = {
+      worker,
+      run: board.begin(worker, tokens),
+      startedAt: now,
+      exchange: undefined,
+      head: undefined,
+      chunks: [],
+      size: 0,
+      streaming: false,
+      heardAt: now,
+      hasEvent: false,
+    };
+    current = attempt;
+    const exchange = connections.exchange(
+      worker,
+      {
+        method: request.method ?? "GET",
+        target: request.url ?? "/",
+        headers: requestHeaders(request, { names, added: addedHeaders(worker, now) }),
+        body,
+        id: arrival.id,
+      },
+      {
+        sink: {
+          head: (head) => onHead(attempt, head),
+          data: (chunk) => onData(attempt, chunk),
+          end: (end) => onEnd(attempt, end),
+        },
+        repeatable,
+        most: worker.mostConnections,
+      },
+    );
+    if (exchange === undefined) {
+      endAttempt(RunResult.Abandoned);
+      return false;
+    }
+    attempt.exchange = exchange;
+    tried.add(worker.id);
+    runs++;
+    note("sent", {
+      worker: worker.id,
+      run: runs,
+      cost: Math.round(cost),
+      running: worker.running,
+      left: Math.round(arrival.deadlineAt - now),
+      from: splitter.lastId,
+    });
+    if (repeatable) {
+      leaving = board.onLeaving(worker.id, () => {
+        if (current === attempt && isStream) repeat(attempt, "worker-leaving");
+      });
+      watchSilence(attempt);
+    }
+    return true;
+  };
+  const addedHeaders = (worker: BoardWorker, now: number): Record<string, string> => {
+    const left = Math.max(LEAST_DEADLINE, Math.floor(arrival.deadlineAt - now));
+    const added: Record<string, string> = {
+      [names.deadline]: String(left),
+      [names.expectedWorker]: worker.id,
+    };
+    if (arrival.account !== undefined) added[names.account] = arrival.account.name;
+    if (service.engine !== undefined) {
+      added[names.priority] = String(Math.min(LOWEST_PRIORITY, arrival.rank));
+    }
+    if (splitter.lastId !== undefined) added[names.lastEventId] = splitter.lastId;
+    return added;
+  };
+  const onHead = (attempt: Attempt, head: AnswerHead): void => {
+    if (current !== attempt) return;
+    attempt.heardAt = clock.now();
+    attempt.head = head;
+    attempt.streaming = isStream && isSuccess(head.status);
+  };
+  const onData = (attempt: Attempt, chunk: Buffer): void => {
+    if (current !== attempt) return;
+    attempt.heardAt = clock.now();
+    if (attempt.streaming) {
+      onStreamData(attempt, chunk);
+      return;
+    }
+    attempt.chunks.push(chunk);
+    attempt.size += chunk.length;
+    if (attempt.size <= GREATEST_KEPT || attempt.head === undefined) return;
+    if (!answer.isBegun) answer.begin(attempt.head);
+    passOn(attempt, Buffer.concat(attempt.chunks.splice(0)));
+  };
+  const onStreamData = (attempt: Attempt, chunk: Buffer): void => {
+    const { bytes, count } = splitter.feed(chunk);
+    if (count === 0) return;
+    if (!attempt.hasEvent) {
+      attempt.hasEvent = true;
+      attempt.run.read();
+      context.began(arrival.account?.name, clock.now());
+    }
+    if (!answer.isBegun && attempt.head !== undefined) {
+      answer.begin(attempt.head);
+      context.metrics.firstEvent(route.name, clock.now() - arrival.arrivedAt);
+    }
+    passOn(attempt, bytes);
+  };
+  const passOn = (attempt: Attempt, bytes: Buffer): void => {
+    if (answer.write(bytes)) return;
+    attempt.exchange?.pause();
+  };
+  answer.onDrain(() => current?.exchange?.resume());
+
+  const onEnd = (attempt: Attempt, end: ExchangeEnd): void => {
+    if (current !== attempt) return;
+    if (end.kind === "complete") {
+      onComplete(attempt);
+      return;
+    }
+    if (end.kind === "not-sent") runs--;
+    else mayHaveRun = true;
+    note(end.kind, { worker: attempt.worker.id, detail: end.detail });
+    if (end.kind === "not-sent") {
+      sendElsewhere("not-sent");
+      return;
+    }
+    if (!attempt.hasEvent) context.began(arrival.account?.name, attempt.startedAt);
+    repeat(attempt, "worker-lost");
+  };
+  const onComplete = (attempt: Attempt): void => {
+    const { head } = attempt;
+    if (head === undefined) return;
+    if (attempt.streaming) {
+      onStreamComplete(attempt);
+      return;
+    }
+    const body = Buffer.concat(attempt.chunks);
+    if (answer.isBegun) {
+      endAttempt(RunResult.Answered);
+      // A worker refused or failed to continue a stream whose beginning the caller has.
+      if (isStream) {
+        repeatAfter(attempt, head);
+        return;
+      }
+      complete(head.status, () => {
+        answer.write(body);
+        answer.end();
+      });
+      return;
+    }
+    if (head.byName.has(names.notRun) || head.status === MISDIRECTED) {
+      runs--;
+      const replaced = head.status === MISDIRECTED;
+      endAttempt(replaced ? RunResult.Replaced : RunResult.Refused);
+      note("not-run", { worker: attempt.worker.id, status: head.status });
+      sendElsewhere("refused-by-worker");
+      return;
+    }
+    context.began(arrival.account?.name, attempt.startedAt);
+    mayHaveRun = true;
+    const failed = head.status >= SERVER_ERROR && head.status !== GATEWAY_TIMEOUT;
+    endAttempt(failed ? RunResult.Failed : RunResult.Answered);
+    if (failed && mayRepeat() && repeats.take(service.name, clock.now())) {
+      context.metrics.repeated("worker-error");
+      tryNextOr(() => passWhole(head, body));
+      return;
+    }
+    passWhole(head, body);
+  };
+  const passWhole = (head: AnswerHead, body: Buffer): void =>
+    complete(head.status, () => answer.whole(head, body));
+  /** Tries another worker, or answers with what there is where no other can be had. */
+  const tryNextOr = (otherwise: () => void): void => {
+    const isElsewhere = board.candidates(service).some(({ id }) => !tried.has(id));
+    if (isElsewhere) tryNext();
+    else otherwise();
+  };
+  const repeatAfter = (attempt: Attempt, head: AnswerHead): void => {
+    if (head.byName.has(names.notRun)) runs--;
+    note("not-continued", { worker: attempt.worker.id, status: head.status });
+    sendElsewhere("not-continued");
+  };
+  const onStreamComplete = (attempt: Attempt): void => {
+    endAttempt(RunResult.Answered);
+    if (!attempt.hasEvent) context.began(arrival.account?.name, attempt.startedAt);
+    if (!answer.isBegun && attempt.head !== undefined) answer.begin(attempt.head);
+    complete(attempt.head?.status ?? SUCCESS, () => {
+      if (splitter.rest.length > 0) answer.write(splitter.rest);
+      answer.end();
+    });
+  };
+  const complete = (status: number, write: () => void): void => {
+    finish();
+    const took = clock.now() - arrival.arrivedAt;
+    context.metrics.answered(route.name, status, took);
+    note("answered", { status, runs, after: Math.round(took) });
+    if (!answer.isOver) write();
+  };
+  const mayRepeat = (): boolean => repeatable && runs < route.attempts;
+  /** The try failed after it may have run. */
+  const repeat = (attempt: Attempt, cause: string): void => {
+    mayHaveRun = true;
+    const failed = cause === "worker-leaving" ? RunResult.Abandoned : RunResult.Failed;
+    if (!mayRepeat()) {
+      // What may not be repeated is left to its worker where that still runs it.
+      if (cause === "worker-leaving") return;
+      endAttempt(failed)?.abort();
+      refuse(RoutedRefusal.WorkerLost);
+      return;
+    }
+    endAttempt(failed)?.abort();
+    sendElsewhere(cause);
+  };
+  const sendElsewhere = (cause: string): void => {
+    if (current !== undefined) endAttempt(RunResult.Failed);
+    if (runs >= route.attempts || !repeats.take(service.name, clock.now())) {
+      giveUp(RoutedRefusal.Refused, BUSY_RETRY);
+      return;
+    }
+    context.metrics.repeated(cause);
+    tryNext();
+  };
+  /** Gives up a worker that hangs: its connection stays open, and nothing else would show it. */
+  const watchSilence = (attempt: Attempt): void => {
+    look?.close();
+    look = clock.after(SILENCE_LOOK, () => {
+      if (isDone || current !== attempt) return;
+      if (!isSilent(attempt) || !mayRepeat()) {
+        watchSilence(attempt);
+        return;
+      }
+      note("silent", { worker: attempt.worker.id });
+      if (!attempt.hasEvent) context.began(arrival.account?.name, attempt.startedAt);
+      repeat(attempt, "worker-silent");
+    });
+  };
+  const isSilent = (attempt: Attempt): boolean => {
+    const now = clock.now();
+    const quietFor = now - attempt.heardAt;
+    const targets = isStream ? STREAM_PATIENCE_TARGETS : PATIENCE_TARGETS;
+    if (!attempt.hasEvent && quietFor > Math.max(LEAST_PATIENCE, targets * route.target))
+      return true;
+    if (!isStream) return false;
+    const heardAt = connections.heardAt(attempt.worker.id) ?? attempt.startedAt;
+    return quietFor > WORKER_SILENCE && now - heardAt > WORKER_SILENCE;
+  };
+
+  repeats.requested(service.name, clock.now());
+  tryNext();
+  return {
+    abandon: () => {
+      if (isDone) return;
+      finish();
+      note("abandoned", { runs, after: Math.round(clock.now() - arrival.arrivedAt) });
+      endAttempt(RunResult.Abandoned)?.abort();
+    },
+  };
+}
+
+function isSuccess(status: number): boolean {
+  return status >= SUCCESS && status < REDIRECTION;
+}
--- /dev/null
+++ b/src/request/routed_service.ts
@@ -0,0 +1,132 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createCallerAnswer, RoutedRefusal } from "./caller_answer.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+import { quotaSize, readArrival } from "./routed_arrival.ts";
+import type { RoutedArrival } from "./routed_arrival.ts";
+import type { RoutedContext } from "./routed_context.ts";
+import { startRoutedRun } from "./routed_run.ts";
+import { drawService } from "./traffic_share.ts";
+import type { RouteTable } from "../version/index.ts";
+
+/** Serves routed requests on callers' connections. */
+export interface RoutedRequests {
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Requests that have come and are not ended. */
+  readonly inProgress: number;
+}
+
+/** When a caller may come back to an instance that knows no configuration yet, in milliseconds. */
+const NOT_READY_RETRY = 300;
+/** The same for one that stops: the caller finds others at once. */
+const STOPPING_RETRY = 50;
+
+/** Makes the service of one instance's routed requests. */
+export function createRoutedRequests(context: RoutedContext): RoutedRequests {
+  let inProgress = 0;
+  const refuse = (
+    answer: CallerAnswer,
+    {
+      reason,
+      id,
+      retryAfter,
+    }: { reason: RoutedRefusal; id: string | undefined; retryAfter?: number },
+  ): void => {
+    context.metrics.refused(reason);
+    context.decided("refused", id, { reason });
+    if (!answer.isOver) answer.refuse(reason, retryAfter);
+  };
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    inProgress++;
+    const answer = createCallerAnswer(response, { closing: context.isStopping });
+    let abandon = (): void => undefined;
+    response.once("close", () => {
+      inProgress--;
+      if (!response.writableFinished) abandon();
+    });
+    const now = context.clock.now();
+    const named = request.headers[context.names.requestId];
+    const id = typeof named === "string" ? named : undefined;
+    const table = context.table();
+    if (table === undefined) {
+      const reason = RoutedRefusal.NotReady;
+      refuse(answer, { reason, id, retryAfter: NOT_READY_RETRY });
+      return;
+    }
+    if (context.isClosedToNew()) {
+      const reason = RoutedRefusal.Stopping;
+      refuse(answer, { reason, id, retryAfter: STOPPING_RETRY });
+      return;
+    }
+    const arrival = readArrival(request, { table, names: context.names, now });
+    if ("kind" in arrival) {
+      const reason = arrival.kind === "no-route" ? RoutedRefusal.NoRoute : RoutedRefusal.UnknownKey;
+      refuse(answer, { reason, id });
+      return;
+    }
+    collectBody(request, table.routing.limits.bodyBytes, (body) => {
+      if (body === "too-large") {
+        refuse(answer, { reason: RoutedRefusal.BodyTooLarge, id });
+        return;
+      }
+      if (answer.isOver) return;
+      const run = admit({ request, arrival, body, table }, answer);
+      if (run !== undefined) abandon = run;
+    });
+  };
+  /** Checks what a request needs besides its head; returns how to abandon it once it runs. */
+  const admit = (
+    admitted: { request: IncomingMessage; arrival: RoutedArrival; body: Buffer; table: RouteTable },
+    answer: CallerAnswer,
+  ): (() => void) | undefined => {
+    const { request, arrival, body, table } = admitted;
+    const { id, account } = arrival;
+    const name = drawService(arrival.route, context.random);
+    const service = name === undefined ? undefined : table.service(name);
+    if (service === undefined) {
+      refuse(answer, { reason: RoutedRefusal.NoWorker, id });
+      return undefined;
+    }
+    if (account?.quota !== undefined) {
+      const size = quotaSize(account.quota, arrival.statedTokens);
+      const now = context.clock.now();
+      const wait = context.quota.take({ account: account.name, quota: account.quota, size, now });
+      if (wait > 0) {
+        refuse(answer, { reason: RoutedRefusal.QuotaUsedUp, id, retryAfter: wait });
+        return undefined;
+      }
+    }
+    const run = startRoutedRun(context, { request, arrival, service, body }, answer);
+    return () => run.abandon();
+  };
+  return {
+    handle,
+    get inProgress() {
+      return inProgress;
+    },
+  };
+}
+
+/** Reads a body to its end; one over the limit is given up at once. */
+function collectBody(
+  request: IncomingMessage,
+  limit: number,
+  done: (body: Buffer | "too-large") => void,
+): void {
+  if (Number(request.headers["content-length"] ?? 0) > limit) {
+    done("too-large");
+    return;
+  }
+  const chunks: Buffer[] = [];
+  let size = 0;
+  request.on("data", (chunk: Buffer) => {
+    if (size > limit) return;
+    size += chunk.length;
+    chunks.push(chunk);
+    if (size <= limit) return;
+    chunks.length = 0;
+    done("too-large");
+  });
+  request.on("end", () => {
+    if (size <= limit) done(Buffer.concat(chunks));
+  });
+}
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -10,3 +10,5 @@
 export * from "./three_way_merge.ts";
 export * from "./change.ts";
 export * from "./lease.ts";
+export * from "./route_table.ts";
+export * from "./routing.ts";
--- a/src/version/lease.ts
+++ b/src/version/lease.ts
@@ -8,6 +8,8 @@
   holder: z.string(),
   /** Milliseconds for which the holder acts after each write. */
   term: z.number().int().positive(),
+  /** Differs from write to write: a store may take a write that changes nothing for none. */
+  renewal: z.number().int().default(0),
 });
 
 /** Who gives orders to a service's backend servers and to the cloud. */
@@ -33,6 +35,6 @@
 }
 
 /** The store's value of a lease. */
-export function formatLease({ holder, term }: Omit<Lease, "version">): string {
-  return JSON.stringify({ holder, term });
+export function formatLease({ holder, term, renewal }: Omit<Lease, "version">): string {
+  return JSON.stringify({ holder, term, renewal });
 }
