Tell a reset from an orderly end, hold quotas by debt, make fewer platform calls

Cause: (1) an answer without a length whose worker crashed was passed on as whole: where the last bytes and the reset come at once, libuv reports an end of file after a partial read and the reset is lost. Ruled out: the parser (the answer's framing was read rightly) and the order of Node's events. The peer's name tells: a connection that was reset has none. (2) Requests had to fit in what was left of a quota, so an account at its limit was refused below it. (3) Each change in the store cost each instance a call, a lease each for usage and fleet, and a wait 2.5 s long.

--- a/build.mjs
+++ b/build.mjs
@@ -1,10 +1,13 @@
 // Builds dist/samphireshore: one self-contained binary, a Node single-executable application.
 // With the word "platform" it builds target/entry.cjs instead: the entry instance with the users' adapter.
 import { execFileSync } from "node:child_process";
+import { createRequire } from "node:module";
+import { resolve } from "node:path";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { build } from "esbuild";
 import { inject } from "postject";
 
+const require = createRequire(import.meta.url);
 const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
 /** What both bundles are built with. */
@@ -27,13 +30,25 @@
   logOverride: { "empty-import-meta": "silent" },
 };
 
-if (process.argv[2] === "platform") {
+/**
+ * Bundles the entry instance with the users' adapter, and compiles it ahead. After a loss of power every
+ * instance starts anew on a part of a core, and callers wait for as long as that takes; the bundle's compilation
+ * is a good part of it.
+ */
+async function buildPlatform() {
   await build({
     ...BUNDLE,
     banner: {},
     entryPoints: ["platform/main.ts"],
-    outfile: "target/entry.cjs",
+    outfile: "target/main.cjs",
   });
+  copyFileSync("platform/load.cjs", "target/entry.cjs");
+  const loaded = require(resolve("target/entry.cjs"));
+  writeFileSync("target/main.cache", loaded.script.createCachedData());
+}
+
+if (process.argv[2] === "platform") {
+  await buildPlatform();
   process.exit(0);
 }
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
       ".worktrees/",
       "*.config.js",
       "**/*.mjs",
+      "**/*.cjs",
     ],
   },
   ...tseslint.configs.strictTypeChecked,
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -142,6 +142,7 @@
   socket.on("end", () => {
     if (isClosed) return;
     mayKeep = false;
+    if (wasReset(socket)) return fail("The worker reset the connection.");
     const fault = parser.finish();
     if (fault !== undefined) fail("The worker closed the connection before the answer was whole.");
     else close();
@@ -188,6 +189,15 @@
   };
 }
 
+/**
+ * Says whether a connection whose end was reported has been reset. Where the last bytes and a reset come at once,
+ * Node.js reports the bytes and then an orderly end, and the reset is lost: an answer without a length would look
+ * whole. The system knows better: a connection that was reset has no peer any more.
+ */
+function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /** Says whether an answer belongs to the request: an answer of an earlier one may come late in its place. */
 function isAnswerTo(
   { byName }: AnswerHead,
--- /dev/null
+++ b/src/connection/worker_connection_test.ts
@@ -0,0 +1,153 @@
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { Worker } from "node:worker_threads";
+import { afterEach, expect, test } from "vitest";
+import { systemClock } from "../process/system_clock.ts";
+import { openWorkerConnection } from "./worker_connection.ts";
+import type { ExchangeEnd, WorkerConnection } from "./worker_connection.ts";
+
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0)) await close();
+});
+
+/** A worker that does with each connection what the test says. */
+function startWorker(serve: (socket: Socket) => void): Promise<string> {
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    serve(socket);
+  });
+  closers.push(() => {
+    for (const socket of sockets) socket.destroy();
+    return new Promise((resolve) => server.close(resolve));
+  });
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" && address !== null ? address.port : 0;
+      resolve(`127.0.0.1:${port}`);
+    });
+  });
+}
+
+function connectTo(address: string): WorkerConnection {
+  const connection = openWorkerConnection({
+    clock: systemClock,
+    address,
+    matching: { idHeader: "x-id", notRunHeader: "x-not-run" },
+    heard: () => undefined,
+    freed: () => undefined,
+    closed: () => undefined,
+  });
+  closers.push(() => connection.close());
+  return connection;
+}
+
+interface Outcome {
+  readonly end: ExchangeEnd;
+  readonly status: number | undefined;
+  readonly body: string;
+}
+
+function ask(connection: WorkerConnection, id = "r1"): Promise<Outcome> {
+  return new Promise((resolve) => {
+    let status: number | undefined;
+    let body = "";
+    connection.exchange(
+      { method: "GET", target: "/", headers: ["X-Id", id], body: Buffer.alloc(0), id },
+      {
+        head: (head) => (status = head.status),
+        data: (chunk) => (body += chunk.toString()),
+        end: (end) => resolve({ end, status, body }),
+      },
+    );
+  });
+}
+
+test("an answer without a length is whole when the worker closes in an orderly way", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nwhole"));
+  });
+  const { end, body } = await ask(connectTo(address));
+  expect(end.kind).toBe("complete");
+  expect(body).toBe("whole");
+});
+
+// A worker crashes while it sends an answer without a length. The last bytes and the reset reach a busy instance at
+// once, and are reported to it as bytes and an orderly end. The caller would take the half for the whole.
+test("an answer without a length that is reset on the way isn't whole", async () => {
+  const thread = new Worker(
+    `const { createServer } = require("node:net");
+     const { parentPort } = require("node:worker_threads");
+     const server = createServer((socket) => {
+       socket.on("error", () => {});
+       socket.once("data", () => setTimeout(() =>
+         socket.write("HTTP/1.1 200 OK\\r\\nX-Id: r1\\r\\n\\r\\nhal", () => socket.resetAndDestroy()), 80));
+     });
+     server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));`,
+    { eval: true },
+  );
+  closers.push(() => thread.terminate());
+  const port = await new Promise<number>((resolve) => thread.once("message", resolve));
+  const connection = connectTo(`127.0.0.1:${port}`);
+  const asked = ask(connection);
+  // The instance is busy until both the bytes and the reset have come.
+  await new Promise((resolve) => setTimeout(resolve, 40));
+  const until = performance.now() + 250;
+  while (performance.now() < until);
+  const { end } = await asked;
+  expect(end.kind).toBe("broken");
+});
+
+test("an answer that is cut is broken, not whole", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () =>
+      socket.end("HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 10\r\n\r\nhalf"),
+    );
+  });
+  expect((await ask(connectTo(address))).end.kind).toBe("broken");
+});
+
+// The answer to an earlier request comes late, where the answer to this one is due.
+test("the answer of another request is nobody's", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () =>
+      socket.write("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno"),
+    );
+  });
+  const { end, status } = await ask(connectTo(address));
+  expect(end.kind).toBe("broken");
+  expect(status).toBeUndefined();
+});
+
+// A worker sends a second answer after a whole one. Reused, the connection would give it to the next request.
+test("a connection with bytes after a whole answer isn't used again", async () => {
+  const answer = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+  const address = await startWorker((socket) => {
+    socket.once("data", () => socket.write(answer + answer));
+  });
+  const connection = connectTo(address);
+  const { end, body } = await ask(connection);
+  expect(end.kind).toBe("complete");
+  expect(body).toBe("ok");
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  expect(connection.isIdle()).toBe(false);
+});
+
+test("a refused connection has taken no byte", async () => {
+  const { end } = await ask(connectTo("127.0.0.1:9"));
+  expect(end.kind).toBe("not-sent");
+});
+
+test("an answer that says it wasn't run needs no id", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () =>
+      socket.write("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+    );
+  });
+  const { end, status } = await ask(connectTo(address));
+  expect(end.kind).toBe("complete");
+  expect(status).toBe(503);
+});
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -14,6 +14,14 @@
  * each one that it misses it gives up an equal part of the rate, so that a fleet that is cut in two admits the
  * quota at most about once.
  *
+ * Between two messages an instance takes no more than its part of what is left, by its part of what was admitted
+ * lately and half as much again. Without that, an account at its limit that sends six times its quota would get
+ * all that has come back since the last message from each instance at once, six times over.
+ *
+ * A request is admitted while anything is left, whatever its size, and what it takes beyond that is paid back
+ * before the next one. If it had to fit, an account at its limit would get its small requests through and its
+ * large ones never. What is overdrawn is at most one request an instance, once.
+ *
  * @module
  */
 import type { Quota } from "../version/index.ts";
@@ -29,6 +37,8 @@
    * @returns 0 where it was taken; otherwise the milliseconds until it would fit, and nothing is taken.
    */
   take(request: { account: string; quota: Quota; size: number; now: number }): number;
+  /** Gives back what was taken for a request that then didn't run. */
+  giveBack(account: string, size: number): void;
   /**
    * Another instance has admitted so much.
    *
@@ -37,33 +47,63 @@
   heard(incarnation: string, admitted: AdmittedCounts): void;
   /** How many instances of how many are heard. */
   setReach(reach: { heard: number; members: number }): void;
-  /** What this instance has admitted. */
-  admitted(): AdmittedCounts;
+  /** What this instance has admitted, for a message to the others that is sent now. */
+  tell(now: number): AdmittedCounts;
 }
 
 interface Bucket {
   level: number;
   filledAt: number;
   quota: Quota;
+  /** What was left when the others were last told, and what this instance has taken since. */
+  levelThen: number;
+  taken: number;
+  /** What this instance and the others admitted lately, the older the less. */
+  own: number;
+  others: number;
 }
 
 /** The part of the burst that an instance begins with: what the others took before isn't known to it. */
 const FIRST_PART = 0.25;
 /** Instances whose counts are remembered; beyond, the one heard least lately is forgotten. */
 const GREATEST_PEERS = 1_024;
+/** An instance may take this many times its part: parts change while nobody is told. */
+const PART_ROOM = 1.5;
+/** What was admitted before a message counts this much after it: parts follow within about a second. */
+const KEPT_A_MESSAGE = 0.8;
+/** Bounds of the time that a refused request is told, in milliseconds: a part of the usual targets, and a minute. */
+const LEAST_WAIT = 50;
+const LONGEST_WAIT = 60_000;
+/** The longest time in milliseconds to the next message to the others. */
+const NEXT_MESSAGE = 275;
 const MILLISECONDS = 1_000;
 
-/** Makes quotas of which nothing has been used. */
-export function createSharedQuota(): SharedQuota {
+/**
+ * Makes quotas of which nothing has been used.
+ *
+ * @param startedAt When the instance started, in the clock's milliseconds.
+ */
+export function createSharedQuota(startedAt: number): SharedQuota {
   const buckets = new Map<string, Bucket>();
   const own = new Map<string, number>();
   const peers = new Map<string, Map<string, number>>();
   let part = 1;
+  let members = 1;
 
   const bucketOf = (account: string, quota: Quota, now: number): Bucket => {
     const known = buckets.get(account);
     if (known === undefined) {
-      const created = { level: quota.burst * FIRST_PART, filledAt: now, quota };
+      const since = ((now - startedAt) * quota.perSecond) / MILLISECONDS;
+      const level = Math.min(quota.burst, quota.burst * FIRST_PART + since);
+      const created: Bucket = {
+        level,
+        filledAt: now,
+        quota,
+        levelThen: level,
+        taken: 0,
+        own: 0,
+        others: 0,
+      };
       buckets.set(account, created);
       return created;
     }
@@ -75,19 +115,39 @@
     known.quota = quota;
     return known;
   };
+  /** The part of what is left that this instance may take until it has told the others. */
+  const ownPart = ({ own: mine, others }: Bucket): number => {
+    const lately = mine + others === 0 ? 0 : mine / (mine + others);
+    return Math.min(1, Math.max(1 / members, lately) * PART_ROOM);
+  };
+  /**
+   * When a refused request may come back: as soon as anything is left again. A longer time, after which there
+   * would be room for all that were refused before it too, was worse for callers when measured: they come back
+   * within a third of their time whatever they are told, and then the answer is late.
+   */
+  const roomIn = ({ level, quota }: Bucket): number => {
+    const rate = Math.max(quota.perSecond * part, Number.MIN_VALUE);
+    // What is over the instance's part is there when the others have been told.
+    if (level > 0) return NEXT_MESSAGE;
+    return Math.min(LONGEST_WAIT, Math.max(LEAST_WAIT, Math.ceil((-level * MILLISECONDS) / rate)));
+  };
   return {
     take: ({ account, quota, size, now }) => {
       const bucket = bucketOf(account, quota, now);
-      // A request larger than the whole burst would never fit: it goes when the bucket is full.
-      const needed = Math.min(size, quota.burst);
-      if (bucket.level < needed) {
-        const rate = Math.max(quota.perSecond * part, Number.MIN_VALUE);
-        return Math.max(1, Math.ceil(((needed - bucket.level) * MILLISECONDS) / rate));
-      }
+      // The first request always goes, so that the last of what is left isn't kept from everybody.
+      const isOverPart = bucket.taken > Math.max(0, bucket.levelThen * ownPart(bucket));
+      if (bucket.level <= 0 || isOverPart) return roomIn(bucket);
       bucket.level -= size;
+      bucket.taken += size;
+      bucket.own += size;
       own.set(account, (own.get(account) ?? 0) + size);
       return 0;
     },
+    giveBack: (account, size) => {
+      const bucket = buckets.get(account);
+      if (bucket !== undefined) bucket.level += size;
+      own.set(account, (own.get(account) ?? 0) - size);
+    },
     heard: (incarnation, admitted) => {
       const before = peers.get(incarnation);
       peers.delete(incarnation);
@@ -98,13 +158,25 @@
       for (const [account, count] of admitted) {
         const bucket = buckets.get(account);
         const more = count - (before.get(account) ?? 0);
-        if (bucket !== undefined && more > 0) bucket.level -= more;
+        if (bucket === undefined) continue;
+        bucket.level -= more;
+        bucket.others = Math.max(0, bucket.others + more);
       }
     },
-    setReach: ({ heard, members }) => {
-      part = members <= 0 ? 1 : Math.min(1, heard / members);
+    setReach: ({ heard, members: expected }) => {
+      members = Math.max(1, expected);
+      part = Math.min(1, heard / members);
+    },
+    tell: (now) => {
+      for (const [account, bucket] of buckets) {
+        const { level } = bucketOf(account, bucket.quota, now);
+        bucket.levelThen = level;
+        bucket.taken = 0;
+        bucket.own *= KEPT_A_MESSAGE;
+        bucket.others *= KEPT_A_MESSAGE;
+      }
+      return own;
     },
-    admitted: () => own,
   };
 }
 
--- /dev/null
+++ b/src/decision/usage_ledger_test.ts
@@ -0,0 +1,35 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createUsageLedger } from "./usage_ledger.ts";
+import type { WindowCounts } from "./usage_ledger.ts";
+
+test("every run is counted once, however messages are lost, repeated and overtaken", () => {
+  const runs = fc.array(fc.tuple(fc.integer({ min: 0, max: 2 }), fc.integer({ min: 0, max: 1 })));
+  fc.assert(
+    fc.property(runs, fc.array(fc.nat()), (begun, order) => {
+      const ledgers = [createUsageLedger(), createUsageLedger(), createUsageLedger()];
+      const said: [number, readonly WindowCounts[]][] = [];
+      for (const [at, account] of begun) {
+        ledgers[at]?.began(`a${account}`, 7);
+        said.push([at, structuredClone(ledgers[at]?.own() ?? [])]);
+      }
+      for (const pick of order) {
+        const [from, counts] = said[pick % Math.max(1, said.length)] ?? [0, []];
+        if (from !== 0) ledgers[0]?.heard(`e${from}`, counts);
+      }
+      ledgers.slice(1).forEach((ledger, index) => ledgers[0]?.heard(`e${index + 1}`, ledger.own()));
+      const total = ledgers[0]?.total(7) ?? {};
+      const sum = Object.values(total).reduce((all, count) => all + count, 0);
+      expect(sum).toBe(begun.length);
+    }),
+  );
+});
+
+test("windows that are over are forgotten and not taken in again", () => {
+  const ledger = createUsageLedger();
+  ledger.began("a", 1);
+  ledger.forgetBefore(5);
+  ledger.heard("e2", [{ window: 2, counts: { a: 4 } }]);
+  expect(ledger.own()).toEqual([]);
+  expect(ledger.total(2)).toEqual({});
+});
--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -31,8 +31,10 @@
   readonly scaling: ServiceScaling;
   /** Workers that take requests, by zone. */
   readonly stock: readonly ZoneStock[];
-  /** Workers that are needed, if none is taken. */
+  /** Workers that are to be there, so that some may be taken. */
   readonly needed: number;
+  /** Workers that the load of this moment can't do without. */
+  readonly inUse: number;
 }
 
 /** What is to be ordered. */
@@ -43,12 +45,13 @@
 }
 
 /** Plans the orders of a service: one for each zone and purchase. */
-export function planMix({ scaling, stock, needed }: MixView): MixOrder[] {
+export function planMix({ scaling, stock, needed, inUse }: MixView): MixOrder[] {
   const zones = [...scaling.zonePrices].sort(([, a], [, b]) => a - b).map(([zone]) => zone);
   const perZone = Math.max(scaling.least, Math.ceil(needed / Math.max(1, zones.length)));
   const target = Math.min(scaling.most, perZone);
   const ready = stock.reduce((sum, { reclaimable }) => sum + reclaimable, 0);
-  let missing = Math.max(0, needed - ready);
+  // What is there on demand while there is no load yet, as before the first callers come, needn't be kept.
+  let missing = Math.max(0, Math.min(needed, inUse + zones.length) - ready);
   return zones.flatMap((zone) => {
     const here = stock.find((candidate) => candidate.zone === zone);
     const room = Math.max(0, scaling.most - target);
--- /dev/null
+++ b/src/decision/worker_ranking_test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from "vitest";
+import { hashText } from "../version/index.ts";
+import { rankWorkers } from "./worker_ranking.ts";
+import type { RankedWorker } from "./worker_ranking.ts";
+
+const SPEED = { readRate: 100, runTime: 2_000 };
+
+function worker(index: number, more: Partial<RankedWorker> = {}): RankedWorker {
+  const id = `w${index}`;
+  return {
+    id,
+    hash: hashText(id),
+    running: 0,
+    unreadTokens: 0,
+    slots: 48,
+    failing: 0,
+    sameZone: true,
+    coldFor: 0,
+    ...more,
+  };
+}
+
+const WORKERS = Array.from({ length: 12 }, (_, index) => worker(index));
+const ROSTER = {
+  parts: [
+    { id: "a", tokens: 500 },
+    { id: "b", tokens: 4_800 },
+    { id: "c", tokens: 6_600 },
+  ],
+};
+
+test("a session keeps its home when other workers come and go", () => {
+  const [first] = rankWorkers(WORKERS, { request: ROSTER, speed: SPEED });
+  const others = WORKERS.filter(({ id }) => id === first?.worker.id || id !== "w3");
+  const [again] = rankWorkers([...others, worker(20)], { request: ROSTER, speed: SPEED });
+  const moved = again?.worker.id !== first?.worker.id;
+  // Only the newcomer may take it.
+  expect(!moved || again?.worker.id === "w20").toBe(true);
+});
+
+// A question of 600 tokens would wait behind prompts of 12,000 on a worker that has few requests.
+test("short work doesn't go behind long prompts", () => {
+  const workers = [worker(0, { running: 2, unreadTokens: 24_000 }), worker(1, { running: 8 })];
+  const request = { parts: [{ id: "x", tokens: 600 }] };
+  expect(rankWorkers(workers, { request, speed: SPEED })[0]?.worker.id).toBe("w1");
+});
+
+// A quarter of the traffic is about one thing. Its home alone would be overloaded while the others idle.
+test("a prefix that gets much of the traffic spreads by itself", () => {
+  const running = new Map<string, number>();
+  const unread = new Map<string, number>();
+  for (let step = 0; step < 60; step++) {
+    const now = WORKERS.map(({ id }, index) =>
+      worker(index, { running: running.get(id) ?? 0, unreadTokens: unread.get(id) ?? 0 }),
+    );
+    const [best] = rankWorkers(now, { request: ROSTER, speed: SPEED });
+    const id = best?.worker.id ?? "";
+    running.set(id, (running.get(id) ?? 0) + 1);
+    unread.set(id, (unread.get(id) ?? 0) + 6_600);
+  }
+  expect(running.size).toBeGreaterThan(4);
+  expect(Math.max(...running.values())).toBeLessThan(20);
+});
+
+test("a failing worker is passed over until all others are busy", () => {
+  const workers = [worker(0, { failing: 0.4 }), worker(1, { running: 20 })];
+  const request = { parts: [] };
+  expect(rankWorkers(workers, { request, speed: SPEED })[0]?.worker.id).toBe("w1");
+});
+
+test("a worker without free slots comes last", () => {
+  const workers = [worker(0, { running: 6, slots: 6 }), worker(1, { running: 5, slots: 6 })];
+  const speed = { readRate: undefined, runTime: 50 };
+  const ranked = rankWorkers(workers, { request: { parts: [] }, speed });
+  expect(ranked.map((one) => one.worker.id)).toEqual(["w1", "w0"]);
+  expect(ranked[1]?.wait).toBeGreaterThan(0);
+});
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -38,9 +38,13 @@
 
 /**
  * How long one watch waits, in milliseconds. An open connection can go silent for good, and only the end of
- * the wait shows it: a change is then seen this much later.
+ * the wait shows it. The waits of the instances end at different times, and whoever learns of a change tells the
+ * others that there is one; so even where all connections went silent at once, the first of their waits to end
+ * is what a change waits for, and each wait costs a call.
  */
-const WATCH_WAIT = 2_500;
+const WATCH_WAIT = { least: 2_500, most: 7_000 };
+/** After a change the next watch begins this much later: changes come in groups, and each answer is a call. */
+const GROUP_TIME = 80;
 /** Pauses after failed calls double between these bounds, in milliseconds. */
 const FIRST_PAUSE = 100;
 const LONGEST_PAUSE = 800;
@@ -81,7 +85,8 @@
     mustList = false;
   };
   const watch = async (): Promise<void> => {
-    const outcome = await feed.watchKind(kind, version, WATCH_WAIT);
+    const wait = WATCH_WAIT.least + random.next() * (WATCH_WAIT.most - WATCH_WAIT.least);
+    const outcome = await feed.watchKind(kind, version, wait);
     if (outcome.kind === "history-lost") {
       mustList = true;
       return;
@@ -97,6 +102,7 @@
     if (changes.length === 0) return;
     changedAt = version;
     parts.onChange(changes);
+    await sleep(clock, GROUP_TIME);
   };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -11,7 +11,7 @@
 import type { StorePace } from "./store_pace.ts";
 
 /** A holder renews so many times in a term. */
-const RENEWALS = 4;
+const RENEWALS = 3;
 /** How often the one whose turn it is looks whether it may take over, in milliseconds. */
 const LOOK_PERIOD = 2_000;
 /** Differences between the time of day and the steady clock up to this are corrections of the time of day. */
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -10,8 +10,8 @@
   readonly platform: Platform;
   readonly services: () => readonly RoutedService[];
   readonly workers: () => readonly RoutedWorker[];
-  /** Workers that a service needs now, by its load. */
-  readonly needed: (service: RoutedService) => number;
+  /** Workers that a service is to have, and those that its load can't do without, both by its load. */
+  readonly need: (service: RoutedService) => { needed: number; inUse: number };
   /** The fence for a call that may take so many milliseconds; undefined where this instance may not make it. */
   readonly fence: (callTime: number) => number | undefined;
   readonly holder: string;
@@ -76,7 +76,7 @@
     const { scaling, name } = service;
     if (scaling === undefined) return;
     const stock = stockOf(parts.workers(), service);
-    const orders = planMix({ scaling, stock, needed: parts.needed(service) });
+    const orders = planMix({ scaling, stock, ...parts.need(service) });
     for (const wanted of orders) if (isDue(name, stock, wanted)) await order(name, wanted);
   };
   const run = async (): Promise<void> => {
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -1,5 +1,6 @@
 import { createSocket } from "node:dgram";
 import type { Socket } from "node:dgram";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { request } from "undici";
 import { z } from "zod";
 import { splitAddress } from "../connection/index.ts";
@@ -87,6 +88,8 @@
 const LIVE_PERIODS = 4.4;
 /** An instance silent for so long isn't expected back. */
 const MEMBER_TIME = 30_000;
+/** Bytes of a digest before it is compressed; those of a large fleet's instance have some thousand. */
+const GREATEST_DIGEST = 262_144;
 /** Addresses passed on in a digest. */
 const PASSED_ON = 8;
 
@@ -123,7 +126,7 @@
     if (targets.length === 0 || socket === undefined) return;
     const known = sample([...peers.keys()], { count: PASSED_ON, random });
     const digest: Digest = { ...parts.digest(), sequence: ++sequence, known };
-    const bytes = Buffer.from(JSON.stringify(digest));
+    const bytes = deflateRawSync(JSON.stringify(digest), { level: 1 });
     for (const target of targets) {
       const [to, at] = splitAddress(target);
       socket.send(bytes, at, to, (error) => {
@@ -205,10 +208,11 @@
 
 function parseDigest(bytes: Buffer): Digest | undefined {
   try {
-    const parsed = digestSchema.safeParse(JSON.parse(bytes.toString("utf8")));
+    const text = inflateRawSync(bytes, { maxOutputLength: GREATEST_DIGEST }).toString("utf8");
+    const parsed = digestSchema.safeParse(JSON.parse(text));
     return parsed.success ? parsed.data : undefined;
   } catch {
-    // Not JSON: the caller counts it.
+    // Neither compressed nor JSON: the caller counts it.
     return undefined;
   }
 }
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -91,7 +91,8 @@
 const STOP_LOOK = 50;
 /** How long a change that a peer knows is awaited from the store before it is fetched from the peer. */
 const FETCH_AFTER = 350;
-const DUTIES = ["usage", "fleet"];
+/** One lease for all calls that one instance makes: each renewal is a call that is paid for. */
+const DUTY = "platform";
 /** Milliseconds between two looks whether a lease can be taken over. */
 const LEASE_LOOK = 500;
 /** Runs at a worker at which its streams are quick: a fifth of its places. */
@@ -109,7 +110,7 @@
   let hasWorkers = false;
 
   const health = createWorkerHealth();
-  const quota = createSharedQuota();
+  const quota = createSharedQuota(startedAt);
   const repeats = createRepeatAllowance(settings.repeats);
   const ledger = createUsageLedger();
   const time = createTrueTime({ date: clock.date().getTime(), steady: startedAt });
@@ -204,7 +205,7 @@
     reachesStore: reachesStore(),
     time: Math.round(trueNow()),
     versions: Object.fromEntries([...feeds].map(([kind, feed]) => [kind, feed.changedAt])),
-    admitted: Object.fromEntries(quota.admitted()),
+    admitted: Object.fromEntries(quota.tell(clock.now())),
     usage: ledger
       .own()
       .slice(-4)
@@ -267,7 +268,7 @@
     random,
     store: outside.store,
     pace: createStorePace({ clock, random, members }),
-    duties: () => DUTIES,
+    duties: () => [DUTY],
     members: {
       self: { id: incarnation },
       alive: () => [
@@ -291,7 +292,7 @@
     time: trueNow,
     windowLength: settings.usage.window,
     lateAfter: settings.usage.lateAfter,
-    fence: (callTime) => lease.fence("usage", callTime),
+    fence: (callTime) => lease.fence(DUTY, callTime),
     holder: settings.name,
     log: (step, fields) => log.changed(step, fields),
   });
@@ -300,8 +301,8 @@
     platform: outside.platform,
     services: () => table?.routing.services ?? [],
     workers: () => board.workers(),
-    needed: (service) => neededWorkers(service, board),
-    fence: (callTime) => lease.fence("fleet", callTime),
+    need: (service) => workerNeed(service, board),
+    fence: (callTime) => lease.fence(DUTY, callTime),
     holder: settings.name,
     log: (step, fields) => log.changed(step, fields),
   });
@@ -406,10 +407,13 @@
 }
 
 /** Workers that a service needs, by what runs on them. */
-function neededWorkers({ name, scaling }: RoutedService, board: RoutedBoard): number {
+function workerNeed(
+  { name, scaling }: RoutedService,
+  board: RoutedBoard,
+): { needed: number; inUse: number } {
   const zones = scaling?.zonePrices.size ?? 1;
-  const running = board.running(name);
-  return Math.max(LEAST_A_ZONE * zones, Math.ceil(running / RUNS_A_WORKER));
+  const inUse = Math.ceil(board.running(name) / RUNS_A_WORKER);
+  return { needed: Math.max(LEAST_A_ZONE * zones, inUse), inUse };
 }
 
 /** What the instance has at workers, without those at which it has nothing. */
--- a/src/process/usage_task.ts
+++ b/src/process/usage_task.ts
@@ -57,6 +57,8 @@
   const { clock, store, platform, ledger } = parts;
   const done = new Set<number>();
   const startedAt = parts.time();
+  /** The record as this instance wrote it last; another's write shows as a conflict. */
+  let written: { version: number; record: UsageRecord } | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
 
@@ -74,22 +76,28 @@
   };
   /** The counts as the store has them fixed, this window's included; undefined where that can't be had. */
   const fix = async (window: number): Promise<AccountCounts | undefined> => {
-    const read = await store.get(USAGE_KEY);
-    if (read.kind === "unavailable") return undefined;
-    const version = read.kind === "found" ? read.object.version : 0;
-    const record = read.kind === "found" ? parseRecord(read.object.value) : { reports: [] };
-    if (record === undefined) {
-      parts.log("usage-record-unreadable", { window });
-      return undefined;
-    }
+    const { version, record } = written ?? (await readRecord()) ?? {};
+    if (version === undefined || record === undefined) return undefined;
     const fixed = record.reports.find((report) => report.window === window);
     if (fixed !== undefined) return fixed.counts;
     const counts = ledger.total(window);
     if (parts.fence(USAGE_CALL_TIME) === undefined) return undefined;
     const reports = [...record.reports, { window, counts }].slice(-KEPT_WINDOWS);
-    const outcome = await store.put(USAGE_KEY, JSON.stringify({ reports }), { expect: version });
     // After a lost answer or a conflict the next look reads what stands.
-    return outcome.kind === "written" ? counts : undefined;
+    written = undefined;
+    const outcome = await store.put(USAGE_KEY, JSON.stringify({ reports }), { expect: version });
+    if (outcome.kind !== "written") return undefined;
+    written = { version: outcome.version, record: { reports } };
+    return counts;
+  };
+  const readRecord = async (): Promise<typeof written> => {
+    const read = await store.get(USAGE_KEY);
+    if (read.kind === "unavailable") return undefined;
+    if (read.kind === "absent") return { version: 0, record: { reports: [] } };
+    const record = parseRecord(read.object.value);
+    if (record === undefined)
+      parts.log("usage-record-unreadable", { version: read.object.version });
+    return record === undefined ? undefined : { version: read.object.version, record };
   };
   const report = async (window: number): Promise<void> => {
     const counts = await fix(window);
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -18,6 +18,8 @@
   readonly arrival: RoutedArrival;
   readonly service: RoutedService;
   readonly body: Buffer;
+  /** Gives back what was taken of the account's quota, because it certainly didn't run. */
+  readonly giveBack: () => void;
 }
 
 /** A run of a request that can be given up from outside. */
@@ -114,8 +116,12 @@
   };
   /** Ends a request that no further worker gets. */
   const giveUp = (reason: RoutedRefusal, retryAfter?: number): void => {
-    if (mayHaveRun) refuse(RoutedRefusal.WorkerLost);
-    else refuse(reason, retryAfter);
+    if (mayHaveRun) {
+      refuse(RoutedRefusal.WorkerLost);
+      return;
+    }
+    admitted.giveBack();
+    refuse(reason, retryAfter);
   };
   const deadline = clock.after(arrival.deadlineAt + DEADLINE_GRACE - clock.now(), () => {
     if (isDone) return;
@@ -204,6 +210,8 @@
     runs++;
     note("sent", {
       worker: worker.id,
+      account: arrival.account?.name,
+      tokens: arrival.statedTokens,
       run: runs,
       cost: Math.round(cost),
       running: worker.running,
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -15,6 +15,18 @@
   readonly inProgress: number;
 }
 
+/** Why a request is refused before it is offered to a worker, and what decided it. */
+interface RefusalDetail {
+  readonly reason: RoutedRefusal;
+  readonly id: string | undefined;
+  /** Milliseconds after which the caller may come back. */
+  readonly retryAfter?: number;
+  readonly account?: string;
+  /** What the request counts as, and the account's rate a second. */
+  readonly size?: number;
+  readonly rate?: number;
+}
+
 /** When a caller may come back to an instance that knows no configuration yet, in milliseconds. */
 const NOT_READY_RETRY = 300;
 /** The same for one that stops: the caller finds others at once. */
@@ -25,14 +37,10 @@
   let inProgress = 0;
   const refuse = (
     answer: CallerAnswer,
-    {
-      reason,
-      id,
-      retryAfter,
-    }: { reason: RoutedRefusal; id: string | undefined; retryAfter?: number },
+    { reason, id, retryAfter, ...fields }: RefusalDetail,
   ): void => {
     context.metrics.refused(reason);
-    context.decided("refused", id, { reason });
+    context.decided("refused", id, { reason, retryAfter, ...fields });
     if (!answer.isOver) answer.refuse(reason, retryAfter);
   };
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
@@ -86,16 +94,27 @@
       refuse(answer, { reason: RoutedRefusal.NoWorker, id });
       return undefined;
     }
+    let giveBack = (): void => undefined;
     if (account?.quota !== undefined) {
-      const size = quotaSize(account.quota, arrival.statedTokens);
+      const { name: holder, quota } = account;
+      const size = quotaSize(quota, arrival.statedTokens);
       const now = context.clock.now();
-      const wait = context.quota.take({ account: account.name, quota: account.quota, size, now });
+      const wait = context.quota.take({ account: holder, quota, size, now });
       if (wait > 0) {
-        refuse(answer, { reason: RoutedRefusal.QuotaUsedUp, id, retryAfter: wait });
+        const reason = RoutedRefusal.QuotaUsedUp;
+        refuse(answer, {
+          reason,
+          id,
+          retryAfter: wait,
+          account: holder,
+          size,
+          rate: quota.perSecond,
+        });
         return undefined;
       }
+      giveBack = () => context.quota.giveBack(holder, size);
     }
-    const run = startRoutedRun(context, { request, arrival, service, body }, answer);
+    const run = startRoutedRun(context, { request, arrival, service, body, giveBack }, answer);
     return () => run.abandon();
   };
   return {
