Buy on demand what the market of reclaimable workers doesn't give

Change: what a dry market gives is what is there; the rest of what is in use is bought on demand. Requests beyond 16 a worker count a quarter; a fall counts slowly, which also ends the flapping of orders. Four reclaimable workers a zone before any load, then what is in use with two zones gone. Tests of each, one failing before.

--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -142,7 +142,10 @@
   socket.on("end", () => {
     if (isClosed) return;
     mayKeep = false;
-    if (wasReset(socket)) return fail("The worker reset the connection.");
+    if (wasReset(socket)) {
+      fail("The worker reset the connection.");
+      return;
+    }
     const fault = parser.finish();
     if (fault !== undefined) fail("The worker closed the connection before the answer was whole.");
     else close();
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -15,4 +15,5 @@
 export * from "./usage_ledger.ts";
 export * from "./worker_health.ts";
 export * from "./worker_ranking.ts";
+export * from "./worker_demand.ts";
 export * from "./worker_mix.ts";
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -129,7 +129,10 @@
     const rate = Math.max(quota.perSecond * part, Number.MIN_VALUE);
     // What is over the instance's part is there when the others have been told.
     if (level > 0) return NEXT_MESSAGE;
-    return Math.min(LONGEST_WAIT, Math.max(LEAST_WAIT, Math.ceil((-level * MILLISECONDS) / rate)));
+    return Math.min(
+      LONGEST_WAIT,
+      Math.max(LEAST_WAIT, Math.ceil((-level * MILLISECONDS) / rate) + 1),
+    );
   };
   return {
     take: ({ account, quota, size, now }) => {
--- a/src/decision/shared_quota_test.ts
+++ b/src/decision/shared_quota_test.ts
@@ -84,6 +84,7 @@
 
 test("a refusal says when there will be room", () => {
   const quota = createSharedQuota(0);
+  quota.setReach({ heard: 1, members: 1 });
   const ask = (now: number): number => quota.take({ account: "a", quota: QUOTA, size: 6_000, now });
   expect(ask(60_000)).toBe(0);
   quota.tell(60_010);
--- a/src/decision/worker_mix_test.ts
+++ b/src/decision/worker_mix_test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import { expect, test } from "vitest";
 import { Purchase } from "../interface/index.ts";
 import { planMix } from "./worker_mix.ts";
@@ -16,11 +17,18 @@
   ]),
 };
 
-function stock(reclaimable: readonly number[], onDemand: readonly number[]): ZoneStock[] {
+interface Stock {
+  readonly reclaimable?: readonly number[];
+  readonly onDemand?: readonly number[];
+  readonly dry?: readonly string[];
+}
+
+function stock({ reclaimable = [], onDemand = [], dry = [] }: Stock): ZoneStock[] {
   return [...SCALING.zonePrices.keys()].map((zone, index) => ({
     zone,
     reclaimable: reclaimable[index] ?? 0,
     onDemand: onDemand[index] ?? 0,
+    isDry: dry.includes(zone),
   }));
 }
 
@@ -30,27 +38,51 @@
     .reduce((sum, order) => sum + order.count, 0);
 }
 
-test("with all reclaimable workers there, none is bought on demand", () => {
-  const view = { scaling: SCALING, stock: stock([3, 3, 3, 3], [1, 1, 1, 1]), needed: 12, inUse: 9 };
+test("as long as the market gives any, none is bought on demand", () => {
+  const view = { scaling: SCALING, stock: stock({ onDemand: [4, 3, 3, 3] }), inUse: undefined };
   const orders = planMix(view);
-  expect(count(orders, Purchase.Reclaimable)).toBe(12);
+  expect(count(orders, Purchase.Reclaimable)).toBe(16);
   expect(count(orders, Purchase.OnDemand)).toBe(0);
 });
 
-// A zone's reclaimable workers are all taken back and the market gives none. The callers of the whole service
-// would share what is left until the market has workers again.
-test("what a reclaim takes is bought on demand until it is there again", () => {
-  const view = { scaling: SCALING, stock: stock([3, 3, 0, 0], []), needed: 12, inUse: 12 };
-  expect(count(planMix(view), Purchase.OnDemand)).toBe(6);
-  const back = { ...view, stock: stock([3, 3, 3, 3], [0, 3, 0, 3]) };
-  expect(count(planMix(back), Purchase.OnDemand)).toBe(0);
+test("what the load needs is there with two zones gone", () => {
+  const orders = planMix({ scaling: SCALING, stock: stock({}), inUse: 8 });
+  expect(count(orders, Purchase.Reclaimable)).toBe(16);
+});
+
+// Two zones' reclaimable workers are taken and the market gives none anywhere. The callers of the whole service
+// share what is left until it does again.
+test("what the market doesn't give is bought on demand, and given back when it does", () => {
+  const dry = ["a", "b", "c", "d"];
+  const taken = stock({ reclaimable: [4, 4, 0, 0], dry });
+  const orders = planMix({ scaling: SCALING, stock: taken, inUse: 12 });
+  expect(count(orders, Purchase.OnDemand)).toBeGreaterThanOrEqual(4);
+  const back = stock({ reclaimable: [4, 4, 4, 4], onDemand: [2, 2, 2, 1] });
+  expect(count(planMix({ scaling: SCALING, stock: back, inUse: 8 }), Purchase.OnDemand)).toBe(0);
+});
+
+// Requests pile up while the market is dry, and the load asks for more workers than the bounds allow. Ordering
+// all of a zone's places as reclaimable ones, that don't come, would leave no place for those that do.
+test("reclaimable workers that can't be had leave their places to those on demand", () => {
+  const taken = stock({ reclaimable: [1, 0, 1, 0], dry: ["a", "b", "c", "d"] });
+  const orders = planMix({ scaling: SCALING, stock: taken, inUse: 30 });
+  expect(count(orders, Purchase.OnDemand)).toBeGreaterThanOrEqual(30);
 });
 
 test("no zone is asked for more than its bound", () => {
-  const view = { scaling: SCALING, stock: stock([], []), needed: 60, inUse: 60 };
-  const orders = planMix(view);
-  for (const zone of SCALING.zonePrices.keys()) {
-    const here = orders.filter((order) => order.zone === zone);
-    expect(here.reduce((sum, order) => sum + order.count, 0)).toBeLessThanOrEqual(10);
-  }
+  const counts = fc.array(fc.integer({ min: 0, max: 10 }), { minLength: 4, maxLength: 4 });
+  const dryZones = fc.subarray(["a", "b", "c", "d"]);
+  fc.assert(
+    fc.property(counts, counts, dryZones, fc.nat(60), (reclaimable, onDemand, dry, inUse) => {
+      const there = stock({ reclaimable, onDemand, dry });
+      const orders = planMix({ scaling: SCALING, stock: there, inUse });
+      for (const zone of SCALING.zonePrices.keys()) {
+        const here = orders.filter((order) => order.zone === zone);
+        const sum = here.reduce((total, order) => total + order.count, 0);
+        expect(sum).toBeLessThanOrEqual(SCALING.most);
+        expect(sum).toBeGreaterThanOrEqual(SCALING.least);
+        expect(here.every((order) => order.count >= 0)).toBe(true);
+      }
+    }),
+  );
 });
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -1,7 +1,7 @@
 import { planMix } from "../decision/index.ts";
 import type { MixOrder, ZoneStock } from "../decision/index.ts";
 import { Purchase, sleep } from "../interface/index.ts";
-import type { Clock, Platform, RoutedWorker } from "../interface/index.ts";
+import type { CallOutcome, Clock, Platform, RoutedWorker } from "../interface/index.ts";
 import type { RoutedService } from "../version/index.ts";
 
 /** What the task is made with. */
@@ -10,8 +10,8 @@
   readonly platform: Platform;
   readonly services: () => readonly RoutedService[];
   readonly workers: () => readonly RoutedWorker[];
-  /** Workers that a service is to have, and those that its load can't do without, both by its load. */
-  readonly need: (service: RoutedService) => { needed: number; inUse: number };
+  /** Workers that a service's load keeps busy; undefined until there was any load. */
+  readonly inUse: (service: RoutedService) => number | undefined;
   /** The fence for a call that may take so many milliseconds; undefined where this instance may not make it. */
   readonly fence: (callTime: number) => number | undefined;
   readonly holder: string;
@@ -34,7 +34,7 @@
 interface Sent {
   readonly count: number;
   readonly at: number;
-  readonly accepted: boolean;
+  readonly outcome: CallOutcome["kind"];
 }
 
 /** Makes the task. Orders are absolute, so one that is sent again changes nothing. */
@@ -51,8 +51,8 @@
     const outcome = await platform.orderWorkers({ service, zone, purchase, count }, by);
     const key = `${service} ${zone} ${purchase}`;
     const before = sent.get(key);
-    sent.set(key, { count, at: clock.now(), accepted: outcome.kind === "accepted" });
-    if (before?.count !== count || outcome.kind !== "accepted") {
+    sent.set(key, { count, at: clock.now(), outcome: outcome.kind });
+    if (before?.count !== count || before.outcome !== outcome.kind) {
       parts.log("workers-ordered", {
         service,
         zone,
@@ -69,14 +69,17 @@
     const here = stock.find(({ zone }) => zone === wanted.zone);
     const there =
       (wanted.purchase === Purchase.Reclaimable ? here?.reclaimable : here?.onDemand) ?? 0;
-    const isMet = before.accepted && there === wanted.count;
+    const isMet = before.outcome === "accepted" && there === wanted.count;
     return !isMet && clock.now() - before.at >= REPEAT_PERIOD;
   };
   const plan = async (service: RoutedService): Promise<void> => {
     const { scaling, name } = service;
     if (scaling === undefined) return;
-    const stock = stockOf(parts.workers(), service);
-    const orders = planMix({ scaling, stock, ...parts.need(service) });
+    const stock = stockOf(parts.workers(), service).map((here) => ({
+      ...here,
+      isDry: sent.get(`${name} ${here.zone} ${Purchase.Reclaimable}`)?.outcome === "none-available",
+    }));
+    const orders = planMix({ scaling, stock, inUse: parts.inUse(service) });
     for (const wanted of orders) if (isDue(name, stock, wanted)) await order(name, wanted);
   };
   const run = async (): Promise<void> => {
@@ -94,7 +97,10 @@
   };
 }
 
-function stockOf(workers: readonly RoutedWorker[], service: RoutedService): ZoneStock[] {
+function stockOf(
+  workers: readonly RoutedWorker[],
+  service: RoutedService,
+): Omit<ZoneStock, "isDry">[] {
   const there = workers.filter((worker) => worker.service === service.name && !worker.isLeaving);
   const zones = new Set([
     ...(service.scaling?.zonePrices.keys() ?? []),
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -17,8 +17,8 @@
   /** Takes the workers as the store has them now. */
   setWorkers(workers: readonly RoutedWorker[]): void;
   workers(): readonly RoutedWorker[];
-  /** Requests that all instances have at the service's workers. */
-  running(service: string): number;
+  /** Requests that all instances have at each of the service's workers. */
+  running(service: string): number[];
   /** What another instance has at the workers; it replaces what it said before. */
   heard(instance: string, use: ReadonlyMap<string, WorkerUse>): void;
   /** Other instances know that these workers leave; each is named with its start, as by `leaving`. */
@@ -200,7 +200,7 @@
     running: (service) =>
       [...entries.values()]
         .filter(({ worker }) => worker.service === service)
-        .reduce((sum, entry) => sum + ranked(entry).running, 0),
+        .map((entry) => ranked(entry).running),
     heard: (instance, use) => void others.set(instance, use),
     heardLeaving: (leaving) => {
       const told = new Set(leaving);
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -6,8 +6,10 @@
   createSharedQuota,
   createTrueTime,
   createUsageLedger,
+  createWorkerDemand,
   createWorkerHealth,
 } from "../decision/index.ts";
+import type { WorkerDemand } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
 import type {
   Clock,
@@ -95,11 +97,6 @@
 const DUTY = "platform";
 /** Milliseconds between two looks whether a lease can be taken over. */
 const LEASE_LOOK = 500;
-/** Runs at a worker at which its streams are quick: a fifth of its places. */
-const RUNS_A_WORKER = 10;
-/** Least workers of a service that can be ordered, a zone: one alone is a zone without any when it goes. */
-const LEAST_A_ZONE = 3;
-
 /** Makes an instance; it does nothing before it is started. */
 export function createRoutedEntry(settings: RoutedSettings, outside: RoutedOutside): RoutedEntry {
   const { clock, random, log, metrics, kinds } = outside;
@@ -284,6 +281,12 @@
     lookPeriod: LEASE_LOOK,
     count: (name) => log.changed(name, {}),
   });
+  const demands = new Map<string, WorkerDemand>();
+  const workersInUse = ({ name }: RoutedService): number | undefined => {
+    const demand = demands.get(name) ?? createWorkerDemand();
+    demands.set(name, demand);
+    return demand.observe(board.running(name), clock.now());
+  };
   const usage = createUsageTask({
     clock,
     store: outside.store,
@@ -301,7 +304,7 @@
     platform: outside.platform,
     services: () => table?.routing.services ?? [],
     workers: () => board.workers(),
-    need: (service) => workerNeed(service, board),
+    inUse: (service) => workersInUse(service),
     fence: (callTime) => lease.fence(DUTY, callTime),
     holder: settings.name,
     log: (step, fields) => log.changed(step, fields),
@@ -406,16 +409,6 @@
   };
 }
 
-/** Workers that a service needs, by what runs on them. */
-function workerNeed(
-  { name, scaling }: RoutedService,
-  board: RoutedBoard,
-): { needed: number; inUse: number } {
-  const zones = scaling?.zonePrices.size ?? 1;
-  const inUse = Math.ceil(board.running(name) / RUNS_A_WORKER);
-  return { needed: Math.max(LEAST_A_ZONE * zones, inUse), inUse };
-}
-
 /** What the instance has at workers, without those at which it has nothing. */
 function usedWorkers(board: RoutedBoard): Digest["use"] {
   const used: Digest["use"] = {};
