--- a/src/decision/worker_demand.ts
+++ b/src/decision/worker_demand.ts
@@ -7,7 +7,9 @@
  * ask for several times what is needed; so beyond what a worker runs well, only a part of a run counts.
  *
  * A rise counts at once, since a worker takes seconds to come and a late first token is paid for at once. A fall
- * counts slowly, with a half-life of 5 s: a worker that is given back and needed again is paid for twice.
+ * counts slowly, with a half-life of 10 s: a worker that is given back and needed again is paid for twice, and
+ * when it is needed the market may be dry. The first load is always small, so what was there before it is a fall's
+ * beginning as well.
  *
  * @module
  */
@@ -17,29 +19,40 @@
   /**
    * Takes in the runs at each worker.
    *
-   * @returns Workers that are kept busy; undefined until there was any load.
+   * @returns Undefined until there was any load.
    */
-  observe(running: readonly number[], now: number): number | undefined;
+  observe(running: readonly number[], now: number): DemandLevel | undefined;
+}
+
+/** Workers that a load keeps busy. */
+export interface DemandLevel {
+  readonly now: number;
+  /** The same with falls counted slowly. */
+  readonly lately: number;
 }
 
 /** Runs at which an engine still makes first tokens in a fraction of the usual targets. */
-const RUNS_A_WORKER = 8;
+const RUNS_A_WORKER = 10;
 /** Runs of one worker that count in full; those beyond wait for each other. */
 const COUNTED_RUNS = 16;
-const BEYOND_PART = 0.25;
-const HALF_LIFE = 5_000;
+const BEYOND_PART = 0.2;
+const HALF_LIFE = 10_000;
 
-/** Makes a demand that has seen nothing. */
-export function createWorkerDemand(): WorkerDemand {
+/**
+ * Makes a demand that has seen nothing.
+ *
+ * @param first Workers that are reckoned to be busy when the first load comes.
+ */
+export function createWorkerDemand(first: number): WorkerDemand {
   let level: { readonly workers: number; readonly at: number } | undefined;
   return {
     observe: (running, now) => {
       const workers = running.reduce((sum, runs) => sum + counted(runs), 0) / RUNS_A_WORKER;
       if (level === undefined && workers === 0) return undefined;
-      const before = level?.workers ?? 0;
+      const before = level?.workers ?? first;
       const kept = 2 ** (-(now - (level?.at ?? now)) / HALF_LIFE);
       level = { workers: Math.max(workers, workers + (before - workers) * kept), at: now };
-      return Math.ceil(level.workers);
+      return { now: Math.ceil(workers), lately: Math.ceil(level.workers) };
     },
   };
 }
--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -17,13 +17,15 @@
  */
 import { Purchase } from "../interface/index.ts";
 import type { ServiceScaling } from "../version/index.ts";
+import type { DemandLevel } from "./worker_demand.ts";
 
 /** Workers of one service in one zone. */
 export interface ZoneStock {
   readonly zone: string;
   readonly reclaimable: number;
-  readonly onDemand: number;
-  /** Whether the last order of reclaimable workers found none to be had. */
+  /** Workers on demand that are ordered here, ready or not. */
+  readonly ordered: number;
+  /** Whether the market lately had no reclaimable workers here. */
   readonly isDry: boolean;
 }
 
@@ -33,7 +35,17 @@
   /** Workers that take requests, by zone. */
   readonly stock: readonly ZoneStock[];
   /** Workers that the load keeps busy, if it is spread well; undefined until any load was seen. */
-  readonly inUse: number | undefined;
+  readonly inUse: DemandLevel | undefined;
+  /** Workers on demand that were wanted within the last seconds, at most: until the market is back they stay. */
+  readonly held: number;
+}
+
+/** What is to be ordered, and why. */
+export interface MixPlan {
+  /** One for each zone and purchase. */
+  readonly orders: readonly MixOrder[];
+  /** Workers on demand that are wanted at this moment. */
+  readonly onDemand: number;
 }
 
 /** What is to be ordered. */
@@ -52,34 +64,70 @@
 /** What is bought on demand goes beyond what is in use by this part, since what is in use is seen late. */
 const ON_DEMAND_ROOM = 1.25;
 
+/** Workers that a service's first load is reckoned to keep busy. */
+export function firstInUse({ zonePrices }: ServiceScaling): number {
+  return FIRST_A_ZONE * Math.max(1, zonePrices.size - ZONES_LOST);
+}
+
 /** Plans the orders of a service: one for each zone and purchase. */
-export function planMix({ scaling, stock, inUse }: MixView): MixOrder[] {
-  const zones = [...scaling.zonePrices].sort(([, a], [, b]) => a - b).map(([zone]) => zone);
-  const target = reclaimableTarget(scaling, { zones: zones.length, inUse });
-  const hereIn = (zone: string): ZoneStock =>
-    stock.find((one) => one.zone === zone) ?? { zone, reclaimable: 0, onDemand: 0, isDry: false };
+export function planMix({ scaling, stock, inUse, held }: MixView): MixPlan {
+  const target = reclaimableTarget(scaling, { zones: stock.length, inUse: inUse?.lately });
   // Where the market gives none, what is there is all that can be counted on; elsewhere the rest is coming.
-  const reachable = zones.map((zone) => {
-    const { reclaimable, isDry } = hereIn(zone);
-    return isDry ? Math.min(reclaimable, target) : target;
-  });
-  const counted = reachable.reduce((sum, count) => sum + count, 0);
-  let missing = Math.max(0, Math.ceil((inUse ?? 0) * ON_DEMAND_ROOM) - counted);
-  const shares = zones.map((zone, index) => {
-    const room = Math.max(0, scaling.most - (reachable[index] ?? 0));
-    // What is there on demand already goes on before more is bought in a cheaper zone.
-    const evenly = Math.max(hereIn(zone).onDemand, Math.ceil(missing / (zones.length - index)));
-    const share = Math.min(missing, room, evenly);
-    missing -= share;
-    return share;
-  });
-  return zones.flatMap((zone, index) => {
-    const onDemand = shares[index] ?? 0;
+  const reachable = stock.map(({ reclaimable, isDry }) =>
+    isDry ? Math.min(reclaimable, target) : target,
+  );
+  const missing = Math.max(0, Math.ceil((inUse?.now ?? 0) * ON_DEMAND_ROOM) - sum(reachable));
+  const isBack = stock.every(({ reclaimable, isDry }) => !isDry && reclaimable >= target);
+  const wanted = isBack ? 0 : Math.max(missing, held);
+  // One place is always left to ask the dry market for: only an order shows that it has workers again.
+  const rooms = stock.map(({ reclaimable, isDry }) =>
+    Math.max(0, scaling.most - Math.min(reclaimable, target) - (isDry ? 1 : 0)),
+  );
+  const onDemand = spread(wanted, { stock, rooms, prices: scaling.zonePrices });
+  const orders = stock.flatMap(({ zone }, index) => {
+    const bought = onDemand[index] ?? 0;
+    const reclaimable = Math.max(0, Math.min(target, scaling.most - bought));
     return [
-      { zone, purchase: Purchase.Reclaimable, count: Math.min(target, scaling.most - onDemand) },
-      { zone, purchase: Purchase.OnDemand, count: onDemand },
+      { zone, purchase: Purchase.Reclaimable, count: reclaimable },
+      { zone, purchase: Purchase.OnDemand, count: bought },
     ];
   });
+  return { orders, onDemand: missing };
+}
+
+/**
+ * Spreads workers on demand over the zones. What is ordered already stays where it is as far as it is wanted:
+ * a worker that is given back in one zone and bought in another is paid for twice, and there only once.
+ */
+function spread(
+  wanted: number,
+  options: {
+    stock: readonly ZoneStock[];
+    rooms: readonly number[];
+    prices: ReadonlyMap<string, number>;
+  },
+): number[] {
+  const { stock, rooms, prices } = options;
+  const counts = stock.map(({ ordered }, index) => Math.min(ordered, rooms[index] ?? 0));
+  const price = (index: number): number => prices.get(stock[index]?.zone ?? "") ?? 1;
+  const cheapestFirst = [...stock.keys()].sort((a, b) => price(a) - price(b));
+  for (let total = sum(counts); total > wanted; total--) {
+    const dearest = cheapestFirst.findLast((index) => (counts[index] ?? 0) > 0) ?? 0;
+    counts[dearest] = (counts[dearest] ?? 0) - 1;
+  }
+  for (let total = sum(counts); total < wanted; total++) {
+    // Evenly, so that no zone's loss takes most of them; among equals in the cheapest.
+    const open = cheapestFirst.filter((index) => (counts[index] ?? 0) < (rooms[index] ?? 0));
+    const least = Math.min(...open.map((index) => counts[index] ?? 0));
+    const next = open.find((index) => counts[index] === least);
+    if (next === undefined) break;
+    counts[next] = least + 1;
+  }
+  return counts;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
 
 /** Reclaimable workers a zone. */
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -109,8 +109,8 @@
       try {
         await (mustList ? list() : watch());
         failures = 0;
-        answeredAt = clock.now();
         reach(true, "");
+        answeredAt = clock.now();
       } catch (error) {
         reach(false, String(error));
         failures++;
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -1,5 +1,5 @@
 import { planMix } from "../decision/index.ts";
-import type { MixOrder, ZoneStock } from "../decision/index.ts";
+import type { DemandLevel, MixOrder } from "../decision/index.ts";
 import { Purchase, sleep } from "../interface/index.ts";
 import type { CallOutcome, Clock, Platform, RoutedWorker } from "../interface/index.ts";
 import type { RoutedService } from "../version/index.ts";
@@ -11,7 +11,7 @@
   readonly services: () => readonly RoutedService[];
   readonly workers: () => readonly RoutedWorker[];
   /** Workers that a service's load keeps busy; undefined until there was any load. */
-  readonly inUse: (service: RoutedService) => number | undefined;
+  readonly inUse: (service: RoutedService) => DemandLevel | undefined;
   /** The fence for a call that may take so many milliseconds; undefined where this instance may not make it. */
   readonly fence: (callTime: number) => number | undefined;
   readonly holder: string;
@@ -28,6 +28,12 @@
 const PLAN_PERIOD = 500;
 /** Milliseconds after which an order that isn't met is sent again: the market may have workers again. */
 const REPEAT_PERIOD = 1_000;
+/** How long a market that gave none is taken to be dry, in milliseconds: orders are repeated more often. */
+const DRY_TIME = 3_000;
+/** How long workers on demand are wanted after the last moment at which they were, in milliseconds. */
+const HOLD_TIME = 6_000;
+/** An ordered worker may take so much longer than usual to come, in milliseconds. */
+const TAKEOVER_MARGIN = 1_500;
 /** Milliseconds that an order may take. */
 export const ORDER_CALL_TIME = 1_000;
 
@@ -41,15 +47,30 @@
 export function createMixTask(parts: MixTaskParts): MixTask {
   const { clock, platform } = parts;
   const sent = new Map<string, Sent>();
+  /** By service and zone, until when its market is taken to be dry. */
+  const dryUntil = new Map<string, number>();
+  /** By service, the workers on demand that were wanted lately. */
+  const wished = new Map<string, { onDemand: number; at: number }[]>();
+  let holderSince: number | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
 
-  const order = async (service: string, { zone, purchase, count }: MixOrder): Promise<void> => {
+  const order = async (
+    service: string,
+    { zone, purchase, count }: MixOrder,
+    there: ReadyCount,
+  ): Promise<void> => {
     const fence = parts.fence(ORDER_CALL_TIME);
     if (fence === undefined) return;
     const by = { holder: parts.holder, fence };
     const outcome = await platform.orderWorkers({ service, zone, purchase, count }, by);
-    const key = `${service} ${zone} ${purchase}`;
+    const key = keyOf(service, zone, purchase);
+    if (purchase === Purchase.Reclaimable) {
+      const market = `${service} ${zone}`;
+      if (outcome.kind === "none-available") dryUntil.set(market, clock.now() + DRY_TIME);
+      else if (outcome.kind === "accepted" && count > there(zone, purchase))
+        dryUntil.delete(market);
+    }
     const before = sent.get(key);
     sent.set(key, { count, at: clock.now(), outcome: outcome.kind });
     if (before?.count !== count || before.outcome !== outcome.kind) {
@@ -63,29 +84,45 @@
       });
     }
   };
-  const isDue = (service: string, stock: readonly ZoneStock[], wanted: MixOrder): boolean => {
-    const before = sent.get(`${service} ${wanted.zone} ${wanted.purchase}`);
+  const isDue = (service: string, there: ReadyCount, wanted: MixOrder): boolean => {
+    const before = sent.get(keyOf(service, wanted.zone, wanted.purchase));
     if (before?.count !== wanted.count) return true;
-    const here = stock.find(({ zone }) => zone === wanted.zone);
-    const there =
-      (wanted.purchase === Purchase.Reclaimable ? here?.reclaimable : here?.onDemand) ?? 0;
-    const isMet = before.outcome === "accepted" && there === wanted.count;
+    const isThere = there(wanted.zone, wanted.purchase) === wanted.count;
+    const isMet = before.outcome === "accepted" && isThere;
     return !isMet && clock.now() - before.at >= REPEAT_PERIOD;
   };
   const plan = async (service: RoutedService): Promise<void> => {
     const { scaling, name } = service;
     if (scaling === undefined) return;
-    const stock = stockOf(parts.workers(), service).map((here) => ({
-      ...here,
-      isDry: sent.get(`${name} ${here.zone} ${Purchase.Reclaimable}`)?.outcome === "none-available",
+    const there = readyIn(parts.workers(), service);
+    const now = clock.now();
+    const stock = [...scaling.zonePrices.keys()].map((zone) => ({
+      zone,
+      reclaimable: there(zone, Purchase.Reclaimable),
+      ordered:
+        sent.get(keyOf(name, zone, Purchase.OnDemand))?.count ?? there(zone, Purchase.OnDemand),
+      isDry: now < (dryUntil.get(`${name} ${zone}`) ?? 0),
     }));
-    const orders = planMix({ scaling, stock, inUse: parts.inUse(service) });
-    for (const wanted of orders) if (isDue(name, stock, wanted)) await order(name, wanted);
+    const wishes = (wished.get(name) ?? []).filter(({ at }) => now - at < HOLD_TIME);
+    const held = Math.max(0, ...wishes.map(({ onDemand }) => onDemand));
+    const inUse = parts.inUse(service);
+    const since = (holderSince ??= now);
+    const { orders, onDemand } = planMix({ scaling, stock, inUse, held });
+    wished.set(name, [...wishes, { onDemand, at: now }]);
+    // What the holder before ordered and isn't there yet can't be seen: until it would be, nothing is given back.
+    const isNew = inUse !== undefined && now - since < scaling.startUp + TAKEOVER_MARGIN;
+    for (const wanted of orders) {
+      const isLess = wanted.count <= there(wanted.zone, wanted.purchase);
+      if (isNew && isLess && wanted.purchase === Purchase.OnDemand) continue;
+      if (isDue(name, there, wanted)) await order(name, wanted, there);
+    }
   };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
-      if (parts.fence(ORDER_CALL_TIME) === undefined) sent.clear();
-      else for (const service of parts.services()) await plan(service);
+      if (parts.fence(ORDER_CALL_TIME) === undefined) {
+        sent.clear();
+        holderSince = undefined;
+      } else for (const service of parts.services()) await plan(service);
       await sleep(clock, PLAN_PERIOD);
     }
   };
@@ -97,18 +134,15 @@
   };
 }
 
-function stockOf(
-  workers: readonly RoutedWorker[],
-  service: RoutedService,
-): Omit<ZoneStock, "isDry">[] {
+/** Workers that take requests, by zone and purchase. */
+type ReadyCount = (zone: string, purchase: Purchase) => number;
+
+function readyIn(workers: readonly RoutedWorker[], service: RoutedService): ReadyCount {
   const there = workers.filter((worker) => worker.service === service.name && !worker.isLeaving);
-  const zones = new Set([
-    ...(service.scaling?.zonePrices.keys() ?? []),
-    ...there.map(({ zone }) => zone),
-  ]);
-  return [...zones].map((zone) => {
-    const here = there.filter((worker) => worker.zone === zone);
-    const reclaimable = here.filter(({ purchase }) => purchase === Purchase.Reclaimable).length;
-    return { zone, reclaimable, onDemand: here.length - reclaimable };
-  });
+  return (zone, purchase) =>
+    there.filter((worker) => worker.zone === zone && worker.purchase === purchase).length;
+}
+
+function keyOf(service: string, zone: string, purchase: Purchase): string {
+  return `${service} ${zone} ${purchase}`;
 }
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -8,8 +8,9 @@
   createUsageLedger,
   createWorkerDemand,
   createWorkerHealth,
+  firstInUse,
 } from "../decision/index.ts";
-import type { WorkerDemand } from "../decision/index.ts";
+import type { DemandLevel, WorkerDemand } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
 import type {
   Clock,
@@ -141,7 +142,7 @@
       applyWorkers();
     },
     onReach: (reached, detail) => {
-      if (reached) roster.storeReturned();
+      if (reached && workerFeed.answeredAt !== undefined) roster.storeReturned();
       log.changed("store-reached", { kind: "workers", reached, detail });
     },
   });
@@ -282,8 +283,9 @@
     count: (name) => log.changed(name, {}),
   });
   const demands = new Map<string, WorkerDemand>();
-  const workersInUse = ({ name }: RoutedService): number | undefined => {
-    const demand = demands.get(name) ?? createWorkerDemand();
+  const workersInUse = ({ name, scaling }: RoutedService): DemandLevel | undefined => {
+    if (scaling === undefined) return undefined;
+    const demand = demands.get(name) ?? createWorkerDemand(firstInUse(scaling));
     demands.set(name, demand);
     return demand.observe(board.running(name), clock.now());
   };
--- a/src/process/routed_log.ts
+++ b/src/process/routed_log.ts
@@ -1,6 +1,5 @@
 import "./log_switch.ts";
 import { ROARR, Roarr } from "roarr";
-import type { LineWriter } from "./line_writer.ts";
 
 /** Fields of a line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -18,9 +17,13 @@
 /** Milliseconds in which a fault that repeats is logged once. */
 const FAULT_PERIOD = 1_000;
 
-/** Makes the log of the instance with this name. */
-export function createRoutedLog(instance: string, writer: LineWriter): RoutedLog {
-  ROARR.write = (line) => writer.write(line);
+/**
+ * Makes the log of the instance with this name.
+ *
+ * @param write Takes each line; the log library writes the lines of a whole process to one place.
+ */
+export function createRoutedLog(instance: string, write: (line: string) => void): RoutedLog {
+  ROARR.write = write;
   const log = Roarr.child({ instance });
   const faults = new Map<string, { at: number; held: number }>();
   return {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,7 @@
       "model/**/*_test.ts",
       "traces/**/*_test.ts",
       "bench/**/*_test.ts",
+      "platform/**/*_test.ts",
     ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
