Give each argument its name, so that help on a command works

Cause: commands are given to the command line library in memory, and what it reads from files gets its name when it is loaded; ours had none. Change: names are set; the smoke run asks the built binary for help on every command (it failed before).

--- a/.ci/smoke.mjs
+++ b/.ci/smoke.mjs
@@ -4,9 +4,33 @@
 import { promisify } from "node:util";
 
 const BINARY = "dist/samphireshore";
+const COMMANDS = [
+  "apply",
+  "change",
+  "check",
+  "demo",
+  "dev",
+  "drain",
+  "init",
+  "preset list",
+  "preset use",
+  "replay",
+  "request",
+  "serve",
+  "services",
+  "standin",
+  "status",
+];
 const CLIENT_KEY = "client-key-of-the-smoke-run";
 const run = promisify(execFile);
 
+// Whoever doesn't know a command asks for its help first.
+for (const command of COMMANDS) {
+  const { stdout, stderr } = await run(BINARY, [...command.split(" "), "--help"]);
+  assert.match(stdout, /USAGE/, command);
+  assert.doesNotMatch(stderr, /Error/, command);
+}
+
 const child = spawn(BINARY, ["dev", "--port", "0", "--client-key", CLIENT_KEY], {
   stdio: ["ignore", "pipe", "inherit"],
 });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -44,10 +44,10 @@
   return {
     id,
     aliases: command.aliases,
-    args: command.args,
+    args: named(command.args),
     description: command.description,
     examples: command.examples,
-    flags: { ...command.baseFlags, ...command.flags },
+    flags: named({ ...command.baseFlags, ...command.flags }),
     hidden: false,
     hiddenAliases: [],
     hasDynamicHelp: false,
@@ -62,6 +62,14 @@
   };
 }
 
+/**
+ * Gives each argument or flag its own name. A plugin that is read from files gets them when it is loaded; without
+ * them, asking for help on a command that takes arguments fails.
+ */
+function named<Part extends object>(parts: Readonly<Record<string, Part>>): Record<string, Part> {
+  return Object.fromEntries(Object.entries(parts).map(([name, part]) => [name, { ...part, name }]));
+}
+
 async function main(): Promise<void> {
   const root = process.cwd();
   const pjson = {
