--- /dev/null
+++ b/src/architecture_test.ts
@@ -0,0 +1,49 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import { HEADER_NAMES } from "../platform/names.ts";
+
+/** Names on the wire of the users' platform that the product has no word for. */
+const PLATFORM_WORDS = [
+  "X-Expect-Instance",
+  "X-Fencing-Token",
+  "X-Lease-Holder",
+  "X-Not-Executed",
+  "X-Prompt-Prefix",
+  "X-Request-Deadline",
+  "X-Response-Signature",
+  "X-Tenant",
+  "X-Token-Usage",
+  "SAMPHIRESHORE_BOOT",
+  "traffic_split",
+  "path_prefix",
+  "api_keys",
+  "cold_remaining_ms",
+  "leaves_ms",
+  "current_rev",
+  "zone_prices",
+];
+
+function sources(folder: string): string[] {
+  return readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((file) => file.endsWith(".ts"))
+    .map((file) => join(folder, file))
+    .filter((file) => !file.endsWith("architecture_test.ts"));
+}
+
+// The product runs without the users' platform, and the platform's names change without the product: both end as
+// soon as one module of the product knows one of them.
+test("nothing of the product imports the adapter or knows a name of its platform", () => {
+  const headers = Object.values(HEADER_NAMES)
+    .flat()
+    .filter((name: string) => name.startsWith("x-") || name.startsWith("kv-"))
+    // The usual name for it everywhere, the product's own interface included.
+    .filter((name: string) => name !== HEADER_NAMES.requestId);
+  const words = [...PLATFORM_WORDS, ...headers].map((word) => word.toLowerCase());
+  for (const file of sources("src")) {
+    const text = readFileSync(file, "utf8");
+    expect(text, file).not.toMatch(/from "(\.\.\/)+platform\//);
+    for (const word of words)
+      expect(text.toLowerCase().includes(word), `${file}: ${word}`).toBe(false);
+  }
+});
