--- a/src/architecture_test.ts
+++ b/src/architecture_test.ts
@@ -34,11 +34,11 @@
 // The product runs without the users' platform, and the platform's names change without the product: both end as
 // soon as one module of the product knows one of them.
 test("nothing of the product imports the adapter or knows a name of its platform", () => {
-  const headers = Object.values(HEADER_NAMES)
-    .flat()
-    .filter((name: string) => name.startsWith("x-") || name.startsWith("kv-"))
-    // The usual name for it everywhere, the product's own interface included.
-    .filter((name: string) => name !== HEADER_NAMES.requestId);
+  // The request's id has its usual name everywhere, the product's own interface included.
+  const own = new Set([HEADER_NAMES.requestId]);
+  const headers = [...Object.values(HEADER_NAMES), ...HEADER_NAMES.reserved]
+    .filter((name) => typeof name === "string")
+    .filter((name) => /^(?:x|kv)-/.test(name) && !own.has(name));
   const words = [...PLATFORM_WORDS, ...headers].map((word) => word.toLowerCase());
   for (const file of sources("src")) {
     const text = readFileSync(file, "utf8");
--- a/src/decision/worker_ranking.ts
+++ b/src/decision/worker_ranking.ts
@@ -18,8 +18,8 @@
  *
  * A session's home is found by rendezvous hashing over the workers that are there, so that all instances
  * find the same one without a word between them, and a worker that goes moves only its own sessions. The
- * second in that order is a home as well: it takes over when the first is busy and has the parts from then
- * on, so a session that gets much of the traffic spreads over two workers before it spreads further.
+ * second in that order is half a home: where the first is busy it is the one that most probably has the parts
+ * already, so a session that gets much of the traffic spreads over two workers before it spreads further.
  *
  * @module
  */
@@ -70,15 +70,17 @@
 const ZONE_DISTANCE = 3;
 /** Sending to a worker that is still warming up costs about as much of what is left. */
 const COLD_PART = 0.1;
-/** Homes of a session. */
-const HOMES = 2;
+/** The chance that a session's first and second home have its shared parts. */
+const HOME_CHANCES = [1, 0.5] as const;
 
 /** Workers with what each would cost the request in milliseconds, the cheapest first. */
 export interface Ranking<W extends RankedWorker> {
   readonly worker: W;
   readonly cost: number;
-  /** The same without the price of failures and distance: how long the first token is expected to take. */
+  /** How long the first token is expected to take. */
   readonly wait: number;
+  /** Prompt tokens that it would have to read. */
+  readonly reads: number;
 }
 
 /** Ranks the workers of a service for one request. */
@@ -88,31 +90,34 @@
 ): Ranking<W>[] {
   const homes = homesOf(workers, request);
   const all = sum(request.parts);
-  const own = request.parts.at(-1)?.tokens ?? 0;
+  const shared = all - (request.parts.at(-1)?.tokens ?? 0);
   return workers
     .map((worker) => {
-      const unread = homes.has(worker.id) ? own : all;
-      const wait = waitAt(worker, { unread, speed });
+      const reads = all - shared * (homes.get(worker.id) ?? 0);
+      const wait = waitAt(worker, { unread: reads, speed });
       const cost =
         wait +
         worker.running * BESIDE +
         worker.failing * FAILED_TRY +
         worker.coldFor * COLD_PART +
         (worker.sameZone ? 0 : ZONE_DISTANCE);
-      return { worker, cost, wait };
+      return { worker, cost, wait, reads };
     })
     .sort((a, b) => a.cost - b.cost);
 }
 
-/** The workers at which the shared parts of the prompt are kept. */
-function homesOf(workers: readonly RankedWorker[], { parts }: RankedRequest): ReadonlySet<string> {
-  if (parts.length < 2) return new Set();
+/** The workers at which the shared parts of the prompt are kept, with the chance that they are. */
+function homesOf(
+  workers: readonly RankedWorker[],
+  { parts }: RankedRequest,
+): ReadonlyMap<string, number> {
+  if (parts.length < 2) return new Map();
   // The last part is the request's own: what it shares is all before it.
   const shared = parts.slice(0, -1).map(({ id }) => id);
   const key = hashText(shared.join(","));
   const scored = workers.map(({ id, hash }) => ({ id, score: mixHashes(hash, key) }));
   scored.sort((a, b) => b.score - a.score);
-  return new Set(scored.slice(0, HOMES).map(({ id }) => id));
+  return new Map(HOME_CHANCES.map((chance, index) => [scored[index]?.id ?? "", chance]));
 }
 
 function waitAt(
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -42,9 +42,9 @@
  * others that there is one; so even where all connections went silent at once, the first of their waits to end
  * is what a change waits for, and each wait costs a call.
  */
-const WATCH_WAIT = { least: 2_500, most: 7_000 };
+const WATCH_WAIT = { least: 3_000, most: 10_000 };
 /** After a change the next watch begins this much later: changes come in groups, and each answer is a call. */
-const GROUP_TIME = 80;
+const GROUP_TIME = 120;
 /** Pauses after failed calls double between these bounds, in milliseconds. */
 const FIRST_PAUSE = 100;
 const LONGEST_PAUSE = 800;
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -57,6 +57,8 @@
   readonly term?: number;
   /** Milliseconds between looks of the one whose turn it is. */
   readonly lookPeriod?: number;
+  /** Whether an instance that is heard says that it holds the lease: then there is nothing to look for. */
+  readonly isHeldElsewhere?: (duty: string) => boolean;
   readonly count: (name: string) => void;
 }
 
@@ -86,7 +88,7 @@
  */
 export function createLeaseTask(parts: LeaseTaskParts): LeaseTask {
   const { clock, random, store, pace, duties, members, count } = parts;
-  const { term = LEASE_TERM, lookPeriod = LOOK_PERIOD } = parts;
+  const { term = LEASE_TERM, lookPeriod = LOOK_PERIOD, isHeldElsewhere = () => false } = parts;
   const self = members.self.id;
   const held = new Map<string, Held>();
   const seen = new Map<string, Seen>();
@@ -186,7 +188,7 @@
     const isMine = isMyTurn(service);
     if (mine === undefined || !isHeld(service)) {
       held.delete(service);
-      if (isMine) await take(service);
+      if (isMine && !isHeldElsewhere(service)) await take(service);
       return;
     }
     if (isMine) turnLostAt.delete(service);
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -25,6 +25,8 @@
   ready: z.boolean(),
   /** Whether the platform's store answers it. */
   reachesStore: z.boolean(),
+  /** Whether it holds the lease of the calls that one instance at a time makes. */
+  holdsLease: z.boolean(),
   /** What it holds for the time of day. */
   time: z.number(),
   /** The store's version of the last change that it knows, by kind of object. */
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -1,4 +1,11 @@
-import type { RankedWorker, RunTally, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
+import { createReadRate } from "../decision/index.ts";
+import type {
+  RankedWorker,
+  ReadRate,
+  RunTally,
+  ServiceSpeed,
+  WorkerHealth,
+} from "../decision/index.ts";
 import type { Clock, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/index.ts";
 import type { BoardRun, BoardWorker, WorkerBoard } from "../request/index.ts";
@@ -41,8 +48,6 @@
   readonly members: () => number;
 }
 
-/** Prompt tokens that an engine reads a millisecond, until it is known better: half of a current one's. */
-const FIRST_READ_RATE = 50;
 /** Milliseconds that a run takes until any was seen. */
 const FIRST_RUN_TIME = { engine: 2_000, plain: 50 };
 /** The weight of the newest run in the mean. */
@@ -72,6 +77,12 @@
   const entries = new Map<string, Entry>();
   const others = new Map<string, ReadonlyMap<string, WorkerUse>>();
   const runTimes = new Map<string, number>();
+  const readRates = new Map<string, ReadRate>();
+  const readRate = (service: string): ReadRate => {
+    const known = readRates.get(service) ?? createReadRate();
+    readRates.set(service, known);
+    return known;
+  };
 
   const announceLeave = (entry: Entry): void => {
     if (entry.leaveTimer !== undefined || entry.worker.leavesIn === undefined) return;
@@ -134,7 +145,7 @@
         mostConnections: most,
       }));
   };
-  const begin = ({ id, service }: BoardWorker, tokens: number): BoardRun => {
+  const begin = ({ id, service, unreadTokens }: BoardWorker, reads: number): BoardRun => {
     const startedAt = clock.now();
     const change = (by: number, tokensBy: number): void => {
       const entry = entries.get(id);
@@ -142,16 +153,19 @@
       entry.running = Math.max(0, entry.running + by);
       entry.unreadTokens = Math.max(0, entry.unreadTokens + tokensBy);
     };
-    let unread = tokens;
-    const read = (): void => {
+    let unread = reads;
+    const forget = (): void => {
       change(0, -unread);
       unread = 0;
     };
-    change(1, tokens);
+    change(1, reads);
     return {
-      read,
+      read: () => {
+        readRate(service).observe({ tokens: unreadTokens + reads, took: clock.now() - startedAt });
+        forget();
+      },
       end: (result) => {
-        read();
+        forget();
         change(-1, 0);
         const now = clock.now();
         if (result === RunResult.Answered) noteTime(service, now - startedAt);
@@ -173,7 +187,7 @@
     candidates,
     begin,
     speed: ({ name, engine }): ServiceSpeed => ({
-      readRate: engine === undefined ? undefined : FIRST_READ_RATE,
+      readRate: engine === undefined ? undefined : readRate(name).value,
       runTime:
         runTimes.get(name) ?? (engine === undefined ? FIRST_RUN_TIME.plain : FIRST_RUN_TIME.engine),
     }),
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -201,6 +201,7 @@
     peers: settings.listen.peers,
     ready: isReady(),
     reachesStore: reachesStore(),
+    holdsLease: lease.held().length > 0,
     time: Math.round(trueNow()),
     versions: Object.fromEntries([...feeds].map(([kind, feed]) => [kind, feed.changedAt])),
     admitted: Object.fromEntries(quota.tell(clock.now())),
@@ -280,6 +281,7 @@
     longestOrder: ORDER_CALL_TIME,
     term: settings.leaseTerm,
     lookPeriod: LEASE_LOOK,
+    isHeldElsewhere: () => exchange.live().some(({ digest: { holdsLease } }) => holdsLease),
     count: (name) => log.changed(name, {}),
   });
   const demands = new Map<string, WorkerDemand>();
--- a/src/request/routed_arrival.ts
+++ b/src/request/routed_arrival.ts
@@ -14,6 +14,8 @@
   readonly arrivedAt: number;
   /** When its final answer is due: the caller's deadline or the route's timeout, whichever is first. */
   readonly deadlineAt: number;
+  /** Whether the caller has less time than its route gives it: it has been refused or failed before. */
+  readonly isReturn: boolean;
   /** Prompt and answer tokens together; undefined where the caller said nothing. */
   readonly statedTokens: number | undefined;
   readonly promptParts: readonly PromptPart[];
@@ -51,6 +53,7 @@
     route,
     account,
     arrivedAt: now,
+    isReturn: deadline < route.timeout - RETURN_MARGIN,
     deadlineAt: now + Math.min(deadline, route.timeout),
     statedTokens: parseTokens(header(names.tokens)),
     promptParts: parsePromptParts(header(names.promptParts)),
@@ -79,6 +82,8 @@
   return match === null ? undefined : Number(match[1]) + Number(match[2]);
 }
 
+/** Milliseconds by which a first attempt's deadline may be under its route's timeout. */
+const RETURN_MARGIN = 50;
 const PART = /^\s*([0-9a-fA-F]{1,64}):(\d{1,9})\s*$/;
 /** Parts that are looked at; a longer list is taken for a caller's mistake and placed by load alone. */
 const GREATEST_PARTS = 64;
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -40,7 +40,12 @@
 export interface WorkerBoard {
   /** Workers of the service that take new requests now. */
   candidates(service: RoutedService): BoardWorker[];
-  begin(worker: BoardWorker, tokens: number): BoardRun;
+  /**
+   * Notes a run.
+   *
+   * @param reads Prompt tokens that the worker has to read for it.
+   */
+  begin(worker: BoardWorker, reads: number): BoardRun;
   speed(service: RoutedService): ServiceSpeed;
   /** Called when a worker is about to leave: what runs there had better go on elsewhere. */
   onLeaving(worker: string, listener: () => void): { close(): void };
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage } from "node:http";
 import { createEventSplitter } from "../connection/index.ts";
 import type { AnswerHead, Exchange, ExchangeEnd } from "../connection/index.ts";
-import { rankWorkers } from "../decision/index.ts";
+import { isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
+import type { Ranking } from "../decision/index.ts";
 import type { Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
@@ -155,23 +156,26 @@
       giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
       return;
     }
-    if ((ranked[0]?.wait ?? 0) > left) {
-      giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
-      return;
-    }
-    for (const { worker, cost } of ranked) {
-      if (!send(worker, cost)) continue;
+    const offer = {
+      wait: ranked[0]?.wait ?? 0,
+      target: route.target,
+      left,
+      rank: arrival.rank,
+      isReturn: arrival.isReturn || tried.size > 0,
+    };
+    if (!isWorthOffering(offer)) {
+      giveUp(RoutedRefusal.Overloaded, returnAfter(offer));
       return;
     }
+    for (const choice of ranked) if (send(choice)) return;
     giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
   };
-  const send = (worker: BoardWorker, cost: number): boolean => {
+  const send = ({ worker, cost, reads }: Ranking<BoardWorker>): boolean => {
     const now = clock.now();
     splitter.resume();
-    const tokens = arrival.promptParts.reduce((sum, part) => sum + part.tokens, 0);
     const attempt: Attempt = {
       worker,
-      run: board.begin(worker, tokens),
+      run: board.begin(worker, reads),
       startedAt: now,
       exchange: undefined,
       head: undefined,
