--- a/.ci/smoke.mjs
+++ b/.ci/smoke.mjs
@@ -16,6 +16,7 @@
   "preset use",
   "replay",
   "request",
+  "routed",
   "serve",
   "services",
   "standin",
--- a/src/architecture_test.ts
+++ b/src/architecture_test.ts
@@ -36,7 +36,8 @@
 test("nothing of the product imports the adapter or knows a name of its platform", () => {
   // The request's id has its usual name everywhere, the product's own interface included.
   const own = new Set([HEADER_NAMES.requestId]);
-  const headers = [...Object.values(HEADER_NAMES), ...HEADER_NAMES.reserved]
+  const headers = (Object.values(HEADER_NAMES) as readonly unknown[])
+    .concat(HEADER_NAMES.reserved)
     .filter((name) => typeof name === "string")
     .filter((name) => /^(?:x|kv)-/.test(name) && !own.has(name));
   const words = [...PLATFORM_WORDS, ...headers].map((word) => word.toLowerCase());
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,6 +10,7 @@
 import { PresetUse } from "./preset_use.ts";
 import { Replay } from "./replay.ts";
 import { Request } from "./request.ts";
+import { Routed } from "./routed.ts";
 import { Serve } from "./serve.ts";
 import { Services } from "./services.ts";
 import { Standin } from "./standin.ts";
@@ -28,6 +29,7 @@
   "preset:use": PresetUse,
   replay: Replay,
   request: Request,
+  routed: Routed,
   serve: Serve,
   services: Services,
   standin: Standin,
--- /dev/null
+++ b/src/cli/routed.ts
@@ -0,0 +1,76 @@
+import { Command, Flags } from "@oclif/core";
+import { request } from "undici";
+import { routedStatusSchema } from "../process/routed_status.ts";
+import type { RoutedStatus } from "../process/routed_status.ts";
+import { textTable } from "./text_table.ts";
+
+/** How long the instance may take to answer, in milliseconds. */
+const TIMEOUT = 5_000;
+const PERCENT = 100;
+
+/** `samphireshore routed`: what an entry instance that serves routed requests believes. */
+export class Routed extends Command {
+  static override description =
+    "Show what an entry instance that serves routed requests believes: the instances, routes and workers, and what runs where. Exits with 2 where it doesn't answer.";
+  static override examples = ["samphireshore routed --metrics 10.1.0.14:7600"];
+  static override enableJsonFlag = true;
+  static override flags = {
+    metrics: Flags.string({ description: "IP:PORT of its metrics listener.", required: true }),
+  };
+
+  override async run(): Promise<RoutedStatus> {
+    const { flags } = await this.parse(Routed);
+    const found = await this.fetch(flags.metrics);
+    this.show(found);
+    return found;
+  }
+
+  private async fetch(address: string): Promise<RoutedStatus> {
+    try {
+      const answer = await request(`http://${address}/status`, {
+        signal: AbortSignal.timeout(TIMEOUT),
+      });
+      return routedStatusSchema.parse(await answer.body.json());
+    } catch (cause) {
+      return this.error(`Asking ${address} for its status: ${String(cause)}.`, { exit: 2 });
+    }
+  }
+
+  private show(found: RoutedStatus): void {
+    const { instance, zone, routing, inProgress } = found;
+    const state = found.stopping ? "stopping" : found.ready ? "ready" : "not ready";
+    const store = found.reachesStore ? "reached" : "not reached";
+    this.log(
+      `${instance} in ${zone}: ${state}, configuration ${routing ?? "unknown"}, ${inProgress} in progress, store ${store}${found.holdsLease ? ", holds the lease" : ""}`,
+    );
+    const instances = found.instances.map((one) => [
+      one.name,
+      one.zone,
+      one.callers,
+      one.ready ? "ready" : "not ready",
+      one.reachesStore ? "" : "store not reached",
+      one.holdsLease ? "lease" : "",
+      `${one.age} ms`,
+    ]);
+    this.log(textTable([["INSTANCE", "ZONE", "CALLERS", "STATE", "", "", "HEARD"], ...instances]));
+    const routes = found.routes.map((route) => [
+      route.name,
+      route.host + route.pathPrefix,
+      route.services.join(", "),
+      `${route.timeout} ms`,
+      String(route.attempts),
+    ]);
+    this.log(textTable([["ROUTE", "PREFIX", "SERVICES", "TIMEOUT", "ATTEMPTS"], ...routes]));
+    const workers = found.workers.map((worker) => [
+      worker.id,
+      worker.service,
+      worker.zone,
+      worker.purchase,
+      worker.leaving ? "leaving" : "",
+      String(worker.running),
+      `${Math.round(worker.failing * PERCENT)} %`,
+    ]);
+    const heads = ["WORKER", "SERVICE", "ZONE", "PURCHASE", "", "RUNNING", "FAILING"];
+    this.log(textTable([heads, ...workers]));
+  }
+}
--- /dev/null
+++ b/src/process/feed_follower_test.ts
@@ -0,0 +1,125 @@
+import { expect, test } from "vitest";
+import { createSeededRandom } from "../interface/index.ts";
+import type { FeedObject, ObjectFeed, WatchOutcome } from "../interface/index.ts";
+import { createVirtualClock } from "../standin/memory/virtual_clock.ts";
+import { createFeedFollower } from "./feed_follower.ts";
+import type { FeedFollower } from "./feed_follower.ts";
+
+/** A feed whose watches the test answers. */
+interface Store extends ObjectFeed {
+  objects: FeedObject[];
+  version: number;
+  lists: number;
+  /** Answers the watch that waits. */
+  answer(outcome: WatchOutcome): void;
+  /** Loses the call that waits. */
+  lose(): void;
+}
+
+function createStore(): Store {
+  let waiting: { resolve: (outcome: WatchOutcome) => void; reject: (error: Error) => void };
+  const store: Store = {
+    objects: [],
+    version: 1,
+    lists: 0,
+    listKind: () => {
+      store.lists++;
+      return Promise.resolve({ objects: store.objects, version: store.version });
+    },
+    watchKind: () => new Promise((resolve, reject) => (waiting = { resolve, reject })),
+    answer: (outcome) => waiting.resolve(outcome),
+    lose: () => waiting.reject(new Error("no answer")),
+  };
+  return store;
+}
+
+function object(name: string, version: number): FeedObject {
+  return { name, version, value: version };
+}
+
+interface Following {
+  readonly clock: ReturnType<typeof createVirtualClock>;
+  readonly store: Store;
+  readonly follower: FeedFollower;
+  readonly reached: boolean[];
+  readonly names: () => string[];
+}
+
+async function follow(objects: FeedObject[]): Promise<Following> {
+  const clock = createVirtualClock();
+  const store = createStore();
+  store.objects = objects;
+  store.version = 10;
+  const reached: boolean[] = [];
+  const follower = createFeedFollower({
+    kind: "k",
+    clock,
+    random: createSeededRandom(1),
+    feed: store,
+    onChange: () => undefined,
+    onReach: (now) => reached.push(now),
+  });
+  follower.start();
+  await clock.advance(1);
+  const names = (): string[] => [...follower.objects.keys()];
+  return { clock, store, follower, reached, names };
+}
+
+test("changes are followed from the list on", async () => {
+  const { clock, store, names, follower } = await follow([object("a", 3)]);
+  store.answer({
+    kind: "changed",
+    version: 12,
+    changes: [
+      { object: object("b", 11), removed: false },
+      { object: object("a", 3), removed: true },
+    ],
+  });
+  await clock.advance(1);
+  expect(names()).toEqual(["b"]);
+  expect(follower.changedAt).toBe(12);
+});
+
+// The store forgets its history. What was removed meanwhile is in no change any more, only missing in a list.
+test("after a lost history the list is had again", async () => {
+  const { clock, store, names } = await follow([object("a", 3), object("b", 4)]);
+  store.objects = [object("b", 4)];
+  store.version = 20;
+  store.answer({ kind: "history-lost" });
+  await clock.advance(1);
+  expect(store.lists).toBe(2);
+  expect(names()).toEqual(["b"]);
+});
+
+// The store answers one instance late: a watch that waited tells of changes from before what a peer has sent.
+test("what a peer sent is kept against an older answer of the store", async () => {
+  const { clock, store, names, follower } = await follow([object("a", 3)]);
+  follower.adopt({ objects: [object("a", 15), object("c", 16)], version: 17 });
+  store.answer({
+    kind: "changed",
+    version: 14,
+    changes: [{ object: object("a", 13), removed: true }],
+  });
+  await clock.advance(1);
+  expect(names()).toEqual(["a", "c"]);
+  expect(follower.version).toBe(17);
+});
+
+test("an older list changes nothing", async () => {
+  const { follower, names } = await follow([object("a", 3)]);
+  follower.adopt({ objects: [], version: 9 });
+  expect(names()).toEqual(["a"]);
+});
+
+// The store is away. What was known holds, and the loss and the return are told once each.
+test("a lost call changes nothing and is tried again after a pause", async () => {
+  const { clock, store, names, reached } = await follow([object("a", 3)]);
+  store.lose();
+  await clock.advance(1_000);
+  store.lose();
+  await clock.advance(2_000);
+  expect(names()).toEqual(["a"]);
+  store.answer({ kind: "changed", version: 11, changes: [] });
+  await clock.advance(1);
+  expect(reached).toEqual([true, false, true]);
+});
--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -4,6 +4,8 @@
 export * from "./entry_core.ts";
 export * from "./entry_instance.ts";
 export * from "./membership.ts";
+export * from "./routed_settings.ts";
+export * from "./routed_status.ts";
 export * from "./settings.ts";
 export * from "./system_clock.ts";
 export * from "./system_random.ts";
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -9,6 +9,7 @@
 import type { Clock, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/index.ts";
 import type { BoardRun, BoardWorker, WorkerBoard } from "../request/index.ts";
+import type { RoutedStatus } from "./routed_status.ts";
 import { hashText } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
 
@@ -34,6 +35,8 @@
   keepInstances(names: ReadonlySet<string>): void;
   /** What this instance has at the workers. */
   use(): ReadonlyMap<string, WorkerUse>;
+  /** Every worker with what runs there. */
+  overview(): RoutedStatus["workers"];
   /** Workers that are known to leave, each with its start: a restarted one may have the same id. */
   leaving(): readonly string[];
   close(): void;
@@ -230,6 +233,12 @@
           { running, unreadTokens, tally: health.tally(id, clock.now()) },
         ]),
       ),
+    overview: () =>
+      [...entries.values()].map((entry) => {
+        const { running, failing } = ranked(entry);
+        const { id, service, zone: place, purchase } = entry.worker;
+        return { id, service, zone: place, purchase, leaving: entry.isLeaving, running, failing };
+      }),
     leaving: () => [...entries.values()].filter(({ isLeaving }) => isLeaving).map(startOf),
     close: () => {
       for (const { leaveTimer } of entries.values()) leaveTimer?.close();
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -37,6 +37,7 @@
 import type { RoutedLog } from "./routed_log.ts";
 import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
+import type { RoutedStatus } from "./routed_status.ts";
 import { createStorePace } from "./store_pace.ts";
 import { createUsageTask } from "./usage_task.ts";
 import { createWorkerRoster } from "./worker_roster.ts";
@@ -77,6 +78,8 @@
   /** Objects of a kind as this instance has them; undefined for kinds that it doesn't follow. */
   objects(kind: string): { version: number; objects: FeedObject[] } | undefined;
   routing(): Routing | undefined;
+  /** What the instance believes, for operators. */
+  status(): RoutedStatus;
   start(): Promise<void>;
   /** Ends in a planned way: no request in progress is cut. Resolves when the process may exit. */
   stop(): Promise<void>;
@@ -385,6 +388,34 @@
         : { version: feed.version, objects: [...feed.objects.values()] };
     },
     routing: () => table?.routing,
+    status: () => ({
+      instance: settings.name,
+      zone: settings.zone,
+      ready: isReady(),
+      stopping: isStopping(),
+      inProgress: requests.inProgress,
+      routing: table?.routing.version,
+      reachesStore: reachesStore(),
+      holdsLease: lease.held().length > 0,
+      instances: exchange.live().map(({ digest: one, heardAt }) => ({
+        name: one.name,
+        zone: one.zone,
+        callers: one.callers,
+        ready: one.ready,
+        reachesStore: one.reachesStore,
+        holdsLease: one.holdsLease,
+        age: Math.round(clock.now() - heardAt),
+      })),
+      routes: (table?.routing.routes ?? []).map((route) => ({
+        name: route.name,
+        host: route.host,
+        pathPrefix: route.pathPrefix,
+        services: route.shares.map(({ service, weight }) => `${service} ${weight}`),
+        timeout: route.timeout,
+        attempts: route.attempts,
+      })),
+      workers: board.overview(),
+    }),
     start: async () => {
       log.changed("starting", { incarnation, zone: settings.zone });
       exchange.introduce(settings.seeds);
