Size the first reclaimable workers by what is there, and draw among equal workers

Change: before any load the workers that are there tell what is usual; a cost of up to 2 ms is drawn for each worker.

--- a/build.mjs
+++ b/build.mjs
@@ -38,9 +38,11 @@
 async function buildPlatform() {
   await build({
     ...BUNDLE,
-    banner: {},
     entryPoints: ["platform/main.ts"],
     outfile: "target/main.cjs",
+    banner: { js: "(function (exports, require, module, __filename, __dirname) {" },
+    footer: { js: "})" },
+    charset: "ascii",
   });
   copyFileSync("platform/load.cjs", "target/entry.cjs");
   const loaded = require(resolve("target/entry.cjs"));
--- a/src/decision/worker_demand.ts
+++ b/src/decision/worker_demand.ts
@@ -19,9 +19,9 @@
   /**
    * Takes in the runs at each worker.
    *
-   * @returns Undefined until there was any load.
+   * @param first Workers that are reckoned to be busy when the first load comes.
    */
-  observe(running: readonly number[], now: number): DemandLevel | undefined;
+  observe(running: readonly number[], options: { now: number; first: number }): DemandLevel;
 }
 
 /** Workers that a load keeps busy. */
@@ -29,6 +29,8 @@
   readonly now: number;
   /** The same with falls counted slowly. */
   readonly lately: number;
+  /** Whether there was any load yet. */
+  readonly hasBegun: boolean;
 }
 
 /** Runs at which an engine still makes first tokens in a fraction of the usual targets. */
@@ -38,21 +40,17 @@
 const BEYOND_PART = 0.2;
 const HALF_LIFE = 10_000;
 
-/**
- * Makes a demand that has seen nothing.
- *
- * @param first Workers that are reckoned to be busy when the first load comes.
- */
-export function createWorkerDemand(first: number): WorkerDemand {
+/** Makes a demand that has seen nothing. */
+export function createWorkerDemand(): WorkerDemand {
   let level: { readonly workers: number; readonly at: number } | undefined;
   return {
-    observe: (running, now) => {
+    observe: (running, { now, first }) => {
       const workers = running.reduce((sum, runs) => sum + counted(runs), 0) / RUNS_A_WORKER;
-      if (level === undefined && workers === 0) return undefined;
+      if (level === undefined && workers === 0) return { now: 0, lately: first, hasBegun: false };
       const before = level?.workers ?? first;
       const kept = 2 ** (-(now - (level?.at ?? now)) / HALF_LIFE);
       level = { workers: Math.max(workers, workers + (before - workers) * kept), at: now };
-      return { now: Math.ceil(workers), lately: Math.ceil(level.workers) };
+      return { now: Math.ceil(workers), lately: Math.ceil(level.workers), hasBegun: true };
     },
   };
 }
--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -34,8 +34,8 @@
   readonly scaling: ServiceScaling;
   /** Workers that take requests, by zone. */
   readonly stock: readonly ZoneStock[];
-  /** Workers that the load keeps busy, if it is spread well; undefined until any load was seen. */
-  readonly inUse: DemandLevel | undefined;
+  /** Workers that the load keeps busy, if it is spread well. */
+  readonly inUse: DemandLevel;
   /** Workers on demand that were wanted within the last seconds, at most: until the market is back they stay. */
   readonly held: number;
 }
@@ -57,26 +57,35 @@
 
 /** Zones whose reclaimable workers may all be gone at once: one is taken, and a second before the first is back. */
 const ZONES_LOST = 2;
-/** Workers a zone before any load was seen: what a usual load needs, with two zones gone. */
-const FIRST_A_ZONE = 4;
+/** Before any load was seen, what is there on demand tells what is usual: so many reclaimable ones replace one. */
+const FIRST_PART = 1.2;
 /** Least reclaimable workers a zone: with one alone, a crash leaves the zone's sessions without a home. */
 const LEAST_A_ZONE = 2;
 /** What is bought on demand goes beyond what is in use by this part, since what is in use is seen late. */
 const ON_DEMAND_ROOM = 1.25;
 
-/** Workers that a service's first load is reckoned to keep busy. */
-export function firstInUse({ zonePrices }: ServiceScaling): number {
-  return FIRST_A_ZONE * Math.max(1, zonePrices.size - ZONES_LOST);
+/**
+ * Workers that a service's first load is reckoned to keep busy, by what is there before it.
+ *
+ * @param there Workers that are there, by purchase.
+ */
+export function firstInUse(
+  { zonePrices }: ServiceScaling,
+  there: { reclaimable: number; onDemand: number },
+): number {
+  const wanted = there.reclaimable + there.onDemand * FIRST_PART;
+  const aZone = Math.ceil(wanted / Math.max(1, zonePrices.size));
+  return aZone * Math.max(1, zonePrices.size - ZONES_LOST);
 }
 
 /** Plans the orders of a service: one for each zone and purchase. */
 export function planMix({ scaling, stock, inUse, held }: MixView): MixPlan {
-  const target = reclaimableTarget(scaling, { zones: stock.length, inUse: inUse?.lately });
+  const target = reclaimableTarget(scaling, { zones: stock.length, inUse: inUse.lately });
   // Where the market gives none, what is there is all that can be counted on; elsewhere the rest is coming.
   const reachable = stock.map(({ reclaimable, isDry }) =>
     isDry ? Math.min(reclaimable, target) : target,
   );
-  const missing = Math.max(0, Math.ceil((inUse?.now ?? 0) * ON_DEMAND_ROOM) - sum(reachable));
+  const missing = Math.max(0, Math.ceil(inUse.now * ON_DEMAND_ROOM) - sum(reachable));
   const isBack = stock.every(({ reclaimable, isDry }) => !isDry && reclaimable >= target);
   const wanted = isBack ? 0 : Math.max(missing, held);
   // One place is always left to ask the dry market for: only an order shows that it has workers again.
@@ -133,9 +142,8 @@
 /** Reclaimable workers a zone. */
 function reclaimableTarget(
   { least, most }: ServiceScaling,
-  { zones, inUse }: { zones: number; inUse: number | undefined },
+  { zones, inUse }: { zones: number; inUse: number },
 ): number {
-  if (inUse === undefined) return Math.min(most, Math.max(least, FIRST_A_ZONE));
   const left = Math.max(1, zones - ZONES_LOST);
   return Math.min(most, Math.max(least, LEAST_A_ZONE, Math.ceil(inUse / left)));
 }
--- a/src/decision/worker_ranking.ts
+++ b/src/decision/worker_ranking.ts
@@ -23,6 +23,7 @@
  *
  * @module
  */
+import type { Random } from "../interface/index.ts";
 import { hashText, mixHashes } from "../version/index.ts";
 
 /** One part of a prompt, in order; requests that begin with the same parts share them. */
@@ -73,6 +74,9 @@
 /** The chance that a session's first and second home have its shared parts. */
 const HOME_CHANCES = [1, 0.5] as const;
 
+/** Equals are drawn from: otherwise all instances would take the first in the list. */
+const JITTER = 2;
+
 /** Workers with what each would cost the request in milliseconds, the cheapest first. */
 export interface Ranking<W extends RankedWorker> {
   readonly worker: W;
@@ -86,8 +90,9 @@
 /** Ranks the workers of a service for one request. */
 export function rankWorkers<W extends RankedWorker>(
   workers: readonly W[],
-  { request, speed }: { request: RankedRequest; speed: ServiceSpeed },
+  options: { request: RankedRequest; speed: ServiceSpeed; random: Random },
 ): Ranking<W>[] {
+  const { request, speed, random } = options;
   const homes = homesOf(workers, request);
   const all = sum(request.parts);
   const shared = all - (request.parts.at(-1)?.tokens ?? 0);
@@ -100,6 +105,7 @@
         worker.running * BESIDE +
         worker.failing * FAILED_TRY +
         worker.coldFor * COLD_PART +
+        random.next() * JITTER +
         (worker.sameZone ? 0 : ZONE_DISTANCE);
       return { worker, cost, wait, reads };
     })
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -1,4 +1,4 @@
-import { planMix } from "../decision/index.ts";
+import { firstInUse, planMix } from "../decision/index.ts";
 import type { DemandLevel, MixOrder } from "../decision/index.ts";
 import { Purchase, sleep } from "../interface/index.ts";
 import type { CallOutcome, Clock, Platform, RoutedWorker } from "../interface/index.ts";
@@ -10,8 +10,12 @@
   readonly platform: Platform;
   readonly services: () => readonly RoutedService[];
   readonly workers: () => readonly RoutedWorker[];
-  /** Workers that a service's load keeps busy; undefined until there was any load. */
-  readonly inUse: (service: RoutedService) => DemandLevel | undefined;
+  /**
+   * Workers that a service's load keeps busy.
+   *
+   * @param first What is reckoned with until there was any load.
+   */
+  readonly inUse: (service: RoutedService, first: number) => DemandLevel;
   /** The fence for a call that may take so many milliseconds; undefined where this instance may not make it. */
   readonly fence: (callTime: number) => number | undefined;
   readonly holder: string;
@@ -51,6 +55,8 @@
   const dryUntil = new Map<string, number>();
   /** By service, the workers on demand that were wanted lately. */
   const wished = new Map<string, { onDemand: number; at: number }[]>();
+  /** By service, what was there when this instance planned for it first. */
+  const firstOf = new Map<string, number>();
   let holderSince: number | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
@@ -105,12 +111,19 @@
     }));
     const wishes = (wished.get(name) ?? []).filter(({ at }) => now - at < HOLD_TIME);
     const held = Math.max(0, ...wishes.map(({ onDemand }) => onDemand));
-    const inUse = parts.inUse(service);
+    const counts = (purchase: Purchase): number =>
+      [...scaling.zonePrices.keys()].reduce((sum, zone) => sum + there(zone, purchase), 0);
+    const first = firstInUse(scaling, {
+      reclaimable: counts(Purchase.Reclaimable),
+      onDemand: counts(Purchase.OnDemand),
+    });
+    const inUse = parts.inUse(service, firstOf.get(name) ?? first);
+    if (!firstOf.has(name)) firstOf.set(name, first);
     const since = (holderSince ??= now);
     const { orders, onDemand } = planMix({ scaling, stock, inUse, held });
     wished.set(name, [...wishes, { onDemand, at: now }]);
     // What the holder before ordered and isn't there yet can't be seen: until it would be, nothing is given back.
-    const isNew = inUse !== undefined && now - since < scaling.startUp + TAKEOVER_MARGIN;
+    const isNew = inUse.hasBegun && now - since < scaling.startUp + TAKEOVER_MARGIN;
     for (const wanted of orders) {
       const isLess = wanted.count <= there(wanted.zone, wanted.purchase);
       if (isNew && isLess && wanted.purchase === Purchase.OnDemand) continue;
@@ -121,6 +134,7 @@
     while (!isClosed()) {
       if (parts.fence(ORDER_CALL_TIME) === undefined) {
         sent.clear();
+        firstOf.clear();
         holderSince = undefined;
       } else for (const service of parts.services()) await plan(service);
       await sleep(clock, PLAN_PERIOD);
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -8,7 +8,6 @@
   createUsageLedger,
   createWorkerDemand,
   createWorkerHealth,
-  firstInUse,
 } from "../decision/index.ts";
 import type { DemandLevel, WorkerDemand } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
@@ -288,11 +287,10 @@
     count: (name) => log.changed(name, {}),
   });
   const demands = new Map<string, WorkerDemand>();
-  const workersInUse = ({ name, scaling }: RoutedService): DemandLevel | undefined => {
-    if (scaling === undefined) return undefined;
-    const demand = demands.get(name) ?? createWorkerDemand(firstInUse(scaling));
+  const workersInUse = ({ name }: RoutedService, first: number): DemandLevel => {
+    const demand = demands.get(name) ?? createWorkerDemand();
     demands.set(name, demand);
-    return demand.observe(board.running(name), clock.now());
+    return demand.observe(board.running(name), { now: clock.now(), first });
   };
   const usage = createUsageTask({
     clock,
@@ -311,7 +309,7 @@
     platform: outside.platform,
     services: () => table?.routing.services ?? [],
     workers: () => board.workers(),
-    inUse: (service) => workersInUse(service),
+    inUse: (service, first) => workersInUse(service, first),
     fence: (callTime) => lease.fence(DUTY, callTime),
     holder: settings.name,
     log: (step, fields) => log.changed(step, fields),
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -151,6 +151,7 @@
     const ranked = rankWorkers(candidates, {
       request: { parts: arrival.promptParts },
       speed: board.speed(service),
+      random: context.random,
     });
     if (ranked.length === 0) {
       giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
