Take the circles of imports apart, and fail on a new one

Cause: three circles stood from before (fleet's four files; scheduler, held work and ledger; the replay's report and outcomes), and the routed request reached into the connections, against the layers of CONTRIBUTING.md.

--- a/src/architecture_test.ts
+++ b/src/architecture_test.ts
@@ -1,5 +1,5 @@
 import { readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
+import { dirname, join } from "node:path";
 import { expect, test } from "vitest";
 import { HEADER_NAMES } from "../platform/names.ts";
 
@@ -48,3 +48,30 @@
       expect(text.toLowerCase().includes(word), `${file}: ${word}`).toBe(false);
   }
 });
+
+// Two modules that import each other can be read, tested and moved only together.
+test("no modules import each other in a circle", () => {
+  const imports = new Map<string, string[]>();
+  for (const file of [...sources("src"), ...sources("platform")]) {
+    const text = readFileSync(file, "utf8");
+    const found = [...text.matchAll(/from "(\.[^"]+\.ts)"/g)].map((match) => match[1] ?? "");
+    imports.set(
+      file,
+      found.map((path) => join(dirname(file), path)),
+    );
+  }
+  const circles: string[] = [];
+  const state = new Map<string, "open" | "done">();
+  const visit = (file: string, path: readonly string[]): void => {
+    if (state.get(file) === "done") return;
+    if (state.get(file) === "open") {
+      circles.push([...path.slice(path.indexOf(file)), file].join(" > "));
+      return;
+    }
+    state.set(file, "open");
+    for (const next of imports.get(file) ?? []) visit(next, [...path, file]);
+    state.set(file, "done");
+  };
+  for (const file of imports.keys()) visit(file, []);
+  expect(circles).toEqual([]);
+});
--- a/src/connection/answer_parser.ts
+++ b/src/connection/answer_parser.ts
@@ -6,15 +6,7 @@
  *
  * @module
  */
-
-/** The status line and the header lines of an answer. */
-export interface AnswerHead {
-  readonly status: number;
-  /** Names as they came and values, by turns. */
-  readonly headers: readonly string[];
-  /** Values by lower-case name; of a repeated header the last. */
-  readonly byName: ReadonlyMap<string, string>;
-}
+import type { AnswerHead } from "../interface/index.ts";
 
 /** What the parser tells of an answer. */
 export interface AnswerSink {
--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -16,6 +16,5 @@
 export * from "./peer_listener.ts";
 export * from "./route_parameter.ts";
 export * from "./answer_parser.ts";
-export * from "./event_splitter.ts";
 export * from "./worker_connection.ts";
 export * from "./worker_connections.ts";
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -1,47 +1,15 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
-import type { Clock } from "../interface/index.ts";
+import type {
+  AnswerHead,
+  Clock,
+  Exchange,
+  ExchangeSink,
+  WorkerRequest,
+} from "../interface/index.ts";
 import { createAnswerParser } from "./answer_parser.ts";
-import type { AnswerHead } from "./answer_parser.ts";
 import { splitAddress } from "./http_listener.ts";
 
-/** A request as it is written to a worker. */
-export interface WorkerRequest {
-  readonly method: string;
-  /** Path and query, as the caller sent them. */
-  readonly target: string;
-  /** Names and values by turns, without the framing of the body. */
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  /** What the answer must echo; undefined where the caller named none. */
-  readonly id: string | undefined;
-}
-
-/** How an exchange on a connection ended. */
-export type ExchangeEnd =
-  /** The answer is whole. */
-  | { readonly kind: "complete" }
-  /** No byte was taken: the request has certainly not run. */
-  | { readonly kind: "not-sent"; readonly detail: string }
-  /** The request may have run; the answer, if any came, isn't whole. */
-  | { readonly kind: "broken"; readonly detail: string };
-
-/** Who is told of an exchange. Nothing follows `end`. */
-export interface ExchangeSink {
-  head(head: AnswerHead): void;
-  data(chunk: Buffer): void;
-  end(end: ExchangeEnd): void;
-}
-
-/** A request under way at a worker. */
-export interface Exchange {
-  /** Stops reading while the caller is slow to take the answer. */
-  pause(): void;
-  resume(): void;
-  /** Gives the exchange up and closes its connection; the sink is told nothing more. */
-  abort(): void;
-}
-
 /** How answers are matched with requests. */
 export interface AnswerMatching {
   /** Lower-case name of the header that echoes the request's id. */
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -4,7 +4,8 @@
 import { afterEach, expect, test } from "vitest";
 import { systemClock } from "../process/system_clock.ts";
 import { openWorkerConnection } from "./worker_connection.ts";
-import type { ExchangeEnd, WorkerConnection } from "./worker_connection.ts";
+import type { WorkerConnection } from "./worker_connection.ts";
+import type { ExchangeEnd } from "../interface/index.ts";
 
 const closers: (() => unknown)[] = [];
 afterEach(async () => {
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -1,49 +1,6 @@
-import type { Clock } from "../interface/index.ts";
+import type { Clock, WorkerConnections, WorkerPlace } from "../interface/index.ts";
 import { openWorkerConnection } from "./worker_connection.ts";
-import type {
-  AnswerMatching,
-  Exchange,
-  ExchangeSink,
-  WorkerConnection,
-  WorkerRequest,
-} from "./worker_connection.ts";
-
-/** Where a request is sent. */
-export interface WorkerPlace {
-  readonly id: string;
-  /** `IP:PORT`. */
-  readonly address: string;
-}
-
-/** Options of {@linkcode WorkerConnections.exchange}. */
-export interface ExchangeOptions {
-  readonly sink: ExchangeSink;
-  /** Whether the request may run again; one that may not gets a connection that is surely open. */
-  readonly repeatable: boolean;
-  /** Connections to the worker that this instance may have open. */
-  readonly most: number;
-}
-
-/** This instance's connections to all workers. */
-export interface WorkerConnections {
-  /**
-   * Sends a request.
-   *
-   * @returns Undefined where all connections that may be open are in use.
-   */
-  exchange(
-    place: WorkerPlace,
-    request: WorkerRequest,
-    options: ExchangeOptions,
-  ): Exchange | undefined;
-  /** Closes idle connections of workers that aren't in use any more; those in use go on to their end. */
-  keepOnly(ids: ReadonlySet<string>): void;
-  /** When bytes last came from the worker, in the clock's milliseconds. */
-  heardAt(id: string): number | undefined;
-  /** Connections opened so far. */
-  readonly opened: number;
-  close(): void;
-}
+import type { AnswerMatching, WorkerConnection } from "./worker_connection.ts";
 
 /** The part of the announced idle time for which a connection is reused: the rest is the way and its delay. */
 const IDLE_PART = 0.6;
--- a/src/decision/fleet_need.ts
+++ b/src/decision/fleet_need.ts
@@ -19,7 +19,7 @@
  *
  * @module
  */
-import type { ServiceDemand } from "./fleet.ts";
+import type { Level, ServiceDemand } from "./fleet_view.ts";
 
 /** What a service needs, in tokens of work a second. */
 export interface Need {
@@ -29,15 +29,6 @@
   readonly afterLoss: number;
 }
 
-/** A service's demand, smoothed, in tokens of work a second. */
-export interface Level {
-  readonly mean: number;
-  /** How far minutes usually are from the mean. */
-  readonly deviation: number;
-  /** When it was last brought up to date. */
-  readonly at: number;
-}
-
 const USE = 0.85;
 const LOSS_PART = 0.9;
 const HALF_LIFE = 120_000;
--- a/src/decision/fleet_pools.ts
+++ b/src/decision/fleet_pools.ts
@@ -20,7 +20,7 @@
  * @module
  */
 import { Purchase, WorkerState } from "../interface/index.ts";
-import type { FleetView, Pool, ServiceDemand } from "./fleet.ts";
+import type { FleetView, Pool, ServiceDemand } from "./fleet_view.ts";
 import type { Need } from "./fleet_need.ts";
 
 /** One worker as the plan counts it. */
--- a/src/decision/fleet_surplus.ts
+++ b/src/decision/fleet_surplus.ts
@@ -15,7 +15,7 @@
  * @module
  */
 import { Purchase } from "../interface/index.ts";
-import type { ServiceDemand } from "./fleet.ts";
+import type { ServiceDemand } from "./fleet_view.ts";
 import type { Need } from "./fleet_need.ts";
 import { isShort } from "./fleet_pools.ts";
 import type { Capacity, Unit } from "./fleet_pools.ts";
--- a/src/decision/fleet_test.ts
+++ b/src/decision/fleet_test.ts
@@ -2,7 +2,7 @@
 import { Purchase, WorkerState } from "../interface/index.ts";
 import type { Worker } from "../interface/index.ts";
 import { planFleet } from "./fleet.ts";
-import type { FleetPlan, FleetView, Pool, ServiceDemand } from "./fleet.ts";
+import type { FleetPlan, FleetView, Pool, ServiceDemand } from "./fleet_view.ts";
 
 const ZONES = ["a", "b", "c", "d"];
 const SPEED = 225;
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -1,6 +1,7 @@
 export * from "./entry_overload.ts";
 export * from "./fair_queue.ts";
 export * from "./fleet.ts";
+export * from "./fleet_view.ts";
 export * from "./job.ts";
 export { sample } from "./placement.ts";
 export * from "./loads.ts";
@@ -9,6 +10,7 @@
 export * from "./resolve.ts";
 export type { Retry } from "./retry_budget.ts";
 export * from "./scheduler.ts";
+export * from "./service_snapshot.ts";
 export * from "./triage.ts";
 export * from "./read_rate.ts";
 export * from "./repeat_allowance.ts";
--- a/src/decision/scheduler.ts
+++ b/src/decision/scheduler.ts
@@ -29,6 +29,7 @@
 import type { Run } from "./run_table.ts";
 import { createServiceLedger, reserveFor } from "./service_ledger.ts";
 import type { ServiceLedger } from "./service_ledger.ts";
+import type { ServiceSnapshot } from "./service_snapshot.ts";
 import { createHeldWork } from "./held_work.ts";
 import { chooseWorker } from "./worker_choice.ts";
 import type { Choice } from "./worker_choice.ts";
@@ -104,21 +105,6 @@
   readonly services: readonly ServiceSnapshot[];
 }
 
-/** One service in a {@linkcode SchedulerSnapshot}; feeds the fleet decision too. */
-export interface ServiceSnapshot {
-  readonly service: string;
-  /** Jobs and tokens of work admitted and not yet placed, here. */
-  readonly waitingJobs: number;
-  readonly waitingWork: number;
-  readonly runningJobs: number;
-  /** Tokens of work that arrived a second over the last minute, here: admitted or refused for load. */
-  readonly arriving: number;
-  /** The same over the minute before. */
-  readonly arrivedBefore: number;
-  /** Tokens of work a second that ended over the last minute, here. */
-  readonly draining: number;
-}
-
 /**
  * All decisions about requests under load, of one entry instance. The entry instance and the replay use
  * the same one. It has no clock, no randomness and no network of its own: every call passes `now`.
--- a/src/decision/service_ledger.ts
+++ b/src/decision/service_ledger.ts
@@ -10,7 +10,7 @@
 import type { QuantileSketch } from "./quantile.ts";
 import { createRateMeter } from "./rate_meter.ts";
 import type { RateMeter } from "./rate_meter.ts";
-import type { ServiceSnapshot } from "./scheduler.ts";
+import type { ServiceSnapshot } from "./service_snapshot.ts";
 
 /** What waits of one account, with the weight that it was counted with. */
 interface AccountWaiting {
--- a/src/interface/index.ts
+++ b/src/interface/index.ts
@@ -11,3 +11,4 @@
 export * from "./fleet_orders.ts";
 export * from "./object_feed.ts";
 export * from "./routed_worker.ts";
+export * from "./worker_exchange.ts";
--- a/src/request/caller_answer.ts
+++ b/src/request/caller_answer.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { AnswerHead } from "../connection/index.ts";
+import type { AnswerHead } from "../interface/index.ts";
 import { answerHeaders } from "./routed_headers.ts";
 
 /** Why a routed request was ended by the entry instance itself. */
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -1,11 +1,16 @@
-import type { WorkerConnections, WorkerPlace } from "../connection/index.ts";
 import type {
   RankedWorker,
   RepeatAllowance,
   ServiceSpeed,
   SharedQuota,
 } from "../decision/index.ts";
-import type { Clock, HeaderNames, Random } from "../interface/index.ts";
+import type {
+  Clock,
+  HeaderNames,
+  Random,
+  WorkerConnections,
+  WorkerPlace,
+} from "../interface/index.ts";
 import type { RoutedService, RouteTable } from "../version/index.ts";
 
 /** How a run at a worker ended, as far as it speaks for or against the worker. */
--- a/src/request/routed_headers.ts
+++ b/src/request/routed_headers.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import type { AnswerHead } from "../connection/index.ts";
-import type { HeaderNames } from "../interface/index.ts";
+import type { AnswerHead, HeaderNames } from "../interface/index.ts";
 
 /** Headers that concern one connection only. The body's framing is set anew for the next connection. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,9 +1,8 @@
 import type { IncomingMessage } from "node:http";
-import { createEventSplitter } from "../connection/event_splitter.ts";
-import type { AnswerHead, Exchange, ExchangeEnd } from "../connection/index.ts";
+import { createEventSplitter } from "./event_splitter.ts";
 import { isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
 import type { Ranking } from "../decision/index.ts";
-import type { Timer } from "../interface/index.ts";
+import type { AnswerHead, Exchange, ExchangeEnd, Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
 import { RoutedRefusal } from "./caller_answer.ts";
--- a/src/standin/replay/index.ts
+++ b/src/standin/replay/index.ts
@@ -4,6 +4,7 @@
 export * from "./policy.ts";
 export * from "./replay.ts";
 export * from "./report.ts";
+export * from "./report_shape.ts";
 export * from "./report_text.ts";
 export * from "./sample.ts";
 export * from "./trace.ts";
--- a/src/standin/replay/outcomes.ts
+++ b/src/standin/replay/outcomes.ts
@@ -1,15 +1,6 @@
-import type { Report } from "./report.ts";
+import type { Check, Report } from "./report_shape.ts";
 import type { Outcomes } from "./trace.ts";
 
-/** One stated outcome against what was found. */
-export interface Check {
-  readonly name: string;
-  readonly bound: "at most" | "at least";
-  readonly stated: number;
-  readonly found: number;
-  readonly holds: boolean;
-}
-
 /** Compares what a replay found with what its trace states. */
 export function checkOutcomes(
   stated: Outcomes,
--- a/src/standin/replay/ratios.ts
+++ b/src/standin/replay/ratios.ts
@@ -1,5 +1,5 @@
 import { PolicyName } from "./policy.ts";
-import type { Report } from "./report.ts";
+import type { Report } from "./report_shape.ts";
 
 /** How the policy in use compares with the others on one trace; a part is absent where nothing compares. */
 export interface Ratios {
--- a/src/standin/replay/replay.ts
+++ b/src/standin/replay/replay.ts
@@ -15,7 +15,7 @@
 import type { Sample } from "./sample.ts";
 import { saveRequests } from "./reclaim.ts";
 import { buildReport } from "./report.ts";
-import type { Report } from "./report.ts";
+import type { Report } from "./report_shape.ts";
 import type { Run } from "./tracked_request.ts";
 import type { Trace } from "./trace.ts";
 
--- a/src/standin/replay/replay_test.ts
+++ b/src/standin/replay/replay_test.ts
@@ -2,7 +2,7 @@
 import { PolicyName, policyOf } from "./policy.ts";
 import { ratiosOf } from "./ratios.ts";
 import { replay } from "./replay.ts";
-import type { Report } from "./report.ts";
+import type { Report } from "./report_shape.ts";
 import { sampleTrace } from "./sample_trace.ts";
 import type { Trace } from "./trace.ts";
 
--- a/src/standin/replay/report_text.ts
+++ b/src/standin/replay/report_text.ts
@@ -1,6 +1,6 @@
 import { ratiosOf } from "./ratios.ts";
 import type { Ratios } from "./ratios.ts";
-import type { GroupReport, Report, TimesReport } from "./report.ts";
+import type { GroupReport, Report, TimesReport } from "./report_shape.ts";
 
 /** Writes a report for people: what was found of each service and lane, and of the whole. */
 export function formatReport(report: Report): string {
