Mend the listeners that failure runs gathered, and let them fail a run

Cause: two signals outlive what listens to them: an instance's end in the network in memory, where every call left a listener, and an instance's end in the callers of the failure runs, where every connection did. Neither is the product's. Ruled out: the product's own listeners, which are removed with each stream (the traces of the warnings showed only these two once both were mended). Change: both remove their listeners; a run with such a warning fails.

--- a/bench/faults/caller.ts
+++ b/bench/faults/caller.ts
@@ -53,7 +53,8 @@
     if (tries > 0) await sleep(reach.clock, PAUSE);
     const instance = instanceFor(reach, { demand, tries });
     if (instance === undefined) continue;
-    const signal = reach.gone(instance);
+    const connection = connect(reach.gone(instance));
+    const { signal } = connection;
     const isKnown = notes.id !== "";
     // Without an id or a key, to bring it again would be another request.
     if (tries > 0 && !isKnown && demand.key === undefined) break;
@@ -62,10 +63,33 @@
       ? reach.follow(instance, request, signal)
       : reach.submit(instance, demand, signal);
     await hear(notes, { events, signal });
+    connection.close();
     notes.endedAt = reach.clock.now();
   }
 }
 
+/** A connection to an instance; its signal aborts when the instance goes. */
+interface Connection {
+  readonly signal: AbortSignal;
+  close(): void;
+}
+
+/**
+ * Connects to an instance. Each connection has a signal of its own: the instance's lives as long as the run, and
+ * whatever listened to it for one request would be kept until then.
+ */
+function connect(gone: AbortSignal): Connection {
+  const ending = new AbortController();
+  const abort = (): void => ending.abort(gone.reason);
+  if (gone.aborted) abort();
+  else gone.addEventListener("abort", abort);
+  const close = (): void => {
+    gone.removeEventListener("abort", abort);
+    ending.abort(new Error("The caller has closed its connection."));
+  };
+  return { signal: ending.signal, close };
+}
+
 function instanceFor(
   reach: Reach,
   { demand, tries }: { demand: Demand; tries: number },
--- a/bench/faults/fleet.ts
+++ b/bench/faults/fleet.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { createSeededRandom, Purchase, WorkerState } from "../../src/interface/index.ts";
 import type { Worker } from "../../src/interface/index.ts";
 import { createEntryCore } from "../../src/process/index.ts";
@@ -21,6 +22,9 @@
 import { ZONES } from "./scenario.ts";
 import type { Scenario } from "./scenario.ts";
 
+/** More connections than callers have open to one instance at once: beyond, listeners leak. */
+const GREATEST_CONNECTIONS = 100;
+
 /** One entry instance over the fakes. */
 export interface Instance {
   readonly id: string;
@@ -79,7 +83,9 @@
     );
     network.join(self, core.handlers, gate);
     void core.start();
-    return { id: self.id, zone, core, freezer, gone: new AbortController() };
+    const gone = new AbortController();
+    setMaxListeners(GREATEST_CONNECTIONS, gone.signal);
+    return { id: self.id, zone, core, freezer, gone };
   };
   const all = Array.from({ length: instances }, (_, index) => start(index));
   await clock.advance(FORMING);
--- a/bench/faults/main.ts
+++ b/bench/faults/main.ts
@@ -41,6 +41,11 @@
   const count = Number(values.count);
   const started = performance.now();
   const failures: Failure[] = [];
+  // A signal that gathers listeners outlives what listens to it: whatever those hold is never given back.
+  let warnings = 0;
+  process.on("warning", ({ name }) => {
+    if (name === "MaxListenersExceededWarning") warnings++;
+  });
   for (let seed = first; seed < first + count; seed++) {
     const failure = await runSeed(seed);
     if (failure === undefined) continue;
@@ -48,7 +53,8 @@
     if (!values.json) console.log(failure.repeat, JSON.stringify(failure, undefined, 1));
   }
   const time = Math.round(performance.now() - started);
-  const report = { seed: first, count, failed: failures.length, time };
+  await new Promise((resolve) => setImmediate(resolve));
+  const report = { seed: first, count, failed: failures.length, warnings, time };
   console.log(JSON.stringify(values.json ? { ...report, failures } : report));
-  if (failures.length > 0) process.exitCode = 1;
+  if (failures.length > 0 || warnings > 0) process.exitCode = 1;
 }
--- a/src/standin/memory/memory_network.ts
+++ b/src/standin/memory/memory_network.ts
@@ -1,7 +1,11 @@
+import { setMaxListeners } from "node:events";
 import { sleep } from "../../interface/index.ts";
 import type { Clock, Member, PeerFailure, PeerHandlers, Peers } from "../../interface/index.ts";
 import { silentUntil } from "./silence.ts";
 
+/** More calls than wait for one frozen instance at once: beyond, listeners leak. */
+const GREATEST_CALLS = 1_000;
+
 /** The paths between entry instances in memory, with the ways in which they fail. */
 export interface MemoryNetwork {
   /** Puts an instance on the network; `gate` holds everything back that reaches it while it is frozen. */
@@ -56,7 +60,7 @@
     await sleep(clock, PATH_TIME);
     const node = nodes.get(to);
     if (node === undefined) throw peerFailure(step, to, "The connection was refused.");
-    await Promise.race([node.gate(), aborted(node.ending.signal)]);
+    await passed(node.gate(), node.ending.signal);
     if (nodes.get(to) !== node) throw peerFailure(step, to, "The connection broke.");
     return node;
   };
@@ -103,6 +107,7 @@
   return {
     join: (member, handlers, gate = () => Promise.resolve()) => {
       const ending = new AbortController();
+      setMaxListeners(GREATEST_CALLS, ending.signal);
       nodes.set(member.id, { address: member.address, handlers, gate, ending });
     },
     kill: (id) => {
@@ -120,10 +125,19 @@
   };
 }
 
-function aborted(signal: AbortSignal): Promise<void> {
+/**
+ * Waits until the gate lets pass or the signal aborts. The signal lives as long as its instance: a listener that
+ * each call left on it would be one more for every message that the instance ever took.
+ */
+function passed(gate: Promise<void>, signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
+    const done = (): void => {
+      signal.removeEventListener("abort", done);
+      resolve();
+    };
     if (signal.aborted) resolve();
-    else signal.addEventListener("abort", () => resolve(), { once: true });
+    else signal.addEventListener("abort", done);
+    void gate.finally(done);
   });
 }
 
