--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -9,7 +9,7 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import { RunResult } from "./routed_context.ts";
-import type { BoardRun, BoardWorker, RoutedContext } from "./routed_context.ts";
+import type { BoardRun, BoardWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
 import { requestHeaders } from "./routed_headers.ts";
 
 /** A request whose body is whole and whose quota was taken. */
@@ -41,6 +41,8 @@
 /** The same for a stream's first event: in a burst first events are late without any fault. */
 const STREAM_PATIENCE_TARGETS = 3;
 const LEAST_PATIENCE = 200;
+/** A long prompt takes long to read, and sent elsewhere it is read again from its beginning. */
+const EXPECTED_PART = 3;
 /** A worker that has sent nothing to anybody for so long, while a stream waits for events, is lost. */
 const WORKER_SILENCE = 900;
 const SILENCE_LOOK = 150;
@@ -59,6 +61,8 @@
   readonly worker: BoardWorker;
   readonly run: BoardRun;
   readonly startedAt: number;
+  /** How long its first token was expected to take. */
+  readonly wait: number;
   exchange: Exchange | undefined;
   head: AnswerHead | undefined;
   readonly chunks: Buffer[];
@@ -98,7 +102,7 @@
   let isDone = false;
   let look: Timer | undefined;
 
-  const note = (step: string, fields: Record<string, string | number | undefined>): void =>
+  const note = (step: string, fields: DecisionFields): void =>
     context.decided(step, arrival.id, { route: route.name, ...fields });
   const finish = (): void => {
     isDone = true;
@@ -106,22 +110,27 @@
     look?.close();
     leaving?.close();
   };
-  const refuse = (reason: RoutedRefusal, retryAfter?: number): void => {
+  const refuse = (
+    reason: RoutedRefusal,
+    retryAfter?: number,
+    inputs: Readonly<Record<string, number | boolean>> = {},
+  ): void => {
     finish();
     if (answer.isOver) return;
     context.metrics.refused(reason);
-    note("refused", { reason, runs, after: Math.round(clock.now() - arrival.arrivedAt) });
+    const after = Math.round(clock.now() - arrival.arrivedAt);
+    note("refused", { reason, runs, after, retryAfter, ...inputs });
     if (answer.isBegun) answer.cut();
     else answer.refuse(reason, retryAfter);
   };
   /** Ends a request that no further worker gets. */
-  const giveUp = (reason: RoutedRefusal, retryAfter?: number): void => {
+  const giveUp: typeof refuse = (reason, retryAfter, inputs) => {
     if (mayHaveRun) {
       refuse(RoutedRefusal.WorkerLost);
       return;
     }
     admitted.giveBack();
-    refuse(reason, retryAfter);
+    refuse(reason, retryAfter, inputs);
   };
   const deadline = clock.after(arrival.deadlineAt + DEADLINE_GRACE - clock.now(), () => {
     if (isDone) return;
@@ -164,19 +173,25 @@
       isReturn: arrival.isReturn || tried.size > 0,
     };
     if (!isWorthOffering(offer)) {
-      giveUp(RoutedRefusal.Overloaded, returnAfter(offer));
+      giveUp(RoutedRefusal.Overloaded, Math.round(returnAfter(offer)), {
+        ...offer,
+        wait: Math.round(offer.wait),
+        left: Math.round(left),
+        candidates: ranked.length,
+      });
       return;
     }
     for (const choice of ranked) if (send(choice)) return;
     giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
   };
-  const send = ({ worker, cost, reads }: Ranking<BoardWorker>): boolean => {
+  const send = ({ worker, cost, reads, wait }: Ranking<BoardWorker>): boolean => {
     const now = clock.now();
     splitter.resume();
     const attempt: Attempt = {
       worker,
       run: board.begin(worker, reads),
       startedAt: now,
+      wait,
       exchange: undefined,
       head: undefined,
       chunks: [],
@@ -408,10 +423,12 @@
   const isSilent = (attempt: Attempt): boolean => {
     const now = clock.now();
     const quietFor = now - attempt.heardAt;
-    const targets = isStream ? STREAM_PATIENCE_TARGETS : PATIENCE_TARGETS;
-    if (!attempt.hasEvent && quietFor > Math.max(LEAST_PATIENCE, targets * route.target))
-      return true;
-    if (!isStream) return false;
+    if (!attempt.hasEvent) {
+      const targets = isStream ? STREAM_PATIENCE_TARGETS : PATIENCE_TARGETS;
+      return (
+        quietFor > Math.max(LEAST_PATIENCE, targets * route.target, EXPECTED_PART * attempt.wait)
+      );
+    }
     const heardAt = connections.heardAt(attempt.worker.id) ?? attempt.startedAt;
     return quietFor > WORKER_SILENCE && now - heardAt > WORKER_SILENCE;
   };
