Look for a silent store's return at short intervals, and act sooner after a takeover

Change: after a lost watch the next ones wait 0.4 s until one is answered; the pause after the term is 0.3 s.

--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -43,6 +43,11 @@
  * is what a change waits for, and each wait costs a call.
  */
 const WATCH_WAIT = { least: 3_000, most: 10_000 };
+/**
+ * How long a watch waits after a failed one. What was sent to a store that is silent is never answered, also when
+ * the store is back: with a long wait, an instance would miss what changes in the first seconds after its return.
+ */
+const PROBE_WAIT = 400;
 /** After a change the next watch begins this much later: changes come in groups, and each answer is a call. */
 const GROUP_TIME = 120;
 /** Pauses after failed calls double between these bounds, in milliseconds. */
@@ -85,7 +90,8 @@
     mustList = false;
   };
   const watch = async (): Promise<void> => {
-    const wait = WATCH_WAIT.least + random.next() * (WATCH_WAIT.most - WATCH_WAIT.least);
+    const { least, most } = WATCH_WAIT;
+    const wait = failures > 0 ? PROBE_WAIT : least + random.next() * (most - least);
     const outcome = await feed.watchKind(kind, version, wait);
     if (outcome.kind === "history-lost") {
       mustList = true;
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -28,7 +28,7 @@
 import { createFeedFollower } from "./feed_follower.ts";
 import type { FeedFollower } from "./feed_follower.ts";
 import { createLeaseTask } from "./lease_task.ts";
-import { createMixTask, ORDER_CALL_TIME } from "./mix_task.ts";
+import { createMixTask } from "./mix_task.ts";
 import { createPeerExchange, fetchObjects } from "./peer_exchange.ts";
 import type { Digest } from "./peer_exchange.ts";
 import { createRoutedBoard } from "./routed_board.ts";
@@ -100,6 +100,11 @@
 const DUTY = "platform";
 /** Milliseconds between two looks whether a lease can be taken over. */
 const LEASE_LOOK = 500;
+/**
+ * How long a successor waits beyond the term. A holder begins no call that could outlast its lease, so only what is
+ * on the way has to arrive.
+ */
+const TAKEOVER_PAUSE = 300;
 /** Makes an instance; it does nothing before it is started. */
 export function createRoutedEntry(settings: RoutedSettings, outside: RoutedOutside): RoutedEntry {
   const { clock, random, log, metrics, kinds } = outside;
@@ -280,7 +285,7 @@
           .map(({ digest: { incarnation: id } }) => ({ id })),
       ],
     },
-    longestOrder: ORDER_CALL_TIME,
+    longestOrder: TAKEOVER_PAUSE,
     term: settings.leaseTerm,
     lookPeriod: LEASE_LOOK,
     isHeldElsewhere: () => exchange.live().some(({ digest: { holdsLease } }) => holdsLease),
