--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -310,9 +310,13 @@
       sendElsewhere("not-sent");
       return;
     }
-    if (!attempt.hasEvent) context.began(arrival.account?.name, attempt.startedAt);
+    countUnanswered(attempt);
     repeat(attempt, "worker-lost");
   };
+  /** A stream counts as begun with its first event; any other request has most probably run where it was sent. */
+  const countUnanswered = (attempt: Attempt): void => {
+    if (!isStream) context.began(arrival.account?.name, attempt.startedAt);
+  };
   const onComplete = (attempt: Attempt): void => {
     const { head } = attempt;
     if (head === undefined) return;
@@ -416,7 +420,7 @@
         return;
       }
       note("silent", { worker: attempt.worker.id });
-      if (!attempt.hasEvent) context.began(arrival.account?.name, attempt.startedAt);
+      countUnanswered(attempt);
       repeat(attempt, "worker-silent");
     });
   };
