--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -9,6 +9,12 @@
 /** Idle time in milliseconds that is trusted where the worker has announced none. */
 const UNANNOUNCED_IDLE = 700;
 const UNANNOUNCED_IDLE_ONCE = 200;
+/**
+ * The longest idle time in milliseconds after which a connection is used for a request that may not run again,
+ * whatever the worker has announced. An idle connection can go silent, or be dropped sooner than announced, and only
+ * the next request on it finds out; a new connection costs a round trip.
+ */
+const GREATEST_IDLE_ONCE = 500;
 
 interface Line {
   /** The most recently used last. */
@@ -85,7 +91,8 @@
   const { idleTimeout } = connection;
   const part = repeatable ? IDLE_PART : IDLE_PART_ONCE;
   const unannounced = repeatable ? UNANNOUNCED_IDLE : UNANNOUNCED_IDLE_ONCE;
-  return connection.idleFor() < (idleTimeout === undefined ? unannounced : idleTimeout * part);
+  const longest = idleTimeout === undefined ? unannounced : idleTimeout * part;
+  return connection.idleFor() < (repeatable ? longest : Math.min(longest, GREATEST_IDLE_ONCE));
 }
 
 function remove<Element>(elements: Element[], element: Element): void {
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -80,6 +80,8 @@
   /** What the instance believes, for operators. */
   status(): RoutedStatus;
   start(): Promise<void>;
+  /** Takes in settings that have changed: addresses of other instances. All else needs a restart. */
+  reload(changed: RoutedSettings): void;
   /** Ends in a planned way: no request in progress is cut. Resolves when the process may exit. */
   stop(): Promise<void>;
   close(): void;
@@ -429,6 +431,12 @@
       usage.start();
       mix.start();
     },
+    reload: (changed) => {
+      exchange.introduce(changed.seeds);
+      const other = { ...changed, seeds: settings.seeds };
+      const needsRestart = JSON.stringify(other) !== JSON.stringify(settings);
+      log.changed("settings-reloaded", { seeds: changed.seeds.join(" "), needsRestart });
+    },
     stop,
     close: () => {
       for (const part of [
