Part the run of a routed request and the assembly of an instance

Change: when a worker counts as silent is a decision of its own with a test of its load; a try, the headers that are set, the parts of an instance and the use of workers in digests have files of their own. Behaviour unchanged.

--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -6,6 +6,7 @@
 export { sample } from "./placement.ts";
 export * from "./loads.ts";
 export * from "./offer.ts";
+export * from "./patience.ts";
 export * from "./policy.ts";
 export * from "./resolve.ts";
 export type { Retry } from "./retry_budget.ts";
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -1,5 +1,4 @@
 import { randomBytes } from "node:crypto";
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { createWorkerConnections } from "../connection/worker_connections.ts";
 import {
   createRepeatAllowance,
@@ -11,20 +10,11 @@
 } from "../decision/index.ts";
 import type { DemandLevel, WorkerDemand } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
-import type {
-  Clock,
-  FeedObject,
-  HeaderNames,
-  ObjectFeed,
-  ObjectStore,
-  Platform,
-  Random,
-  RoutedWorker,
-} from "../interface/index.ts";
+import type { RoutedWorker } from "../interface/index.ts";
 import { createRoutedRequests } from "../request/routed_service.ts";
 import type { RoutedContext } from "../request/index.ts";
 import { createRouteTable } from "../version/index.ts";
-import type { RoutedService, RouteTable, Routing } from "../version/index.ts";
+import type { RoutedService, RouteTable } from "../version/index.ts";
 import { createFeedFollower } from "./feed_follower.ts";
 import type { FeedFollower } from "./feed_follower.ts";
 import { createLeaseTask } from "./lease_task.ts";
@@ -32,61 +22,13 @@
 import { createPeerExchange, fetchObjects } from "./peer_exchange.ts";
 import type { Digest } from "./peer_exchange.ts";
 import { createRoutedBoard } from "./routed_board.ts";
-import type { RoutedBoard, WorkerUse } from "./routed_board.ts";
-import type { RoutedLog } from "./routed_log.ts";
-import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
+import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
-import type { RoutedStatus } from "./routed_status.ts";
 import { createStorePace } from "./store_pace.ts";
 import { createUsageTask } from "./usage_task.ts";
+import { useOf, usedWorkers } from "./worker_use_codec.ts";
 import { createWorkerRoster } from "./worker_roster.ts";
 
-/** Where an instance finds its configuration and workers in the store, and how they are read. */
-export interface StoredKinds {
-  /** The object that holds the whole configuration. */
-  readonly routing: { readonly kind: string; readonly name: string };
-  /** The kind of the workers' entries. */
-  readonly workers: string;
-  /** Reads a configuration; throws where it isn't one. */
-  readonly readRouting: (value: unknown) => Routing;
-  /** Reads a worker's entry; undefined where it names no worker that can be used. */
-  readonly readWorker: (object: FeedObject) => RoutedWorker | undefined;
-}
-
-/** What is outside an instance that serves routed requests. */
-export interface RoutedOutside {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly feed: ObjectFeed;
-  readonly store: Pick<ObjectStore, "get" | "put">;
-  readonly platform: Platform;
-  readonly kinds: StoredKinds;
-  readonly names: HeaderNames;
-  readonly log: RoutedLog;
-  readonly metrics: RoutedMetricsRegistry;
-}
-
-/** An entry instance that serves routed requests. */
-export interface RoutedEntry {
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-  /** Whether it takes new requests. */
-  isReady(): boolean;
-  isStopping(): boolean;
-  /** Addresses that callers may use now, and for how many milliseconds. */
-  resolve(): { addresses: string[]; life: number };
-  /** Objects of a kind as this instance has them; undefined for kinds that it doesn't follow. */
-  objects(kind: string): { version: number; objects: FeedObject[] } | undefined;
-  routing(): Routing | undefined;
-  /** What the instance believes, for operators. */
-  status(): RoutedStatus;
-  start(): Promise<void>;
-  /** Takes in settings that have changed: addresses of other instances. All else needs a restart. */
-  reload(changed: RoutedSettings): void;
-  /** Ends in a planned way: no request in progress is cut. Resolves when the process may exit. */
-  stop(): Promise<void>;
-  close(): void;
-}
-
 /** Addresses in an answer to a caller that resolves. */
 const GREATEST_ADDRESSES = 64;
 /** How long callers may keep a resolved address: an instance that stops is out of use about as fast. */
@@ -454,27 +396,3 @@
     },
   };
 }
-
-/** What the instance has at workers, without those at which it has nothing. */
-function usedWorkers(board: RoutedBoard): Digest["use"] {
-  const used: Digest["use"] = {};
-  for (const [id, { running, unreadTokens, tally }] of board.use()) {
-    const { runs, failures } = tally;
-    if (running === 0 && runs < 0.1) continue;
-    used[id] = [running, unreadTokens, round(runs), round(failures)];
-  }
-  return used;
-}
-
-function useOf([running, unreadTokens, runs, failures]: [
-  number,
-  number,
-  number,
-  number,
-]): WorkerUse {
-  return { running, unreadTokens, tally: { runs, failures } };
-}
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/src/request/routed_headers.ts
+++ b/src/request/routed_headers.ts
@@ -41,6 +41,38 @@
   return kept;
 }
 
+/** What an entry instance tells a worker of a request. */
+export interface Instructions {
+  /** Milliseconds that are left for it. */
+  readonly left: number;
+  /** Id of the worker that is meant. */
+  readonly worker: string;
+  /** Name of the client account; undefined where the route is served without one. */
+  readonly account: string | undefined;
+  /** Undefined for services without engines. */
+  readonly rank: number | undefined;
+  /** The last event that the caller has, where a stream goes on. */
+  readonly lastEventId: string | undefined;
+}
+
+/** Least deadline that is passed on: a worker takes 0 for none at all. */
+const LEAST_DEADLINE = 1;
+/** Lowest priority that engines know. */
+const LOWEST_PRIORITY = 9;
+
+/** The headers that an entry instance sets itself. */
+export function addedHeaders(names: HeaderNames, instructions: Instructions): AddedHeaders {
+  const { left, worker, account, rank, lastEventId } = instructions;
+  const added: Record<string, string> = {
+    [names.deadline]: String(Math.max(LEAST_DEADLINE, Math.floor(left))),
+    [names.expectedWorker]: worker,
+  };
+  if (account !== undefined) added[names.account] = account;
+  if (rank !== undefined) added[names.priority] = String(Math.min(LOWEST_PRIORITY, rank));
+  if (lastEventId !== undefined) added[names.lastEventId] = lastEventId;
+  return added;
+}
+
 /** The headers of a worker's answer on its way to the caller. */
 export function answerHeaders({ headers, byName }: AnswerHead): string[] {
   const dropped = new Set([...CONNECTION_HEADERS, ...listedIn(byName.get("connection"))]);
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { createEventSplitter } from "./event_splitter.ts";
-import { isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
+import { isSilent, isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
 import type { Ranking } from "../decision/index.ts";
 import type { AnswerHead, Exchange, ExchangeEnd, Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
@@ -9,8 +9,10 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import { RunResult } from "./routed_context.ts";
-import type { BoardRun, BoardWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
-import { requestHeaders } from "./routed_headers.ts";
+import type { BoardWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
+import { addedHeaders, requestHeaders } from "./routed_headers.ts";
+import { beginAttempt } from "./routed_attempt.ts";
+import type { Attempt } from "./routed_attempt.ts";
 
 /** A request whose body is whole and whose quota was taken. */
 export interface AdmittedRequest {
@@ -30,21 +32,9 @@
 
 /** How long after the deadline the worker's own last word is waited for, in milliseconds. */
 const DEADLINE_GRACE = 100;
-/** Least deadline that is passed on: a worker takes 0 for none at all. */
-const LEAST_DEADLINE = 1;
-/** Lowest priority that engines know. */
-const LOWEST_PRIORITY = 9;
 /** Bodies are kept until they are whole, so that a cut one can be had again; larger ones pass through. */
 const GREATEST_KEPT = 1_048_576;
-/** Silence after which a whole answer is sought elsewhere: this many times its target, where it may be. */
-const PATIENCE_TARGETS = 2.5;
-/** The same for a stream's first event: in a burst first events are late without any fault. */
-const STREAM_PATIENCE_TARGETS = 3;
-const LEAST_PATIENCE = 200;
-/** A long prompt takes long to read, and sent elsewhere it is read again from its beginning. */
-const EXPECTED_PART = 3;
-/** A worker that has sent nothing to anybody for so long, while a stream waits for events, is lost. */
-const WORKER_SILENCE = 900;
+/** Milliseconds between two looks whether the worker is silent. */
 const SILENCE_LOOK = 150;
 /** When a caller whose request found no worker may come back, in milliseconds: an order's usual start-up part. */
 const NO_WORKER_RETRY = 800;
@@ -56,23 +46,6 @@
 const MISDIRECTED = 421;
 const GATEWAY_TIMEOUT = 504;
 
-/** One try at one worker. */
-interface Attempt {
-  readonly worker: BoardWorker;
-  readonly run: BoardRun;
-  readonly startedAt: number;
-  /** How long its first token was expected to take. */
-  readonly wait: number;
-  exchange: Exchange | undefined;
-  head: AnswerHead | undefined;
-  readonly chunks: Buffer[];
-  size: number;
-  /** Bytes of it have gone to the caller already. */
-  streaming: boolean;
-  heardAt: number;
-  hasEvent: boolean;
-}
-
 /**
  * Serves a request: sends it to a worker, passes the answer on, and tries another worker where the first one
  * fails and the request may run again.
@@ -187,26 +160,23 @@
   const send = ({ worker, cost, reads, wait }: Ranking<BoardWorker>): boolean => {
     const now = clock.now();
     splitter.resume();
-    const attempt: Attempt = {
-      worker,
-      run: board.begin(worker, reads),
-      startedAt: now,
-      wait,
-      exchange: undefined,
-      head: undefined,
-      chunks: [],
-      size: 0,
-      streaming: false,
-      heardAt: now,
-      hasEvent: false,
-    };
+    const attempt = beginAttempt(worker, { run: board.begin(worker, reads), now, wait });
     current = attempt;
     const exchange = connections.exchange(
       worker,
       {
         method: request.method ?? "GET",
         target: request.url ?? "/",
-        headers: requestHeaders(request, { names, added: addedHeaders(worker, now) }),
+        headers: requestHeaders(request, {
+          names,
+          added: addedHeaders(names, {
+            left: arrival.deadlineAt - now,
+            worker: worker.id,
+            account: arrival.account?.name,
+            rank: service.engine === undefined ? undefined : arrival.rank,
+            lastEventId: splitter.lastId,
+          }),
+        }),
         body,
         id: arrival.id,
       },
@@ -245,19 +215,6 @@
     }
     return true;
   };
-  const addedHeaders = (worker: BoardWorker, now: number): Record<string, string> => {
-    const left = Math.max(LEAST_DEADLINE, Math.floor(arrival.deadlineAt - now));
-    const added: Record<string, string> = {
-      [names.deadline]: String(left),
-      [names.expectedWorker]: worker.id,
-    };
-    if (arrival.account !== undefined) added[names.account] = arrival.account.name;
-    if (service.engine !== undefined) {
-      added[names.priority] = String(Math.min(LOWEST_PRIORITY, arrival.rank));
-    }
-    if (splitter.lastId !== undefined) added[names.lastEventId] = splitter.lastId;
-    return added;
-  };
   const onHead = (attempt: Attempt, head: AnswerHead): void => {
     if (current !== attempt) return;
     attempt.heardAt = clock.now();
@@ -415,7 +372,7 @@
     look?.close();
     look = clock.after(SILENCE_LOOK, () => {
       if (isDone || current !== attempt) return;
-      if (!isSilent(attempt) || !mayRepeat()) {
+      if (!isSilentAt(attempt) || !mayRepeat()) {
         watchSilence(attempt);
         return;
       }
@@ -424,17 +381,17 @@
       repeat(attempt, "worker-silent");
     });
   };
-  const isSilent = (attempt: Attempt): boolean => {
+  const isSilentAt = (attempt: Attempt): boolean => {
     const now = clock.now();
-    const quietFor = now - attempt.heardAt;
-    if (!attempt.hasEvent) {
-      const targets = isStream ? STREAM_PATIENCE_TARGETS : PATIENCE_TARGETS;
-      return (
-        quietFor > Math.max(LEAST_PATIENCE, targets * route.target, EXPECTED_PART * attempt.wait)
-      );
-    }
-    const heardAt = connections.heardAt(attempt.worker.id) ?? attempt.startedAt;
-    return quietFor > WORKER_SILENCE && now - heardAt > WORKER_SILENCE;
+    const workerHeardAt = connections.heardAt(attempt.worker.id) ?? attempt.startedAt;
+    return isSilent({
+      isStream,
+      hasBegun: attempt.hasEvent,
+      quietFor: now - attempt.heardAt,
+      workerQuietFor: now - workerHeardAt,
+      target: route.target,
+      expected: attempt.wait,
+    });
   };
 
   repeats.requested(service.name, clock.now());
