--- a/model/check.ts
+++ b/model/check.ts
@@ -2,6 +2,8 @@
 import type { Difference } from "./bounds.ts";
 import { explore } from "./checker.ts";
 import type { Exploration } from "./checker.ts";
+import { ALL_LEASE_RULES } from "../src/version/index.ts";
+import { leaseSpecification } from "./lease_specification.ts";
 import { ALL_REVISION_RULES, revisionSpecification } from "./revision_specification.ts";
 import { kebabCase, rulesWithout } from "./rule_names.ts";
 import { slotSpecification } from "./slot_specification.ts";
@@ -22,12 +24,21 @@
 
 const MAX_STATES = { default: 400_000, large: 3_000_000 };
 
-/** Explores the specification of the revision, and that of slot ownership within each of the bounds. */
+/** All rules, but for the one that is switched off. */
+function allBut<Rules extends object>(rules: Rules, without: string | undefined): Rules {
+  const entries = Object.keys(rules).map((name) => [name, kebabCase(name) !== without] as const);
+  return { ...rules, ...Object.fromEntries(entries) };
+}
+
+/**
+ * Explores the specifications of the revision and of the lease, and that of slot ownership within each of the bounds.
+ */
 export async function check({ bound, without }: Selection): Promise<Report[]> {
   const limits = { maxStates: MAX_STATES[bound] };
   const revisionRules = Object.entries(ALL_REVISION_RULES).map(([name]) => kebabCase(name));
-  const ofRevision = without !== undefined && revisionRules.includes(without);
-  const slotRules = rulesWithout(ofRevision ? undefined : without);
+  const leaseRules = Object.keys(ALL_LEASE_RULES).map(kebabCase);
+  const isElsewhere = without !== undefined && [...revisionRules, ...leaseRules].includes(without);
+  const slotRules = rulesWithout(isElsewhere ? undefined : without);
   const reports: Report[] = [];
   const run = async (bounds: unknown, exploration: () => Promise<Exploration>): Promise<void> => {
     const started = performance.now();
@@ -35,11 +46,10 @@
     reports.push({ ...found, bounds, time: Math.round(performance.now() - started) });
   };
   const changes = { instances: 2, operators: 2, restarts: 1 };
-  const rules = Object.fromEntries(
-    Object.keys(ALL_REVISION_RULES).map((name) => [name, kebabCase(name) !== without]),
-  );
-  const specification = revisionSpecification({ ...ALL_REVISION_RULES, ...rules });
+  const specification = revisionSpecification(allBut(ALL_REVISION_RULES, without));
   await run(changes, () => explore(specification, limits));
+  const lease = leaseSpecification(allBut(ALL_LEASE_RULES, without));
+  await run({ instances: 2, suspensions: 1 }, () => explore(lease, limits));
   const differences: Record<string, Difference> =
     bound === "large" ? { ...DEFAULT_BOUNDS, ...LARGE_BOUNDS } : DEFAULT_BOUNDS;
   for (const [name, difference] of Object.entries(differences)) {
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -2,20 +2,21 @@
 import type { Clock, ObjectStore, PutOutcome, Random } from "../interface/index.ts";
 import {
   formatLease,
+  hasRunOut,
   LEASE_TERM,
   leaseKey,
+  leaseTimeLeft,
+  mayOrder,
   parseLease,
   rendezvousOrder,
 } from "../version/index.ts";
-import type { Lease } from "../version/index.ts";
+import type { HeldLease, Lease, LeaseMoment } from "../version/index.ts";
 import type { StorePace } from "./store_pace.ts";
 
 /** A holder renews so many times in a term. */
 const RENEWALS = 3;
 /** How often the one whose turn it is looks whether it may take over, in milliseconds. */
 const LOOK_PERIOD = 2_000;
-/** Differences between the time of day and the steady clock up to this are corrections of the time of day. */
-const CLOCK_TOLERANCE = 100;
 /** How long a holder goes on after another instance's turn has come, so that a change is no flapping. */
 const HANDOVER_AFTER = 20_000;
 
@@ -62,19 +63,6 @@
   readonly count: (name: string) => void;
 }
 
-interface Held {
-  /** The store's version of the last renewal. */
-  readonly version: number;
-  /** The version at which it was taken: renewals don't change the fencing number, whose rise is a new holder. */
-  readonly fence: number;
-  /** The time of day less the steady clock at the last renewal. */
-  readonly dayOffset: number;
-  /** In the clock's milliseconds. */
-  readonly until: number;
-  /** Before this no order is sent: one of the holder before may still be under way. */
-  readonly ordersFrom: number;
-}
-
 interface Seen {
   readonly lease: Lease;
   /** When this version was first seen, in the clock's milliseconds. */
@@ -90,7 +78,7 @@
   const { clock, random, store, pace, duties, members, count } = parts;
   const { term = LEASE_TERM, lookPeriod = LOOK_PERIOD, isHeldElsewhere = () => false } = parts;
   const self = members.self.id;
-  const held = new Map<string, Held>();
+  const held = new Map<string, HeldLease>();
   const seen = new Map<string, Seen>();
   const turnLostAt = new Map<string, number>();
   let writes = 0;
@@ -102,18 +90,10 @@
     return rendezvousOrder(leaseKey(service), able)[0] === self;
   };
   const dayOffset = (): number => clock.date().getTime() - clock.now();
-  /**
-   * Milliseconds that are left of a lease. The steady clock stands still while an instance is suspended and
-   * the time of day doesn't: without counting that, an instance that wakes would act on a lease that another
-   * one has taken meanwhile.
-   */
-  const timeLeft = (mine: Held): number => {
-    const suspended = dayOffset() - mine.dayOffset;
-    return mine.until - clock.now() - (suspended > CLOCK_TOLERANCE ? suspended : 0);
-  };
+  const moment = (): LeaseMoment => ({ now: clock.now(), dayOffset: dayOffset() });
   const isHeld = (service: string): boolean => {
     const mine = held.get(service);
-    return mine !== undefined && timeLeft(mine) > 0;
+    return mine !== undefined && leaseTimeLeft(mine, moment()) > 0;
   };
   const write = async (
     service: string,
@@ -139,7 +119,8 @@
     const found = await look(service);
     if (found === "unavailable") return;
     const given = found === undefined || found.lease.holder === "";
-    const ranOut = found !== undefined && clock.now() - found.since >= found.lease.term;
+    const ranOut =
+      found !== undefined && hasRunOut({ since: found.since, term: found.lease.term }, clock.now());
     if (!given && !ranOut) return;
     const sentAt = clock.now();
     const offsetThen = dayOffset();
@@ -155,7 +136,7 @@
     held.set(service, { version, fence: version, dayOffset: offsetThen, until, ordersFrom });
     count("lease.taken");
   };
-  const renew = async (service: string, mine: Held): Promise<void> => {
+  const renew = async (service: string, mine: HeldLease): Promise<void> => {
     const renewed = { ...mine, until: clock.now() + term, dayOffset: dayOffset() };
     const outcome = await write(service, { holder: self, expect: mine.version });
     if (outcome.kind === "written") {
@@ -171,7 +152,7 @@
    * The answer of a renewal was lost. If a later version names this instance, the renewal stands: nobody else
    * writes its id, and it writes one renewal at a time.
    */
-  const adopt = async (service: string, renewal: Held): Promise<void> => {
+  const adopt = async (service: string, renewal: HeldLease): Promise<void> => {
     const found = await look(service);
     if (found === "unavailable" || found === undefined) return;
     const { holder, version } = found.lease;
@@ -208,9 +189,8 @@
     held: () => duties().filter(isHeld),
     fence: (service, orderTime) => {
       const mine = held.get(service);
-      const now = clock.now();
-      if (mine === undefined || now < mine.ordersFrom) return undefined;
-      return timeLeft(mine) > orderTime ? mine.fence : undefined;
+      if (mine === undefined) return undefined;
+      return mayOrder(mine, moment(), { orderTime }) ? mine.fence : undefined;
     },
     start: () => void run(),
     release: async () => {
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -10,5 +10,6 @@
 export * from "./three_way_merge.ts";
 export * from "./change.ts";
 export * from "./lease.ts";
+export * from "./lease_rules.ts";
 export * from "./route_table.ts";
 export * from "./routing.ts";
