--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -118,6 +118,8 @@
         reach(true, "");
         answeredAt = clock.now();
       } catch (error) {
+        // A call that the instance itself ended says nothing of the store.
+        if (isClosed()) return;
         reach(false, String(error));
         failures++;
         const bound = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** failures);
