--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -1,8 +1,7 @@
 import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerLimits } from "../version/index.ts";
-import { splitAddress } from "./http_listener.ts";
+import { listenerOf, splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 
 /** Who serves the requests of a listener. */
@@ -62,19 +61,3 @@
 function headerSize({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
-
-function listenerOf(server: Server): Listener {
-  const bound = server.address() as AddressInfo;
-  return {
-    address: `${bound.address}:${bound.port}`,
-    drain: () => {
-      server.close();
-      server.closeIdleConnections();
-    },
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
-  };
-}
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -63,7 +63,8 @@
   return createSecureServer({ ...bounds, cert: tls.certificate, key: tls.key }, handle);
 }
 
-function listenerOf(server: Server): Listener {
+/** A server that listens, as its owner closes it. */
+export function listenerOf(server: Server): Listener {
   const bound = server.address() as AddressInfo;
   return {
     address: `${bound.address}:${bound.port}`,
