--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -57,6 +57,8 @@
   const wished = new Map<string, { onDemand: number; at: number }[]>();
   /** By service, what was there when this instance planned for it first. */
   const firstOf = new Map<string, number>();
+  /** By service, what the last look before the first plan gave. */
+  const seenFirst = new Map<string, number>();
   let holderSince: number | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
@@ -118,7 +120,14 @@
       onDemand: counts(Purchase.OnDemand),
     });
     const inUse = parts.inUse(service, firstOf.get(name) ?? first);
-    if (!firstOf.has(name)) firstOf.set(name, first);
+    if (!firstOf.has(name)) {
+      // Workers enter the store one after the other when a deployment starts: planned by the first few, most would
+      // be sent away and too few ordered.
+      const isSettled = inUse.hasBegun || seenFirst.get(name) === first;
+      seenFirst.set(name, first);
+      if (!isSettled) return;
+      firstOf.set(name, first);
+    }
     const since = (holderSince ??= now);
     const { orders, onDemand } = planMix({ scaling, stock, inUse, held });
     wished.set(name, [...wishes, { onDemand, at: now }]);
@@ -135,6 +144,7 @@
       if (parts.fence(ORDER_CALL_TIME) === undefined) {
         sent.clear();
         firstOf.clear();
+        seenFirst.clear();
         holderSince = undefined;
       } else for (const service of parts.services()) await plan(service);
       await sleep(clock, PLAN_PERIOD);
--- a/src/process/mix_task_test.ts
+++ b/src/process/mix_task_test.ts
@@ -25,11 +25,17 @@
   isDry: boolean;
   inUse: number;
   mayOrder: boolean;
+  /** The rest of the workers enters the store. */
+  enterAll(): void;
   advance(milliseconds: number): Promise<void>;
 }
 
-/** A platform whose ordered workers are there a start-up later. */
-function startMarket(): Market {
+/**
+ * A platform whose ordered workers are there a start-up later.
+ *
+ * @param entered Workers on demand that have entered the store at the start.
+ */
+function startMarket(entered = 12): Market {
   const clock = createVirtualClock();
   let made = 0;
   const worker = (zone: string, purchase: Purchase): RoutedWorker => ({
@@ -46,12 +52,18 @@
   });
   const market: Market = {
     orders: [],
-    workers: ZONES.flatMap((zone) => [0, 1, 2].map(() => worker(zone, Purchase.OnDemand))),
+    workers: [],
     isDry: false,
     inUse: 0,
     mayOrder: true,
+    enterAll: () => {
+      const gone = new Set(all.slice(0, entered));
+      market.workers = [...market.workers, ...all.filter((one) => !gone.has(one))];
+    },
     advance: (milliseconds) => clock.advance(milliseconds),
   };
+  const all = ZONES.flatMap((zone) => [0, 1, 2].map(() => worker(zone, Purchase.OnDemand)));
+  market.workers = all.slice(0, entered);
   const meet = ({ zone, purchase, count }: WorkerOrder): void => {
     const here = market.workers.filter((one) => one.zone === zone && one.purchase === purchase);
     const gone = new Set(here.slice(count));
@@ -99,6 +111,16 @@
   expect(count(market, Purchase.Reclaimable)).toBeGreaterThanOrEqual(12);
 });
 
+// A deployment starts, and its workers enter the store within a second. Planned by the first of them, a few would be
+// ordered and all the others sent away just before the callers come.
+test("nothing is planned before all workers of a start are there", async () => {
+  const market = startMarket(3);
+  await market.advance(300);
+  market.enterAll();
+  await market.advance(10_000);
+  expect(count(market, Purchase.Reclaimable)).toBeGreaterThanOrEqual(12);
+});
+
 // Two zones' reclaimable workers are taken, and for a while the market gives none anywhere. Orders of workers on
 // demand that come and go every half second would be paid for and never serve.
 test("in a dry market workers on demand come once and stay until it gives again", async () => {
