Don't take a worker for silent because its caller is slow

Cause: while a caller doesn't read, nothing is read from its worker, and after 0.9 s the worker counted as silent: the stream was made a second time elsewhere. Change: a try whose reading is paused isn't judged, and the time begins anew when the caller has caught up.

--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -16,6 +16,8 @@
   streaming: boolean;
   heardAt: number;
   hasEvent: boolean;
+  /** The caller is slow, and nothing is read from the worker until it has caught up. */
+  isPaused: boolean;
 }
 
 /** Begins a try; its exchange is set when the request is sent. */
@@ -35,5 +37,6 @@
     streaming: false,
     heardAt: now,
     hasEvent: false,
+    isPaused: false,
   };
 }
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -250,9 +250,15 @@
   };
   const passOn = (attempt: Attempt, bytes: Buffer): void => {
     if (answer.write(bytes)) return;
+    attempt.isPaused = true;
     attempt.exchange?.pause();
   };
-  answer.onDrain(() => current?.exchange?.resume());
+  answer.onDrain(() => {
+    if (current === undefined) return;
+    current.isPaused = false;
+    current.heardAt = clock.now();
+    current.exchange?.resume();
+  });
 
   const onEnd = (attempt: Attempt, end: ExchangeEnd): void => {
     if (current !== attempt) return;
@@ -382,6 +388,7 @@
     });
   };
   const isSilentAt = (attempt: Attempt): boolean => {
+    if (attempt.isPaused) return false;
     const now = clock.now();
     const workerHeardAt = connections.heardAt(attempt.worker.id) ?? attempt.startedAt;
     return isSilent({
