--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -49,6 +49,7 @@
  * on the way has to arrive.
  */
 const TAKEOVER_PAUSE = 300;
+
 /** Makes an instance; it does nothing before it is started. */
 export function createRoutedEntry(settings: RoutedSettings, outside: RoutedOutside): RoutedEntry {
   const { clock, random, log, metrics, kinds } = outside;
