Keep a listener on sessions between instances, whatever their manager does

Cause, traced in the session manager's source: on GOAWAY it destroys the session, which reports its error a moment later; aborted in that moment it takes its own listener away. A peer that stops and an instance that gives the connection up both wait a second, so they meet. Ruled out: the product's routed part, which uses no HTTP/2. Change: each session gets a listener of ours when it is first used. The test destroys a session and aborts its manager in one turn, and saw the uncaught error before.

--- /dev/null
+++ b/src/connection/guarded_sessions_test.ts
@@ -0,0 +1,31 @@
+import { createServer } from "node:http2";
+import type { AddressInfo } from "node:net";
+import { Http2SessionManager } from "@connectrpc/connect-node";
+import { expect, test } from "vitest";
+import { guardSessions } from "./guarded_sessions.ts";
+
+// A peer stops, and in the same moment this instance gives the connection to it up. The error that the session still
+// has to report would find nobody listening, and end the process.
+test("a session that ends while its manager is aborted ends without an uncaught error", async () => {
+  const uncaught: unknown[] = [];
+  const note = (error: unknown): void => void uncaught.push(error);
+  const server = createServer();
+  server.on("stream", (stream) => {
+    stream.respond({ ":status": 200 });
+    stream.end();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const manager = new Http2SessionManager(`http://127.0.0.1:${port}`);
+  const stream = await guardSessions(manager).request("GET", "/", {}, {});
+  const { session } = stream;
+  stream.resume();
+  await new Promise((resolve) => stream.once("close", resolve));
+  process.on("uncaughtException", note);
+  session?.destroy(new Error("The peer has stopped."));
+  manager.abort(new Error("The connection was given up."));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  process.off("uncaughtException", note);
+  server.close();
+  expect(uncaught).toEqual([]);
+});
--- a/src/connection/peer_channel.ts
+++ b/src/connection/peer_channel.ts
@@ -3,6 +3,7 @@
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { ConnectTransportOptions } from "@connectrpc/connect-node";
 import { Peer } from "../gen/peer_pb.ts";
+import { guardSessions } from "./guarded_sessions.ts";
 import type { Certificate } from "./http_listener.ts";
 
 /** How long a connection that was given up may take to report what ended it, in milliseconds. */
@@ -67,7 +68,7 @@
   const options: ConnectTransportOptions = {
     httpVersion: "2",
     baseUrl,
-    sessionManager: manager,
+    sessionManager: guardSessions(manager),
     readMaxBytes: MESSAGE_LIMIT,
     interceptors: [
       (next) => (request) => {
