Don't call a request "not run" that is only asked for by its id

Cause: the instance judged by what it had sent itself for this call. An id says that the request was accepted somewhere, and a key may have come to another instance as well; neither was looked at.

Change: what is asked for by its id, and what has a key, isn't called "not run" unless an owner says so; the caller gets the id and a time to ask again. A new request without a key that was sent to nobody still is "not run".

--- a/bench/faults/faults_test.ts
+++ b/bench/faults/faults_test.ts
@@ -22,6 +22,12 @@
   },
 );
 
+test("seed 11059: a request that is asked for by its id is not called not run", async () => {
+  // A zone is taken with the owner, another instance dies and the store is away: the caller, with most of its
+  // answer, asks an instance that reaches no owner. It was told "not run", of a request that it had seen run.
+  expect((await play(drawScenario(11_059))).broken).toEqual([]);
+});
+
 test("each broken promise is seen", () => {
   const scenario = { ...drawScenario(1), faults: [] };
   const demand = { at: 0, instance: 0, repeatable: false, detached: false, tokens: 2, key: "k" };
--- a/src/request/caller_stream.ts
+++ b/src/request/caller_stream.ts
@@ -50,7 +50,8 @@
     next: fromToken,
     accepted: false,
     heardAt: clock.now(),
-    asked: false,
+    // What is asked for by its id was accepted somewhere, and a key may have come to another instance too.
+    mayRunElsewhere: follow || record.keyed,
   };
   front.began();
   try {
@@ -91,8 +92,11 @@
   accepted: boolean;
   /** When the owner was last heard. */
   heardAt: number;
-  /** Whether a message has left for another instance: it may have been accepted there. */
-  asked: boolean;
+  /**
+   * Whether another instance may have accepted the request: it was asked for by its id, it has a key, or a
+   * message with it has left. Until that is known it isn't called "not run".
+   */
+  mayRunElsewhere: boolean;
 }
 
 function isAborted(signal: AbortSignal): boolean {
@@ -170,8 +174,8 @@
   return { kind: "rejected", rejection };
 }
 
-function unavailable(id: string, { accepted, asked }: Progress): Rejection {
-  const notRun = !accepted && !asked;
+function unavailable(id: string, { accepted, mayRunElsewhere }: Progress): Rejection {
+  const notRun = !accepted && !mayRunElsewhere;
   const detail = notRun
     ? "The owner of the request's slot could not be reached; nothing was sent to it."
     : "The owner of the request can't be reached at present; ask again with the id.";
@@ -204,7 +208,7 @@
   const { owner, message, signal, progress } = source;
   const { members } = front.environment;
   if (owner.id === members.self.id) return front.ownership.serve(message, signal);
-  progress.asked = true;
+  progress.mayRunElsewhere = true;
   return relayed(front.environment, source);
 }
 
--- a/src/request/not_run_test.ts
+++ b/src/request/not_run_test.ts
@@ -30,6 +30,57 @@
   fleet.close();
 });
 
+test("a caller that asks again by the id isn't told 'not run' while no owner can be reached", async () => {
+  // The caller has part of its answer when the owner and the backup go, and asks another instance to go on.
+  // That instance can send the question to nobody, but the id says that the request was accepted: "not run"
+  // would have the club bring the entry anew, and pay twice.
+  const fleet = await startedFleet();
+  const caller = fleet.submit(0);
+  await fleet.clock.advance(80);
+  expect(caller.text).not.toBe("");
+  fleet.kill(0);
+  fleet.kill(1);
+  const follower = fleet.follow(2, caller.id);
+  await fleet.clock.advance(6_000);
+  expect(follower.events).toMatchObject([
+    {
+      kind: "rejected",
+      rejection: { reason: Refusal.OwnerUnavailable, notRun: false, id: caller.id },
+    },
+  ]);
+  fleet.close();
+});
+
+test("a key isn't called 'not run' while no owner can be reached", async () => {
+  // The same key ran through another instance. This one has sent nothing itself, but can't know of that.
+  const fleet = await startedFleet();
+  const first = fleet.submit(2, { key: "entry" });
+  await fleet.clock.advance(80);
+  expect(fleet.engines.runs).toHaveLength(1);
+  fleet.kill(0);
+  fleet.kill(1);
+  const second = fleet.submit(2, { key: "entry" });
+  await fleet.clock.advance(6_000);
+  expect(second.events).toMatchObject([
+    {
+      kind: "rejected",
+      rejection: { reason: Refusal.OwnerUnavailable, notRun: false, id: first.id },
+    },
+  ]);
+  fleet.close();
+});
+
+test("a request that is new and that no owner was sent is 'not run'", async () => {
+  // The caller may bring it elsewhere at once: it has no key, and nothing of it left the instance.
+  const fleet = await startedFleet();
+  fleet.kill(0);
+  fleet.kill(1);
+  const caller = fleet.submit(2);
+  await fleet.clock.advance(6_000);
+  expect(caller.events).toMatchObject([{ kind: "rejected", rejection: { notRun: true } }]);
+  fleet.close();
+});
+
 test("an acknowledgement that was lost is asked for again", async () => {
   // The backup has the record, the answer that says so never came. The caller only sees a short wait.
   const fleet = await startedFleet();
