--- a/bench/faults/faults_test.ts
+++ b/bench/faults/faults_test.ts
@@ -28,6 +28,12 @@
   expect((await play(drawScenario(11_059))).broken).toEqual([]);
 });
 
+test("seed 12361: survivors of less than half a fleet take the slots over", async () => {
+  // Three of five instances go while the store is away. Callers asked for the dead instances' slots, and the two
+  // survivors answered each other's claims for ever.
+  expect((await play(drawScenario(12_361))).broken).toEqual([]);
+});
+
 test("each broken promise is seen", () => {
   const scenario = { ...drawScenario(1), faults: [] };
   const demand = { at: 0, instance: 0, repeatable: false, detached: false, tokens: 2, key: "k" };
--- a/src/process/slot_task_test.ts
+++ b/src/process/slot_task_test.ts
@@ -131,6 +131,35 @@
   fleet.close();
 });
 
+test.each([5, 7])("two survivors of %i take everything over", async (count) => {
+  // More than half of the instances die at once. Each survivor asks through the store whether it is itself cut
+  // off; if the other answered, though it hears the asker and misses the same owners, neither would ever take
+  // over, and callers of the dead instances' slots would get no answer for good.
+  const fleet = await startAssigned({ count, zones: count });
+  const [first, second, ...others] = fleet.nodes;
+  for (const node of others) node.kill();
+  await fleet.clock.advance(30_000);
+  expect(ownersOf(mapAt(first))).toEqual(new Set(["e0#1", "e1#1"]));
+  expect(mapAt(second)).toEqual(mapAt(first));
+  fleet.close();
+});
+
+test("two halves that are parted take nothing from each other", async () => {
+  // No side has most owners, and both reach the store. A claim of one side is answered by the other, which does
+  // not hear the claimant; otherwise the sides would take the slots from each other in turn.
+  const fleet = await startAssigned({ count: 4, zones: 4 });
+  for (const one of ["e0#1", "e1#1"]) {
+    for (const other of ["e2#1", "e3#1"]) fleet.network.setCut(one, other, true);
+  }
+  // Those of the other half are found dead one after another: the first while most are still thought alive.
+  await fleet.clock.advance(15_000);
+  const before = counted(fleet.nodes, "slots.takeover");
+  await fleet.clock.advance(60_000);
+  expect(counted(fleet.nodes, "slots.claim")).toBeGreaterThan(0);
+  expect(counted(fleet.nodes, "slots.takeover")).toBe(before);
+  fleet.close();
+});
+
 test("a restarted instance gets slots under its new incarnation", async () => {
   // The process dies and comes back at the same address within a second or two. It holds none of the
   // records that its name stood for; if it were taken for the old one, lookups would end in nothing.
