Pass a lease on at most once a term when instances stop in turn

Each step is right by itself; the order A, B, A within a term isn't. Ruled out: an order under way after the lease was given back, and two holders at a time.

Change: a lease that another holder had given back less than a term ago isn't given back in its turn but runs out, so the same holder's orders before and after are a term apart. It needs no memory that a restart would lose.

--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -80,6 +80,8 @@
   const self = members.self.id;
   const held = new Map<string, HeldLease>();
   const seen = new Map<string, Seen>();
+  /** When leases were taken that the holder before had given back. */
+  const handedOverAt = new Map<string, number>();
   const turnLostAt = new Map<string, number>();
   let writes = 0;
   let closed = false;
@@ -134,6 +136,8 @@
     const { version } = outcome;
     const until = sentAt + term;
     held.set(service, { version, fence: version, dayOffset: offsetThen, until, ordersFrom });
+    if (given && found !== undefined) handedOverAt.set(service, sentAt);
+    else handedOverAt.delete(service);
     count("lease.taken");
   };
   const renew = async (service: string, mine: HeldLease): Promise<void> => {
@@ -159,10 +163,17 @@
     if (holder !== self) held.delete(service);
     else if (version > renewal.version) held.set(service, { ...renewal, version });
   };
+  /**
+   * Gives a lease back. One that was itself given back by another holder less than a term ago is left to run out:
+   * where instances are restarted in turn it would go on at once, and perhaps to the one that had it before. Two
+   * holders would then act in turn within one term, which a platform that doesn't check the fence takes for a split.
+   */
   const giveBack = async (service: string): Promise<void> => {
     const mine = held.get(service);
     held.delete(service);
-    if (mine !== undefined) await write(service, { holder: "", expect: mine.version });
+    const sinceHandover = clock.now() - (handedOverAt.get(service) ?? Number.NEGATIVE_INFINITY);
+    if (mine === undefined || sinceHandover < term) return;
+    await write(service, { holder: "", expect: mine.version });
   };
   const tend = async (service: string): Promise<void> => {
     const mine = held.get(service);
--- a/src/process/lease_task_test.ts
+++ b/src/process/lease_task_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { createSeededRandom, Purchase, sleep, WorkerState } from "../interface/index.ts";
 import type { Engine, LoadReport, Worker } from "../interface/index.ts";
-import { formatRevision, REVISION_KEY } from "../version/index.ts";
+import { formatRevision, LEASE_TERM, REVISION_KEY } from "../version/index.ts";
 import { MINIMAL_DOCUMENT } from "../version/testing/minimal_revision.ts";
 import { createLeaseTask } from "./lease_task.ts";
 import type { LeaseTask } from "./lease_task.ts";
@@ -244,3 +244,28 @@
   expect(holderOf("checking")).toBeGreaterThanOrEqual(0);
   close();
 });
+
+test("instances that stop in turn pass the lease on at most once a term", async () => {
+  // All instances are restarted one after another. If the second holder gave the lease back right after it had
+  // taken it, the first one's machine could have it again within a term: a platform that doesn't check the fence
+  // would see two holders act in turn, and scale by the orders of both.
+  const { fleet, tasks, holderOf, close } = await startLeases(3);
+  const stop = async (index: number): Promise<void> => {
+    fleet.nodes[index]?.members.leave();
+    void tasks[index]?.release();
+    await fleet.clock.advance(10);
+  };
+  const waitFor = async (isTrue: () => boolean): Promise<number> => {
+    for (let waited = 0; !isTrue() && waited < 20_000; waited += 10) await fleet.clock.advance(10);
+    return fleet.clock.now();
+  };
+  const first = holderOf("checking");
+  await stop(first);
+  const takenAt = await waitFor(() => holderOf("checking") >= 0 && holderOf("checking") !== first);
+  const second = holderOf("checking");
+  await stop(second);
+  const isThird = (): boolean => ![-1, first, second].includes(holderOf("checking"));
+  expect((await waitFor(isThird)) - takenAt).toBeGreaterThanOrEqual(LEASE_TERM - 10);
+  expect(isThird()).toBe(true);
+  close();
+});
