Let the lease and the calls under it go by one time

A holder asks whether its lease outlasts a call with the time that the call may take. Had one been changed alone, a call could have outlasted its lease. No figure changes: 1,000 ms.

--- a/src/interface/fleet_orders.ts
+++ b/src/interface/fleet_orders.ts
@@ -7,6 +7,12 @@
   readonly fence: number;
 }
 
+/**
+ * How long such a call may take before its answer counts as lost, in milliseconds. A holder begins none that could
+ * outlast its lease, so whoever makes the call and whoever judges the lease must go by the same time.
+ */
+export const DUTY_CALL_TIME = 1_000;
+
 /** How many workers of one service there are to be in one availability zone, bought one way. */
 export interface WorkerOrder {
   readonly service: string;
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -1,6 +1,6 @@
 import { firstInUse, planMix } from "../decision/index.ts";
 import type { DemandLevel, MixOrder } from "../decision/index.ts";
-import { Purchase, sleep } from "../interface/index.ts";
+import { DUTY_CALL_TIME, Purchase, sleep } from "../interface/index.ts";
 import type { CallOutcome, Clock, Platform, RoutedWorker } from "../interface/index.ts";
 import type { RoutedService } from "../version/index.ts";
 
@@ -38,8 +38,6 @@
 const HOLD_TIME = 6_000;
 /** An ordered worker may take so much longer than usual to come, in milliseconds. */
 const TAKEOVER_MARGIN = 1_500;
-/** Milliseconds that an order may take. */
-export const ORDER_CALL_TIME = 1_000;
 
 interface Sent {
   readonly count: number;
@@ -68,7 +66,7 @@
     { zone, purchase, count }: MixOrder,
     there: ReadyCount,
   ): Promise<void> => {
-    const fence = parts.fence(ORDER_CALL_TIME);
+    const fence = parts.fence(DUTY_CALL_TIME);
     if (fence === undefined) return;
     const by = { holder: parts.holder, fence };
     const outcome = await platform.orderWorkers({ service, zone, purchase, count }, by);
@@ -141,7 +139,7 @@
   };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
-      if (parts.fence(ORDER_CALL_TIME) === undefined) {
+      if (parts.fence(DUTY_CALL_TIME) === undefined) {
         sent.clear();
         firstOf.clear();
         seenFirst.clear();
--- a/src/process/usage_task.ts
+++ b/src/process/usage_task.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { sleep } from "../interface/index.ts";
+import { DUTY_CALL_TIME, sleep } from "../interface/index.ts";
 import type { Clock, ObjectStore, Platform } from "../interface/index.ts";
 import type { AccountCounts, UsageLedger } from "../decision/index.ts";
 
@@ -43,8 +43,6 @@
 const LOOK_PERIOD = 400;
 /** Windows whose fixed counts are kept in the store: what can still be asked for, several times over. */
 const KEPT_WINDOWS = 12;
-/** Milliseconds that a call or a write may take. */
-export const USAGE_CALL_TIME = 1_000;
 
 /**
  * Makes the task.
@@ -81,7 +79,7 @@
     const fixed = record.reports.find((report) => report.window === window);
     if (fixed !== undefined) return fixed.counts;
     const counts = ledger.total(window);
-    if (parts.fence(USAGE_CALL_TIME) === undefined) return undefined;
+    if (parts.fence(DUTY_CALL_TIME) === undefined) return undefined;
     const reports = [...record.reports, { window, counts }].slice(-KEPT_WINDOWS);
     // After a lost answer or a conflict the next look reads what stands.
     written = undefined;
@@ -101,7 +99,7 @@
   };
   const report = async (window: number): Promise<void> => {
     const counts = await fix(window);
-    const fence = parts.fence(USAGE_CALL_TIME);
+    const fence = parts.fence(DUTY_CALL_TIME);
     if (counts === undefined || fence === undefined) return;
     const outcome = await platform.reportUsage({ window, counts }, { holder: parts.holder, fence });
     const runs = Object.values(counts).reduce((sum, count) => sum + count, 0);
@@ -112,7 +110,7 @@
   const run = async (): Promise<void> => {
     while (!isClosed()) {
       ledger.forgetBefore(windowAt(parts.time()) - KEPT_WINDOWS);
-      if (parts.fence(USAGE_CALL_TIME) !== undefined) {
+      if (parts.fence(DUTY_CALL_TIME) !== undefined) {
         for (const window of due()) await report(window);
       }
       await sleep(clock, LOOK_PERIOD);
