Add up what other instances have at workers when it is heard

Each request looked at every worker of its service, and for each of them at what every other instance had said: work that grows with workers times instances, on the path of each request. It is heard at most 48 times a second however large the fleet is, so it is added up then, by worker; what an instance said before is taken away first. The sums of use are exact; those of failures decay alike for all, so one decaying sum stands for them.

The new tests pass on the code before as well: nothing is decided otherwise.

--- a/src/decision/worker_health.ts
+++ b/src/decision/worker_health.ts
@@ -37,6 +37,8 @@
 const HALF_LIFE = 3_000;
 /** Runs that a worker without history is reckoned to have ended well: one failure alone says little. */
 const PRIOR_RUNS = 2;
+/** Runs below this are what is left of taking away what was added. */
+const ROUNDING = 1e-9;
 
 interface Decaying {
   runs: number;
@@ -48,25 +50,40 @@
 export function createWorkerHealth(): WorkerHealth {
   const own = new Map<string, Decaying>();
   const services = new Map<string, Decaying>();
-  const others = new Map<string, { tallies: ReadonlyMap<string, RunTally>; at: number }>();
+  /** By instance, what it said last. */
+  const said = new Map<string, { tallies: ReadonlyMap<string, RunTally>; at: number }>();
+  /**
+   * By worker, what the other instances said, added up. A request asks for every worker of its service, many times
+   * as often as an instance is heard: with 63 instances and 257 workers the adding up took milliseconds of each.
+   */
+  const others = new Map<string, Decaying>();
 
   const total = (worker: string, now: number): RunTally => {
-    let { runs, failures } = decayed(own.get(worker), now);
-    for (const { tallies, at } of others.values()) {
-      const tally = tallies.get(worker);
-      if (tally === undefined) continue;
-      const kept = keptPart(now - at);
-      runs += tally.runs * kept;
-      failures += tally.failures * kept;
+    const mine = decayed(own.get(worker), now);
+    const theirs = decayed(others.get(worker), now);
+    return { runs: mine.runs + theirs.runs, failures: mine.failures + theirs.failures };
+  };
+  const addToOthers = (worker: string, { runs, failures }: RunTally, now: number): void => {
+    const before = decayed(others.get(worker), now);
+    const sum = { runs: before.runs + runs, failures: before.failures + failures };
+    if (sum.runs < ROUNDING) others.delete(worker);
+    else others.set(worker, { ...sum, at: now });
+  };
+  const heard: WorkerHealth["heard"] = (instance, tallies, now) => {
+    const before = said.get(instance);
+    const kept = before === undefined ? 0 : -keptPart(now - before.at);
+    for (const [worker, { runs, failures }] of before?.tallies ?? []) {
+      addToOthers(worker, { runs: runs * kept, failures: failures * kept }, now);
     }
-    return { runs, failures };
+    for (const [worker, tally] of tallies) addToOthers(worker, tally, now);
+    said.set(instance, { tallies, at: now });
   };
   return {
     ended: ({ worker, service, failed, now }) => {
       add(own, worker, { failed, now });
       add(services, service, { failed, now });
     },
-    heard: (instance, tallies, now) => void others.set(instance, { tallies, at: now }),
+    heard,
     excess: (worker, service, now) => {
       const { runs, failures } = total(worker, now);
       const usual = decayed(services.get(service), now);
--- a/src/decision/worker_health_test.ts
+++ b/src/decision/worker_health_test.ts
@@ -38,3 +38,20 @@
   expect(health.excess("w0", "s", 0)).toBeGreaterThan(0.5);
   expect(health.excess("w0", "s", 20_000)).toBeLessThan(0.1);
 });
+
+// Each instance says again and again what it saw. Added instead of replaced, one failure would soon look like many.
+test("what an instance says replaces what it said before, and is added to what others say", () => {
+  const health = createWorkerHealth();
+  const say = (instance: string, failures: number, now: number): void =>
+    health.heard(instance, new Map([["w0", { runs: 10, failures }]]), now);
+  for (let now = 0; now <= 5_000; now += 250) say("e2", 8, now);
+  const alone = health.excess("w0", "s", 5_000);
+  expect(alone).toBeCloseTo(8 / 12, 9);
+  say("e3", 0, 5_000);
+  expect(health.excess("w0", "s", 5_000)).toBeCloseTo(8 / 22, 9);
+  say("e2", 0, 5_250);
+  expect(health.excess("w0", "s", 5_250)).toBeCloseTo(0, 9);
+  health.heard("e2", new Map(), 5_500);
+  say("e3", 5, 5_500);
+  expect(health.excess("w0", "s", 5_500)).toBeCloseTo(5 / 12, 9);
+});
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -62,6 +62,11 @@
 /** How long before the end of a leaving worker what still runs there goes on elsewhere, in milliseconds. */
 const LEAVE_MARGIN = 450;
 
+/** Requests and unread prompt tokens that the other instances have at a worker. */
+type OtherUse = Pick<WorkerUse, "running" | "unreadTokens">;
+
+const NO_USE: OtherUse = { running: 0, unreadTokens: 0 };
+
 interface Entry {
   readonly worker: RoutedWorker;
   readonly hash: number;
@@ -78,7 +83,10 @@
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
   const { clock, zone, health, members } = parts;
   const entries = new Map<string, Entry>();
-  const others = new Map<string, ReadonlyMap<string, WorkerUse>>();
+  /** By instance, what it said last. */
+  const said = new Map<string, ReadonlyMap<string, WorkerUse>>();
+  /** By worker, what the other instances said, added up: a request looks at every worker of its service. */
+  const others = new Map<string, OtherUse>();
   const runTimes = new Map<string, number>();
   const readRates = new Map<string, ReadRate>();
   const readRate = (service: string): ReadRate => {
@@ -111,18 +119,25 @@
       leaveTimer: isSame ? known.leaveTimer : undefined,
     };
   };
-  const otherUse = (id: string): { running: number; unreadTokens: number } => {
-    let running = 0;
-    let unreadTokens = 0;
-    for (const use of others.values()) {
-      const at = use.get(id);
-      running += at?.running ?? 0;
-      unreadTokens += at?.unreadTokens ?? 0;
+  const replaceUse = (instance: string, use: ReadonlyMap<string, WorkerUse>): void => {
+    for (const [id, { running, unreadTokens }] of said.get(instance) ?? []) {
+      addToOthers(id, { running: -running, unreadTokens: -unreadTokens });
     }
-    return { running, unreadTokens };
+    for (const [id, at] of use) addToOthers(id, at);
+    if (use.size > 0) said.set(instance, use);
+    else said.delete(instance);
+  };
+  const addToOthers = (id: string, { running, unreadTokens }: OtherUse): void => {
+    const before = others.get(id) ?? NO_USE;
+    const sum = {
+      running: before.running + running,
+      unreadTokens: before.unreadTokens + unreadTokens,
+    };
+    if (sum.running === 0 && sum.unreadTokens === 0) others.delete(id);
+    else others.set(id, sum);
   };
   const ranked = (entry: Entry): RankedWorker => {
-    const other = otherUse(entry.worker.id);
+    const other = others.get(entry.worker.id) ?? NO_USE;
     const { worker } = entry;
     return {
       id: worker.id,
@@ -218,13 +233,13 @@
       [...entries.values()]
         .filter(({ worker }) => worker.service === service)
         .map((entry) => ranked(entry).running),
-    heard: (instance, use) => void others.set(instance, use),
+    heard: replaceUse,
     heardLeaving: (leaving) => {
       const told = new Set(leaving);
       for (const entry of entries.values()) if (told.has(startOf(entry))) entry.isLeaving = true;
     },
     keepInstances: (names) => {
-      for (const name of others.keys()) if (!names.has(name)) others.delete(name);
+      for (const name of said.keys()) if (!names.has(name)) replaceUse(name, new Map());
     },
     use: () =>
       new Map(
--- /dev/null
+++ b/src/process/routed_board_test.ts
@@ -0,0 +1,66 @@
+import { expect, test } from "vitest";
+import { createWorkerHealth } from "../decision/index.ts";
+import { Purchase } from "../interface/index.ts";
+import type { RoutedWorker } from "../interface/index.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
+import { createRoutedBoard } from "./routed_board.ts";
+import type { RoutedBoard, WorkerUse } from "./routed_board.ts";
+
+function startBoard(): RoutedBoard {
+  const parts = { zone: "a", health: createWorkerHealth(), members: () => 3 };
+  const board = createRoutedBoard({ clock: createVirtualClock(), ...parts });
+  board.setWorkers(["w0", "w1"].map(workerNamed));
+  return board;
+}
+
+function workerNamed(id: string): RoutedWorker {
+  return {
+    id,
+    born: 1,
+    service: "desk",
+    address: "127.0.0.1:1",
+    zone: "a",
+    slots: 8,
+    purchase: Purchase.Reclaimable,
+    isLeaving: false,
+    leavesIn: undefined,
+    coldFor: 0,
+  };
+}
+
+function useOf(use: Readonly<Record<string, number>>): ReadonlyMap<string, WorkerUse> {
+  const tally = { runs: 0, failures: 0 };
+  return new Map(
+    Object.entries(use).map(([id, running]) => [
+      id,
+      { running, unreadTokens: running * 10, tally },
+    ]),
+  );
+}
+
+// Several instances send to the same workers and choose at the same moment. One that counted only its own requests,
+// or what another said twice, would send to a worker that is full, or keep away from one that is idle.
+test("what other instances have at the workers is added up, replaced and forgotten with them", () => {
+  const board = startBoard();
+  board.heard("e1", useOf({ w0: 2, w1: 1 }));
+  board.heard("e2", useOf({ w0: 3 }));
+  expect(board.running("desk")).toEqual([5, 1]);
+  board.heard("e1", useOf({ w1: 4 }));
+  expect(board.running("desk")).toEqual([3, 4]);
+  board.keepInstances(new Set(["e1"]));
+  expect(board.running("desk")).toEqual([0, 4]);
+  board.keepInstances(new Set());
+  expect(board.running("desk")).toEqual([0, 0]);
+  expect(board.workers()).toHaveLength(2);
+});
+
+// A worker's entry lapses for a moment while the store is away. What runs there goes on, and is counted again when
+// the entry is back, also what was said of the worker meanwhile.
+test("what others have at a worker is known when the worker comes back", () => {
+  const board = startBoard();
+  board.heard("e1", useOf({ w0: 2 }));
+  board.setWorkers([workerNamed("w1")]);
+  board.heard("e2", useOf({ w0: 1 }));
+  board.setWorkers(["w0", "w1"].map(workerNamed));
+  expect(board.running("desk").reduce((sum, running) => sum + running, 0)).toBe(3);
+});
