--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -33,6 +33,8 @@
 
   const open = ({ id, address }: WorkerPlace, line: Line): WorkerConnection => {
     opened++;
+    // Closing the last connection has taken the line out.
+    lines.set(id, line);
     const connection = openWorkerConnection({
       clock,
       address,
@@ -54,18 +56,15 @@
   return {
     exchange: (place, request, { sink, repeatable, most }) => {
       const line = lines.get(place.id) ?? { connections: [], heardAt: undefined };
-      lines.set(place.id, line);
       for (const stale of line.connections.filter((one) => one.isIdle() && !isFresh(one, true))) {
         stale.close();
       }
-      lines.set(place.id, line);
       const idle = line.connections.findLast((one) => one.isIdle() && isFresh(one, repeatable));
       if (idle !== undefined) return idle.exchange(request, sink);
       if (line.connections.length >= most) {
         const spare = line.connections.find((one) => one.isIdle());
         if (spare === undefined) return undefined;
         spare.close();
-        lines.set(place.id, line);
       }
       return open(place, line).exchange(request, sink);
     },
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -63,6 +63,11 @@
   readonly count: (name: string) => void;
 }
 
+interface OwnLease extends HeldLease {
+  /** When it was taken from a holder that had given it back; undefined where that one had let it run out. */
+  readonly handedOverAt: number | undefined;
+}
+
 interface Seen {
   readonly lease: Lease;
   /** When this version was first seen, in the clock's milliseconds. */
@@ -78,10 +83,8 @@
   const { clock, random, store, pace, duties, members, count } = parts;
   const { term = LEASE_TERM, lookPeriod = LOOK_PERIOD, isHeldElsewhere = () => false } = parts;
   const self = members.self.id;
-  const held = new Map<string, HeldLease>();
+  const held = new Map<string, OwnLease>();
   const seen = new Map<string, Seen>();
-  /** When leases were taken that the holder before had given back. */
-  const handedOverAt = new Map<string, number>();
   const turnLostAt = new Map<string, number>();
   let writes = 0;
   let closed = false;
@@ -134,13 +137,17 @@
     // the last moment of its term.
     const ordersFrom = given ? clock.now() : clock.now() + parts.longestOrder;
     const { version } = outcome;
-    const until = sentAt + term;
-    held.set(service, { version, fence: version, dayOffset: offsetThen, until, ordersFrom });
-    if (given && found !== undefined) handedOverAt.set(service, sentAt);
-    else handedOverAt.delete(service);
+    held.set(service, {
+      version,
+      fence: version,
+      dayOffset: offsetThen,
+      until: sentAt + term,
+      ordersFrom,
+      handedOverAt: found?.lease.holder === "" ? sentAt : undefined,
+    });
     count("lease.taken");
   };
-  const renew = async (service: string, mine: HeldLease): Promise<void> => {
+  const renew = async (service: string, mine: OwnLease): Promise<void> => {
     const renewed = { ...mine, until: clock.now() + term, dayOffset: dayOffset() };
     const outcome = await write(service, { holder: self, expect: mine.version });
     if (outcome.kind === "written") {
@@ -156,7 +163,7 @@
    * The answer of a renewal was lost. If a later version names this instance, the renewal stands: nobody else
    * writes its id, and it writes one renewal at a time.
    */
-  const adopt = async (service: string, renewal: HeldLease): Promise<void> => {
+  const adopt = async (service: string, renewal: OwnLease): Promise<void> => {
     const found = await look(service);
     if (found === "unavailable" || found === undefined) return;
     const { holder, version } = found.lease;
@@ -171,8 +178,7 @@
   const giveBack = async (service: string): Promise<void> => {
     const mine = held.get(service);
     held.delete(service);
-    const sinceHandover = clock.now() - (handedOverAt.get(service) ?? Number.NEGATIVE_INFINITY);
-    if (mine === undefined || sinceHandover < term) return;
+    if (mine === undefined || clock.now() - (mine.handedOverAt ?? -Infinity) < term) return;
     await write(service, { holder: "", expect: mine.version });
   };
   const tend = async (service: string): Promise<void> => {
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -38,6 +38,8 @@
 /** Kept back of the grace for closing connections and writing the last lines. */
 const STOP_MARGIN = 700;
 const STOP_LOOK = 50;
+/** Windows whose counts are told to the others: those that still grow or aren't reported, and what clocks differ by. */
+const TOLD_WINDOWS = 4;
 /** How long a change that a peer knows is awaited from the store before it is fetched from the peer. */
 const FETCH_AFTER = 350;
 /** One lease for all calls that one instance makes: each renewal is a call that is paid for. */
@@ -157,10 +159,7 @@
     time: Math.round(trueNow()),
     versions: Object.fromEntries([...feeds].map(([kind, feed]) => [kind, feed.changedAt])),
     admitted: Object.fromEntries(quota.tell(clock.now())),
-    usage: ledger
-      .own()
-      .slice(-4)
-      .map(({ window, counts }) => ({ window, counts })),
+    usage: ledger.own().slice(-TOLD_WINDOWS),
     use: usedWorkers(board),
     leaving: [...board.leaving()],
   });
--- a/src/process/routed_metrics.ts
+++ b/src/process/routed_metrics.ts
@@ -17,29 +17,19 @@
  */
 const LOAD_AFTER = 2_000;
 
-/** The library's instruments, with what is recorded in them. */
-interface Instruments {
-  answered(route: string, status: number, milliseconds: number): void;
-  firstEvent(route: string, milliseconds: number): void;
-  refused(reason: string): void;
-  repeated(cause: string): void;
-  watch(name: string, help: string, read: () => number): void;
-  text(): Promise<string>;
-}
-
 /** Makes the metrics. What is recorded before the library is there is recorded then. */
 export function createRoutedMetrics(): RoutedMetricsRegistry {
-  let instruments: Instruments | undefined;
-  let loading: Promise<Instruments> | undefined;
-  const early: ((now: Instruments) => void)[] = [];
-  const load = (): Promise<Instruments> => {
+  let instruments: RoutedMetricsRegistry | undefined;
+  let loading: Promise<RoutedMetricsRegistry> | undefined;
+  const early: ((now: RoutedMetricsRegistry) => void)[] = [];
+  const load = (): Promise<RoutedMetricsRegistry> => {
     loading ??= loadInstruments().then((loaded) => {
       for (const record of early.splice(0)) record(loaded);
       return (instruments = loaded);
     });
     return loading;
   };
-  const record = (act: (now: Instruments) => void): void => {
+  const record = (act: (now: RoutedMetricsRegistry) => void): void => {
     if (instruments === undefined) early.push(act);
     else act(instruments);
   };
@@ -55,7 +45,7 @@
   };
 }
 
-async function loadInstruments(): Promise<Instruments> {
+async function loadInstruments(): Promise<RoutedMetricsRegistry> {
   const { Counter, Gauge, Histogram, Registry } = await import("prom-client");
   const registry = new Registry();
   const registers = [registry];
--- a/src/process/slot_task.ts
+++ b/src/process/slot_task.ts
@@ -98,8 +98,8 @@
     }
   };
   const takeOver = async (): Promise<boolean> => {
-    const asked = map.claim !== undefined && map.claim !== self;
-    if (asked && contradictsClaim(map.claim)) return answerClaim();
+    const { claim: claimant } = map;
+    if (claimant !== undefined && claimant !== self && isWrong(claimant)) return answerClaim();
     if (planned().length === 0 || clock.now() - startedAt < GATHERING) return false;
     if (map.version > 0 && !isInTouch() && !isClaimed()) return claim();
     // Those of a lower rank write first; who comes later reads what they wrote and finds nothing to do.
@@ -128,10 +128,10 @@
   /**
    * Whether the claimant is wrong about who is dead: it is if this member has touch with most owners, or is an
    * owner that the claimant may take for dead. An owner that hears the claimant and would itself take slots over
-   * agrees with it: if survivors of more than half a fleet answered each other's claims, the slots of the dead
+   * agrees with it: if the survivors of less than half a fleet answered each other's claims, the slots of the dead
    * would never be assigned again.
    */
-  const contradictsClaim = (claimant = ""): boolean => {
+  const isWrong = (claimant: string): boolean => {
     if (isInTouch()) return true;
     const agrees = members.stateOf(claimant) === MemberState.Alive && planned().length > 0;
     return ownersOf(map).has(self) && !agrees;
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -209,7 +209,7 @@
     });
     if (repeatable) {
       leaving = board.onLeaving(worker.id, () => {
-        if (current === attempt && isStream) repeat(attempt, "worker-leaving");
+        if (current === attempt && isStream) repeat("worker-leaving");
       });
       watchSilence(attempt);
     }
@@ -274,7 +274,7 @@
       return;
     }
     countUnanswered(attempt);
-    repeat(attempt, "worker-lost");
+    repeat("worker-lost");
   };
   /** A stream counts as begun with its first event; any other request has most probably run where it was sent. */
   const countUnanswered = (attempt: Attempt): void => {
@@ -351,21 +351,17 @@
   };
   const mayRepeat = (): boolean => repeatable && runs < route.attempts;
   /** The try failed after it may have run. */
-  const repeat = (attempt: Attempt, cause: string): void => {
+  const repeat = (cause: string): void => {
     mayHaveRun = true;
-    const failed = cause === "worker-leaving" ? RunResult.Abandoned : RunResult.Failed;
-    if (!mayRepeat()) {
-      // What may not be repeated is left to its worker where that still runs it.
-      if (cause === "worker-leaving") return;
-      endAttempt(failed)?.abort();
-      refuse(RoutedRefusal.WorkerLost);
-      return;
-    }
-    endAttempt(failed)?.abort();
-    sendElsewhere(cause);
+    const isLeaving = cause === "worker-leaving";
+    // What may not be repeated is left to its worker where that still runs it.
+    if (isLeaving && !mayRepeat()) return;
+    endAttempt(isLeaving ? RunResult.Abandoned : RunResult.Failed)?.abort();
+    if (mayRepeat()) sendElsewhere(cause);
+    else refuse(RoutedRefusal.WorkerLost);
   };
   const sendElsewhere = (cause: string): void => {
-    if (current !== undefined) endAttempt(RunResult.Failed);
+    endAttempt(RunResult.Failed);
     if (runs >= route.attempts || !repeats.take(service.name, clock.now())) {
       giveUp(RoutedRefusal.Refused, BUSY_RETRY);
       return;
@@ -384,7 +380,7 @@
       }
       note("silent", { worker: attempt.worker.id });
       countUnanswered(attempt);
-      repeat(attempt, "worker-silent");
+      repeat("worker-silent");
     });
   };
   const isSilentAt = (attempt: Attempt): boolean => {
