Write three small pieces once

- Forgetting the entry of a map that was set first: the prefix belief had it, the shared quota wrote it again under another name.
- Splitting an address: the StatsD sink did it by itself.
- The worker and the absent cloud of the tests' fleets and the failure runs'.

--- a/bench/faults/fleet.ts
+++ b/bench/faults/fleet.ts
@@ -1,8 +1,8 @@
 import { setMaxListeners } from "node:events";
-import { createSeededRandom, Purchase, WorkerState } from "../../src/interface/index.ts";
-import type { Worker } from "../../src/interface/index.ts";
+import { createSeededRandom } from "../../src/interface/index.ts";
 import { createEntryCore } from "../../src/process/index.ts";
 import type { EntryCore } from "../../src/process/index.ts";
+import { deskWorker, NO_CLOUD } from "../../src/process/testing/outside.ts";
 import {
   createFreezer,
   createMemoryEngines,
@@ -58,7 +58,7 @@
   const written = store.connect().put(REVISION_KEY, MINIMAL_REVISION, { expect: 0 });
   await clock.advance(10);
   await written;
-  const list = Array.from({ length: workers }, (_, index) => workerNamed(`w${index}`));
+  const list = Array.from({ length: workers }, (_, index) => deskWorker(`w${index}`));
   const start = (index: number): Instance => {
     const address = `a${index}`;
     const zone = index % ZONES;
@@ -73,11 +73,7 @@
         store: store.connect(gate),
         engine: engines.connect(gate),
         instances: { workers: () => Promise.resolve(list) },
-        cloud: {
-          launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud." }),
-          terminate: () => Promise.resolve(),
-          notices: () => Promise.resolve([]),
-        },
+        cloud: NO_CLOUD,
         peers: network.peersOf(self.id),
       },
     );
@@ -108,15 +104,3 @@
     },
   };
 }
-
-function workerNamed(id: string): Worker {
-  return {
-    id,
-    address: "http://127.0.0.1:1",
-    service: "desk",
-    zone: "z0",
-    machineClass: "standard",
-    purchase: Purchase.Reclaimable,
-    state: WorkerState.Live,
-  };
-}
--- a/src/decision/prefix_belief.ts
+++ b/src/decision/prefix_belief.ts
@@ -15,6 +15,7 @@
  *
  * @module
  */
+import { removeFirst } from "./remove_first.ts";
 
 /** Beliefs about the prefix caches of all workers. */
 export interface PrefixBelief {
@@ -88,8 +89,3 @@
     },
   };
 }
-
-function removeFirst(map: Map<string, unknown>): void {
-  const first = map.keys().next();
-  if (first.done !== true) map.delete(first.value);
-}
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -25,6 +25,7 @@
  * @module
  */
 import type { Quota } from "../version/index.ts";
+import { removeFirst } from "./remove_first.ts";
 
 /** Admitted amounts by account name, since the instance started. */
 export type AdmittedCounts = ReadonlyMap<string, number>;
@@ -155,7 +156,7 @@
       const before = peers.get(incarnation);
       peers.delete(incarnation);
       peers.set(incarnation, new Map(admitted));
-      if (peers.size > GREATEST_PEERS) forgetFirst(peers);
+      if (peers.size > GREATEST_PEERS) removeFirst(peers);
       // The first word of an instance is where counting begins: what it admitted before is over.
       if (before === undefined) return;
       for (const [account, count] of admitted) {
@@ -182,8 +183,3 @@
     },
   };
 }
-
-function forgetFirst(map: Map<string, unknown>): void {
-  const first = map.keys().next();
-  if (first.done !== true) map.delete(first.value);
-}
--- a/src/process/statsd_sink.ts
+++ b/src/process/statsd_sink.ts
@@ -1,4 +1,5 @@
 import { StatsD } from "hot-shots";
+import { splitAddress } from "../connection/http_listener.ts";
 import type { CounterSink } from "./counters.ts";
 
 /** Greatest UDP packet, and how long counts are gathered into one, in milliseconds. */
@@ -12,10 +13,10 @@
   address: string,
   tags: Readonly<Record<string, string>>,
 ): CounterSink & { close(): void } {
-  const colon = address.lastIndexOf(":");
+  const [host, port] = splitAddress(address);
   const client = new StatsD({
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
+    host,
+    port,
     prefix: "samphireshore.",
     globalTags: { ...tags },
     maxBufferSize: PACKET_BYTES,
--- a/src/process/testing/core_fleet.ts
+++ b/src/process/testing/core_fleet.ts
@@ -1,5 +1,4 @@
-import { createSeededRandom, Purchase, WorkerState } from "../../interface/index.ts";
-import type { Worker } from "../../interface/index.ts";
+import { createSeededRandom } from "../../interface/index.ts";
 import type { Submission } from "../../request/index.ts";
 import {
   createMemoryEngines,
@@ -12,6 +11,7 @@
 import { createEntryCore } from "../entry_core.ts";
 import type { EntryCore } from "../entry_core.ts";
 import { MINIMAL_REVISION } from "../../version/testing/minimal_revision.ts";
+import { deskWorker, NO_CLOUD } from "./outside.ts";
 
 /** What a caller of a {@linkcode CoreFleet} has got so far. */
 export interface Answer {
@@ -56,12 +56,8 @@
         random: createSeededRandom(index + 1),
         store: store.connect(),
         engine: engines.connect(),
-        instances: { workers: () => Promise.resolve([workerNamed("w1"), workerNamed("w2")]) },
-        cloud: {
-          launch: () => Promise.resolve({ kind: "refused", reason: "There is no cloud." }),
-          terminate: () => Promise.resolve(),
-          notices: () => Promise.resolve([]),
-        },
+        instances: { workers: () => Promise.resolve([deskWorker("w1"), deskWorker("w2")]) },
+        cloud: NO_CLOUD,
         peers: network.peersOf(self.id),
       },
     );
@@ -113,18 +109,6 @@
   fromToken: 0,
 };
 
-function workerNamed(id: string): Worker {
-  return {
-    id,
-    address: "http://127.0.0.1:1",
-    service: "desk",
-    zone: "z0",
-    machineClass: "standard",
-    purchase: Purchase.Reclaimable,
-    state: WorkerState.Live,
-  };
-}
-
 function answerOf(events: ReturnType<EntryCore["requests"]["submit"]>): Answer {
   const answer = { text: "", end: "" };
   const read = async (): Promise<void> => {
