Give a lease back only after its calls, and after a term of one's own

Cause: the specification of the lease had no giving back. With it, the checker found two ways to two holders that act in turn: a lease given back while an order of its holder is on the way (up to a second with a slow platform), and a lease that ran out, was taken over, and given back at once to the first.

Ruled out: that the wait after a takeover covers them: it is skipped for a lease that was given back.

Change: giveBackIn in lease_rules.ts, called by the task and by the specification: not before the last begun call is over, and not within a term of having taken it after another holder, however that one lost it.

--- a/model/check.ts
+++ b/model/check.ts
@@ -2,11 +2,12 @@
 import type { Difference } from "./bounds.ts";
 import { explore } from "./checker.ts";
 import type { Exploration } from "./checker.ts";
-import { ALL_LEASE_RULES } from "../src/version/index.ts";
-import { leaseSpecification } from "./lease_specification.ts";
+import { ALL_LEASE_RULES, ALL_USAGE_RULES } from "../src/version/index.ts";
+import { LEASE_BOUNDS, leaseSpecification } from "./lease_specification.ts";
 import { ALL_REVISION_RULES, revisionSpecification } from "./revision_specification.ts";
 import { kebabCase, rulesWithout } from "./rule_names.ts";
 import { slotSpecification } from "./slot_specification.ts";
+import { usageSpecification } from "./usage_specification.ts";
 
 /** What is checked. */
 export interface Selection {
@@ -31,13 +32,13 @@
 }
 
 /**
- * Explores the specifications of the revision and of the lease, and that of slot ownership within each of the bounds.
+ * Explores the specifications of the revision, the lease and the usage report, and that of slot ownership within each of the bounds.
  */
 export async function check({ bound, without }: Selection): Promise<Report[]> {
   const limits = { maxStates: MAX_STATES[bound] };
   const revisionRules = Object.entries(ALL_REVISION_RULES).map(([name]) => kebabCase(name));
-  const leaseRules = Object.keys(ALL_LEASE_RULES).map(kebabCase);
-  const isElsewhere = without !== undefined && [...revisionRules, ...leaseRules].includes(without);
+  const dutyRules = [ALL_LEASE_RULES, ALL_USAGE_RULES].flatMap(Object.keys).map(kebabCase);
+  const isElsewhere = without !== undefined && [...revisionRules, ...dutyRules].includes(without);
   const slotRules = rulesWithout(isElsewhere ? undefined : without);
   const reports: Report[] = [];
   const run = async (bounds: unknown, exploration: () => Promise<Exploration>): Promise<void> => {
@@ -48,8 +49,12 @@
   const changes = { instances: 2, operators: 2, restarts: 1 };
   const specification = revisionSpecification(allBut(ALL_REVISION_RULES, without));
   await run(changes, () => explore(specification, limits));
-  const lease = leaseSpecification(allBut(ALL_LEASE_RULES, without));
-  await run({ instances: 2, suspensions: 1 }, () => explore(lease, limits));
+  for (const leaseBounds of LEASE_BOUNDS) {
+    const lease = leaseSpecification(allBut(ALL_LEASE_RULES, without), leaseBounds);
+    await run({ instances: 2, ...leaseBounds }, () => explore(lease, limits));
+  }
+  const usage = usageSpecification(allBut(ALL_USAGE_RULES, without));
+  await run({ instances: 2 }, () => explore(usage, limits));
   const differences: Record<string, Difference> =
     bound === "large" ? { ...DEFAULT_BOUNDS, ...LARGE_BOUNDS } : DEFAULT_BOUNDS;
   for (const [name, difference] of Object.entries(differences)) {
--- a/model/lease_specification.ts
+++ b/model/lease_specification.ts
@@ -8,18 +8,18 @@
  *
  * @module
  */
-import { hasRunOut, leaseTimeLeft, mayOrder } from "../src/version/index.ts";
+import { giveBackIn, hasRunOut, leaseTimeLeft, mayOrder } from "../src/version/index.ts";
 import type { HeldLease, LeaseMoment, LeaseRules } from "../src/version/index.ts";
 import type { Specification, Step } from "./checker.ts";
 
 const UNIT = 1_000;
-const TERM = 3 * UNIT;
 const ORDER_TIME = UNIT;
 
 interface Order {
+  readonly by: string;
   readonly fence: number;
   /** When it has arrived at the latest. */
-  readonly by: number;
+  readonly until: number;
 }
 
 interface Holder {
@@ -40,11 +40,36 @@
   /** The highest fence that has arrived, and whether a lower one came after it. */
   readonly highest: number;
   readonly fell: boolean;
+  /** The holders of the last orders that arrived, each with the time of its last one. */
+  readonly last: { readonly name: string; readonly at: number } | undefined;
+  readonly beforeLast: { readonly name: string; readonly at: number } | undefined;
+  /** Whether an order arrived within a term of its holder's one before, with another's between them. */
+  readonly alternated: boolean;
   readonly suspensions: number;
 }
 
-/** Two instances, one suspension. */
-export function leaseSpecification(rules: LeaseRules): Specification<LeaseState> {
+/** What is played. */
+export interface LeaseBounds {
+  /** How often an instance may be suspended. */
+  readonly suspensions: number;
+  /** Whether instances give the lease back; many more states, so without suspensions. */
+  readonly givesBack: boolean;
+  /** For how many units a lease holds after each write. */
+  readonly term: number;
+}
+
+/** The bounds within which the lease is explored. */
+export const LEASE_BOUNDS: readonly LeaseBounds[] = [
+  { suspensions: 1, givesBack: false, term: 3 },
+  // A unit has to pass before what arrives until a moment has arrived: there and back fit into no shorter term.
+  { suspensions: 0, givesBack: true, term: 4 },
+];
+
+/** Two instances within the bounds. */
+export function leaseSpecification(
+  rules: LeaseRules,
+  bounds: LeaseBounds,
+): Specification<LeaseState> {
   const holder = (name: string): Holder => ({
     name,
     isSuspended: false,
@@ -61,16 +86,20 @@
       underWay: [],
       highest: 0,
       fell: false,
-      suspensions: 1,
+      last: undefined,
+      beforeLast: undefined,
+      alternated: false,
+      suspensions: bounds.suspensions,
     },
     steps: (state) => [
       ...tick(state),
-      ...state.underWay.map((order) => arrive(state, order)),
-      ...state.holders.flatMap((one) => holderSteps(state, one, rules)),
+      ...state.underWay.map((order) => arrive(state, order, bounds)),
+      ...state.holders.flatMap((one) => holderSteps(state, one, { rules, bounds })),
     ],
-    encode,
+    encode: (state) => encode(state, bounds),
     invariants: [
       { name: "no order arrives after one of a later holder", holds: ({ fell }) => !fell },
+      { name: "holders don't act in turn within a term", holds: ({ alternated }) => !alternated },
     ],
     goal: ({ highest }) => highest > 0,
   };
@@ -81,22 +110,29 @@
  * distance from now as far as it matters. With absolute ones no state would ever come again, and the exploration
  * never end.
  */
-function encode(state: LeaseState): string {
+function encode(state: LeaseState, { givesBack, term }: LeaseBounds): string {
   const { stored, holders, underWay, highest, fell, suspensions, time } = state;
+  const { last, beforeLast, alternated } = state;
   const fences = [
     highest,
     ...underWay.map(({ fence }) => fence),
     ...holders.map(({ held }) => held?.fence ?? 0),
   ];
   const ranks = [...new Set(fences)].sort((a, b) => a - b);
-  const units = (span: number): number => Math.max(-1, Math.min(TERM, span) / UNIT);
-  const orders = underWay.map(({ fence, by }) => `${ranks.indexOf(fence)} ${by - time}`);
+  const units = (span: number): number => Math.max(-1, Math.min(term, span / UNIT));
+  const orders = underWay.map(
+    ({ by, fence, until }) => `${by} ${ranks.indexOf(fence)} ${until - time}`,
+  );
   return JSON.stringify([
     stored.holder,
     ranks.indexOf(highest),
     fell,
     suspensions,
     orders.sort(),
+    alternated,
+    last?.name,
+    beforeLast && [beforeLast.name, units(time - beforeLast.at)],
+    last && units(time - last.at),
     holders.map((holder) => {
       const { held, seen, isSuspended, lag } = holder;
       const { now } = steadyNow(state, holder);
@@ -108,6 +144,8 @@
           ranks.indexOf(held.fence),
           units(held.until - now),
           units(lag - held.dayOffset),
+          givesBack && held.ordersUntil !== undefined && units(held.ordersUntil - now),
+          givesBack && held.takenOverAt !== undefined && units(now - held.takenOverAt),
         ],
         isSeen && units(now - seen.since),
       ];
@@ -122,27 +160,43 @@
 /** Time goes on, but not past the moment at which an order has arrived at the latest. */
 function tick(state: LeaseState): Step<LeaseState>[] {
   const { time, underWay, holders } = state;
-  if (underWay.some(({ by }) => by <= time)) return [];
+  if (underWay.some(({ until }) => until <= time)) return [];
   const later = holders.map((one) => (one.isSuspended ? { ...one, lag: one.lag + UNIT } : one));
   return [
     { name: "time goes on", fault: false, next: { ...state, time: time + UNIT, holders: later } },
   ];
 }
 
-function arrive(state: LeaseState, order: Order): Step<LeaseState> {
+function arrive(
+  state: LeaseState,
+  order: Order,
+  { givesBack, term }: LeaseBounds,
+): Step<LeaseState> {
+  const { time, last, beforeLast } = state;
+  const { by: name, fence } = order;
+  const isSame = last?.name === name;
+  const isBack = !isSame && beforeLast?.name === name && time - beforeLast.at < term * UNIT;
   return {
-    name: `the order with fence ${order.fence} arrives`,
+    name: `the order with fence ${fence} arrives`,
     fault: false,
     next: {
       ...state,
       underWay: state.underWay.filter((one) => one !== order),
-      highest: Math.max(state.highest, order.fence),
-      fell: state.fell || order.fence < state.highest,
+      highest: Math.max(state.highest, fence),
+      fell: state.fell || fence < state.highest,
+      last: givesBack ? { name, at: time } : undefined,
+      beforeLast: isSame ? beforeLast : last,
+      alternated: state.alternated || isBack,
     },
   };
 }
 
-function holderSteps(state: LeaseState, holder: Holder, rules: LeaseRules): Step<LeaseState>[] {
+function holderSteps(
+  state: LeaseState,
+  holder: Holder,
+  { rules, bounds }: { rules: LeaseRules; bounds: LeaseBounds },
+): Step<LeaseState>[] {
+  const term = bounds.term * UNIT;
   const become = (change: Partial<Holder>, more: Partial<LeaseState> = {}): LeaseState => ({
     ...state,
     ...more,
@@ -168,7 +222,7 @@
   }
   const version = stored.version + 1;
   const write = { stored: { version, holder: holder.name } };
-  const until = moment.now + TERM;
+  const until = moment.now + term;
   if (held !== undefined && leaseTimeLeft(held, moment, rules) <= 0) {
     steps.push(step("lets it run out", become({ held: undefined })));
   } else if (held !== undefined && held.version !== stored.version) {
@@ -177,19 +231,28 @@
     const renewed = { ...held, version, until, dayOffset: moment.dayOffset };
     steps.push(step("renews", become({ held: renewed }, write)));
   }
+  if (bounds.givesBack && held?.version === stored.version) {
+    if (giveBackIn(held, moment.now, { term, rules }) === 0) {
+      const free = { stored: { version, holder: "" } };
+      steps.push(step("gives it back", become({ held: undefined }, free)));
+    }
+  }
   const isFree = stored.holder === "";
   const isOver =
-    seen?.version === stored.version &&
-    hasRunOut({ since: seen.since, term: TERM }, moment.now, rules);
+    seen?.version === stored.version && hasRunOut({ since: seen.since, term }, moment.now, rules);
   if (held === undefined && seen !== undefined && (isFree || isOver)) {
-    const ordersFrom = moment.now;
-    const taken = { version, fence: version, dayOffset: moment.dayOffset, until, ordersFrom };
+    const { now, dayOffset } = moment;
+    const takenOverAt = stored.version > 0 && stored.holder !== holder.name ? now : undefined;
+    const terms = { until, ordersFrom: now, ordersUntil: undefined, takenOverAt };
+    const taken = { version, fence: version, dayOffset, ...terms };
     steps.push(step("takes it", become({ held: taken }, write)));
   }
   const mayAct = held !== undefined && mayOrder(held, moment, { orderTime: ORDER_TIME, rules });
   if (mayAct && state.underWay.length < 2) {
-    const order = { fence: held.fence, by: state.time + ORDER_TIME };
-    steps.push(step("gives an order", { ...state, underWay: [...state.underWay, order] }));
+    const order = { by: holder.name, fence: held.fence, until: state.time + ORDER_TIME };
+    const ordering = { ...held, ordersUntil: moment.now + ORDER_TIME };
+    const underWay = [...state.underWay, order];
+    steps.push(step("gives an order", become({ held: ordering }, { underWay })));
   }
   return steps;
 }
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -2,6 +2,7 @@
 import type { Clock, ObjectStore, PutOutcome, Random } from "../interface/index.ts";
 import {
   formatLease,
+  giveBackIn,
   hasRunOut,
   LEASE_TERM,
   leaseKey,
@@ -63,11 +64,6 @@
   readonly count: (name: string) => void;
 }
 
-interface OwnLease extends HeldLease {
-  /** When it was taken from a holder that had given it back; undefined where that one had let it run out. */
-  readonly handedOverAt: number | undefined;
-}
-
 interface Seen {
   readonly lease: Lease;
   /** When this version was first seen, in the clock's milliseconds. */
@@ -83,7 +79,7 @@
   const { clock, random, store, pace, duties, members, count } = parts;
   const { term = LEASE_TERM, lookPeriod = LOOK_PERIOD, isHeldElsewhere = () => false } = parts;
   const self = members.self.id;
-  const held = new Map<string, OwnLease>();
+  const held = new Map<string, HeldLease>();
   const seen = new Map<string, Seen>();
   const turnLostAt = new Map<string, number>();
   let writes = 0;
@@ -143,15 +139,16 @@
       dayOffset: offsetThen,
       until: sentAt + term,
       ordersFrom,
-      handedOverAt: found?.lease.holder === "" ? sentAt : undefined,
+      ordersUntil: undefined,
+      takenOverAt: found === undefined || found.lease.holder === self ? undefined : sentAt,
     });
     count("lease.taken");
   };
-  const renew = async (service: string, mine: OwnLease): Promise<void> => {
+  const renew = async (service: string, mine: HeldLease): Promise<void> => {
     const renewed = { ...mine, until: clock.now() + term, dayOffset: dayOffset() };
     const outcome = await write(service, { holder: self, expect: mine.version });
     if (outcome.kind === "written") {
-      held.set(service, { ...renewed, version: outcome.version });
+      keep(service, { ...renewed, version: outcome.version });
     } else if (outcome.kind === "conflict") {
       held.delete(service);
       count("lease.lost");
@@ -163,22 +160,27 @@
    * The answer of a renewal was lost. If a later version names this instance, the renewal stands: nobody else
    * writes its id, and it writes one renewal at a time.
    */
-  const adopt = async (service: string, renewal: OwnLease): Promise<void> => {
+  const adopt = async (service: string, renewal: HeldLease): Promise<void> => {
     const found = await look(service);
     if (found === "unavailable" || found === undefined) return;
     const { holder, version } = found.lease;
     if (holder !== self) held.delete(service);
-    else if (version > renewal.version) held.set(service, { ...renewal, version });
+    else if (version > renewal.version) keep(service, { ...renewal, version });
   };
-  /**
-   * Gives a lease back. One that was itself given back by another holder less than a term ago is left to run out:
-   * where instances are restarted in turn it would go on at once, and perhaps to the one that had it before. Two
-   * holders would then act in turn within one term, which a platform that doesn't check the fence takes for a split.
-   */
+  /** Notes a renewal, unless the lease was given up while its answer was on the way. */
+  const keep = (service: string, renewed: HeldLease): void => {
+    const before = held.get(service);
+    if (before === undefined) return;
+    held.set(service, { ...renewed, ordersUntil: before.ordersUntil });
+  };
+  /** Gives a lease back, once no call is under way; some are left to run out, for the reasons in `giveBackIn`. */
   const giveBack = async (service: string): Promise<void> => {
     const mine = held.get(service);
+    // From here on no call is begun.
     held.delete(service);
-    if (mine === undefined || clock.now() - (mine.handedOverAt ?? -Infinity) < term) return;
+    const wait = mine === undefined ? undefined : giveBackIn(mine, clock.now(), { term });
+    if (mine === undefined || wait === undefined) return;
+    if (wait > 0) await sleep(clock, wait);
     await write(service, { holder: "", expect: mine.version });
   };
   const tend = async (service: string): Promise<void> => {
@@ -206,8 +208,10 @@
     held: () => duties().filter(isHeld),
     fence: (service, orderTime) => {
       const mine = held.get(service);
-      if (mine === undefined) return undefined;
-      return mayOrder(mine, moment(), { orderTime }) ? mine.fence : undefined;
+      if (mine === undefined || !mayOrder(mine, moment(), { orderTime })) return undefined;
+      const ordersUntil = Math.max(mine.ordersUntil ?? 0, clock.now() + orderTime);
+      held.set(service, { ...mine, ordersUntil });
+      return mine.fence;
     },
     start: () => void run(),
     release: async () => {
--- a/src/process/lease_task_test.ts
+++ b/src/process/lease_task_test.ts
@@ -269,3 +269,39 @@
   expect(isThird()).toBe(true);
   close();
 });
+
+// The holder stops answering, its lease runs out and another instance takes it over. That one is restarted right
+// afterwards. If it gave the lease back, the first could have it again within a term of its last order, and a platform
+// that doesn't check the fence would see two holders act in turn.
+test("a lease that was taken over after it had run out isn't passed on within a term", async () => {
+  const { fleet, tasks, holderOf, close } = await startLeases(3);
+  const first = holderOf("checking");
+  fleet.nodes[first]?.freezer.freeze();
+  const isOther = (): boolean => ![-1, first].includes(holderOf("checking"));
+  while (!isOther()) await fleet.clock.advance(10);
+  const takenAt = fleet.clock.now();
+  const second = holderOf("checking");
+  fleet.nodes[first]?.freezer.wake();
+  fleet.nodes[second]?.members.leave();
+  void tasks[second]?.release();
+  const isPassedOn = (): boolean => ![-1, second].includes(holderOf("checking"));
+  while (!isPassedOn()) await fleet.clock.advance(10);
+  expect(fleet.clock.now() - takenAt).toBeGreaterThanOrEqual(LEASE_TERM - 10);
+  close();
+});
+
+// An order is under way to a slow platform when its sender is told to stop. If the lease was free at once, an order of
+// the next holder could arrive before it, and the platform would obey the older one last.
+test("a lease is given back only when no order of its holder can be under way", async () => {
+  const { fleet, tasks, holderOf, close } = await startLeases(3);
+  const first = holderOf("checking");
+  expect(tasks[first]?.fence("checking", ORDER_TIMEOUT)).toBeDefined();
+  const orderedAt = fleet.clock.now();
+  fleet.nodes[first]?.members.leave();
+  void tasks[first]?.release();
+  const isPassedOn = (): boolean => ![-1, first].includes(holderOf("checking"));
+  while (!isPassedOn()) await fleet.clock.advance(10);
+  expect(fleet.clock.now() - orderedAt).toBeGreaterThanOrEqual(ORDER_TIMEOUT);
+  expect(tasks[first]?.fence("checking", 0)).toBeUndefined();
+  close();
+});
--- a/src/version/lease_rules.ts
+++ b/src/version/lease_rules.ts
@@ -19,6 +19,10 @@
   readonly until: number;
   /** Before this no order is sent: one of the holder before may still be under way. */
   readonly ordersFrom: number;
+  /** Until when an order that was begun may be under way; undefined where none was begun. */
+  readonly ordersUntil: number | undefined;
+  /** When it was taken after another holder, which gave it back or let it run out; undefined after none. */
+  readonly takenOverAt: number | undefined;
 }
 
 /** A moment of one instance. */
@@ -37,6 +41,10 @@
   readonly countSuspension: boolean;
   /** A call is begun only if it will be over before the lease is. */
   readonly leaveRoom: boolean;
+  /** A lease isn't given back while a call may be under way. */
+  readonly endOrders: boolean;
+  /** A lease that was another holder's isn't given back within a term. */
+  readonly keepTerm: boolean;
 }
 
 /** All rules in force. */
@@ -44,8 +52,12 @@
   waitTerm: true,
   countSuspension: true,
   leaveRoom: true,
+  endOrders: true,
+  keepTerm: true,
 };
 
+/** Milliseconds: what may arrive until a moment may arrive at it. */
+const SAME_MOMENT = 1;
 /** Differences between the time of day and the steady clock up to this are corrections of the time of day. */
 const CLOCK_TOLERANCE = 100;
 
@@ -84,3 +96,23 @@
 ): boolean {
   return !rules.waitTerm || now - seen.since >= seen.term;
 }
+
+/**
+ * Milliseconds until the holder may give its lease back, for another to take it at once; undefined where it must be
+ * left to run out.
+ *
+ * - A call that is under way would arrive after one of the next holder, which the platform takes for a split.
+ * - Where instances are restarted in turn, a lease that was another's a moment ago would go on at once, and perhaps to
+ *   the one that had it before: two holders would act in turn within one term, which is taken for a split too.
+ */
+export function giveBackIn(
+  held: HeldLease,
+  now: number,
+  options: { term: number; rules?: LeaseRules },
+): number | undefined {
+  const { term, rules = ALL_LEASE_RULES } = options;
+  if (rules.keepTerm && now - (held.takenOverAt ?? -Infinity) < term) return undefined;
+  const { ordersUntil } = held;
+  if (!rules.endOrders || ordersUntil === undefined || ordersUntil < now) return 0;
+  return ordersUntil - now + SAME_MOMENT;
+}
