--- a/src/process/routed_log.ts
+++ b/src/process/routed_log.ts
@@ -1,5 +1,6 @@
 import "./log_switch.ts";
 import { ROARR, Roarr } from "roarr";
+import type { Clock } from "../interface/index.ts";
 
 /** Fields of a line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -17,12 +18,17 @@
 /** Milliseconds in which a fault that repeats is logged once. */
 const FAULT_PERIOD = 1_000;
 
-/**
- * Makes the log of the instance with this name.
- *
- * @param write Takes each line; the log library writes the lines of a whole process to one place.
- */
-export function createRoutedLog(instance: string, write: (line: string) => void): RoutedLog {
+/** What a log is made with. */
+export interface RoutedLogParts {
+  /** The instance's name, which each line bears. */
+  readonly instance: string;
+  readonly clock: Clock;
+  /** Takes each line; the log library writes the lines of a whole process to one place. */
+  readonly write: (line: string) => void;
+}
+
+/** Makes the log of an instance. */
+export function createRoutedLog({ instance, clock, write }: RoutedLogParts): RoutedLog {
   ROARR.write = write;
   const log = Roarr.child({ instance });
   const faults = new Map<string, { at: number; held: number }>();
@@ -30,9 +36,9 @@
     decided: (step, id, fields) => log.info({ step, request: id ?? "", ...fields }, "request"),
     changed: (step, fields) => log.info({ step, ...fields }, "state"),
     fault: (step, fields) => {
-      const now = Date.now();
+      const now = clock.now();
       const known = faults.get(step);
-      if (known !== undefined && Math.abs(now - known.at) < FAULT_PERIOD) {
+      if (known !== undefined && now - known.at < FAULT_PERIOD) {
         known.held++;
         return;
       }
