Give up streams without events, and ids that no header can hold

Cause: found by reading for the fuzzing of what comes from outside. A worker that streams bytes and ends no event filled the memory of the instance; and what it called an event's id went into the header of the request that continues the stream, a lone carriage return included.

Change: the splitter holds 4 MiB of one event at most, after which the run is sought elsewhere as with any other spoiled answer; an id is taken only where it is visible characters, 128 at most. A bound of 256 KiB was tried first: a test's worker with events of 4 MB, which are proper, failed by it.

--- a/src/request/event_splitter.ts
+++ b/src/request/event_splitter.ts
@@ -17,10 +17,19 @@
   readonly lastId: string | undefined;
   /** Bytes of an event that isn't whole yet. */
   readonly rest: Buffer;
+  /** Whether an event has grown beyond what any has: the stream is no event stream, and isn't kept on. */
+  readonly isOverlong: boolean;
   /** The stream broke off and goes on after its last whole event: the part that had come is forgotten. */
   resume(): void;
 }
 
+/**
+ * Bytes of one event; those of engines have some hundred, and a caller's limit on bodies is of this size. A worker that
+ * ends none would fill the memory.
+ */
+const GREATEST_EVENT = 4_194_304;
+/** An id goes into a header of the request that continues the stream: visible characters, and a few of them. */
+const USABLE_ID = /^[\x21-\x7e]{1,128}$/;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const NOTHING: WholeEvents = { bytes: Buffer.alloc(0), count: 0 };
@@ -29,15 +38,21 @@
 export function createEventSplitter(): EventSplitter {
   let rest: Buffer = Buffer.alloc(0);
   let lastId: string | undefined;
+  let isOverlong = false;
+  const keep = (bytes: Buffer): void => {
+    isOverlong ||= bytes.length > GREATEST_EVENT;
+    rest = isOverlong ? Buffer.alloc(0) : bytes;
+  };
   return {
     feed: (chunk) => {
+      if (isOverlong) return NOTHING;
       const all = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
       const { end, count } = wholeEnd(all);
       if (count === 0) {
-        rest = all;
+        keep(all);
         return NOTHING;
       }
-      rest = all.subarray(end);
+      keep(all.subarray(end));
       const bytes = all.subarray(0, end);
       lastId = lastIdIn(bytes) ?? lastId;
       return { bytes, count };
@@ -48,8 +63,12 @@
     get rest() {
       return rest;
     },
+    get isOverlong() {
+      return isOverlong;
+    },
     resume: () => {
       rest = Buffer.alloc(0);
+      isOverlong = false;
     },
   };
 }
@@ -71,7 +90,9 @@
 }
 
 function lastIdIn(bytes: Buffer): string | undefined {
-  const lines = bytes.toString("utf8").split(/\r?\n/);
-  const line = lines.findLast((candidate) => candidate.startsWith("id:"));
-  return line?.slice("id:".length).trim();
+  const lines = bytes.toString("latin1").split(/\r?\n/);
+  const ids = lines
+    .filter((line) => line.startsWith("id:"))
+    .map((line) => line.slice("id:".length).trim());
+  return ids.findLast((id) => USABLE_ID.test(id));
 }
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -236,6 +236,11 @@
   };
   const onStreamData = (attempt: Attempt, chunk: Buffer): void => {
     const { bytes, count } = splitter.feed(chunk);
+    if (splitter.isOverlong) {
+      note("no-events", { worker: attempt.worker.id });
+      repeat("worker-garbled");
+      return;
+    }
     if (count === 0) return;
     if (!attempt.hasEvent) {
       attempt.hasEvent = true;
