--- a/src/decision/worker_ranking.ts
+++ b/src/decision/worker_ranking.ts
@@ -76,6 +76,8 @@
 
 /** Equals are drawn from: otherwise all instances would take the first in the list. */
 const JITTER = 2;
+/** Hashes have 32 bits. */
+const HASHES = 2 ** 32;
 
 /** Workers with what each would cost the request in milliseconds, the cheapest first. */
 export interface Ranking<W extends RankedWorker> {
@@ -96,20 +98,22 @@
   const homes = homesOf(workers, request);
   const all = sum(request.parts);
   const shared = all - (request.parts.at(-1)?.tokens ?? 0);
-  return workers
-    .map((worker) => {
-      const reads = all - shared * (homes.get(worker.id) ?? 0);
-      const wait = waitAt(worker, { unread: reads, speed });
-      const cost =
-        wait +
-        worker.running * BESIDE +
-        worker.failing * FAILED_TRY +
-        worker.coldFor * COLD_PART +
-        random.next() * JITTER +
-        (worker.sameZone ? 0 : ZONE_DISTANCE);
-      return { worker, cost, wait, reads };
-    })
-    .sort((a, b) => a.cost - b.cost);
+  // One number drawn for all: each worker's own comes of it and of the worker's hash.
+  const draw = Math.floor(random.next() * HASHES);
+  const rankings: Ranking<W>[] = [];
+  for (const worker of workers) {
+    const reads = all - shared * (homes.get(worker.id) ?? 0);
+    const wait = waitAt(worker, { unread: reads, speed });
+    const cost =
+      wait +
+      worker.running * BESIDE +
+      worker.failing * FAILED_TRY +
+      worker.coldFor * COLD_PART +
+      (mixHashes(worker.hash, draw) / HASHES) * JITTER +
+      (worker.sameZone ? 0 : ZONE_DISTANCE);
+    rankings.push({ worker, cost, wait, reads });
+  }
+  return rankings.sort((a, b) => a.cost - b.cost);
 }
 
 /** The workers at which the shared parts of the prompt are kept, with the chance that they are. */
@@ -121,9 +125,28 @@
   // The last part is the request's own: what it shares is all before it.
   const shared = parts.slice(0, -1).map(({ id }) => id);
   const key = hashText(shared.join(","));
-  const scored = workers.map(({ id, hash }) => ({ id, score: mixHashes(hash, key) }));
-  scored.sort((a, b) => b.score - a.score);
-  return new Map(HOME_CHANCES.map((chance, index) => [scored[index]?.id ?? "", chance]));
+  return new Map(
+    highest(workers, {
+      count: HOME_CHANCES.length,
+      scoreOf: ({ hash }) => mixHashes(hash, key),
+    }).map(({ id }, place) => [id, HOME_CHANCES[place] ?? 0]),
+  );
+}
+
+/** The few with the highest scores, the highest first: cheaper than to sort them all for each request. */
+function highest<W>(
+  workers: readonly W[],
+  { count, scoreOf }: { count: number; scoreOf: (worker: W) => number },
+): W[] {
+  const found: { worker: W; score: number }[] = [];
+  for (const worker of workers) {
+    const score = scoreOf(worker);
+    const place = found.findIndex((other) => score > other.score);
+    if (place < 0 && found.length >= count) continue;
+    found.splice(place < 0 ? found.length : place, 0, { worker, score });
+    if (found.length > count) found.pop();
+  }
+  return found.map(({ worker }) => worker);
 }
 
 function waitAt(
