Count a lease's term from when its renewal was heard of

The others don't look while the holder says that it holds the lease, and a successor counts the term from its first look.

Ruled out: looking all the time, which costs calls for each instance; a shorter term, which the users set.

Change: digests carry the version of the lease that the holder wrote; whoever hears of it counts from there. It is later than the write, so the wait isn't shorter than the holder's own term. The specification has instances that hear.

--- a/bench/digest_cost.ts
+++ b/bench/digest_cost.ts
@@ -130,7 +130,7 @@
       callers: address,
       peers: address,
     },
-    state: () => ({ ready: true, reachesStore: true, holdsLease: place === 0 }),
+    state: () => ({ ready: true, reachesStore: true, leaseVersion: place === 0 ? 307 : 0 }),
     news: load.state,
     onHeard: () => undefined,
     onNews: () => undefined,
--- a/model/lease_specification.ts
+++ b/model/lease_specification.ts
@@ -220,6 +220,11 @@
     const since = moment.now;
     steps.push(step("looks", become({ seen: { version: stored.version, since } })));
   }
+  for (const { name, held: theirs } of state.holders) {
+    if (theirs === undefined || theirs.version <= (seen?.version ?? 0)) continue;
+    const since = moment.now;
+    steps.push(step(`hears of ${name}`, become({ seen: { version: theirs.version, since } })));
+  }
   const version = stored.version + 1;
   const write = { stored: { version, holder: holder.name } };
   const until = moment.now + term;
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -26,8 +26,11 @@
   readonly ready: boolean;
   /** Whether the platform's store answers it. */
   readonly reachesStore: boolean;
-  /** Whether it holds the lease of the calls that one instance at a time makes. */
-  readonly holdsLease: boolean;
+  /**
+   * The store's version of the lease of the calls that one instance at a time makes, as it wrote it last; 0 where it
+   * doesn't hold it.
+   */
+  readonly leaseVersion: number;
 }
 
 /** What has changed at an instance since the receiver heard of it last. */
--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -13,13 +13,13 @@
 
 /** A digest as a datagram. */
 export function encodeDigest(digest: Digest): Uint8Array {
-  const { session, sequence, ready, reachesStore, holdsLease, heard, introduction, news } = digest;
+  const { session, sequence, ready, reachesStore, heard, introduction, news } = digest;
   const message = create(DigestSchema, {
     session,
     sequence,
     ready,
     reachesStore,
-    holdsLease,
+    leaseVersion: BigInt(digest.leaseVersion),
     heardSession: heard?.session ?? 0,
     heardSequence: heard?.sequence ?? 0,
     ...(introduction === undefined ? {} : { introduction }),
@@ -90,7 +90,7 @@
     sequence,
     ready: message.ready,
     reachesStore: message.reachesStore,
-    holdsLease: message.holdsLease,
+    leaseVersion: Number(message.leaseVersion),
     heard:
       heardSession === 0 ? undefined : { session: heardSession, sequence: message.heardSequence },
     introduction:
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -38,7 +38,7 @@
   sequence: fc.nat(),
   ready: fc.boolean(),
   reachesStore: fc.boolean(),
-  holdsLease: fc.boolean(),
+  leaseVersion: fc.nat(),
   heard: fc.option(fc.record({ session: SESSION, sequence: fc.nat() }), { nil: undefined }),
   introduction: fc.option(fc.record({ name: NAME, zone: NAME, callers: NAME, peers: NAME }), {
     nil: undefined,
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -34,6 +34,14 @@
    * before the order is over.
    */
   fence(service: string, orderTime: number): number | undefined;
+  /** The store's version of a lease that this instance holds, as it wrote it last; 0 where it doesn't hold it. */
+  versionOf(service: string): number;
+  /**
+   * Another instance says that it holds the lease and has written this version; 0 where it doesn't hold it. The version
+   * is older than the word of it, so a term counted from here is over no sooner than the holder's own. Without it a
+   * successor would begin to count when it looks, after the holder is gone: two terms without anybody.
+   */
+  heard(service: string, version: number): void;
   start(): void;
   /** Gives every lease back, so that another instance needn't wait for them to run out. */
   release(): Promise<void>;
@@ -65,11 +73,16 @@
 }
 
 interface Seen {
-  readonly lease: Lease;
-  /** When this version was first seen, in the clock's milliseconds. */
+  /** The store's version of the lease. */
+  readonly version: number;
+  /** When this version was first seen or heard of, in the clock's milliseconds. */
   readonly since: number;
 }
 
+interface Found extends Seen {
+  readonly lease: Lease;
+}
+
 /**
  * Makes the task. Each service's lease goes to the first live member in rendezvous order, which spreads
  * them over the instances. Nobody trusts another's clock: a holder counts its term from before its write
@@ -105,16 +118,16 @@
     return pace.run(() => store.put(leaseKey(service), value, { expect }));
   };
   /** Notes what the store says; a lease of ours whose write was answered late or never is found again. */
-  const look = async (service: string): Promise<Seen | undefined | "unavailable"> => {
+  const look = async (service: string): Promise<Found | undefined | "unavailable"> => {
     const read = await pace.run(() => store.get(leaseKey(service)));
     if (read.kind === "unavailable") return "unavailable";
     if (read.kind === "absent") return undefined;
     const lease = parseLease(read.object.version, read.object.value);
+    const { version } = lease;
     const before = seen.get(service);
-    const since = before?.lease.version === lease.version ? before.since : clock.now();
-    const now = { lease, since };
-    seen.set(service, now);
-    return now;
+    const since = before?.version === version ? before.since : clock.now();
+    seen.set(service, { version, since });
+    return { lease, version, since };
   };
   const take = async (service: string): Promise<void> => {
     const found = await look(service);
@@ -213,6 +226,11 @@
       held.set(service, { ...mine, ordersUntil });
       return mine.fence;
     },
+    versionOf: (service) => (isHeld(service) ? (held.get(service)?.version ?? 0) : 0),
+    heard: (service, version) => {
+      if (version <= (seen.get(service)?.version ?? 0)) return;
+      seen.set(service, { version, since: clock.now() });
+    },
     start: () => void run(),
     release: async () => {
       closed = true;
--- a/src/process/lease_task_test.ts
+++ b/src/process/lease_task_test.ts
@@ -305,3 +305,49 @@
   expect(tasks[first]?.fence("checking", 0)).toBeUndefined();
   close();
 });
+
+// The holder dies. As long as it said that it holds the lease the others had no reason to look at the store, and one
+// that begins to count the term only then leaves two terms without anybody who orders workers or reports usage.
+test("a lease is taken over a term after its last renewal that was heard of", async () => {
+  const fleet = await startControlFleet({
+    count: 3,
+    zones: 3,
+    revision: revisionWith("a"),
+  });
+  let dead = -1;
+  const { clock, nodes, store } = fleet;
+  const tasks: LeaseTask[] = nodes.map((node, index) =>
+    createLeaseTask({
+      ...node,
+      pace: node.configuration.pace,
+      duties: () => ["duty"],
+      clock: node.freezer.clock,
+      random: createSeededRandom(index + 50),
+      store: store.connect(() => node.freezer.gate()),
+      longestOrder: 300,
+      lookPeriod: 500,
+      isHeldElsewhere: () =>
+        tasks.some((task, other) => ![index, dead].includes(other) && task.versionOf("duty") > 0),
+      count: () => undefined,
+    }),
+  );
+  for (const task of tasks) task.start();
+  const holder = (): number =>
+    tasks.findIndex((task, index) => index !== dead && task.versionOf("duty") > 0);
+  const pass = async (): Promise<void> => {
+    await clock.advance(100);
+    const version = tasks[holder()]?.versionOf("duty") ?? 0;
+    for (const [index, task] of tasks.entries())
+      if (index !== holder()) task.heard("duty", version);
+  };
+  while (clock.now() < 30_000) await pass();
+  dead = holder();
+  nodes[dead]?.freezer.freeze();
+  nodes[dead]?.members.leave();
+  const diedAt = clock.now();
+  while (holder() < 0) await pass();
+  expect(clock.now() - diedAt).toBeGreaterThan(LEASE_TERM / 2);
+  expect(clock.now() - diedAt).toBeLessThan(LEASE_TERM + 1_500);
+  for (const task of tasks) task.close();
+  fleet.close();
+});
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -214,7 +214,7 @@
   const instanceOf = (peer: Peer, digest: Digest): PeerInstance | undefined => {
     const said = digest.introduction ?? peer.instance;
     if (said === undefined) return undefined;
-    const { ready, reachesStore, holdsLease, news } = digest;
+    const { ready, reachesStore, leaseVersion, news } = digest;
     return {
       name: said.name,
       zone: said.zone,
@@ -222,7 +222,7 @@
       peers: said.peers,
       ready,
       reachesStore,
-      holdsLease,
+      leaseVersion,
       incarnation: incarnationOf(said.name, digest.session),
       versions: new Map([...(peer.instance?.versions ?? []), ...(news?.versions ?? [])]),
       heardAt: peer.heardAt,
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -65,7 +65,7 @@
         random,
         session: ++session,
         introduction: { name: `e${place}`, zone: "a", callers: address, peers: address },
-        state: () => ({ ready: member.isReady, reachesStore: true, holdsLease: false }),
+        state: () => ({ ready: member.isReady, reachesStore: true, leaseVersion: 0 }),
         news: () => newsOf(state),
         onHeard: () => undefined,
         onNews: ({ name }, news) => heard.set(name, merged(heard.get(name), news)),
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -181,6 +181,7 @@
     board.heardLeaving(news.leaving);
   };
   const onHeard = (peer: PeerInstance): void => {
+    lease.heard(DUTY, peer.leaseVersion);
     for (const [kind, feed] of feeds) void catchUp(peer, kind, feed);
   };
   const fetching = new Set<string>();
@@ -214,7 +215,7 @@
     state: () => ({
       ready: isReady(),
       reachesStore: reachesStore(),
-      holdsLease: lease.held().length > 0,
+      leaseVersion: lease.versionOf(DUTY),
     }),
     news: ownState,
     onHeard,
@@ -254,7 +255,7 @@
     longestOrder: TAKEOVER_PAUSE,
     term: settings.leaseTerm,
     lookPeriod: LEASE_LOOK,
-    isHeldElsewhere: () => exchange.live().some(({ holdsLease }) => holdsLease),
+    isHeldElsewhere: () => exchange.live().some(({ leaseVersion }) => leaseVersion > 0),
     count: (name) => log.changed(name, {}),
   });
   const demands = new Map<string, WorkerDemand>();
@@ -377,7 +378,7 @@
         callers: one.callers,
         ready: one.ready,
         reachesStore: one.reachesStore,
-        holdsLease: one.holdsLease,
+        holdsLease: one.leaseVersion > 0,
         age: Math.round(clock.now() - one.heardAt),
       })),
       routes: (table?.routing.routes ?? []).map((route) => ({
