Tell the time of the moment, not of the last round

A process that is new to an instance is answered at once, with the news of the last round, which is up to a quarter of a second old; the time of day in it was as old, and several such answers could move the time that a new process agrees on.

--- a/bench/digest_cost.ts
+++ b/bench/digest_cost.ts
@@ -60,8 +60,6 @@
       counts[account] = (counts[account] ?? 0) + 1;
     },
     state: () => ({
-      age: clock.now(),
-      time: 1_789_549_273_060 + clock.now(),
       versions: new Map([
         ["routing", 307],
         ["workers", 412],
@@ -132,6 +130,7 @@
     },
     state: () => ({ ready: true, reachesStore: true, leaseVersion: place === 0 ? 307 : 0 }),
     news: load.state,
+    moment: () => ({ time: 1_789_549_273_060 + clock.now(), age: clock.now() }),
     onHeard: () => undefined,
     onNews: () => undefined,
     onChange: () => undefined,
--- a/src/process/own_news.ts
+++ b/src/process/own_news.ts
@@ -4,7 +4,7 @@
 import type { InstanceNews, WorkerUse } from "./digest.ts";
 
 /** Everything that an instance could tell of itself now. */
-export type OwnState = Omit<InstanceNews, "isWhole">;
+export type OwnState = Omit<InstanceNews, "isWhole" | "age" | "time">;
 
 /** What each receiver hasn't heard yet of this instance. */
 export interface OwnNews {
@@ -15,12 +15,12 @@
    *
    * @param since The round that it is known to have heard of; 0 where it has heard of none.
    */
-  since(since: number): InstanceNews | undefined;
+  since(since: number): Omit<InstanceNews, "age" | "time"> | undefined;
 }
 
 /**
- * Rounds for which it is remembered that something has gone: half a minute and more. A receiver that has heard of
- * none since is told everything, as it may know things that nobody here remembers.
+ * Rounds for which it is remembered that something has gone: half a minute, or some seconds of a burst. A receiver that
+ * has heard of none since is told everything, as it may know things that nobody here remembers.
  */
 const REMEMBERED_ROUNDS = 128;
 
@@ -52,8 +52,6 @@
       const from = isWhole ? 0 : since;
       return {
         isWhole,
-        age: latest.age,
-        time: latest.time,
         versions: versions.since(from),
         admitted: admitted.since(from),
         usage: windowsOf(usage.since(from)),
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -62,6 +62,8 @@
   readonly state: () => InstanceState;
   /** All that there is to tell, asked for before each round of news. */
   readonly news: () => OwnState;
+  /** What this instance holds for the time of day, and the milliseconds since its start. */
+  readonly moment: () => Pick<InstanceNews, "time" | "age">;
   /** Called with every digest, before `onNews`. */
   readonly onHeard: (peer: PeerInstance) => void;
   readonly onNews: (peer: PeerInstance, news: InstanceNews) => void;
@@ -145,13 +147,14 @@
   };
   const sendTo = (target: Peer, state: InstanceState): void => {
     const { session: theirs, newsSequence, knowsThis, has } = target;
+    const news = knowsThis ? own.since(has) : undefined;
     const bytes = encodeDigest({
       session,
       sequence,
       ...state,
       heard: theirs === 0 ? undefined : { session: theirs, sequence: newsSequence },
       introduction: knowsThis ? undefined : introduction,
-      news: knowsThis ? own.since(has) : undefined,
+      news: news === undefined ? undefined : { ...news, ...parts.moment() },
       known: passedOn(target),
     });
     socket?.send(bytes, target.address);
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -5,7 +5,7 @@
 import type { OwnState } from "./own_news.ts";
 import { createPeerExchange } from "./peer_exchange.ts";
 import type { PeerExchange } from "./peer_exchange.ts";
-import { createDatagramNetwork } from "./testing/datagram_network.ts";
+import { createDatagramNetwork, LONGEST_WAY } from "./testing/datagram_network.ts";
 import type { DatagramNetwork } from "./testing/datagram_network.ts";
 
 /** What an instance has heard of another, put together from its news. */
@@ -55,6 +55,7 @@
     const heard = new Map<string, Heard>();
     const state: Member["state"] = { admitted: {}, use: {}, usage: {}, version: 0 };
     const faults: string[] = [];
+    const startedAt = clock.now();
     const member: Member = {
       state,
       heard,
@@ -67,8 +68,13 @@
         introduction: { name: `e${place}`, zone: "a", callers: address, peers: address },
         state: () => ({ ready: member.isReady, reachesStore: true, leaseVersion: 0 }),
         news: () => newsOf(state),
+        moment: () => ({ time: clock.now(), age: clock.now() - startedAt }),
         onHeard: () => undefined,
-        onNews: ({ name }, news) => heard.set(name, merged(heard.get(name), news)),
+        onNews: ({ name }, news) => {
+          // Times are whole milliseconds on the wire.
+          expect(clock.now() - news.time).toBeLessThanOrEqual(LONGEST_WAY + 1);
+          heard.set(name, merged(heard.get(name), news));
+        },
         onChange: () => undefined,
         onFault: (detail) => faults.push(detail),
         open: network.open,
@@ -86,8 +92,6 @@
 
 function newsOf({ admitted, use, usage, version }: Member["state"]): OwnState {
   return {
-    age: 0,
-    time: 0,
     versions: new Map([["routing", version]]),
     admitted: new Map(Object.entries(admitted)),
     usage: [{ window: WINDOW, counts: { ...usage } }],
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -161,8 +161,6 @@
   };
 
   const ownState = (): OwnState => ({
-    age: clock.now() - startedAt,
-    time: Math.round(trueNow()),
     versions: new Map([...feeds].map(([kind, feed]) => [kind, feed.changedAt])),
     admitted: quota.tell(clock.now()),
     usage: ledger.own().slice(-TOLD_WINDOWS),
@@ -218,6 +216,7 @@
       leaseVersion: lease.versionOf(DUTY),
     }),
     news: ownState,
+    moment: () => ({ time: trueNow(), age: clock.now() - startedAt }),
     onHeard,
     onNews,
     onChange: () => onMembers(),
--- a/src/process/testing/datagram_network.ts
+++ b/src/process/testing/datagram_network.ts
@@ -11,7 +11,7 @@
 }
 
 /** The longest time on the way in milliseconds; each datagram takes its own, so that they overtake each other. */
-const LONGEST_WAY = 40;
+export const LONGEST_WAY = 40;
 
 /** Makes a network on which nothing goes wrong yet. */
 export function createDatagramNetwork(clock: Clock, random: Random): DatagramNetwork {
