Write once what the digests and the duties wrote again

- Adding up values stood four times: decision/sum.ts serves them, and two reduces beside them.
- Counts of runs were put together by window in the news and in their codec: countsByWindow, beside the ledger's counts.
The absence of use at a worker had two constants.
- The board takes what an instance has as its news holds it, instead of two of its fields in a row.
The test's calls have the new form, their expectations the old one.
- A lease that was looked up carried its version twice.
- On the paths that every digest or event takes: the quota copied all accounts of an instance for the few that changed; the board built the names of all its workers for an empty list of those that leave; the splitter copied every line to find an id.

--- a/bench/board_cost.ts
+++ b/bench/board_cost.ts
@@ -60,7 +60,8 @@
         { running: 1, unreadTokens: 64, runs: 3, failures: 0 },
       ]),
     );
-    for (let other = 1; other < INSTANCES; other++) board.heard(`e${other}`, use, true);
+    for (let other = 1; other < INSTANCES; other++)
+      board.heard(`e${other}`, { use, isWhole: true });
     const choose = (): void => {
       rankWorkers(board.candidates(SERVICE), {
         request: { parts: PARTS },
--- a/bench/digest_cost.ts
+++ b/bench/digest_cost.ts
@@ -1,3 +1,4 @@
+import { sum } from "../src/decision/index.ts";
 import { createSeededRandom } from "../src/interface/index.ts";
 import type { Random } from "../src/interface/index.ts";
 import { createPeerExchange } from "../src/process/peer_exchange.ts";
@@ -142,10 +143,6 @@
   return exchange;
 }
 
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
 /** Prints what the digests of one instance cost, by the deployment's size. */
 async function main(): Promise<void> {
   for (const size of SIZES) console.log(JSON.stringify({ ...size, ...(await measure(size)) }));
--- a/bench/slopes/fit.ts
+++ b/bench/slopes/fit.ts
@@ -1,3 +1,5 @@
+import { sum } from "../../src/decision/index.ts";
+
 /** One measured point. */
 export interface Point {
   readonly size: number;
@@ -24,7 +26,3 @@
   const squares = points.map(({ size, value }) => (value - intercept - slope * size) ** 2);
   return { slope, intercept, error: Math.sqrt(sum(squares) / count) };
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -166,17 +166,19 @@
       for (const { name, quota } of accounts) if (quota !== undefined) bucketOf(name, quota, now);
     },
     heard: (incarnation, { admitted, age }) => {
-      const before = peers.get(incarnation);
+      const isFirstWord = !peers.has(incarnation);
+      const known = peers.get(incarnation) ?? new Map<string, number>();
       peers.delete(incarnation);
-      peers.set(incarnation, new Map([...(before ?? []), ...admitted]));
+      peers.set(incarnation, known);
       if (peers.size > GREATEST_PEERS) removeFirst(peers);
       for (const [account, count] of admitted) {
         const bucket = buckets.get(account);
-        const more = count - (before?.get(account) ?? 0);
+        const more = count - (known.get(account) ?? 0);
+        known.set(account, count);
         if (bucket === undefined) continue;
         // The first word of an instance is where counting begins, as what it admitted before is over; but not where
         // it has started so lately that nothing of it has come back yet.
-        if (before === undefined && age > refillTime(bucket)) continue;
+        if (isFirstWord && age > refillTime(bucket)) continue;
         bucket.level -= more;
         bucket.others = Math.max(0, bucket.others + more);
       }
--- a/src/decision/usage_ledger.ts
+++ b/src/decision/usage_ledger.ts
@@ -23,6 +23,24 @@
   readonly counts: AccountCounts;
 }
 
+/** One account's count in one window. */
+export interface AccountCount {
+  readonly window: number;
+  readonly account: string;
+  readonly count: number;
+}
+
+/** Puts single counts together by window. */
+export function countsByWindow(counts: Iterable<AccountCount>): WindowCounts[] {
+  const windows = new Map<number, Record<string, number>>();
+  for (const { window, account, count } of counts) {
+    const known = windows.get(window) ?? createCounts();
+    windows.set(window, known);
+    known[account] = count;
+  }
+  return [...windows].map(([window, known]) => ({ window, counts: known }));
+}
+
 /** What all instances have counted, as far as it is known here. */
 export interface UsageLedger {
   /** A run of the account began in the window. */
--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -17,6 +17,7 @@
  */
 import { Purchase } from "../interface/index.ts";
 import type { ServiceScaling } from "../version/index.ts";
+import { sum } from "./sum.ts";
 import type { DemandLevel } from "./worker_demand.ts";
 
 /** Workers of one service in one zone. */
@@ -135,10 +136,6 @@
   return counts;
 }
 
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
 /** Reclaimable workers a zone. */
 function reclaimableTarget(
   { least, most }: ServiceScaling,
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -10,6 +10,9 @@
   readonly failures: number;
 }
 
+/** Nothing at a worker. */
+export const NO_USE: WorkerUse = { running: 0, unreadTokens: 0, runs: 0, failures: 0 };
+
 /** What doesn't change while an instance runs. Addresses are `IP:PORT`. */
 export interface Introduction {
   readonly name: string;
--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -1,7 +1,7 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { AccountNewsSchema, DigestSchema, NewsSchema } from "../gen/digest_pb.ts";
 import type * as wire from "../gen/digest_pb.ts";
-import { createCounts } from "../decision/index.ts";
+import { countsByWindow } from "../decision/index.ts";
 import type { WindowCounts } from "../decision/index.ts";
 import type { Digest, InstanceNews, WorkerUse } from "./digest.ts";
 
@@ -135,15 +135,8 @@
 }
 
 function decodeUsage({ accounts, window: last }: wire.News): WindowCounts[] {
-  const windows = new Map<number, Record<string, number>>();
-  for (const { account, begun } of accounts) {
-    for (const [back, count] of begun.entries()) {
-      if (count === 0) continue;
-      const window = Number(last) - back;
-      const counts = windows.get(window) ?? createCounts();
-      windows.set(window, counts);
-      counts[account] = count;
-    }
-  }
-  return [...windows].map(([window, counts]) => ({ window, counts }));
+  const counts = accounts.flatMap(({ account, begun }) =>
+    begun.map((count, back) => ({ window: Number(last) - back, account, count })),
+  );
+  return countsByWindow(counts.filter(({ count }) => count > 0));
 }
--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -79,8 +79,10 @@
   readonly since: number;
 }
 
-interface Found extends Seen {
+interface Found {
   readonly lease: Lease;
+  /** When its version was first seen or heard of. */
+  readonly since: number;
 }
 
 /**
@@ -127,7 +129,7 @@
     const before = seen.get(service);
     const since = before?.version === version ? before.since : clock.now();
     seen.set(service, { version, since });
-    return { lease, version, since };
+    return { lease, since };
   };
   const take = async (service: string): Promise<void> => {
     const found = await look(service);
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -1,4 +1,4 @@
-import { firstInUse, planMix } from "../decision/index.ts";
+import { firstInUse, planMix, sum } from "../decision/index.ts";
 import type { DemandLevel, MixOrder } from "../decision/index.ts";
 import { DUTY_CALL_TIME, Purchase, sleep } from "../interface/index.ts";
 import type { CallOutcome, Clock, Platform, RoutedWorker } from "../interface/index.ts";
@@ -112,7 +112,7 @@
     const wishes = (wished.get(name) ?? []).filter(({ at }) => now - at < HOLD_TIME);
     const held = Math.max(0, ...wishes.map(({ onDemand }) => onDemand));
     const counts = (purchase: Purchase): number =>
-      [...scaling.zonePrices.keys()].reduce((sum, zone) => sum + there(zone, purchase), 0);
+      sum([...scaling.zonePrices.keys()].map((zone) => there(zone, purchase)));
     const first = firstInUse(scaling, {
       reclaimable: counts(Purchase.Reclaimable),
       onDemand: counts(Purchase.OnDemand),
--- a/src/process/own_news.ts
+++ b/src/process/own_news.ts
@@ -1,6 +1,7 @@
-import { createCounts } from "../decision/index.ts";
-import type { WindowCounts } from "../decision/index.ts";
+import { countsByWindow } from "../decision/index.ts";
+import type { AccountCount, WindowCounts } from "../decision/index.ts";
 import { createChangeLog } from "./change_log.ts";
+import { NO_USE } from "./digest.ts";
 import type { InstanceNews, WorkerUse } from "./digest.ts";
 
 /** Everything that an instance could tell of itself now. */
@@ -24,8 +25,6 @@
  */
 const REMEMBERED_ROUNDS = 128;
 
-const NO_USE: WorkerUse = { running: 0, unreadTokens: 0, runs: 0, failures: 0 };
-
 /** Makes news of an instance that has told nothing yet. */
 export function createOwnNews(): OwnNews {
   const same = (a: number, b: number): boolean => a === b;
@@ -33,7 +32,7 @@
   const admitted = createChangeLog<string, number>({ gone: 0, equals: same });
   const use = createChangeLog<number, WorkerUse>({ gone: NO_USE, equals: isSameUse });
   /** A window's count by account, under the window's number and the account's name. */
-  const usage = createChangeLog<string, UsageCount>({ gone: NO_COUNT, equals: isSameCount });
+  const usage = createChangeLog<string, AccountCount>({ gone: NO_COUNT, equals: isSameCount });
   let latest: OwnState | undefined;
   let last = 0;
   return {
@@ -54,7 +53,7 @@
         isWhole,
         versions: versions.since(from),
         admitted: admitted.since(from),
-        usage: windowsOf(usage.since(from)),
+        usage: countsByWindow(told(usage.since(from))),
         use: use.since(from),
         leaving: latest.leaving,
       };
@@ -62,15 +61,9 @@
   };
 }
 
-interface UsageCount {
-  readonly window: number;
-  readonly account: string;
-  readonly count: number;
-}
-
-const NO_COUNT: UsageCount = { window: 0, account: "", count: 0 };
+const NO_COUNT: AccountCount = { window: 0, account: "", count: 0 };
 
-function isSameCount(a: UsageCount, b: UsageCount): boolean {
+function isSameCount(a: AccountCount, b: AccountCount): boolean {
   return a.window === b.window && a.account === b.account && a.count === b.count;
 }
 
@@ -83,7 +76,7 @@
   );
 }
 
-function usageByKey(windows: readonly WindowCounts[]): Map<string, UsageCount> {
+function usageByKey(windows: readonly WindowCounts[]): Map<string, AccountCount> {
   return new Map(
     windows.flatMap(({ window, counts }) =>
       Object.entries(counts).map(([account, count]) => [
@@ -95,13 +88,6 @@
 }
 
 /** Counts of windows that are over and forgotten aren't told. */
-function windowsOf(counts: ReadonlyMap<string, UsageCount>): WindowCounts[] {
-  const windows = new Map<number, Record<string, number>>();
-  for (const { window, account, count } of counts.values()) {
-    if (account === "") continue;
-    const known = windows.get(window) ?? createCounts();
-    windows.set(window, known);
-    known[account] = count;
-  }
-  return [...windows].map(([window, known]) => ({ window, counts: known }));
+function told(counts: ReadonlyMap<string, AccountCount>): AccountCount[] {
+  return [...counts.values()].filter(({ account }) => account !== "");
 }
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -5,7 +5,8 @@
 import type { BoardRun, BoardWorker, WorkerBoard } from "../request/index.ts";
 import { hashText } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
-import type { WorkerUse } from "./digest.ts";
+import { NO_USE } from "./digest.ts";
+import type { InstanceNews, WorkerUse } from "./digest.ts";
 import type { RoutedStatus } from "./routed_status.ts";
 
 /** The board with what fills it. */
@@ -15,12 +16,8 @@
   workers(): readonly RoutedWorker[];
   /** Requests that all instances have at each of the service's workers. */
   running(service: string): number[];
-  /**
-   * What another instance has at workers, by the hashes of their ids.
-   *
-   * @param isWhole Whether it has nothing at all others; otherwise nothing has changed there.
-   */
-  heard(instance: string, use: ReadonlyMap<number, WorkerUse>, isWhole: boolean): void;
+  /** What another instance has at workers; nothing has changed at those that it doesn't name, unless that is all. */
+  heard(instance: string, news: Pick<InstanceNews, "use" | "isWhole">): void;
   /** Other instances know that these workers leave; each is named with its start, as by `leaving`. */
   heardLeaving(leaving: readonly string[]): void;
   /** Forgets instances that weren't heard for a while: what they had at workers has ended. */
@@ -59,8 +56,6 @@
 /** Requests and unread prompt tokens that the other instances have at a worker. */
 type OtherUse = Pick<WorkerUse, "running" | "unreadTokens">;
 
-const NO_USE: OtherUse = { running: 0, unreadTokens: 0 };
-
 interface Entry {
   readonly worker: RoutedWorker;
   readonly hash: number;
@@ -116,7 +111,7 @@
       leaveTimer: isSame ? known.leaveTimer : undefined,
     };
   };
-  const heard: RoutedBoard["heard"] = (instance, use, isWhole) => {
+  const heard: RoutedBoard["heard"] = (instance, { use, isWhole }) => {
     if (isWhole) forget(instance);
     const known = said.get(instance) ?? new Map<number, OtherUse>();
     said.set(instance, known);
@@ -146,7 +141,7 @@
     else others.set(worker, sum);
   };
   const runningAt = ({ hash, running }: Entry): number =>
-    running + (others.get(hash)?.running ?? 0);
+    running + (others.get(hash) ?? NO_USE).running;
   // Every request passes through here once for each worker of its service, so nothing is made but what it takes away.
   const candidates = (service: RoutedService): BoardWorker[] => {
     const now = clock.now();
@@ -243,6 +238,7 @@
     running: (service) => entriesOf(service).map(runningAt),
     heard,
     heardLeaving: (leaving) => {
+      if (leaving.length === 0) return;
       const told = new Set(leaving);
       for (const entry of entries.values()) if (told.has(startOf(entry))) entry.isLeaving = true;
     },
--- a/src/process/routed_board_test.ts
+++ b/src/process/routed_board_test.ts
@@ -48,10 +48,10 @@
 // or what another said twice, would send to a worker that is full, or keep away from one that is idle.
 test("what other instances have at the workers is added up, replaced and forgotten with them", () => {
   const board = startBoard();
-  board.heard("e1", useOf({ w0: 2, w1: 1 }), true);
-  board.heard("e2", useOf({ w0: 3 }), true);
+  board.heard("e1", { use: useOf({ w0: 2, w1: 1 }), isWhole: true });
+  board.heard("e2", { use: useOf({ w0: 3 }), isWhole: true });
   expect(board.running("desk")).toEqual([5, 1]);
-  board.heard("e1", useOf({ w1: 4 }), true);
+  board.heard("e1", { use: useOf({ w1: 4 }), isWhole: true });
   expect(board.running("desk")).toEqual([3, 4]);
   board.keepInstances(new Set(["e1"]));
   expect(board.running("desk")).toEqual([0, 4]);
@@ -64,10 +64,10 @@
 // not be counted.
 test("what an instance doesn't name has not changed there", () => {
   const board = startBoard();
-  board.heard("e1", useOf({ w0: 2, w1: 1 }), true);
-  board.heard("e1", useOf({ w1: 4 }), false);
+  board.heard("e1", { use: useOf({ w0: 2, w1: 1 }), isWhole: true });
+  board.heard("e1", { use: useOf({ w1: 4 }), isWhole: false });
   expect(board.running("desk")).toEqual([2, 4]);
-  board.heard("e1", useOf({ w0: 0 }), false);
+  board.heard("e1", { use: useOf({ w0: 0 }), isWhole: false });
   expect(board.running("desk")).toEqual([0, 4]);
   board.keepInstances(new Set());
   expect(board.running("desk")).toEqual([0, 0]);
@@ -77,9 +77,9 @@
 // the entry is back, also what was said of the worker meanwhile.
 test("what others have at a worker is known when the worker comes back", () => {
   const board = startBoard();
-  board.heard("e1", useOf({ w0: 2 }), true);
+  board.heard("e1", { use: useOf({ w0: 2 }), isWhole: true });
   board.setWorkers([workerNamed("w1")]);
-  board.heard("e2", useOf({ w0: 1 }), true);
+  board.heard("e2", { use: useOf({ w0: 1 }), isWhole: true });
   board.setWorkers(["w0", "w1"].map(workerNamed));
   expect(board.running("desk").reduce((sum, running) => sum + running, 0)).toBe(3);
 });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -174,7 +174,7 @@
     time.heard(from, { time: news.time, steady: now });
     quota.heard(from, { admitted: news.admitted, age: news.age });
     ledger.heard(from, news.usage);
-    board.heard(from, news.use, news.isWhole);
+    board.heard(from, news);
     health.heard(from, news.use, now);
     board.heardLeaving(news.leaving);
   };
--- a/src/process/usage_task.ts
+++ b/src/process/usage_task.ts
@@ -1,11 +1,12 @@
 import { DUTY_CALL_TIME, sleep } from "../interface/index.ts";
 import type { Clock, ObjectStore, Platform } from "../interface/index.ts";
+import { sum } from "../decision/index.ts";
 import type { AccountCounts, UsageLedger } from "../decision/index.ts";
 import { KEPT_WINDOWS, knownAfterFix, nextUsageStep, parseUsageRecord } from "../version/index.ts";
 import type { KnownUsage, UsageRecord } from "../version/index.ts";
 
 /** The store's key of the counts that were fixed for reporting. */
-export const USAGE_KEY = "samphireshore/duty/usage";
+const USAGE_KEY = "samphireshore/duty/usage";
 
 /** What the task is made with. */
 export interface UsageTaskParts {
@@ -79,7 +80,7 @@
     const fence = parts.fence(DUTY_CALL_TIME);
     if (fence === undefined) return;
     const outcome = await platform.reportUsage({ window, counts }, { holder: parts.holder, fence });
-    const runs = Object.values(counts).reduce((sum, count) => sum + count, 0);
+    const runs = sum(Object.values(counts));
     const late = Math.round(parts.time() - (window + 1) * parts.windowLength);
     parts.log("usage-reported", { window, outcome: outcome.kind, runs, late, fence });
     if (outcome.kind === "accepted") done.add(window);
--- a/src/request/event_splitter.ts
+++ b/src/request/event_splitter.ts
@@ -29,7 +29,7 @@
  */
 const GREATEST_EVENT = 4_194_304;
 /** An id goes into a header of the request that continues the stream: visible characters, and a few of them. */
-const USABLE_ID = /^[\x21-\x7e]{1,128}$/;
+const ID_LINE = /^id:\s*([\x21-\x7e]{1,128})\s*$/;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const NOTHING: WholeEvents = { bytes: Buffer.alloc(0), count: 0 };
@@ -91,8 +91,6 @@
 
 function lastIdIn(bytes: Buffer): string | undefined {
   const lines = bytes.toString("latin1").split(/\r?\n/);
-  const ids = lines
-    .filter((line) => line.startsWith("id:"))
-    .map((line) => line.slice("id:".length).trim());
-  return ids.findLast((id) => USABLE_ID.test(id));
+  const line = lines.findLast((candidate) => ID_LINE.test(candidate)) ?? "";
+  return ID_LINE.exec(line)?.[1];
 }
--- a/src/standin/replay/report.ts
+++ b/src/standin/replay/report.ts
@@ -1,3 +1,4 @@
+import { sum } from "../../decision/index.ts";
 import type { FleetControl } from "./fleet_control.ts";
 import { lowerBoundOf } from "./lower_bound.ts";
 import type { GroupMeasurements, Measurements, Times } from "./measurements.ts";
@@ -77,12 +78,6 @@
   return Object.fromEntries(sorted.map(([key, value]) => [key, rounded(value)]));
 }
 
-function sum(values: Iterable<number>): number {
-  let total = 0;
-  for (const value of values) total += value;
-  return total;
-}
-
 /** Four digits behind the point are enough to read, and hide no difference that matters. */
 function rounded(value: number): number {
   return Math.round(value * 10_000) / 10_000;
