--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -22,9 +22,9 @@
 import { createMixTask } from "./mix_task.ts";
 import type { InstanceNews } from "./digest.ts";
 import type { OwnState } from "./own_news.ts";
+import { createPeerCatchUp } from "./peer_catch_up.ts";
 import { createPeerExchange, incarnationOf } from "./peer_exchange.ts";
 import type { PeerInstance } from "./peer_exchange.ts";
-import { fetchObjects } from "./peer_fetch.ts";
 import { createRoutedBoard } from "./routed_board.ts";
 import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
@@ -43,8 +43,6 @@
 const STOP_LOOK = 50;
 /** Windows whose counts are told to the others: those that still grow or aren't reported, and what clocks differ by. */
 const TOLD_WINDOWS = 4;
-/** How long a change that a peer knows is awaited from the store before it is fetched from the peer. */
-const FETCH_AFTER = 350;
 /** Processes are told apart by a number of 32 bits. */
 const GREATEST_SESSION = 2 ** 32;
 /** One lease for all calls that one instance makes: each renewal is a call that is paid for. */
@@ -178,27 +176,10 @@
     health.heard(from, news.use, now);
     board.heardLeaving(news.leaving);
   };
+  const catchUp = createPeerCatchUp({ clock, feeds, log });
   const onHeard = (peer: PeerInstance): void => {
     lease.heard(DUTY, peer.leaseVersion);
-    for (const [kind, feed] of feeds) void catchUp(peer, kind, feed);
-  };
-  const fetching = new Set<string>();
-  /** Fetches what a peer knows and the store hasn't told this instance, because it can't reach the store. */
-  const catchUp = async (peer: PeerInstance, kind: string, feed: FeedFollower): Promise<void> => {
-    const theirs = peer.versions.get(kind) ?? 0;
-    if (theirs <= feed.version || fetching.has(kind)) return;
-    fetching.add(kind);
-    try {
-      await sleep(clock, feed.version === 0 ? 0 : FETCH_AFTER);
-      if (theirs <= feed.version) return;
-      const found = await fetchObjects(peer.peers, kind);
-      log.changed("fetched-from-peer", { kind, peer: peer.name, version: found.version });
-      feed.adopt(found);
-    } catch (error) {
-      log.fault("fetch-failed", { kind, peer: peer.name, detail: String(error) });
-    } finally {
-      fetching.delete(kind);
-    }
+    catchUp(peer);
   };
   const exchange = createPeerExchange({
     clock,
