Order workers ahead of the zones that follow, at once and for what reads prompts

Orders at the start went by the first two entries seen, so that eight workers were replaced by too few. After the wave twelve workers on demand stood for six, as piled up requests were taken for load. Change: the reserve counts one more zone while a market is dry, two where the last two were taken within about a start-up; it is what reads prompts in time. A plan is made as soon as workers change and again when the market shows itself dry; each reclaimable worker that is back replaces one on demand; a pile at too few workers counts for little; the start is planned when no entry has come for 1.5 s. Orders are logged with what decided them.

--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -23,3 +23,4 @@
 export * from "./worker_ranking.ts";
 export * from "./worker_demand.ts";
 export * from "./worker_mix.ts";
+export * from "./zone_losses.ts";
--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -39,6 +39,8 @@
   readonly inUse: DemandLevel;
   /** Workers on demand that were wanted within the last seconds, at most: until the market is back they stay. */
   readonly held: number;
+  /** Milliseconds between the last two losses of all of a zone's reclaimable workers; infinite before two. */
+  readonly lossGap: number;
 }
 
 /** What is to be ordered, and why. */
@@ -58,8 +60,15 @@
 
 /** Zones whose reclaimable workers may all be gone at once: one is taken, and a second before the first is back. */
 const ZONES_LOST = 2;
+/**
+ * Zones that may be taken before a worker that is ordered now takes requests, while a market is dry: one, or two where
+ * the last two were taken within about a start-up. What replaces a zone has to be ordered before the next is taken.
+ */
+const ZONES_FOLLOWING = { slow: 1, fast: 2 };
+/** Zones count as taken fast one after the other up to this many start-ups apart. */
+const FAST_START_UPS = 1.25;
 /** Before any load was seen, what is there on demand tells what is usual: so many reclaimable ones replace one. */
-const FIRST_PART = 1.2;
+const FIRST_PART = 1.1;
 /** Least reclaimable workers a zone: with one alone, a crash leaves the zone's sessions without a home. */
 const LEAST_A_ZONE = 2;
 /** What is bought on demand goes beyond what is in use by this part, since what is in use is seen late. */
@@ -80,15 +89,25 @@
 }
 
 /** Plans the orders of a service: one for each zone and purchase. */
-export function planMix({ scaling, stock, inUse, held }: MixView): MixPlan {
+export function planMix({ scaling, stock, inUse, held, lossGap }: MixView): MixPlan {
   const target = reclaimableTarget(scaling, { zones: stock.length, inUse: inUse.lately });
   // Where the market gives none, what is there is all that can be counted on; elsewhere the rest is coming.
   const reachable = stock.map(({ reclaimable, isDry }) =>
     isDry ? Math.min(reclaimable, target) : target,
   );
-  const missing = Math.max(0, Math.ceil(inUse.now * ON_DEMAND_ROOM) - sum(reachable));
+  const isInWave = stock.some(({ isDry }) => isDry);
+  const isFast = lossGap <= scaling.startUp * FAST_START_UPS;
+  const following = isFast ? ZONES_FOLLOWING.fast : ZONES_FOLLOWING.slow;
+  const missing = Math.max(
+    0,
+    Math.ceil(inUse.now * ON_DEMAND_ROOM) - sum(reachable),
+    isInWave ? inUse.reading - leftAfterMore(reachable, following) : 0,
+  );
   const isBack = stock.every(({ reclaimable, isDry }) => !isDry && reclaimable >= target);
-  const wanted = isBack ? 0 : Math.max(missing, held);
+  // Once the market gives again, each reclaimable worker that takes requests replaces one on demand.
+  const ready = sum(stock.map(({ reclaimable }) => reclaimable));
+  const kept = isInWave ? held : Math.min(held, Math.max(0, inUse.lately - ready));
+  const wanted = isBack ? 0 : Math.max(missing, kept);
   // One place is always left to ask the dry market for: only an order shows that it has workers again.
   const rooms = stock.map(({ reclaimable, isDry }) =>
     Math.max(0, scaling.most - Math.min(reclaimable, target) - (isDry ? 1 : 0)),
@@ -105,6 +124,12 @@
   return { orders, onDemand: missing };
 }
 
+/** Reclaimable workers that are left when so many more zones have been taken, the fullest of them. */
+function leftAfterMore(reachable: readonly number[], following: number): number {
+  const fullestLast = [...reachable].sort((a, b) => a - b);
+  return sum(fullestLast.slice(0, Math.max(0, fullestLast.length - following)));
+}
+
 /**
  * Spreads workers on demand over the zones. What is ordered already stays where it is as far as it is wanted:
  * a worker that is given back in one zone and bought in another is paid for twice, and there only once.
--- a/src/decision/worker_mix_test.ts
+++ b/src/decision/worker_mix_test.ts
@@ -34,9 +34,15 @@
 
 const EVERYWHERE = ["a", "b", "c", "d"];
 
-function plan(there: Stock, { inUse, held = 0 }: { inUse: number; held?: number }): MixOrder[] {
-  const level = { now: inUse, lately: inUse, hasBegun: true };
-  return [...planMix({ scaling: SCALING, stock: stock(there), inUse: level, held }).orders];
+function plan(
+  there: Stock,
+  options: { inUse: number; held?: number; lossGap?: number },
+): MixOrder[] {
+  const { inUse, held = 0, lossGap = Infinity } = options;
+  const level = { now: inUse, lately: inUse, reading: inUse, hasBegun: true };
+  return [
+    ...planMix({ scaling: SCALING, stock: stock(there), inUse: level, held, lossGap }).orders,
+  ];
 }
 
 function count(orders: readonly MixOrder[], purchase: Purchase): number {
@@ -47,9 +53,17 @@
 
 test("before any load the reclaimable workers follow what is there, and none is bought on demand", () => {
   const lately = firstInUse(SCALING, { reclaimable: 0, onDemand: 13 });
-  const inUse = { now: 0, lately, hasBegun: false };
+  const inUse = { now: 0, lately, reading: 0, hasBegun: false };
   const there = stock({ ordered: [4, 3, 3, 3] });
-  const orders = [...planMix({ scaling: SCALING, stock: there, inUse, held: 0 }).orders];
+  const orders = [
+    ...planMix({
+      scaling: SCALING,
+      stock: there,
+      inUse,
+      held: 0,
+      lossGap: Infinity,
+    }).orders,
+  ];
   expect(count(orders, Purchase.Reclaimable)).toBe(16);
   expect(count(orders, Purchase.OnDemand)).toBe(0);
 });
@@ -85,6 +99,23 @@
   expect(kept.map((order) => order.count)).toEqual([1, 3, 2, 2]);
 });
 
+// Zones are taken one after the other within two seconds, and the market gives none anywhere. A worker takes four to
+// come: what is ordered only when the last zone is gone leaves the service without any for that time.
+test("in a fast wave what replaces the next zones is ordered before they are taken", () => {
+  const there = { reclaimable: [3, 3, 0, 0], dry: EVERYWHERE };
+  const slow = count(plan(there, { inUse: 6, lossGap: 20_000 }), Purchase.OnDemand);
+  const fast = count(plan(there, { inUse: 6, lossGap: 1_400 }), Purchase.OnDemand);
+  expect(slow).toBeGreaterThanOrEqual(3);
+  expect(fast).toBeGreaterThanOrEqual(6);
+});
+
+// The market has workers again, and reclaimable ones come back one by one. Keeping all on demand until the last of
+// them is there would pay for both.
+test("each reclaimable worker that is back replaces one on demand", () => {
+  const there = { reclaimable: [2, 2, 1, 0], ordered: [2, 2, 2, 2] };
+  expect(count(plan(there, { inUse: 8, held: 8 }), Purchase.OnDemand)).toBe(3);
+});
+
 test("no zone is asked for more than its bound", () => {
   const counts = fc.array(fc.integer({ min: 0, max: 10 }), { minLength: 4, maxLength: 4 });
   fc.assert(
--- a/src/process/mix_task.ts
+++ b/src/process/mix_task.ts
@@ -1,6 +1,6 @@
-import { firstInUse, planMix, sum } from "../decision/index.ts";
+import { createZoneLosses, firstInUse, planMix, sum } from "../decision/index.ts";
 import type { DemandLevel, MixOrder } from "../decision/index.ts";
-import { DUTY_CALL_TIME, Purchase, sleep } from "../interface/index.ts";
+import { DUTY_CALL_TIME, Purchase } from "../interface/index.ts";
 import type { CallOutcome, Clock, Platform, RoutedWorker } from "../interface/index.ts";
 import type { RoutedService } from "../version/index.ts";
 
@@ -25,17 +25,30 @@
 /** The task that orders workers while this instance has the duty. */
 export interface MixTask {
   start(): void;
+  /** Workers have come or begun to leave: the next plan is made soon. */
+  workersChanged(): void;
   close(): void;
 }
 
 /** Milliseconds between two plans. */
 const PLAN_PERIOD = 500;
+/**
+ * Milliseconds from a change of the workers to the plan that it asks for: those of a zone that is taken are heard of
+ * within a few. Each second that a worker on demand comes sooner after its zone was taken is one of late first tokens
+ * less.
+ */
+const CHANGE_DELAY = 30;
 /** Milliseconds after which an order that isn't met is sent again: the market may have workers again. */
 const REPEAT_PERIOD = 1_000;
 /** How long a market that gave none is taken to be dry, in milliseconds: orders are repeated more often. */
 const DRY_TIME = 3_000;
 /** How long workers on demand are wanted after the last moment at which they were, in milliseconds. */
 const HOLD_TIME = 6_000;
+/**
+ * How long the workers of a start have to stay the same before they are planned by, in milliseconds: each is in the
+ * store within about one of its heartbeats.
+ */
+const SETTLE_TIME = 1_500;
 /** An ordered worker may take so much longer than usual to come, in milliseconds. */
 const TAKEOVER_MARGIN = 1_500;
 
@@ -56,15 +69,20 @@
   /** By service, what was there when this instance planned for it first. */
   const firstOf = new Map<string, number>();
   /** By service, what the last look before the first plan gave. */
-  const seenFirst = new Map<string, number>();
+  const seenFirst = new Map<string, { first: number; since: number }>();
+  const losses = createZoneLosses();
   let holderSince: number | undefined;
   let closed = false;
+  let wake = (): void => undefined;
+  /** A market gave none where it wasn't known to be dry: what the plan reckoned with is not to be had. */
+  let ranDry = false;
+  const hasRunDry = (): boolean => ranDry;
   const isClosed = (): boolean => closed;
 
   const order = async (
     service: string,
     { zone, purchase, count }: MixOrder,
-    there: ReadyCount,
+    { there, inputs }: { there: ReadyCount; inputs: PlanInputs },
   ): Promise<void> => {
     const fence = parts.fence(DUTY_CALL_TIME);
     if (fence === undefined) return;
@@ -73,8 +91,10 @@
     const key = keyOf(service, zone, purchase);
     if (purchase === Purchase.Reclaimable) {
       const market = `${service} ${zone}`;
-      if (outcome.kind === "none-available") dryUntil.set(market, clock.now() + DRY_TIME);
-      else if (outcome.kind === "accepted" && count > there(zone, purchase))
+      if (outcome.kind === "none-available") {
+        ranDry ||= (dryUntil.get(market) ?? 0) <= clock.now();
+        dryUntil.set(market, clock.now() + DRY_TIME);
+      } else if (outcome.kind === "accepted" && count > there(zone, purchase))
         dryUntil.delete(market);
     }
     const before = sent.get(key);
@@ -87,6 +107,7 @@
         count,
         outcome: outcome.kind,
         fence,
+        ...inputs,
       });
     }
   };
@@ -109,6 +130,7 @@
         sent.get(keyOf(name, zone, Purchase.OnDemand))?.count ?? there(zone, Purchase.OnDemand),
       isDry: now < (dryUntil.get(`${name} ${zone}`) ?? 0),
     }));
+    const lossGap = losses.observe(name, { stock, now });
     const wishes = (wished.get(name) ?? []).filter(({ at }) => now - at < HOLD_TIME);
     const held = Math.max(0, ...wishes.map(({ onDemand }) => onDemand));
     const counts = (purchase: Purchase): number =>
@@ -121,20 +143,29 @@
     if (!firstOf.has(name)) {
       // Workers enter the store one after the other when a deployment starts: planned by the first few, most would
       // be sent away and too few ordered.
-      const isSettled = inUse.hasBegun || seenFirst.get(name) === first;
-      seenFirst.set(name, first);
-      if (!isSettled) return;
+      const seen = seenFirst.get(name);
+      if (seen?.first !== first) seenFirst.set(name, { first, since: now });
+      const unchangedFor = seen?.first === first ? now - seen.since : 0;
+      if (!inUse.hasBegun && unchangedFor < SETTLE_TIME) return;
       firstOf.set(name, first);
     }
     const since = (holderSince ??= now);
-    const { orders, onDemand } = planMix({ scaling, stock, inUse, held });
+    const { orders, onDemand } = planMix({ scaling, stock, inUse, held, lossGap });
     wished.set(name, [...wishes, { onDemand, at: now }]);
+    const inputs = {
+      inUse: inUse.now,
+      inUseLately: inUse.lately,
+      readingLately: inUse.reading,
+      held,
+      ready: counts(Purchase.Reclaimable) + counts(Purchase.OnDemand),
+      dry: stock.filter(({ isDry }) => isDry).length,
+    };
     // What the holder before ordered and isn't there yet can't be seen: until it would be, nothing is given back.
     const isNew = inUse.hasBegun && now - since < scaling.startUp + TAKEOVER_MARGIN;
     for (const wanted of orders) {
       const isLess = wanted.count <= there(wanted.zone, wanted.purchase);
       if (isNew && isLess && wanted.purchase === Purchase.OnDemand) continue;
-      if (isDue(name, there, wanted)) await order(name, wanted, there);
+      if (isDue(name, there, wanted)) await order(name, wanted, { there, inputs });
     }
   };
   const run = async (): Promise<void> => {
@@ -144,18 +175,45 @@
         firstOf.clear();
         seenFirst.clear();
         holderSince = undefined;
-      } else for (const service of parts.services()) await plan(service);
-      await sleep(clock, PLAN_PERIOD);
+      } else for (const service of parts.services()) await planTwice(service);
+      await pause();
     }
   };
+  /** Plans once more at once where the plan's own orders have shown that a market is dry. */
+  const planTwice = async (service: RoutedService): Promise<void> => {
+    ranDry = false;
+    await plan(service);
+    if (hasRunDry()) await plan(service);
+  };
+  const pause = (): Promise<void> =>
+    new Promise((resolve) => {
+      let timer = clock.after(PLAN_PERIOD, resolve);
+      wake = () => {
+        timer.close();
+        timer = clock.after(CHANGE_DELAY, resolve);
+        wake = () => undefined;
+      };
+    });
   return {
     start: () => void run(),
+    workersChanged: () => wake(),
     close: () => {
       closed = true;
     },
   };
 }
 
+/** What decided an order, for the log: workers, but for the dry zones. */
+interface PlanInputs {
+  readonly inUse: number;
+  readonly inUseLately: number;
+  readonly readingLately: number;
+  readonly held: number;
+  readonly ready: number;
+  readonly dry: number;
+  readonly [name: string]: number;
+}
+
 /** Workers that take requests, by zone and purchase. */
 type ReadyCount = (zone: string, purchase: Purchase) => number;
 
--- a/src/process/mix_task_test.ts
+++ b/src/process/mix_task_test.ts
@@ -28,6 +28,8 @@
   /** The rest of the workers enters the store. */
   enterAll(): void;
   advance(milliseconds: number): Promise<void>;
+  /** The task is told that workers have come or gone. */
+  changed(): void;
 }
 
 /**
@@ -61,6 +63,7 @@
       market.workers = [...market.workers, ...all.filter((one) => !gone.has(one))];
     },
     advance: (milliseconds) => clock.advance(milliseconds),
+    changed: () => task.workersChanged(),
   };
   const all = ZONES.flatMap((zone) => [0, 1, 2].map(() => worker(zone, Purchase.OnDemand)));
   market.workers = all.slice(0, entered);
@@ -90,8 +93,8 @@
     workers: () => market.workers,
     inUse: (_service, first) =>
       market.inUse === 0
-        ? { now: 0, lately: first, hasBegun: false }
-        : { now: market.inUse, lately: market.inUse, hasBegun: true },
+        ? { now: 0, lately: first, reading: 0, hasBegun: false }
+        : { now: market.inUse, lately: market.inUse, reading: market.inUse, hasBegun: true },
     fence: () => (market.mayOrder ? 7 : undefined),
     holder: "e1",
     log: () => undefined,
@@ -121,6 +124,32 @@
   expect(count(market, Purchase.Reclaimable)).toBeGreaterThanOrEqual(12);
 });
 
+// Entries come to the store one after the other for up to a second and a half, with pauses. A pause isn't the end.
+test("a pause between entries isn't taken for the last of them", async () => {
+  const market = startMarket(2);
+  await market.advance(1_200);
+  expect(market.orders).toEqual([]);
+  market.enterAll();
+  await market.advance(10_000);
+  expect(count(market, Purchase.Reclaimable)).toBeGreaterThanOrEqual(12);
+});
+
+// A zone is taken and the market gives none. Each half second until workers on demand are ordered is one more of late
+// answers four seconds later.
+test("what a dry market doesn't give is ordered on demand at once when workers are taken", async () => {
+  const market = startMarket();
+  market.inUse = 12;
+  await market.advance(12_000);
+  market.isDry = true;
+  market.workers = market.workers.filter(({ zone }) => zone === "a");
+  market.changed();
+  await market.advance(60);
+  const bought = market.orders.filter(
+    ({ purchase, count: ordered }) => purchase === Purchase.OnDemand && ordered > 0,
+  );
+  expect(bought.length).toBeGreaterThan(0);
+});
+
 // Two zones' reclaimable workers are taken, and for a while the market gives none anywhere. Orders of workers on
 // demand that come and go every half second would be paid for and never serve.
 test("in a dry market workers on demand come once and stay until it gives again", async () => {
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -14,8 +14,8 @@
   /** Takes the workers as the store has them now. */
   setWorkers(workers: readonly RoutedWorker[]): void;
   workers(): readonly RoutedWorker[];
-  /** Requests that all instances have at each of the service's workers. */
-  running(service: string): number[];
+  /** What all instances have at each of the service's workers. */
+  loads(service: string): OtherUse[];
   /** What another instance has at workers; nothing has changed at those that it doesn't name, unless that is all. */
   heard(instance: string, news: Pick<InstanceNews, "use" | "isWhole">): void;
   /** Other instances know that these workers leave; each is named with its start, as by `leaving`. */
@@ -235,7 +235,14 @@
       health.keepOnly(new Set([...entries.values()].map(({ hash }) => hash)));
     },
     workers: () => [...entries.values()].map(({ worker }) => worker),
-    running: (service) => entriesOf(service).map(runningAt),
+    loads: (service) =>
+      entriesOf(service).map(({ hash, running, unreadTokens }) => {
+        const other = others.get(hash) ?? NO_USE;
+        return {
+          running: running + other.running,
+          unreadTokens: unreadTokens + other.unreadTokens,
+        };
+      }),
     heard,
     heardLeaving: (leaving) => {
       if (leaving.length === 0) return;
--- a/src/process/routed_board_test.ts
+++ b/src/process/routed_board_test.ts
@@ -44,19 +44,23 @@
   );
 }
 
+function runningAt(board: RoutedBoard): number[] {
+  return board.loads("desk").map(({ running }) => running);
+}
+
 // Several instances send to the same workers and choose at the same moment. One that counted only its own requests,
 // or what another said twice, would send to a worker that is full, or keep away from one that is idle.
 test("what other instances have at the workers is added up, replaced and forgotten with them", () => {
   const board = startBoard();
   board.heard("e1", { use: useOf({ w0: 2, w1: 1 }), isWhole: true });
   board.heard("e2", { use: useOf({ w0: 3 }), isWhole: true });
-  expect(board.running("desk")).toEqual([5, 1]);
+  expect(runningAt(board)).toEqual([5, 1]);
   board.heard("e1", { use: useOf({ w1: 4 }), isWhole: true });
-  expect(board.running("desk")).toEqual([3, 4]);
+  expect(runningAt(board)).toEqual([3, 4]);
   board.keepInstances(new Set(["e1"]));
-  expect(board.running("desk")).toEqual([0, 4]);
+  expect(runningAt(board)).toEqual([0, 4]);
   board.keepInstances(new Set());
-  expect(board.running("desk")).toEqual([0, 0]);
+  expect(runningAt(board)).toEqual([0, 0]);
   expect(board.workers()).toHaveLength(2);
 });
 
@@ -66,11 +70,11 @@
   const board = startBoard();
   board.heard("e1", { use: useOf({ w0: 2, w1: 1 }), isWhole: true });
   board.heard("e1", { use: useOf({ w1: 4 }), isWhole: false });
-  expect(board.running("desk")).toEqual([2, 4]);
+  expect(runningAt(board)).toEqual([2, 4]);
   board.heard("e1", { use: useOf({ w0: 0 }), isWhole: false });
-  expect(board.running("desk")).toEqual([0, 4]);
+  expect(runningAt(board)).toEqual([0, 4]);
   board.keepInstances(new Set());
-  expect(board.running("desk")).toEqual([0, 0]);
+  expect(runningAt(board)).toEqual([0, 0]);
 });
 
 // A worker's entry lapses for a moment while the store is away. What runs there goes on, and is counted again when
@@ -81,5 +85,5 @@
   board.setWorkers([workerNamed("w1")]);
   board.heard("e2", { use: useOf({ w0: 1 }), isWhole: true });
   board.setWorkers(["w0", "w1"].map(workerNamed));
-  expect(board.running("desk").reduce((sum, running) => sum + running, 0)).toBe(3);
+  expect(runningAt(board).reduce((sum, running) => sum + running, 0)).toBe(3);
 });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -126,6 +126,7 @@
     board.setWorkers(workers);
     connections.keepOnly(new Set(workers.map(({ id }) => id)));
     hasWorkers ||= workers.length > 0;
+    mix.workersChanged();
     logWorkers(before, workers);
   };
   const logWorkers = (
@@ -239,10 +240,16 @@
     count: (name) => log.changed(name, {}),
   });
   const demands = new Map<string, WorkerDemand>();
-  const workersInUse = ({ name }: RoutedService, first: number): DemandLevel => {
+  const workersInUse = (service: RoutedService, first: number): DemandLevel => {
+    const { name } = service;
+    const { readRate = Infinity } = board.speed(service);
+    const loads = board.loads(name).map(({ running, unreadTokens }) => ({
+      running,
+      readingTime: unreadTokens / readRate,
+    }));
     const demand = demands.get(name) ?? createWorkerDemand();
     demands.set(name, demand);
-    return demand.observe(board.running(name), { now: clock.now(), first });
+    return demand.observe(loads, { now: clock.now(), first });
   };
   const usage = createUsageTask({
     clock,
