Tell an outage of the store from one of the way to it

The instance had been cut off from the store for twelve seconds, and on its return took missing entries for lapsed ones, for two more seconds. The store had answered all others meanwhile. Change: what other instances say of the store while it doesn't answer this one decides whether its return may be followed by lapsed entries. Their word counts once it can't be from before the loss.

--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -28,6 +28,7 @@
 import { createRoutedBoard } from "./routed_board.ts";
 import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
+import { createStoreOutage } from "./store_outage.ts";
 import { createStorePace } from "./store_pace.ts";
 import { createUsageTask } from "./usage_task.ts";
 import { createWorkerRoster } from "./worker_roster.ts";
@@ -106,10 +107,12 @@
       applyWorkers();
     },
     onReach: (reached, detail) => {
-      if (reached && workerFeed.answeredAt !== undefined) roster.storeReturned();
+      if (!reached) outage.began();
+      else if (outage.ended() && workerFeed.answeredAt !== undefined) roster.storeReturned();
       log.changed("store-reached", { kind: "workers", reached, detail });
     },
   });
+  const outage = createStoreOutage({ clock, staleAfter: settings.leaseTerm + LEASE_LOOK });
   const feeds = new Map([
     [kinds.routing.kind, routingFeed],
     [kinds.workers, workerFeed],
@@ -180,6 +183,7 @@
   const catchUp = createPeerCatchUp({ clock, feeds, log });
   const onHeard = (peer: PeerInstance): void => {
     lease.heard(DUTY, peer.leaseVersion);
+    if (peer.reachesStore) outage.heardAnswering();
     catchUp(peer);
   };
   const exchange = createPeerExchange({
