Don't take others' sooner return for a store that was there all along

Cause: an instance that is answered again a quarter of a second after the others hears from them that the store answers them, and took the store's outage for one of its own way: it would have dropped every worker whose entry had lapsed. Ruled out: going by the time of the loss alone, which says nothing of the return. Change: what others say counts only where they say it for two seconds before this instance's own return. Figures: the new test fails on the code before. A list fetched from another instance before one's own return still takes lapsed workers out at once; listed as left.

--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -65,7 +65,10 @@
  * the last two were taken within about a start-up. What replaces a zone has to be ordered before the next is taken.
  */
 const ZONES_FOLLOWING = { slow: 1, fast: 2 };
-/** Zones count as taken fast one after the other up to this many start-ups apart. */
+/**
+ * Zones count as taken fast one after the other up to this many start-ups apart: with a quarter more than one, what is
+ * ordered at a loss is there about when the next zone goes.
+ */
 const FAST_START_UPS = 1.25;
 /**
  * Before any load was seen, what is there on demand tells what is usual: so many reclaimable ones replace one. With 1.2
--- a/src/process/store_outage.ts
+++ b/src/process/store_outage.ts
@@ -10,6 +10,12 @@
   ended(): boolean;
 }
 
+/**
+ * How much later than others an instance may be answered again, in milliseconds: the pauses and the wait of its calls
+ * to a store that is away, and as much again. Others that are answered for no longer may just have been sooner.
+ */
+const RETURN_SPREAD = 2_000;
+
 /**
  * Makes what decides whether the store itself was away.
  *
@@ -25,18 +31,20 @@
 }): StoreOutage {
   const { clock, staleAfter } = parts;
   let since: number | undefined;
-  let othersWereAnswered = false;
+  /** When another instance was first known to be answered in this outage. */
+  let othersSince: number | undefined;
   return {
     began: () => {
       since = clock.now();
-      othersWereAnswered = false;
+      othersSince = undefined;
     },
     heardAnswering: () => {
-      othersWereAnswered ||= since !== undefined && clock.now() - since > staleAfter;
+      const now = clock.now();
+      if (since !== undefined && now - since > staleAfter) othersSince ??= now;
     },
     ended: () => {
       since = undefined;
-      return !othersWereAnswered;
+      return othersSince === undefined || clock.now() - othersSince < RETURN_SPREAD;
     },
   };
 }
--- a/src/process/store_outage_test.ts
+++ b/src/process/store_outage_test.ts
@@ -29,12 +29,25 @@
   expect(outage.ended()).toBe(true);
 });
 
+// The store was away for six seconds. Other instances happen to ask it again first, and say that it answers them some
+// tenths of a second before it has answered this one.
+test("others that are answered again a little sooner were not answered all along", async () => {
+  const clock = createVirtualClock();
+  const outage = createStoreOutage({ clock, staleAfter: STALE_AFTER });
+  outage.began();
+  await clock.advance(5_800);
+  outage.heardAnswering();
+  await clock.advance(250);
+  expect(outage.ended()).toBe(true);
+});
+
 test("an outage is judged by itself, not by one before", async () => {
   const clock = createVirtualClock();
   const outage = createStoreOutage({ clock, staleAfter: STALE_AFTER });
   outage.began();
   await clock.advance(STALE_AFTER + 1);
   outage.heardAnswering();
+  await clock.advance(3_000);
   expect(outage.ended()).toBe(false);
   outage.heardAnswering();
   outage.began();
