--- a/bench/board_cost.ts
+++ b/bench/board_cost.ts
@@ -50,7 +50,8 @@
       zone: "a",
       health: createWorkerHealth(),
       members: () => INSTANCES,
-      onBegin: () => undefined,
+      newsAge: () => 0,
+    onBegin: () => undefined,
     });
     const workers = Array.from({ length: count * OTHERS }, (_, index) => workerAt(index));
     board.setWorkers(workers);
--- a/bench/digest_cost.ts
+++ b/bench/digest_cost.ts
@@ -1,11 +1,10 @@
 import { sum } from "../src/decision/index.ts";
 import { createSeededRandom } from "../src/interface/index.ts";
 import type { Random } from "../src/interface/index.ts";
-import { createPeerExchange } from "../src/process/peer_exchange.ts";
-import type { PeerExchange } from "../src/process/peer_exchange.ts";
-import type { OwnState } from "../src/process/own_news.ts";
-import { createDatagramNetwork } from "../src/process/testing/datagram_network.ts";
-import { createVirtualClock } from "../src/standin/memory/index.ts";
+import { FleetRole } from "../src/process/fleet_tree.ts";
+import { RunResult } from "../src/request/index.ts";
+import { startNewsFleet } from "../src/process/testing/news_fleet.ts";
+import type { NewsFleet, NewsMember } from "../src/process/testing/news_fleet.ts";
 
 /** A deployment, with the requests that one instance of it carries a second. */
 interface Size {
@@ -21,137 +20,66 @@
   { instances: 9, workers: 17, accounts: 5, requests: 11 },
   { instances: 20, workers: 40, accounts: 16, requests: 20 },
   { instances: 63, workers: 46, accounts: 16, requests: 8 },
+  { instances: 195, workers: 75, accounts: 19, requests: 3 },
   { instances: 63, workers: 770, accounts: 60, requests: 50 },
 ];
-const SETTLE_SECONDS = 8;
-const MEASURED_SECONDS = 8;
+const SETTLE_SECONDS = 5;
+const MEASURED_SECONDS = 5;
 const MILLISECONDS = 1_000;
 /** Milliseconds that a run lasts. */
 const RUN_TIME = 1_000;
-const TOKENS_A_REQUEST = 3_000;
-const WINDOW = 5_000;
-/** The hashes of workers' ids fill 32 bits. */
-const HASH_STEP = 2_654_435_761;
 
-/** Requests that begin and end at one instance. */
-interface Load {
-  readonly state: () => OwnState;
-  request(): void;
+function beginAnywhere(
+  fleet: NewsFleet,
+  member: NewsMember,
+  { accounts, random }: { accounts: number; random: Random },
+): void {
+  const worker = Math.floor(random.next() * fleet.workers.length);
+  const account = accountOf(Math.floor(random.next() * accounts));
+  const run = fleet.begin(member, { worker, account });
+  fleet.clock.after(RUN_TIME, () => run.end(RunResult.Answered));
 }
 
-function createLoad({ workers, accounts }: Size, random: Random, clock: Clock): Load {
-  const use = new Map<number, { running: number; unreadTokens: number; runs: number }>();
-  const admitted = new Map<string, number>();
-  const usage = new Map<number, Record<string, number>>();
-  return {
-    request: () => {
-      const worker = (Math.floor(random.next() * workers) * HASH_STEP) >>> 0;
-      const account = `account-${Math.floor(random.next() * accounts)}`;
-      const at = use.get(worker) ?? { running: 0, unreadTokens: 0, runs: 0 };
-      use.set(worker, at);
-      at.running++;
-      clock.after(RUN_TIME, () => {
-        at.running--;
-        at.runs++;
-      });
-      admitted.set(account, (admitted.get(account) ?? 0) + TOKENS_A_REQUEST);
-      const window = Math.floor(clock.now() / WINDOW);
-      const counts = usage.get(window) ?? {};
-      usage.set(window, counts);
-      counts[account] = (counts[account] ?? 0) + 1;
-    },
-    state: () => ({
-      admitted: new Map(admitted),
-      usage: [...usage].map(([window, counts]) => ({ window, counts: { ...counts } })).slice(-4),
-      use: new Map([...use].map(([worker, at]) => [worker, { ...at, failures: 0 }])),
-      leaving: [],
-    }),
-  };
+function accountOf(index: number): string {
+  return `account-${index}`;
 }
 
-type Clock = ReturnType<typeof createVirtualClock>;
-
 /** What one instance sends a second and what that costs it, in a fleet of the size under load. */
 async function measure(size: Size): Promise<Record<string, number>> {
-  const clock = createVirtualClock();
+  const names = Array.from({ length: size.accounts }, (_, index) => accountOf(index));
+  const fleet = await startNewsFleet({ ...size, accounts: names });
   const random = createSeededRandom(1);
-  const network = createDatagramNetwork(clock, random);
-  const loads = Array.from({ length: size.instances }, () => createLoad(size, random, clock));
-  const exchanges = await Promise.all(
-    loads.map((load, place) => startExchange({ load, place, clock, random, open: network.open })),
-  );
   const play = async (seconds: number): Promise<void> => {
     const step = MILLISECONDS / size.requests;
     for (let at = 0; at < seconds * MILLISECONDS; at += step) {
-      for (const [place, load] of loads.entries()) {
-        load.request();
-        exchanges[place]?.begun();
+      for (const member of fleet.members) {
+        beginAnywhere(fleet, member, { accounts: size.accounts, random });
       }
-      await clock.advance(step);
+      await fleet.clock.advance(step);
     }
   };
   await play(SETTLE_SECONDS);
-  const bytesBefore = sum(exchanges.map(({ bytesSent }) => bytesSent));
+  const before = fleet.members.map(({ news }) => news.bytesSent);
   const startedAt = process.cpuUsage();
   await play(MEASURED_SECONDS);
   const { user, system } = process.cpuUsage(startedAt);
-  const bytes = sum(exchanges.map(({ bytesSent }) => bytesSent)) - bytesBefore;
-  for (const exchange of exchanges) exchange.close();
-  const each = size.instances * MEASURED_SECONDS;
+  const rates = fleet.members.map(({ news }, place) => ({
+    role: news.role,
+    bytes: (news.bytesSent - (before[place] ?? 0)) / MEASURED_SECONDS,
+  }));
+  fleet.close();
+  const mean = (found: readonly { bytes: number }[]): number =>
+    Math.round(sum(found.map(({ bytes }) => bytes)) / Math.max(1, found.length));
   return {
-    bytesPerSecond: Math.round(bytes / each),
+    bytesPerSecond: mean(rates),
+    ofRelay: mean(rates.filter(({ role }) => role === FleetRole.Relay)),
+    ofMember: mean(rates.filter(({ role }) => role === FleetRole.Member)),
     // With the load's and the virtual clock's own work.
-    millisecondsPerSecond: Math.round((user + system) / MILLISECONDS / each),
+    millisecondsPerSecond:
+      Math.round(((user + system) / MILLISECONDS / size.instances / MEASURED_SECONDS) * 10) / 10,
   };
 }
 
-async function startExchange(parts: {
-  load: Load;
-  place: number;
-  clock: Clock;
-  random: Random;
-  open: Parameters<typeof createPeerExchange>[0]["open"];
-}): Promise<PeerExchange> {
-  const { load, place, clock, random, open } = parts;
-  const addressOf = (index: number): string => `10.1.${index >> 8}.${index & 255}:8229`;
-  const address = addressOf(place);
-  const exchange = createPeerExchange({
-    clock,
-    random,
-    session: place + 1,
-    introduction: {
-      name: `edge-sofia-a-${place}`,
-      zone: "sofia-a",
-      callers: address,
-      peers: address,
-      capacity: 1,
-    },
-    state: () => ({
-      ready: true,
-      reachesStore: true,
-      leaseVersion: place === 0 ? 307 : 0,
-      storeReturned: false,
-      isCurrent: true,
-      versions: new Map([
-        ["routing", 307],
-        ["workers", 412],
-      ]),
-    }),
-    news: load.state,
-    moment: () => ({ time: 1_789_549_273_060 + clock.now(), age: clock.now() }),
-    feedsSince: () => [],
-    onHeard: () => undefined,
-    onRole: () => undefined,
-    onNews: () => undefined,
-    onChange: () => undefined,
-    onFault: (detail) => console.error(detail),
-    open,
-  });
-  exchange.introduce([0, 1, 2].map(addressOf));
-  await exchange.start();
-  return exchange;
-}
-
 /** Prints what the digests of one instance cost, by the deployment's size. */
 async function main(): Promise<void> {
   for (const size of SIZES) console.log(JSON.stringify({ ...size, ...(await measure(size)) }));
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -17,6 +17,7 @@
 export * from "./repeat_allowance.ts";
 export * from "./shared_quota.ts";
 export * from "./spread_addresses.ts";
+export * from "./spread_choice.ts";
 export { sum } from "./sum.ts";
 export * from "./true_time.ts";
 export * from "./usage_ledger.ts";
--- /dev/null
+++ b/src/decision/spread_choice_test.ts
@@ -0,0 +1,105 @@
+import { expect, test } from "vitest";
+import { createSeededRandom } from "../interface/index.ts";
+import { hashText } from "../version/index.ts";
+import { spreadChoice } from "./spread_choice.ts";
+import { rankWorkers } from "./worker_ranking.ts";
+import type { RankedWorker } from "./worker_ranking.ts";
+
+const SPEED = { readRate: 100, runTime: 800 };
+/** Milliseconds between two news, and that a run lasts. */
+const NEWS_AGE = 400;
+const RUN_TIME = 800;
+const STEP = 10;
+
+const PLACES = 12;
+
+interface Load {
+  readonly instances: number;
+  readonly workers: number;
+  readonly perSecond: number;
+}
+
+/**
+ * Requests of many instances that all go by the same old news.
+ *
+ * @returns What the busiest worker got over the mean, and the part of all requests that found no free place.
+ */
+function play(load: Load): { busiest: number; overfull: number } {
+  const { workers, perSecond, instances } = load;
+  const random = createSeededRandom(7);
+  const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
+  const running = new Map(ids.map((id) => [id, 0]));
+  const ends: { at: number; id: string }[] = [];
+  let told = new Map(running);
+  /** By instance, what it has begun since the last news. */
+  let own = Array.from({ length: instances }, () => new Map<string, number>());
+  const got = new Map<string, number>();
+  let due = 0;
+  let overfull = 0;
+  let all = 0;
+  for (let now = 0; now < 12_000; now += STEP) {
+    if (now % NEWS_AGE === 0) {
+      told = new Map(running);
+      own = own.map(() => new Map<string, number>());
+    }
+    while ((ends[0]?.at ?? Infinity) <= now) {
+      const { id = "" } = ends.shift() ?? {};
+      running.set(id, (running.get(id) ?? 0) - 1);
+    }
+    due += (perSecond * STEP) / 1_000;
+    for (; due >= 1; due--) {
+      const mine = own[Math.floor(random.next() * instances)] ?? new Map<string, number>();
+      const seen = ids.map((id): RankedWorker => ({
+        id,
+        hash: hashText(id),
+        running: (told.get(id) ?? 0) + (mine.get(id) ?? 0),
+        unreadTokens: 0,
+        slots: PLACES,
+        failing: 0,
+        sameZone: true,
+        coldFor: 0,
+      }));
+      const ranked = rankWorkers(seen, { request: { parts: [] }, speed: SPEED, random });
+      const unseen = (perSecond * NEWS_AGE) / 1_000 / workers;
+      const id = spreadChoice(ranked, { unseen, random })[0]?.worker.id ?? "";
+      mine.set(id, (mine.get(id) ?? 0) + 1);
+      running.set(id, (running.get(id) ?? 0) + 1);
+      got.set(id, (got.get(id) ?? 0) + 1);
+      if ((running.get(id) ?? 0) > PLACES) overfull++;
+      all++;
+      ends.push({ at: now + RUN_TIME, id });
+    }
+  }
+  return { busiest: Math.max(...got.values()) / (all / workers), overfull: overfull / all };
+}
+
+// All instances hear the same sums a few times a second. If each took the worker that is the least loaded by them, one
+// would get several times the mean, and reject what the others could have taken.
+test.each([
+  { instances: 63, workers: 46, perSecond: 320 },
+  { instances: 195, workers: 69, perSecond: 420 },
+  { instances: 300, workers: 69, perSecond: 420 },
+])("no worker is picked by all of $instances instances at once", (load) => {
+  const { busiest, overfull } = play(load);
+  expect(busiest).toBeLessThan(1.5);
+  expect(overfull).toBeLessThan(0.01);
+});
+
+test("where little begins unseen the cheapest worker is taken", () => {
+  const random = createSeededRandom(1);
+  const worker = (index: number, running: number): RankedWorker => ({
+    id: `w${index}`,
+    hash: index,
+    running,
+    unreadTokens: 0,
+    slots: 12,
+    failing: 0,
+    sameZone: true,
+    coldFor: 0,
+  });
+  const workers = [worker(1, 6), worker(2, 0), worker(3, 4), worker(4, 6)];
+  for (let step = 0; step < 50; step++) {
+    const ranked = rankWorkers(workers, { request: { parts: [] }, speed: SPEED, random });
+    expect(spreadChoice(ranked, { unseen: 0, random })[0]?.worker.id).toBe("w2");
+  }
+});
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -61,7 +61,7 @@
  * The same where a few instances follow the store for hundreds: they learn sooner that nobody is told any more, and
  * their waits are few calls.
  */
-const FEEDING_WAIT = { least: 1_000, most: 2_000 };
+const FEEDING_WAIT = { least: 1_500, most: 2_500 };
 /**
  * How long a watch waits after a failed one. What was sent to a store that is silent is never answered, also when
  * the store is back: with a long wait, an instance would miss what changes in the first seconds after its return.
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -44,6 +44,8 @@
   /** The ids of those by whose news this instance goes now. */
   sources(): ReadonlySet<string>;
   readonly role: FleetRole;
+  /** How old what others have at workers is on average where it passes relays, in milliseconds; 0 among equals. */
+  readonly newsAge: number;
   /** The relay that tells this instance of all others, where it is told by one. */
   teller(): PeerInstance | undefined;
   /**
@@ -103,6 +105,8 @@
  */
 const HURRY_RUNS = 3;
 const LEAST_PERIOD = 60;
+/** Three digests of half a period each on average, by way of two relays. */
+const RELAYED_AGE = 400;
 /** An instance silent for so long isn't expected back. */
 const MEMBER_TIME = 30_000;
 /** After its start an instance expects all that it was given addresses of, for so many milliseconds. */
@@ -442,6 +446,9 @@
     get role() {
       return tree.role;
     },
+    get newsAge() {
+      return tree.role === FleetRole.Equal ? 0 : RELAYED_AGE;
+    },
     teller: () => {
       const teller = sources.teller();
       return teller === undefined ? undefined : bySession.get(teller)?.instance;
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -1,4 +1,4 @@
-import { createReadRate } from "../decision/index.ts";
+import { createReadRate, sum } from "../decision/index.ts";
 import type { ReadRate, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
 import type { Clock, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/routed_context.ts";
@@ -38,6 +38,8 @@
   readonly health: WorkerHealth;
   /** How many instances share the workers' connections. */
   readonly members: () => number;
+  /** How old what others say is on average, in milliseconds. */
+  readonly newsAge: () => number;
   /** A run has begun. */
   readonly onBegin: () => void;
 }
@@ -70,7 +72,7 @@
 
 /** Makes an empty board. */
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
-  const { clock, zone, health, members, onBegin } = parts;
+  const { clock, zone, health, members, newsAge, onBegin } = parts;
   const entries = new Map<string, Entry>();
   /** The same by service: every request looks through those of one. */
   let byService: ReadonlyMap<string, readonly Entry[]> = new Map();
@@ -208,14 +210,21 @@
     const before = runTimes.get(service) ?? took;
     runTimes.set(service, before + (took - before) * NEWEST_PART);
   };
+  const speed = ({ name, engine }: RoutedService): ServiceSpeed => ({
+    readRate: engine === undefined ? undefined : readRate(name).value,
+    runTime:
+      runTimes.get(name) ?? (engine === undefined ? FIRST_RUN_TIME.plain : FIRST_RUN_TIME.engine),
+  });
   return {
     candidates,
     begin,
-    speed: ({ name, engine }): ServiceSpeed => ({
-      readRate: engine === undefined ? undefined : readRate(name).value,
-      runTime:
-        runTimes.get(name) ?? (engine === undefined ? FIRST_RUN_TIME.plain : FIRST_RUN_TIME.engine),
-    }),
+    speed,
+    unseen: (service) => {
+      const workers = entriesOf(service.name);
+      // What runs is what begins times how long it takes.
+      const running = sum(workers.map(({ hash }) => others.get(hash)?.running ?? 0));
+      return (running * newsAge()) / Math.max(1, speed(service).runTime * workers.length);
+    },
     onLeaving: (id, listener) => {
       const entry = entries.get(id);
       entry?.leaveListeners.add(listener);
--- a/src/process/routed_board_test.ts
+++ b/src/process/routed_board_test.ts
@@ -13,6 +13,7 @@
     zone: "a",
     health: createWorkerHealth(),
     members: () => 3,
+    newsAge: () => 0,
     onBegin: () => undefined,
   };
   const board = createRoutedBoard({ clock: createVirtualClock(), ...parts });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -80,6 +80,7 @@
     zone: settings.zone,
     health,
     members,
+    newsAge: () => fleet.newsAge,
     onBegin: () => fleet.begun(),
   });
 
@@ -92,7 +93,6 @@
     random,
     feed: outside.feed,
     isNeeded: () => !fleet.isFed(),
-    feedsOthers: () => fleet.role !== FleetRole.Equal,
     onChange: () => {
       applyRouting();
       fleet.changed();
--- /dev/null
+++ b/src/process/testing/news_fleet.ts
@@ -0,0 +1,177 @@
+import {
+  createRepeatAllowance,
+  createSharedQuota,
+  createTrueTime,
+  createUsageLedger,
+  createWorkerHealth,
+} from "../../decision/index.ts";
+import type { SharedQuota, UsageLedger } from "../../decision/index.ts";
+import { createSeededRandom, Purchase } from "../../interface/index.ts";
+import type { RoutedWorker } from "../../interface/index.ts";
+import type { BoardRun, BoardWorker } from "../../request/index.ts";
+import { createVirtualClock } from "../../standin/memory/index.ts";
+import { QuotaUnit } from "../../version/index.ts";
+import type { RoutedService } from "../../version/index.ts";
+import { createFleetNews } from "../fleet_news.ts";
+import type { FleetNews } from "../fleet_news.ts";
+import { createRoutedBoard } from "../routed_board.ts";
+import type { RoutedBoard } from "../routed_board.ts";
+import { createRoutedLog } from "../routed_log.ts";
+import { createDatagramNetwork } from "./datagram_network.ts";
+import type { DatagramNetwork } from "./datagram_network.ts";
+
+/** The one service of the fleet's workers. */
+export const NEWS_SERVICE = "desk";
+/** A window of usage. */
+export const NEWS_WINDOW = 7;
+const QUOTA = { unit: QuotaUnit.Tokens, unstatedTokens: 0, perSecond: 1_000, burst: 1e9 };
+const REPEATS = { ratio: 0.2, slack: 50, window: 10_000 };
+
+/** An instance with all that news come from and go to. */
+export interface NewsMember {
+  readonly zone: string;
+  readonly news: FleetNews;
+  readonly board: RoutedBoard;
+  readonly ledger: UsageLedger;
+  readonly quota: SharedQuota;
+  /** Whether it goes on; the fleet doesn't know. */
+  isLive: boolean;
+}
+
+/** Instances that tell each other news, without callers, workers and a store. */
+export interface NewsFleet {
+  readonly clock: ReturnType<typeof createVirtualClock>;
+  readonly network: DatagramNetwork;
+  readonly members: NewsMember[];
+  readonly workers: readonly RoutedWorker[];
+  /** A run for the account begins at the worker. */
+  begin(member: NewsMember, run: { worker: number; account: string }): BoardRun;
+  /** Whether the account may have something more at the instance. */
+  hasRoom(member: NewsMember, account: string): boolean;
+  close(): void;
+}
+
+/** What a fleet is made of. */
+export interface NewsFleetSize {
+  readonly instances: number;
+  readonly workers: number;
+  readonly accounts: readonly string[];
+  readonly seed?: number;
+}
+
+/** Starts instances in four availability zones that know two of each other at first. */
+export async function startNewsFleet(size: NewsFleetSize): Promise<NewsFleet> {
+  const clock = createVirtualClock();
+  const random = createSeededRandom(size.seed ?? 1);
+  const network = createDatagramNetwork(clock, random);
+  const workers = Array.from({ length: size.workers }, (_, index) => workerAt(index));
+  const members: NewsMember[] = [];
+  for (let place = 0; place < size.instances; place++) {
+    members.push(startMember(place, { clock, random, network }));
+  }
+  for (const { board, quota, news } of members) {
+    board.setWorkers(workers);
+    const accounts = size.accounts.map((name) => ({ name, quota: QUOTA }));
+    quota.expect(accounts, clock.now());
+    news.introduce([addressAt(0), addressAt(1)]);
+    await news.start();
+  }
+  // What runs there doesn't matter for beginning a run: one list does for all.
+  const places: readonly BoardWorker[] = members[0]?.board.candidates(SERVICE) ?? [];
+  return {
+    clock,
+    network,
+    members,
+    workers,
+    begin: ({ board, ledger, quota }, { worker, account }) => {
+      const found = places[worker];
+      if (found === undefined) throw new Error(`There is no worker ${worker}.`);
+      ledger.began(account, NEWS_WINDOW);
+      quota.take({ account, quota: QUOTA, size: 100, now: clock.now() });
+      return board.begin(found, 640);
+    },
+    hasRoom: ({ quota }, account) =>
+      quota.take({ account, quota: QUOTA, size: 0, now: clock.now() }) === 0,
+    close: () => {
+      for (const { news } of members) news.close();
+    },
+  };
+}
+
+const SERVICE: RoutedService = {
+  name: NEWS_SERVICE,
+  maxConnections: 1_000,
+  engine: undefined,
+  scaling: undefined,
+};
+
+function addressAt(place: number): string {
+  return `10.0.${place >> 8}.${place & 255}:9`;
+}
+
+function workerAt(index: number): RoutedWorker {
+  return {
+    id: `w-${index}`,
+    born: 1,
+    service: NEWS_SERVICE,
+    address: `10.9.${index >> 8}.${index & 255}:80`,
+    zone: "z0",
+    slots: 48,
+    purchase: Purchase.OnDemand,
+    isLeaving: false,
+    leavesIn: undefined,
+    coldFor: 0,
+  };
+}
+
+function startMember(
+  place: number,
+  outside: Pick<NewsFleet, "clock" | "network"> & {
+    random: ReturnType<typeof createSeededRandom>;
+  },
+): NewsMember {
+  const { clock, random, network } = outside;
+  const zone = `z${place % 4}`;
+  const address = addressAt(place);
+  const health = createWorkerHealth();
+  const quota = createSharedQuota(clock.now());
+  const ledger = createUsageLedger();
+  const board = createRoutedBoard({
+    clock,
+    zone,
+    health,
+    members: () => 1,
+    newsAge: () => 0,
+    onBegin: () => news.begun(),
+  });
+  const news: FleetNews = createFleetNews({
+    settings: {
+      name: `e${place}`,
+      zone,
+      region: "region",
+      listen: { callers: address, ready: address, resolve: address, peers: address },
+      seeds: [],
+      platform: { store: address, cloud: address },
+      resolveLife: 1_000,
+      grace: 1_000,
+      repeats: REPEATS,
+      usage: { window: 5_000, lateAfter: 5_000 },
+      leaseTerm: 3_000,
+      processor: { share: 1, cores: 1 },
+    },
+    clock,
+    random,
+    log: createRoutedLog({ instance: `e${place}`, clock, write: () => undefined }),
+    feeds: new Map(),
+    state: () => ({ ready: true, reachesStore: true, leaseVersion: 0, storeReturned: false }),
+    time: createTrueTime({ date: clock.now(), steady: clock.now() }),
+    quota,
+    repeats: createRepeatAllowance(REPEATS),
+    ledger,
+    health,
+    board,
+    onHeard: () => undefined,
+    open: network.open,
+  });
+  return { zone, news, board, ledger, quota, isLive: true };
+}
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -52,6 +52,8 @@
    */
   begin(worker: BoardWorker, reads: number): BoardRun;
   speed(service: RoutedService): ServiceSpeed;
+  /** How many runs other instances begin at a worker of the service before this one hears of them, on average. */
+  unseen(service: RoutedService): number;
   /** Called when a worker is about to leave: what runs there had better go on elsewhere. */
   onLeaving(worker: string, listener: () => void): { close(): void };
 }
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,6 +1,12 @@
 import type { IncomingMessage } from "node:http";
 import { createEventSplitter } from "./event_splitter.ts";
-import { isSilent, isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
+import {
+  isSilent,
+  isWorthOffering,
+  rankWorkers,
+  returnAfter,
+  spreadChoice,
+} from "../decision/index.ts";
 import type { Ranking } from "../decision/index.ts";
 import type { AnswerHead, Exchange, ExchangeEnd, Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
@@ -129,11 +135,10 @@
       return;
     }
     const candidates = board.candidates(service).filter(({ id }) => !tried.has(id));
-    const ranked = rankWorkers(candidates, {
-      request: { parts: arrival.promptParts },
-      speed: board.speed(service),
-      random: context.random,
-    });
+    const { random } = context;
+    const request = { parts: arrival.promptParts };
+    const ranking = rankWorkers(candidates, { request, speed: board.speed(service), random });
+    const ranked = spreadChoice(ranking, { unseen: board.unseen(service), random });
     if (ranked.length === 0) {
       giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
       return;
