--- a/bench/board_cost.ts
+++ b/bench/board_cost.ts
@@ -51,7 +51,7 @@
       health: createWorkerHealth(),
       members: () => INSTANCES,
       newsAge: () => 0,
-    onBegin: () => undefined,
+      onBegin: () => undefined,
     });
     const workers = Array.from({ length: count * OTHERS }, (_, index) => workerAt(index));
     board.setWorkers(workers);
--- a/src/decision/usage_ledger_test.ts
+++ b/src/decision/usage_ledger_test.ts
@@ -43,3 +43,16 @@
     expect(Object.entries(ledger.total(1))).toContainEqual([name, 2]);
   }
 });
+
+// Relays of a zone tell its sum, and two of them tell it. Added up, each run would be billed twice.
+test("a group's counts are told by several and count once", () => {
+  const ledger = createUsageLedger();
+  ledger.began("a", 7);
+  ledger.heard("e1", [{ window: 7, counts: { a: 2 } }]);
+  ledger.heardGroup("zone-b", [{ window: 7, counts: { a: 10 } }]);
+  ledger.heardGroup("zone-b", [{ window: 7, counts: { a: 9 } }]);
+  expect(ledger.total(7)).toEqual({ a: 13 });
+  expect(ledger.group()).toEqual([{ window: 7, counts: { a: 3 } }]);
+  ledger.forgetOthers();
+  expect(ledger.total(7)).toEqual({ a: 1 });
+});
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -141,3 +141,63 @@
   await clock.advance(1);
   expect(store.waits.at(-1)).toBeGreaterThan(2_000);
 });
+
+// Others tell an instance what changes in the store. What it is told must build on what it knows: a gap would leave out
+// for good what changed in it.
+test("changes that others tell are taken in where they build on what is known", async () => {
+  const { follower, names } = await follow([object("a", 3)]);
+  const added = { object: object("b", 12), removed: false };
+  follower.adoptChanges({ kind: "k", from: 11, to: 12, changes: [added] });
+  expect(names()).toEqual(["a"]);
+  follower.adoptChanges({ kind: "k", from: 3, to: 12, changes: [added] });
+  expect(names()).toEqual(["a", "b"]);
+  expect(follower.changedAt).toBe(12);
+  const removed = { object: object("a", 14), removed: true };
+  follower.adoptChanges({ kind: "k", from: 3, to: 14, changes: [added, removed] });
+  expect(names()).toEqual(["b"]);
+  follower.adoptChanges({ kind: "k", from: 3, to: 12, changes: [added] });
+  expect(follower.changedAt).toBe(14);
+});
+
+test("what changed since a version is remembered for others, as far as it goes back", async () => {
+  const { clock, store, follower } = await follow([object("a", 3)]);
+  for (let version = 11; version <= 13; version++) {
+    const changes = [{ object: object(`w${version}`, version), removed: false }];
+    store.answer({ kind: "changed", changes, version });
+    await clock.advance(200);
+  }
+  const since = follower.changesSince(11);
+  expect(since?.changes.map(({ object: { name } }) => name)).toEqual(["w12", "w13"]);
+  expect(since).toMatchObject({ from: 11, to: 13 });
+  expect(follower.changesSince(13)).toBeUndefined();
+  for (let version = 14; version <= 100; version++) {
+    const changes = [{ object: object("w", version), removed: false }];
+    store.answer({ kind: "changed", changes, version });
+    await clock.advance(200);
+  }
+  expect(follower.changesSince(11)).toBeUndefined();
+});
+
+// Hundreds of instances that each watch the store are hundreds of calls for each change.
+test("an instance that others tell doesn't ask the store, and asks once they don't", async () => {
+  const clock = createVirtualClock();
+  const store = createStore();
+  let isNeeded = false;
+  const follower = createFeedFollower({
+    kind: "k",
+    clock,
+    random: createSeededRandom(1),
+    feed: store,
+    isNeeded: () => isNeeded,
+    onChange: () => undefined,
+    onReach: () => undefined,
+  });
+  follower.start();
+  await clock.advance(1_000);
+  // What there is at the start nobody else tells whole.
+  expect(store.lists).toBe(1);
+  expect(store.waits.length).toBe(0);
+  isNeeded = true;
+  await clock.advance(200);
+  expect(store.waits.length).toBe(1);
+});
--- a/src/process/fleet_news_test.ts
+++ b/src/process/fleet_news_test.ts
@@ -50,6 +50,25 @@
 function stop(member: NewsMember): void {
   member.isLive = false;
   member.news.close();
+  member.feed.close();
+}
+
+/** Those that ask the store for all others. */
+function watchersOf({ members, store }: NewsFleet): NewsMember[] {
+  const before = new Map(store.calls);
+  return members.filter(
+    ({ news, isLive }, place) => isLive && !news.isFed() && before.has(`e${place}`),
+  );
+}
+
+/** What the instances know of an object of the store, by how many know it so. */
+function known({ members }: NewsFleet, name: string): Map<unknown, number> {
+  const counts = new Map<unknown, number>();
+  for (const { feed, isLive } of members) {
+    const value = feed.objects.get(name)?.value;
+    if (isLive) counts.set(value, (counts.get(value) ?? 0) + 1);
+  }
+  return counts;
 }
 
 // Every instance chooses workers by what all have there. One that counted some twice, or not at all, would send to full
@@ -163,3 +182,39 @@
   }
   expect(relaysOf(members).length).toBe(8);
 });
+
+// Each change of the store is a call of each instance that watches it. A few watch, and the others hear of it from them.
+test("a few instances ask the store, and all know soon what changes there", async () => {
+  const fleet = await startFleet(40);
+  const { clock, store, members } = fleet;
+  expect(watchersOf(fleet).length).toBe(4);
+  const before = [...store.calls.values()].reduce((sum, count) => sum + count, 0);
+  for (let change = 1; change <= 10; change++) {
+    store.put(`object-${change}`, change);
+    if (change > 1) store.put(`object-${change - 1}`);
+    await clock.advance(1_000);
+    expect(known(fleet, `object-${change}`)).toEqual(new Map([[change, members.length]]));
+    expect(known(fleet, `object-${change - 1}`)).toEqual(new Map([[undefined, members.length]]));
+  }
+  const after = [...store.calls.values()].reduce((sum, count) => sum + count, 0);
+  // Four watches end with each change, and by themselves every two seconds.
+  expect(after - before).toBeLessThan(4 * (2 * 10 + 10));
+});
+
+// All that watch the store die at the same moment, or lose their way to it. A worker that leaves meanwhile must be known
+// to leave within two seconds, and within four where nobody can see yet that the store doesn't answer.
+test("those that nobody tells of the store ask it themselves", async () => {
+  const fleet = await startFleet(40);
+  const { clock, store, members } = fleet;
+  watchersOf(fleet).forEach(stop);
+  store.put("worker", "leaving");
+  await clock.advance(2_000);
+  expect(known(fleet, "worker")).toEqual(new Map([["leaving", members.length - 4]]));
+  await clock.advance(3_000);
+  const watchers = watchersOf(fleet);
+  expect(watchers.length).toBe(4);
+  for (const watcher of watchers) store.cut.add(`e${members.indexOf(watcher)}`);
+  store.put("worker");
+  await clock.advance(4_000);
+  expect(known(fleet, "worker")).toEqual(new Map([[undefined, members.length - 4]]));
+});
--- /dev/null
+++ b/src/process/fleet_tree_test.ts
@@ -0,0 +1,75 @@
+import { expect, test } from "vitest";
+import { FleetRole, GREATEST_MESH, planTree } from "./fleet_tree.ts";
+import type { TreeInstance } from "./fleet_tree.ts";
+
+function fleet(size: number): TreeInstance[] {
+  return Array.from({ length: size }, (_, place) => ({
+    peers: `10.0.${place >> 8}.${place & 255}:9`,
+    zone: `z${place % 6}`,
+    capacity: Math.floor(place / 6) % 10 === 0 ? 1_350 : 324,
+    ready: true,
+  }));
+}
+
+function planOf(all: readonly TreeInstance[], place: number): ReturnType<typeof planTree> {
+  const self = all[place];
+  if (self === undefined) throw new Error(`There is no instance ${place}.`);
+  return planTree(
+    self,
+    all.filter((one) => one !== self),
+  );
+}
+
+test("all find the same relays, two a zone and the larger machines first", () => {
+  const all = fleet(195);
+  const plans = all.map((_, place) => planOf(all, place));
+  const [first] = plans;
+  const relays = [...(first?.relays.values() ?? [])].flat();
+  expect(relays.length).toBe(12);
+  for (const { relays: found, watchers } of plans) {
+    expect(found).toEqual(first?.relays);
+    expect(watchers).toEqual(first?.watchers);
+  }
+  const byAddress = new Map(all.map((one) => [one.peers, one]));
+  expect(relays.every((address) => byAddress.get(address)?.capacity === 1_350)).toBe(true);
+  const roles = plans.map(({ role }) => role);
+  expect(roles.filter((role) => role === FleetRole.Relay).length).toBe(12);
+  expect(roles.filter((role) => role === FleetRole.Member).length).toBe(183);
+});
+
+test("those that follow the store are in different zones", () => {
+  const all = fleet(60);
+  const { watchers } = planOf(all, 0);
+  const zones = all.filter(({ peers }) => watchers.has(peers)).map(({ zone }) => zone);
+  expect(new Set(zones).size).toBe(4);
+});
+
+// One that has been told to stop is gone within seconds: its zone would hear nothing until that is noticed.
+test("an instance that doesn't take requests is no relay while others do", () => {
+  const all = fleet(60);
+  const { relays } = planOf(all, 0);
+  const [stopping] = relays.get("z0") ?? [];
+  const after = all.map((one) => ({ ...one, ready: one.peers !== stopping }));
+  expect(planOf(after, 1).relays.get("z0")).not.toContain(stopping);
+});
+
+test("a small fleet has no relays", () => {
+  const plan = planOf(fleet(GREATEST_MESH), 0);
+  expect(plan.role).toBe(FleetRole.Equal);
+  expect(plan.relays.size + plan.watchers.size).toBe(0);
+});
+
+// A relay that goes must not change those of the other zones: each change is a moment without news.
+test("the loss of a relay changes its own zone only", () => {
+  const all = fleet(120);
+  const before = planOf(all, 1);
+  const [lost] = before.relays.get("z2") ?? [];
+  const after = planOf(
+    all.filter(({ peers }) => peers !== lost),
+    1,
+  );
+  for (const [zone, relays] of before.relays) {
+    if (zone !== "z2") expect(after.relays.get(zone)).toEqual(relays);
+  }
+  expect(after.relays.get("z2")?.[0]).toBe(before.relays.get("z2")?.[1]);
+});
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -244,11 +244,15 @@
     // Whoever is no partner is answered once for each of its digests.
     if (scope === NewsScope.None) target.asks = false;
   };
-  /** A watcher tells the relays what changes in the store, and they tell their zones. */
+  /**
+   * A watcher tells the relays what changes in the store, and they tell their zones; a relay that has lost its way to
+   * the store is told by all others.
+   */
   const feedsFor = ({ address, instance }: Peer, scope: NewsScope): readonly FeedDelta[] => {
-    const isTold = scope === NewsScope.Fleet || (isWatcher(introduction.peers) && isRelay(address));
-    if (!isTold || isWatcher(address) || instance === undefined) return [];
-    return parts.feedsSince(instance.versions);
+    if (instance === undefined) return [];
+    const follows = isWatcher(address) ? instance.reachesStore : !isWatcher(introduction.peers);
+    const isTold = scope === NewsScope.Fleet || (isRelay(address) && !follows);
+    return isTold ? parts.feedsSince(instance.versions) : [];
   };
   const isWatcher = (address: string): boolean => tree.watchers.has(address);
   /** The round after which changes are told; 0 where everything is. */
--- a/src/process/testing/news_fleet.ts
+++ b/src/process/testing/news_fleet.ts
@@ -14,14 +14,21 @@
 import type { RoutedService } from "../../version/index.ts";
 import { createFleetNews } from "../fleet_news.ts";
 import type { FleetNews } from "../fleet_news.ts";
+import { FleetRole } from "../fleet_tree.ts";
 import { createRoutedBoard } from "../routed_board.ts";
 import type { RoutedBoard } from "../routed_board.ts";
 import { createRoutedLog } from "../routed_log.ts";
+import { createFeedFollower } from "../feed_follower.ts";
+import type { FeedFollower } from "../feed_follower.ts";
+import { createMemoryFeed } from "./memory_feed.ts";
+import type { MemoryFeed } from "./memory_feed.ts";
 import { createDatagramNetwork } from "./datagram_network.ts";
 import type { DatagramNetwork } from "./datagram_network.ts";
 
 /** The one service of the fleet's workers. */
 export const NEWS_SERVICE = "desk";
+/** The kind of the store's objects. */
+const KIND = "workers";
 /** A window of usage. */
 export const NEWS_WINDOW = 7;
 const QUOTA = { unit: QuotaUnit.Tokens, unstatedTokens: 0, perSecond: 1_000, burst: 1e9 };
@@ -34,12 +41,15 @@
   readonly board: RoutedBoard;
   readonly ledger: UsageLedger;
   readonly quota: SharedQuota;
+  /** What it knows of the store. */
+  readonly feed: FeedFollower;
   /** Whether it goes on; the fleet doesn't know. */
   isLive: boolean;
 }
 
-/** Instances that tell each other news, without callers, workers and a store. */
+/** Instances that tell each other news, without callers and workers, before a store of one kind of objects. */
 export interface NewsFleet {
+  readonly store: MemoryFeed;
   readonly clock: ReturnType<typeof createVirtualClock>;
   readonly network: DatagramNetwork;
   readonly members: NewsMember[];
@@ -65,22 +75,25 @@
   const random = createSeededRandom(size.seed ?? 1);
   const network = createDatagramNetwork(clock, random);
   const workers = Array.from({ length: size.workers }, (_, index) => workerAt(index));
+  const store = createMemoryFeed(clock);
   const members: NewsMember[] = [];
   for (let place = 0; place < size.instances; place++) {
-    members.push(startMember(place, { clock, random, network }));
+    members.push(startMember(place, { clock, random, network, store }));
   }
-  for (const { board, quota, news } of members) {
+  for (const { board, quota, news, feed } of members) {
     board.setWorkers(workers);
     const accounts = size.accounts.map((name) => ({ name, quota: QUOTA }));
     quota.expect(accounts, clock.now());
     news.introduce([addressAt(0), addressAt(1)]);
     await news.start();
+    feed.start();
   }
   // What runs there doesn't matter for beginning a run: one list does for all.
   const places: readonly BoardWorker[] = members[0]?.board.candidates(SERVICE) ?? [];
   return {
     clock,
     network,
+    store,
     members,
     workers,
     begin: ({ board, ledger, quota }, { worker, account }) => {
@@ -93,7 +106,10 @@
     hasRoom: ({ quota }, account) =>
       quota.take({ account, quota: QUOTA, size: 0, now: clock.now() }) === 0,
     close: () => {
-      for (const { news } of members) news.close();
+      for (const { news, feed } of members) {
+        news.close();
+        feed.close();
+      }
     },
   };
 }
@@ -126,11 +142,12 @@
 
 function startMember(
   place: number,
-  outside: Pick<NewsFleet, "clock" | "network"> & {
+  outside: Pick<NewsFleet, "clock" | "network" | "store"> & {
     random: ReturnType<typeof createSeededRandom>;
   },
 ): NewsMember {
-  const { clock, random, network } = outside;
+  const { clock, random, network, store } = outside;
+  const name = `e${place}`;
   const zone = `z${place % 4}`;
   const address = addressAt(place);
   const health = createWorkerHealth();
@@ -144,9 +161,19 @@
     newsAge: () => 0,
     onBegin: () => news.begun(),
   });
+  const feed: FeedFollower = createFeedFollower({
+    kind: KIND,
+    clock,
+    random,
+    feed: store.of(name),
+    isNeeded: () => !news.isFed(),
+    feedsOthers: () => news.role !== FleetRole.Equal,
+    onChange: () => news.changed(),
+    onReach: () => undefined,
+  });
   const news: FleetNews = createFleetNews({
     settings: {
-      name: `e${place}`,
+      name,
       zone,
       region: "region",
       listen: { callers: address, ready: address, resolve: address, peers: address },
@@ -161,9 +188,14 @@
     },
     clock,
     random,
-    log: createRoutedLog({ instance: `e${place}`, clock, write: () => undefined }),
-    feeds: new Map(),
-    state: () => ({ ready: true, reachesStore: true, leaseVersion: 0, storeReturned: false }),
+    log: createRoutedLog({ instance: name, clock, write: () => undefined }),
+    feeds: new Map([[KIND, feed]]),
+    state: () => ({
+      ready: true,
+      reachesStore: feed.isAnswered,
+      leaseVersion: 0,
+      storeReturned: false,
+    }),
     time: createTrueTime({ date: clock.now(), steady: clock.now() }),
     quota,
     repeats: createRepeatAllowance(REPEATS),
@@ -173,5 +205,5 @@
     onHeard: () => undefined,
     open: network.open,
   });
-  return { zone, news, board, ledger, quota, isLive: true };
+  return { zone, news, feed, board, ledger, quota, isLive: true };
 }
