--- a/bench/board_cost.ts
+++ b/bench/board_cost.ts
@@ -42,15 +42,19 @@
   };
 }
 
+/** How old the others' news are in a fleet of that size, in milliseconds. */
+const NEWS_AGE = 400;
+
 /** Prints what the choice of a worker costs a request, by the number of workers, beside 62 other instances. */
 function main(): void {
   for (const count of SIZES) {
     const board = createRoutedBoard({
       clock: systemClock,
+      random: systemRandom,
       zone: "a",
       health: createWorkerHealth(),
       members: () => INSTANCES,
-      newsAge: () => 0,
+      newsAge: () => NEWS_AGE,
       onBegin: () => undefined,
     });
     const workers = Array.from({ length: count * OTHERS }, (_, index) => workerAt(index));
@@ -64,10 +68,12 @@
     for (let other = 1; other < INSTANCES; other++)
       board.heard(`e${other}`, { use, isWhole: true });
     const choose = (): void => {
-      rankWorkers(board.candidates(SERVICE), {
+      const { workers: few, homes } = board.compared(SERVICE, PARTS);
+      rankWorkers(few, {
         request: { parts: PARTS },
         speed: board.speed(SERVICE),
         random: systemRandom,
+        homes,
       });
     };
     console.log(JSON.stringify({ workers: count, microseconds: microseconds(choose) }));
--- a/src/decision/spread_choice_test.ts
+++ b/src/decision/compared_workers_test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { createSeededRandom } from "../interface/index.ts";
 import { hashText } from "../version/index.ts";
-import { spreadChoice } from "./spread_choice.ts";
+import { comparedWorkers } from "./compared_workers.ts";
 import { rankWorkers } from "./worker_ranking.ts";
 import type { RankedWorker } from "./worker_ranking.ts";
 
@@ -59,9 +59,11 @@
         sameZone: true,
         coldFor: 0,
       }));
-      const ranked = rankWorkers(seen, { request: { parts: [] }, speed: SPEED, random });
       const unseen = (perSecond * NEWS_AGE) / 1_000 / workers;
-      const id = spreadChoice(ranked, { unseen, random })[0]?.worker.id ?? "";
+      const few = comparedWorkers(seen, { unseen, parts: [], random });
+      const request = { parts: [] };
+      const ranked = rankWorkers(few.workers, { request, speed: SPEED, random, homes: few.homes });
+      const id = ranked[0]?.worker.id ?? "";
       mine.set(id, (mine.get(id) ?? 0) + 1);
       running.set(id, (running.get(id) ?? 0) + 1);
       got.set(id, (got.get(id) ?? 0) + 1);
@@ -99,7 +101,24 @@
   });
   const workers = [worker(1, 6), worker(2, 0), worker(3, 4), worker(4, 6)];
   for (let step = 0; step < 50; step++) {
-    const ranked = rankWorkers(workers, { request: { parts: [] }, speed: SPEED, random });
-    expect(spreadChoice(ranked, { unseen: 0, random })[0]?.worker.id).toBe("w2");
+    const few = comparedWorkers(workers, { unseen: 0, parts: [], random });
+    expect(few.workers).toEqual(workers);
+  }
+});
+
+// A session's requests share most of their prompts. Sent anywhere, each would be read whole again.
+test("the homes of a prompt are always compared", () => {
+  const random = createSeededRandom(1);
+  const workers = Array.from({ length: 69 }, (_, index) => ({ hash: hashText(`w${index}`) }));
+  const parts = [
+    { id: "shared", tokens: 5_000 },
+    { id: "own", tokens: 600 },
+  ];
+  const first = comparedWorkers(workers, { unseen: 3, parts, random });
+  for (let step = 0; step < 50; step++) {
+    const { workers: few, homes } = comparedWorkers(workers, { unseen: 3, parts, random });
+    expect(homes).toEqual(first.homes);
+    expect(few.length).toBeLessThanOrEqual(4);
+    for (const home of homes.keys()) expect(few).toContain(home);
   }
 });
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -1,3 +1,4 @@
+export * from "./compared_workers.ts";
 export * from "./entry_overload.ts";
 export * from "./fair_queue.ts";
 export * from "./fleet.ts";
@@ -17,7 +18,6 @@
 export * from "./repeat_allowance.ts";
 export * from "./shared_quota.ts";
 export * from "./spread_addresses.ts";
-export * from "./spread_choice.ts";
 export { sum } from "./sum.ts";
 export * from "./true_time.ts";
 export * from "./usage_ledger.ts";
--- a/src/decision/worker_ranking.ts
+++ b/src/decision/worker_ranking.ts
@@ -89,20 +89,31 @@
   readonly reads: number;
 }
 
-/** Ranks the workers of a service for one request. */
+/** The workers at which the shared parts of a prompt are kept, with the chance that they are. */
+export type PromptHomes<W> = ReadonlyMap<W, number>;
+
+/**
+ * Ranks the workers of a service for one request.
+ *
+ * @param options `homes` are those of the request's prompt among all workers, where these are only some of them.
+ */
 export function rankWorkers<W extends RankedWorker>(
   workers: readonly W[],
-  options: { request: RankedRequest; speed: ServiceSpeed; random: Random },
+  options: {
+    request: RankedRequest;
+    speed: ServiceSpeed;
+    random: Random;
+    homes?: PromptHomes<W>;
+  },
 ): Ranking<W>[] {
-  const { request, speed, random } = options;
-  const homes = homesOf(workers, request);
+  const { request, speed, random, homes = homesOf(workers, request.parts) } = options;
   const all = sum(request.parts);
   const shared = all - (request.parts.at(-1)?.tokens ?? 0);
   // One number drawn for all: each worker's own comes of it and of the worker's hash.
   const draw = Math.floor(random.next() * HASHES);
   const rankings: Ranking<W>[] = [];
   for (const worker of workers) {
-    const reads = all - shared * (homes.get(worker.id) ?? 0);
+    const reads = all - shared * (homes.get(worker) ?? 0);
     const wait = waitAt(worker, { unread: reads, speed });
     const cost =
       wait +
@@ -116,11 +127,11 @@
   return rankings.sort((a, b) => a.cost - b.cost);
 }
 
-/** The workers at which the shared parts of the prompt are kept, with the chance that they are. */
-function homesOf(
-  workers: readonly RankedWorker[],
-  { parts }: RankedRequest,
-): ReadonlyMap<string, number> {
+/** Finds the homes of a prompt. */
+export function homesOf<W extends { readonly hash: number }>(
+  workers: readonly W[],
+  parts: readonly PromptPart[],
+): PromptHomes<W> {
   if (parts.length < 2) return new Map();
   // The last part is the request's own: what it shares is all before it.
   const shared = parts.slice(0, -1).map(({ id }) => id);
@@ -129,7 +140,7 @@
     highest(workers, {
       count: HOME_CHANCES.length,
       scoreOf: ({ hash }) => mixHashes(hash, key),
-    }).map(({ id }, place) => [id, HOME_CHANCES[place] ?? 0]),
+    }).map((worker, place) => [worker, HOME_CHANCES[place] ?? 0]),
   );
 }
 
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -1,6 +1,6 @@
-import { createReadRate, sum } from "../decision/index.ts";
+import { comparedWorkers, createReadRate, sum } from "../decision/index.ts";
 import type { ReadRate, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
-import type { Clock, RoutedWorker, Timer } from "../interface/index.ts";
+import type { Clock, Random, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/routed_context.ts";
 import type { BoardRun, BoardWorker, WorkerBoard } from "../request/index.ts";
 import { hashText } from "../version/index.ts";
@@ -34,6 +34,7 @@
 /** What the board is made with. */
 export interface RoutedBoardParts {
   readonly clock: Clock;
+  readonly random: Random;
   readonly zone: string;
   readonly health: WorkerHealth;
   /** How many instances share the workers' connections. */
@@ -52,6 +53,8 @@
 const CONNECTION_PART = 0.9;
 /** How long a worker that refused a connection, or has another id by now, gets nothing, in milliseconds. */
 const REPLACED_PAUSE = 60_000;
+/** Milliseconds for which what begins unseen is taken to stay the same. */
+const UNSEEN_LIFE = 100;
 /** How long before the end of a leaving worker what still runs there goes on elsewhere, in milliseconds. */
 const LEAVE_MARGIN = 450;
 
@@ -72,7 +75,7 @@
 
 /** Makes an empty board. */
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
-  const { clock, zone, health, members, newsAge, onBegin } = parts;
+  const { clock, random, zone, health, members, newsAge, onBegin } = parts;
   const entries = new Map<string, Entry>();
   /** The same by service: every request looks through those of one. */
   let byService: ReadonlyMap<string, readonly Entry[]> = new Map();
@@ -82,6 +85,7 @@
   /** By worker, what the other instances have there, added up: a request looks at every worker of its service. */
   const others = new Map<number, Occupancy>();
   const runTimes = new Map<string, number>();
+  const unseenOf = new Map<string, { unseen: number; at: number }>();
   const readRates = new Map<string, ReadRate>();
   const readRate = (service: string): ReadRate => {
     const known = readRates.get(service) ?? createReadRate();
@@ -146,29 +150,61 @@
     const other = others.get(hash) ?? NO_USE;
     return { running: running + other.running, unreadTokens: unreadTokens + other.unreadTokens };
   };
-  // Every request passes through here once for each worker of its service, so nothing is made but what it takes away.
+  const usable = (service: RoutedService, now: number): Entry[] =>
+    entriesOf(service.name).filter(
+      ({ isLeaving, replacedUntil }) => !isLeaving && now >= replacedUntil,
+    );
+  const mostConnections = ({ maxConnections }: RoutedService): number =>
+    Math.max(1, Math.floor((maxConnections * CONNECTION_PART) / members()));
+  const boardWorker = (entry: Entry, most: number, now: number): BoardWorker => {
+    const { worker, hash } = entry;
+    return {
+      id: worker.id,
+      hash,
+      ...loadAt(entry),
+      slots: worker.slots,
+      failing: health.excess(hash, worker.service, now),
+      sameZone: worker.zone === zone,
+      coldFor: Math.max(0, worker.coldFor - (now - entry.seenAt)),
+      address: worker.address,
+      service: worker.service,
+      mostConnections: most,
+    };
+  };
   const candidates = (service: RoutedService): BoardWorker[] => {
     const now = clock.now();
-    const most = Math.max(1, Math.floor((service.maxConnections * CONNECTION_PART) / members()));
-    const found: BoardWorker[] = [];
-    for (const entry of entriesOf(service.name)) {
-      if (entry.isLeaving || now < entry.replacedUntil) continue;
-      const { worker, hash, running, unreadTokens } = entry;
-      const other = others.get(hash) ?? NO_USE;
-      found.push({
-        id: worker.id,
-        hash,
-        running: running + other.running,
-        unreadTokens: unreadTokens + other.unreadTokens,
-        slots: worker.slots,
-        failing: health.excess(hash, worker.service, now),
-        sameZone: worker.zone === zone,
-        coldFor: Math.max(0, worker.coldFor - (now - entry.seenAt)),
-        address: worker.address,
-        service: worker.service,
-        mostConnections: most,
-      });
+    const most = mostConnections(service);
+    return usable(service, now).map((entry) => boardWorker(entry, most, now));
+  };
+  // Every request passes through here: what it is compared on is drawn before anything is made of it.
+  const compared: RoutedBoard["compared"] = (service, parts) => {
+    const now = clock.now();
+    const unseenNow = unseen(service, now);
+    if (unseenNow === 0) {
+      return comparedWorkers(candidates(service), { unseen: unseenNow, parts, random });
+    }
+    const most = mostConnections(service);
+    const entriesNow = usable(service, now);
+    const drawn = comparedWorkers(entriesNow, { unseen: unseenNow, parts, random });
+    const made = new Map(drawn.workers.map((entry) => [entry, boardWorker(entry, most, now)]));
+    const homes = new Map<BoardWorker, number>();
+    for (const [entry, chance] of drawn.homes) {
+      const worker = made.get(entry);
+      if (worker !== undefined) homes.set(worker, chance);
     }
+    return { workers: [...made.values()], homes };
+  };
+  /** How many runs the others begin at a worker of the service before this instance hears of them, on average. */
+  const unseen = (service: RoutedService, now: number): number => {
+    const age = newsAge();
+    if (age === 0) return 0;
+    const known = unseenOf.get(service.name);
+    if (known !== undefined && now - known.at < UNSEEN_LIFE) return known.unseen;
+    const workers = entriesOf(service.name);
+    // What runs is what begins times how long it takes.
+    const running = sum(workers.map(({ hash }) => others.get(hash)?.running ?? 0));
+    const found = (running * age) / Math.max(1, speed(service).runTime * workers.length);
+    unseenOf.set(service.name, { unseen: found, at: now });
     return found;
   };
   const begin = ({ id, hash, service, unreadTokens }: BoardWorker, reads: number): BoardRun => {
@@ -217,14 +253,9 @@
   });
   return {
     candidates,
+    compared,
     begin,
     speed,
-    unseen: (service) => {
-      const workers = entriesOf(service.name);
-      // What runs is what begins times how long it takes.
-      const running = sum(workers.map(({ hash }) => others.get(hash)?.running ?? 0));
-      return (running * newsAge()) / Math.max(1, speed(service).runTime * workers.length);
-    },
     onLeaving: (id, listener) => {
       const entry = entries.get(id);
       entry?.leaveListeners.add(listener);
--- a/src/process/routed_board_test.ts
+++ b/src/process/routed_board_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
 import { createWorkerHealth } from "../decision/index.ts";
-import { Purchase } from "../interface/index.ts";
+import { createSeededRandom, Purchase } from "../interface/index.ts";
 import type { RoutedWorker } from "../interface/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
 import { hashText } from "../version/index.ts";
@@ -14,6 +14,7 @@
     health: createWorkerHealth(),
     members: () => 3,
     newsAge: () => 0,
+    random: createSeededRandom(1),
     onBegin: () => undefined,
   };
   const board = createRoutedBoard({ clock: createVirtualClock(), ...parts });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -77,6 +77,7 @@
   const members = (): number => fleet.members;
   const board = createRoutedBoard({
     clock,
+    random,
     zone: settings.zone,
     health,
     members,
--- a/src/process/testing/news_fleet.ts
+++ b/src/process/testing/news_fleet.ts
@@ -155,6 +155,7 @@
   const ledger = createUsageLedger();
   const board = createRoutedBoard({
     clock,
+    random,
     zone,
     health,
     members: () => 1,
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -3,6 +3,8 @@
   RepeatAllowance,
   ServiceSpeed,
   SharedQuota,
+  Compared,
+  PromptPart,
 } from "../decision/index.ts";
 import type {
   Clock,
@@ -45,6 +47,8 @@
 export interface WorkerBoard {
   /** Workers of the service that take new requests now. */
   candidates(service: RoutedService): BoardWorker[];
+  /** Those of them that a request with such a prompt is compared on first. */
+  compared(service: RoutedService, parts: readonly PromptPart[]): Compared<BoardWorker>;
   /**
    * Notes a run.
    *
@@ -52,8 +56,6 @@
    */
   begin(worker: BoardWorker, reads: number): BoardRun;
   speed(service: RoutedService): ServiceSpeed;
-  /** How many runs other instances begin at a worker of the service before this one hears of them, on average. */
-  unseen(service: RoutedService): number;
   /** Called when a worker is about to leave: what runs there had better go on elsewhere. */
   onLeaving(worker: string, listener: () => void): { close(): void };
 }
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,13 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { createEventSplitter } from "./event_splitter.ts";
-import {
-  isSilent,
-  isWorthOffering,
-  rankWorkers,
-  returnAfter,
-  spreadChoice,
-} from "../decision/index.ts";
-import type { Ranking } from "../decision/index.ts";
+import { isSilent, isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
+import type { Offer, PromptHomes, Ranking } from "../decision/index.ts";
 import type { AnswerHead, Exchange, ExchangeEnd, Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
@@ -126,6 +120,28 @@
     attempt?.run.end(result);
     return attempt?.exchange;
   };
+  const rank = (
+    workers: readonly BoardWorker[],
+    homes?: PromptHomes<BoardWorker>,
+  ): Ranking<BoardWorker>[] =>
+    rankWorkers(
+      workers.filter(({ id }) => !tried.has(id)),
+      {
+        request: { parts: arrival.promptParts },
+        speed: board.speed(service),
+        random: context.random,
+        ...(homes === undefined ? {} : { homes }),
+      },
+    );
+  const offerOf = (choice: Ranking<BoardWorker> | undefined, now: number): Offer => ({
+    wait: choice?.wait ?? 0,
+    target: route.target,
+    left: arrival.deadlineAt - now,
+    rank: arrival.rank,
+    isReturn: arrival.isReturn || tried.size > 0,
+  });
+  const isPromising = (choice: Ranking<BoardWorker> | undefined, now: number): boolean =>
+    choice !== undefined && isWorthOffering(offerOf(choice, now));
   const tryNext = (): void => {
     if (isDone) return;
     const now = clock.now();
@@ -134,22 +150,15 @@
       giveUp(RoutedRefusal.DeadlinePassed);
       return;
     }
-    const candidates = board.candidates(service).filter(({ id }) => !tried.has(id));
-    const { random } = context;
-    const request = { parts: arrival.promptParts };
-    const ranking = rankWorkers(candidates, { request, speed: board.speed(service), random });
-    const ranked = spreadChoice(ranking, { unseen: board.unseen(service), random });
+    const compared = board.compared(service, arrival.promptParts);
+    const first = rank(compared.workers, compared.homes);
+    // Where none of the few that were drawn will do, another one may.
+    const ranked = isPromising(first[0], now) ? first : rank(board.candidates(service));
     if (ranked.length === 0) {
       giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
       return;
     }
-    const offer = {
-      wait: ranked[0]?.wait ?? 0,
-      target: route.target,
-      left,
-      rank: arrival.rank,
-      isReturn: arrival.isReturn || tried.size > 0,
-    };
+    const offer = offerOf(ranked[0], now);
     if (!isWorthOffering(offer)) {
       giveUp(RoutedRefusal.Overloaded, Math.round(returnAfter(offer)), {
         ...offer,
@@ -160,6 +169,9 @@
       return;
     }
     for (const choice of ranked) if (send(choice)) return;
+    // Those that were drawn have no connection left for this instance; others may.
+    if (ranked === first)
+      for (const choice of rank(board.candidates(service))) if (send(choice)) return;
     giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
   };
   const send = ({ worker, cost, reads, wait }: Ranking<BoardWorker>): boolean => {
