--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -16,24 +16,16 @@
 import type { Clock, FeedDelta, Random, Timer } from "../interface/index.ts";
 import { decodeDigest, encodeDigest } from "./digest_codec.ts";
 import { NewsScope } from "./digest.ts";
-import type {
-  Digest,
-  InstanceNews,
-  InstanceState,
-  Introduction,
-  Roster,
-  RosterEntry,
-} from "./digest.ts";
-import { createFleetRoster } from "./fleet_roster.ts";
-import { FleetRole, planTree } from "./fleet_tree.ts";
-import type { FleetTree } from "./fleet_tree.ts";
+import type { Digest, InstanceNews, InstanceState, Introduction, RosterEntry } from "./digest.ts";
+import { createDigestRounds } from "./digest_rounds.ts";
+import type { DigestRounds } from "./digest_rounds.ts";
+import { createFleetTable } from "./fleet_table.ts";
+import { FleetRole } from "./fleet_tree.ts";
 import { createNewsSources } from "./news_sources.ts";
 import type { NewsSource } from "./news_sources.ts";
-import { createOwnNews, REMEMBERED_ROUNDS } from "./own_news.ts";
-import type { OwnNews, OwnState } from "./own_news.ts";
-import { incarnationOf, isHeard, NEVER, unheard } from "./peer.ts";
+import type { OwnState } from "./own_news.ts";
+import { incarnationOf, NEVER } from "./peer.ts";
 import type { Peer, PeerInstance } from "./peer.ts";
-import { createRosterNews } from "./roster_news.ts";
 
 /** Digests between entry instances. */
 export interface PeerExchange {
@@ -107,179 +99,61 @@
 const LEAST_PERIOD = 60;
 /** Three digests of half a period each on average, by way of two relays. */
 const RELAYED_AGE = 400;
-/** An instance silent for so long isn't expected back. */
-const MEMBER_TIME = 30_000;
-/** After its start an instance expects all that it was given addresses of, for so many milliseconds. */
-const EXPECT_TIME = 2_000;
-/** Addresses passed on with an introduction, and otherwise with one round in so many. */
-const PASSED_ON = 8;
-const PASS_ON_EVERY = 16;
 /** Addresses at which nobody was ever heard or told of, to which a digest goes each period besides. */
 const TRIED = 3;
-/** How long an instance that has fallen silent here is taken to be gone, against the word of others that are gone too. */
-const LOST_TIME = 6_000;
 /** How long a change of the instances that are there waits for others, in milliseconds. */
 const UPDATE_DELAY = 30;
-/** Rounds of this instance's own news that are kept, to be taken out of sums that hold them. */
-const KEPT_ROUNDS = 32;
 
 /** Makes the exchange. */
 export function createPeerExchange(parts: PeerExchangeParts): PeerExchange {
   const { clock, random, introduction, session } = parts;
-  const peers = new Map<string, Peer>();
-  const bySession = new Map<number, Peer>();
-  const roster = createFleetRoster();
-  /** By address, when an instance was last known to be there. */
-  const seenAt = new Map<string, number>();
-  const news: Readonly<Record<Exclude<NewsScope, NewsScope.None>, OwnNews>> = {
-    [NewsScope.Own]: createOwnNews(),
-    [NewsScope.Group]: createOwnNews(),
-    [NewsScope.Fleet]: createOwnNews(),
-  };
-  const rosters = { zone: createRosterNews(), all: createRosterNews() };
-  const ownRounds = new Map<number, OwnState>();
-  let tree: FleetTree = { role: FleetRole.Equal, relays: new Map(), watchers: new Set() };
+  const table = createFleetTable({ clock, introduction, session });
+  const rounds: DigestRounds = createDigestRounds({
+    ...parts,
+    table,
+    sources: () => sources,
+  });
+  const sources = createNewsSources({
+    clock,
+    zone: introduction.zone,
+    tree: () => table.tree,
+    peers: () => table.peers.values(),
+    ownAt: (round) => rounds.ownAt(round),
+    onNews: parts.onNews,
+  });
   let socket: Datagrams | undefined;
-  let sequence = 0;
   let bytesSent = 0;
   let sentAt = NEVER;
   let begun = 0;
-  let startedAt = NEVER;
-  let isStarting = true;
-  let memberCount = 1;
-  let lastLive: readonly string[] = [];
   let updating: Timer | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
 
-  const sources = createNewsSources({
-    clock,
-    zone: introduction.zone,
-    tree: () => tree,
-    peers: () => peers.values(),
-    ownAt: (round) => ownRounds.get(round),
-    onNews: parts.onNews,
-  });
-  const heardPeers = (): Peer[] => [...peers.values()].filter(({ isLive }) => isLive);
-  const heardInstances = (): PeerInstance[] =>
-    heardPeers().flatMap(({ instance }) => (instance === undefined ? [] : [instance]));
-  const live = (onlyFirm = false): RosterEntry[] => {
-    const found = new Map<string, RosterEntry>();
-    for (const peer of heardPeers()) {
-      if (peer.instance !== undefined) found.set(peer.address, peer.instance);
-    }
-    const from = clock.now() - LOST_TIME;
-    const isLost = (address: string): boolean => (peers.get(address)?.lostAt ?? NEVER) >= from;
-    for (const [address, entry] of roster.list({ isLost, onlyFirm })) {
-      if (address !== introduction.peers && !found.has(address)) found.set(address, entry);
-    }
-    return [...found.values()];
-  };
-  const isRelay = (address: string): boolean =>
-    [...tree.relays.values()].some((relays) => relays.includes(address));
-  /** What an instance is told. */
-  const scopeFor = ({ instance, address }: Peer): NewsScope => {
-    if (tree.role === FleetRole.Equal) return NewsScope.Own;
-    const isInZone = instance?.zone === introduction.zone;
-    if (isInZone && isRelay(address)) return NewsScope.Own;
-    if (tree.role === FleetRole.Member) return NewsScope.None;
-    if (isInZone) return NewsScope.Fleet;
-    return isRelay(address) ? NewsScope.Group : NewsScope.None;
-  };
-  const introduce = (addresses: readonly string[]): void => {
-    for (const address of addresses) {
-      if (address !== introduction.peers && !peers.has(address))
-        peers.set(address, unheard(address));
-    }
-    memberCount = countMembers();
+  const sendDigest = (target: Peer, digest: Digest): void => {
+    const bytes = encodeDigest(digest);
+    socket?.send(bytes, target.address);
+    bytesSent += bytes.length;
   };
-  /** Begins a round: what is told from now on is as it stands. */
-  const note = (targets: readonly Peer[]): void => {
-    sequence++;
+  const sendAll = (): void => {
+    const told = targets();
+    rounds.begin(told);
     sentAt = clock.now();
     begun = 0;
-    const scopes = new Set(targets.map(scopeFor));
-    // Also where nobody is there to be told: what may be taken until the next telling goes by it.
-    const own = parts.news(NewsScope.Own);
-    news[NewsScope.Own].note(own, sequence);
-    ownRounds.set(sequence, { ...own, admitted: new Map(own.admitted) });
-    ownRounds.delete(sequence - KEPT_ROUNDS);
-    if (scopes.has(NewsScope.Group)) {
-      news[NewsScope.Group].note(parts.news(NewsScope.Group), sequence);
-      rosters.zone.note(zoneEntries(), sequence);
-    }
-    if (scopes.has(NewsScope.Fleet))
-      news[NewsScope.Fleet].note(parts.news(NewsScope.Fleet), sequence);
-    if (tree.role !== FleetRole.Equal) rosters.all.note(live(true), sequence);
-  };
-  /** The instances of this one's zone that it hears itself: what others tell of them isn't passed on. */
-  const zoneEntries = (): RosterEntry[] =>
-    heardInstances().filter(({ zone }) => zone === introduction.zone);
-  const send = (targets: readonly Peer[]): void => {
-    note(targets);
     const state = parts.state();
-    for (const target of targets) sendTo(target, state);
-  };
-  const sendTo = (target: Peer, state: InstanceState): void => {
-    const { session: theirs, newsSequence, knowsThis } = target;
-    const scope = scopeFor(target);
-    const from = buildsOn(target, scope);
-    const told = scope !== NewsScope.None && target.wantsNews ? news[scope].since(from) : undefined;
-    const bytes = encodeDigest({
-      session,
-      sequence,
-      ...state,
-      heard: theirs === 0 ? undefined : { session: theirs, sequence: newsSequence },
-      introduction: knowsThis ? undefined : introduction,
-      scope,
-      news: !knowsThis || told === undefined ? undefined : { ...told, ...parts.moment() },
-      wantsNews: sources.follows(target),
-      countsReceiver: scope === NewsScope.Fleet && sources.counts(target),
-      roster: knowsThis ? rosterFor(target, scope, from) : undefined,
-      feeds: feedsFor(target, scope),
-      known: passedOn(target),
-    });
-    socket?.send(bytes, target.address);
-    bytesSent += bytes.length;
-    // Whoever is no partner is answered once for each of its digests.
-    if (scope === NewsScope.None) target.asks = false;
+    for (const target of told) sendDigest(target, rounds.digestFor(target, state));
   };
-  /**
-   * A watcher tells the relays what changes in the store, and they tell their zones; a relay that has lost its way to
-   * the store is told by all others.
-   */
-  const feedsFor = ({ address, instance }: Peer, scope: NewsScope): readonly FeedDelta[] => {
-    if (instance === undefined) return [];
-    const follows = isWatcher(address) ? instance.reachesStore : !isWatcher(introduction.peers);
-    const isTold = scope === NewsScope.Fleet || (isRelay(address) && !follows);
-    return isTold ? parts.feedsSince(instance.versions) : [];
-  };
-  const isWatcher = (address: string): boolean => tree.watchers.has(address);
-  /** The round after which changes are told; 0 where everything is. */
-  const buildsOn = (target: Peer, scope: NewsScope): number => {
-    const told = `${scope} ${target.wantsNews}`;
-    if (target.told !== told) {
-      // What the receiver has heard until now was of something else.
-      target.told = told;
-      target.toldSince = sequence;
-    }
-    const { has, toldSince } = target;
-    return has < toldSince || has <= sequence - REMEMBERED_ROUNDS ? 0 : has;
-  };
-  const rosterFor = ({ asks }: Peer, scope: NewsScope, from: number): Roster | undefined => {
-    if (tree.role === FleetRole.Equal || scope === NewsScope.Own) return undefined;
-    if (scope === NewsScope.None && !asks) return undefined;
-    return (scope === NewsScope.Group ? rosters.zone : rosters.all).since(from);
-  };
-  /** Answers a process that is new here, or that has just come to know of this one, without waiting for a round. */
-  const answer = (peer: Peer): void => {
-    sequence++;
-    sendTo(peer, parts.state());
-  };
-  const passedOn = (target: Peer): string[] => {
-    if (target.knowsThis && sequence % PASS_ON_EVERY !== 0) return [];
-    const known = [...peers.values()].filter(({ heardAt }) => heardAt !== NEVER);
-    return sample(known, { count: PASSED_ON, random }).map(({ address }) => address);
+  const isDue = (): boolean => clock.now() - sentAt >= LEAST_PERIOD;
+  /** Who is told in a round. */
+  const targets = (): Peer[] => {
+    const all = [...table.peers.values()];
+    if (table.tree.role === FleetRole.Equal) return all;
+    const own = table.tree.relays.get(introduction.zone) ?? [];
+    const isPartner = ({ address }: Peer): boolean =>
+      table.tree.role === FleetRole.Relay ? table.isRelay(address) : own.includes(address);
+    return [
+      ...all.filter((peer) => (peer.isLive && peer.asks) || isPartner(peer)),
+      ...sample(table.silent(), { count: TRIED, random }),
+    ];
   };
   const receive = (bytes: Uint8Array): void => {
     const digest = decodeDigest(bytes);
@@ -287,7 +161,7 @@
       parts.onFault("A datagram was no digest.");
       return;
     }
-    const peer = senderOf(digest);
+    const peer = table.senderOf(digest);
     // A process that is known here before it has introduced itself will do so: it isn't told that it is known.
     if (peer === undefined || digest.sequence <= peer.lastSequence) return;
     const isNew = peer.heardAt === NEVER;
@@ -300,7 +174,8 @@
     const changed = !peer.isLive || before?.ready !== digest.ready;
     peer.isLive = true;
     parts.onHeard(instance, digest);
-    if (isNew || (peer.knowsThis && !knewThis)) answer(peer);
+    // One that is new here, or has just come to know of this one, is answered without waiting for a round.
+    if (isNew || (peer.knowsThis && !knewThis)) sendDigest(peer, rounds.answer(peer));
     if (heardNews(peer, digest) || changed) updateSoon();
   };
   /** Takes in news and instances; says whether instances are among them. */
@@ -309,8 +184,10 @@
     if (told === undefined && said === undefined) return false;
     const isWhole = said?.isWhole ?? told?.isWhole ?? false;
     if (!isWhole && peer.newsSequence === 0) return false;
-    if (told !== undefined)
-      roster.told({ session: peer.session, isFirm: digest.scope !== NewsScope.None }, told);
+    if (told !== undefined) {
+      const isFirm = digest.scope !== NewsScope.None;
+      table.roster.told({ session: peer.session, isFirm }, told);
+    }
     peer.newsSequence = sources.heard(peer, digest) ? digest.sequence : 0;
     return told !== undefined && (told.isWhole || told.there.length + told.gone.length > 0);
   };
@@ -322,64 +199,25 @@
     if (peer.scope !== digest.scope) {
       peer.scope = digest.scope;
       peer.newsSequence = 0;
-      roster.forget(peer.session);
+      table.roster.forget(peer.session);
     }
-    acknowledge(peer, digest);
-    introduce(digest.known);
-  };
-  const senderOf = ({ session: sender, introduction: said }: Digest): Peer | undefined => {
-    if (sender === session) return undefined;
-    const known = bySession.get(sender);
-    if (known !== undefined || said === undefined) return known;
-    if (said.peers === introduction.peers) return undefined;
-    const before = peers.get(said.peers);
-    if (before !== undefined) bySession.delete(before.session);
-    // Whoever was there before has ended: what it had, and what it knew, is over.
-    const peer = { ...unheard(said.peers), isLive: before?.isLive ?? false, session: sender };
-    peers.set(said.peers, peer);
-    bySession.set(sender, peer);
-    return peer;
+    peer.knowsThis = digest.heard?.session === session;
+    peer.has = peer.knowsThis ? (digest.heard?.sequence ?? 0) : 0;
+    table.introduce(digest.known);
   };
   const instanceOf = (peer: Peer, digest: Digest): PeerInstance | undefined => {
     const said = digest.introduction ?? peer.instance;
     if (said === undefined) return undefined;
-    const { name, zone, callers, peers: address, capacity } = said;
+    const { name, zone, callers, peers, capacity } = said;
     const { ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned } = digest;
     return {
-      ...{ name, zone, callers, peers: address, capacity },
+      ...{ name, zone, callers, peers, capacity },
       ...{ ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned },
       session: digest.session,
       incarnation: incarnationOf(name, digest.session),
       heardAt: peer.heardAt,
     };
   };
-  const acknowledge = (peer: Peer, { heard }: Digest): void => {
-    peer.knowsThis = heard?.session === session;
-    peer.has = peer.knowsThis ? (heard?.sequence ?? 0) : 0;
-  };
-  /** Who is told in a round. */
-  const targets = (): Peer[] => {
-    const all = [...peers.values()];
-    if (tree.role === FleetRole.Equal) return all;
-    const isTold = ({ address, instance, isLive, asks }: Peer): boolean => {
-      if (isLive && asks) return true;
-      if (!isRelay(address)) return false;
-      return (
-        tree.role === FleetRole.Relay || instance?.zone === introduction.zone || isOwn(address)
-      );
-    };
-    const there = new Set(lastLive);
-    const silent = all.filter(({ heardAt, address }) => heardAt === NEVER && !there.has(address));
-    return [...all.filter(isTold), ...sample(silent, { count: TRIED, random })];
-  };
-  const isOwn = (address: string): boolean =>
-    tree.relays.get(introduction.zone)?.includes(address) === true;
-  const hurry = (): void => {
-    begun++;
-    // In a large fleet a digest reaches all others by way of the relays only.
-    const isWorthIt = begun >= HURRY_RUNS && tree.role === FleetRole.Equal;
-    if (isWorthIt && clock.now() - sentAt >= LEAST_PERIOD) send(targets());
-  };
   /** Many instances come and go at the same moment. */
   const updateSoon = (): void => {
     updating ??= clock.after(UPDATE_DELAY, update);
@@ -389,101 +227,66 @@
     updating?.close();
     updating = undefined;
     if (isClosed()) return;
-    const entries = live();
-    const now = clock.now();
-    const addresses = entries.map((entry) => entry.peers);
-    for (const address of [...lastLive, ...addresses]) seenAt.set(address, now);
-    lastLive = addresses;
-    introduce(addresses);
-    memberCount = countMembers();
-    const { role } = tree;
-    tree = planTree({ ...introduction, ready: parts.state().ready }, entries);
-    if (tree.role !== role) {
+    if (table.plan(parts.state().ready)) {
       sources.restart();
       parts.onRole();
     }
     sources.expire();
     parts.onChange();
   };
-  const expire = (): void => {
-    const now = clock.now();
-    let changed = false;
-    for (const peer of peers.values()) {
-      if (!peer.isLive || isHeard(peer, now)) continue;
-      peer.isLive = false;
-      peer.lostAt = now;
-      // What it had here is forgotten with it: once it is back, everything must be told again.
-      peer.newsSequence = 0;
-      changed = true;
-    }
-    if (roster.keepTellers(new Set(heardPeers().map((peer) => peer.session)), now)) changed = true;
-    if (isStarting && now - startedAt > EXPECT_TIME) {
-      isStarting = false;
-      changed = true;
-    }
-    if (sources.expire()) changed = true;
-    if (changed) update();
-    else memberCount = countMembers();
-  };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
-      expire();
-      if (clock.now() - sentAt >= PERIOD / 2) send(targets());
+      const hasLostSource = sources.expire();
+      if (table.expire() || hasLostSource) update();
+      if (clock.now() - sentAt >= PERIOD / 2) sendAll();
       await sleep(clock, PERIOD * (0.9 + 0.2 * random.next()));
     }
   };
-  const countMembers = (): number => {
-    const from = clock.now() - MEMBER_TIME;
-    const there = new Set(live().map((entry) => entry.peers));
-    for (const [address, at] of seenAt) {
-      if (at >= from) there.add(address);
-      else seenAt.delete(address);
-    }
-    // Until it has heard them, each of many that start together would take what all may have for its own.
-    if (isStarting) for (const address of peers.keys()) there.add(address);
-    return 1 + there.size;
-  };
+  const teller = (): PeerInstance | undefined => table.ofSession(sources.teller());
   return {
-    live: () => live(),
-    heard: heardInstances,
+    live: () => table.live(),
+    heard: () => table.heard(),
     sources: () => sources.ids(),
     get role() {
-      return tree.role;
+      return table.tree.role;
     },
     get newsAge() {
-      return tree.role === FleetRole.Equal ? 0 : RELAYED_AGE;
-    },
-    teller: () => {
-      const teller = sources.teller();
-      return teller === undefined ? undefined : bySession.get(teller)?.instance;
+      return table.tree.role === FleetRole.Equal ? 0 : RELAYED_AGE;
     },
+    teller,
     feeders: () => {
-      if (tree.role === FleetRole.Equal || isWatcher(introduction.peers)) return [];
-      if (tree.role === FleetRole.Relay)
-        return heardInstances().filter((one) => isWatcher(one.peers) && one.reachesStore);
-      const teller = sources.teller();
-      const feeder = teller === undefined ? undefined : bySession.get(teller)?.instance;
+      const { role } = table.tree;
+      if (role === FleetRole.Equal || table.isWatcher(introduction.peers)) return [];
+      if (role === FleetRole.Relay) {
+        return table.heard().filter((one) => table.isWatcher(one.peers) && one.reachesStore);
+      }
+      const feeder = teller();
       return feeder?.isCurrent === true ? [feeder] : [];
     },
     dutyCandidates: () =>
-      heardInstances().filter(
-        (instance) => tree.role === FleetRole.Equal || isRelay(instance.peers),
-      ),
+      table
+        .heard()
+        .filter(({ peers }) => table.tree.role === FleetRole.Equal || table.isRelay(peers)),
     get members() {
-      return memberCount;
+      return table.members;
     },
     get bytesSent() {
       return bytesSent;
     },
-    introduce,
-    begun: hurry,
-    announce: () => send(targets()),
+    introduce: (addresses) => table.introduce(addresses),
+    begun: () => {
+      begun++;
+      // In a large fleet a digest reaches all others by way of the relays only.
+      const isWorthIt = begun >= HURRY_RUNS && table.tree.role === FleetRole.Equal;
+      if (isWorthIt && isDue()) sendAll();
+    },
+    announce: sendAll,
     changed: () => {
-      if (tree.role === FleetRole.Relay && clock.now() - sentAt >= LEAST_PERIOD) send(targets());
+      if (table.tree.role === FleetRole.Relay && isDue()) sendAll();
     },
     start: async () => {
       const { onFault } = parts;
-      startedAt = clock.now();
+      table.start();
       socket = await parts.open({ address: introduction.peers, onMessage: receive, onFault });
       parts.onChange();
       void run();
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { createEventSplitter } from "./event_splitter.ts";
-import { isSilent, isWorthOffering, rankWorkers, returnAfter } from "../decision/index.ts";
-import type { Offer, PromptHomes, Ranking } from "../decision/index.ts";
+import { isSilent, returnAfter } from "../decision/index.ts";
+import type { Ranking } from "../decision/index.ts";
 import type { AnswerHead, Exchange, ExchangeEnd, Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
@@ -10,6 +10,7 @@
 import type { RoutedArrival } from "./routed_arrival.ts";
 import { RunResult } from "./routed_context.ts";
 import type { BoardWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
+import { chooseWorkers } from "./routed_choice.ts";
 import { addedHeaders, requestHeaders } from "./routed_headers.ts";
 import { beginAttempt } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
@@ -120,28 +121,6 @@
     attempt?.run.end(result);
     return attempt?.exchange;
   };
-  const rank = (
-    workers: readonly BoardWorker[],
-    homes?: PromptHomes<BoardWorker>,
-  ): Ranking<BoardWorker>[] =>
-    rankWorkers(
-      workers.filter(({ id }) => !tried.has(id)),
-      {
-        request: { parts: arrival.promptParts },
-        speed: board.speed(service),
-        random: context.random,
-        ...(homes === undefined ? {} : { homes }),
-      },
-    );
-  const offerOf = (choice: Ranking<BoardWorker> | undefined, now: number): Offer => ({
-    wait: choice?.wait ?? 0,
-    target: route.target,
-    left: arrival.deadlineAt - now,
-    rank: arrival.rank,
-    isReturn: arrival.isReturn || tried.size > 0,
-  });
-  const isPromising = (choice: Ranking<BoardWorker> | undefined, now: number): boolean =>
-    choice !== undefined && isWorthOffering(offerOf(choice, now));
   const tryNext = (): void => {
     if (isDone) return;
     const now = clock.now();
@@ -150,28 +129,22 @@
       giveUp(RoutedRefusal.DeadlinePassed);
       return;
     }
-    const compared = board.compared(service, arrival.promptParts);
-    const first = rank(compared.workers, compared.homes);
-    // Where none of the few that were drawn will do, another one may.
-    const ranked = isPromising(first[0], now) ? first : rank(board.candidates(service));
-    if (ranked.length === 0) {
+    const choice = chooseWorkers(context, { arrival, service, tried });
+    if (choice.kind === "none") {
       giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
       return;
     }
-    const offer = offerOf(ranked[0], now);
-    if (!isWorthOffering(offer)) {
+    if (choice.kind === "overloaded") {
+      const { offer, candidates } = choice;
       giveUp(RoutedRefusal.Overloaded, Math.round(returnAfter(offer)), {
         ...offer,
         wait: Math.round(offer.wait),
         left: Math.round(left),
-        candidates: ranked.length,
+        candidates,
       });
       return;
     }
-    for (const choice of ranked) if (send(choice)) return;
-    // Those that were drawn have no connection left for this instance; others may.
-    if (ranked === first)
-      for (const choice of rank(board.candidates(service))) if (send(choice)) return;
+    for (const ranked of choice.inTurn()) if (send(ranked)) return;
     giveUp(RoutedRefusal.Overloaded, BUSY_RETRY);
   };
   const send = ({ worker, cost, reads, wait }: Ranking<BoardWorker>): boolean => {
