--- a/src/decision/shared_quota_test.ts
+++ b/src/decision/shared_quota_test.ts
@@ -189,3 +189,83 @@
   two.tell(60_000);
   expect(two.take(ask)).toBe(0);
 });
+
+/** The least windows by which a quota is judged, in milliseconds. */
+const JUDGED_WINDOW = 8_000;
+const LARGE_QUOTA: Quota = {
+  unit: QuotaUnit.Tokens,
+  perSecond: 40_000,
+  burst: 80_000,
+  unstatedTokens: 200,
+};
+const LARGE_SIZE = 5_000;
+const SLACK = 140_000;
+
+/** Requests that come to instances at random; each hears the sum of the others some time after it was made. */
+function playFleet(load: { instances: number; times: number; seconds: number }): {
+  /** What was admitted of what was asked. */
+  part: number;
+  /** The most that was admitted in a window, over what is allowed in one. */
+  most: number;
+} {
+  const { instances, times, seconds } = load;
+  const random = createSeededRandom(4);
+  const quotas = Array.from({ length: instances }, () => createSharedQuota(0));
+  const own = quotas.map(() => 0);
+  const admitted: { at: number; size: number }[] = [];
+  const step = (LARGE_SIZE / (LARGE_QUOTA.perSecond * times)) * 1_000;
+  const start = 60_000;
+  const period = 250;
+  const delay = 150;
+  let toldAt = start;
+  let sums: { at: number; total: number; own: number[] }[] = [];
+  let asked = 0;
+  for (const quota of quotas) {
+    quota.setReach({ heard: instances, members: instances });
+    quota.expect([{ name: "a", quota: LARGE_QUOTA }], start);
+  }
+  for (let now = start; now < start + seconds * 1_000; now += step) {
+    if (now - toldAt >= period) {
+      toldAt = now;
+      for (const quota of quotas) quota.tell(now);
+      sums.push({ at: now, total: own.reduce((sum, one) => sum + one, 0), own: [...own] });
+    }
+    for (const sum of sums.filter(({ at }) => now - at >= delay)) {
+      quotas.forEach((quota, index) => {
+        const others = sum.total - (sum.own[index] ?? 0);
+        quota.heard("others", { admitted: new Map([["a", others]]), age: now });
+      });
+    }
+    sums = sums.filter(({ at }) => now - at < delay);
+    const index = Math.floor(random.next() * instances);
+    const size = LARGE_SIZE * (0.5 + random.next());
+    asked += size;
+    const wait = quotas[index]?.take({ account: "a", quota: LARGE_QUOTA, size, now });
+    if (wait !== 0) continue;
+    own[index] = (own[index] ?? 0) + size;
+    admitted.push({ at: now, size });
+  }
+  const sumOf = (from: number, to: number): number =>
+    admitted.reduce((sum, { at, size }) => sum + (at >= from && at < to ? size : 0), 0);
+  const windows = admitted.map(({ at }) => sumOf(at, at + JUDGED_WINDOW));
+  const allowed = (LARGE_QUOTA.perSecond * JUDGED_WINDOW) / 1_000 + LARGE_QUOTA.burst;
+  return {
+    part: sumOf(start, Infinity) / asked,
+    most: Math.max(...windows) / (allowed * 1.1 + SLACK),
+  };
+}
+
+// Hundreds of instances admit a request of an account now and then, and each hears of the others by way of relays. If
+// each let through what was left when it last heard, the account would get many times its quota.
+test.each([6, 63, 195, 300])("%i instances together keep an account to its quota", (instances) => {
+  expect(playFleet({ instances, times: 7.5, seconds: 24 }).most).toBeLessThan(1);
+});
+
+// What comes to one of hundreds of instances is a small part of what an account asks for. Refused by what the others
+// might admit meanwhile, it would lose what is its own.
+test.each([6, 63, 195, 300])(
+  "before %i instances an account that keeps to its quota isn't refused",
+  (instances) => {
+    expect(playFleet({ instances, times: 0.9, seconds: 24 }).part).toBeGreaterThan(0.98);
+  },
+);
