--- a/src/process/lease_task_test.ts
+++ b/src/process/lease_task_test.ts
@@ -1,11 +1,19 @@
 import { expect, test } from "vitest";
 import { createSeededRandom, Purchase, sleep, WorkerState } from "../interface/index.ts";
 import type { Engine, LoadReport, Worker } from "../interface/index.ts";
-import { formatRevision, LEASE_TERM, REVISION_KEY } from "../version/index.ts";
+import {
+  formatRevision,
+  LEASE_TERM,
+  leaseKey,
+  parseLease,
+  REVISION_KEY,
+} from "../version/index.ts";
 import { MINIMAL_DOCUMENT } from "../version/testing/minimal_revision.ts";
 import { createLeaseTask } from "./lease_task.ts";
 import type { LeaseTask } from "./lease_task.ts";
 import { createOrderTask, ORDER_TIMEOUT } from "./order_task.ts";
+import { createStorePace } from "./store_pace.ts";
+import { createMemoryStore, createVirtualClock } from "../standin/memory/index.ts";
 import { startControlFleet, writeObject } from "./testing/control_fleet.ts";
 import type { ControlFleet, ControlNode } from "./testing/control_fleet.ts";
 
@@ -351,3 +359,36 @@
   for (const task of tasks) task.close();
   fleet.close();
 });
+
+// In a large fleet only relays are told what all instances have counted. One that has ceased to be a relay would report
+// the usage of its own zone for that of all, for as long as it goes on.
+test("a holder that may not hold it any more gives its lease back at once", async () => {
+  const clock = createVirtualClock();
+  const store = createMemoryStore(clock).connect();
+  let mayHold = true;
+  const random = createSeededRandom(1);
+  const task = createLeaseTask({
+    clock,
+    random,
+    store,
+    pace: createStorePace({ clock, random, members: () => 1 }),
+    duties: () => ["duty"],
+    members: { self: { id: "a" }, alive: () => (mayHold ? [{ id: "a" }] : [{ id: "b" }]) },
+    longestOrder: 300,
+    term: 3_000,
+    lookPeriod: 500,
+    mayHold: () => mayHold,
+    count: () => undefined,
+  });
+  task.start();
+  await clock.advance(6_000);
+  expect(task.held()).toEqual(["duty"]);
+  mayHold = false;
+  await clock.advance(1_500);
+  expect(task.held()).toEqual([]);
+  const reading = store.get(leaseKey("duty"));
+  await clock.advance(10);
+  const found = await reading;
+  expect(found.kind === "found" ? parseLease(1, found.object.value).holder : found.kind).toBe("");
+  task.close();
+});
