--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -11,7 +11,7 @@
 import type * as wire from "../gen/digest_pb.ts";
 import { countsByWindow } from "../decision/index.ts";
 import type { WindowCounts } from "../decision/index.ts";
-import type { FeedDelta } from "../interface/index.ts";
+import type { FeedDelta, FeedObject } from "../interface/index.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews, Introduction, Roster, WorkerUse } from "./digest.ts";
 
@@ -75,11 +75,16 @@
       name: object.name,
       version: BigInt(object.version),
       removed,
-      value: removed ? "" : JSON.stringify(object.value),
+      value: removed ? "" : objectText(object),
     })),
   });
 }
 
+/** An object's value as JSON; null where it has none, as JSON has no text for that. */
+export function objectText({ value }: FeedObject): string {
+  return JSON.stringify(value ?? null);
+}
+
 function encodeNews(news: InstanceNews): wire.News {
   const use = [...news.use.values()];
   return create(NewsSchema, {
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -116,3 +116,16 @@
     }),
   );
 });
+
+// Anybody may write an entry into the store, also one without a value. An instance that failed to tell of it would end,
+// and the next one that follows the store with it.
+test("an object without a value is told as one", () => {
+  const [digest] = fc.sample(DIGEST, { numRuns: 1, seed: 1 });
+  if (digest === undefined) throw new Error("There is no sample.");
+  const change = { object: { name: "w", version: 3, value: undefined }, removed: false };
+  const feeds = [{ kind: "servers", from: 2, to: 3, changes: [change] }];
+  const read = decodeDigest(encodeDigest({ ...digest, feeds }));
+  expect(read?.feeds[0]?.changes).toEqual([
+    { object: { name: "w", version: 3, value: null }, removed: false },
+  ]);
+});
--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -8,6 +8,7 @@
   WorkerHealth,
 } from "../decision/index.ts";
 import type { Clock, FeedDelta, Random } from "../interface/index.ts";
+import { objectText } from "./digest_codec.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews, InstanceState } from "./digest.ts";
 import type { FeedFollower } from "./feed_follower.ts";
@@ -171,7 +172,7 @@
   if (changes.length > MOST_CHANGES) return false;
   let characters = 0;
   for (const { object, removed } of changes) {
-    if (!removed) characters += JSON.stringify(object.value).length;
+    if (!removed) characters += objectText(object).length;
     if (characters > MOST_CHANGE_TEXT) return false;
   }
   return true;
