--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -48,7 +48,7 @@
   readonly health: WorkerHealth;
   readonly board: RoutedBoard;
   /** Called with every digest, before its news are taken in. */
-  readonly onHeard: (peer: PeerInstance, digest: Digest) => void;
+  readonly onHeard: (peer: PeerInstance) => void;
   readonly open: (parts: DatagramParts) => Promise<Datagrams>;
 }
 
@@ -106,7 +106,7 @@
     if (digest.news !== undefined) {
       time.heard(peer.incarnation, { time: digest.news.time, steady: clock.now() });
     }
-    parts.onHeard(peer, digest);
+    parts.onHeard(peer);
     for (const delta of digest.feeds) feeds.get(delta.kind)?.adoptChanges(delta);
   };
   const feedsSince = (versions: ReadonlyMap<string, number>): FeedDelta[] =>
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -11,28 +11,20 @@
 } from "../decision/index.ts";
 import type { DemandLevel, WorkerDemand } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
-import type { RoutedWorker } from "../interface/index.ts";
 import { createRoutedRequests } from "../request/routed_service.ts";
 import type { RoutedContext } from "../request/index.ts";
-import { createRouteTable } from "../version/index.ts";
 import type { RoutedService, RouteTable } from "../version/index.ts";
-import { createFeedFollower } from "./feed_follower.ts";
-import type { FeedFollower } from "./feed_follower.ts";
 import { createLeaseTask } from "./lease_task.ts";
 import { createMixTask } from "./mix_task.ts";
-import type { Digest } from "./digest.ts";
 import { createFleetNews } from "./fleet_news.ts";
 import { FleetRole } from "./fleet_tree.ts";
-import { createPeerCatchUp } from "./peer_catch_up.ts";
-import type { PeerInstance } from "./peer.ts";
 import { createRoutedBoard } from "./routed_board.ts";
 import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
 import { capacityOf } from "./routed_settings.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
-import { createStoreOutage } from "./store_outage.ts";
 import { createStorePace } from "./store_pace.ts";
+import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
-import { createWorkerRoster } from "./worker_roster.ts";
 
 /** Addresses in an answer to a caller that resolves. */
 const GREATEST_ADDRESSES = 64;
@@ -43,8 +35,6 @@
 /** Kept back of the grace for closing connections and writing the last lines. */
 const STOP_MARGIN = 700;
 const STOP_LOOK = 50;
-/** Milliseconds over which the members of a zone spread that fetch what their relay doesn't tell them whole. */
-const FETCH_SPREAD = 250;
 /** One lease for all calls that one instance makes: each renewal is a call that is paid for. */
 const DUTY = "platform";
 /** Milliseconds between two looks whether a lease can be taken over. */
@@ -60,9 +50,7 @@
   const { clock, random, log, metrics, kinds } = outside;
   const startedAt = clock.now();
   const capacity = capacityOf(settings);
-  let table: RouteTable | undefined;
   let stoppingSince: number | undefined;
-  let hasWorkers = false;
 
   const health = createWorkerHealth();
   const quota = createSharedQuota(startedAt);
@@ -86,117 +74,34 @@
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
-  const isReady = (): boolean => table !== undefined && hasWorkers && !isStopping();
+  const isReady = (): boolean => table() !== undefined && view.hasWorkers && !isStopping();
 
-  const routingFeed: FeedFollower = createFeedFollower({
-    kind: kinds.routing.kind,
+  const view = createStoreView({
     clock,
     random,
     feed: outside.feed,
-    isNeeded: () => !fleet.isFed(),
-    onChange: () => {
-      applyRouting();
-      fleet.changed();
-    },
-    onReach: (reached, detail) =>
-      log.changed("store-reached", { kind: "routing", reached, detail }),
-  });
-  const workerFeed: FeedFollower = createFeedFollower({
-    kind: kinds.workers,
-    clock,
-    random,
-    feed: outside.feed,
-    isNeeded: () => !fleet.isFed(),
-    feedsOthers: () => fleet.role !== FleetRole.Equal,
-    onChange: (changes) => {
-      roster.changed(changes);
-      applyWorkers();
-      fleet.changed();
-    },
-    onReach: (reached, detail) => {
-      if (!reached) outage.began();
-      else if (outage.ended() && workerFeed.answeredAt !== undefined) roster.storeReturned();
-      log.changed("store-reached", { kind: "workers", reached, detail });
-    },
-  });
-  const outage = createStoreOutage({ clock, staleAfter: settings.leaseTerm + LEASE_LOOK });
-  const feeds = new Map([
-    [kinds.routing.kind, routingFeed],
-    [kinds.workers, workerFeed],
-  ]);
-  const roster = createWorkerRoster({
-    clock,
-    decode: kinds.readWorker,
-    onChange: () => applyWorkers(),
-    onUnreadable: (name) => log.changed("worker-entry-unreadable", { worker: name }),
-  });
-  const applyWorkers = (): void => {
-    const before = new Map(board.workers().map((worker) => [worker.id, worker]));
-    const workers = roster.list();
-    board.setWorkers(workers);
-    connections.keepOnly(new Set(workers.map(({ id }) => id)));
-    hasWorkers ||= workers.length > 0;
-    mix.workersChanged();
-    logWorkers(before, workers);
-  };
-  const logWorkers = (
-    before: ReadonlyMap<string, RoutedWorker>,
-    workers: readonly RoutedWorker[],
-  ): void => {
-    const gone = new Set(before.keys());
-    for (const worker of workers) {
-      gone.delete(worker.id);
-      const known = before.get(worker.id);
-      if (known?.born === worker.born && known.isLeaving === worker.isLeaving) continue;
-      const { id, service, zone, purchase, isLeaving, leavesIn } = worker;
-      log.changed("worker", { worker: id, service, zone, purchase, isLeaving, leavesIn });
-    }
-    for (const worker of gone) log.changed("worker-gone", { worker });
-  };
-  const applyRouting = (): void => {
-    const object = routingFeed.objects.get(kinds.routing.name);
-    if (object === undefined) return;
-    try {
-      const routing = kinds.readRouting(object.value);
-      // Versions only rise: one that an instance has acted on is never taken back.
-      if (routing.version <= (table?.routing.version ?? -1)) return;
-      table = createRouteTable(routing);
-      quota.expect(routing.accounts ?? [], clock.now());
-      const { version, routes } = routing;
-      log.changed("routing", { version, routes: routes.length, store: object.version });
-    } catch (error) {
-      log.fault("routing-unreadable", { store: object.version, detail: String(error) });
-    }
-  };
-
-  const reachesStore = (): boolean =>
-    (fleet.role === FleetRole.Equal || workerFeed.isAnswered) &&
-    clock.now() - (workerFeed.answeredAt ?? -Infinity) < settings.leaseTerm + LEASE_LOOK;
-  const catchUp = createPeerCatchUp({
-    clock,
-    random,
-    spread: () => (fleet.role === FleetRole.Member ? FETCH_SPREAD : 0),
-    feeds,
+    kinds,
     log,
+    staleAfter: settings.leaseTerm + LEASE_LOOK,
+    fleet: () => fleet,
+    onRouting: (routing) => quota.expect(routing.accounts ?? [], clock.now()),
+    onWorkers: (workers) => {
+      board.setWorkers(workers);
+      connections.keepOnly(new Set(workers.map(({ id }) => id)));
+      mix.workersChanged();
+    },
   });
-  const onHeard = (peer: PeerInstance, { storeReturned }: Digest): void => {
-    lease.heard(DUTY, peer.leaseVersion);
-    if (peer.reachesStore) outage.heardAnswering();
-    // What it tells of entries that are missing now would be taken at its word.
-    if (storeReturned && fleet.isFed() && !roster.isReturning()) roster.storeReturned();
-    if (fleet.role !== FleetRole.Member || fleet.teller()?.session === peer.session) catchUp(peer);
-  };
+  const table = (): RouteTable | undefined => view.table();
   const fleet = createFleetNews({
     settings,
     clock,
     random,
     log,
-    feeds,
+    feeds: view.feeds,
     state: () => ({
+      ...view.state(),
       ready: isReady(),
-      reachesStore: reachesStore(),
       leaseVersion: lease.versionOf(DUTY),
-      storeReturned: roster.isReturning(),
     }),
     time,
     quota,
@@ -204,7 +109,10 @@
     ledger,
     health,
     board,
-    onHeard,
+    onHeard: (peer) => {
+      lease.heard(DUTY, peer.leaseVersion);
+      view.heard(peer);
+    },
     open: openDatagrams,
   });
   const { incarnation } = fleet;
@@ -261,7 +169,7 @@
   const mix = createMixTask({
     clock,
     platform: outside.platform,
-    services: () => table?.routing.services ?? [],
+    services: () => table()?.routing.services ?? [],
     workers: () => board.workers(),
     inUse: (service, first) => workersInUse(service, first),
     fence: (callTime) => lease.fence(DUTY, callTime),
@@ -273,7 +181,7 @@
     clock,
     random,
     names: outside.names,
-    table: () => table,
+    table,
     board,
     connections,
     quota,
@@ -297,7 +205,7 @@
   metrics.watch(
     "samphireshore_routing_version",
     "Configuration in force.",
-    () => table?.routing.version ?? 0,
+    () => table()?.routing.version ?? 0,
   );
   metrics.watch("samphireshore_members", "Entry instances expected.", members);
   metrics.watch(
@@ -339,7 +247,7 @@
       };
     },
     objects: (kind) => {
-      const feed = feeds.get(kind);
+      const feed = view.feeds.get(kind);
       return feed === undefined || feed.version === 0
         ? undefined
         : {
@@ -348,15 +256,15 @@
             objects: [...feed.objects.values()],
           };
     },
-    routing: () => table?.routing,
+    routing: () => table()?.routing,
     status: () => ({
       instance: settings.name,
       zone: settings.zone,
       ready: isReady(),
       stopping: isStopping(),
       inProgress: requests.inProgress,
-      routing: table?.routing.version,
-      reachesStore: reachesStore(),
+      routing: table()?.routing.version,
+      reachesStore: view.state().reachesStore,
       holdsLease: lease.held().length > 0,
       role: fleet.role,
       instances: fleet.live().map((one) => {
@@ -371,7 +279,7 @@
           age: heard === undefined ? undefined : Math.round(clock.now() - heard.heardAt),
         };
       }),
-      routes: (table?.routing.routes ?? []).map((route) => ({
+      routes: (table()?.routing.routes ?? []).map((route) => ({
         name: route.name,
         host: route.host,
         pathPrefix: route.pathPrefix,
@@ -385,8 +293,7 @@
       log.changed("starting", { incarnation, zone: settings.zone });
       fleet.introduce(settings.seeds);
       await fleet.start();
-      routingFeed.start();
-      workerFeed.start();
+      view.start();
       lease.start();
       usage.start();
       mix.start();
@@ -399,7 +306,7 @@
     },
     stop,
     close: () => {
-      for (const part of [fleet, routingFeed, workerFeed, lease, usage, mix, board, connections]) {
+      for (const part of [fleet, view, lease, usage, mix, board, connections]) {
         part.close();
       }
     },
--- /dev/null
+++ b/src/process/store_view.ts
@@ -0,0 +1,167 @@
+import type { Clock, FeedObject, ObjectFeed, Random, RoutedWorker } from "../interface/index.ts";
+import { createRouteTable } from "../version/index.ts";
+import type { Routing, RouteTable } from "../version/index.ts";
+import type { InstanceState } from "./digest.ts";
+import { createFeedFollower } from "./feed_follower.ts";
+import type { FeedFollower } from "./feed_follower.ts";
+import type { FleetNews } from "./fleet_news.ts";
+import { FleetRole } from "./fleet_tree.ts";
+import { createPeerCatchUp } from "./peer_catch_up.ts";
+import type { PeerInstance } from "./peer.ts";
+import type { StoredKinds } from "./routed_entry_parts.ts";
+import type { RoutedLog } from "./routed_log.ts";
+import { createStoreOutage } from "./store_outage.ts";
+import { createWorkerRoster } from "./worker_roster.ts";
+
+/** The configuration and the workers as the store has them, from the store itself or from other instances. */
+export interface StoreView {
+  /** By kind of object. */
+  readonly feeds: ReadonlyMap<string, FeedFollower>;
+  /** The configuration in force; undefined before the first. */
+  table(): RouteTable | undefined;
+  /** Whether any worker was ever there. */
+  readonly hasWorkers: boolean;
+  /** What the others are told of the store. */
+  state(): Pick<InstanceState, "reachesStore" | "storeReturned">;
+  /** Another instance was heard. */
+  heard(peer: PeerInstance): void;
+  start(): void;
+  close(): void;
+}
+
+/** What the view is made with. */
+export interface StoreViewParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly feed: ObjectFeed;
+  readonly kinds: StoredKinds;
+  readonly log: RoutedLog;
+  /** How long others say after the store's last answer that it answers them, in milliseconds. */
+  readonly staleAfter: number;
+  readonly fleet: () => Pick<FleetNews, "role" | "isFed" | "teller" | "changed">;
+  /** A configuration has come into force. */
+  readonly onRouting: (routing: Routing) => void;
+  /** The workers have changed. */
+  readonly onWorkers: (workers: readonly RoutedWorker[]) => void;
+}
+
+/** Milliseconds over which the members of a zone spread that fetch what their relay doesn't tell them whole. */
+const FETCH_SPREAD = 250;
+
+/** Makes a view that knows nothing yet. */
+export function createStoreView(parts: StoreViewParts): StoreView {
+  const { clock, random, kinds, log, fleet } = parts;
+  let table: RouteTable | undefined;
+  let workers: readonly RoutedWorker[] = [];
+  let hasWorkers = false;
+
+  const routingFeed: FeedFollower = createFeedFollower({
+    kind: kinds.routing.kind,
+    clock,
+    random,
+    feed: parts.feed,
+    isNeeded: () => !fleet().isFed(),
+    onChange: () => {
+      applyRouting(routingFeed.objects.get(kinds.routing.name));
+      fleet().changed();
+    },
+    onReach: (reached, detail) =>
+      log.changed("store-reached", { kind: "routing", reached, detail }),
+  });
+  const workerFeed: FeedFollower = createFeedFollower({
+    kind: kinds.workers,
+    clock,
+    random,
+    feed: parts.feed,
+    isNeeded: () => !fleet().isFed(),
+    feedsOthers: () => fleet().role !== FleetRole.Equal,
+    onChange: (changes) => {
+      roster.changed(changes);
+      applyWorkers();
+      fleet().changed();
+    },
+    onReach: (reached, detail) => {
+      if (!reached) outage.began();
+      else if (outage.ended() && workerFeed.answeredAt !== undefined) roster.storeReturned();
+      log.changed("store-reached", { kind: "workers", reached, detail });
+    },
+  });
+  const feeds = new Map([
+    [kinds.routing.kind, routingFeed],
+    [kinds.workers, workerFeed],
+  ]);
+  const outage = createStoreOutage({ clock, staleAfter: parts.staleAfter });
+  const roster = createWorkerRoster({
+    clock,
+    decode: kinds.readWorker,
+    onChange: () => applyWorkers(),
+    onUnreadable: (name) => log.changed("worker-entry-unreadable", { worker: name }),
+  });
+  const catchUp = createPeerCatchUp({
+    clock,
+    random,
+    spread: () => (fleet().role === FleetRole.Member ? FETCH_SPREAD : 0),
+    feeds,
+    log,
+  });
+
+  const applyRouting = (object: FeedObject | undefined): void => {
+    if (object === undefined) return;
+    try {
+      const routing = kinds.readRouting(object.value);
+      // Versions only rise: one that an instance has acted on is never taken back.
+      if (routing.version <= (table?.routing.version ?? -1)) return;
+      table = createRouteTable(routing);
+      parts.onRouting(routing);
+      const { version, routes } = routing;
+      log.changed("routing", { version, routes: routes.length, store: object.version });
+    } catch (error) {
+      log.fault("routing-unreadable", { store: object.version, detail: String(error) });
+    }
+  };
+  const applyWorkers = (): void => {
+    const before = workers;
+    workers = roster.list();
+    hasWorkers ||= workers.length > 0;
+    parts.onWorkers(workers);
+    logWorkers(before, workers);
+  };
+  const logWorkers = (before: readonly RoutedWorker[], now: readonly RoutedWorker[]): void => {
+    const gone = new Map(before.map((worker) => [worker.id, worker]));
+    for (const worker of now) {
+      const known = gone.get(worker.id);
+      gone.delete(worker.id);
+      if (known?.born === worker.born && known.isLeaving === worker.isLeaving) continue;
+      const { id, service, zone, purchase, isLeaving, leavesIn } = worker;
+      log.changed("worker", { worker: id, service, zone, purchase, isLeaving, leavesIn });
+    }
+    for (const worker of gone.keys()) log.changed("worker-gone", { worker });
+  };
+  /** Among equals a watch that waits says nothing of the way to the store; watchers have to know sooner. */
+  const reachesStore = (): boolean =>
+    (fleet().role === FleetRole.Equal || workerFeed.isAnswered) &&
+    clock.now() - (workerFeed.answeredAt ?? -Infinity) < parts.staleAfter;
+  return {
+    feeds,
+    table: () => table,
+    get hasWorkers() {
+      return hasWorkers;
+    },
+    state: () => ({ reachesStore: reachesStore(), storeReturned: roster.isReturning() }),
+    heard: (peer) => {
+      const { role, isFed, teller } = fleet();
+      if (peer.reachesStore) outage.heardAnswering();
+      // What it tells of entries that are missing now would be taken at its word.
+      if (peer.storeReturned && isFed() && !roster.isReturning()) roster.storeReturned();
+      if (role !== FleetRole.Member || teller()?.session === peer.session) catchUp(peer);
+    },
+    start: () => {
+      routingFeed.start();
+      workerFeed.start();
+    },
+    close: () => {
+      routingFeed.close();
+      workerFeed.close();
+    },
+  };
+}
