--- a/src/connection/json_call.ts
+++ b/src/connection/json_call.ts
@@ -37,8 +37,8 @@
 /**
  * Makes a caller for the service at `IP:PORT`.
  *
- * It stands on Node's own client. The HTTP library's costs a starting process 25 ms of its 115 (on the machine that
- * this was measured on), and after a loss of power callers wait for all of them.
+ * It stands on Node's own client: the HTTP library's makes a process start later, and after a loss of power callers
+ * wait for its start.
  *
  * @param connections Connections at once; further calls wait for one.
  */
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -129,9 +129,8 @@
     return Math.min(1, Math.max(1 / members, lately) * PART_ROOM);
   };
   /**
-   * When a refused request may come back: as soon as anything is left again. A longer time, after which there
-   * would be room for all that were refused before it too, was worse for callers when measured: they come back
-   * within a third of their time whatever they are told, and then the answer is late.
+   * When a refused request may come back: as soon as anything is left again. Callers come back within a third of
+   * their time whatever they are told, and a longer time makes the answer late.
    */
   const roomIn = ({ level, quota }: Bucket): number => {
     const rate = Math.max(quota.perSecond * part, Number.MIN_VALUE);
--- a/src/decision/worker_demand.ts
+++ b/src/decision/worker_demand.ts
@@ -58,7 +58,7 @@
 const HALF_LIFE = 10_000;
 /**
  * The part of its time that a worker may read prompts: beyond about it first tokens wait for one other prompt or more
- * before their own. Of 0.4 to 0.8, 0.5 to 0.65 was best on days with zones taken, long prompts and short ones.
+ * before their own.
  */
 const READING_PART = 0.6;
 /** How long a look at who reads counts, in milliseconds: some ten prompts a worker. */
--- a/src/decision/worker_mix.ts
+++ b/src/decision/worker_mix.ts
@@ -72,10 +72,7 @@
  * ordered at a loss is there about when the next zone goes.
  */
 const FAST_START_UPS = 1.25;
-/**
- * Before any load was seen, what is there on demand tells what is usual: so many reclaimable ones replace one. With 1.2
- * of them a load of short prompts cost 0.02 of its credit more and was served no better.
- */
+/** Before any load was seen, what is there on demand tells what is usual: so many reclaimable ones replace one. */
 const FIRST_PART = 0.9;
 /** Least reclaimable workers a zone: with one alone, a crash leaves the zone's sessions without a home. */
 const LEAST_A_ZONE = 2;
