--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -267,6 +267,7 @@
       reachesStore: view.state().reachesStore,
       holdsLease: lease.held().length > 0,
       role: fleet.role,
+      isFed: fleet.isFed(),
       instances: fleet.live().map((one) => {
         const heard = fleet.heard().find(({ session }) => session === one.session);
         return {
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -14,6 +14,8 @@
   holdsLease: z.boolean(),
   /** What it is to the others: one of equals, a relay of its zone's news, or a member that relays tell. */
   role: z.string(),
+  /** Whether others tell it what changes in the store, so that it doesn't ask the store itself. */
+  isFed: z.boolean(),
   instances: z.array(
     z.object({
       name: z.string(),
