--- a/src/process/group_totals.ts
+++ b/src/process/group_totals.ts
@@ -102,7 +102,7 @@
 }
 
 /** Adds up what two have at workers. */
-export function addUses(
+function addUses(
   a: ReadonlyMap<number, WorkerUse>,
   b: ReadonlyMap<number, WorkerUse>,
 ): Map<number, WorkerUse> {
