Bound the way of a change from the store to every instance

In a fleet above 13, changes that didn't fit into one digest as a whole (24 changes or 6,000 characters) weren't told at all; each instance on the way fetched a whole list instead, 350 to 600 ms after it saw the higher version, only from the one relay that it goes by, and waited up to a second for one that didn't answer before it tried the same one again. A change that came within 60 ms of a digest waited for the next round, up to half a second.

Ruled out: lost digests alone (three of ten on all ways: told in the next round, within a second), a frozen relay of the two, and an instance that takes itself for a relay: their tests with small changes passed before.

A line store-changed says by which way and how late each change came, as does the histogram samphireshore_change_known_seconds; digests and fetched lists carry that age.

--- a/src/interface/object_feed.ts
+++ b/src/interface/object_feed.ts
@@ -14,6 +14,8 @@
   readonly version: number;
   /** The version of the last change, where it is known better than from the objects that are there. */
   readonly changedAt?: number | undefined;
+  /** Milliseconds since the last change was first heard of by an instance, where another instance sent the list. */
+  readonly age?: number | undefined;
 }
 
 /** What became of one object. */
@@ -28,6 +30,8 @@
   readonly from: number;
   readonly to: number;
   readonly changes: readonly FeedChange[];
+  /** Milliseconds since the oldest of the changes was first heard of by an instance. */
+  readonly age: number;
 }
 
 /** What a watch found. */
--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -66,11 +66,12 @@
   };
 }
 
-function encodeFeed({ kind, from, to, changes }: FeedDelta): wire.FeedDelta {
+function encodeFeed({ kind, from, to, changes, age }: FeedDelta): wire.FeedDelta {
   return create(FeedDeltaSchema, {
     kind,
     from: BigInt(from),
     to: BigInt(to),
+    age: Math.max(0, Math.round(age)),
     changes: changes.map(({ object, removed }) => ({
       name: object.name,
       version: BigInt(object.version),
@@ -185,11 +186,12 @@
 }
 
 /** @throws {SyntaxError} If an object is no JSON. */
-function decodeFeed({ kind, from, to, changes }: wire.FeedDelta): FeedDelta {
+function decodeFeed({ kind, from, to, changes, age }: wire.FeedDelta): FeedDelta {
   return {
     kind,
     from: Number(from),
     to: Number(to),
+    age,
     changes: changes.map(({ name, version, removed, value }) => ({
       object: {
         name,
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -58,7 +58,13 @@
     object: { name, version, value },
     removed: value === undefined,
   }));
-const FEED = fc.record({ kind: NAME, from: fc.nat(), to: fc.nat(), changes: fc.array(CHANGE) });
+const FEED = fc.record({
+  kind: NAME,
+  from: fc.nat(),
+  to: fc.nat(),
+  changes: fc.array(CHANGE),
+  age: fc.nat(),
+});
 
 const DIGEST: fc.Arbitrary<Digest> = fc.record({
   session: SESSION,
@@ -123,7 +129,7 @@
   const [digest] = fc.sample(DIGEST, { numRuns: 1, seed: 1 });
   if (digest === undefined) throw new Error("There is no sample.");
   const change = { object: { name: "w", version: 3, value: undefined }, removed: false };
-  const feeds = [{ kind: "servers", from: 2, to: 3, changes: [change] }];
+  const feeds = [{ kind: "servers", from: 2, to: 3, changes: [change], age: 0 }];
   const read = decodeDigest(encodeDigest({ ...digest, feeds }));
   expect(read?.feeds[0]?.changes).toEqual([
     { object: { name: "w", version: 3, value: null }, removed: false },
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -9,8 +9,26 @@
   Random,
 } from "../interface/index.ts";
 
+/** By which way an instance came to know a change. */
+export enum ChangeWay {
+  /** The store told it, by a list or a watch. */
+  Store = "store",
+  /** Another instance's digest told it. */
+  Digest = "digest",
+  /** It was fetched from another instance. */
+  Fetch = "fetch",
+}
+
+/** How changes came to be known. */
+export interface ChangeArrival {
+  readonly way: ChangeWay;
+  /** Milliseconds since the oldest of them was first heard of by an instance; 0 where this one was the first. */
+  readonly age: number;
+}
+
 /** Follows all objects of one kind. */
 export interface FeedFollower {
+  readonly kind: string;
   /** By name. Empty until a first list was had. */
   readonly objects: ReadonlyMap<string, FeedObject>;
   /** The store's version up to which `objects` is known; 0 until a first list was had. */
@@ -19,14 +37,23 @@
   readonly changedAt: number;
   /** Whether the store answered the last call. */
   readonly isAnswered: boolean;
+  /** Milliseconds since the last change was first heard of by an instance; undefined before a first list. */
+  readonly age: number | undefined;
   /** When the store last answered, in the clock's milliseconds. */
   readonly answeredAt: number | undefined;
   /** Takes in what another instance has, where that is later. */
   adopt(list: FeedList): void;
   /** Takes in changes that another instance tells; changes that build on what isn't known here change nothing. */
   adoptChanges(delta: FeedDelta): void;
-  /** What has changed since the store's version; undefined where that isn't remembered. */
-  changesSince(version: number): FeedDelta | undefined;
+  /**
+   * What has changed since the store's version; undefined where that isn't remembered.
+   *
+   * @param fits Whether so many changes may be told together: only the first groups of changes that fit are told.
+   */
+  changesSince(
+    version: number,
+    fits?: (changes: readonly FeedChange[]) => boolean,
+  ): FeedDelta | undefined;
   start(): void;
   close(): void;
 }
@@ -45,7 +72,7 @@
   /** Whether others are told by this instance what changes: then its watches are short. */
   readonly feedsOthers?: () => boolean;
   /** Called after objects have changed. */
-  readonly onChange: (changes: readonly FeedChange[]) => void;
+  readonly onChange: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
   /** Called when the store begins or ceases to answer. */
   readonly onReach: (reached: boolean, detail: string) => void;
 }
@@ -77,6 +104,14 @@
 /** Groups of changes that are remembered to be told to others. */
 const REMEMBERED_GROUPS = 64;
 
+const FROM_STORE: ChangeArrival = { way: ChangeWay.Store, age: 0 };
+
+/** Changes that came together. */
+interface Remembered extends Pick<FeedDelta, "from" | "to" | "changes"> {
+  /** When the first instance heard of them, in this clock's milliseconds. */
+  readonly firstHeardAt: number;
+}
+
 /** Makes a follower that knows nothing yet. */
 export function createFeedFollower(parts: FeedFollowerParts): FeedFollower {
   const { kind, clock, random, feed, isNeeded = () => true } = parts;
@@ -89,7 +124,9 @@
   let failures = 0;
   let mustList = true;
   /** The last groups of changes, each building on the one before. */
-  const remembered: FeedDelta[] = [];
+  const remembered: Remembered[] = [];
+  /** When the last change was first heard of by an instance, in this clock's milliseconds. */
+  let firstHeardAt: number | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
 
@@ -98,11 +135,12 @@
     isReached = reached;
     parts.onReach(reached, detail);
   };
-  const changed = (to: number, changes: readonly FeedChange[]): void => {
-    if (to > changedAt) remembered.push({ kind, from: changedAt, to, changes });
+  const changed = (to: number, changes: readonly FeedChange[], arrival: ChangeArrival): void => {
+    firstHeardAt = clock.now() - arrival.age;
+    if (to > changedAt) remembered.push({ from: changedAt, to, changes, firstHeardAt });
     if (remembered.length > REMEMBERED_GROUPS) remembered.shift();
     changedAt = to;
-    if (changes.length > 0) parts.onChange(changes);
+    if (changes.length > 0) parts.onChange(changes, arrival);
   };
   const apply = (changes: readonly FeedChange[]): FeedChange[] => {
     const later = changes.filter(({ object }) => !isOlder(object, objects));
@@ -112,7 +150,7 @@
     }
     return later;
   };
-  const adopt = (found: FeedList): void => {
+  const take = (found: FeedList, arrival: ChangeArrival): void => {
     // A list from before what is known already would bring back what has gone.
     if (found.version < version) return;
     const before = objects;
@@ -120,24 +158,28 @@
     version = found.version;
     const changes = differences(before, objects);
     if (changes.length === 0) {
-      if (found.changedAt !== undefined) changed(Math.max(changedAt, found.changedAt), []);
+      if (found.changedAt !== undefined) {
+        changed(Math.max(changedAt, found.changedAt), [], arrival);
+      }
       return;
     }
     const latest = found.objects.reduce((most, object) => Math.max(most, object.version), 0);
     const isRemoval = changes.some(({ removed }) => removed);
     const at = found.changedAt ?? (isRemoval ? found.version : latest);
-    changed(Math.max(changedAt, at), changes);
+    changed(Math.max(changedAt, at), changes, arrival);
   };
+  const adopt = (found: FeedList): void =>
+    take(found, { way: ChangeWay.Fetch, age: found.age ?? 0 });
   const adoptChanges = (delta: FeedDelta): void => {
     if (delta.from > changedAt || delta.to <= changedAt || mustList) return;
     // The store has told this instance more already: nothing new can be in the changes.
     const isKnown = delta.to <= version;
     const changes = isKnown ? [] : apply(delta.changes);
     version = Math.max(version, delta.to);
-    changed(delta.to, changes);
+    changed(delta.to, changes, { way: ChangeWay.Digest, age: delta.age });
   };
   const list = async (): Promise<void> => {
-    adopt(await feed.listKind(kind));
+    take(await feed.listKind(kind), FROM_STORE);
     mustList = false;
   };
   const watch = async (): Promise<void> => {
@@ -153,7 +195,7 @@
     const changes = apply(outcome.changes);
     version = outcome.version;
     if (changes.length === 0) return;
-    changed(version, changes);
+    changed(version, changes, FROM_STORE);
     await sleep(clock, GROUP_TIME);
   };
   const run = async (): Promise<void> => {
@@ -178,6 +220,7 @@
     }
   };
   return {
+    kind,
     get objects() {
       return objects;
     },
@@ -190,17 +233,26 @@
     get isAnswered() {
       return isReached === true;
     },
+    get age() {
+      return firstHeardAt === undefined ? undefined : clock.now() - firstHeardAt;
+    },
     get answeredAt() {
       return answeredAt;
     },
     adopt,
     adoptChanges,
-    changesSince: (since) => {
+    changesSince: (since, fits = () => true) => {
       const first = remembered.findIndex(({ to }) => to > since);
       const from = remembered[first]?.from;
       if (from === undefined || from > since) return undefined;
-      const changes = remembered.slice(first).flatMap((group) => group.changes);
-      return { kind, from: since, to: changedAt, changes };
+      let delta: FeedDelta | undefined;
+      for (const group of remembered.slice(first)) {
+        const changes = [...(delta?.changes ?? []), ...group.changes];
+        if (!fits(changes)) break;
+        const age = delta?.age ?? clock.now() - group.firstHeardAt;
+        delta = { kind, from: since, to: group.to, changes, age };
+      }
+      return delta;
     },
     start: () => void run(),
     close: () => {
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -147,15 +147,15 @@
 test("changes that others tell are taken in where they build on what is known", async () => {
   const { follower, names } = await follow([object("a", 3)]);
   const added = { object: object("b", 12), removed: false };
-  follower.adoptChanges({ kind: "k", from: 11, to: 12, changes: [added] });
+  follower.adoptChanges({ kind: "k", from: 11, to: 12, changes: [added], age: 0 });
   expect(names()).toEqual(["a"]);
-  follower.adoptChanges({ kind: "k", from: 3, to: 12, changes: [added] });
+  follower.adoptChanges({ kind: "k", from: 3, to: 12, changes: [added], age: 0 });
   expect(names()).toEqual(["a", "b"]);
   expect(follower.changedAt).toBe(12);
   const removed = { object: object("a", 14), removed: true };
-  follower.adoptChanges({ kind: "k", from: 3, to: 14, changes: [added, removed] });
+  follower.adoptChanges({ kind: "k", from: 3, to: 14, changes: [added, removed], age: 0 });
   expect(names()).toEqual(["b"]);
-  follower.adoptChanges({ kind: "k", from: 3, to: 12, changes: [added] });
+  follower.adoptChanges({ kind: "k", from: 3, to: 12, changes: [added], age: 0 });
   expect(follower.changedAt).toBe(14);
 });
 
@@ -178,6 +178,34 @@
   expect(follower.changesSince(11)).toBeUndefined();
 });
 
+// Half of the workers change at once while others change one by one: what doesn't fit into one message is told with the
+// next. Told all or nothing, an instance would fall behind for as long as changes go on.
+test("the first changes that fit are told where all don't", async () => {
+  const { clock, store, follower } = await follow([object("a", 3)]);
+  for (let version = 11; version <= 20; version++) {
+    const changes = [{ object: object(`w${version}`, version), removed: false }];
+    store.answer({ kind: "changed", changes, version });
+    await clock.advance(200);
+  }
+  const fits = (changes: readonly unknown[]): boolean => changes.length <= 3;
+  expect(follower.changesSince(12, fits)).toMatchObject({ from: 12, to: 15 });
+  expect(follower.changesSince(18, fits)).toMatchObject({ from: 18, to: 20 });
+  expect(follower.changesSince(12, () => false)).toBeUndefined();
+});
+
+// Whoever reads the log has to see how late a change came and by which way.
+test("how late a change is counts on from instance to instance", async () => {
+  const { clock, store, follower } = await follow([object("a", 3)]);
+  const changes = [{ object: object("b", 11), removed: false }];
+  store.answer({ kind: "changed", changes, version: 11 });
+  await clock.advance(150);
+  expect(follower.changesSince(10)?.age).toBe(150);
+  follower.adoptChanges({ kind: "k", from: 11, to: 12, changes: [], age: 400 });
+  await clock.advance(50);
+  expect(follower.changesSince(11)?.age).toBe(450);
+  expect(follower.age).toBe(450);
+});
+
 // Hundreds of instances that each watch the store are hundreds of calls for each change.
 test("an instance that others tell doesn't ask the store, and asks once they don't", async () => {
   const clock = createVirtualClock();
--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -7,7 +7,7 @@
   UsageLedger,
   WorkerHealth,
 } from "../decision/index.ts";
-import type { Clock, FeedDelta, Random } from "../interface/index.ts";
+import type { Clock, FeedChange, FeedDelta, Random } from "../interface/index.ts";
 import { objectText } from "./digest_codec.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews, InstanceState } from "./digest.ts";
@@ -49,6 +49,8 @@
   readonly board: RoutedBoard;
   /** Called with every digest, before its news are taken in. */
   readonly onHeard: (peer: PeerInstance) => void;
+  /** Called with every digest, after what it tells of the store was taken in. */
+  readonly onTold: (peer: PeerInstance) => void;
   readonly open: (parts: DatagramParts) => Promise<Datagrams>;
 }
 
@@ -58,9 +60,12 @@
 const GREATEST_SESSION = 2 ** 32;
 /** How long the relay that feeds this instance may be silent, in milliseconds: three of its digests. */
 const FED_TIME = 800;
-/** Changes of the store's objects, and characters of JSON, that one digest tells; more is fetched. */
-const MOST_CHANGES = 24;
-const MOST_CHANGE_TEXT = 6_000;
+/**
+ * Changes of the store's objects, and characters of JSON, that one digest tells, far below the greatest datagram. The
+ * next digest tells what is left; a single change of the store beyond them is fetched.
+ */
+const MOST_CHANGES = 128;
+const MOST_CHANGE_TEXT = 24_000;
 /** A process that has run for no longer hasn't counted anything that the others know, in milliseconds. */
 const NEW_AGE = 3_000;
 /** Up to so many instances are named in the log's line; of more their number is. */
@@ -108,12 +113,13 @@
     }
     parts.onHeard(peer);
     for (const delta of digest.feeds) feeds.get(delta.kind)?.adoptChanges(delta);
+    parts.onTold(peer);
   };
   const feedsSince = (versions: ReadonlyMap<string, number>): FeedDelta[] =>
     [...feeds].flatMap(([kind, feed]) => {
       const known = versions.get(kind) ?? 0;
-      const delta = known < feed.changedAt ? feed.changesSince(known) : undefined;
-      return delta === undefined || !isSmall(delta) ? [] : [delta];
+      const delta = known < feed.changedAt ? feed.changesSince(known, fits) : undefined;
+      return delta === undefined ? [] : [delta];
     });
   const onMembers = (): void => {
     const live = exchange.live();
@@ -168,7 +174,7 @@
 }
 
 /** Whether the changes fit into a digest beside all else. */
-function isSmall({ changes }: FeedDelta): boolean {
+function fits(changes: readonly FeedChange[]): boolean {
   if (changes.length > MOST_CHANGES) return false;
   let characters = 0;
   for (const { object, removed } of changes) {
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -126,6 +126,7 @@
   let sentAt = NEVER;
   let begun = 0;
   let updating: Timer | undefined;
+  let hurrying: Timer | undefined;
   let closed = false;
   const isClosed = (): boolean => closed;
 
@@ -142,6 +143,11 @@
     const state = parts.state();
     for (const target of told) sendDigest(target, rounds.digestFor(target, state));
   };
+  /** Sends what couldn't wait for the next round when it came, but had to for the least time between two. */
+  const sendHurried = (): void => {
+    hurrying = undefined;
+    if (!isClosed() && isDue()) sendAll();
+  };
   const isDue = (): boolean => clock.now() - sentAt >= LEAST_PERIOD;
   /** Who is told in a round. */
   const targets = (): Peer[] => {
@@ -282,7 +288,9 @@
     },
     announce: sendAll,
     changed: () => {
-      if (table.tree.role === FleetRole.Relay && isDue()) sendAll();
+      if (table.tree.role !== FleetRole.Relay || isClosed()) return;
+      if (isDue()) sendAll();
+      else hurrying ??= clock.after(sentAt + LEAST_PERIOD - clock.now(), sendHurried);
     },
     start: async () => {
       const { onFault } = parts;
@@ -294,6 +302,7 @@
     close: () => {
       closed = true;
       updating?.close();
+      hurrying?.close();
       socket?.close();
       socket = undefined;
     },
--- a/src/process/peer_fetch.ts
+++ b/src/process/peer_fetch.ts
@@ -7,6 +7,7 @@
 const fetchedSchema = z.object({
   version: z.number(),
   changedAt: z.number().optional(),
+  age: z.number().optional(),
   objects: z.array(z.object({ name: z.string(), version: z.number(), value: z.unknown() })),
 });
 
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -85,6 +85,7 @@
     staleAfter: settings.leaseTerm + LEASE_LOOK,
     fleet: () => fleet,
     onRouting: (routing) => quota.expect(routing.accounts ?? [], clock.now()),
+    onArrival: (way, late) => metrics.changeKnown(way, late),
     onWorkers: (workers) => {
       board.setWorkers(workers);
       connections.keepOnly(new Set(workers.map(({ id }) => id)));
@@ -113,6 +114,7 @@
       lease.heard(DUTY, peer.leaseVersion);
       view.heard(peer);
     },
+    onTold: (peer) => view.told(peer),
     open: openDatagrams,
   });
   const { incarnation } = fleet;
@@ -253,6 +255,7 @@
         : {
             version: feed.version,
             changedAt: feed.changedAt,
+            age: feed.age,
             objects: [...feed.objects.values()],
           };
     },
--- a/src/process/routed_metrics.ts
+++ b/src/process/routed_metrics.ts
@@ -2,6 +2,8 @@
 
 /** Metrics of one instance's routed requests, and their text for whoever fetches them. */
 export interface RoutedMetricsRegistry extends RoutedMetrics {
+  /** A change of the store came by this way, so many milliseconds after the first instance knew it. */
+  changeKnown(way: string, milliseconds: number): void;
   /** The text exposition format. */
   text(): Promise<string>;
   /** Adds a figure that is read when the metrics are fetched. */
@@ -40,6 +42,7 @@
     firstEvent: (route, milliseconds) => record((now) => now.firstEvent(route, milliseconds)),
     refused: (reason) => record((now) => now.refused(reason)),
     repeated: (cause) => record((now) => now.repeated(cause)),
+    changeKnown: (way, milliseconds) => record((now) => now.changeKnown(way, milliseconds)),
     watch: (name, help, read) => record((now) => now.watch(name, help, read)),
     text: async () => (await load()).text(),
   };
@@ -81,6 +84,13 @@
     buckets: BOUNDS,
     registers,
   });
+  const changeKnown = new Histogram({
+    name: "samphireshore_change_known_seconds",
+    help: "Time from when the first instance knew a change of the store until this one did, by its way.",
+    labelNames: ["way"],
+    buckets: BOUNDS,
+    registers,
+  });
   return {
     answered: (route, status, milliseconds) => {
       answered.inc({ route, status: String(status) });
@@ -89,6 +99,7 @@
     firstEvent: (route, milliseconds) => firstEvent.observe({ route }, milliseconds / MILLISECONDS),
     refused: (reason) => refused.inc({ reason }),
     repeated: (cause) => repeated.inc({ cause }),
+    changeKnown: (way, milliseconds) => changeKnown.observe({ way }, milliseconds / MILLISECONDS),
     watch: (name, help, read) => {
       new Gauge({
         name,
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -1,12 +1,20 @@
-import type { Clock, FeedObject, ObjectFeed, Random, RoutedWorker } from "../interface/index.ts";
+import type {
+  Clock,
+  FeedChange,
+  FeedObject,
+  ObjectFeed,
+  Random,
+  RoutedWorker,
+} from "../interface/index.ts";
 import { createRouteTable } from "../version/index.ts";
 import type { Routing, RouteTable } from "../version/index.ts";
 import type { InstanceState } from "./digest.ts";
 import { createFeedFollower } from "./feed_follower.ts";
-import type { FeedFollower } from "./feed_follower.ts";
+import type { ChangeArrival, ChangeWay, FeedFollower } from "./feed_follower.ts";
 import type { FleetNews } from "./fleet_news.ts";
 import { FleetRole } from "./fleet_tree.ts";
 import { createPeerCatchUp } from "./peer_catch_up.ts";
+import { fetchObjects } from "./peer_fetch.ts";
 import type { PeerInstance } from "./peer.ts";
 import type { StoredKinds } from "./routed_entry_parts.ts";
 import type { RoutedLog } from "./routed_log.ts";
@@ -23,8 +31,9 @@
   readonly hasWorkers: boolean;
   /** What the others are told of the store. */
   state(): Pick<InstanceState, "reachesStore" | "storeReturned">;
-  /** Another instance was heard. */
+  /** Another instance was heard; called before and after what it tells of the store is taken in. */
   heard(peer: PeerInstance): void;
+  told(peer: PeerInstance): void;
   start(): void;
   close(): void;
 }
@@ -38,16 +47,15 @@
   readonly log: RoutedLog;
   /** How long others say after the store's last answer that it answers them, in milliseconds. */
   readonly staleAfter: number;
-  readonly fleet: () => Pick<FleetNews, "role" | "isFed" | "teller" | "changed">;
+  readonly fleet: () => Pick<FleetNews, "role" | "isFed" | "changed">;
   /** A configuration has come into force. */
   readonly onRouting: (routing: Routing) => void;
+  /** Changes of the store have come to be known, so many milliseconds after the first instance knew them. */
+  readonly onArrival: (way: ChangeWay, late: number) => void;
   /** The workers have changed. */
   readonly onWorkers: (workers: readonly RoutedWorker[]) => void;
 }
 
-/** Milliseconds over which the members of a zone spread that fetch what their relay doesn't tell them whole. */
-const FETCH_SPREAD = 250;
-
 /** Makes a view that knows nothing yet. */
 export function createStoreView(parts: StoreViewParts): StoreView {
   const { clock, random, kinds, log, fleet } = parts;
@@ -55,15 +63,26 @@
   let workers: readonly RoutedWorker[] = [];
   let hasWorkers = false;
 
+  const changed = (
+    { kind, changedAt }: Pick<FeedFollower, "kind" | "changedAt">,
+    changes: readonly FeedChange[],
+    { way, age }: ChangeArrival,
+  ): void => {
+    fleet().changed();
+    const late = Math.round(age);
+    log.changed("store-changed", { kind, way, late, changes: changes.length, store: changedAt });
+    parts.onArrival(way, late);
+  };
+  const isNeeded = (kind: string): boolean => !fleet().isFed() || catchUp.isBehind(kind);
   const routingFeed: FeedFollower = createFeedFollower({
     kind: kinds.routing.kind,
     clock,
     random,
     feed: parts.feed,
-    isNeeded: () => !fleet().isFed(),
-    onChange: () => {
+    isNeeded: () => isNeeded(kinds.routing.kind),
+    onChange: (changes, arrival) => {
       applyRouting(routingFeed.objects.get(kinds.routing.name));
-      fleet().changed();
+      changed(routingFeed, changes, arrival);
     },
     onReach: (reached, detail) =>
       log.changed("store-reached", { kind: "routing", reached, detail }),
@@ -73,12 +92,12 @@
     clock,
     random,
     feed: parts.feed,
-    isNeeded: () => !fleet().isFed(),
+    isNeeded: () => isNeeded(kinds.workers),
     feedsOthers: () => fleet().role !== FleetRole.Equal,
-    onChange: (changes) => {
+    onChange: (changes, arrival) => {
       roster.changed(changes);
       applyWorkers();
-      fleet().changed();
+      changed(workerFeed, changes, arrival);
     },
     onReach: (reached, detail) => {
       if (!reached) outage.began();
@@ -100,9 +119,10 @@
   const catchUp = createPeerCatchUp({
     clock,
     random,
-    spread: () => (fleet().role === FleetRole.Member ? FETCH_SPREAD : 0),
+    role: () => fleet().role,
     feeds,
     log,
+    fetch: fetchObjects,
   });
 
   const applyRouting = (object: FeedObject | undefined): void => {
@@ -149,12 +169,11 @@
     },
     state: () => ({ reachesStore: reachesStore(), storeReturned: roster.isReturning() }),
     heard: (peer) => {
-      const { role, isFed, teller } = fleet();
       if (peer.reachesStore) outage.heardAnswering();
       // What it tells of entries that are missing now would be taken at its word.
-      if (peer.storeReturned && isFed() && !roster.isReturning()) roster.storeReturned();
-      if (role !== FleetRole.Member || teller()?.session === peer.session) catchUp(peer);
+      if (peer.storeReturned && fleet().isFed() && !roster.isReturning()) roster.storeReturned();
     },
+    told: (peer) => catchUp.heard(peer),
     start: () => {
       routingFeed.start();
       workerFeed.start();
--- a/src/process/testing/news_fleet.ts
+++ b/src/process/testing/news_fleet.ts
@@ -6,7 +6,7 @@
   createWorkerHealth,
 } from "../../decision/index.ts";
 import type { SharedQuota, UsageLedger } from "../../decision/index.ts";
-import { createSeededRandom, Purchase } from "../../interface/index.ts";
+import { createSeededRandom, Purchase, sleep } from "../../interface/index.ts";
 import type { RoutedWorker } from "../../interface/index.ts";
 import type { BoardRun, BoardWorker } from "../../request/index.ts";
 import { createVirtualClock } from "../../standin/memory/index.ts";
@@ -18,6 +18,7 @@
 import { createRoutedBoard } from "../routed_board.ts";
 import type { RoutedBoard } from "../routed_board.ts";
 import { createRoutedLog } from "../routed_log.ts";
+import { createPeerCatchUp } from "../peer_catch_up.ts";
 import { createFeedFollower } from "../feed_follower.ts";
 import type { FeedFollower } from "../feed_follower.ts";
 import { createMemoryFeed } from "./memory_feed.ts";
@@ -32,6 +33,9 @@
 /** A window of usage. */
 export const NEWS_WINDOW = 7;
 const QUOTA = { unit: QuotaUnit.Tokens, unstatedTokens: 0, perSecond: 1_000, burst: 1e9 };
+/** How long an instance takes to send all objects, and how long one is waited for that doesn't, in milliseconds. */
+const FETCH_TIME = 15;
+const UNANSWERED_TIME = 1_000;
 const REPEATS = { ratio: 0.2, slack: 50, window: 10_000 };
 
 /** An instance with all that news come from and go to. */
@@ -43,8 +47,12 @@
   readonly quota: SharedQuota;
   /** What it knows of the store. */
   readonly feed: FeedFollower;
+  /** Where the others reach it. */
+  readonly address: string;
   /** Whether it goes on; the fleet doesn't know. */
   isLive: boolean;
+  /** Whether others that fetch from it are answered. */
+  answersFetches: boolean;
 }
 
 /** Instances that tell each other news, without callers and workers, before a store of one kind of objects. */
@@ -78,7 +86,7 @@
   const store = createMemoryFeed(clock);
   const members: NewsMember[] = [];
   for (let place = 0; place < size.instances; place++) {
-    members.push(startMember(place, { clock, random, network, store }));
+    members.push(startMember(place, { clock, random, network, store, members }));
   }
   for (const { board, quota, news, feed } of members) {
     board.setWorkers(workers);
@@ -114,6 +122,35 @@
   };
 }
 
+/** Milliseconds between two looks at what the instances know, and the longest that they are looked at. */
+const LOOK = 20;
+const LONGEST_LOOK = 6_000;
+/** Characters of an object, about those of a worker's entry. */
+const OBJECT_SIZE = 240;
+
+/** Starts instances of which only what they know of the store matters, and waits until they know each other. */
+export async function startChangeFleet(instances: number, seed = 1): Promise<NewsFleet> {
+  const fleet = await startNewsFleet({ instances, workers: 4, accounts: [], seed });
+  await fleet.clock.advance(4_000);
+  return fleet;
+}
+
+/** Writes objects and says how many milliseconds it took until all of the instances had the last one. */
+export async function knownIn(
+  { clock, store, members }: NewsFleet,
+  objects: readonly string[],
+  among: readonly NewsMember[] = members,
+): Promise<number> {
+  for (const name of objects) store.put(name, `${name} ${"x".repeat(OBJECT_SIZE)}`);
+  const last = objects.at(-1) ?? "";
+  const startedAt = clock.now();
+  while (clock.now() - startedAt < LONGEST_LOOK) {
+    if (among.every(({ feed }) => feed.objects.has(last))) break;
+    await clock.advance(LOOK);
+  }
+  return clock.now() - startedAt;
+}
+
 const SERVICE: RoutedService = {
   name: NEWS_SERVICE,
   maxConnections: 1_000,
@@ -142,11 +179,11 @@
 
 function startMember(
   place: number,
-  outside: Pick<NewsFleet, "clock" | "network" | "store"> & {
+  outside: Pick<NewsFleet, "clock" | "network" | "store" | "members"> & {
     random: ReturnType<typeof createSeededRandom>;
   },
 ): NewsMember {
-  const { clock, random, network, store } = outside;
+  const { clock, random, network, store, members } = outside;
   const name = `e${place}`;
   const zone = `z${place % 4}`;
   const address = addressAt(place);
@@ -167,11 +204,30 @@
     clock,
     random,
     feed: store.of(name),
-    isNeeded: () => !news.isFed(),
+    isNeeded: () => !news.isFed() || catchUp.isBehind(KIND),
     feedsOthers: () => news.role !== FleetRole.Equal,
     onChange: () => news.changed(),
     onReach: () => undefined,
   });
+  const log = createRoutedLog({ instance: name, clock, write: () => undefined });
+  const feeds = new Map([[KIND, feed]]);
+  const catchUp = createPeerCatchUp({
+    clock,
+    random,
+    role: () => news.role,
+    feeds,
+    log,
+    fetch: async (peer) => {
+      await sleep(clock, FETCH_TIME);
+      const found = members.find((one) => one.address === peer);
+      if (found?.isLive === true && found.answersFetches) {
+        const { objects, version, changedAt, age } = found.feed;
+        return { objects: [...objects.values()], version, changedAt, age };
+      }
+      await sleep(clock, UNANSWERED_TIME);
+      throw new Error(`${peer} doesn't answer.`);
+    },
+  });
   const news: FleetNews = createFleetNews({
     settings: {
       name,
@@ -189,8 +245,8 @@
     },
     clock,
     random,
-    log: createRoutedLog({ instance: name, clock, write: () => undefined }),
-    feeds: new Map([[KIND, feed]]),
+    log,
+    feeds,
     state: () => ({
       ready: true,
       reachesStore: feed.isAnswered,
@@ -204,7 +260,8 @@
     health,
     board,
     onHeard: () => undefined,
+    onTold: (peer) => catchUp.heard(peer),
     open: network.open,
   });
-  return { zone, news, feed, board, ledger, quota, isLive: true };
+  return { zone, news, feed, address, board, ledger, quota, isLive: true, answersFetches: true };
 }
