Move a service's requests to a new version of its workers, or back

Change: a worker's version is known everywhere; only the version that serves and one that an order names get requests, and one that was rolled back none. Each instance holds its own part of the new version's share, and gives it nothing where the word of the instance with the duty is older than 1.5 s. A few workers are tried under a full load, all instances at the same moments. Failures and slow answers are counted by route and worker beside those of the old version in the same moments and added up by the digests; a likelihood ratio judges them. The end is written to the order's status over the version that was read; when the order was given is kept in the store. Plans are told with the digests, with their age.

Ruled out: keeping the served version in the store; the majority of the workers that no open order names tells it, and a completed order names it. A share by drawing lots for each request: a little of everything on each new worker shows nothing of a version that fails under load.

Judgement and ramp aren't compared with other ways yet.

--- a/bench/board_cost.ts
+++ b/bench/board_cost.ts
@@ -34,6 +34,7 @@
     service: index % OTHERS === 0 ? SERVICE.name : "other",
     address: "127.0.0.1:1",
     zone: index % 2 === 0 ? "a" : "b",
+    version: "v1",
     slots: 8,
     purchase: Purchase.Reclaimable,
     isLeaving: false,
--- /dev/null
+++ b/src/decision/rollout_judge.ts
@@ -0,0 +1,166 @@
+/**
+ * Whether a version on trial is worse than the one that serves.
+ *
+ * Load that it answers: a roll-out among failing, slow and crashed workers, lost answers and bursts, which strike both
+ * versions. By an absolute bound a good version would be rolled back whenever there is trouble, and a bad one kept where
+ * the bound is generous. One would notice the first by versions that are never taken, the second by callers' failures
+ * that follow the new version's share.
+ *
+ * So the two are compared over the same moments, route by route, failures and slow answers apart: how unlikely is what
+ * was seen of the new version if it were about as good as the old one. The test may be looked at any number of times
+ * before the order's end, and looks at several routes, so it asks for strong evidence; the last look asks for less, as
+ * a bad version that is completed costs more than a good one that has to be ordered again.
+ *
+ * One worker that fails by itself isn't its version: the worst of those on trial is left out where there are others.
+ *
+ * @module
+ */
+import type { TallyCounts } from "./rollout_tally.ts";
+
+/** What was seen of a route since the order: of the version that serves, and of each worker on trial. */
+export interface RouteEvidence {
+  readonly route: string;
+  readonly answers: ComparedCounts;
+  readonly times: ComparedCounts;
+}
+
+/** The same counts of both versions. */
+export interface ComparedCounts {
+  readonly base: TallyCounts;
+  /** By worker. */
+  readonly tried: ReadonlyMap<string, TallyCounts>;
+}
+
+/** What is wrong with a version. */
+export enum RolloutFault {
+  Failures = "failures",
+  SlowAnswers = "slow-answers",
+  /** It was never tried: no request came, or none of its workers was there. */
+  Untried = "untried",
+}
+
+/** What is thought of a version. */
+export type RolloutVerdict =
+  | { readonly kind: "open"; readonly evidence: number }
+  | {
+      readonly kind: "bad";
+      readonly fault: RolloutFault;
+      /** Empty where it shows over all routes together. */
+      readonly route: string;
+      readonly evidence: number;
+    };
+
+/**
+ * Ways to judge, for a comparison on the same orders.
+ *
+ * - `sequential` is the likelihood ratio against the old version's share, without the worst worker.
+ * - `difference` compares the shares by a fixed distance once there are some runs.
+ */
+export type JudgeWay = "sequential" | "difference";
+
+/** The ratio's logarithm at which a version is bad, at any look and at the last one. */
+const STRONG = 7;
+const STRONG_ENOUGH_AT_END = 3.2;
+/** What the new version's share may be over the old one's, as a factor and besides, before it counts as worse. */
+const ALLOWED = {
+  failures: { factor: 1.5, besides: 0.006 },
+  times: { factor: 1.5, besides: 0.06 },
+} as const;
+/** Runs that the old version's share is smoothed by. */
+const PRIOR_RUNS = 20;
+/** Bad answers of a version below which it isn't judged, also at the end. */
+const LEAST_BAD = 2;
+/** Runs at a worker before it may be left out as the worst one. */
+const LEAST_RUNS = 3;
+const NOTHING: TallyCounts = { runs: 0, failures: 0 };
+
+/** Judges a version by what was seen so far. */
+export function judgeRollout(
+  routes: readonly RouteEvidence[],
+  { isLast, way = "sequential" }: { isLast: boolean; way?: JudgeWay },
+): RolloutVerdict {
+  const all = { route: "", answers: pooled(routes, "answers"), times: pooled(routes, "times") };
+  let most: RolloutVerdict = { kind: "open", evidence: 0 };
+  for (const { route, answers, times } of [all, ...routes]) {
+    for (const [fault, counts, allowed] of [
+      [RolloutFault.Failures, answers, ALLOWED.failures],
+      [RolloutFault.SlowAnswers, times, ALLOWED.times],
+    ] as const) {
+      const evidence =
+        way === "sequential" ? evidenceOf(counts, allowed) : differenceOf(counts, allowed);
+      const isBad = evidence >= (isLast ? STRONG_ENOUGH_AT_END : STRONG);
+      if (isBad && (most.kind === "open" || evidence > most.evidence)) {
+        most = { kind: "bad", fault, route, evidence };
+      } else if (most.kind === "open" && evidence > most.evidence) {
+        most = { kind: "open", evidence };
+      }
+    }
+  }
+  return most;
+}
+
+/** Runs of the version on trial that have ended. */
+export function triedRuns(routes: readonly RouteEvidence[]): number {
+  return summed(pooled(routes, "answers").tried.values()).runs;
+}
+
+interface Allowance {
+  readonly factor: number;
+  readonly besides: number;
+}
+
+/** How much more likely what was seen is under its own share of bad answers than under the largest that is allowed. */
+function evidenceOf(counts: ComparedCounts, allowed: Allowance): number {
+  const { runs, failures } = withoutWorst(counts.tried);
+  if (failures < LEAST_BAD) return 0;
+  const share = failures / runs;
+  const most = allowedShare(counts.base, allowed);
+  return share <= most ? 0 : runs * divergence(share, most);
+}
+
+/** A fixed distance, in the units of the other way's bounds. */
+function differenceOf(counts: ComparedCounts, allowed: Allowance): number {
+  const { runs, failures } = summed(counts.tried.values());
+  if (runs < PRIOR_RUNS || failures < LEAST_BAD) return 0;
+  const excess = failures / runs - allowedShare(counts.base, allowed);
+  return excess > allowed.besides ? STRONG : 0;
+}
+
+function allowedShare(base: TallyCounts, { factor, besides }: Allowance): number {
+  const usual = base.failures / (base.runs + PRIOR_RUNS);
+  return Math.min(0.9, usual * factor + besides);
+}
+
+/** The divergence of two shares: a run's average contribution to the logarithm of the ratio. */
+function divergence(share: number, other: number): number {
+  const part = (a: number, b: number): number => (a === 0 ? 0 : a * Math.log(a / b));
+  return part(share, other) + part(1 - share, 1 - other);
+}
+
+function withoutWorst(tried: ReadonlyMap<string, TallyCounts>): TallyCounts {
+  const counts = [...tried.values()].filter(({ runs }) => runs >= LEAST_RUNS);
+  const all = summed(tried.values());
+  if (counts.length < 2) return all;
+  const worst = counts.reduce((a, b) => (b.failures / b.runs > a.failures / a.runs ? b : a));
+  return { runs: all.runs - worst.runs, failures: all.failures - worst.failures };
+}
+
+function pooled(routes: readonly RouteEvidence[], what: "answers" | "times"): ComparedCounts {
+  const tried = new Map<string, TallyCounts>();
+  for (const route of routes) {
+    for (const [worker, counts] of route[what].tried) {
+      tried.set(worker, summed([tried.get(worker) ?? NOTHING, counts]));
+    }
+  }
+  return { base: summed(routes.map((route) => route[what].base)), tried };
+}
+
+function summed(counts: Iterable<TallyCounts>): TallyCounts {
+  let runs = 0;
+  let failures = 0;
+  for (const one of counts) {
+    runs += one.runs;
+    failures += one.failures;
+  }
+  return { runs, failures };
+}
--- a/src/interface/index.ts
+++ b/src/interface/index.ts
@@ -10,5 +10,6 @@
 export * from "./header_names.ts";
 export * from "./fleet_orders.ts";
 export * from "./object_feed.ts";
+export * from "./rollout.ts";
 export * from "./routed_worker.ts";
 export * from "./worker_exchange.ts";
--- a/src/interface/object_feed.ts
+++ b/src/interface/object_feed.ts
@@ -5,6 +5,8 @@
   readonly version: number;
   /** What it holds, as it was decoded from the wire; nothing is checked yet. */
   readonly value: unknown;
+  /** What was said of it, in the same way; undefined where nothing was. */
+  readonly status?: unknown;
 }
 
 /** All objects of a kind at one moment. */
--- a/src/interface/routed_worker.ts
+++ b/src/interface/routed_worker.ts
@@ -7,6 +7,8 @@
   /** Tells a worker from the one that ran under the same id before. */
   readonly born: number;
   readonly service: string;
+  /** The version of its software. */
+  readonly version: string;
   /** `IP:PORT`. */
   readonly address: string;
   /** Availability zone. */
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -1,5 +1,6 @@
 import type { WindowCounts } from "../decision/index.ts";
 import type { FeedDelta } from "../interface/index.ts";
+import type { RolloutPlan } from "./rollout_plan.ts";
 
 /** What an instance has at one worker. */
 export interface WorkerUse {
@@ -43,6 +44,8 @@
   readonly versions: ReadonlyMap<string, number>;
   /** Whether the store has just come back after it was away for everybody: entries of workers may have lapsed. */
   readonly storeReturned: boolean;
+  /** How versions on trial are used, as the instance with the duty said it last. */
+  readonly plans: readonly RolloutPlan[];
 }
 
 /** An instance as another one names it. */
@@ -84,7 +87,7 @@
   readonly admitted: ReadonlyMap<string, number>;
   /** Runs begun, by window and client account. */
   readonly usage: readonly WindowCounts[];
-  /** By the hash of the worker's id. */
+  /** By the hash of the worker's id, and of what `tallyKeys` names while a version is on trial. */
   readonly use: ReadonlyMap<number, WorkerUse>;
   /** Workers that it knows to leave, each with its start; told for as long as they are there. */
   readonly leaving: readonly string[];
--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -5,15 +5,17 @@
   FeedDeltaSchema,
   IntroductionSchema,
   NewsSchema,
+  RolloutPlanSchema,
   RosterEntrySchema,
   Scope,
 } from "../gen/digest_pb.ts";
 import type * as wire from "../gen/digest_pb.ts";
-import { countsByWindow } from "../decision/index.ts";
+import { countsByWindow, RolloutPhase } from "../decision/index.ts";
 import type { WindowCounts } from "../decision/index.ts";
 import type { FeedDelta, FeedObject } from "../interface/index.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews, Introduction, Roster, WorkerUse } from "./digest.ts";
+import type { RolloutPlan } from "./rollout_plan.ts";
 
 /** Prompt tokens that are one unit on the wire: the ranking doesn't tell apart what is read in a millisecond. */
 const UNREAD_UNIT = 64;
@@ -50,6 +52,7 @@
     versions: [...digest.versions].map(([kind, version]) => ({ kind, version: BigInt(version) })),
     ...(digest.roster === undefined ? {} : { roster: encodeRoster(digest.roster) }),
     feeds: digest.feeds.map(encodeFeed),
+    plans: digest.plans.map(encodePlan),
   });
   return toBinary(DigestSchema, message);
 }
@@ -66,6 +69,29 @@
   };
 }
 
+function encodePlan({ phase, ...plan }: RolloutPlan): wire.RolloutPlan {
+  return create(RolloutPlanSchema, {
+    service: plan.service,
+    to: plan.to,
+    fence: BigInt(plan.fence),
+    switching: phase === RolloutPhase.Switch,
+    age: Math.max(0, Math.round(plan.age)),
+    startedAt: BigInt(Math.max(0, Math.round(plan.startedAt))),
+  });
+}
+
+function decodePlan({
+  service,
+  to,
+  fence,
+  switching,
+  age,
+  startedAt,
+}: wire.RolloutPlan): RolloutPlan {
+  const phase = switching ? RolloutPhase.Switch : RolloutPhase.Trial;
+  return { service, to, fence: Number(fence), phase, age, startedAt: Number(startedAt) };
+}
+
 function encodeFeed({ kind, from, to, changes, age }: FeedDelta): wire.FeedDelta {
   return create(FeedDeltaSchema, {
     kind,
@@ -77,6 +103,7 @@
       version: BigInt(object.version),
       removed,
       value: removed ? "" : objectText(object),
+      status: object.status === undefined ? "" : JSON.stringify(object.status),
     })),
   });
 }
@@ -159,6 +186,7 @@
     versions: new Map(message.versions.map(({ kind, version }) => [kind, Number(version)])),
     roster: message.roster === undefined ? undefined : decodeRoster(message.roster),
     feeds: message.feeds.map(decodeFeed),
+    plans: message.plans.map(decodePlan),
     known: message.known,
   };
 }
@@ -192,11 +220,12 @@
     from: Number(from),
     to: Number(to),
     age,
-    changes: changes.map(({ name, version, removed, value }) => ({
+    changes: changes.map(({ name, version, removed, value, status }) => ({
       object: {
         name,
         version: Number(version),
         value: removed ? undefined : (JSON.parse(value) as unknown),
+        ...(status === "" ? {} : { status: JSON.parse(status) as unknown }),
       },
       removed,
     })),
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
+import { RolloutPhase } from "../decision/index.ts";
 import { decodeDigest, encodeDigest } from "./digest_codec.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews } from "./digest.ts";
@@ -74,6 +75,16 @@
   leaseVersion: fc.nat(),
   heard: fc.option(fc.record({ session: SESSION, sequence: fc.nat() }), { nil: undefined }),
   isCurrent: fc.boolean(),
+  plans: fc.array(
+    fc.record({
+      service: NAME,
+      to: NAME,
+      fence: fc.nat(),
+      phase: fc.constantFrom(RolloutPhase.Trial, RolloutPhase.Switch),
+      age: fc.nat(),
+      startedAt: fc.nat(),
+    }),
+  ),
   versions: fc.array(fc.tuple(NAME, fc.nat())).map((entries) => new Map(entries)),
   storeReturned: fc.boolean(),
   introduction: fc.option(INTRODUCTION, { nil: undefined }),
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -24,6 +24,8 @@
   readonly way: ChangeWay;
   /** Milliseconds since the oldest of them was first heard of by an instance; 0 where this one was the first. */
   readonly age: number;
+  /** Whether nothing was known before: they may have come about long ago. */
+  readonly isFirst: boolean;
 }
 
 /** Follows all objects of one kind. */
@@ -104,7 +106,7 @@
 /** Groups of changes that are remembered to be told to others. */
 const REMEMBERED_GROUPS = 64;
 
-const FROM_STORE: ChangeArrival = { way: ChangeWay.Store, age: 0 };
+const FROM_STORE: ChangeArrival = { way: ChangeWay.Store, age: 0, isFirst: false };
 
 /** Changes that came together. */
 interface Remembered extends Pick<FeedDelta, "from" | "to" | "changes"> {
@@ -150,10 +152,11 @@
     }
     return later;
   };
-  const take = (found: FeedList, arrival: ChangeArrival): void => {
+  const take = (found: FeedList, from: ChangeArrival): void => {
     // A list from before what is known already would bring back what has gone.
     if (found.version < version) return;
     const before = objects;
+    const arrival = { ...from, isFirst: version === 0 };
     objects = new Map(found.objects.map((object) => [object.name, object]));
     version = found.version;
     const changes = differences(before, objects);
@@ -169,14 +172,14 @@
     changed(Math.max(changedAt, at), changes, arrival);
   };
   const adopt = (found: FeedList): void =>
-    take(found, { way: ChangeWay.Fetch, age: found.age ?? 0 });
+    take(found, { way: ChangeWay.Fetch, age: found.age ?? 0, isFirst: false });
   const adoptChanges = (delta: FeedDelta): void => {
     if (delta.from > changedAt || delta.to <= changedAt || mustList) return;
     // The store has told this instance more already: nothing new can be in the changes.
     const isKnown = delta.to <= version;
     const changes = isKnown ? [] : apply(delta.changes);
     version = Math.max(version, delta.to);
-    changed(delta.to, changes, { way: ChangeWay.Digest, age: delta.age });
+    changed(delta.to, changes, { way: ChangeWay.Digest, age: delta.age, isFirst: false });
   };
   const list = async (): Promise<void> => {
     take(await feed.listKind(kind), FROM_STORE);
--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -10,7 +10,7 @@
 import type { Clock, FeedChange, FeedDelta, Random } from "../interface/index.ts";
 import { objectText } from "./digest_codec.ts";
 import { NewsScope } from "./digest.ts";
-import type { Digest, InstanceNews, InstanceState } from "./digest.ts";
+import type { Digest, InstanceNews, InstanceState, WorkerUse } from "./digest.ts";
 import type { FeedFollower } from "./feed_follower.ts";
 import { FleetRole } from "./fleet_tree.ts";
 import { createGroupTotals } from "./group_totals.ts";
@@ -31,6 +31,8 @@
   readonly incarnation: string;
   /** Whether others tell this instance what changes in the store. */
   isFed(): boolean;
+  /** What all instances have at workers and have counted, added up; a member of a large fleet doesn't know it. */
+  sums(): ReadonlyMap<number, WorkerUse>;
 }
 
 /** What it is made with. */
@@ -102,10 +104,11 @@
     board.heardLeaving(news.leaving);
     if (scope === NewsScope.Group) ledger.heardGroup(subject, news.usage);
     else ledger.heard(subject, news.usage);
-    if (exchange.role !== FleetRole.Relay) return;
+    if (exchange.role === FleetRole.Member) return;
     const isNew = news.age < NEW_AGE;
     totals.fleet.heard(id, news, isNew);
-    if (scope === NewsScope.Own) totals.group.heard(id, news, isNew);
+    if (exchange.role === FleetRole.Relay && scope === NewsScope.Own)
+      totals.group.heard(id, news, isNew);
   };
   const onHeard = (peer: PeerInstance, digest: Digest): void => {
     if (digest.news !== undefined) {
@@ -170,7 +173,11 @@
     const from = clock.now() - FED_TIME;
     return exchange.feeders().some(({ heardAt }) => heardAt >= from);
   };
-  return Object.assign(exchange, { incarnation: incarnationOf(settings.name, session), isFed });
+  return Object.assign(exchange, {
+    incarnation: incarnationOf(settings.name, session),
+    isFed,
+    sums: () => totals.fleet.with(ownState()).use,
+  });
 }
 
 /** Whether the changes fit into a digest beside all else. */
--- a/src/process/mix_task_test.ts
+++ b/src/process/mix_task_test.ts
@@ -46,6 +46,7 @@
     service: SERVICE.name,
     address: "10.0.0.1:80",
     zone,
+    version: "v1",
     slots: 8,
     purchase,
     isLeaving: false,
--- a/src/process/peer_catch_up.ts
+++ b/src/process/peer_catch_up.ts
@@ -38,7 +38,7 @@
 const ASK_ANOTHER_AFTER = 250;
 
 /** An instance that knows for so many milliseconds that it misses something asks the store itself. */
-const BEHIND_AFTER = 400;
+const BEHIND_AFTER = 550;
 
 /** What is missing of one kind, and who was asked for it. */
 interface Missing {
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -97,6 +97,8 @@
  */
 const HURRY_RUNS = 3;
 const LEAST_PERIOD = 60;
+/** The same where the store has changed: a change passes three instances, and each digest to a zone costs one a member. */
+const CHANGE_PERIOD = 120;
 /** Three digests of half a period each on average, by way of two relays. */
 const RELAYED_AGE = 400;
 /** Addresses at which nobody was ever heard or told of, to which a digest goes each period besides. */
@@ -146,7 +148,7 @@
   /** Sends what couldn't wait for the next round when it came, but had to for the least time between two. */
   const sendHurried = (): void => {
     hurrying = undefined;
-    if (!isClosed() && isDue()) sendAll();
+    if (!isClosed() && clock.now() - sentAt >= CHANGE_PERIOD) sendAll();
   };
   const isDue = (): boolean => clock.now() - sentAt >= LEAST_PERIOD;
   /** Who is told in a round. */
@@ -215,10 +217,10 @@
     const said = digest.introduction ?? peer.instance;
     if (said === undefined) return undefined;
     const { name, zone, callers, peers, capacity } = said;
-    const { ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned } = digest;
+    const { ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned, plans } = digest;
     return {
       ...{ name, zone, callers, peers, capacity },
-      ...{ ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned },
+      ...{ ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned, plans },
       session: digest.session,
       incarnation: incarnationOf(name, digest.session),
       heardAt: peer.heardAt,
@@ -289,8 +291,9 @@
     announce: sendAll,
     changed: () => {
       if (table.tree.role !== FleetRole.Relay || isClosed()) return;
-      if (isDue()) sendAll();
-      else hurrying ??= clock.after(sentAt + LEAST_PERIOD - clock.now(), sendHurried);
+      const left = sentAt + CHANGE_PERIOD - clock.now();
+      if (left <= 0) sendAll();
+      else hurrying ??= clock.after(left, sendHurried);
     },
     start: async () => {
       const { onFault } = parts;
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -80,6 +80,7 @@
           reachesStore: true,
           leaseVersion: 0,
           storeReturned: false,
+          plans: [],
           isCurrent: true,
           versions: new Map([["routing", state.version]]),
         }),
--- a/src/process/peer_fetch.ts
+++ b/src/process/peer_fetch.ts
@@ -8,7 +8,14 @@
   version: z.number(),
   changedAt: z.number().optional(),
   age: z.number().optional(),
-  objects: z.array(z.object({ name: z.string(), version: z.number(), value: z.unknown() })),
+  objects: z.array(
+    z.object({
+      name: z.string(),
+      version: z.number(),
+      value: z.unknown(),
+      status: z.unknown().optional(),
+    }),
+  ),
 });
 
 /** Objects of a kind as another instance has them. */
--- /dev/null
+++ b/src/process/rollout_task.ts
@@ -0,0 +1,191 @@
+import { z } from "zod";
+import { judgeRollout, rolloutTimes, RolloutPhase, sum, triedRuns } from "../decision/index.ts";
+import type { RolloutBounds, RolloutVerdict, TallyCounts } from "../decision/index.ts";
+import { DUTY_CALL_TIME, RolloutState, sleep } from "../interface/index.ts";
+import type { Clock, ObjectStore, RolloutStore, RoutedWorker } from "../interface/index.ts";
+import { nextStatus } from "../version/index.ts";
+import type { RolloutView, ServiceRollout } from "./rollout_view.ts";
+
+/** The task that ends roll-outs while this instance has the duty. */
+export interface RolloutTask {
+  /** What was thought of a service's order last. */
+  verdict(service: string): RolloutVerdict | undefined;
+  start(): void;
+  close(): void;
+}
+
+/** What the task is made with. */
+export interface RolloutTaskParts {
+  readonly clock: Clock;
+  readonly bounds: RolloutBounds;
+  readonly view: RolloutView;
+  readonly rollouts: RolloutStore;
+  /** Where it is kept when an order was given: after a restart of all nobody knows it. */
+  readonly store: Pick<ObjectStore, "get" | "put">;
+  /** The time of day that the instances agree on, in milliseconds since 1970. */
+  readonly time: () => number;
+  /** The names of the routes that lead to a service. */
+  readonly routes: (service: string) => readonly string[];
+  /** What all instances have seen of versions, by the hashes that `tallyKeys` gives. */
+  readonly sums: () => ReadonlyMap<number, TallyCounts>;
+  /** Requests that all instances have at the service's workers. */
+  readonly running: (service: string) => number;
+  /** The fence for a call that may take so many milliseconds; undefined where this instance hasn't the duty. */
+  readonly fence: (callTime: number) => number | undefined;
+  readonly log: (step: string, fields: Record<string, string | number | boolean>) => void;
+}
+
+/** Milliseconds between two looks at an order. */
+const LOOK_PERIOD = 150;
+/** Runs at the new version without which nothing is known of it. */
+const LEAST_RUNS = 6;
+/** The part of the new workers' places that the requests under way may take up. */
+const GREATEST_USE = 0.9;
+
+const recordSchema = z.object({ to: z.string(), startedAt: z.number() });
+
+/** Why an order has ended as it did, for the log. */
+interface Decision {
+  readonly state: RolloutState;
+  readonly reason: string;
+  readonly route?: string;
+  readonly evidence?: number;
+}
+
+/** Makes the task. What it says of an order, and over what, is decided in `rollout_rules.ts`. */
+export function createRolloutTask(parts: RolloutTaskParts): RolloutTask {
+  const { clock, bounds, view, time, log } = parts;
+  const verdicts = new Map<string, RolloutVerdict>();
+  /** By service, the version whose order's begin is known to stand in the store, and when that is. */
+  const begun = new Map<string, z.infer<typeof recordSchema>>();
+  let closed = false;
+  const isClosed = (): boolean => closed;
+
+  /** When the order was given: what the store keeps of it, or else what is known here. */
+  const startOf = async (service: string, order: ServiceRollout): Promise<number | undefined> => {
+    const { to } = order.entry.order;
+    const known = begun.get(service);
+    if (known?.to === to) return known.startedAt;
+    const key = `samphireshore/rollout/${service}`;
+    const found = await parts.store.get(key);
+    if (found.kind === "unavailable") return order.startedAt;
+    const stored = found.kind === "found" ? parseRecord(found.object.value) : undefined;
+    const isStored = stored?.to === to && order.startedAt === undefined;
+    const record = isStored ? stored : { to, startedAt: order.startedAt ?? time() };
+    if (!isStored) {
+      const expect = found.kind === "found" ? found.object.version : 0;
+      const outcome = await parts.store.put(key, JSON.stringify(record), { expect });
+      if (outcome.kind !== "written") return record.startedAt;
+    }
+    begun.set(service, record);
+    return record.startedAt;
+  };
+  const hasRoom = (service: string, tried: readonly RoutedWorker[]): boolean => {
+    const places = sum(tried.map(({ slots }) => slots));
+    return tried.length > 0 && parts.running(service) <= places * GREATEST_USE;
+  };
+  const judge = (service: string, isLast: boolean): { verdict: RolloutVerdict; runs: number } => {
+    const routes = parts.routes(service);
+    const evidence = view.evidence(service, { routes, sums: parts.sums() });
+    const verdict = judgeRollout(evidence, { isLast });
+    verdicts.set(service, verdict);
+    return { verdict, runs: triedRuns(evidence) };
+  };
+  const say = async (
+    service: string,
+    { entry, sent }: ServiceRollout,
+    { state, ...why }: Decision,
+  ): Promise<void> => {
+    const status = nextStatus(entry, state);
+    if (status === undefined || parts.fence(DUTY_CALL_TIME) === undefined) return;
+    const outcome = await parts.rollouts.setStatus(entry, status);
+    log("rollout", {
+      service,
+      to: entry.order.to,
+      state,
+      ...why,
+      outcome: outcome.kind,
+      store: entry.storeVersion,
+      sentHere: sent.all,
+      triedHere: sent.tried,
+    });
+  };
+  const tend = async (service: string): Promise<void> => {
+    const order = view.find(service);
+    if (order === undefined || isEnded(order.state)) {
+      begun.delete(service);
+      return;
+    }
+    const { entry, served } = order;
+    if (served === undefined) return;
+    const { to, duration } = entry.order;
+    if (served.base === to) {
+      await say(service, order, { state: RolloutState.Completed, reason: "served-already" });
+      return;
+    }
+    if (served.tried === undefined) {
+      await say(service, order, { state: RolloutState.RolledBack, reason: "rolled-back-before" });
+      return;
+    }
+    const startedAt = await startOf(service, order);
+    const fence = parts.fence(DUTY_CALL_TIME);
+    if (startedAt === undefined || fence === undefined) return;
+    const { switchAt, completeAt } = rolloutTimes(duration, bounds);
+    const since = time() - startedAt;
+    const isLast = since >= switchAt;
+    const { verdict, runs } = judge(service, isLast);
+    if (verdict.kind === "bad") {
+      const { fault: reason, route, evidence } = verdict;
+      await say(service, order, { state: RolloutState.RolledBack, reason, route, evidence });
+      return;
+    }
+    const { tried } = view.stock(service);
+    const mayServe = runs >= LEAST_RUNS && hasRoom(service, tried);
+    if (since >= completeAt) {
+      if (mayServe) {
+        await say(service, order, {
+          state: RolloutState.Completed,
+          reason: "good",
+          evidence: verdict.evidence,
+        });
+        return;
+      }
+      if (since >= duration) {
+        const reason = runs < LEAST_RUNS ? "untried" : "no-room";
+        await say(service, order, { state: RolloutState.RolledBack, reason });
+        return;
+      }
+    }
+    const phase = isLast && mayServe ? RolloutPhase.Switch : RolloutPhase.Trial;
+    view.heard([{ service, to, fence, phase, age: 0, startedAt }]);
+    await say(service, order, { state: RolloutState.Running, reason: "begun" });
+  };
+  const run = async (): Promise<void> => {
+    while (!isClosed()) {
+      if (parts.fence(DUTY_CALL_TIME) === undefined) begun.clear();
+      else for (const service of view.services()) await tend(service);
+      await sleep(clock, LOOK_PERIOD);
+    }
+  };
+  return {
+    verdict: (service) => verdicts.get(service),
+    start: () => void run(),
+    close: () => {
+      closed = true;
+    },
+  };
+}
+
+function isEnded(state: RolloutState | undefined): boolean {
+  return state === RolloutState.Completed || state === RolloutState.RolledBack;
+}
+
+function parseRecord(text: string): z.infer<typeof recordSchema> | undefined {
+  try {
+    const parsed = recordSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    // No JSON: the order's begin is written anew.
+    return undefined;
+  }
+}
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -2,11 +2,12 @@
 import type { ReadRate, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
 import type { Clock, Random, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/routed_context.ts";
-import type { BoardRun, BoardWorker, WorkerBoard } from "../request/index.ts";
+import type { BoardWorker, WorkerBoard } from "../request/index.ts";
 import { hashText } from "../version/index.ts";
 import type { RoutedService } from "../version/index.ts";
 import { NO_USE } from "./digest.ts";
 import type { InstanceNews, WorkerUse } from "./digest.ts";
+import type { RolloutView } from "./rollout_view.ts";
 import type { RoutedStatus } from "./routed_status.ts";
 
 /** The board with what fills it. */
@@ -43,8 +44,18 @@
   readonly newsAge: () => number;
   /** A run has begun. */
   readonly onBegin: () => void;
+  /** Which versions are served; undefined where workers of any version serve. */
+  readonly versions?: Pick<RolloutView, "admitting" | "begin" | "counts"> | undefined;
 }
 
+/** What a run's end says of its worker's version. */
+const TALLIED: Readonly<Record<RunResult, "well" | "failed" | "unknown">> = {
+  [RunResult.Answered]: "well",
+  [RunResult.Failed]: "failed",
+  [RunResult.Refused]: "unknown",
+  [RunResult.Replaced]: "unknown",
+  [RunResult.Abandoned]: "unknown",
+};
 /** Milliseconds that a run takes until any was seen. */
 const FIRST_RUN_TIME = { engine: 2_000, plain: 50 };
 /** The weight of the newest run in the mean. */
@@ -75,7 +86,7 @@
 
 /** Makes an empty board. */
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
-  const { clock, random, zone, health, members, newsAge, onBegin } = parts;
+  const { clock, random, zone, health, members, newsAge, onBegin, versions } = parts;
   const entries = new Map<string, Entry>();
   /** The same by service: every request looks through those of one. */
   let byService: ReadonlyMap<string, readonly Entry[]> = new Map();
@@ -150,10 +161,13 @@
     const other = others.get(hash) ?? NO_USE;
     return { running: running + other.running, unreadTokens: unreadTokens + other.unreadTokens };
   };
-  const usable = (service: RoutedService, now: number): Entry[] =>
-    entriesOf(service.name).filter(
-      ({ isLeaving, replacedUntil }) => !isLeaving && now >= replacedUntil,
+  const usable = (service: RoutedService, now: number): Entry[] => {
+    const admits = versions?.admitting(service.name);
+    return entriesOf(service.name).filter(
+      ({ worker, isLeaving, replacedUntil }) =>
+        !isLeaving && now >= replacedUntil && (admits === undefined || admits(worker)),
     );
+  };
   const mostConnections = ({ maxConnections }: RoutedService): number =>
     Math.max(1, Math.floor((maxConnections * CONNECTION_PART) / members()));
   const boardWorker = (entry: Entry, most: number, now: number): BoardWorker => {
@@ -207,8 +221,15 @@
     unseenOf.set(service.name, { unseen: found, at: now });
     return found;
   };
-  const begin = ({ id, hash, service, unreadTokens }: BoardWorker, reads: number): BoardRun => {
+  const begin: RoutedBoard["begin"] = (place, { reads, route }) => {
+    const { id, hash, service, unreadTokens, coldFor } = place;
     const startedAt = clock.now();
+    const there = entries.get(id)?.worker;
+    const unreadThere = unreadTokens + reads;
+    const tally =
+      there === undefined
+        ? undefined
+        : versions?.begin({ worker: there, route, reads: unreadThere, isCold: coldFor > 0 });
     const change = (by: number, tokensBy: number): void => {
       const entry = entries.get(id);
       if (entry === undefined) return;
@@ -224,7 +245,9 @@
     onBegin();
     return {
       read: () => {
-        readRate(service).observe({ tokens: unreadTokens + reads, took: clock.now() - startedAt });
+        const now = clock.now();
+        readRate(service).observe({ tokens: unreadThere, took: now - startedAt });
+        tally?.answered(now);
         stopReading();
       },
       end: (result) => {
@@ -232,7 +255,11 @@
         change(-1, 0);
         const now = clock.now();
         const entry = entries.get(id);
-        if (result === RunResult.Answered) noteTime(service, now - startedAt);
+        if (result === RunResult.Answered) {
+          noteTime(service, now - startedAt);
+          tally?.answered(now);
+        }
+        tally?.ended(TALLIED[result]);
         if (result === RunResult.Answered || result === RunResult.Failed) {
           health.ended({ worker: hash, service, failed: result === RunResult.Failed, now });
         }
@@ -293,6 +320,7 @@
         const { runs, failures } = health.ownCounts(hash);
         if (running > 0 || runs > 0) use.set(hash, { running, unreadTokens, runs, failures });
       }
+      for (const [key, counts] of versions?.counts() ?? []) use.set(key, { ...NO_USE, ...counts });
       return use;
     },
     overview: () =>
--- a/src/process/routed_board_test.ts
+++ b/src/process/routed_board_test.ts
@@ -29,6 +29,7 @@
     service: "desk",
     address: "127.0.0.1:1",
     zone: "a",
+    version: "v1",
     slots: 8,
     purchase: Purchase.Reclaimable,
     isLeaving: false,
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -8,6 +8,7 @@
   createWorkerDemand,
   createWorkerHealth,
   spreadAddresses,
+  sum,
 } from "../decision/index.ts";
 import type { DemandLevel, WorkerDemand } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
@@ -22,6 +23,8 @@
 import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
 import { capacityOf } from "./routed_settings.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
+import { createRolloutTask } from "./rollout_task.ts";
+import { createRolloutView, servedWorkers } from "./rollout_view.ts";
 import { createStorePace } from "./store_pace.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
@@ -58,6 +61,16 @@
   const ledger = createUsageLedger();
   const time = createTrueTime({ date: clock.date().getTime(), steady: startedAt });
   const trueNow = (): number => time.now(clock.now());
+  const versions =
+    settings.rollouts === undefined
+      ? undefined
+      : createRolloutView({
+          clock,
+          bounds: settings.rollouts,
+          time: trueNow,
+          members: () => fleet.members,
+          log,
+        });
   const connections = createWorkerConnections({
     clock,
     matching: { idHeader: outside.names.requestId, notRunHeader: outside.names.notRun },
@@ -71,6 +84,7 @@
     members,
     newsAge: () => fleet.newsAge,
     onBegin: () => fleet.begun(),
+    versions,
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
@@ -81,12 +95,15 @@
     random,
     feed: outside.feed,
     kinds,
+    followsRollouts: versions !== undefined,
     log,
     staleAfter: settings.leaseTerm + LEASE_LOOK,
     fleet: () => fleet,
     onRouting: (routing) => quota.expect(routing.accounts ?? [], clock.now()),
     onArrival: (way, late) => metrics.changeKnown(way, late),
+    onRollouts: (entries, age) => versions?.setEntries(entries, age),
     onWorkers: (workers) => {
+      versions?.setWorkers(workers);
       board.setWorkers(workers);
       connections.keepOnly(new Set(workers.map(({ id }) => id)));
       mix.workersChanged();
@@ -103,6 +120,7 @@
       ...view.state(),
       ready: isReady(),
       leaseVersion: lease.versionOf(DUTY),
+      plans: versions?.plans() ?? [],
     }),
     time,
     quota,
@@ -113,6 +131,7 @@
     onHeard: (peer) => {
       lease.heard(DUTY, peer.leaseVersion);
       view.heard(peer);
+      versions?.heard(peer.plans);
     },
     onTold: (peer) => view.told(peer),
     open: openDatagrams,
@@ -168,11 +187,30 @@
     holder: settings.name,
     log: (step, fields) => log.changed(step, fields),
   });
+  const rollouts =
+    versions === undefined || settings.rollouts === undefined
+      ? undefined
+      : createRolloutTask({
+          clock,
+          bounds: settings.rollouts,
+          view: versions,
+          rollouts: outside.rollouts,
+          store: outside.store,
+          time: trueNow,
+          routes: (service) =>
+            (table()?.routing.routes ?? [])
+              .filter(({ shares }) => shares.some((share) => share.service === service))
+              .map(({ name }) => name),
+          sums: () => fleet.sums(),
+          running: (service) => sum(board.loads(service).map(({ running }) => running)),
+          fence: (callTime) => lease.fence(DUTY, callTime),
+          log: (step, fields) => log.changed(step, fields),
+        });
   const mix = createMixTask({
     clock,
     platform: outside.platform,
     services: () => table()?.routing.services ?? [],
-    workers: () => board.workers(),
+    workers: () => servedWorkers(board.workers(), versions?.served()),
     inUse: (service, first) => workersInUse(service, first),
     fence: (callTime) => lease.fence(DUTY, callTime),
     holder: settings.name,
@@ -301,6 +339,7 @@
       lease.start();
       usage.start();
       mix.start();
+      rollouts?.start();
     },
     reload: (changed) => {
       fleet.introduce(changed.seeds);
@@ -313,6 +352,7 @@
       for (const part of [fleet, view, lease, usage, mix, board, connections]) {
         part.close();
       }
+      rollouts?.close();
     },
   };
 }
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -8,6 +8,8 @@
   ObjectStore,
   Platform,
   Random,
+  RolloutEntry,
+  RolloutStore,
   RoutedWorker,
 } from "../interface/index.ts";
 import type { Routing } from "../version/index.ts";
@@ -22,10 +24,14 @@
   readonly routing: { readonly kind: string; readonly name: string };
   /** The kind of the workers' entries. */
   readonly workers: string;
+  /** The kind of orders to move a service to another version of its workers. */
+  readonly rollouts: string;
   /** Reads a configuration; throws where it isn't one. */
   readonly readRouting: (value: unknown) => Routing;
   /** Reads a worker's entry; undefined where it names no worker that can be used. */
   readonly readWorker: (object: FeedObject) => RoutedWorker | undefined;
+  /** Reads an order's entry; undefined where it is none. */
+  readonly readRollout: (object: FeedObject) => RolloutEntry | undefined;
 }
 
 /** What is outside an instance that serves routed requests. */
@@ -34,6 +40,7 @@
   readonly random: Random;
   readonly feed: ObjectFeed;
   readonly store: Pick<ObjectStore, "get" | "put">;
+  readonly rollouts: RolloutStore;
   readonly platform: Platform;
   readonly kinds: StoredKinds;
   readonly names: HeaderNames;
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -41,6 +41,17 @@
     /** How long after its end a window may be reported. */
     lateAfter: duration,
   }),
+  /** What a version on trial may get; absent where workers of any version serve. */
+  rollouts: z
+    .object({
+      /** Its part of a service's requests between an order and its deadline. */
+      share: z.number().gt(0).max(1),
+      /** Requests besides, over all instances. */
+      slack: z.number().min(0),
+      /** Time within which it gets nothing more after it has shown itself bad. */
+      rollbackWithin: duration,
+    })
+    .optional(),
   /** For how long a lease holds after each renewal. */
   leaseTerm: duration,
   /** What the instance may use of its machine's processor; of many instances, the larger ones pass on news. */
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -4,6 +4,7 @@
   FeedObject,
   ObjectFeed,
   Random,
+  RolloutEntry,
   RoutedWorker,
 } from "../interface/index.ts";
 import { createRouteTable } from "../version/index.ts";
@@ -44,12 +45,19 @@
   readonly random: Random;
   readonly feed: ObjectFeed;
   readonly kinds: StoredKinds;
+  /** Whether orders to move services to other versions of their workers are followed. */
+  readonly followsRollouts: boolean;
   readonly log: RoutedLog;
   /** How long others say after the store's last answer that it answers them, in milliseconds. */
   readonly staleAfter: number;
   readonly fleet: () => Pick<FleetNews, "role" | "isFed" | "changed">;
   /** A configuration has come into force. */
   readonly onRouting: (routing: Routing) => void;
+  /**
+   * The orders to move services to other versions have changed, so many milliseconds ago; undefined for those that are
+   * found at the start.
+   */
+  readonly onRollouts: (entries: readonly RolloutEntry[], age: number | undefined) => void;
   /** Changes of the store have come to be known, so many milliseconds after the first instance knew them. */
   readonly onArrival: (way: ChangeWay, late: number) => void;
   /** The workers have changed. */
@@ -66,12 +74,13 @@
   const changed = (
     { kind, changedAt }: Pick<FeedFollower, "kind" | "changedAt">,
     changes: readonly FeedChange[],
-    { way, age }: ChangeArrival,
+    { way, age, isFirst }: ChangeArrival,
   ): void => {
     fleet().changed();
-    const late = Math.round(age);
+    // What an instance finds at its start may have stood there for long.
+    const late = isFirst ? undefined : Math.round(age);
     log.changed("store-changed", { kind, way, late, changes: changes.length, store: changedAt });
-    parts.onArrival(way, late);
+    if (late !== undefined) parts.onArrival(way, late);
   };
   const isNeeded = (kind: string): boolean => !fleet().isFed() || catchUp.isBehind(kind);
   const routingFeed: FeedFollower = createFeedFollower({
@@ -105,9 +114,24 @@
       log.changed("store-reached", { kind: "workers", reached, detail });
     },
   });
+  const rolloutFeed: FeedFollower = createFeedFollower({
+    kind: kinds.rollouts,
+    clock,
+    random,
+    feed: parts.feed,
+    isNeeded: () => isNeeded(kinds.rollouts),
+    feedsOthers: () => fleet().role !== FleetRole.Equal,
+    onChange: (changes, arrival) => {
+      applyRollouts(arrival);
+      changed(rolloutFeed, changes, arrival);
+    },
+    onReach: (reached, detail) =>
+      log.changed("store-reached", { kind: "rollouts", reached, detail }),
+  });
   const feeds = new Map([
     [kinds.routing.kind, routingFeed],
     [kinds.workers, workerFeed],
+    ...(parts.followsRollouts ? [[kinds.rollouts, rolloutFeed] as const] : []),
   ]);
   const outage = createStoreOutage({ clock, staleAfter: parts.staleAfter });
   const roster = createWorkerRoster({
@@ -139,6 +163,14 @@
       log.fault("routing-unreadable", { store: object.version, detail: String(error) });
     }
   };
+  const applyRollouts = ({ age, isFirst }: ChangeArrival): void => {
+    const entries = [...rolloutFeed.objects.values()].flatMap((object) => {
+      const entry = kinds.readRollout(object);
+      if (entry === undefined) log.fault("rollout-unreadable", { service: object.name });
+      return entry === undefined ? [] : [entry];
+    });
+    parts.onRollouts(entries, isFirst ? undefined : age);
+  };
   const applyWorkers = (): void => {
     const before = workers;
     workers = roster.list();
@@ -175,12 +207,10 @@
     },
     told: (peer) => catchUp.heard(peer),
     start: () => {
-      routingFeed.start();
-      workerFeed.start();
+      for (const feed of feeds.values()) feed.start();
     },
     close: () => {
-      routingFeed.close();
-      workerFeed.close();
+      for (const feed of feeds.values()) feed.close();
     },
   };
 }
--- a/src/process/testing/news_fleet.ts
+++ b/src/process/testing/news_fleet.ts
@@ -109,7 +109,7 @@
       if (found === undefined) throw new Error(`There is no worker ${worker}.`);
       ledger.began(account, NEWS_WINDOW);
       quota.take({ account, quota: QUOTA, size: 100, now: clock.now() });
-      return board.begin(found, 640);
+      return board.begin(found, { reads: 640, route: "desk" });
     },
     hasRoom: ({ quota }, account) =>
       quota.take({ account, quota: QUOTA, size: 0, now: clock.now() }) === 0,
@@ -169,6 +169,7 @@
     service: NEWS_SERVICE,
     address: `10.9.${index >> 8}.${index & 255}:80`,
     zone: "z0",
+    version: "v1",
     slots: 48,
     purchase: Purchase.OnDemand,
     isLeaving: false,
@@ -252,6 +253,7 @@
       reachesStore: feed.isAnswered,
       leaseVersion: 0,
       storeReturned: false,
+      plans: [],
     }),
     time: createTrueTime({ date: clock.now(), steady: clock.now() }),
     quota,
--- a/src/process/worker_roster_test.ts
+++ b/src/process/worker_roster_test.ts
@@ -11,6 +11,7 @@
     service: "desk",
     address: "10.0.0.1:80",
     zone: "a",
+    version: "v1",
     slots: 4,
     purchase: Purchase.OnDemand,
     isLeaving,
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -52,9 +52,9 @@
   /**
    * Notes a run.
    *
-   * @param reads Prompt tokens that the worker has to read for it.
+   * @param run `reads` are the prompt tokens that the worker has to read for it, `route` is the name of its route.
    */
-  begin(worker: BoardWorker, reads: number): BoardRun;
+  begin(worker: BoardWorker, run: { readonly reads: number; readonly route: string }): BoardRun;
   speed(service: RoutedService): ServiceSpeed;
   /** Called when a worker is about to leave: what runs there had better go on elsewhere. */
   onLeaving(worker: string, listener: () => void): { close(): void };
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -150,7 +150,11 @@
   const send = ({ worker, cost, reads, wait }: Ranking<BoardWorker>): boolean => {
     const now = clock.now();
     splitter.resume();
-    const attempt = beginAttempt(worker, { run: board.begin(worker, reads), now, wait });
+    const attempt = beginAttempt(worker, {
+      run: board.begin(worker, { reads, route: route.name }),
+      now,
+      wait,
+    });
     current = attempt;
     const exchange = connections.exchange(
       worker,
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -11,6 +11,7 @@
 export * from "./change.ts";
 export * from "./lease.ts";
 export * from "./lease_rules.ts";
+export * from "./rollout_rules.ts";
 export * from "./route_table.ts";
 export * from "./routing.ts";
 export * from "./usage_report.ts";
