Judge versions by the same moments and by the later parts of an order, and play orders

npm run rollouts plays orders on a virtual clock through the view and the task that run: good versions and bad ones of each sort, 6 to 300 instances, with what strikes both versions, holders that die and a store that is away.

Kept: the likelihood ratio, and a few workers that are used as the old ones are. The others stay in the bench alone.

What the plays found, each mended: a share that no instance of hundreds ever reached; a version that turns bad late is diluted by what it was before, so the later half and quarter are judged by themselves; base runs are counted in the moments only in which the new version is tried; an order of four seconds left no part to try with. Model: 'roll-out', each of its three rules switched off gives a violation.

--- /dev/null
+++ b/bench/rollouts/main.ts
@@ -0,0 +1,61 @@
+import { parseArgs } from "node:util";
+import { JUDGES } from "./other_ways.ts";
+import type { Ramp } from "./other_ways.ts";
+import { playOrder } from "./play.ts";
+import type { Outcome } from "./play.ts";
+import { exposurePlot, isBroken, summarize } from "./report.ts";
+import type { Summary } from "./report.ts";
+import { drawScenario, Sort } from "./scenario.ts";
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string", default: "1" },
+    runs: { type: "string", default: "200" },
+    way: { type: "string", multiple: true, default: [] },
+    json: { type: "boolean", default: false },
+  },
+});
+
+const RAMPS: readonly Ramp[] = ["few", "even"];
+/** The way that runs. */
+const RUNNING = "ratio, few";
+const ways = Object.entries(JUDGES).flatMap(([name, judge]) =>
+  RAMPS.map((ramp) => ({ name: `${name}, ${ramp}`, judge, ramp })),
+);
+const chosen =
+  values.way.length === 0 ? ways : ways.filter(({ name }) => values.way.includes(name));
+const first = Number(values.seed);
+const scenarios = Array.from({ length: Number(values.runs) }, (_, run) =>
+  drawScenario(first + run),
+);
+
+const summaries: Summary[] = [];
+const plots = new Map<string, string>();
+for (const { name, judge, ramp } of chosen) {
+  const plays: { scenario: (typeof scenarios)[number]; outcome: Outcome }[] = [];
+  for (const scenario of scenarios) {
+    plays.push({ scenario, outcome: await playOrder(scenario, { judge, ramp }) });
+  }
+  summaries.push(summarize(name, plays));
+  const bad = plays.filter(({ scenario }) => scenario.sort !== Sort.Good);
+  plots.set(name, exposurePlot(bad.map(({ outcome }) => outcome)));
+}
+
+if (values.json) console.log(JSON.stringify(summaries, undefined, 2));
+else {
+  console.table(
+    summaries.map(({ seeds, ...row }) => ({
+      ...row,
+      seeds: Object.values(seeds).flat().length,
+      greatestPart: row.greatestPart.toFixed(2),
+      latestAfterFiftieth: Math.round(row.latestAfterFiftieth),
+    })),
+  );
+  for (const { way, seeds } of summaries) {
+    console.log(`\n${way}: the part of the bound that bad versions were given\n${plots.get(way)}`);
+    for (const [what, found] of Object.entries(seeds)) {
+      if (found.length > 0) console.log(`${what}: ${found.join(" ")}`);
+    }
+  }
+}
+process.exitCode = summaries.some((one) => one.way === RUNNING && isBroken(one)) ? 1 : 0;
--- a/model/check.ts
+++ b/model/check.ts
@@ -2,10 +2,11 @@
 import type { Difference } from "./bounds.ts";
 import { explore } from "./checker.ts";
 import type { Exploration } from "./checker.ts";
-import { ALL_LEASE_RULES, ALL_USAGE_RULES } from "../src/version/index.ts";
+import { ALL_LEASE_RULES, ALL_ROLLOUT_RULES, ALL_USAGE_RULES } from "../src/version/index.ts";
 import { LEASE_BOUNDS, leaseSpecification } from "./lease_specification.ts";
 import { ALL_REVISION_RULES, revisionSpecification } from "./revision_specification.ts";
 import { kebabCase, rulesWithout } from "./rule_names.ts";
+import { rolloutSpecification } from "./rollout_specification.ts";
 import { slotSpecification } from "./slot_specification.ts";
 import { usageSpecification } from "./usage_specification.ts";
 
@@ -32,12 +33,14 @@
 }
 
 /**
- * Explores the specifications of the revision, the lease and the usage report, and that of slot ownership within each of the bounds.
+ * Explores the specifications of the revision, the lease, the usage report and the roll-out, and that of slot ownership within each of the bounds.
  */
 export async function check({ bound, without }: Selection): Promise<Report[]> {
   const limits = { maxStates: MAX_STATES[bound] };
   const revisionRules = Object.entries(ALL_REVISION_RULES).map(([name]) => kebabCase(name));
-  const dutyRules = [ALL_LEASE_RULES, ALL_USAGE_RULES].flatMap(Object.keys).map(kebabCase);
+  const dutyRules = [ALL_LEASE_RULES, ALL_USAGE_RULES, ALL_ROLLOUT_RULES]
+    .flatMap(Object.keys)
+    .map(kebabCase);
   const isElsewhere = without !== undefined && [...revisionRules, ...dutyRules].includes(without);
   const slotRules = rulesWithout(isElsewhere ? undefined : without);
   const reports: Report[] = [];
@@ -55,6 +58,8 @@
   }
   const usage = usageSpecification(allBut(ALL_USAGE_RULES, without));
   await run({ instances: 2 }, () => explore(usage, limits));
+  const rollout = rolloutSpecification(allBut(ALL_ROLLOUT_RULES, without));
+  await run({ instances: 2, orders: 2 }, () => explore(rollout, limits));
   const differences: Record<string, Difference> =
     bound === "large" ? { ...DEFAULT_BOUNDS, ...LARGE_BOUNDS } : DEFAULT_BOUNDS;
   for (const [name, difference] of Object.entries(differences)) {
--- a/src/decision/rollout_judge.ts
+++ b/src/decision/rollout_judge.ts
@@ -50,26 +50,19 @@
       readonly evidence: number;
     };
 
-/**
- * Ways to judge, for a comparison on the same orders.
- *
- * - `sequential` is the likelihood ratio against the old version's share, without the worst worker.
- * - `difference` compares the shares by a fixed distance once there are some runs.
- */
-export type JudgeWay = "sequential" | "difference";
-
 /** The ratio's logarithm at which a version is bad, at any look and at the last one. */
 const STRONG = 7;
 const STRONG_ENOUGH_AT_END = 3.2;
-/** What the new version's share may be over the old one's, as a factor and besides, before it counts as worse. */
+/**
+ * What the new version's share may be over the old one's, as a factor and besides, before it counts as worse, and the
+ * bad answers below which it isn't judged: a moment in which an instance has no processor makes several runs slow.
+ */
 const ALLOWED = {
-  failures: { factor: 1.5, besides: 0.006 },
-  times: { factor: 1.5, besides: 0.06 },
+  failures: { factor: 1.5, besides: 0.003, least: 2 },
+  times: { factor: 1.5, besides: 0.05, least: 4 },
 } as const;
 /** Runs that the old version's share is smoothed by. */
 const PRIOR_RUNS = 20;
-/** Bad answers of a version below which it isn't judged, also at the end. */
-const LEAST_BAD = 2;
 /** Runs at a worker before it may be left out as the worst one. */
 const LEAST_RUNS = 3;
 const NOTHING: TallyCounts = { runs: 0, failures: 0 };
@@ -77,7 +70,7 @@
 /** Judges a version by what was seen so far. */
 export function judgeRollout(
   routes: readonly RouteEvidence[],
-  { isLast, way = "sequential" }: { isLast: boolean; way?: JudgeWay },
+  { isLast }: { isLast: boolean },
 ): RolloutVerdict {
   const all = { route: "", answers: pooled(routes, "answers"), times: pooled(routes, "times") };
   let most: RolloutVerdict = { kind: "open", evidence: 0 };
@@ -86,8 +79,7 @@
       [RolloutFault.Failures, answers, ALLOWED.failures],
       [RolloutFault.SlowAnswers, times, ALLOWED.times],
     ] as const) {
-      const evidence =
-        way === "sequential" ? evidenceOf(counts, allowed) : differenceOf(counts, allowed);
+      const evidence = evidenceOf(counts, allowed);
       const isBad = evidence >= (isLast ? STRONG_ENOUGH_AT_END : STRONG);
       if (isBad && (most.kind === "open" || evidence > most.evidence)) {
         most = { kind: "bad", fault, route, evidence };
@@ -107,25 +99,18 @@
 interface Allowance {
   readonly factor: number;
   readonly besides: number;
+  readonly least: number;
 }
 
 /** How much more likely what was seen is under its own share of bad answers than under the largest that is allowed. */
 function evidenceOf(counts: ComparedCounts, allowed: Allowance): number {
   const { runs, failures } = withoutWorst(counts.tried);
-  if (failures < LEAST_BAD) return 0;
+  if (failures < allowed.least) return 0;
   const share = failures / runs;
   const most = allowedShare(counts.base, allowed);
   return share <= most ? 0 : runs * divergence(share, most);
 }
 
-/** A fixed distance, in the units of the other way's bounds. */
-function differenceOf(counts: ComparedCounts, allowed: Allowance): number {
-  const { runs, failures } = summed(counts.tried.values());
-  if (runs < PRIOR_RUNS || failures < LEAST_BAD) return 0;
-  const excess = failures / runs - allowedShare(counts.base, allowed);
-  return excess > allowed.besides ? STRONG : 0;
-}
-
 function allowedShare(base: TallyCounts, { factor, besides }: Allowance): number {
   const usual = base.failures / (base.runs + PRIOR_RUNS);
   return Math.min(0.9, usual * factor + besides);
@@ -164,3 +149,6 @@
   }
   return { runs, failures };
 }
+
+/** How versions are judged. */
+export type RolloutJudge = typeof judgeRollout;
--- /dev/null
+++ b/src/decision/rollout_judge_test.ts
@@ -0,0 +1,92 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { judgeRollout, RolloutFault, triedRuns } from "./rollout_judge.ts";
+import type { RouteEvidence } from "./rollout_judge.ts";
+import type { TallyCounts } from "./rollout_tally.ts";
+
+const NONE: TallyCounts = { runs: 0, failures: 0 };
+
+function counts(runs: number, failures: number): TallyCounts {
+  return { runs, failures };
+}
+
+function evidence(
+  route: string,
+  answers: { base: TallyCounts; tried: readonly TallyCounts[] },
+  times: { base: TallyCounts; tried: readonly TallyCounts[] } = { base: NONE, tried: [] },
+): RouteEvidence {
+  const named = (tried: readonly TallyCounts[]): Map<string, TallyCounts> =>
+    new Map(tried.map((one, index) => [`n-${index}`, one]));
+  return {
+    route,
+    answers: { base: answers.base, tried: named(answers.tried) },
+    times: { base: times.base, tried: named(times.tried) },
+  };
+}
+
+test("a version that fails far more than the old one is bad", () => {
+  const seen = evidence("a", {
+    base: counts(2_000, 4),
+    tried: [counts(20, 5), counts(20, 6), counts(20, 4)],
+  });
+  expect(judgeRollout([seen], { isLast: false })).toMatchObject({
+    kind: "bad",
+    fault: RolloutFault.Failures,
+  });
+});
+
+// Workers of both versions fail a tenth of their requests for a while. The new version isn't to blame.
+test("failures that strike both versions don't speak against the new one", () => {
+  const tried = [counts(40, 4), counts(40, 5), counts(40, 4)];
+  const seen = evidence("a", { base: counts(4_000, 400), tried });
+  expect(judgeRollout([seen], { isLast: true }).kind).toBe("open");
+});
+
+// One of the workers on trial fails nearly half of its requests, as workers do now and then.
+test("one worker that fails by itself isn't taken for its version", () => {
+  const tried = [counts(50, 21), counts(50, 0), counts(50, 0), counts(50, 0)];
+  const seen = evidence("a", { base: counts(3_000, 0), tried });
+  expect(judgeRollout([seen], { isLast: true }).kind).toBe("open");
+});
+
+// The new version fails on one route of several, which is a small part of all requests.
+test("what is bad on one route only is found there", () => {
+  const good = evidence("a", {
+    base: counts(3_000, 3),
+    tried: [counts(60, 0), counts(60, 0), counts(60, 0)],
+  });
+  const bad = evidence("b", {
+    base: counts(300, 0),
+    tried: [counts(6, 3), counts(6, 3), counts(6, 2)],
+  });
+  expect(judgeRollout([good, bad], { isLast: false })).toMatchObject({ kind: "bad", route: "b" });
+});
+
+test("a version that answers slowly is bad though nothing fails", () => {
+  const answers = { base: counts(900, 0), tried: [counts(30, 0), counts(30, 0), counts(30, 0)] };
+  const times = { base: counts(900, 50), tried: [counts(30, 20), counts(30, 18), counts(30, 22)] };
+  expect(judgeRollout([evidence("a", answers, times)], { isLast: false })).toMatchObject({
+    kind: "bad",
+    fault: RolloutFault.SlowAnswers,
+  });
+});
+
+// A single failure among a few runs says nothing, also at the end.
+test("one bad answer is never enough", () => {
+  const seen = evidence("a", { base: counts(500, 0), tried: [counts(3, 1), counts(2, 0)] });
+  expect(judgeRollout([seen], { isLast: true }).kind).toBe("open");
+  expect(triedRuns([seen])).toBe(5);
+});
+
+test("no counts whatever make evidence that is no number", () => {
+  const any = fc.record({ runs: fc.nat(1_000), part: fc.double({ min: 0, max: 1, noNaN: true }) });
+  const toCounts = ({ runs, part }: { runs: number; part: number }): TallyCounts =>
+    counts(runs, Math.floor(runs * part));
+  fc.assert(
+    fc.property(any, fc.array(any, { maxLength: 5 }), fc.boolean(), (base, tried, isLast) => {
+      const seen = evidence("a", { base: toCounts(base), tried: tried.map(toCounts) });
+      const { evidence: found } = judgeRollout([seen], { isLast });
+      expect(Number.isFinite(found)).toBe(true);
+    }),
+  );
+});
--- a/src/decision/rollout_tally.ts
+++ b/src/decision/rollout_tally.ts
@@ -27,6 +27,8 @@
   readonly reads: number;
   /** The worker's id where it is on trial; undefined where it serves. */
   readonly tried: string | undefined;
+  /** Whether it is compared: a run of the version that serves is while the other one is tried, in the same moments. */
+  readonly isCompared: boolean;
   /** Whether its worker was still slow after its start: its time says nothing. */
   readonly isCold: boolean;
   readonly now: number;
@@ -82,10 +84,10 @@
 const keys = new Map<string, TallyKeys>();
 
 /** A run is slow that takes so many times what is usual, and so many milliseconds more. */
-const SLOW_FACTOR = 1.8;
+const SLOW_FACTOR = 1.6;
 const SLOW_EXTRA = 12;
 /** Runs of a kind that are seen before any is compared with them. */
-const LEAST_SEEN = 6;
+const LEAST_SEEN = 4;
 /** The weight of the newest run in what is usual. */
 const NEWEST_PART = 0.08;
 
@@ -118,20 +120,25 @@
     const named = kept.get(service) ?? new Set<number>();
     kept.set(service, named.add(key));
   };
-  const kindOf = ({ service, route, reads }: TalliedRun): string =>
-    `${service} ${route} ${Math.round(Math.log2(Math.max(1, reads)))}`;
+  /** What a run is compared with: those with about as much to read, or where there are few, all of the route. */
+  const kindsOf = ({ service, route, reads }: TalliedRun): string[] => [
+    `${service} ${route} ${Math.round(Math.log2(Math.max(1, reads)))}`,
+    `${service} ${route}`,
+  ];
   const longest = (run: TalliedRun): number | undefined => {
-    const known = usual.get(kindOf(run));
-    if (known === undefined || known.seen < LEAST_SEEN) return undefined;
-    return Math.exp(known.mean) * SLOW_FACTOR + SLOW_EXTRA;
+    const known = kindsOf(run)
+      .map((kind) => usual.get(kind))
+      .find((one) => one !== undefined && one.seen >= LEAST_SEEN);
+    return known === undefined ? undefined : Math.exp(known.mean) * SLOW_FACTOR + SLOW_EXTRA;
   };
   const learn = (run: TalliedRun, took: number): void => {
-    const kind = kindOf(run);
     const time = Math.log(Math.max(1, took));
-    const known = usual.get(kind) ?? { mean: time, seen: 0 };
-    known.seen++;
-    known.mean += (time - known.mean) * Math.max(NEWEST_PART, 1 / known.seen);
-    usual.set(kind, known);
+    for (const kind of kindsOf(run)) {
+      const known = usual.get(kind) ?? { mean: time, seen: 0 };
+      known.seen++;
+      known.mean += (time - known.mean) * Math.max(NEWEST_PART, 1 / known.seen);
+      usual.set(kind, known);
+    }
   };
   const time = (one: Pending, isSlow: boolean): void => {
     if (one.isTimed) return;
@@ -146,7 +153,7 @@
   };
   return {
     begin: (run) => {
-      const tried = expected.get(run.service);
+      const tried = run.isCompared ? expected.get(run.service) : undefined;
       const one = tried === undefined ? undefined : track(run, tried);
       let isAnswered = false;
       return {
--- a/src/process/rollout_task.ts
+++ b/src/process/rollout_task.ts
@@ -1,9 +1,17 @@
 import { z } from "zod";
-import { judgeRollout, rolloutTimes, RolloutPhase, sum, triedRuns } from "../decision/index.ts";
-import type { RolloutBounds, RolloutVerdict, TallyCounts } from "../decision/index.ts";
+import { judgeRollout, rolloutCourse, RolloutPhase, sum, triedRuns } from "../decision/index.ts";
+import type {
+  RolloutBounds,
+  RolloutJudge,
+  RolloutVerdict,
+  RouteEvidence,
+  TallyCounts,
+} from "../decision/index.ts";
 import { DUTY_CALL_TIME, RolloutState, sleep } from "../interface/index.ts";
 import type { Clock, ObjectStore, RolloutStore, RoutedWorker } from "../interface/index.ts";
 import { nextStatus } from "../version/index.ts";
+import { countsSince, createCountHistory } from "./count_history.ts";
+import type { CountHistory } from "./count_history.ts";
 import type { RolloutView, ServiceRollout } from "./rollout_view.ts";
 
 /** The task that ends roll-outs while this instance has the duty. */
@@ -32,11 +40,15 @@
   readonly running: (service: string) => number;
   /** The fence for a call that may take so many milliseconds; undefined where this instance hasn't the duty. */
   readonly fence: (callTime: number) => number | undefined;
+  /** How versions are judged; by the likelihood ratio where none is given. */
+  readonly judge?: RolloutJudge;
   readonly log: (step: string, fields: Record<string, string | number | boolean>) => void;
 }
 
 /** Milliseconds between two looks at an order. */
 const LOOK_PERIOD = 150;
+/** The parts of an order's time so far after which what was seen is also judged by itself. */
+const LATER_PARTS = [0, 0.5, 0.75];
 /** Runs at the new version without which nothing is known of it. */
 const LEAST_RUNS = 6;
 /** The part of the new workers' places that the requests under way may take up. */
@@ -54,8 +66,9 @@
 
 /** Makes the task. What it says of an order, and over what, is decided in `rollout_rules.ts`. */
 export function createRolloutTask(parts: RolloutTaskParts): RolloutTask {
-  const { clock, bounds, view, time, log } = parts;
+  const { clock, bounds, view, time, log, judge: judgeBy = judgeRollout } = parts;
   const verdicts = new Map<string, RolloutVerdict>();
+  const histories = new Map<string, CountHistory>();
   /** By service, the version whose order's begin is known to stand in the store, and when that is. */
   const begun = new Map<string, z.infer<typeof recordSchema>>();
   let closed = false;
@@ -84,12 +97,29 @@
     const places = sum(tried.map(({ slots }) => slots));
     return tried.length > 0 && parts.running(service) <= places * GREATEST_USE;
   };
-  const judge = (service: string, isLast: boolean): { verdict: RolloutVerdict; runs: number } => {
+  /** Judges by all that was seen since the order, and by the later parts of it: a version may turn bad at any time. */
+  const judge = (
+    service: string,
+    { since, isLast }: { since: number; isLast: boolean },
+  ): { verdict: RolloutVerdict; runs: number } => {
     const routes = parts.routes(service);
-    const evidence = view.evidence(service, { routes, sums: parts.sums() });
-    const verdict = judgeRollout(evidence, { isLast });
+    const sums = parts.sums();
+    const evidenceOf = (counts: ReadonlyMap<number, TallyCounts>): RouteEvidence[] =>
+      view.evidence(service, { routes, sums: counts });
+    const all = evidenceOf(sums);
+    const earlier = historyOf(service);
+    const found = LATER_PARTS.map((part) => earlier.at(since * part)).map((before) =>
+      judgeBy(before === undefined ? all : evidenceOf(countsSince(sums, before)), { isLast }),
+    );
+    earlier.note(since, sums);
+    const verdict = found.reduce((a, b) => (isWorse(b, a) ? b : a));
     verdicts.set(service, verdict);
-    return { verdict, runs: triedRuns(evidence) };
+    return { verdict, runs: triedRuns(all) };
+  };
+  const historyOf = (service: string): CountHistory => {
+    const known = histories.get(service) ?? createCountHistory();
+    histories.set(service, known);
+    return known;
   };
   const say = async (
     service: string,
@@ -114,6 +144,7 @@
     const order = view.find(service);
     if (order === undefined || isEnded(order.state)) {
       begun.delete(service);
+      histories.delete(service);
       return;
     }
     const { entry, served } = order;
@@ -130,10 +161,10 @@
     const startedAt = await startOf(service, order);
     const fence = parts.fence(DUTY_CALL_TIME);
     if (startedAt === undefined || fence === undefined) return;
-    const { switchAt, completeAt } = rolloutTimes(duration, bounds);
+    const { switchAt, completeAt } = rolloutCourse(duration, bounds);
     const since = time() - startedAt;
     const isLast = since >= switchAt;
-    const { verdict, runs } = judge(service, isLast);
+    const { verdict, runs } = judge(service, { since, isLast });
     if (verdict.kind === "bad") {
       const { fault: reason, route, evidence } = verdict;
       await say(service, order, { state: RolloutState.RolledBack, reason, route, evidence });
@@ -162,8 +193,10 @@
   };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
-      if (parts.fence(DUTY_CALL_TIME) === undefined) begun.clear();
-      else for (const service of view.services()) await tend(service);
+      if (parts.fence(DUTY_CALL_TIME) === undefined) {
+        begun.clear();
+        histories.clear();
+      } else for (const service of view.services()) await tend(service);
       await sleep(clock, LOOK_PERIOD);
     }
   };
@@ -176,6 +209,10 @@
   };
 }
 
+function isWorse(a: RolloutVerdict, b: RolloutVerdict): boolean {
+  return a.kind === b.kind ? a.evidence > b.evidence : a.kind === "bad";
+}
+
 function isEnded(state: RolloutState | undefined): boolean {
   return state === RolloutState.Completed || state === RolloutState.RolledBack;
 }
--- a/src/process/rollout_view.ts
+++ b/src/process/rollout_view.ts
@@ -1,10 +1,10 @@
 import {
   createRolloutShare,
   createVersionTallies,
-  isTrialOpen,
+  rolloutCourse,
   RolloutPhase,
   tallyKeys,
-  triedWorkers,
+  workersOnTrial,
 } from "../decision/index.ts";
 import type {
   RolloutBounds,
@@ -14,7 +14,7 @@
   RunTally,
 } from "../decision/index.ts";
 import { RolloutState } from "../interface/index.ts";
-import type { Clock, RolloutEntry, RoutedWorker } from "../interface/index.ts";
+import type { Clock, Random, RolloutEntry, RoutedWorker } from "../interface/index.ts";
 import { rendezvousOrder, servedVersions, stateOfOrder } from "../version/index.ts";
 import type { ServedVersions, VersionStock } from "../version/index.ts";
 import { createRolloutPlans } from "./rollout_plan.ts";
@@ -33,6 +33,13 @@
   readonly sent: RolloutShare["counts"];
 }
 
+/** Which workers of a service may be given a request. */
+export interface Admission {
+  readonly serves: (worker: RoutedWorker) => boolean;
+  /** Ids of workers on trial, one of which is to get the request unless it has more to do than those that serve. */
+  readonly onTrial: ReadonlySet<string>;
+}
+
 /** Which versions of the workers one instance gives requests to, and what it sees of them. */
 export interface RolloutView {
   /**
@@ -47,7 +54,7 @@
   /** Plans to be told to others. */
   plans(): RolloutPlan[];
   /** Which workers of a service may be given a request now; undefined where all of them may. */
-  admitting(service: string): ((worker: RoutedWorker) => boolean) | undefined;
+  admitting(service: string): Admission | undefined;
   /** A run begins at a worker. */
   begin(run: { worker: RoutedWorker; route: string; reads: number; isCold: boolean }): RunTally;
   /** What this instance has seen, by the hashes that `tallyKeys` gives. */
@@ -70,6 +77,7 @@
 /** What the view is made with. */
 export interface RolloutViewParts {
   readonly clock: Clock;
+  readonly random: Random;
   readonly bounds: RolloutBounds;
   /** The time of day that the instances agree on, in milliseconds since 1970. */
   readonly time: () => number;
@@ -83,23 +91,29 @@
   served: ServedVersions | undefined;
   readonly barred: Set<string>;
   share: RolloutShare;
-  /** Workers on trial now, and all that ever were in this order. */
-  tried: ReadonlySet<string>;
+  /** The workers of the version on trial, those first that are tried, and all that were given anything here. */
+  tried: readonly string[];
   readonly everTried: Set<string>;
+  /** Workers that serve. */
+  base: number;
   workers: readonly RoutedWorker[];
   /** Whether all workers are of the version that serves. */
   isUniform: boolean;
 }
 
 const NOTHING: TallyCounts = { runs: 0, failures: 0 };
+const NOBODY: ReadonlySet<string> = new Set();
 
 /** Makes a view without workers and orders. */
 export function createRolloutView(parts: RolloutViewParts): RolloutView {
-  const { clock, bounds, time, members, log } = parts;
+  const { clock, random, bounds, time, members, log } = parts;
   const services = new Map<string, Known>();
   const plans = createRolloutPlans();
   const tallies = createVersionTallies();
-  const newShare = (): RolloutShare => createRolloutShare(bounds, members);
+  const newShare = (entry: RolloutEntry | undefined): RolloutShare => {
+    const course = rolloutCourse(entry?.order.duration ?? Infinity, bounds);
+    return createRolloutShare({ bounds, course, members, random });
+  };
 
   const knownOf = (service: string): Known => {
     const found = services.get(service) ?? {
@@ -107,9 +121,10 @@
       startedAt: undefined,
       served: undefined,
       barred: new Set<string>(),
-      share: newShare(),
-      tried: new Set<string>(),
+      share: newShare(undefined),
+      tried: [],
       everTried: new Set<string>(),
+      base: 0,
       workers: [],
       isUniform: true,
     };
@@ -124,14 +139,17 @@
     const stock = stockOf(known.workers);
     const served = servedVersions({ stock, entry, before: before?.base, barred: known.barred });
     if (served?.tried !== before?.tried) {
-      known.share = newShare();
+      known.share = newShare(entry);
       known.everTried.clear();
       tallies.expect(service, served?.tried);
       if (served?.tried === undefined) plans.forget(service);
     }
     known.served = served;
-    known.tried = chooseTried(service, known);
-    for (const id of known.tried) known.everTried.add(id);
+    known.base = readyOf(known, served?.base).length;
+    known.tried = rendezvousOrder(
+      service,
+      readyOf(known, served?.tried).map(({ id }) => id),
+    );
     known.isUniform = known.workers.every(({ version }) => version === served?.base);
     if (served?.base === before?.base && served?.tried === before?.tried) return;
     log.changed("versions-served", {
@@ -143,15 +161,6 @@
       barred: [...known.barred].join(" "),
     });
   };
-  /** The same workers everywhere: those that were chosen stay as long as they are there. */
-  const chooseTried = (service: string, { served, workers }: Known): ReadonlySet<string> => {
-    const named = served?.tried;
-    if (named === undefined) return new Set();
-    const ready = workers.filter(({ isLeaving }) => !isLeaving);
-    const base = ready.filter(({ version }) => version === served?.base).length;
-    const ids = ready.filter(({ version }) => version === named).map(({ id }) => id);
-    return new Set(rendezvousOrder(service, ids).slice(0, triedWorkers(base, bounds)));
-  };
   const phaseOf = (service: string, { served }: Known): RolloutPhase | undefined =>
     served?.tried === undefined
       ? undefined
@@ -161,20 +170,26 @@
       ? []
       : workers.filter((worker) => worker.version === version && !worker.isLeaving);
 
+  /** The workers on trial that this instance uses in this moment. */
+  const onTrial = ({ entry, startedAt, share, base, tried }: Known): string[] => {
+    if (entry === undefined || startedAt === undefined) return [];
+    const { duration } = entry.order;
+    const part = rolloutCourse(duration, bounds).parts[RolloutPhase.Trial];
+    const since = time() - startedAt;
+    return workersOnTrial(tried, { since, duration, part, base, delay: share.delay });
+  };
   const admitting: RolloutView["admitting"] = (service) => {
     const known = services.get(service);
     if (known?.served === undefined || known.isUniform) return undefined;
-    const { served, share, tried } = known;
+    const { served, share } = known;
     const { base, tried: named } = served;
     const phase = phaseOf(service, known);
-    if (named !== undefined && phase !== undefined && share.mayTry(phase)) {
-      if (phase === RolloutPhase.Switch) return ({ version }) => version === named;
-      const counts = { base: readyOf(known, base).length, tried: tried.size };
-      if (isTrialOpen(time(), bounds, counts)) {
-        return ({ version, id }) => version === base || tried.has(id);
-      }
+    if (phase === RolloutPhase.Switch && share.mayTry(phase)) {
+      return { serves: ({ version }) => version === named, onTrial: NOBODY };
     }
-    return ({ version }) => version === base;
+    const mayTry = phase !== undefined && share.mayTry(RolloutPhase.Trial);
+    const now = mayTry ? new Set(onTrial(known)) : NOBODY;
+    return { serves: ({ version }) => version === base, onTrial: now };
   };
   return {
     setEntries: (entries, age) => {
@@ -217,11 +232,19 @@
     admitting,
     begin: ({ worker, route, reads, isCold }) => {
       const { service, version, id } = worker;
-      const named = services.get(service)?.served?.tried;
-      const isTried = named !== undefined && version === named;
-      if (named !== undefined) services.get(service)?.share.sent(isTried);
+      const now = clock.now();
+      const known = services.get(service);
+      const named = known?.served?.tried;
+      if (known === undefined || named === undefined) {
+        const tried = undefined;
+        return tallies.begin({ service, route, reads, tried, isCold, isCompared: false, now });
+      }
+      const isTried = version === named;
+      known.share.sent(isTried);
+      if (isTried) known.everTried.add(id);
       const tried = isTried ? id : undefined;
-      return tallies.begin({ service, route, reads, tried, isCold, now: clock.now() });
+      const isCompared = isTried || onTrial(known).length > 0;
+      return tallies.begin({ service, route, reads, tried, isCold, isCompared, now });
     },
     counts: () => tallies.counts(clock.now()),
     evidence: (service, { routes, sums }) => {
@@ -231,7 +254,7 @@
       const of = (key: number): TallyCounts => sums.get(key) ?? NOTHING;
       return routes.map((route) => {
         const base = tallyKeys({ service, tried: named, route, worker: undefined });
-        const tried = [...known.everTried].map((worker) => ({
+        const tried = [...known.everTried, ...known.tried].map((worker) => ({
           worker,
           keys: tallyKeys({ service, tried: named, route, worker }),
         }));
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -161,12 +161,31 @@
     const other = others.get(hash) ?? NO_USE;
     return { running: running + other.running, unreadTokens: unreadTokens + other.unreadTokens };
   };
-  const usable = (service: RoutedService, now: number): Entry[] => {
-    const admits = versions?.admitting(service.name);
-    return entriesOf(service.name).filter(
-      ({ worker, isLeaving, replacedUntil }) =>
-        !isLeaving && now >= replacedUntil && (admits === undefined || admits(worker)),
+  const taking = (service: RoutedService, now: number): Entry[] =>
+    entriesOf(service.name).filter(
+      ({ isLeaving, replacedUntil }) => !isLeaving && now >= replacedUntil,
     );
+  const usable = (service: RoutedService, now: number): Entry[] => {
+    const entriesNow = taking(service, now);
+    const admission = versions?.admitting(service.name);
+    if (admission === undefined) return entriesNow;
+    return entriesNow.filter(({ worker }) => admission.serves(worker));
+  };
+  /** Workers on trial that are to get the next request: those that have no more to do than the others on average. */
+  const onTrial = (service: RoutedService, now: number): Entry[] => {
+    const admission = versions?.admitting(service.name);
+    if (admission === undefined || admission.onTrial.size === 0) return [];
+    const entriesNow = taking(service, now);
+    const serving = entriesNow.filter(({ worker }) => admission.serves(worker)).map(loadAt);
+    const most = {
+      running: sum(serving.map(({ running }) => running)) / Math.max(1, serving.length),
+      unread: sum(serving.map((load) => load.unreadTokens)) / Math.max(1, serving.length),
+    };
+    return entriesNow.filter((entry) => {
+      if (!admission.onTrial.has(entry.worker.id)) return false;
+      const { running, unreadTokens } = loadAt(entry);
+      return running <= most.running && unreadTokens <= most.unread;
+    });
   };
   const mostConnections = ({ maxConnections }: RoutedService): number =>
     Math.max(1, Math.floor((maxConnections * CONNECTION_PART) / members()));
@@ -193,6 +212,11 @@
   // Every request passes through here: what it is compared on is drawn before anything is made of it.
   const compared: RoutedBoard["compared"] = (service, parts) => {
     const now = clock.now();
+    const tried = onTrial(service, now);
+    if (tried.length > 0) {
+      const most = mostConnections(service);
+      return { workers: tried.map((entry) => boardWorker(entry, most, now)), homes: new Map() };
+    }
     const unseenNow = unseen(service, now);
     if (unseenNow === 0) {
       return comparedWorkers(candidates(service), { unseen: unseenNow, parts, random });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -66,6 +66,7 @@
       ? undefined
       : createRolloutView({
           clock,
+          random,
           bounds: settings.rollouts,
           time: trueNow,
           members: () => fleet.members,
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -120,7 +120,6 @@
     random,
     feed: parts.feed,
     isNeeded: () => isNeeded(kinds.rollouts),
-    feedsOthers: () => fleet().role !== FleetRole.Equal,
     onChange: (changes, arrival) => {
       applyRollouts(arrival);
       changed(rolloutFeed, changes, arrival);
