--- a/bench/rollouts/play.ts
+++ b/bench/rollouts/play.ts
@@ -98,6 +98,7 @@
       bounds: BOUNDS,
       time: () => clock.now(),
       members: () => count,
+      onBegin: () => undefined,
       log: { changed: () => undefined },
     });
     view.setWorkers(entries);
@@ -270,7 +271,8 @@
         if (++allBad === 50) fiftiethAt = clock.now();
       }
     });
-    at(startedAt + first + (route.whole - route.first), () => {
+    // A failure is the whole answer.
+    at(startedAt + first + (fails ? 0 : route.whole - route.first), () => {
       worker.running--;
       tally.ended(fails ? "failed" : "well");
     });
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,6 +10,7 @@
 import { PresetUse } from "./preset_use.ts";
 import { Replay } from "./replay.ts";
 import { Request } from "./request.ts";
+import { RolloutStatus } from "./rollout_status.ts";
 import { Routed } from "./routed.ts";
 import { Serve } from "./serve.ts";
 import { Services } from "./services.ts";
@@ -29,6 +30,7 @@
   "preset:use": PresetUse,
   replay: Replay,
   request: Request,
+  "rollout:status": RolloutStatus,
   routed: Routed,
   serve: Serve,
   services: Services,
--- a/src/cli/routed.ts
+++ b/src/cli/routed.ts
@@ -1,11 +1,8 @@
 import { Command, Flags } from "@oclif/core";
-import { request } from "undici";
-import { routedStatusSchema } from "../process/routed_status.ts";
 import type { RoutedStatus } from "../process/routed_status.ts";
+import { fetchRoutedStatus } from "./fetch_routed_status.ts";
 import { textTable } from "./text_table.ts";
 
-/** How long the instance may take to answer, in milliseconds. */
-const TIMEOUT = 5_000;
 const PERCENT = 100;
 
 /** `samphireshore routed`: what an entry instance that serves routed requests believes. */
@@ -20,22 +17,11 @@
 
   override async run(): Promise<RoutedStatus> {
     const { flags } = await this.parse(Routed);
-    const found = await this.fetch(flags.metrics);
+    const found = await fetchRoutedStatus(this, flags.metrics);
     this.show(found);
     return found;
   }
 
-  private async fetch(address: string): Promise<RoutedStatus> {
-    try {
-      const answer = await request(`http://${address}/status`, {
-        signal: AbortSignal.timeout(TIMEOUT),
-      });
-      return routedStatusSchema.parse(await answer.body.json());
-    } catch (cause) {
-      return this.error(`Asking ${address} for its status: ${String(cause)}.`, { exit: 2 });
-    }
-  }
-
   private show(found: RoutedStatus): void {
     const { instance, zone, routing, inProgress } = found;
     const state = found.stopping ? "stopping" : found.ready ? "ready" : "not ready";
@@ -64,13 +50,14 @@
     const workers = found.workers.map((worker) => [
       worker.id,
       worker.service,
+      worker.version,
       worker.zone,
       worker.purchase,
       worker.leaving ? "leaving" : "",
       String(worker.running),
       `${Math.round(worker.failing * PERCENT)} %`,
     ]);
-    const heads = ["WORKER", "SERVICE", "ZONE", "PURCHASE", "", "RUNNING", "FAILING"];
+    const heads = ["WORKER", "SERVICE", "VERSION", "ZONE", "PURCHASE", "", "RUNNING", "FAILING"];
     this.log(textTable([heads, ...workers]));
   }
 }
--- /dev/null
+++ b/src/process/rollout_status.ts
@@ -0,0 +1,34 @@
+import type { RolloutVerdict } from "../decision/index.ts";
+import type { ServiceRollout } from "./rollout_view.ts";
+import type { RoutedStatus } from "./routed_status.ts";
+
+/**
+ * What is shown of an order.
+ *
+ * @param options `now` is in milliseconds since 1970.
+ */
+export function rolloutStatus(
+  { entry, state, served, startedAt, phase, sent }: ServiceRollout,
+  { verdict, now }: { verdict: RolloutVerdict | undefined; now: number },
+): RoutedStatus["rollouts"][number] {
+  const { service, to, duration } = entry.order;
+  return {
+    service,
+    to,
+    base: served?.base ?? "",
+    state,
+    phase,
+    since: startedAt === undefined ? undefined : Math.round(now - startedAt),
+    duration,
+    sent: sent.all,
+    tried: sent.tried,
+    verdict: verdict === undefined ? undefined : wordOf(verdict),
+    evidence: verdict?.evidence,
+  };
+}
+
+function wordOf(verdict: RolloutVerdict): string {
+  if (verdict.kind === "open") return verdict.kind;
+  const where = verdict.route === "" ? "" : ` on ${verdict.route}`;
+  return `${verdict.fault}${where}`;
+}
--- a/src/process/rollout_view.ts
+++ b/src/process/rollout_view.ts
@@ -82,6 +82,8 @@
   /** The time of day that the instances agree on, in milliseconds since 1970. */
   readonly time: () => number;
   readonly members: () => number;
+  /** A run begins at a worker of this version. */
+  readonly onBegin: (service: string, version: string) => void;
   readonly log: Pick<RoutedLog, "changed">;
 }
 
@@ -232,6 +234,7 @@
     admitting,
     begin: ({ worker, route, reads, isCold }) => {
       const { service, version, id } = worker;
+      parts.onBegin(service, version);
       const now = clock.now();
       const known = services.get(service);
       const named = known?.served?.tried;
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -349,10 +349,11 @@
     },
     overview: () =>
       [...entries.values()].map((entry) => {
-        const { id, service, zone: place, purchase } = entry.worker;
+        const { id, service, version, zone: place, purchase } = entry.worker;
         const { running } = loadAt(entry);
         const failing = health.excess(entry.hash, service, clock.now());
-        return { id, service, zone: place, purchase, leaving: entry.isLeaving, running, failing };
+        const leaving = entry.isLeaving;
+        return { id, service, version, zone: place, purchase, leaving, running, failing };
       }),
     leaving: () => [...entries.values()].filter(({ isLeaving }) => isLeaving).map(startOf),
     close: () => {
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -24,6 +24,7 @@
 import { capacityOf } from "./routed_settings.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import { createRolloutTask } from "./rollout_task.ts";
+import { rolloutStatus } from "./rollout_status.ts";
 import { createRolloutView, servedWorkers } from "./rollout_view.ts";
 import { createStorePace } from "./store_pace.ts";
 import { createStoreView } from "./store_view.ts";
@@ -70,6 +71,7 @@
           bounds: settings.rollouts,
           time: trueNow,
           members: () => fleet.members,
+          onBegin: (service, version) => metrics.sent(service, version),
           log,
         });
   const connections = createWorkerConnections({
@@ -330,6 +332,12 @@
         timeout: route.timeout,
         attempts: route.attempts,
       })),
+      rollouts: (versions?.services() ?? []).flatMap((service) => {
+        const found = versions?.find(service);
+        return found === undefined
+          ? []
+          : [rolloutStatus(found, { verdict: rollouts?.verdict(service), now: trueNow() })];
+      }),
       workers: board.overview(),
     }),
     start: async () => {
--- a/src/process/routed_metrics.ts
+++ b/src/process/routed_metrics.ts
@@ -2,6 +2,8 @@
 
 /** Metrics of one instance's routed requests, and their text for whoever fetches them. */
 export interface RoutedMetricsRegistry extends RoutedMetrics {
+  /** A request was sent to a worker of this version. */
+  sent(service: string, version: string): void;
   /** A change of the store came by this way, so many milliseconds after the first instance knew it. */
   changeKnown(way: string, milliseconds: number): void;
   /** The text exposition format. */
@@ -42,6 +44,7 @@
     firstEvent: (route, milliseconds) => record((now) => now.firstEvent(route, milliseconds)),
     refused: (reason) => record((now) => now.refused(reason)),
     repeated: (cause) => record((now) => now.repeated(cause)),
+    sent: (service, version) => record((now) => now.sent(service, version)),
     changeKnown: (way, milliseconds) => record((now) => now.changeKnown(way, milliseconds)),
     watch: (name, help, read) => record((now) => now.watch(name, help, read)),
     text: async () => (await load()).text(),
@@ -84,6 +87,12 @@
     buckets: BOUNDS,
     registers,
   });
+  const sent = new Counter({
+    name: "samphireshore_sent_total",
+    help: "Requests sent to workers, by service and version, where versions are followed.",
+    labelNames: ["service", "version"],
+    registers,
+  });
   const changeKnown = new Histogram({
     name: "samphireshore_change_known_seconds",
     help: "Time from when the first instance knew a change of the store until this one did, by its way.",
@@ -99,6 +108,7 @@
     firstEvent: (route, milliseconds) => firstEvent.observe({ route }, milliseconds / MILLISECONDS),
     refused: (reason) => refused.inc({ reason }),
     repeated: (cause) => repeated.inc({ cause }),
+    sent: (service, version) => sent.inc({ service, version }),
     changeKnown: (way, milliseconds) => changeKnown.observe({ way }, milliseconds / MILLISECONDS),
     watch: (name, help, read) => {
       new Gauge({
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -38,10 +38,35 @@
       attempts: z.number(),
     }),
   ),
+  /** Orders to move a service to another version of its workers. */
+  rollouts: z.array(
+    z.object({
+      service: z.string(),
+      /** The version that the order names, and the one that serves. */
+      to: z.string(),
+      base: z.string(),
+      /** How far it has come; undefined where nothing was said of it yet. */
+      state: z.string().optional(),
+      /** How the version is used; undefined where this instance gives it nothing. */
+      phase: z.string().optional(),
+      /** Milliseconds since the order, and how long it lasts. */
+      since: z.number().optional(),
+      duration: z.number(),
+      /** Requests that this instance has sent since it knew of the order, and those of them to the new version. */
+      sent: z.number(),
+      tried: z.number(),
+      /** What the instance with the duty thinks of the version; undefined at others. */
+      verdict: z.string().optional(),
+      /** How strongly what was seen speaks against the version. */
+      evidence: z.number().optional(),
+    }),
+  ),
   workers: z.array(
     z.object({
       id: z.string(),
       service: z.string(),
+      /** The version of its software. */
+      version: z.string(),
       zone: z.string(),
       purchase: z.string(),
       leaving: z.boolean(),
