--- a/src/process/rollout_task.ts
+++ b/src/process/rollout_task.ts
@@ -8,7 +8,7 @@
   TallyCounts,
 } from "../decision/index.ts";
 import { DUTY_CALL_TIME, RolloutState, sleep } from "../interface/index.ts";
-import type { Clock, ObjectStore, RolloutStore, RoutedWorker } from "../interface/index.ts";
+import type { Clock, ObjectStore, RolloutStore } from "../interface/index.ts";
 import { nextStatus } from "../version/index.ts";
 import { countsSince, createCountHistory } from "./count_history.ts";
 import type { CountHistory } from "./count_history.ts";
@@ -93,9 +93,12 @@
     begun.set(service, record);
     return record.startedAt;
   };
-  const hasRoom = (service: string, tried: readonly RoutedWorker[]): boolean => {
-    const places = sum(tried.map(({ slots }) => slots));
-    return tried.length > 0 && parts.running(service) <= places * GREATEST_USE;
+  /** Whether the new workers can take what the old ones have, or at least as much as these could. */
+  const hasRoom = (service: string): boolean => {
+    const { base, tried } = view.stock(service);
+    const places = sum(tried.map(({ slots }) => slots)) * GREATEST_USE;
+    const least = sum(base.map(({ slots }) => slots)) * GREATEST_USE ** 2;
+    return tried.length > 0 && (parts.running(service) <= places || places >= least);
   };
   /** Judges by all that was seen since the order, and by the later parts of it: a version may turn bad at any time. */
   const judge = (
@@ -170,8 +173,7 @@
       await say(service, order, { state: RolloutState.RolledBack, reason, route, evidence });
       return;
     }
-    const { tried } = view.stock(service);
-    const mayServe = runs >= LEAST_RUNS && hasRoom(service, tried);
+    const mayServe = runs >= LEAST_RUNS && hasRoom(service);
     if (since >= completeAt) {
       if (mayServe) {
         await say(service, order, {
