--- a/bench/rollouts/play.ts
+++ b/bench/rollouts/play.ts
@@ -91,6 +91,7 @@
     Array.from({ length: each }, (_, place) => workerAt(place, isNew)),
   );
   const entries = workers.map(({ entry }) => entry);
+  const history: { at: number; sums: Map<number, { runs: number; failures: number }> }[] = [];
   const createView = (): RolloutView => {
     const view = createRolloutView({
       clock,
@@ -98,6 +99,7 @@
       bounds: BOUNDS,
       time: () => clock.now(),
       members: () => count,
+      sumOf: (key) => history.at(-1)?.sums.get(key),
       onBegin: () => undefined,
       log: { changed: () => undefined },
     });
@@ -144,7 +146,6 @@
 
   // Counts and plans travel with the digests.
   const lost = new Map<number, { runs: number; failures: number }>();
-  const history: { at: number; sums: Map<number, { runs: number; failures: number }> }[] = [];
   const heard = new Map<Instance, ReadonlyMap<number, { runs: number; failures: number }>>();
   const collect = (): void => {
     const sums = new Map<number, { runs: number; failures: number }>();
--- a/src/decision/rollout_tally.ts
+++ b/src/decision/rollout_tally.ts
@@ -57,6 +57,8 @@
   readonly answers: number;
   /** Runs whose time was compared, and those that were slow. */
   readonly times: number;
+  /** Runs of the version that serves, and the sum of the logarithms of their times in hundredths. */
+  readonly usual: number;
 }
 
 /**
@@ -73,7 +75,11 @@
   const name = `${of.service} ${of.tried} ${of.route} ${of.worker ?? ""}`;
   const known = keys.get(name);
   if (known !== undefined) return known;
-  const found = { answers: hashText(`answers ${name}`), times: hashText(`times ${name}`) };
+  const found = {
+    answers: hashText(`answers ${name}`),
+    times: hashText(`times ${name}`),
+    usual: hashText(`usual ${name}`),
+  };
   if (keys.size >= GREATEST_KEYS) keys.clear();
   keys.set(name, found);
   return found;
@@ -103,8 +109,18 @@
   isTimed: boolean;
 }
 
-/** Makes tallies of nothing. */
-export function createVersionTallies(): VersionTallies {
+/** A sum of logarithms is a whole number of such parts. */
+const LOGARITHM_PARTS = 100;
+
+/**
+ * Makes tallies of nothing.
+ *
+ * @param sumOf What all instances have counted under a hash, as far as this one knows. One that has just started, or that
+ * sees little, goes by what is usual with the others.
+ */
+export function createVersionTallies(
+  sumOf: (key: number) => TallyCounts | undefined = () => undefined,
+): VersionTallies {
   const usual = new Map<string, Usual>();
   const expected = new Map<string, string>();
   const counts = new Map<number, { runs: number; failures: number }>();
@@ -112,13 +128,17 @@
   const kept = new Map<string, Set<number>>();
   const pending = new Set<Pending>();
 
-  const add = (service: string, key: number, isBad: boolean): void => {
+  const countOf = (service: string, key: number): { runs: number; failures: number } => {
     const count = counts.get(key) ?? { runs: 0, failures: 0 };
-    count.runs++;
-    if (isBad) count.failures++;
     counts.set(key, count);
     const named = kept.get(service) ?? new Set<number>();
     kept.set(service, named.add(key));
+    return count;
+  };
+  const add = (service: string, key: number, isBad: boolean): void => {
+    const count = countOf(service, key);
+    count.runs++;
+    if (isBad) count.failures++;
   };
   /** What a run is compared with: those with about as much to read, or where there are few, all of the route. */
   const kindsOf = ({ service, route, reads }: TalliedRun): string[] => [
@@ -129,7 +149,24 @@
     const known = kindsOf(run)
       .map((kind) => usual.get(kind))
       .find((one) => one !== undefined && one.seen >= LEAST_SEEN);
-    return known === undefined ? undefined : Math.exp(known.mean) * SLOW_FACTOR + SLOW_EXTRA;
+    const mean = known?.mean ?? meanElsewhere(run);
+    return mean === undefined ? undefined : Math.exp(mean) * SLOW_FACTOR + SLOW_EXTRA;
+  };
+  const meanElsewhere = ({ service, route }: TalliedRun): number | undefined => {
+    const tried = expected.get(service);
+    if (tried === undefined) return undefined;
+    const sums = sumOf(tallyKeys({ service, tried, route, worker: undefined }).usual);
+    if (sums === undefined || sums.runs < LEAST_SEEN) return undefined;
+    return sums.failures / sums.runs / LOGARITHM_PARTS;
+  };
+  /** Tells the others how long a run of the version that serves took, while another one is tried. */
+  const tellUsual = ({ service, route }: TalliedRun, took: number): void => {
+    const tried = expected.get(service);
+    if (tried === undefined) return;
+    const { usual: key } = tallyKeys({ service, tried, route, worker: undefined });
+    const count = countOf(service, key);
+    count.runs++;
+    count.failures += Math.round(Math.log(Math.max(1, took)) * LOGARITHM_PARTS);
   };
   const learn = (run: TalliedRun, took: number): void => {
     const time = Math.log(Math.max(1, took));
@@ -163,7 +200,10 @@
           const took = now - run.now;
           const most = longest(run);
           if (one !== undefined && most !== undefined) time(one, took > most);
-          if (run.tried === undefined && !run.isCold) learn(run, took);
+          if (run.tried === undefined && !run.isCold) {
+            learn(run, took);
+            tellUsual(run, took);
+          }
           if (one !== undefined) one.isTimed = true;
         },
         ended: (result) => {
--- a/src/decision/rollout_tally_test.ts
+++ b/src/decision/rollout_tally_test.ts
@@ -64,6 +64,18 @@
   expect(tallies.counts(900).get(NEWER.times)).toEqual({ runs: 1, failures: 1 });
 });
 
+// All instances are restarted in the middle of an order, and none has seen what is usual itself.
+test("an instance that has seen little goes by what is usual with the others", () => {
+  const told = new Map([[BASE.usual, { runs: 40, failures: 40 * 461 }]]);
+  const tallies = createVersionTallies((key) => told.get(key));
+  tallies.expect(SERVICE, "v2");
+  begin(tallies, 0, { tried: "n-0" }).answered(120);
+  begin(tallies, 0, { tried: "n-0" }).answered(400);
+  expect(tallies.counts(400).get(NEWER.times)).toEqual({ runs: 2, failures: 1 });
+  begin(tallies, 0).answered(100);
+  expect(tallies.counts(400).get(BASE.usual)).toEqual({ runs: 1, failures: 461 });
+});
+
 // A worker that has just started is slow for a while, whatever its version.
 test("the time of a worker that still warms up says nothing", () => {
   const tallies = createLearned();
--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -31,8 +31,10 @@
   readonly incarnation: string;
   /** Whether others tell this instance what changes in the store. */
   isFed(): boolean;
-  /** What all instances have at workers and have counted, added up; a member of a large fleet doesn't know it. */
+  /** What all instances have at workers and have counted, added up. */
   sums(): ReadonlyMap<number, WorkerUse>;
+  /** The same of one hash; a member of a large fleet leaves out what it has counted itself. */
+  sumOf(key: number): WorkerUse | undefined;
 }
 
 /** What it is made with. */
@@ -87,6 +89,8 @@
     use: board.use(),
     leaving: board.leaving(),
   });
+  /** What a relay told last of all others, where this instance is a member. */
+  let told: ReadonlyMap<number, WorkerUse> = new Map();
   let logged = "";
   let own: OwnState | undefined;
   const newsOf = (scope: NewsScope): OwnState => {
@@ -104,6 +108,7 @@
     board.heardLeaving(news.leaving);
     if (scope === NewsScope.Group) ledger.heardGroup(subject, news.usage);
     else ledger.heard(subject, news.usage);
+    if (scope === NewsScope.Fleet) told = news.use;
     if (exchange.role === FleetRole.Member) return;
     const isNew = news.age < NEW_AGE;
     totals.fleet.heard(id, news, isNew);
@@ -177,6 +182,8 @@
     incarnation: incarnationOf(settings.name, session),
     isFed,
     sums: () => totals.fleet.with(ownState()).use,
+    sumOf: (key: number) =>
+      exchange.role === FleetRole.Member ? told.get(key) : totals.fleet.useOf(key),
   });
 }
 
--- a/src/process/group_totals.ts
+++ b/src/process/group_totals.ts
@@ -15,6 +15,8 @@
   heard(source: string, news: GroupCounts & { readonly isWhole: boolean }, isNew: boolean): void;
   /** Forgets all other sources: what they had at workers has ended, and what they have counted stays. */
   keepSources(sources: ReadonlySet<string>): void;
+  /** The sum at one worker, without what this instance has itself. */
+  useOf(worker: number): WorkerUse | undefined;
   /** The sums with what this instance has itself. */
   with(own: GroupCounts): GroupCounts;
 }
@@ -94,6 +96,7 @@
     keepSources: (kept) => {
       for (const source of sources.keys()) if (!kept.has(source)) forget(source);
     },
+    useOf: (worker) => use.get(worker),
     with: (own) => ({
       admitted: addCounts(admitted, own.admitted),
       use: addUses(use, own.use),
--- a/src/process/rollout_view.ts
+++ b/src/process/rollout_view.ts
@@ -82,6 +82,8 @@
   /** The time of day that the instances agree on, in milliseconds since 1970. */
   readonly time: () => number;
   readonly members: () => number;
+  /** What all instances have counted under a hash of `tallyKeys`, as far as this one knows. */
+  readonly sumOf: (key: number) => TallyCounts | undefined;
   /** A run begins at a worker of this version. */
   readonly onBegin: (service: string, version: string) => void;
   readonly log: Pick<RoutedLog, "changed">;
@@ -111,7 +113,7 @@
   const { clock, random, bounds, time, members, log } = parts;
   const services = new Map<string, Known>();
   const plans = createRolloutPlans();
-  const tallies = createVersionTallies();
+  const tallies = createVersionTallies(parts.sumOf);
   const newShare = (entry: RolloutEntry | undefined): RolloutShare => {
     const course = rolloutCourse(entry?.order.duration ?? Infinity, bounds);
     return createRolloutShare({ bounds, course, members, random });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -71,6 +71,7 @@
           bounds: settings.rollouts,
           time: trueNow,
           members: () => fleet.members,
+          sumOf: (key) => fleet.sumOf(key),
           onBegin: (service, version) => metrics.sent(service, version),
           log,
         });
