Judge the later parts of an order also right after the duty has changed hands, and speed up the virtual clock

It judges by what was counted since its first look now. The virtual clock keeps its timers in the heap that the queue uses: it looked at all of them for each that fired.

--- a/src/process/count_history.ts
+++ b/src/process/count_history.ts
@@ -6,7 +6,7 @@
 export interface CountHistory {
   /** Keeps the sums of a moment, in milliseconds that only grow; of moments that follow close on another, the first. */
   note(at: number, sums: Sums): void;
-  /** The latest sums that were kept of a moment no later than this; undefined where there are none. */
+  /** The latest sums that were kept of a moment no later than this, or else the first; undefined where there are none. */
   at(moment: number): Sums | undefined;
 }
 
@@ -24,7 +24,7 @@
       kept.push({ at, sums: new Map([...sums].map(([key, counts]) => [key, { ...counts }])) });
       if (kept.length > GREATEST_KEPT) kept.shift();
     },
-    at: (moment) => kept.findLast(({ at }) => at <= moment)?.sums,
+    at: (moment) => (kept.findLast(({ at }) => at <= moment) ?? kept[0])?.sums,
   };
 }
 
--- a/src/process/rollout_task.ts
+++ b/src/process/rollout_task.ts
@@ -48,7 +48,7 @@
 /** Milliseconds between two looks at an order. */
 const LOOK_PERIOD = 150;
 /** The parts of an order's time so far after which what was seen is also judged by itself. */
-const LATER_PARTS = [0, 0.5, 0.75];
+const LATER_PARTS = [0.5, 0.75];
 /** Runs at the new version without which nothing is known of it. */
 const LEAST_RUNS = 6;
 /** The part of the new workers' places that the requests under way may take up. */
@@ -111,11 +111,14 @@
       view.evidence(service, { routes, sums: counts });
     const all = evidenceOf(sums);
     const earlier = historyOf(service);
-    const found = LATER_PARTS.map((part) => earlier.at(since * part)).map((before) =>
-      judgeBy(before === undefined ? all : evidenceOf(countsSince(sums, before)), { isLast }),
-    );
+    let verdict = judgeBy(all, { isLast });
+    for (const part of LATER_PARTS) {
+      const before = earlier.at(since * part);
+      if (before === undefined) continue;
+      const later = judgeBy(evidenceOf(countsSince(sums, before)), { isLast });
+      if (isWorse(later, verdict)) verdict = later;
+    }
     earlier.note(since, sums);
-    const verdict = found.reduce((a, b) => (isWorse(b, a) ? b : a));
     verdicts.set(service, verdict);
     return { verdict, runs: triedRuns(all) };
   };
--- a/src/standin/memory/virtual_clock.ts
+++ b/src/standin/memory/virtual_clock.ts
@@ -1,4 +1,5 @@
 import { setImmediate } from "node:timers/promises";
+import { createHeap } from "../../decision/heap.ts";
 import type { Clock } from "../../interface/index.ts";
 
 /** A clock that stands still until it is moved: tests and replays own time. */
@@ -19,6 +20,7 @@
   readonly at: number;
   readonly order: number;
   readonly run: () => void;
+  isClosed: boolean;
 }
 
 /** The calendar's time at which virtual clocks begin, in milliseconds. */
@@ -26,9 +28,23 @@
 
 /** Makes a clock that begins at 0. */
 export function createVirtualClock(): VirtualClock {
-  const pending = new Set<Pending>();
+  /** Timers that were closed stay in until their time comes. */
+  const waiting = createHeap<Pending>(
+    (a, b) => a.at < b.at || (a.at === b.at && a.order < b.order),
+  );
+  let open = 0;
   let now = 0;
   let order = 0;
+  const close = (timer: Pending): void => {
+    if (timer.isClosed) return;
+    timer.isClosed = true;
+    open--;
+  };
+  /** The next timer that is open, left in. */
+  const earliest = (): Pending | undefined => {
+    while (waiting.peek()?.isClosed === true) waiting.pop();
+    return waiting.peek();
+  };
   const settle = async (): Promise<void> => {
     // One turn of the event loop runs every promise that can run without a timer.
     await setImmediate();
@@ -37,19 +53,22 @@
     now: () => now,
     date: () => new Date(EPOCH + now),
     after: (milliseconds, run) => {
-      const timer: Pending = { at: now + Math.max(0, milliseconds), order: order++, run };
-      pending.add(timer);
-      return { close: () => pending.delete(timer) };
+      const at = now + Math.max(0, milliseconds);
+      const timer: Pending = { at, order: order++, run, isClosed: false };
+      waiting.push(timer);
+      open++;
+      return { close: () => close(timer) };
     },
-    pending: () => pending.size,
+    pending: () => open,
     settle,
     advance: async (milliseconds) => {
       const until = now + milliseconds;
       await settle();
-      for (let next = earliest(pending); next !== undefined; next = earliest(pending)) {
+      for (let next = earliest(); next !== undefined; next = earliest()) {
         if (next.at > until) break;
         now = Math.max(now, next.at);
-        pending.delete(next);
+        waiting.pop();
+        close(next);
         next.run();
         await settle();
       }
@@ -57,12 +76,3 @@
     },
   };
 }
-
-function earliest(pending: ReadonlySet<Pending>): Pending | undefined {
-  let first: Pending | undefined;
-  for (const timer of pending) {
-    const sooner = first === undefined || timer.at < first.at;
-    if (sooner || (timer.at === first?.at && timer.order < first.order)) first = timer;
-  }
-  return first;
-}
