Ask for the sums without taking it for a telling, and add them up among equals only where versions are followed

Cause, found by reading the change again: the instance with the duty asks for the sums several times a second while an order runs, and they were made of all that it would tell of itself, quotas included. That counts as having told the others: what an account may still have at the instance until then began anew each time.

Also: in fleets of up to 13 every digest was added up, for a judgement that deployments without roll-outs never make.

--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -31,9 +31,12 @@
   readonly incarnation: string;
   /** Whether others tell this instance what changes in the store. */
   isFed(): boolean;
-  /** What all instances have at workers and have counted, added up. */
+  /**
+   * What all instances have at workers and have counted, added up; among equals only where versions are followed, and at
+   * a member of a large fleet only its own.
+   */
   sums(): ReadonlyMap<number, WorkerUse>;
-  /** The same of one hash; a member of a large fleet leaves out what it has counted itself. */
+  /** What all others have of one hash, where a relay tells this instance or `sums` holds it. */
   sumOf(key: number): WorkerUse | undefined;
 }
 
@@ -110,6 +113,8 @@
     else ledger.heard(subject, news.usage);
     if (scope === NewsScope.Fleet) told = news.use;
     if (exchange.role === FleetRole.Member) return;
+    // Equals hear each other singly; only the judgement of versions needs their sums.
+    if (exchange.role === FleetRole.Equal && settings.rollouts === undefined) return;
     const isNew = news.age < NEW_AGE;
     totals.fleet.heard(id, news, isNew);
     if (exchange.role === FleetRole.Relay && scope === NewsScope.Own)
@@ -181,7 +186,7 @@
   return Object.assign(exchange, {
     incarnation: incarnationOf(settings.name, session),
     isFed,
-    sums: () => totals.fleet.with(ownState()).use,
+    sums: () => totals.fleet.with({ admitted: new Map(), use: board.use() }).use,
     sumOf: (key: number) =>
       exchange.role === FleetRole.Member ? told.get(key) : totals.fleet.useOf(key),
   });
--- a/src/process/fleet_news_test.ts
+++ b/src/process/fleet_news_test.ts
@@ -1,4 +1,4 @@
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import { createSeededRandom } from "../interface/index.ts";
 import { FleetRole } from "./fleet_tree.ts";
 import { NEWS_SERVICE, NEWS_WINDOW, startNewsFleet } from "./testing/news_fleet.ts";
@@ -218,3 +218,14 @@
   await clock.advance(4_000);
   expect(known(fleet, "worker")).toEqual(new Map([[undefined, members.length - 4]]));
 });
+
+// What an account may still have until the others are told begins anew with each telling. If asking for the sums counted
+// as one, an instance that asks several times a second would admit a share of the quota each time, and nobody would know.
+test("to ask for the sums tells nobody anything", async () => {
+  const { members } = await startFleet(14);
+  for (const { news, quota } of members) {
+    const tell = vi.spyOn(quota, "tell");
+    news.sums();
+    expect(tell).not.toHaveBeenCalled();
+  }
+});
