Find the size of a change once, and go through the changes to be told once

For each instance that a relay tells, the JSON of all changes before was measured again with each further group: with the sixty-four groups that are remembered, some two thousand times over. What is told is the same.

--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -50,11 +50,12 @@
   /**
    * What has changed since the store's version; undefined where that isn't remembered.
    *
-   * @param fits Whether so many changes may be told together: only the first groups of changes that fit are told.
+   * @param fits Asked for each group of changes in turn, whether it may be told with those before it; the first one that
+   * may not ends what is told.
    */
   changesSince(
     version: number,
-    fits?: (changes: readonly FeedChange[]) => boolean,
+    fits?: (group: readonly FeedChange[]) => boolean,
   ): FeedDelta | undefined;
   start(): void;
   close(): void;
@@ -246,16 +247,17 @@
     adoptChanges,
     changesSince: (since, fits = () => true) => {
       const first = remembered.findIndex(({ to }) => to > since);
-      const from = remembered[first]?.from;
-      if (from === undefined || from > since) return undefined;
-      let delta: FeedDelta | undefined;
+      const oldest = remembered[first];
+      if (oldest === undefined || oldest.from > since) return undefined;
+      const changes: FeedChange[] = [];
+      let to = since;
       for (const group of remembered.slice(first)) {
-        const changes = [...(delta?.changes ?? []), ...group.changes];
-        if (!fits(changes)) break;
-        const age = delta?.age ?? clock.now() - group.firstHeardAt;
-        delta = { kind, from: since, to: group.to, changes, age };
+        if (!fits(group.changes)) break;
+        changes.push(...group.changes);
+        to = group.to;
       }
-      return delta;
+      const age = clock.now() - oldest.firstHeardAt;
+      return to === since ? undefined : { kind, from: since, to, changes, age };
     },
     start: () => void run(),
     close: () => {
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -187,9 +187,12 @@
     store.answer({ kind: "changed", changes, version });
     await clock.advance(200);
   }
-  const fits = (changes: readonly unknown[]): boolean => changes.length <= 3;
-  expect(follower.changesSince(12, fits)).toMatchObject({ from: 12, to: 15 });
-  expect(follower.changesSince(18, fits)).toMatchObject({ from: 18, to: 20 });
+  const upToThree = (): ((group: readonly unknown[]) => boolean) => {
+    let count = 0;
+    return (group) => (count += group.length) <= 3;
+  };
+  expect(follower.changesSince(12, upToThree())).toMatchObject({ from: 12, to: 15 });
+  expect(follower.changesSince(18, upToThree())).toMatchObject({ from: 18, to: 20 });
   expect(follower.changesSince(12, () => false)).toBeUndefined();
 });
 
--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -7,7 +7,7 @@
   UsageLedger,
   WorkerHealth,
 } from "../decision/index.ts";
-import type { Clock, FeedChange, FeedDelta, Random } from "../interface/index.ts";
+import type { Clock, FeedChange, FeedDelta, FeedObject, Random } from "../interface/index.ts";
 import { objectText } from "./digest_codec.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews, InstanceState, WorkerUse } from "./digest.ts";
@@ -131,7 +131,7 @@
   const feedsSince = (versions: ReadonlyMap<string, number>): FeedDelta[] =>
     [...feeds].flatMap(([kind, feed]) => {
       const known = versions.get(kind) ?? 0;
-      const delta = known < feed.changedAt ? feed.changesSince(known, fits) : undefined;
+      const delta = known < feed.changedAt ? feed.changesSince(known, createRoom()) : undefined;
       return delta === undefined ? [] : [delta];
     });
   const onMembers = (): void => {
@@ -192,13 +192,22 @@
   });
 }
 
-/** Whether the changes fit into a digest beside all else. */
-function fits(changes: readonly FeedChange[]): boolean {
-  if (changes.length > MOST_CHANGES) return false;
+/** Makes what says whether further changes fit into a digest beside those before them. */
+function createRoom(): (group: readonly FeedChange[]) => boolean {
+  let count = 0;
   let characters = 0;
-  for (const { object, removed } of changes) {
-    if (!removed) characters += objectText(object).length;
-    if (characters > MOST_CHANGE_TEXT) return false;
-  }
-  return true;
+  return (group) => {
+    count += group.length;
+    for (const { object, removed } of group) if (!removed) characters += sizeOf(object);
+    return count <= MOST_CHANGES && characters <= MOST_CHANGE_TEXT;
+  };
+}
+
+/** Each relay tells a change to many instances: its size is found once. */
+const sizes = new WeakMap<FeedObject, number>();
+
+function sizeOf(object: FeedObject): number {
+  const size = sizes.get(object) ?? objectText(object).length;
+  sizes.set(object, size);
+  return size;
 }
