Remove what the roll-outs wrote a second time, and what nothing reads

A type and a sum of counts that the workers' health and the bench had already, the states that end an order (three times), the size of a fleet without relays, a setting that no decision reads (rollbackWithin), a fault that is never given, and a name of the exchange that nobody asks any more. A run outside an order isn't compared with anything, so what is usual for it isn't looked up.

--- a/bench/rollouts/other_ways.ts
+++ b/bench/rollouts/other_ways.ts
@@ -1,5 +1,5 @@
-import { judgeRollout, RolloutFault } from "../../src/decision/index.ts";
-import type { RolloutJudge, RolloutVerdict, TallyCounts } from "../../src/decision/index.ts";
+import { judgeRollout, RolloutFault, sumCounts } from "../../src/decision/index.ts";
+import type { RolloutJudge, RolloutVerdict, RunCounts } from "../../src/decision/index.ts";
 
 /** How the workers of a version on trial are used. */
 export type Ramp = "few" | "even";
@@ -21,8 +21,8 @@
     ["answers", RolloutFault.Failures],
     ["times", RolloutFault.SlowAnswers],
   ] as const) {
-    const base = sumOf(routes.map((route) => route[what].base));
-    const tried = sumOf(routes.flatMap((route) => [...route[what].tried.values()]));
+    const base = sumCounts(routes.map((route) => route[what].base));
+    const tried = sumCounts(routes.flatMap((route) => [...route[what].tried.values()]));
     if (tried.runs < LEAST_RUNS) continue;
     const excess = shareOf(tried) - shareOf(base);
     const most = what === "answers" ? DISTANCE.failures : DISTANCE.times;
@@ -31,13 +31,6 @@
   return { kind: "open", evidence: 0 };
 }
 
-function sumOf(counts: readonly TallyCounts[]): TallyCounts {
-  return counts.reduce(
-    (all, { runs, failures }) => ({ runs: all.runs + runs, failures: all.failures + failures }),
-    { runs: 0, failures: 0 },
-  );
-}
-
-function shareOf({ runs, failures }: TallyCounts): number {
+function shareOf({ runs, failures }: RunCounts): number {
   return failures / Math.max(1, runs);
 }
--- a/bench/rollouts/play.ts
+++ b/bench/rollouts/play.ts
@@ -1,5 +1,5 @@
-import { rolloutCourse, RolloutPhase } from "../../src/decision/index.ts";
-import type { RolloutJudge, RunTally } from "../../src/decision/index.ts";
+import { rolloutCourse, RolloutPhase, sumCounts } from "../../src/decision/index.ts";
+import type { RolloutJudge, RunCounts, RunTally } from "../../src/decision/index.ts";
 import { createSeededRandom, Purchase, RolloutState } from "../../src/interface/index.ts";
 import type {
   PutOutcome,
@@ -8,6 +8,7 @@
   RolloutStatus,
   RoutedWorker,
 } from "../../src/interface/index.ts";
+import { GREATEST_MESH } from "../../src/process/fleet_tree.ts";
 import { createRolloutTask } from "../../src/process/rollout_task.ts";
 import type { RolloutTask } from "../../src/process/rollout_task.ts";
 import { createRolloutView } from "../../src/process/rollout_view.ts";
@@ -39,7 +40,9 @@
 }
 
 /** The bound that orders are played against. */
-export const BOUNDS = { share: 0.1, slack: 50, rollbackWithin: 5_000 };
+export const BOUNDS = { share: 0.1, slack: 50 };
+/** Milliseconds within which a version gets nothing more after its fiftieth bad answer. */
+export const ROLLBACK_WITHIN = 5_000;
 
 const SERVICE = "model";
 /** Routes with their part of the requests, the usual milliseconds to the first answer and to the end. */
@@ -59,7 +62,6 @@
 /** Milliseconds between two digests, and hops that counts and plans take in small and large fleets. */
 const DIGEST = 250;
 const HOPS = { small: 1, large: 3 };
-const GREATEST_MESH = 13;
 /** Milliseconds until another instance has the duty whose holder has died. */
 const TAKEOVER = 3_800;
 const CALL_LIMIT = 2_000;
@@ -91,7 +93,7 @@
     Array.from({ length: each }, (_, place) => workerAt(place, isNew)),
   );
   const entries = workers.map(({ entry }) => entry);
-  const history: { at: number; sums: Map<number, { runs: number; failures: number }> }[] = [];
+  const history: { at: number; sums: Map<number, RunCounts> }[] = [];
   const createView = (): RolloutView => {
     const view = createRolloutView({
       clock,
@@ -145,14 +147,17 @@
   };
 
   // Counts and plans travel with the digests.
-  const lost = new Map<number, { runs: number; failures: number }>();
-  const heard = new Map<Instance, ReadonlyMap<number, { runs: number; failures: number }>>();
+  const lost = new Map<number, RunCounts>();
+  const heard = new Map<Instance, ReadonlyMap<number, RunCounts>>();
   const collect = (): void => {
-    const sums = new Map<number, { runs: number; failures: number }>();
-    const add = (counts: ReadonlyMap<number, { runs: number; failures: number }>): void => {
+    const sums = new Map<number, RunCounts>();
+    const add = (counts: ReadonlyMap<number, RunCounts>): void => {
       for (const [key, { runs, failures }] of counts) {
-        const before = sums.get(key) ?? { runs: 0, failures: 0 };
-        sums.set(key, { runs: before.runs + runs, failures: before.failures + failures });
+        const before = sums.get(key);
+        sums.set(
+          key,
+          before === undefined ? { runs, failures } : sumCounts([before, { runs, failures }]),
+        );
       }
     };
     add(lost);
--- a/bench/rollouts/report.ts
+++ b/bench/rollouts/report.ts
@@ -1,5 +1,5 @@
 import { RolloutState } from "../../src/interface/index.ts";
-import { BOUNDS } from "./play.ts";
+import { BOUNDS, ROLLBACK_WITHIN } from "./play.ts";
 import type { Outcome } from "./play.ts";
 import { Sort } from "./scenario.ts";
 import type { Scenario } from "./scenario.ts";
@@ -54,7 +54,7 @@
   );
   const over = bad.filter(({ outcome }) => exposedPart(outcome) > 1);
   const lateAfter = bad.filter(
-    ({ outcome: { lastAfterFiftieth } }) => (lastAfterFiftieth ?? 0) > BOUNDS.rollbackWithin,
+    ({ outcome: { lastAfterFiftieth } }) => (lastAfterFiftieth ?? 0) > ROLLBACK_WITHIN,
   );
   return {
     way,
--- a/model/rollout_specification.ts
+++ b/model/rollout_specification.ts
@@ -7,7 +7,7 @@
  */
 import { RolloutState } from "../src/interface/index.ts";
 import type { RolloutEntry, RolloutStatus } from "../src/interface/index.ts";
-import { nextStatus, stateOfOrder } from "../src/version/index.ts";
+import { isFinal, nextStatus, stateOfOrder } from "../src/version/index.ts";
 import type { RolloutRules } from "../src/version/index.ts";
 import type { Specification, Step } from "./checker.ts";
 
@@ -76,7 +76,7 @@
       },
       {
         name: "an order is taken for ended only after it was",
-        holds: (world) => !isEnded(stateOfOrder(world.stored, rules)) || hasEnd(world),
+        holds: (world) => !isFinal(stateOfOrder(world.stored, rules)) || hasEnd(world),
       },
     ],
     goal: hasEnd,
@@ -87,10 +87,6 @@
   return { service: SERVICE, to: VERSIONS[count] ?? "", duration: 1 };
 }
 
-function isEnded(state: RolloutState | undefined): boolean {
-  return state === RolloutState.Completed || state === RolloutState.RolledBack;
-}
-
 function hasEnd({ ends, order }: RolloutWorld): boolean {
   return ends.some((end) => end.order === order);
 }
@@ -103,7 +99,7 @@
 ): RolloutWorld | undefined {
   const { stored, order, ends } = world;
   if (expectVersion && over !== stored.storeVersion) return undefined;
-  const isEnd = isEnded(status.state) && status.to === stored.order.to;
+  const isEnd = isFinal(status.state) && status.to === stored.order.to;
   const isKnown = ends.some((end) => end.order === order && end.state === status.state);
   return {
     ...world,
--- a/src/decision/rollout_judge.ts
+++ b/src/decision/rollout_judge.ts
@@ -15,7 +15,7 @@
  *
  * @module
  */
-import type { TallyCounts } from "./rollout_tally.ts";
+import type { RunCounts } from "./worker_health.ts";
 
 /** What was seen of a route since the order: of the version that serves, and of each worker on trial. */
 export interface RouteEvidence {
@@ -26,17 +26,15 @@
 
 /** The same counts of both versions. */
 export interface ComparedCounts {
-  readonly base: TallyCounts;
+  readonly base: RunCounts;
   /** By worker. */
-  readonly tried: ReadonlyMap<string, TallyCounts>;
+  readonly tried: ReadonlyMap<string, RunCounts>;
 }
 
 /** What is wrong with a version. */
 export enum RolloutFault {
   Failures = "failures",
   SlowAnswers = "slow-answers",
-  /** It was never tried: no request came, or none of its workers was there. */
-  Untried = "untried",
 }
 
 /** What is thought of a version. */
@@ -73,7 +71,7 @@
 const PRIOR_RUNS = 20;
 /** Runs at a worker before it may be left out as the worst one. */
 const LEAST_RUNS = 3;
-const NOTHING: TallyCounts = { runs: 0, failures: 0 };
+const NOTHING: RunCounts = { runs: 0, failures: 0 };
 
 /** Judges a version by what was seen so far. */
 export function judgeRollout(
@@ -102,7 +100,7 @@
 
 /** Runs of the version on trial that have ended. */
 export function triedRuns(routes: readonly RouteEvidence[]): number {
-  return summed(pooled(routes, "answers").tried.values()).runs;
+  return sumCounts(pooled(routes, "answers").tried.values()).runs;
 }
 
 interface Allowance {
@@ -118,7 +116,7 @@
  */
 function evidenceOf({ base, tried }: ComparedCounts, allowed: Allowance): number {
   const counted = withoutWorst(tried);
-  const { runs, failures } = summed(counted);
+  const { runs, failures } = sumCounts(counted);
   if (failures < allowed.least) return 0;
   const share = failures / runs;
   const most = allowedShare(base, allowed);
@@ -130,18 +128,18 @@
 }
 
 /** The logarithm of how much more likely the counts are with one share than with another. */
-function ratioOf({ runs, failures }: TallyCounts, share: number, other: number): number {
+function ratioOf({ runs, failures }: RunCounts, share: number, other: number): number {
   const part = (count: number, a: number, b: number): number =>
     count === 0 ? 0 : count * Math.log(a / b);
   return part(failures, share, other) + part(runs - failures, 1 - share, 1 - other);
 }
 
-function allowedShare(base: TallyCounts, { factor, besides }: Allowance): number {
+function allowedShare(base: RunCounts, { factor, besides }: Allowance): number {
   const usual = base.failures / (base.runs + PRIOR_RUNS);
   return Math.min(0.9, usual * factor + besides);
 }
 
-function withoutWorst(tried: ReadonlyMap<string, TallyCounts>): TallyCounts[] {
+function withoutWorst(tried: ReadonlyMap<string, RunCounts>): RunCounts[] {
   const all = [...tried.values()].filter(({ runs }) => runs > 0);
   const counts = all.filter(({ runs }) => runs >= LEAST_RUNS);
   if (counts.length < 2) return all;
@@ -150,16 +148,17 @@
 }
 
 function pooled(routes: readonly RouteEvidence[], what: "answers" | "times"): ComparedCounts {
-  const tried = new Map<string, TallyCounts>();
+  const tried = new Map<string, RunCounts>();
   for (const route of routes) {
     for (const [worker, counts] of route[what].tried) {
-      tried.set(worker, summed([tried.get(worker) ?? NOTHING, counts]));
+      tried.set(worker, sumCounts([tried.get(worker) ?? NOTHING, counts]));
     }
   }
-  return { base: summed(routes.map((route) => route[what].base)), tried };
+  return { base: sumCounts(routes.map((route) => route[what].base)), tried };
 }
 
-function summed(counts: Iterable<TallyCounts>): TallyCounts {
+/** Adds up counts. */
+export function sumCounts(counts: Iterable<RunCounts>): RunCounts {
   let runs = 0;
   let failures = 0;
   for (const one of counts) {
--- a/src/decision/rollout_judge_test.ts
+++ b/src/decision/rollout_judge_test.ts
@@ -2,20 +2,20 @@
 import { expect, test } from "vitest";
 import { judgeRollout, RolloutFault, triedRuns } from "./rollout_judge.ts";
 import type { RouteEvidence } from "./rollout_judge.ts";
-import type { TallyCounts } from "./rollout_tally.ts";
+import type { RunCounts } from "./worker_health.ts";
 
-const NONE: TallyCounts = { runs: 0, failures: 0 };
+const NONE: RunCounts = { runs: 0, failures: 0 };
 
-function counts(runs: number, failures: number): TallyCounts {
+function counts(runs: number, failures: number): RunCounts {
   return { runs, failures };
 }
 
 function evidence(
   route: string,
-  answers: { base: TallyCounts; tried: readonly TallyCounts[] },
-  times: { base: TallyCounts; tried: readonly TallyCounts[] } = { base: NONE, tried: [] },
+  answers: { base: RunCounts; tried: readonly RunCounts[] },
+  times: { base: RunCounts; tried: readonly RunCounts[] } = { base: NONE, tried: [] },
 ): RouteEvidence {
-  const named = (tried: readonly TallyCounts[]): Map<string, TallyCounts> =>
+  const named = (tried: readonly RunCounts[]): Map<string, RunCounts> =>
     new Map(tried.map((one, index) => [`n-${index}`, one]));
   return {
     route,
@@ -80,7 +80,7 @@
 
 test("no counts whatever make evidence that is no number", () => {
   const any = fc.record({ runs: fc.nat(1_000), part: fc.double({ min: 0, max: 1, noNaN: true }) });
-  const toCounts = ({ runs, part }: { runs: number; part: number }): TallyCounts =>
+  const toCounts = ({ runs, part }: { runs: number; part: number }): RunCounts =>
     counts(runs, Math.floor(runs * part));
   fc.assert(
     fc.property(any, fc.array(any, { maxLength: 5 }), fc.boolean(), (base, tried, isLast) => {
--- a/src/decision/rollout_share.ts
+++ b/src/decision/rollout_share.ts
@@ -23,8 +23,6 @@
   readonly share: number;
   /** Requests besides, over all instances. */
   readonly slack: number;
-  /** Milliseconds within which it gets nothing more after it has shown itself bad. */
-  readonly rollbackWithin: number;
 }
 
 /** How a version is used while its order runs. */
--- a/src/decision/rollout_share_test.ts
+++ b/src/decision/rollout_share_test.ts
@@ -7,7 +7,7 @@
   workersOnTrial,
 } from "./rollout_share.ts";
 
-const BOUNDS = { share: 0.1, slack: 50, rollbackWithin: 5_000 };
+const BOUNDS = { share: 0.1, slack: 50 };
 
 /** Plays an order to its deadline, at each instance as many requests to the new version as it may send. */
 function exposed(options: {
--- a/src/decision/rollout_tally.ts
+++ b/src/decision/rollout_tally.ts
@@ -12,12 +12,7 @@
  * @module
  */
 import { hashText } from "../version/index.ts";
-
-/** Runs and how many of them were bad in one respect. */
-export interface TallyCounts {
-  readonly runs: number;
-  readonly failures: number;
-}
+import type { RunCounts } from "./worker_health.ts";
 
 /** A run that is tallied. */
 export interface TalliedRun {
@@ -48,7 +43,7 @@
   /** An order of the service is under way: its runs are counted from now on, anew for each version that is tried. */
   expect(service: string, tried: string | undefined): void;
   /** All counts, by the hashes that `tallyKeys` gives; runs that take too long already are counted as slow. */
-  counts(now: number): ReadonlyMap<number, TallyCounts>;
+  counts(now: number): ReadonlyMap<number, RunCounts>;
 }
 
 /** Where the counts of a route stand. */
@@ -119,7 +114,7 @@
  * sees little, goes by what is usual with the others.
  */
 export function createVersionTallies(
-  sumOf: (key: number) => TallyCounts | undefined = () => undefined,
+  sumOf: (key: number) => RunCounts | undefined = () => undefined,
 ): VersionTallies {
   const usual = new Map<string, Usual>();
   const expected = new Map<string, string>();
@@ -198,13 +193,15 @@
           if (isAnswered) return;
           isAnswered = true;
           const took = now - run.now;
-          const most = longest(run);
-          if (one !== undefined && most !== undefined) time(one, took > most);
+          if (one !== undefined) {
+            const most = longest(run);
+            if (most !== undefined) time(one, took > most);
+            one.isTimed = true;
+          }
           if (run.tried === undefined && !run.isCold) {
             learn(run, took);
             tellUsual(run, took);
           }
-          if (one !== undefined) one.isTimed = true;
         },
         ended: (result) => {
           if (one === undefined || !pending.delete(one) || result === "unknown") return;
--- a/src/process/count_history.ts
+++ b/src/process/count_history.ts
@@ -1,6 +1,6 @@
-import type { TallyCounts } from "../decision/index.ts";
+import type { RunCounts } from "../decision/index.ts";
 
-type Sums = ReadonlyMap<number, TallyCounts>;
+type Sums = ReadonlyMap<number, RunCounts>;
 
 /** Sums as they stood at earlier moments. */
 export interface CountHistory {
@@ -29,8 +29,8 @@
 }
 
 /** What was counted after earlier sums; sums may fall where those that counted have ended. */
-export function countsSince(now: Sums, before: Sums): Map<number, TallyCounts> {
-  const found = new Map<number, TallyCounts>();
+export function countsSince(now: Sums, before: Sums): Map<number, RunCounts> {
+  const found = new Map<number, RunCounts>();
   for (const [key, { runs, failures }] of now) {
     const earlier = before.get(key) ?? { runs: 0, failures: 0 };
     found.set(key, {
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -38,8 +38,6 @@
   readonly role: FleetRole;
   /** How old what others have at workers is on average where it passes relays, in milliseconds; 0 among equals. */
   readonly newsAge: number;
-  /** The relay that tells this instance of all others, where it is told by one. */
-  teller(): PeerInstance | undefined;
   /**
    * Instances that tell this one what changes in the store; none where it has to ask the store itself.
    */
@@ -261,7 +259,6 @@
     get newsAge() {
       return table.tree.role === FleetRole.Equal ? 0 : RELAYED_AGE;
     },
-    teller,
     feeders: () => {
       const { role } = table.tree;
       if (role === FleetRole.Equal || table.isWatcher(introduction.peers)) return [];
--- a/src/process/rollout_task.ts
+++ b/src/process/rollout_task.ts
@@ -5,11 +5,11 @@
   RolloutJudge,
   RolloutVerdict,
   RouteEvidence,
-  TallyCounts,
+  RunCounts,
 } from "../decision/index.ts";
 import { DUTY_CALL_TIME, RolloutState, sleep } from "../interface/index.ts";
 import type { Clock, ObjectStore, RolloutStore } from "../interface/index.ts";
-import { nextStatus } from "../version/index.ts";
+import { isFinal, nextStatus } from "../version/index.ts";
 import { countsSince, createCountHistory } from "./count_history.ts";
 import type { CountHistory } from "./count_history.ts";
 import type { RolloutView, ServiceRollout } from "./rollout_view.ts";
@@ -35,7 +35,7 @@
   /** The names of the routes that lead to a service. */
   readonly routes: (service: string) => readonly string[];
   /** What all instances have seen of versions, by the hashes that `tallyKeys` gives. */
-  readonly sums: () => ReadonlyMap<number, TallyCounts>;
+  readonly sums: () => ReadonlyMap<number, RunCounts>;
   /** Requests that all instances have at the service's workers. */
   readonly running: (service: string) => number;
   /** The fence for a call that may take so many milliseconds; undefined where this instance hasn't the duty. */
@@ -107,7 +107,7 @@
   ): { verdict: RolloutVerdict; runs: number } => {
     const routes = parts.routes(service);
     const sums = parts.sums();
-    const evidenceOf = (counts: ReadonlyMap<number, TallyCounts>): RouteEvidence[] =>
+    const evidenceOf = (counts: ReadonlyMap<number, RunCounts>): RouteEvidence[] =>
       view.evidence(service, { routes, sums: counts });
     const all = evidenceOf(sums);
     const earlier = historyOf(service);
@@ -148,7 +148,7 @@
   };
   const tend = async (service: string): Promise<void> => {
     const order = view.find(service);
-    if (order === undefined || isEnded(order.state)) {
+    if (order === undefined || isFinal(order.state)) {
       begun.delete(service);
       histories.delete(service);
       return;
@@ -218,10 +218,6 @@
   return a.kind === b.kind ? a.evidence > b.evidence : a.kind === "bad";
 }
 
-function isEnded(state: RolloutState | undefined): boolean {
-  return state === RolloutState.Completed || state === RolloutState.RolledBack;
-}
-
 function parseRecord(text: string): z.infer<typeof recordSchema> | undefined {
   try {
     const parsed = recordSchema.safeParse(JSON.parse(text));
--- a/src/process/rollout_view.ts
+++ b/src/process/rollout_view.ts
@@ -10,7 +10,7 @@
   RolloutBounds,
   RolloutShare,
   RouteEvidence,
-  TallyCounts,
+  RunCounts,
   RunTally,
 } from "../decision/index.ts";
 import { RolloutState } from "../interface/index.ts";
@@ -58,11 +58,11 @@
   /** A run begins at a worker. */
   begin(run: { worker: RoutedWorker; route: string; reads: number; isCold: boolean }): RunTally;
   /** What this instance has seen, by the hashes that `tallyKeys` gives. */
-  counts(): ReadonlyMap<number, TallyCounts>;
+  counts(): ReadonlyMap<number, RunCounts>;
   /** What all instances have seen of an order under way, out of their sums by the same hashes. */
   evidence(
     service: string,
-    from: { routes: readonly string[]; sums: ReadonlyMap<number, TallyCounts> },
+    from: { routes: readonly string[]; sums: ReadonlyMap<number, RunCounts> },
   ): RouteEvidence[];
   /** The service's order; undefined where there is none. */
   find(service: string): ServiceRollout | undefined;
@@ -83,7 +83,7 @@
   readonly time: () => number;
   readonly members: () => number;
   /** What all instances have counted under a hash of `tallyKeys`, as far as this one knows. */
-  readonly sumOf: (key: number) => TallyCounts | undefined;
+  readonly sumOf: (key: number) => RunCounts | undefined;
   /** A run begins at a worker of this version. */
   readonly onBegin: (service: string, version: string) => void;
   readonly log: Pick<RoutedLog, "changed">;
@@ -105,7 +105,7 @@
   isUniform: boolean;
 }
 
-const NOTHING: TallyCounts = { runs: 0, failures: 0 };
+const NOTHING: RunCounts = { runs: 0, failures: 0 };
 const NOBODY: ReadonlySet<string> = new Set();
 
 /** Makes a view without workers and orders. */
@@ -256,7 +256,7 @@
       const known = services.get(service);
       const named = known?.served?.tried;
       if (known === undefined || named === undefined) return [];
-      const of = (key: number): TallyCounts => sums.get(key) ?? NOTHING;
+      const of = (key: number): RunCounts => sums.get(key) ?? NOTHING;
       return routes.map((route) => {
         const base = tallyKeys({ service, tried: named, route, worker: undefined });
         const tried = [...known.everTried, ...known.tried].map((worker) => ({
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -48,8 +48,6 @@
       share: z.number().gt(0).max(1),
       /** Requests besides, over all instances. */
       slack: z.number().min(0),
-      /** Time within which it gets nothing more after it has shown itself bad. */
-      rollbackWithin: duration,
     })
     .optional(),
   /** For how long a lease holds after each renewal. */
--- a/src/version/rollout_rules.ts
+++ b/src/version/rollout_rules.ts
@@ -36,6 +36,11 @@
   return status.to === order.to || !rules.matchOrder ? status.state : undefined;
 }
 
+/** Whether nothing follows on what was said of an order. */
+export function isFinal(state: RolloutState | undefined): boolean {
+  return state === RolloutState.Completed || state === RolloutState.RolledBack;
+}
+
 /** What is to be said next of an order of which this was decided; undefined where nothing is. */
 export function nextStatus(
   entry: RolloutEntry,
@@ -44,8 +49,7 @@
 ): RolloutStatus | undefined {
   const state = stateOfOrder(entry, rules);
   if (state === decided) return undefined;
-  const hasEnded = state === RolloutState.Completed || state === RolloutState.RolledBack;
-  if (hasEnded && rules.endOnce) return undefined;
+  if (isFinal(state) && rules.endOnce) return undefined;
   return { state: decided, to: entry.order.to };
 }
 
