Say in the log which requests are the same, and what became of a worker whose connection broke

Cause: the logs of the incident don't tell its hypotheses apart. They name requests by ids that are new each time, and say of a broken connection nothing but that it broke.

Change: `sent` lines hold the request's print (a hash of account, method, host, path and body). After a run's connection broke, one connection without a request finds out whether the worker's process still listens; the line `worker-checked` says what was found and names the prints of the runs that were lost. It costs a connection for each worker that breaks one. Nothing is decided by either yet.

Ruled out as a sign: a broken connection alone. Connections are also reset while their workers go on.

--- /dev/null
+++ b/src/connection/reach_worker.ts
@@ -0,0 +1,29 @@
+import { connect } from "node:net";
+import { Reach } from "../interface/index.ts";
+import type { Clock } from "../interface/index.ts";
+import { splitAddress } from "./http_listener.ts";
+
+/** Milliseconds after which a connection that wasn't accepted counts as not answered. */
+const REACH_TIMEOUT = 1_000;
+
+/**
+ * Finds out whether a process listens at an address, by a connection that carries nothing.
+ *
+ * @param address `IP:PORT`.
+ */
+export function reachWorker(address: string, clock: Clock): Promise<Reach> {
+  const [host, port] = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = connect({ host, port });
+    const finish = (found: Reach): void => {
+      timeout.close();
+      socket.destroy();
+      resolve(found);
+    };
+    const timeout = clock.after(REACH_TIMEOUT, () => finish(Reach.Unanswered));
+    socket.on("connect", () => finish(Reach.Accepted));
+    socket.on("error", (error: NodeJS.ErrnoException) =>
+      finish(error.code === "ECONNREFUSED" ? Reach.Refused : Reach.Unanswered),
+    );
+  });
+}
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -1,4 +1,5 @@
 import type { Clock, WorkerConnections, WorkerPlace } from "../interface/index.ts";
+import { reachWorker } from "./reach_worker.ts";
 import { openWorkerConnection } from "./worker_connection.ts";
 import type { AnswerMatching, WorkerConnection } from "./worker_connection.ts";
 
@@ -68,6 +69,10 @@
       }
       return open(place, line).exchange(request, sink);
     },
+    reach: ({ address }) => {
+      opened++;
+      return reachWorker(address, clock);
+    },
     keepOnly: (ids) => {
       for (const [id, line] of lines) {
         if (ids.has(id)) continue;
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -60,6 +60,15 @@
   readonly most: number;
 }
 
+/** What became of a connection that was opened only to see whether it is accepted. */
+export enum Reach {
+  Accepted = "accepted",
+  /** The machine is there, and no process listens at the address. */
+  Refused = "refused",
+  /** Nothing came in time, or the way there is disturbed. */
+  Unanswered = "unanswered",
+}
+
 /** This instance's connections to all workers. */
 export interface WorkerConnections {
   /**
@@ -72,6 +81,8 @@
     request: WorkerRequest,
     options: ExchangeOptions,
   ): Exchange | undefined;
+  /** Finds out whether the worker's process listens. */
+  reach(place: WorkerPlace): Promise<Reach>;
   /** Closes idle connections of workers that aren't in use any more; those in use go on to their end. */
   keepOnly(ids: ReadonlySet<string>): void;
   /** When bytes last came from the worker, in the clock's milliseconds. */
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -29,6 +29,7 @@
 import { createStorePace } from "./store_pace.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
+import { createWorkerChecks } from "./worker_checks.ts";
 
 /** Addresses in an answer to a caller that resolves. */
 const GREATEST_ADDRESSES = 64;
@@ -230,6 +231,12 @@
     connections,
     quota,
     repeats,
+    checks: createWorkerChecks({
+      clock,
+      reach: (worker) => connections.reach(worker),
+      log,
+      onEnded: () => undefined,
+    }),
     began: (account, at) => {
       if (account === undefined) return;
       ledger.began(account, Math.floor(time.now(at) / settings.usage.window));
--- /dev/null
+++ b/src/process/worker_checks_test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from "vitest";
+import { Reach } from "../interface/index.ts";
+import { printNamed } from "../request/index.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
+import { createWorkerChecks } from "./worker_checks.ts";
+
+const WORKER = { id: "i-1", address: "10.0.0.1:80" };
+const [a, b, c] = ["a", "b", "c"].map((letter) => printNamed(letter.repeat(16)));
+
+function setUp(found: Reach) {
+  const clock = createVirtualClock();
+  const ended: string[][] = [];
+  let reached = 0;
+  const checks = createWorkerChecks({
+    clock,
+    reach: async () => {
+      reached++;
+      await Promise.resolve();
+      return found;
+    },
+    log: { changed: () => undefined },
+    onEnded: (_worker, prints) => void ended.push(prints.map(({ name }) => name[0] ?? "")),
+  });
+  return { clock, checks, ended, reached: () => reached };
+}
+
+test("a worker at whose address nothing listens ended with all that ran there, found by one connection", async () => {
+  const { clock, checks, ended, reached } = setUp(Reach.Refused);
+  for (const print of [a, b, a]) if (print !== undefined) checks.broke(WORKER, print);
+  await clock.advance(10);
+  expect(ended).toEqual([["a", "b"]]);
+  expect(reached()).toBe(1);
+});
+
+test("a run whose break comes a little later was lost with the same worker", async () => {
+  const { clock, checks, ended, reached } = setUp(Reach.Refused);
+  if (a !== undefined) checks.broke(WORKER, a);
+  await clock.advance(300);
+  if (c !== undefined) checks.broke(WORKER, c);
+  await clock.advance(10);
+  expect(ended).toEqual([["a"], ["c"]]);
+  expect(reached()).toBe(1);
+});
+
+// Connections are reset while their workers go on: the requests on them have done nothing to a worker.
+test.each([Reach.Accepted, Reach.Unanswered])(
+  "a worker whose connections break has not ended where one is %s",
+  async (found) => {
+    const { clock, checks, ended } = setUp(found);
+    if (a !== undefined) checks.broke(WORKER, a);
+    await clock.advance(10);
+    expect(ended).toEqual([]);
+  },
+);
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -8,4 +8,5 @@
 export * from "./request_service.ts";
 export * from "./caller_answer.ts";
 export * from "./routed_context.ts";
+export * from "./request_print.ts";
 export * from "./routed_service.ts";
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -14,6 +14,7 @@
   WorkerPlace,
 } from "../interface/index.ts";
 import type { RoutedService, RouteTable } from "../version/index.ts";
+import type { RequestPrint } from "./request_print.ts";
 
 /** How a run at a worker ended, as far as it speaks for or against the worker. */
 export enum RunResult {
@@ -60,6 +61,12 @@
   onLeaving(worker: string, listener: () => void): { close(): void };
 }
 
+/** Finds out what became of workers in the middle of a run. */
+export interface WorkerChecks {
+  /** The connection to the worker broke in the middle of the request's run. */
+  broke(worker: WorkerPlace, print: RequestPrint): void;
+}
+
 /** What a line of the decision log holds besides the request's id. */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -74,6 +81,7 @@
   readonly connections: WorkerConnections;
   readonly quota: SharedQuota;
   readonly repeats: RepeatAllowance;
+  readonly checks: WorkerChecks;
   /** A run of the account began at this moment of the clock. */
   began(account: string | undefined, at: number): void;
   /** Whether the instance has been asked to stop: connections are closed after their answer. */
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -7,6 +7,7 @@
 import type { RoutedService } from "../version/index.ts";
 import { RoutedRefusal } from "./caller_answer.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
+import type { RequestPrint } from "./request_print.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import { RunResult } from "./routed_context.ts";
 import type { BoardWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
@@ -21,6 +22,7 @@
   readonly arrival: RoutedArrival;
   readonly service: RoutedService;
   readonly body: Buffer;
+  readonly print: RequestPrint;
   /** Gives back what was taken of the account's quota, because it certainly didn't run. */
   readonly giveBack: () => void;
 }
@@ -63,7 +65,7 @@
   answer: CallerAnswer,
 ): RoutedRun {
   const { clock, names, connections, board, repeats } = context;
-  const { request, arrival, service, body } = admitted;
+  const { request, arrival, service, body, print } = admitted;
   const { route } = arrival;
   const isStream = route.delivery === Delivery.Events;
   const repeatable = route.repetition === Repetition.Idempotent || (isStream && route.resumable);
@@ -195,6 +197,7 @@
       worker: worker.id,
       account: arrival.account?.name,
       tokens: arrival.statedTokens,
+      print: print.name,
       run: runs,
       cost: Math.round(cost),
       running: worker.running,
@@ -272,6 +275,7 @@
       sendElsewhere("not-sent");
       return;
     }
+    context.checks.broke(attempt.worker, print);
     countUnanswered(attempt);
     repeat("worker-lost");
   };
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -4,6 +4,7 @@
 import { quotaSize, readArrival } from "./routed_arrival.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import type { RoutedContext } from "./routed_context.ts";
+import { requestPrint } from "./request_print.ts";
 import { startRoutedRun } from "./routed_run.ts";
 import { drawService } from "./traffic_share.ts";
 import type { RouteTable } from "../version/index.ts";
@@ -114,7 +115,9 @@
       }
       giveBack = () => context.quota.giveBack(holder, size);
     }
-    const run = startRoutedRun(context, { request, arrival, service, body, giveBack }, answer);
+    const print = requestPrint(request, { account: account?.name, body });
+    const admittedRequest = { request, arrival, service, body, print, giveBack };
+    const run = startRoutedRun(context, admittedRequest, answer);
     return () => run.abandon();
   };
   return {
