Keep a request from workers once three have ended under it

What callers saw: one request that ends each worker that runs it came again and again under new ids; a service of sixteen workers fell to six in four seconds, and what ran beside it failed too.

Cause: whether a request may be sent was judged by its id alone. Nothing remembered what ran at a worker when it ended, so that each id got as many workers as its route allows, from every instance. Its class: a failure that belongs to the request is taken for one of the worker. What was ruled out: workers that end for their own reasons (the same print is at each worker that ends, `worker-checked found=refused`, and others are answered elsewhere), and the allowance of repeats (each id was sent twice, as its route allows).

Change: instances count under which requests workers ended, by account, method, host, path and body, and tell each other beside what they have at workers; among equals too, sums are kept now. A request with three such workers and no answer is refused as not run, with the time for which that holds. Answers in the moments before count against it, so that what is asked for much isn't refused when many workers end at once. What has been proven for a second is written to the store, which all read at their start; the instance with the lease watches it and digests tell the others.

On a virtual clock each of 1 to 300 instances knows within three seconds of the third crash, with three datagrams of ten lost, relays that end, and those that saw the crashes ended (`crash_evidence_fleet_test.ts`).

--- a/src/cli/routed.ts
+++ b/src/cli/routed.ts
@@ -4,6 +4,7 @@
 import { textTable } from "./text_table.ts";
 
 const PERCENT = 100;
+const MILLISECONDS = 1_000;
 
 /** `samphireshore routed`: what an entry instance that serves routed requests believes. */
 export class Routed extends Command {
@@ -47,6 +48,14 @@
       String(route.attempts),
     ]);
     this.log(textTable([["ROUTE", "PREFIX", "SERVICES", "TIMEOUT", "ATTEMPTS"], ...routes]));
+    if (found.quarantine.length > 0) {
+      const kept = found.quarantine.map(({ print, crashes, since }) => [
+        print,
+        String(crashes),
+        `${Math.round(since / MILLISECONDS)} s ago`,
+      ]);
+      this.log(textTable([["QUARANTINED", "CRASHES", "SINCE"], ...kept]));
+    }
     const workers = found.workers.map((worker) => [
       worker.id,
       worker.service,
--- a/src/connection/json_call.ts
+++ b/src/connection/json_call.ts
@@ -3,7 +3,7 @@
 
 /** A call to a service that speaks JSON. */
 export interface JsonCall {
-  readonly method: "GET" | "POST" | "PUT";
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
   /** Path and query. */
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -1,4 +1,5 @@
 export * from "./compared_workers.ts";
+export * from "./crash_evidence.ts";
 export * from "./entry_overload.ts";
 export * from "./fair_queue.ts";
 export * from "./fleet.ts";
--- a/src/interface/object_store.ts
+++ b/src/interface/object_store.ts
@@ -23,6 +23,12 @@
   | { readonly kind: "absent" }
   | { readonly kind: "unavailable"; readonly detail: string };
 
+/** A store out of which objects can be taken. */
+export interface ErasableStore {
+  /** Takes an object out; says whether it is certainly gone. */
+  erase(key: string): Promise<boolean>;
+}
+
 /** Options of {@linkcode ObjectStore.put}. */
 export interface PutOptions {
   /** The version that the key must have for the write to apply; 0 says that it must not exist. */
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -87,7 +87,7 @@
   readonly admitted: ReadonlyMap<string, number>;
   /** Runs begun, by window and client account. */
   readonly usage: readonly WindowCounts[];
-  /** By the hash of the worker's id, and of what `tallyKeys` names while a version is on trial. */
+  /** By the hash of the worker's id, by what `tallyKeys` names while a version is on trial, and by the keys of requests. */
   readonly use: ReadonlyMap<number, WorkerUse>;
   /** Workers that it knows to leave, each with its start; told for as long as they are there. */
   readonly leaving: readonly string[];
--- a/src/process/fleet_news.ts
+++ b/src/process/fleet_news.ts
@@ -32,8 +32,7 @@
   /** Whether others tell this instance what changes in the store. */
   isFed(): boolean;
   /**
-   * What all instances have at workers and have counted, added up; among equals only where versions are followed, and at
-   * a member of a large fleet only its own.
+   * What all instances have at workers and have counted, added up; at a member of a large fleet only its own.
    */
   sums(): ReadonlyMap<number, WorkerUse>;
   /** What all others have of one hash, where a relay tells this instance or `sums` holds it. */
@@ -113,8 +112,6 @@
     else ledger.heard(subject, news.usage);
     if (scope === NewsScope.Fleet) told = news.use;
     if (exchange.role === FleetRole.Member) return;
-    // Equals hear each other singly; only the judgement of versions needs their sums.
-    if (exchange.role === FleetRole.Equal && settings.rollouts === undefined) return;
     const isNew = news.age < NEW_AGE;
     totals.fleet.heard(id, news, isNew);
     if (exchange.role === FleetRole.Relay && scope === NewsScope.Own)
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -1,5 +1,5 @@
 import { comparedWorkers, createReadRate, sum } from "../decision/index.ts";
-import type { ReadRate, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
+import type { ReadRate, RunCounts, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
 import type { Clock, Random, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/routed_context.ts";
 import type { BoardWorker, WorkerBoard } from "../request/index.ts";
@@ -44,6 +44,8 @@
   readonly newsAge: () => number;
   /** A run has begun. */
   readonly onBegin: () => void;
+  /** What this instance has counted beside its workers' runs, for the others. */
+  readonly counted?: (() => ReadonlyMap<number, RunCounts>) | undefined;
   /** Which versions are served; undefined where workers of any version serve. */
   readonly versions?: Pick<RolloutView, "admitting" | "begin" | "counts"> | undefined;
 }
@@ -87,6 +89,7 @@
 /** Makes an empty board. */
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
   const { clock, random, zone, health, members, newsAge, onBegin, versions } = parts;
+  const { counted = () => new Map<number, RunCounts>() } = parts;
   const entries = new Map<string, Entry>();
   /** The same by service: every request looks through those of one. */
   let byService: ReadonlyMap<string, readonly Entry[]> = new Map();
@@ -344,7 +347,9 @@
         const { runs, failures } = health.ownCounts(hash);
         if (running > 0 || runs > 0) use.set(hash, { running, unreadTokens, runs, failures });
       }
-      for (const [key, counts] of versions?.counts() ?? []) use.set(key, { ...NO_USE, ...counts });
+      for (const counts of [versions?.counts() ?? [], counted()]) {
+        for (const [key, count] of counts) use.set(key, { ...NO_USE, ...count });
+      }
       return use;
     },
     overview: () =>
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -19,6 +19,7 @@
 import { createMixTask } from "./mix_task.ts";
 import { createFleetNews } from "./fleet_news.ts";
 import { FleetRole } from "./fleet_tree.ts";
+import { createRequestQuarantine } from "./request_quarantine.ts";
 import { createRoutedBoard } from "./routed_board.ts";
 import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
 import { capacityOf } from "./routed_settings.ts";
@@ -81,6 +82,15 @@
     matching: { idHeader: outside.names.requestId, notRunHeader: outside.names.notRun },
   });
   const members = (): number => fleet.members;
+  const quarantine = createRequestQuarantine({
+    clock,
+    time: trueNow,
+    store: outside.store,
+    lasts: settings.quarantine.lasts,
+    othersOf: (key) => fleet.sumOf(key),
+    tidies: () => lease.held().length > 0,
+    log,
+  });
   const board = createRoutedBoard({
     clock,
     random,
@@ -90,6 +100,7 @@
     newsAge: () => fleet.newsAge,
     onBegin: () => fleet.begun(),
     versions,
+    counted: () => quarantine.counts(),
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
@@ -106,6 +117,10 @@
     fleet: () => fleet,
     onRouting: (routing) => quota.expect(routing.accounts ?? [], clock.now()),
     onArrival: (way, late) => metrics.changeKnown(way, late),
+    onQuarantine: (objects) => quarantine.setObjects(objects),
+    followsQuarantine: () =>
+      lease.held().length > 0 ||
+      quarantine.writtenVersion > (view.feeds.get(kinds.quarantine)?.version ?? 0),
     onRollouts: (entries, age) => versions?.setEntries(entries, age),
     onWorkers: (workers) => {
       versions?.setWorkers(workers);
@@ -235,8 +250,9 @@
       clock,
       reach: (worker) => connections.reach(worker),
       log,
-      onEnded: () => undefined,
+      onEnded: (_worker, prints) => quarantine.crashed(prints),
     }),
+    quarantine,
     began: (account, at) => {
       if (account === undefined) return;
       ledger.began(account, Math.floor(time.now(at) / settings.usage.window));
@@ -259,6 +275,11 @@
     () => table()?.routing.version ?? 0,
   );
   metrics.watch("samphireshore_members", "Entry instances expected.", members);
+  metrics.watch(
+    "samphireshore_quarantined_requests",
+    "Requests that no worker gets, since workers crashed when they ran them.",
+    () => quarantine.list().length,
+  );
   metrics.watch(
     "samphireshore_digest_bytes",
     "Bytes of digests sent to other instances.",
@@ -346,6 +367,11 @@
           ? []
           : [rolloutStatus(found, { verdict: rollouts?.verdict(service), now: trueNow() })];
       }),
+      quarantine: quarantine.list().map(({ print, crashes, since }) => ({
+        print: print.name,
+        crashes,
+        since: Math.round(trueNow() - since),
+      })),
       workers: board.overview(),
     }),
     start: async () => {
@@ -356,6 +382,7 @@
       lease.start();
       usage.start();
       mix.start();
+      quarantine.start();
       rollouts?.start();
     },
     reload: (changed) => {
@@ -366,7 +393,7 @@
     },
     stop,
     close: () => {
-      for (const part of [fleet, view, lease, usage, mix, board, connections]) {
+      for (const part of [fleet, view, lease, usage, mix, quarantine, board, connections]) {
         part.close();
       }
       rollouts?.close();
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type {
   Clock,
+  ErasableStore,
   FeedList,
   FeedObject,
   HeaderNames,
@@ -26,6 +27,8 @@
   readonly workers: string;
   /** The kind of orders to move a service to another version of its workers. */
   readonly rollouts: string;
+  /** The kind of the objects under `QUARANTINE_KEY`. */
+  readonly quarantine: string;
   /** Reads a configuration; throws where it isn't one. */
   readonly readRouting: (value: unknown) => Routing;
   /** Reads a worker's entry; undefined where it names no worker that can be used. */
@@ -39,7 +42,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly feed: ObjectFeed;
-  readonly store: Pick<ObjectStore, "get" | "put">;
+  readonly store: Pick<ObjectStore, "get" | "put"> & ErasableStore;
   readonly rollouts: RolloutStore;
   readonly platform: Platform;
   readonly kinds: StoredKinds;
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -5,6 +5,8 @@
   .string()
   .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'Expected "IP:PORT" by number.');
 
+const DAY = 86_400_000;
+
 /** The settings of an entry instance that serves routed requests. Times are in milliseconds once read. */
 export const routedSettingsSchema = z.object({
   name: z.string().min(1),
@@ -50,6 +52,8 @@
       slack: z.number().min(0),
     })
     .optional(),
+  /** For how long no worker gets a request under which workers crashed. */
+  quarantine: z.object({ lasts: duration }).default({ lasts: DAY }),
   /** For how long a lease holds after each renewal. */
   leaseTerm: duration,
   /** What the instance may use of its machine's processor; of many instances, the larger ones pass on news. */
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -61,6 +61,16 @@
       evidence: z.number().optional(),
     }),
   ),
+  /** Requests that no worker gets, since workers crashed when they ran them. */
+  quarantine: z.array(
+    z.object({
+      print: z.string(),
+      /** Workers that had ended under it when it was written to the store. */
+      crashes: z.number(),
+      /** Milliseconds since then. */
+      since: z.number(),
+    }),
+  ),
   workers: z.array(
     z.object({
       id: z.string(),
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -59,6 +59,10 @@
    */
   readonly onRollouts: (entries: readonly RolloutEntry[], age: number | undefined) => void;
   /** Changes of the store have come to be known, so many milliseconds after the first instance knew them. */
+  /** Requests that no worker gets have changed. */
+  readonly onQuarantine: (objects: Iterable<FeedObject>) => void;
+  /** Whether this instance follows those in the store itself; the others are told by it. */
+  readonly followsQuarantine: () => boolean;
   readonly onArrival: (way: ChangeWay, late: number) => void;
   /** The workers have changed. */
   readonly onWorkers: (workers: readonly RoutedWorker[]) => void;
@@ -127,9 +131,23 @@
     onReach: (reached, detail) =>
       log.changed("store-reached", { kind: "rollouts", reached, detail }),
   });
+  const quarantineFeed: FeedFollower = createFeedFollower({
+    kind: kinds.quarantine,
+    clock,
+    random,
+    feed: parts.feed,
+    isNeeded: () => parts.followsQuarantine() || catchUp.isBehind(kinds.quarantine),
+    onChange: (changes, arrival) => {
+      parts.onQuarantine(quarantineFeed.objects.values());
+      changed(quarantineFeed, changes, arrival);
+    },
+    onReach: (reached, detail) =>
+      log.changed("store-reached", { kind: "quarantine", reached, detail }),
+  });
   const feeds = new Map([
     [kinds.routing.kind, routingFeed],
     [kinds.workers, workerFeed],
+    [kinds.quarantine, quarantineFeed],
     ...(parts.followsRollouts ? [[kinds.rollouts, rolloutFeed] as const] : []),
   ]);
   const outage = createStoreOutage({ clock, staleAfter: parts.staleAfter });
--- a/src/process/testing/news_fleet.ts
+++ b/src/process/testing/news_fleet.ts
@@ -1,11 +1,12 @@
 import {
+  createCrashEvidence,
   createRepeatAllowance,
   createSharedQuota,
   createTrueTime,
   createUsageLedger,
   createWorkerHealth,
 } from "../../decision/index.ts";
-import type { SharedQuota, UsageLedger } from "../../decision/index.ts";
+import type { CrashEvidence, SharedQuota, UsageLedger } from "../../decision/index.ts";
 import { createSeededRandom, Purchase, sleep } from "../../interface/index.ts";
 import type { RoutedWorker } from "../../interface/index.ts";
 import type { BoardRun, BoardWorker } from "../../request/index.ts";
@@ -45,6 +46,8 @@
   readonly board: RoutedBoard;
   readonly ledger: UsageLedger;
   readonly quota: SharedQuota;
+  /** What it knows of requests that crash workers. */
+  readonly evidence: CrashEvidence;
   /** What it knows of the store. */
   readonly feed: FeedFollower;
   /** Where the others reach it. */
@@ -191,6 +194,7 @@
   const health = createWorkerHealth();
   const quota = createSharedQuota(clock.now());
   const ledger = createUsageLedger();
+  const evidence = createCrashEvidence((key) => news.sumOf(key));
   const board = createRoutedBoard({
     clock,
     random,
@@ -199,6 +203,7 @@
     members: () => 1,
     newsAge: () => 0,
     onBegin: () => news.begun(),
+    counted: () => evidence.counts(clock.now()),
   });
   const feed: FeedFollower = createFeedFollower({
     kind: KIND,
@@ -242,6 +247,7 @@
       repeats: REPEATS,
       usage: { window: 5_000, lateAfter: 5_000 },
       leaseTerm: 3_000,
+      quarantine: { lasts: 60_000 },
       processor: { share: 1, cores: 1 },
     },
     clock,
@@ -265,5 +271,6 @@
     onTold: (peer) => catchUp.heard(peer),
     open: network.open,
   });
-  return { zone, news, feed, address, board, ledger, quota, isLive: true, answersFetches: true };
+  const parts = { zone, news, feed, address, board, ledger, quota, evidence };
+  return { ...parts, isLive: true, answersFetches: true };
 }
--- a/src/request/caller_answer.ts
+++ b/src/request/caller_answer.ts
@@ -15,6 +15,8 @@
   Overloaded = "overloaded",
   /** Workers refused it, and it may not be offered to more. */
   Refused = "refused-by-workers",
+  /** Workers crashed when they ran it. */
+  CrashesWorkers = "crashes-workers",
   /** The instance is about to stop. */
   Stopping = "stopping",
   DeadlinePassed = "deadline-passed",
@@ -31,6 +33,7 @@
   [RoutedRefusal.NoWorker]: 503,
   [RoutedRefusal.Overloaded]: 503,
   [RoutedRefusal.Refused]: 503,
+  [RoutedRefusal.CrashesWorkers]: 503,
   [RoutedRefusal.Stopping]: 503,
   [RoutedRefusal.DeadlinePassed]: 504,
   [RoutedRefusal.WorkerLost]: 502,
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -61,6 +61,14 @@
   onLeaving(worker: string, listener: () => void): { close(): void };
 }
 
+/** Requests that no worker gets, since workers crashed when they ran them. */
+export interface Quarantine {
+  /** Milliseconds after which the request may be offered to a worker again; 0 where it may be now. */
+  waitFor(print: RequestPrint): number;
+  /** A worker gave the request a whole answer. */
+  answered(print: RequestPrint): void;
+}
+
 /** Finds out what became of workers in the middle of a run. */
 export interface WorkerChecks {
   /** The connection to the worker broke in the middle of the request's run. */
@@ -82,6 +90,7 @@
   readonly quota: SharedQuota;
   readonly repeats: RepeatAllowance;
   readonly checks: WorkerChecks;
+  readonly quarantine: Quarantine;
   /** A run of the account began at this moment of the clock. */
   began(account: string | undefined, at: number): void;
   /** Whether the instance has been asked to stop: connections are closed after their answer. */
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -131,6 +131,11 @@
       giveUp(RoutedRefusal.DeadlinePassed);
       return;
     }
+    const quarantinedFor = context.quarantine.waitFor(print);
+    if (quarantinedFor > 0) {
+      giveUp(RoutedRefusal.CrashesWorkers, quarantinedFor);
+      return;
+    }
     const choice = chooseWorkers(context, { arrival, service, tried });
     if (choice.kind === "none") {
       giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
@@ -313,6 +318,7 @@
       return;
     }
     context.began(arrival.account?.name, attempt.startedAt);
+    context.quarantine.answered(print);
     mayHaveRun = true;
     const failed = head.status >= SERVER_ERROR && head.status !== GATEWAY_TIMEOUT;
     endAttempt(failed ? RunResult.Failed : RunResult.Answered);
@@ -338,6 +344,7 @@
   };
   const onStreamComplete = (attempt: Attempt): void => {
     endAttempt(RunResult.Answered);
+    context.quarantine.answered(print);
     if (!attempt.hasEvent) context.began(arrival.account?.name, attempt.startedAt);
     if (!answer.isBegun && attempt.head !== undefined) answer.begin(attempt.head);
     complete(attempt.head?.status ?? SUCCESS, () => {
