Say in the log when a worker names a limit

Cause: nothing in the logs tells whether an instance knows of the limit that a worker names, so that a limit that isn't read can't be told from one that each instance keeps to by itself.

Change: the header is read with the head of each answer; `worker-limit` says when a worker names another one than before, or none any more. Nothing is decided by it yet.

--- a/src/interface/header_names.ts
+++ b/src/interface/header_names.ts
@@ -12,6 +12,8 @@
   readonly expectedWorker: string;
   /** On an answer: the worker did not run the request. */
   readonly notRun: string;
+  /** On an answer: the requests a second that the worker takes from all instances together, a decimal number. */
+  readonly workerLimit: string;
   /** 0 is admitted first by an engine, 9 last. */
   readonly priority: string;
   /** The last event that the caller has of a stream. */
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -42,6 +42,8 @@
   readonly members: () => number;
   /** How old what others say is on average, in milliseconds. */
   readonly newsAge: () => number;
+  /** A worker has begun or ceased to name a limit, or names another. */
+  readonly onLimit?: ((worker: string, limit: number | undefined) => void) | undefined;
   /** A run has begun. */
   readonly onBegin: () => void;
   /** What this instance has counted beside its workers' runs, for the others. */
@@ -82,6 +84,8 @@
   unreadTokens: number;
   replacedUntil: number;
   isLeaving: boolean;
+  /** The requests a second that it takes from all instances together, as it said last. */
+  limit: number | undefined;
   readonly leaveListeners: Set<() => void>;
   leaveTimer: Timer | undefined;
 }
@@ -89,6 +93,7 @@
 /** Makes an empty board. */
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
   const { clock, random, zone, health, members, newsAge, onBegin, versions } = parts;
+  const { onLimit = () => undefined } = parts;
   const { counted = () => new Map<number, RunCounts>() } = parts;
   const entries = new Map<string, Entry>();
   /** The same by service: every request looks through those of one. */
@@ -127,6 +132,7 @@
       unreadTokens: isSame ? known.unreadTokens : 0,
       replacedUntil: isSame ? known.replacedUntil : 0,
       isLeaving,
+      limit: isSame ? known.limit : undefined,
       leaveListeners: isSame ? known.leaveListeners : new Set(),
       leaveTimer: isSame ? known.leaveTimer : undefined,
     };
@@ -271,6 +277,12 @@
     change(1, reads);
     onBegin();
     return {
+      answering: (limit) => {
+        const entry = entries.get(id);
+        if (entry === undefined || entry.limit === limit) return;
+        entry.limit = limit;
+        onLimit(id, limit);
+      },
       read: () => {
         const now = clock.now();
         readRate(service).observe({ tokens: unreadThere, took: now - startedAt });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -101,6 +101,7 @@
     onBegin: () => fleet.begun(),
     versions,
     counted: () => quarantine.counts(),
+    onLimit: (worker, limit) => log.changed("worker-limit", { worker, limit: limit ?? "none" }),
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -32,6 +32,12 @@
 
 /** A run that this instance has at a worker. */
 export interface BoardRun {
+  /**
+   * The worker has begun to answer.
+   *
+   * @param limit The requests a second that it takes from all instances together; undefined where it named none.
+   */
+  answering(limit: number | undefined): void;
   /** The first event has come: its prompt has been read. */
   read(): void;
   end(result: RunResult): void;
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -221,6 +221,7 @@
     if (current !== attempt) return;
     attempt.heardAt = clock.now();
     attempt.head = head;
+    attempt.run.answering(readLimit(head.byName.get(names.workerLimit)));
     attempt.streaming = isStream && isSuccess(head.status);
   };
   const onData = (attempt: Attempt, chunk: Buffer): void => {
@@ -419,6 +420,12 @@
   };
 }
 
+const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/;
+
+function readLimit(text: string | undefined): number | undefined {
+  return text !== undefined && DECIMAL.test(text.trim()) ? Number(text) : undefined;
+}
+
 function isSuccess(status: number): boolean {
   return status >= SUCCESS && status < REDIRECTION;
 }
