Send a worker that names a limit no more than that, over all instances

What was seen: a worker in need named 1 and 2.6 requests a second in its answers and got up to nine a second, from instances that had passed these answers on.

Cause: the answer's header was passed on to callers and read by nobody; a worker's load was known only by what runs there. Its class: something that a worker says of itself in its answers isn't taken in. What was ruled out: that each instance keeps to the whole of it, and that repeats pass it by (the rate didn't change at all with the limit, new requests and repeats alike).

Change: limits are read from answers and told to the other instances. The time of day is divided into slots, in each of which the worker takes a request, and each slot belongs to one instance by rendezvous hashing; a worker is a candidate only where a slot of the last second is free. Where no worker takes a request now, callers are told when one does. The status, the log and the command line show limits.

Ruled out: equal parts that each instance keeps to by itself, which let 300 of them begin together, and the shared bucket of the quotas, whose news are too old for one request a second.

--- a/bench/board_cost.ts
+++ b/bench/board_cost.ts
@@ -1,4 +1,4 @@
-import { createWorkerHealth, rankWorkers } from "../src/decision/index.ts";
+import { createWorkerHealth, createWorkerLimits, rankWorkers } from "../src/decision/index.ts";
 import { Purchase } from "../src/interface/index.ts";
 import type { RoutedWorker } from "../src/interface/index.ts";
 import { createRoutedBoard } from "../src/process/routed_board.ts";
@@ -50,6 +50,8 @@
 function main(): void {
   for (const count of SIZES) {
     const board = createRoutedBoard({
+      time: () => systemClock.now(),
+      limits: createWorkerLimits({ time: () => systemClock.now(), self: 1, instances: () => [1] }),
       clock: systemClock,
       random: systemRandom,
       zone: "a",
--- a/src/cli/routed.ts
+++ b/src/cli/routed.ts
@@ -65,8 +65,19 @@
       worker.leaving ? "leaving" : "",
       String(worker.running),
       `${Math.round(worker.failing * PERCENT)} %`,
+      worker.limit === undefined ? "" : `${worker.limit} a second`,
     ]);
-    const heads = ["WORKER", "SERVICE", "VERSION", "ZONE", "PURCHASE", "", "RUNNING", "FAILING"];
+    const heads = [
+      "WORKER",
+      "SERVICE",
+      "VERSION",
+      "ZONE",
+      "PURCHASE",
+      "",
+      "RUNNING",
+      "FAILING",
+      "LIMIT",
+    ];
     this.log(textTable([heads, ...workers]));
   }
 }
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -26,6 +26,7 @@
 export * from "./true_time.ts";
 export * from "./usage_ledger.ts";
 export * from "./worker_health.ts";
+export * from "./worker_limits.ts";
 export * from "./worker_ranking.ts";
 export * from "./worker_demand.ts";
 export * from "./worker_mix.ts";
--- /dev/null
+++ b/src/decision/worker_limits_test.ts
@@ -0,0 +1,170 @@
+import { expect, test } from "vitest";
+import { createSeededRandom } from "../interface/index.ts";
+import { createWorkerLimits } from "./worker_limits.ts";
+import type { WorkerLimits } from "./worker_limits.ts";
+
+const WORKER = 4_711;
+const WINDOW = 4_000;
+/** In any window, a worker may get half as much again as it takes, and five requests more. */
+const most = (limit: number): number => limit * 1.5 * (WINDOW / 1_000) + 5;
+
+interface Member {
+  readonly limits: WorkerLimits;
+  readonly self: number;
+  /** Milliseconds by which its time differs from the others'. */
+  offset: number;
+  /** The instances as it knows them. */
+  view: number[];
+}
+
+/** Instances that all know the limit and have requests for the worker at any moment. */
+function start(size: number, limit: number) {
+  const clock = { now: 1_700_000_000_000 };
+  const random = createSeededRandom(3);
+  const all = Array.from({ length: size }, () => Math.floor(random.next() * 2 ** 32));
+  const members: Member[] = all.map((self) => {
+    const member: Member = {
+      self,
+      offset: 0,
+      view: all,
+      limits: createWorkerLimits({
+        time: () => clock.now + member.offset,
+        self,
+        instances: () => member.view,
+      }),
+    };
+    return member;
+  });
+  for (const { limits } of members) {
+    limits.answered(WORKER, { perSecond: limit, sentAt: clock.now });
+  }
+  const sent: number[] = [];
+  /** Plays the time; each instance has a request for the worker in each step with this chance. */
+  const play = (milliseconds: number, chance = 1): void => {
+    for (let end = clock.now + milliseconds; clock.now < end; clock.now += 20) {
+      for (const { limits } of members) {
+        if (random.next() >= chance || !limits.mayTake(WORKER)) continue;
+        limits.took(WORKER);
+        sent.push(clock.now);
+      }
+    }
+  };
+  return { clock, members, sent, play };
+}
+
+function mostInWindow(sent: readonly number[]): number {
+  let first = 0;
+  let found = 0;
+  for (const [last, at] of sent.entries()) {
+    while ((sent[first] ?? 0) <= at - WINDOW) first++;
+    found = Math.max(found, last - first + 1);
+  }
+  return found;
+}
+
+test.each([
+  [1, 1],
+  [6, 1],
+  [6, 2.6],
+  [13, 0.4],
+  [60, 7],
+  [300, 1],
+  [300, 40],
+])(
+  "%d instances under load send a worker that takes %d a second no more, and no less",
+  (size, limit) => {
+    const { sent, play } = start(size, limit);
+    play(60_000);
+    expect(mostInWindow(sent)).toBeLessThanOrEqual(most(limit));
+    expect(sent.length).toBeGreaterThanOrEqual(60 * limit * 0.95);
+    expect(sent.length).toBeLessThanOrEqual(60 * limit * 1.05 + 1);
+  },
+);
+
+test("guards against what was saved up while there was nothing to send, and then comes all at once", () => {
+  const { sent, play } = start(300, 3);
+  play(20_000, 0);
+  play(10_000);
+  expect(mostInWindow(sent)).toBeLessThanOrEqual(most(3));
+});
+
+test("guards against a sum that rises while instances come and go, and views differ", () => {
+  const { members, sent, play } = start(60, 5);
+  const all = members.map(({ self }) => self);
+  for (let round = 0; round < 40; round++) {
+    for (const [place, member] of members.entries()) {
+      const isGone = (other: number): boolean => (other + round + (place % 3)) % 9 === 0;
+      member.view = all.filter((self) => self === member.self || !isGone(self));
+    }
+    play(500);
+  }
+  expect(mostInWindow(sent)).toBeLessThanOrEqual(most(5));
+});
+
+test("guards against a sum that rises because the instances' times differ", () => {
+  const { members, sent, play } = start(6, 2.6);
+  for (const [place, member] of members.entries()) member.offset = (place - 3) * 120;
+  play(60_000);
+  expect(mostInWindow(sent)).toBeLessThanOrEqual(most(2.6));
+});
+
+test("guards against a limit that changes with each answer and gives every slot away anew", () => {
+  const { clock, members, sent, play } = start(6, 3);
+  for (let round = 0; round < 150; round++) {
+    for (const { limits } of members) {
+      limits.answered(WORKER, { perSecond: 3 - (round % 5) / 100, sentAt: clock.now });
+    }
+    play(200);
+  }
+  expect(mostInWindow(sent)).toBeLessThanOrEqual(most(3));
+});
+
+test("a worker that takes nothing is asked now and then whether that is still so", () => {
+  const { sent, play } = start(6, 0);
+  play(60_000);
+  expect(sent.length).toBeGreaterThanOrEqual(4);
+  expect(mostInWindow(sent)).toBeLessThanOrEqual(2);
+});
+
+test("an answer without a limit ends it, unless its request was sent before the limit was named", () => {
+  const { clock, members } = start(1, 1);
+  const limits = members[0]?.limits;
+  limits?.answered(WORKER, { perSecond: undefined, sentAt: clock.now - 10 });
+  expect(limits?.limitOf(WORKER)).toBe(1);
+  clock.now += 100;
+  limits?.answered(WORKER, { perSecond: undefined, sentAt: clock.now - 10 });
+  expect(limits?.limitOf(WORKER)).toBeUndefined();
+  expect(limits?.mayTake(WORKER)).toBe(true);
+});
+
+test("what others tell counts where it is later, and what is told on is no later for it", () => {
+  const { clock, members } = start(2, 1);
+  const [first, second] = members;
+  if (first === undefined || second === undefined) throw new Error("There are two.");
+  const early = first.limits.statements();
+  clock.now += 500;
+  first.limits.answered(WORKER, { perSecond: undefined, sentAt: clock.now - 1 });
+  for (const statement of first.limits.statements()) second.limits.heard(statement);
+  expect(second.limits.limitOf(WORKER)).toBeUndefined();
+  for (const statement of early) {
+    first.limits.heard(statement);
+    second.limits.heard(statement);
+  }
+  expect(first.limits.limitOf(WORKER)).toBeUndefined();
+  expect(second.limits.limitOf(WORKER)).toBeUndefined();
+  clock.now += 4_000;
+  expect(first.limits.statements()).toEqual([]);
+});
+
+test("says when a worker takes the next request, of any instance", () => {
+  const { clock, members } = start(6, 0.5);
+  const opensIn = members[0]?.limits.opensIn([WORKER, 1]);
+  expect(opensIn).toBeCloseTo(2_000 - (clock.now % 2_000));
+  expect(members[0]?.limits.opensIn([1])).toBeUndefined();
+});
+
+test("a worker in another's place has its limit no more", () => {
+  const { members } = start(1, 1);
+  members[0]?.limits.forget(WORKER);
+  expect(members[0]?.limits.limitOf(WORKER)).toBeUndefined();
+});
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -1,4 +1,4 @@
-import type { WindowCounts } from "../decision/index.ts";
+import type { LimitStatement, WindowCounts } from "../decision/index.ts";
 import type { FeedDelta } from "../interface/index.ts";
 import type { RolloutPlan } from "./rollout_plan.ts";
 
@@ -46,6 +46,8 @@
   readonly storeReturned: boolean;
   /** How versions on trial are used, as the instance with the duty said it last. */
   readonly plans: readonly RolloutPlan[];
+  /** What workers have lately begun or ceased to say of how much they take. */
+  readonly limits: readonly LimitStatement[];
 }
 
 /** An instance as another one names it. */
--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -8,10 +8,11 @@
   RolloutPlanSchema,
   RosterEntrySchema,
   Scope,
+  WorkerLimitSchema,
 } from "../gen/digest_pb.ts";
 import type * as wire from "../gen/digest_pb.ts";
 import { countsByWindow, RolloutPhase } from "../decision/index.ts";
-import type { WindowCounts } from "../decision/index.ts";
+import type { LimitStatement, WindowCounts } from "../decision/index.ts";
 import type { FeedDelta, FeedObject } from "../interface/index.ts";
 import { NewsScope } from "./digest.ts";
 import type { Digest, InstanceNews, Introduction, Roster, WorkerUse } from "./digest.ts";
@@ -53,6 +54,7 @@
     ...(digest.roster === undefined ? {} : { roster: encodeRoster(digest.roster) }),
     feeds: digest.feeds.map(encodeFeed),
     plans: digest.plans.map(encodePlan),
+    limits: digest.limits.map(encodeLimit),
   });
   return toBinary(DigestSchema, message);
 }
@@ -92,6 +94,18 @@
   return { service, to, fence: Number(fence), phase, age, startedAt: Number(startedAt) };
 }
 
+function encodeLimit({ worker, perSecond, at }: LimitStatement): wire.WorkerLimit {
+  return create(WorkerLimitSchema, {
+    worker,
+    ...(perSecond === undefined ? {} : { perSecond }),
+    at: BigInt(Math.max(0, Math.round(at))),
+  });
+}
+
+function decodeLimit({ worker, perSecond, at }: wire.WorkerLimit): LimitStatement {
+  return { worker, perSecond, at: Number(at) };
+}
+
 function encodeFeed({ kind, from, to, changes, age }: FeedDelta): wire.FeedDelta {
   return create(FeedDeltaSchema, {
     kind,
@@ -187,6 +201,7 @@
     roster: message.roster === undefined ? undefined : decodeRoster(message.roster),
     feeds: message.feeds.map(decodeFeed),
     plans: message.plans.map(decodePlan),
+    limits: message.limits.map(decodeLimit),
     known: message.known,
   };
 }
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -75,6 +75,13 @@
   leaseVersion: fc.nat(),
   heard: fc.option(fc.record({ session: SESSION, sequence: fc.nat() }), { nil: undefined }),
   isCurrent: fc.boolean(),
+  limits: fc.array(
+    fc.record({
+      worker: fc.nat(),
+      perSecond: fc.option(fc.double({ min: 0, max: 1e6, noNaN: true }), { nil: undefined }),
+      at: fc.nat(),
+    }),
+  ),
   plans: fc.array(
     fc.record({
       service: NAME,
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -215,10 +215,11 @@
     const said = digest.introduction ?? peer.instance;
     if (said === undefined) return undefined;
     const { name, zone, callers, peers, capacity } = said;
-    const { ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned, plans } = digest;
+    const { ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned } = digest;
+    const { plans, limits } = digest;
     return {
       ...{ name, zone, callers, peers, capacity },
-      ...{ ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned, plans },
+      ...{ ready, reachesStore, isCurrent, versions, leaseVersion, storeReturned, plans, limits },
       session: digest.session,
       incarnation: incarnationOf(name, digest.session),
       heardAt: peer.heardAt,
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -81,6 +81,7 @@
           leaseVersion: 0,
           storeReturned: false,
           plans: [],
+          limits: [],
           isCurrent: true,
           versions: new Map([["routing", state.version]]),
         }),
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -1,5 +1,12 @@
 import { comparedWorkers, createReadRate, sum } from "../decision/index.ts";
-import type { ReadRate, RunCounts, ServiceSpeed, WorkerHealth } from "../decision/index.ts";
+import type {
+  LimitStatement,
+  ReadRate,
+  RunCounts,
+  ServiceSpeed,
+  WorkerHealth,
+  WorkerLimits,
+} from "../decision/index.ts";
 import type { Clock, Random, RoutedWorker, Timer } from "../interface/index.ts";
 import { RunResult } from "../request/routed_context.ts";
 import type { BoardWorker, WorkerBoard } from "../request/index.ts";
@@ -21,6 +28,9 @@
   heard(instance: string, news: Pick<InstanceNews, "use" | "isWhole">): void;
   /** Other instances know that these workers leave; each is named with its start, as by `leaving`. */
   heardLeaving(leaving: readonly string[]): void;
+  /** What is told to others of how much workers take, and what others tell of it. */
+  limitStatements(): readonly LimitStatement[];
+  heardLimits(statements: readonly LimitStatement[]): void;
   /** Forgets instances that weren't heard for a while: what they had at workers has ended. */
   keepInstances(instances: ReadonlySet<string>): void;
   /** What this instance has at the workers, by the hashes of their ids. */
@@ -32,6 +42,16 @@
   close(): void;
 }
 
+/** What a worker says of how much it takes has changed. */
+export interface LimitChange {
+  /** Its id; empty where its entry isn't known yet. */
+  readonly worker: string;
+  /** Requests a second from all instances together; undefined where it names none any more. */
+  readonly limit: number | undefined;
+  /** Whether the worker itself said so here, and not another instance. */
+  readonly isOwn: boolean;
+}
+
 /** What the board is made with. */
 export interface RoutedBoardParts {
   readonly clock: Clock;
@@ -42,8 +62,12 @@
   readonly members: () => number;
   /** How old what others say is on average, in milliseconds. */
   readonly newsAge: () => number;
+  /** The time of day that the instances agree on, in milliseconds since 1970. */
+  readonly time: () => number;
+  /** What workers take; its time is the same. */
+  readonly limits: WorkerLimits;
   /** A worker has begun or ceased to name a limit, or names another. */
-  readonly onLimit?: ((worker: string, limit: number | undefined) => void) | undefined;
+  readonly onLimit?: ((change: LimitChange) => void) | undefined;
   /** A run has begun. */
   readonly onBegin: () => void;
   /** What this instance has counted beside its workers' runs, for the others. */
@@ -84,8 +108,6 @@
   unreadTokens: number;
   replacedUntil: number;
   isLeaving: boolean;
-  /** The requests a second that it takes from all instances together, as it said last. */
-  limit: number | undefined;
   readonly leaveListeners: Set<() => void>;
   leaveTimer: Timer | undefined;
 }
@@ -93,7 +115,7 @@
 /** Makes an empty board. */
 export function createRoutedBoard(parts: RoutedBoardParts): RoutedBoard {
   const { clock, random, zone, health, members, newsAge, onBegin, versions } = parts;
-  const { onLimit = () => undefined } = parts;
+  const { time, limits, onLimit = () => undefined } = parts;
   const { counted = () => new Map<number, RunCounts>() } = parts;
   const entries = new Map<string, Entry>();
   /** The same by service: every request looks through those of one. */
@@ -132,7 +154,6 @@
       unreadTokens: isSame ? known.unreadTokens : 0,
       replacedUntil: isSame ? known.replacedUntil : 0,
       isLeaving,
-      limit: isSame ? known.limit : undefined,
       leaveListeners: isSame ? known.leaveListeners : new Set(),
       leaveTimer: isSame ? known.leaveTimer : undefined,
     };
@@ -170,9 +191,19 @@
     const other = others.get(hash) ?? NO_USE;
     return { running: running + other.running, unreadTokens: unreadTokens + other.unreadTokens };
   };
+  /** Calls what may change a worker's limit, and tells whether it did. */
+  const noteLimit = ({ hash, isOwn }: { hash: number; isOwn: boolean }, act: () => void): void => {
+    const before = limits.limitOf(hash);
+    act();
+    const limit = limits.limitOf(hash);
+    if (limit === before) return;
+    const worker = [...entries.values()].find((entry) => entry.hash === hash)?.worker.id ?? "";
+    onLimit({ worker, limit, isOwn });
+  };
   const taking = (service: RoutedService, now: number): Entry[] =>
     entriesOf(service.name).filter(
-      ({ isLeaving, replacedUntil }) => !isLeaving && now >= replacedUntil,
+      ({ hash, isLeaving, replacedUntil }) =>
+        !isLeaving && now >= replacedUntil && limits.mayTake(hash),
     );
   const usable = (service: RoutedService, now: number): Entry[] => {
     const entriesNow = taking(service, now);
@@ -257,6 +288,7 @@
   const begin: RoutedBoard["begin"] = (place, { reads, route }) => {
     const { id, hash, service, unreadTokens, coldFor } = place;
     const startedAt = clock.now();
+    const sentAt = time();
     const there = entries.get(id)?.worker;
     const unreadThere = unreadTokens + reads;
     const tally =
@@ -275,13 +307,11 @@
       unread = 0;
     };
     change(1, reads);
+    limits.took(hash);
     onBegin();
     return {
       answering: (limit) => {
-        const entry = entries.get(id);
-        if (entry === undefined || entry.limit === limit) return;
-        entry.limit = limit;
-        onLimit(id, limit);
+        noteLimit({ hash, isOwn: true }, () => limits.answered(hash, { perSecond: limit, sentAt }));
       },
       read: () => {
         const now = clock.now();
@@ -319,6 +349,7 @@
   });
   return {
     candidates,
+    opensIn: ({ name }) => limits.opensIn(entriesOf(name).map(({ hash }) => hash)),
     compared,
     begin,
     speed,
@@ -336,11 +367,14 @@
       }
       for (const worker of workers) {
         const entry = entryOf(worker);
+        if (entries.get(worker.id)?.worker.born !== worker.born) limits.forget(entry.hash);
         entries.set(worker.id, entry);
         if (entry.isLeaving) announceLeave(entry);
       }
       byService = groupByService(entries.values());
-      health.keepOnly(new Set([...entries.values()].map(({ hash }) => hash)));
+      const hashes = new Set([...entries.values()].map(({ hash }) => hash));
+      health.keepOnly(hashes);
+      limits.keepOnly(hashes);
     },
     workers: () => [...entries.values()].map(({ worker }) => worker),
     loads: (service) => entriesOf(service).map(loadAt),
@@ -350,6 +384,12 @@
       const told = new Set(leaving);
       for (const entry of entries.values()) if (told.has(startOf(entry))) entry.isLeaving = true;
     },
+    limitStatements: () => limits.statements(),
+    heardLimits: (statements) => {
+      for (const statement of statements) {
+        noteLimit({ hash: statement.worker, isOwn: false }, () => limits.heard(statement));
+      }
+    },
     keepInstances: (instances) => {
       for (const instance of said.keys()) if (!instances.has(instance)) forget(instance);
     },
@@ -370,7 +410,8 @@
         const { running } = loadAt(entry);
         const failing = health.excess(entry.hash, service, clock.now());
         const leaving = entry.isLeaving;
-        return { id, service, version, zone: place, purchase, leaving, running, failing };
+        const limit = limits.limitOf(entry.hash);
+        return { id, service, version, zone: place, purchase, leaving, running, failing, limit };
       }),
     leaving: () => [...entries.values()].filter(({ isLeaving }) => isLeaving).map(startOf),
     close: () => {
--- a/src/process/routed_board_test.ts
+++ b/src/process/routed_board_test.ts
@@ -1,15 +1,26 @@
 import { expect, test } from "vitest";
-import { createWorkerHealth } from "../decision/index.ts";
+import { createWorkerHealth, createWorkerLimits } from "../decision/index.ts";
 import { createSeededRandom, Purchase } from "../interface/index.ts";
 import type { RoutedWorker } from "../interface/index.ts";
+import { RunResult } from "../request/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
 import { hashText } from "../version/index.ts";
+import type { RoutedService } from "../version/index.ts";
 import type { WorkerUse } from "./digest.ts";
 import { createRoutedBoard } from "./routed_board.ts";
 import type { RoutedBoard } from "./routed_board.ts";
 
+/** The time of day in these tests, which stands still but where it is set. */
+const day = { now: 1_000_000 };
+
+/** This instance alone. */
+const INSTANCES = [1];
+
 function startBoard(): RoutedBoard {
+  const time = (): number => day.now;
   const parts = {
+    time,
+    limits: createWorkerLimits({ time, self: 1, instances: () => INSTANCES }),
     zone: "a",
     health: createWorkerHealth(),
     members: () => 3,
@@ -90,3 +101,61 @@
   board.setWorkers(["w0", "w1"].map(workerNamed));
   expect(runningAt(board).reduce((sum, running) => sum + running, 0)).toBe(3);
 });
+
+const DESK: RoutedService = {
+  name: "desk",
+  maxConnections: 60,
+  engine: undefined,
+  scaling: undefined,
+};
+
+/** Requests that the board gives to each of the workers in some seconds, each as soon as it may have one. */
+function given(board: RoutedBoard, seconds: number): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (let step = 0; step < seconds * 100; step++) {
+    day.now += 10;
+    for (const worker of board.candidates(DESK)) {
+      board.begin(worker, { reads: 0, route: "r" }).end(RunResult.Answered);
+      counts[worker.id] = (counts[worker.id] ?? 0) + 1;
+    }
+  }
+  return counts;
+}
+
+/** The worker answers a request, naming this limit. */
+function answer(board: RoutedBoard, id: string, limit: number | undefined): void {
+  const worker = board.candidates(DESK).find((one) => one.id === id);
+  if (worker === undefined) throw new Error(`${id} takes nothing now.`);
+  const run = board.begin(worker, { reads: 0, route: "r" });
+  day.now += 1;
+  run.answering(limit);
+  run.end(RunResult.Answered);
+}
+
+test("a worker that names a limit is given so much, and the others all they may have", () => {
+  const board = startBoard();
+  expect(board.opensIn(DESK)).toBeUndefined();
+  answer(board, "w0", 2);
+  const counts = given(board, 10);
+  expect(counts["w0"]).toBeGreaterThanOrEqual(19);
+  expect(counts["w0"]).toBeLessThanOrEqual(21);
+  expect(counts["w1"]).toBe(1_000);
+  expect(board.opensIn(DESK)).toBeGreaterThan(0);
+  expect(board.opensIn(DESK)).toBeLessThanOrEqual(500);
+});
+
+test("a worker that restarts under its id has no limit", () => {
+  const board = startBoard();
+  answer(board, "w0", 0.2);
+  board.setWorkers([{ ...workerNamed("w0"), born: 2 }, workerNamed("w1")]);
+  expect(given(board, 1)["w0"]).toBe(100);
+});
+
+test("guards against a limit that lasts though the worker's next answer names none", () => {
+  const board = startBoard();
+  answer(board, "w0", 20);
+  given(board, 1);
+  day.now += 100;
+  answer(board, "w0", undefined);
+  expect(given(board, 1)["w0"]).toBe(100);
+});
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -7,6 +7,7 @@
   createUsageLedger,
   createWorkerDemand,
   createWorkerHealth,
+  createWorkerLimits,
   spreadAddresses,
   sum,
 } from "../decision/index.ts";
@@ -14,11 +15,13 @@
 import { sleep } from "../interface/index.ts";
 import { createRoutedRequests } from "../request/routed_service.ts";
 import type { RoutedContext } from "../request/index.ts";
+import { hashText } from "../version/index.ts";
 import type { RoutedService, RouteTable } from "../version/index.ts";
 import { createLeaseTask } from "./lease_task.ts";
 import { createMixTask } from "./mix_task.ts";
 import { createFleetNews } from "./fleet_news.ts";
 import { FleetRole } from "./fleet_tree.ts";
+import { createInstanceHashes } from "./instance_hashes.ts";
 import { createRequestQuarantine } from "./request_quarantine.ts";
 import { createRoutedBoard } from "./routed_board.ts";
 import type { RoutedEntry, RoutedOutside } from "./routed_entry_parts.ts";
@@ -101,7 +104,18 @@
     onBegin: () => fleet.begun(),
     versions,
     counted: () => quarantine.counts(),
-    onLimit: (worker, limit) => log.changed("worker-limit", { worker, limit: limit ?? "none" }),
+    time: trueNow,
+    limits: createWorkerLimits({
+      time: trueNow,
+      self: hashText(settings.listen.peers),
+      instances: createInstanceHashes({
+        clock,
+        self: settings.listen.peers,
+        others: () => fleet.live(),
+      }),
+    }),
+    onLimit: ({ worker, limit, isOwn }) =>
+      log.changed("worker-limit", { worker, limit: limit ?? "none", isOwn }),
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
@@ -142,6 +156,7 @@
       ready: isReady(),
       leaseVersion: lease.versionOf(DUTY),
       plans: versions?.plans() ?? [],
+      limits: board.limitStatements(),
     }),
     time,
     quota,
@@ -152,6 +167,7 @@
     onHeard: (peer) => {
       lease.heard(DUTY, peer.leaseVersion);
       view.heard(peer);
+      board.heardLimits(peer.limits);
       versions?.heard(peer.plans);
     },
     onTold: (peer) => view.told(peer),
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -83,6 +83,8 @@
       running: z.number(),
       /** Chance that it fails a run beyond what is usual in its service. */
       failing: z.number(),
+      /** Requests a second that it takes from all instances together, where it says so. */
+      limit: z.number().optional(),
     }),
   ),
 });
--- a/src/process/testing/news_fleet.ts
+++ b/src/process/testing/news_fleet.ts
@@ -1,5 +1,6 @@
 import {
   createCrashEvidence,
+  createWorkerLimits,
   createRepeatAllowance,
   createSharedQuota,
   createTrueTime,
@@ -11,11 +12,12 @@
 import type { RoutedWorker } from "../../interface/index.ts";
 import type { BoardRun, BoardWorker } from "../../request/index.ts";
 import { createVirtualClock } from "../../standin/memory/index.ts";
-import { QuotaUnit } from "../../version/index.ts";
+import { hashText, QuotaUnit } from "../../version/index.ts";
 import type { RoutedService } from "../../version/index.ts";
 import { createFleetNews } from "../fleet_news.ts";
 import type { FleetNews } from "../fleet_news.ts";
 import { FleetRole } from "../fleet_tree.ts";
+import { createInstanceHashes } from "../instance_hashes.ts";
 import { createRoutedBoard } from "../routed_board.ts";
 import type { RoutedBoard } from "../routed_board.ts";
 import { createRoutedLog } from "../routed_log.ts";
@@ -204,6 +206,12 @@
     newsAge: () => 0,
     onBegin: () => news.begun(),
     counted: () => evidence.counts(clock.now()),
+    time: () => clock.now(),
+    limits: createWorkerLimits({
+      time: () => clock.now(),
+      self: hashText(address),
+      instances: createInstanceHashes({ clock, self: address, others: () => news.live() }),
+    }),
   });
   const feed: FeedFollower = createFeedFollower({
     kind: KIND,
@@ -260,6 +268,7 @@
       leaseVersion: 0,
       storeReturned: false,
       plans: [],
+      limits: board.limitStatements(),
     }),
     time: createTrueTime({ date: clock.now(), steady: clock.now() }),
     quota,
@@ -267,7 +276,7 @@
     ledger,
     health,
     board,
-    onHeard: () => undefined,
+    onHeard: (peer) => board.heardLimits(peer.limits),
     onTold: (peer) => catchUp.heard(peer),
     open: network.open,
   });
--- /dev/null
+++ b/src/process/worker_limits_fleet_test.ts
@@ -0,0 +1,114 @@
+import { afterEach, expect, test } from "vitest";
+import { RunResult } from "../request/index.ts";
+import type { RoutedService } from "../version/index.ts";
+import { NEWS_SERVICE, startNewsFleet } from "./testing/news_fleet.ts";
+import type { NewsFleet, NewsMember } from "./testing/news_fleet.ts";
+
+const SERVICE: RoutedService = {
+  name: NEWS_SERVICE,
+  maxConnections: 1_000,
+  engine: undefined,
+  scaling: undefined,
+};
+const LIMITED = "w-0";
+/** Milliseconds after which no instance may send more than its part. */
+const CONTACT_TIME = 3_000;
+const WINDOW = 4_000;
+/** Milliseconds of real time: hundreds of instances in one process take half a minute on a busy machine. */
+const GREATEST_TIME = 240_000;
+const STEP = 100;
+
+const fleets: NewsFleet[] = [];
+afterEach(() => {
+  for (const fleet of fleets.splice(0)) fleet.close();
+});
+
+async function start(instances: number): Promise<NewsFleet> {
+  const fleet = await startNewsFleet({ instances, workers: 2, accounts: [] });
+  fleets.push(fleet);
+  await fleet.clock.advance(4_000);
+  return fleet;
+}
+
+function limitAt({ board }: NewsMember): number | undefined {
+  return board.overview().find(({ id }) => id === LIMITED)?.limit;
+}
+
+/** The instance sends the worker a request where it may, and gets an answer with this limit. */
+function ask({ board }: NewsMember, limit: number | undefined): boolean {
+  const worker = board.candidates(SERVICE).find(({ id }) => id === LIMITED);
+  if (worker === undefined) return false;
+  const run = board.begin(worker, { reads: 0, route: "r" });
+  run.answering(limit);
+  run.end(RunResult.Answered);
+  return true;
+}
+
+/** Every instance has a request for the worker at any moment; returns the moments at which one was sent. */
+async function load(
+  { clock, members }: NewsFleet,
+  options: { milliseconds: number; limit: number | undefined },
+): Promise<number[]> {
+  const sent: number[] = [];
+  for (let passed = 0; passed < options.milliseconds; passed += STEP) {
+    for (const member of members) {
+      if (member.isLive && ask(member, options.limit)) sent.push(clock.now());
+    }
+    await clock.advance(STEP);
+  }
+  return sent;
+}
+
+function mostInWindow(sent: readonly number[]): number {
+  return Math.max(
+    0,
+    ...sent.map((at) => sent.filter((one) => one >= at && one < at + WINDOW).length),
+  );
+}
+
+test.each([6, 14, 60, 300])(
+  "guards against a worker that gets its limit once an instance, of %i",
+  async (size) => {
+    const fleet = await start(size);
+    const [first] = fleet.members;
+    if (first === undefined) throw new Error("The fleet has no instance.");
+    ask(first, 1);
+    await fleet.clock.advance(CONTACT_TIME);
+    for (const member of fleet.members) expect(limitAt(member)).toBe(1);
+    const sent = await load(fleet, { milliseconds: 6_000, limit: 1 });
+    expect(mostInWindow(sent)).toBeLessThanOrEqual(11);
+    expect(sent.length).toBeGreaterThanOrEqual(5);
+  },
+  GREATEST_TIME,
+);
+
+test("guards against a limit that rises over the fleet while instances end", async () => {
+  const fleet = await start(14);
+  const [first] = fleet.members;
+  if (first === undefined) throw new Error("The fleet has no instance.");
+  ask(first, 2.6);
+  await fleet.clock.advance(CONTACT_TIME);
+  const sent: number[] = [];
+  for (const member of fleet.members.slice(0, 6)) {
+    sent.push(...(await load(fleet, { milliseconds: 1_000, limit: 2.6 })));
+    member.isLive = false;
+    member.news.close();
+    member.feed.close();
+  }
+  sent.push(...(await load(fleet, { milliseconds: 6_000, limit: 2.6 })));
+  expect(mostInWindow(sent)).toBeLessThanOrEqual(20);
+  expect(sent.length).toBeGreaterThanOrEqual(12 * 2.6 * 0.7);
+});
+
+test.each([6, 60])(
+  "guards against a limit that some go on with after its end, of %i",
+  async (size) => {
+    const fleet = await start(size);
+    for (const member of fleet.members) ask(member, 2);
+    await fleet.clock.advance(CONTACT_TIME);
+    // Whoever sends to it next learns that its need is over.
+    await load(fleet, { milliseconds: 2_000, limit: undefined });
+    await fleet.clock.advance(2_000);
+    for (const member of fleet.members) expect(limitAt(member)).toBeUndefined();
+  },
+);
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -54,6 +54,11 @@
 export interface WorkerBoard {
   /** Workers of the service that take new requests now. */
   candidates(service: RoutedService): BoardWorker[];
+  /**
+   * Milliseconds until one of the service's workers that say how much they take is given the next request, by any
+   * instance; undefined where none of them says so.
+   */
+  opensIn(service: RoutedService): number | undefined;
   /** Those of them that a request with such a prompt is compared on first. */
   compared(service: RoutedService, parts: readonly PromptPart[]): Compared<BoardWorker>;
   /**
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -138,7 +138,9 @@
     }
     const choice = chooseWorkers(context, { arrival, service, tried });
     if (choice.kind === "none") {
-      giveUp(RoutedRefusal.NoWorker, NO_WORKER_RETRY);
+      const opensIn = board.opensIn(service);
+      const after = opensIn === undefined ? NO_WORKER_RETRY : Math.max(BUSY_RETRY, opensIn);
+      giveUp(RoutedRefusal.NoWorker, Math.round(after));
       return;
     }
     if (choice.kind === "overloaded") {
