Don't count as a repeat what no worker has accepted, and leave a worker alone that accepts nothing

Cause: a request that never left its instance took from the allowance of repeats like one that had reached a worker, so that the allowance was used up by workers that weren't there; and such a worker was a candidate again at once, as its failures count little where the whole service fails. Ruled out: that the allowance was used up by repeats that had arrived (180 `broken` lines against 484 `not-sent`).

Change: a request that no connection took goes to the next worker without taking from the allowance, which is there for arrivals; a worker at whose address nothing listens gets nothing from this instance for half a second.

--- a/src/connection/reach_worker.ts
+++ b/src/connection/reach_worker.ts
@@ -23,7 +23,12 @@
     const timeout = clock.after(REACH_TIMEOUT, () => finish(Reach.Unanswered));
     socket.on("connect", () => finish(Reach.Accepted));
     socket.on("error", (error: NodeJS.ErrnoException) =>
-      finish(error.code === "ECONNREFUSED" ? Reach.Refused : Reach.Unanswered),
+      finish(isRefusal(error) ? Reach.Refused : Reach.Unanswered),
     );
   });
 }
+
+/** Whether a connection failed because nothing listens at the address. */
+export function isRefusal({ code }: NodeJS.ErrnoException): boolean {
+  return code === "ECONNREFUSED";
+}
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -9,6 +9,7 @@
 } from "../interface/index.ts";
 import { createAnswerParser } from "./answer_parser.ts";
 import { splitAddress } from "./http_listener.ts";
+import { isRefusal } from "./reach_worker.ts";
 
 /** How answers are matched with requests. */
 export interface AnswerMatching {
@@ -72,11 +73,11 @@
     socket.destroy();
     parts.closed();
   };
-  const fail = (detail: string): void => {
+  const fail = (detail: string, isRefused = false): void => {
     const sink = current;
     current = undefined;
     close();
-    sink?.end({ kind: isConnected ? "broken" : "not-sent", detail });
+    sink?.end(isConnected ? { kind: "broken", detail } : { kind: "not-sent", detail, isRefused });
   };
   const connecting = clock.after(CONNECT_TIMEOUT, () =>
     fail(`The worker didn't accept a connection within ${CONNECT_TIMEOUT} ms.`),
@@ -118,7 +119,9 @@
     if (fault !== undefined) fail("The worker closed the connection before the answer was whole.");
     else close();
   });
-  socket.on("error", (error) => fail(`The connection to the worker failed: ${error.message}.`));
+  socket.on("error", (error: NodeJS.ErrnoException) =>
+    fail(`The connection to the worker failed: ${error.message}.`, isRefusal(error)),
+  );
   socket.on("close", () => fail("The connection to the worker was closed."));
 
   const exchange = (request: WorkerRequest, sink: ExchangeSink): Exchange => {
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -24,7 +24,12 @@
   /** The answer is whole. */
   | { readonly kind: "complete" }
   /** No byte was taken: the request has certainly not run. */
-  | { readonly kind: "not-sent"; readonly detail: string }
+  | {
+      readonly kind: "not-sent";
+      readonly detail: string;
+      /** Whether nothing listens at the worker's address. */
+      readonly isRefused: boolean;
+    }
   /** The request may have run; the answer, if any came, isn't whole. */
   | { readonly kind: "broken"; readonly detail: string };
 
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -76,11 +76,12 @@
   readonly versions?: Pick<RolloutView, "admitting" | "begin" | "counts"> | undefined;
 }
 
-/** What a run's end says of its worker's version. */
+/** What a run's end says of its worker, and of the worker's version. */
 const TALLIED: Readonly<Record<RunResult, "well" | "failed" | "unknown">> = {
   [RunResult.Answered]: "well",
   [RunResult.Failed]: "failed",
   [RunResult.Refused]: "unknown",
+  [RunResult.Unreachable]: "failed",
   [RunResult.Replaced]: "unknown",
   [RunResult.Abandoned]: "unknown",
 };
@@ -90,8 +91,11 @@
 const NEWEST_PART = 0.05;
 /** The part of a worker's connections that the instances use together. */
 const CONNECTION_PART = 0.9;
-/** How long a worker that refused a connection, or has another id by now, gets nothing, in milliseconds. */
-const REPLACED_PAUSE = 60_000;
+/** How long a worker gets nothing after such a run, in milliseconds: one that ended may be back under its id. */
+const PAUSES: Partial<Record<RunResult, number>> = {
+  [RunResult.Replaced]: 60_000,
+  [RunResult.Unreachable]: 500,
+};
 /** Milliseconds for which what begins unseen is taken to stay the same. */
 const UNSEEN_LIFE = 100;
 /** How long before the end of a leaving worker what still runs there goes on elsewhere, in milliseconds. */
@@ -106,7 +110,7 @@
   readonly seenAt: number;
   running: number;
   unreadTokens: number;
-  replacedUntil: number;
+  pausedUntil: number;
   isLeaving: boolean;
   readonly leaveListeners: Set<() => void>;
   leaveTimer: Timer | undefined;
@@ -152,7 +156,7 @@
       seenAt: changed ? clock.now() : known.seenAt,
       running: isSame ? known.running : 0,
       unreadTokens: isSame ? known.unreadTokens : 0,
-      replacedUntil: isSame ? known.replacedUntil : 0,
+      pausedUntil: isSame ? known.pausedUntil : 0,
       isLeaving,
       leaveListeners: isSame ? known.leaveListeners : new Set(),
       leaveTimer: isSame ? known.leaveTimer : undefined,
@@ -202,8 +206,8 @@
   };
   const taking = (service: RoutedService, now: number): Entry[] =>
     entriesOf(service.name).filter(
-      ({ hash, isLeaving, replacedUntil }) =>
-        !isLeaving && now >= replacedUntil && limits.mayTake(hash),
+      ({ hash, isLeaving, pausedUntil }) =>
+        !isLeaving && now >= pausedUntil && limits.mayTake(hash),
     );
   const usable = (service: RoutedService, now: number): Entry[] => {
     const entriesNow = taking(service, now);
@@ -328,13 +332,13 @@
           noteTime(service, now - startedAt);
           tally?.answered(now);
         }
-        tally?.ended(TALLIED[result]);
-        if (result === RunResult.Answered || result === RunResult.Failed) {
-          health.ended({ worker: hash, service, failed: result === RunResult.Failed, now });
-        }
-        if (result === RunResult.Replaced && entry !== undefined) {
-          entry.replacedUntil = now + REPLACED_PAUSE;
+        const tallied = TALLIED[result];
+        tally?.ended(tallied);
+        if (tallied !== "unknown") {
+          health.ended({ worker: hash, service, failed: tallied === "failed", now });
         }
+        const pause = PAUSES[result];
+        if (pause !== undefined && entry !== undefined) entry.pausedUntil = now + pause;
       },
     };
   };
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -24,6 +24,8 @@
   Refused = "refused",
   /** It failed the request: an error of its own, a cut answer, no answer. */
   Failed = "failed",
+  /** Nothing listens at its address: the request never left. */
+  Unreachable = "unreachable",
   /** The address belongs to another worker by now. */
   Replaced = "replaced",
   /** The caller left or the time was up; says nothing of the worker. */
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -276,17 +276,23 @@
       onComplete(attempt);
       return;
     }
-    if (end.kind === "not-sent") runs--;
-    else mayHaveRun = true;
     note(end.kind, { worker: attempt.worker.id, detail: end.detail });
     if (end.kind === "not-sent") {
-      sendElsewhere("not-sent");
+      onNotSent(end.isRefused);
       return;
     }
+    mayHaveRun = true;
     context.checks.broke(attempt.worker, print);
     countUnanswered(attempt);
     repeat("worker-lost");
   };
+  /** Nothing has reached a worker: to try another one is no repeat. */
+  const onNotSent = (isRefused: boolean): void => {
+    runs--;
+    endAttempt(isRefused ? RunResult.Unreachable : RunResult.Failed);
+    context.metrics.repeated("not-sent");
+    tryNext();
+  };
   /** A stream counts as begun with its first event; any other request has most probably run where it was sent. */
   const countUnanswered = (attempt: Attempt): void => {
     if (!isStream) context.began(arrival.account?.name, attempt.startedAt);
