Part what others have at workers, the parts of the status and the look for silence from large modules

What other instances have at workers stands in `others_use.ts`, the parts of the status that operators are shown in `status_parts.ts`, silence beside the attempt, and a worker's limit is read where headers are. Behaviour is as before but for three small things: a request in quarantine from a time that is ahead is told no longer wait than it lasts, names that are neither proven nor stored are forgotten, and a comment stood before the wrong field.

--- a/src/process/request_quarantine.ts
+++ b/src/process/request_quarantine.ts
@@ -97,7 +97,11 @@
   };
   const read = ({ name, value: text }: FeedObject): QuarantinedRequest | undefined => {
     const value = valueSchema.safeParse(parseText(text));
-    if (NAME.test(name) && value.success) return { print: printNamed(name), ...value.data };
+    if (NAME.test(name) && value.success) {
+      // A writer's time may be ahead: nobody is told to wait longer than it lasts.
+      const since = Math.min(value.data.since, time());
+      return { print: printNamed(name), crashes: value.data.crashes, since };
+    }
     log.changed("quarantine-unreadable", { print: name });
     return undefined;
   };
@@ -134,6 +138,12 @@
     for (const [name, at] of released) if (now - at > RELEASE_TIME) released.delete(name);
     const proven = evidence.proven(now);
     for (const { suspect, crashes } of proven) note(suspect.name, { crashes, way: "counted" });
+    const names = new Set([...proven.map(({ suspect }) => suspect.name), ...stored.keys()]);
+    for (const name of [...logged, ...written.keys()]) {
+      if (names.has(name)) continue;
+      logged.delete(name);
+      written.delete(name);
+    }
     for (const one of proven.filter((each) => isDue(each, now))) await write(one);
     if (!parts.tidies()) return;
     for (const entry of stored.values()) if (leftOf(entry) <= 0) await erase(entry);
--- a/src/process/request_quarantine_test.ts
+++ b/src/process/request_quarantine_test.ts
@@ -121,6 +121,12 @@
   },
 );
 
+test("guards against a wait that is told longer than it lasts, for an object from a time that is ahead", () => {
+  const { clock, quarantine } = setUp();
+  quarantine.setObjects([object(clock.now() + 1e9)]);
+  expect(quarantine.waitFor(PRINT)).toBe(LASTS);
+});
+
 test("an object with another name than a request's names none", () => {
   const { quarantine, steps } = setUp();
   quarantine.setObjects([{ ...object(0), name: "main" }]);
--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -14,6 +14,8 @@
 import type { RoutedService } from "../version/index.ts";
 import { NO_USE } from "./digest.ts";
 import type { InstanceNews, WorkerUse } from "./digest.ts";
+import { createOthersUse } from "./others_use.ts";
+import type { Occupancy } from "./others_use.ts";
 import type { RolloutView } from "./rollout_view.ts";
 import type { RoutedStatus } from "./routed_status.ts";
 
@@ -101,9 +103,6 @@
 /** How long before the end of a leaving worker what still runs there goes on elsewhere, in milliseconds. */
 const LEAVE_MARGIN = 450;
 
-/** Requests and unread prompt tokens at a worker. */
-type Occupancy = Pick<WorkerUse, "running" | "unreadTokens">;
-
 interface Entry {
   readonly worker: RoutedWorker;
   readonly hash: number;
@@ -125,10 +124,7 @@
   /** The same by service: every request looks through those of one. */
   let byService: ReadonlyMap<string, readonly Entry[]> = new Map();
   const entriesOf = (service: string): readonly Entry[] => byService.get(service) ?? [];
-  /** By instance, what it has at workers. */
-  const said = new Map<string, Map<number, Occupancy>>();
-  /** By worker, what the other instances have there, added up: a request looks at every worker of its service. */
-  const others = new Map<number, Occupancy>();
+  const others = createOthersUse();
   const runTimes = new Map<string, number>();
   const unseenOf = new Map<string, { unseen: number; at: number }>();
   const readRates = new Map<string, ReadRate>();
@@ -162,37 +158,8 @@
       leaveTimer: isSame ? known.leaveTimer : undefined,
     };
   };
-  const heard: RoutedBoard["heard"] = (instance, { use, isWhole }) => {
-    if (isWhole) forget(instance);
-    const known = said.get(instance) ?? new Map<number, Occupancy>();
-    said.set(instance, known);
-    for (const [worker, { running, unreadTokens }] of use) {
-      const before = known.get(worker) ?? NO_USE;
-      addToOthers(worker, {
-        running: running - before.running,
-        unreadTokens: unreadTokens - before.unreadTokens,
-      });
-      if (running === 0 && unreadTokens === 0) known.delete(worker);
-      else known.set(worker, { running, unreadTokens });
-    }
-  };
-  const forget = (instance: string): void => {
-    for (const [worker, { running, unreadTokens }] of said.get(instance) ?? []) {
-      addToOthers(worker, { running: -running, unreadTokens: -unreadTokens });
-    }
-    said.delete(instance);
-  };
-  const addToOthers = (worker: number, { running, unreadTokens }: Occupancy): void => {
-    const before = others.get(worker) ?? NO_USE;
-    const sum = {
-      running: before.running + running,
-      unreadTokens: before.unreadTokens + unreadTokens,
-    };
-    if (sum.running === 0 && sum.unreadTokens === 0) others.delete(worker);
-    else others.set(worker, sum);
-  };
   const loadAt = ({ hash, running, unreadTokens }: Entry): Occupancy => {
-    const other = others.get(hash) ?? NO_USE;
+    const other = others.at(hash);
     return { running: running + other.running, unreadTokens: unreadTokens + other.unreadTokens };
   };
   /** Calls what may change a worker's limit, and tells whether it did. */
@@ -284,7 +251,7 @@
     if (known !== undefined && now - known.at < UNSEEN_LIFE) return known.unseen;
     const workers = entriesOf(service.name);
     // What runs is what begins times how long it takes.
-    const running = sum(workers.map(({ hash }) => others.get(hash)?.running ?? 0));
+    const running = sum(workers.map(({ hash }) => others.at(hash).running));
     const found = (running * age) / Math.max(1, speed(service).runTime * workers.length);
     unseenOf.set(service.name, { unseen: found, at: now });
     return found;
@@ -382,7 +349,7 @@
     },
     workers: () => [...entries.values()].map(({ worker }) => worker),
     loads: (service) => entriesOf(service).map(loadAt),
-    heard,
+    heard: (instance, news) => others.heard(instance, news),
     heardLeaving: (leaving) => {
       if (leaving.length === 0) return;
       const told = new Set(leaving);
@@ -394,9 +361,7 @@
         noteLimit({ hash: statement.worker, isOwn: false }, () => limits.heard(statement));
       }
     },
-    keepInstances: (instances) => {
-      for (const instance of said.keys()) if (!instances.has(instance)) forget(instance);
-    },
+    keepInstances: (instances) => others.keepInstances(instances),
     use: () => {
       const use = new Map<number, WorkerUse>();
       for (const { hash, running, unreadTokens } of entries.values()) {
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -30,6 +30,7 @@
 import { createRolloutTask } from "./rollout_task.ts";
 import { rolloutStatus } from "./rollout_status.ts";
 import { createRolloutView, servedWorkers } from "./rollout_view.ts";
+import { instanceStatuses, quarantineStatuses, routeStatuses } from "./status_parts.ts";
 import { createStorePace } from "./store_pace.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
@@ -358,37 +359,15 @@
       holdsLease: lease.held().length > 0,
       role: fleet.role,
       isFed: fleet.isFed(),
-      instances: fleet.live().map((one) => {
-        const heard = fleet.heard().find(({ session }) => session === one.session);
-        return {
-          name: one.name,
-          zone: one.zone,
-          callers: one.callers,
-          ready: one.ready,
-          reachesStore: one.reachesStore,
-          holdsLease: (heard?.leaseVersion ?? 0) > 0,
-          age: heard === undefined ? undefined : Math.round(clock.now() - heard.heardAt),
-        };
-      }),
-      routes: (table()?.routing.routes ?? []).map((route) => ({
-        name: route.name,
-        host: route.host,
-        pathPrefix: route.pathPrefix,
-        services: route.shares.map(({ service, weight }) => `${service} ${weight}`),
-        timeout: route.timeout,
-        attempts: route.attempts,
-      })),
+      instances: instanceStatuses(fleet, clock.now()),
+      routes: routeStatuses(table()?.routing.routes ?? []),
       rollouts: (versions?.services() ?? []).flatMap((service) => {
         const found = versions?.find(service);
         return found === undefined
           ? []
           : [rolloutStatus(found, { verdict: rollouts?.verdict(service), now: trueNow() })];
       }),
-      quarantine: quarantine.list().map(({ print, crashes, since }) => ({
-        print: print.name,
-        crashes,
-        since: Math.round(trueNow() - since),
-      })),
+      quarantine: quarantineStatuses(quarantine.list(), trueNow()),
       workers: board.overview(),
     }),
     start: async () => {
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -58,11 +58,11 @@
    * found at the start.
    */
   readonly onRollouts: (entries: readonly RolloutEntry[], age: number | undefined) => void;
-  /** Changes of the store have come to be known, so many milliseconds after the first instance knew them. */
-  /** Requests that no worker gets have changed. */
+  /** The objects of requests that no worker gets have changed. */
   readonly onQuarantine: (objects: Iterable<FeedObject>) => void;
-  /** Whether this instance follows those in the store itself; the others are told by it. */
+  /** Whether this instance follows these in the store itself; the others are told of them. */
   readonly followsQuarantine: () => boolean;
+  /** Changes of the store have come to be known, so many milliseconds after the first instance knew them. */
   readonly onArrival: (way: ChangeWay, late: number) => void;
   /** The workers have changed. */
   readonly onWorkers: (workers: readonly RoutedWorker[]) => void;
--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -1,3 +1,4 @@
+import { isSilent } from "../decision/index.ts";
 import type { AnswerHead, Exchange } from "../interface/index.ts";
 import type { BoardRun, BoardWorker } from "./routed_context.ts";
 
@@ -40,3 +41,30 @@
     isPaused: false,
   };
 }
+
+/** What a look at a try goes by. */
+export interface AttemptMoment {
+  /** In the clock's milliseconds. */
+  readonly now: number;
+  /** When anything came from the worker; undefined where nothing did. */
+  readonly heardAt: number | undefined;
+  readonly isStream: boolean;
+  /** Longest time to the first event for which the answer is in time, in milliseconds. */
+  readonly target: number;
+}
+
+/** Whether the worker has been silent for so long that it hangs; while the caller is slow, nothing is expected of it. */
+export function isSilentAttempt(
+  { isPaused, hasEvent, heardAt, startedAt, wait }: Attempt,
+  { now, heardAt: workerHeardAt = startedAt, isStream, target }: AttemptMoment,
+): boolean {
+  if (isPaused) return false;
+  return isSilent({
+    isStream,
+    hasBegun: hasEvent,
+    quietFor: now - heardAt,
+    workerQuietFor: now - workerHeardAt,
+    target,
+    expected: wait,
+  });
+}
--- a/src/request/routed_headers.ts
+++ b/src/request/routed_headers.ts
@@ -79,6 +79,20 @@
   return without(headers, dropped);
 }
 
+const DECIMAL = /^\s*\d{1,9}(\.\d{1,9})?\s*$/;
+
+/**
+ * The requests a second that a worker says in its answer it takes from all instances together; undefined where it says
+ * nothing, or nothing that can be read.
+ */
+export function workerLimit(
+  { byName }: Pick<AnswerHead, "byName">,
+  names: Pick<HeaderNames, "workerLimit">,
+): number | undefined {
+  const text = byName.get(names.workerLimit);
+  return text !== undefined && DECIMAL.test(text) ? Number(text) : undefined;
+}
+
 /** Names in a `Connection` header. */
 function listedIn(connection: string | undefined): string[] {
   return (connection ?? "").split(",").map((name) => name.trim().toLowerCase());
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { createEventSplitter } from "./event_splitter.ts";
-import { isSilent, returnAfter } from "../decision/index.ts";
+import { returnAfter } from "../decision/index.ts";
 import type { Ranking } from "../decision/index.ts";
 import type { AnswerHead, Exchange, ExchangeEnd, Timer } from "../interface/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
@@ -12,8 +12,8 @@
 import { RunResult } from "./routed_context.ts";
 import type { BoardWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
 import { chooseWorkers } from "./routed_choice.ts";
-import { addedHeaders, requestHeaders } from "./routed_headers.ts";
-import { beginAttempt } from "./routed_attempt.ts";
+import { addedHeaders, requestHeaders, workerLimit } from "./routed_headers.ts";
+import { beginAttempt, isSilentAttempt } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 
 /** A request whose body is whole and whose quota was taken. */
@@ -223,7 +223,7 @@
     if (current !== attempt) return;
     attempt.heardAt = clock.now();
     attempt.head = head;
-    attempt.run.answering(readLimit(head.byName.get(names.workerLimit)));
+    attempt.run.answering(workerLimit(head, names));
     attempt.streaming = isStream && isSuccess(head.status);
   };
   const onData = (attempt: Attempt, chunk: Buffer): void => {
@@ -393,7 +393,9 @@
     look?.close();
     look = clock.after(SILENCE_LOOK, () => {
       if (isDone || current !== attempt) return;
-      if (!isSilentAt(attempt) || !mayRepeat()) {
+      const heardAt = connections.heardAt(attempt.worker.id);
+      const moment = { now: clock.now(), heardAt, isStream, target: route.target };
+      if (!isSilentAttempt(attempt, moment) || !mayRepeat()) {
         watchSilence(attempt);
         return;
       }
@@ -402,19 +404,6 @@
       repeat("worker-silent");
     });
   };
-  const isSilentAt = (attempt: Attempt): boolean => {
-    if (attempt.isPaused) return false;
-    const now = clock.now();
-    const workerHeardAt = connections.heardAt(attempt.worker.id) ?? attempt.startedAt;
-    return isSilent({
-      isStream,
-      hasBegun: attempt.hasEvent,
-      quietFor: now - attempt.heardAt,
-      workerQuietFor: now - workerHeardAt,
-      target: route.target,
-      expected: attempt.wait,
-    });
-  };
 
   repeats.requested(service.name, clock.now());
   tryNext();
@@ -428,12 +417,6 @@
   };
 }
 
-const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/;
-
-function readLimit(text: string | undefined): number | undefined {
-  return text !== undefined && DECIMAL.test(text.trim()) ? Number(text) : undefined;
-}
-
 function isSuccess(status: number): boolean {
   return status >= SUCCESS && status < REDIRECTION;
 }
