Take nothing that ran at a worker that left for the reason of its end

Found while reading the change again: a worker that has said that it leaves ends with what still runs there, its connections break and a new one is refused.

The check of a worker now says whether it was leaving, or its entry gone; then nothing is counted. A crash leaves the entry in place for three heartbeats, so it isn't taken for a leave. The test of it fails without the change.

--- a/src/process/routed_board.ts
+++ b/src/process/routed_board.ts
@@ -39,6 +39,8 @@
   use(): ReadonlyMap<number, WorkerUse>;
   /** Every worker with what runs there. */
   overview(): RoutedStatus["workers"];
+  /** Whether a worker is known to leave, or to be gone. */
+  isLeaving(id: string): boolean;
   /** Workers that are known to leave, each with its start: a restarted one may have the same id. */
   leaving(): readonly string[];
   close(): void;
@@ -382,6 +384,7 @@
         const limit = limits.limitOf(entry.hash);
         return { id, service, version, zone: place, purchase, leaving, running, failing, limit };
       }),
+    isLeaving: (id) => entries.get(id)?.isLeaving ?? true,
     leaving: () => [...entries.values()].filter(({ isLeaving }) => isLeaving).map(startOf),
     close: () => {
       for (const { leaveTimer } of entries.values()) leaveTimer?.close();
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -267,6 +267,7 @@
     checks: createWorkerChecks({
       clock,
       reach: (worker) => connections.reach(worker),
+      isLeaving: ({ id }) => board.isLeaving(id),
       log,
       onEnded: (_worker, prints) => quarantine.crashed(prints),
     }),
--- a/src/process/worker_checks.ts
+++ b/src/process/worker_checks.ts
@@ -7,8 +7,10 @@
 export interface WorkerChecksParts {
   readonly clock: Clock;
   readonly reach: (worker: WorkerPlace) => Promise<Reach>;
+  /** Whether the worker had said that it leaves, or its entry was gone: then it ended for that. */
+  readonly isLeaving: (worker: WorkerPlace) => boolean;
   readonly log: Pick<RoutedLog, "changed">;
-  /** The worker ended while it ran these requests; each is named once. */
+  /** The worker ended while it ran these requests, and not because it left; each is named once. */
   readonly onEnded: (worker: WorkerPlace, prints: readonly RequestPrint[]) => void;
 }
 
@@ -21,7 +23,8 @@
  * Makes checks of workers.
  *
  * A connection breaks when its worker ends, when the way is disturbed, and when a worker resets it. Only the first says
- * something of the requests that ran there, and only then nothing listens at the worker's address any more.
+ * something of the requests that ran there, and only then nothing listens at the worker's address any more. A worker that
+ * leaves ends with what still runs there: that says nothing of them.
  */
 export function createWorkerChecks(parts: WorkerChecksParts): WorkerChecks {
   const { clock, reach, log, onEnded } = parts;
@@ -32,6 +35,7 @@
   const hasEnded = ({ id }: WorkerPlace): boolean =>
     clock.now() - (endedAt.get(id) ?? -Infinity) < KNOWN_FOR;
   const check = async (worker: WorkerPlace): Promise<void> => {
+    const isLeaving = parts.isLeaving(worker);
     const found = hasEnded(worker) ? Reach.Refused : await reach(worker);
     const prints = [...(pending.get(worker.id)?.values() ?? [])];
     pending.delete(worker.id);
@@ -40,12 +44,13 @@
       worker: worker.id,
       found,
       runs: prints.length,
+      leaving: isLeaving,
       prints: names.join(" "),
     });
     if (found !== Reach.Refused) return;
     forgetOld();
     if (!hasEnded(worker)) endedAt.set(worker.id, clock.now());
-    onEnded(worker, prints);
+    if (!isLeaving) onEnded(worker, prints);
   };
   const forgetOld = (): void => {
     const from = clock.now() - KNOWN_FOR;
--- a/src/process/worker_checks_test.ts
+++ b/src/process/worker_checks_test.ts
@@ -7,7 +7,7 @@
 const WORKER = { id: "i-1", address: "10.0.0.1:80" };
 const [a, b, c] = ["a", "b", "c"].map((letter) => printNamed(letter.repeat(16)));
 
-function setUp(found: Reach) {
+function setUp(found: Reach, isLeaving = false) {
   const clock = createVirtualClock();
   const ended: string[][] = [];
   let reached = 0;
@@ -18,6 +18,7 @@
       await Promise.resolve();
       return found;
     },
+    isLeaving: () => isLeaving,
     log: { changed: () => undefined },
     onEnded: (_worker, prints) => void ended.push(prints.map(({ name }) => name[0] ?? "")),
   });
@@ -42,6 +43,13 @@
   expect(reached()).toBe(1);
 });
 
+test("guards against taking what ran at a worker that left for the reason of its end", async () => {
+  const { clock, checks, ended } = setUp(Reach.Refused, true);
+  if (a !== undefined) checks.broke(WORKER, a);
+  await clock.advance(10);
+  expect(ended).toEqual([]);
+});
+
 // Connections are reset while their workers go on: the requests on them have done nothing to a worker.
 test.each([Reach.Accepted, Reach.Unanswered])(
   "a worker whose connections break has not ended where one is %s",
