--- a/src/connection/reach_worker.ts
+++ b/src/connection/reach_worker.ts
@@ -3,8 +3,8 @@
 import type { Clock } from "../interface/index.ts";
 import { splitAddress } from "./http_listener.ts";
 
-/** Milliseconds after which a connection that wasn't accepted counts as not answered. */
-const REACH_TIMEOUT = 1_000;
+/** How long a worker may take to accept a connection, in milliseconds; the platform's own callers allow as much. */
+export const CONNECT_TIMEOUT = 1_000;
 
 /**
  * Finds out whether a process listens at an address, by a connection that carries nothing.
@@ -20,7 +20,7 @@
       socket.destroy();
       resolve(found);
     };
-    const timeout = clock.after(REACH_TIMEOUT, () => finish(Reach.Unanswered));
+    const timeout = clock.after(CONNECT_TIMEOUT, () => finish(Reach.Unanswered));
     socket.on("connect", () => finish(Reach.Accepted));
     socket.on("error", (error: NodeJS.ErrnoException) =>
       finish(isRefusal(error) ? Reach.Refused : Reach.Unanswered),
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -9,7 +9,7 @@
 } from "../interface/index.ts";
 import { createAnswerParser } from "./answer_parser.ts";
 import { splitAddress } from "./http_listener.ts";
-import { isRefusal } from "./reach_worker.ts";
+import { CONNECT_TIMEOUT, isRefusal } from "./reach_worker.ts";
 
 /** How answers are matched with requests. */
 export interface AnswerMatching {
@@ -46,9 +46,6 @@
   readonly closed: () => void;
 }
 
-/** How long a worker may take to accept a connection; the platform's own callers allow as much. */
-const CONNECT_TIMEOUT = 1_000;
-
 const TIMEOUT_PARAMETER = /timeout=(\d+)/;
 const MILLISECONDS = 1_000;
 
--- a/src/decision/worker_limits.ts
+++ b/src/decision/worker_limits.ts
@@ -110,7 +110,7 @@
     known.set(worker, { perSecond, at, changedAt, used: new Map(), owned: new Map() });
   };
   /** The slots that may be used now. */
-  const slotsOf = ({ changedAt, ...of }: Known, perSecond: number): Slots => {
+  const slotsOf = ({ changedAt, used, owned }: Known, perSecond: number): Slots => {
     const limit = Math.max(LEAST_LIMIT, perSecond);
     const requests = Math.ceil(limit / GREATEST_SLOTS);
     const length = (requests * SECOND) / limit;
@@ -119,7 +119,7 @@
       Math.floor((now - SLOT_LIFE) / length) + 1,
       Math.ceil(changedAt / length),
     );
-    for (const slots of [of.used, of.owned]) {
+    for (const slots of [used, owned]) {
       for (const slot of slots.keys()) if (slot < first) slots.delete(slot);
     }
     return { length, requests, first, last: Math.floor(now / length) };
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -86,64 +86,65 @@
     log.changed("store-changed", { kind, way, late, changes: changes.length, store: changedAt });
     if (late !== undefined) parts.onArrival(way, late);
   };
-  const isNeeded = (kind: string): boolean => !fleet().isFed() || catchUp.isBehind(kind);
-  const routingFeed: FeedFollower = createFeedFollower({
-    kind: kinds.routing.kind,
-    clock,
-    random,
-    feed: parts.feed,
-    isNeeded: () => isNeeded(kinds.routing.kind),
-    onChange: (changes, arrival) => {
-      applyRouting(routingFeed.objects.get(kinds.routing.name));
-      changed(routingFeed, changes, arrival);
-    },
-    onReach: (reached, detail) =>
-      log.changed("store-reached", { kind: "routing", reached, detail }),
-  });
-  const workerFeed: FeedFollower = createFeedFollower({
-    kind: kinds.workers,
-    clock,
-    random,
-    feed: parts.feed,
-    isNeeded: () => isNeeded(kinds.workers),
-    feedsOthers: () => fleet().role !== FleetRole.Equal,
-    onChange: (changes, arrival) => {
-      roster.changed(changes);
-      applyWorkers();
-      changed(workerFeed, changes, arrival);
+  /** Follows a kind of objects; `name` is the kind's in the log. */
+  const follow = (
+    { kind, name }: { kind: string; name: string },
+    how: {
+      readonly apply: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
+      readonly isNeeded?: () => boolean;
+      readonly feedsOthers?: () => boolean;
+      readonly onReach?: (reached: boolean) => void;
     },
-    onReach: (reached, detail) => {
-      if (!reached) outage.began();
-      else if (outage.ended() && workerFeed.answeredAt !== undefined) roster.storeReturned();
-      log.changed("store-reached", { kind: "workers", reached, detail });
-    },
-  });
-  const rolloutFeed: FeedFollower = createFeedFollower({
-    kind: kinds.rollouts,
-    clock,
-    random,
-    feed: parts.feed,
-    isNeeded: () => isNeeded(kinds.rollouts),
-    onChange: (changes, arrival) => {
-      applyRollouts(arrival);
-      changed(rolloutFeed, changes, arrival);
+  ): FeedFollower => {
+    const { apply, feedsOthers = () => false, onReach = () => undefined } = how;
+    const isAsked = how.isNeeded ?? (() => !fleet().isFed());
+    const follower: FeedFollower = createFeedFollower({
+      kind,
+      clock,
+      random,
+      feed: parts.feed,
+      isNeeded: () => isAsked() || catchUp.isBehind(kind),
+      feedsOthers,
+      onChange: (changes, arrival) => {
+        apply(changes, arrival);
+        changed(follower, changes, arrival);
+      },
+      onReach: (reached, detail) => {
+        onReach(reached);
+        log.changed("store-reached", { kind: name, reached, detail });
+      },
+    });
+    return follower;
+  };
+  const routingFeed: FeedFollower = follow(
+    { kind: kinds.routing.kind, name: "routing" },
+    { apply: () => applyRouting(routingFeed.objects.get(kinds.routing.name)) },
+  );
+  const workerFeed: FeedFollower = follow(
+    { kind: kinds.workers, name: "workers" },
+    {
+      feedsOthers: () => fleet().role !== FleetRole.Equal,
+      apply: (changes) => {
+        roster.changed(changes);
+        applyWorkers();
+      },
+      onReach: (reached) => {
+        if (!reached) outage.began();
+        else if (outage.ended() && workerFeed.answeredAt !== undefined) roster.storeReturned();
+      },
     },
-    onReach: (reached, detail) =>
-      log.changed("store-reached", { kind: "rollouts", reached, detail }),
-  });
-  const quarantineFeed: FeedFollower = createFeedFollower({
-    kind: kinds.quarantine,
-    clock,
-    random,
-    feed: parts.feed,
-    isNeeded: () => parts.followsQuarantine() || catchUp.isBehind(kinds.quarantine),
-    onChange: (changes, arrival) => {
-      parts.onQuarantine(quarantineFeed.objects.values());
-      changed(quarantineFeed, changes, arrival);
+  );
+  const rolloutFeed: FeedFollower = follow(
+    { kind: kinds.rollouts, name: "rollouts" },
+    { apply: (_changes, arrival) => applyRollouts(arrival) },
+  );
+  const quarantineFeed: FeedFollower = follow(
+    { kind: kinds.quarantine, name: "quarantine" },
+    {
+      isNeeded: parts.followsQuarantine,
+      apply: () => parts.onQuarantine(quarantineFeed.objects.values()),
     },
-    onReach: (reached, detail) =>
-      log.changed("store-reached", { kind: "quarantine", reached, detail }),
-  });
+  );
   const feeds = new Map([
     [kinds.routing.kind, routingFeed],
     [kinds.workers, workerFeed],
