Give test instances addresses that no other socket can take

Cause: the fixture asked the system for free ports on 127.0.0.1, gave them back and listened there some moments later; these ports are the ones that the system gives to outgoing connections, of every process. Shown by a test: a connection that went out from a port keeps a server from listening there (fails with 127.0.0.1). Ruled out: two instances with one port (all are drawn while held), and an instance that hadn't closed yet (it failed at the first start).

Change: each test process has a loopback address of its own, named by its process number, and gives out each port of it once.

--- a/src/connection/reach_worker_test.ts
+++ b/src/connection/reach_worker_test.ts
@@ -1,14 +1,15 @@
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { expect, test } from "vitest";
 import { Reach } from "../interface/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
 import { isRefusal, reachWorker } from "./reach_worker.ts";
+import { takeLoopbackAddress } from "./testing/loopback_address.ts";
 
 test("a process that listens is told from one that has ended", async () => {
   const server = createServer((socket) => socket.destroy());
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const address = takeLoopbackAddress();
+  const [host, port] = address.split(":");
+  await new Promise<void>((resolve) => server.listen(Number(port), host, resolve));
   const clock = createVirtualClock();
   expect(await reachWorker(address, clock)).toBe(Reach.Accepted);
   await new Promise((resolve) => server.close(resolve));
--- /dev/null
+++ b/src/connection/testing/loopback_address_test.ts
@@ -0,0 +1,37 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { takeLoopbackAddress } from "./loopback_address.ts";
+
+const servers: Server[] = [];
+const sockets: Socket[] = [];
+afterEach(() => {
+  for (const socket of sockets.splice(0)) socket.destroy();
+  for (const server of servers.splice(0)) server.close();
+});
+
+async function listen(host: string, port: number): Promise<number> {
+  const server = createServer((socket) => sockets.push(socket));
+  servers.push(server);
+  server.listen(port, host);
+  await once(server, "listening");
+  return (server.address() as AddressInfo).port;
+}
+
+test("guards against an instance that can't listen, as another connection has gone out from its port", async () => {
+  const target = await listen("127.0.0.1", 0);
+  const [host = ""] = takeLoopbackAddress().split(":");
+  for (let index = 0; index < 20; index++) {
+    const outgoing = connect(target, "127.0.0.1");
+    sockets.push(outgoing);
+    await once(outgoing, "connect");
+    const port = outgoing.localPort ?? 0;
+    expect(await listen(host, port)).toBe(port);
+  }
+});
+
+test("no address is given twice", () => {
+  const taken = Array.from({ length: 100 }, takeLoopbackAddress);
+  expect(new Set(taken).size).toBe(taken.length);
+});
