Keep what lacks one crash over a restart of all instances

What callers would see: a request that crashes workers comes back while all instances are started anew, and each time two more workers end under it, with what runs there.

Cause: only what was proven lasted in the store, a second after it was proven. Crashes before the third one, and all of them where all instances end within that second, were known to the instances that had counted them alone. Same class as the incident: what a failure tells of a request is forgotten with the one who saw it.

Change: with the second crash and no answer within 0.3 s, an instance that lost a worker writes the request as a suspect. Whoever reads it counts later crashes on top, but not those that it knew itself when the record was a second old, so that nothing counts twice. An answer, or ten minutes, ends it. Writes are paced over the fleet: many workers may end at once.

Conflicts between suspects and quarantines, late news, lost answers of the store and pacing: request_quarantine_test.ts.

--- a/src/decision/crash_evidence.ts
+++ b/src/decision/crash_evidence.ts
@@ -10,6 +10,9 @@
  * reason is never answered, while what is there by chance is answered at the next worker. What much is asked for may lose
  * several workers in a moment, and its answers of the moments before speak for it.
  *
+ * What was counted ends with the instances that counted it. So what is suspected can be recalled from where it was
+ * written down: crashes that are counted later come on top of it.
+ *
  * @module
  */
 import type { RunCounts } from "./worker_health.ts";
@@ -22,8 +25,8 @@
   readonly key: number;
 }
 
-/** A request that is known to crash workers. */
-export interface ProvenSuspect {
+/** A request under which several workers have ended. */
+export interface CrashFinding {
   readonly suspect: Suspect;
   /** Workers that ended while they ran it, over all instances. */
   readonly crashes: number;
@@ -41,20 +44,26 @@
   answered(suspect: Suspect, now: number): void;
   /** Whether the request is known to crash workers. */
   isProven(suspect: Suspect, now: number): boolean;
-  /** Forgets all that was counted of a request here. */
+  /** Whether any instance has had an answer of the request since workers crashed under it. */
+  isAnswered(suspect: Suspect): boolean;
+  /** So many workers are known to have ended under the request by now, also if those that counted them have ended. */
+  recall(suspect: Suspect, crashes: number): void;
+  /** Forgets all that was counted of a request here, or recalled. */
   forget(name: string): void;
   /** All that are known to crash workers. */
-  proven(now: number): ProvenSuspect[];
+  proven(now: number): CrashFinding[];
+  /** All that will be known to with the next crash, and have lost a worker here. */
+  suspected(now: number): CrashFinding[];
   /** What this instance has counted, by key, for the others: workers lost and answers, and the workers lost of them. */
   counts(now: number): ReadonlyMap<number, RunCounts>;
 }
 
 /** A request is proven by so many crashes where it was never answered, and by as many more for each answer. */
-const CRASHES = 3;
+export const PROVING_CRASHES = 3;
 /** Milliseconds for which an answer speaks for a request that loses workers later. */
 const ANSWER_LIFE = 10_000;
 /** Milliseconds for which a crash is remembered after the last one. */
-const CRASH_LIFE = 600_000;
+export const CRASH_LIFE = 600_000;
 /** Milliseconds for which a request stays proven though those that counted its crashes have gone. */
 const PROOF_LIFE = 60_000;
 /** Requests whose answers, and whose crashes, are remembered; the oldest make room. */
@@ -75,6 +84,18 @@
   at: number;
 }
 
+interface Recalled {
+  readonly crashes: number;
+  /** Crashes that were counted when it was recalled, and are among them; fewer once those that counted them have ended. */
+  counted: number;
+}
+
+interface Total {
+  readonly crashes: number;
+  readonly answers: number;
+  readonly isOwn: boolean;
+}
+
 /**
  * Makes evidence of nothing.
  *
@@ -87,7 +108,10 @@
   const own = new Map<string, Counted>();
   /** By name, the answers of the last moments. */
   const lately = new Map<string, Answered>();
-  const known = new Map<string, ProvenSuspect>();
+  const known = new Map<string, CrashFinding>();
+  const recalled = new Map<string, Recalled>();
+  /** By name, when what isn't proven yet was first one crash from it. */
+  const suspectedSince = new Map<string, number>();
 
   const countedOf = (suspect: Suspect, now: number): Counted => {
     const found = own.get(suspect.name) ?? {
@@ -112,26 +136,37 @@
     lately.set(name, { answers, at: now });
     dropOldest(lately, { most: GREATEST_ANSWERED, before: now - ANSWER_LIFE });
   };
-  const isProvenBy = ({ name, key }: Suspect): { crashes: number; isOwn: boolean } | undefined => {
+  const countedOn = ({ name, key }: Suspect): Total => {
     const mine = own.get(name) ?? { crashes: 0, answers: 0 };
     const others = othersOf(key) ?? NOTHING;
-    const crashes = mine.crashes + others.failures;
-    const answers = mine.answers + others.runs - others.failures;
-    return crashes >= CRASHES * (1 + answers) ? { crashes, isOwn: mine.crashes > 0 } : undefined;
+    return {
+      crashes: mine.crashes + others.failures,
+      answers: mine.answers + others.runs - others.failures,
+      isOwn: mine.crashes > 0,
+    };
+  };
+  const totalOf = (suspect: Suspect): Total => {
+    const counted = countedOn(suspect);
+    const before = recalled.get(suspect.name);
+    if (before === undefined) return counted;
+    before.counted = Math.min(before.counted, counted.crashes);
+    const crashes = before.crashes + counted.crashes - before.counted;
+    return { ...counted, crashes: Math.max(crashes, counted.crashes) };
   };
+  const isEnough = ({ crashes, answers }: Total): boolean =>
+    crashes >= PROVING_CRASHES * (1 + answers);
   const isProven = (suspect: Suspect, now: number): boolean => {
-    const { name, key } = suspect;
-    const found = isProvenBy(suspect);
+    const { name } = suspect;
+    const total = totalOf(suspect);
     const before = known.get(name);
-    if (found !== undefined) {
-      known.set(name, { suspect, since: before?.since ?? now, ...found });
+    if (isEnough(total)) {
+      const { crashes, isOwn } = total;
+      known.set(name, { suspect, since: before?.since ?? now, crashes, isOwn });
       return true;
     }
     if (before === undefined) return false;
     // Those that counted may have ended. An answer since then speaks for it; silence speaks for nothing.
-    const others = othersOf(key) ?? NOTHING;
-    const isAnswered = (own.get(name)?.answers ?? 0) > 0 || others.runs > others.failures;
-    if (!isAnswered && now - before.since < PROOF_LIFE) return true;
+    if (total.answers === 0 && now - before.since < PROOF_LIFE) return true;
     known.delete(name);
     return false;
   };
@@ -141,7 +176,10 @@
       dropOldest(own, { most: GREATEST_SUSPECTS, before: now - CRASH_LIFE });
     },
     answered: (suspect, now) => {
-      const isSuspected = own.has(suspect.name) || (othersOf(suspect.key)?.failures ?? 0) > 0;
+      const isSuspected =
+        own.has(suspect.name) ||
+        recalled.has(suspect.name) ||
+        (othersOf(suspect.key)?.failures ?? 0) > 0;
       if (isSuspected) countedOf(suspect, now).answers++;
       noteAnswer(suspect, now);
     },
@@ -151,15 +189,33 @@
       if (isNew && (othersOf(suspect.key)?.failures ?? 0) > 0) countedOf(suspect, now);
       return isProven(suspect, now);
     },
+    isAnswered: (suspect) => countedOn(suspect).answers > 0,
+    recall: (suspect, crashes) => {
+      recalled.set(suspect.name, {
+        crashes: Math.max(crashes, totalOf(suspect).crashes),
+        counted: countedOn(suspect).crashes,
+      });
+    },
     forget: (name) => {
       own.delete(name);
       known.delete(name);
+      recalled.delete(name);
     },
     proven: (now) => {
       const suspects = [...own.values(), ...known.values()].map(({ suspect }) => suspect);
       for (const suspect of suspects) isProven(suspect, now);
       return [...known.values()];
     },
+    suspected: (now) => {
+      const found = [...own.values()].flatMap(({ suspect }) => {
+        const { crashes, answers, isOwn } = totalOf(suspect);
+        if (!isOwn || answers > 0 || crashes !== PROVING_CRASHES - 1) return [];
+        return [{ suspect, crashes, isOwn, since: suspectedSince.get(suspect.name) ?? now }];
+      });
+      suspectedSince.clear();
+      for (const { suspect, since } of found) suspectedSince.set(suspect.name, since);
+      return found;
+    },
     counts: (now) => {
       dropOldest(own, { most: GREATEST_SUSPECTS, before: now - CRASH_LIFE });
       return new Map(
--- a/src/decision/crash_evidence_test.ts
+++ b/src/decision/crash_evidence_test.ts
@@ -114,3 +114,50 @@
   }
   expect(evidence.counts(10_000).size).toBeLessThanOrEqual(512);
 });
+
+test("guards against crashes that don't count because those that counted them have ended", () => {
+  let others: { runs: number; failures: number } | undefined = { runs: 1, failures: 1 };
+  const evidence = createCrashEvidence(() => others);
+  evidence.crashed(REASON, 0);
+  evidence.recall(REASON, 2);
+  expect(evidence.isProven(REASON, 1)).toBe(false);
+  others = undefined;
+  expect(evidence.isProven(REASON, 2)).toBe(false);
+  evidence.crashed(REASON, 3);
+  expect(evidence.isProven(REASON, 4)).toBe(true);
+});
+
+test("what is recalled again and again counts once", () => {
+  const evidence = alone();
+  for (let time = 0; time < 10; time++) {
+    evidence.recall(REASON, 2);
+    expect(evidence.isProven(REASON, time)).toBe(false);
+  }
+  evidence.crashed(REASON, 10);
+  for (let time = 0; time < 10; time++) evidence.recall(REASON, 2);
+  expect(evidence.proven(20)).toMatchObject([{ suspect: REASON, crashes: 3 }]);
+});
+
+test("an answer speaks for what was recalled", () => {
+  const evidence = alone();
+  evidence.recall(CHANCE, 2);
+  evidence.answered(CHANCE, 0);
+  expect(evidence.isAnswered(CHANCE)).toBe(true);
+  for (let crash = 0; crash < 3; crash++) evidence.crashed(CHANCE, crash);
+  expect(evidence.isProven(CHANCE, 10)).toBe(false);
+});
+
+test("a request is suspected that lacks one crash, was lost here and has no answer", () => {
+  const [first, second] = fleet(2);
+  first?.crashed(REASON, 0);
+  expect(first?.suspected(10)).toEqual([]);
+  first?.crashed(REASON, 20);
+  first?.crashed(CHANCE, 20);
+  first?.crashed(CHANCE, 20);
+  expect(first?.suspected(30).length).toBe(2);
+  first?.answered(CHANCE, 40);
+  expect(first?.suspected(50)).toEqual([{ suspect: REASON, crashes: 2, isOwn: true, since: 30 }]);
+  expect(second?.suspected(50)).toEqual([]);
+  first?.crashed(REASON, 60);
+  expect(first?.suspected(70)).toEqual([]);
+});
--- a/src/process/request_quarantine.ts
+++ b/src/process/request_quarantine.ts
@@ -1,21 +1,18 @@
-import { z } from "zod";
-import { createCrashEvidence } from "../decision/index.ts";
-import type { CrashEvidence, ProvenSuspect, RunCounts } from "../decision/index.ts";
+import { CRASH_LIFE, createCrashEvidence } from "../decision/index.ts";
+import type { CrashEvidence, CrashFinding, RunCounts } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
-import type { Clock, ErasableStore, FeedObject, ObjectStore } from "../interface/index.ts";
-import { printNamed } from "../request/index.ts";
+import type {
+  Clock,
+  ErasableStore,
+  FeedObject,
+  ObjectStore,
+  PutOutcome,
+} from "../interface/index.ts";
 import type { Quarantine, RequestPrint } from "../request/index.ts";
+import { crashRecordText, isQuarantined, readCrashRecord } from "./crash_record.ts";
+import type { CrashRecord } from "./crash_record.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
-/** A request that no worker gets, as the store keeps it. */
-export interface QuarantinedRequest {
-  readonly print: RequestPrint;
-  /** Workers that had ended under it when it was written. */
-  readonly crashes: number;
-  /** When it was written, in milliseconds since 1970. */
-  readonly since: number;
-}
-
 /** Keeps requests that crash workers from them. */
 export interface RequestQuarantine extends Quarantine {
   /** Workers ended while they ran these requests. */
@@ -27,7 +24,7 @@
   /** The store's version of what this instance wrote last; 0 where it has written nothing. */
   readonly writtenVersion: number;
   /** All that are kept from workers, for operators. */
-  list(): QuarantinedRequest[];
+  list(): CrashRecord[];
   start(): void;
   close(): void;
 }
@@ -42,12 +39,14 @@
   readonly lasts: number;
   /** What all other instances have counted under a key. */
   readonly othersOf: (key: number) => RunCounts | undefined;
+  /** How many instances write to the store. */
+  readonly members: () => number;
   /** Whether it is this instance that takes out what has lasted long enough. */
   readonly tidies: () => boolean;
   readonly log: Pick<RoutedLog, "changed">;
 }
 
-/** The keys in the store of requests that no worker gets. */
+/** The keys in the store of requests that no worker gets, or that are suspected. */
 export const QUARANTINE_KEY = "samphireshore/quarantine";
 
 /** Milliseconds between two looks for what has to be written. */
@@ -57,31 +56,46 @@
  * Instances that have lost no worker with it wait longer, so that mostly one writes.
  */
 const WRITE_AFTER = { own: 1_000, heard: 2_500 };
+/** The same for a request that is only suspected: what an answer takes at the next worker, mostly. */
+const WRITE_SUSPECT_AFTER = 300;
+/** Milliseconds between two suspects that an instance writes, for each instance: many workers may end at once. */
+const SUSPECT_GAP = 10;
+/** Milliseconds after which all that instances had counted when a suspect was written is known to all that go on. */
+const SETTLED_AFTER = 1_000;
 /** Milliseconds after a write that may have failed until the next one. */
 const WRITE_AGAIN = 1_000;
 
 /** Milliseconds until nobody tells any more what was counted before a request was taken out of the store. */
 const RELEASE_TIME = 5_000;
 
-const NAME = /^[0-9a-f]{16}$/;
-const valueSchema = z.object({ crashes: z.number(), since: z.number() });
+/** A write of a record that was tried. */
+interface Tried {
+  readonly at: number;
+  readonly crashes: number;
+  /** Whether the store has what was written, or more. */
+  readonly isDone: boolean;
+  /** The record's version as the store told it; undefined where it told nothing. */
+  readonly version: number | undefined;
+}
 
 /** Makes a quarantine of nothing. */
 export function createRequestQuarantine(parts: RequestQuarantineParts): RequestQuarantine {
   const { clock, time, store, lasts, log } = parts;
   const evidence: CrashEvidence = createCrashEvidence(parts.othersOf);
   /** What the store has, by name. */
-  let stored: ReadonlyMap<string, QuarantinedRequest> = new Map();
+  let stored: ReadonlyMap<string, CrashRecord> = new Map();
   let writtenVersion = 0;
   /** By name, when it was taken out of the store: what others still tell of it is from before. */
   const released = new Map<string, number>();
-  /** By name, when this instance last tried to write it, and whether that has succeeded. */
-  const written = new Map<string, { readonly at: number; readonly isDone: boolean }>();
+  /** By name, when this instance last tried to write it. */
+  const written = new Map<string, Tried>();
+  let suspectWrittenAt = -Infinity;
   const logged = new Set<string>();
   let closed = false;
   const isClosed = (): boolean => closed;
 
-  const leftOf = ({ since }: QuarantinedRequest): number => since + lasts - time();
+  const leftOf = ({ crashes, since }: CrashRecord): number =>
+    isQuarantined(crashes) ? since + lasts - time() : 0;
   const note = (name: string, fields: { crashes: number; way: string }): void => {
     if (logged.has(name)) return;
     logged.add(name);
@@ -95,58 +109,100 @@
     if (releasedAt !== undefined && clock.now() - releasedAt < RELEASE_TIME) return 0;
     return evidence.isProven(print, clock.now()) ? lasts : 0;
   };
-  const read = ({ name, value: text }: FeedObject): QuarantinedRequest | undefined => {
-    const value = valueSchema.safeParse(parseText(text));
-    if (NAME.test(name) && value.success) {
-      // A writer's time may be ahead: nobody is told to wait longer than it lasts.
-      const since = Math.min(value.data.since, time());
-      return { print: printNamed(name), crashes: value.data.crashes, since };
+  const read = (object: FeedObject): CrashRecord | undefined => {
+    const record = readCrashRecord(object);
+    if (record === undefined) {
+      log.changed("quarantine-unreadable", { print: object.name });
+      return undefined;
     }
-    log.changed("quarantine-unreadable", { print: name });
-    return undefined;
+    // A writer's time may be ahead: nobody is told to wait longer than it lasts.
+    return { ...record, since: Math.min(record.since, time()) };
+  };
+  /** What the store has after a write, as far as it told; a conflict says that another instance has written. */
+  const afterWrite = (outcome: PutOutcome, name: string): Partial<CrashRecord> => {
+    if (outcome.kind === "written") return { version: outcome.version };
+    if (outcome.kind !== "conflict") return {};
+    const { version = 0, value } = outcome.current ?? {};
+    return { version, ...readCrashRecord({ name, version, value }) };
   };
-  const write = async ({ suspect, crashes }: ProvenSuspect): Promise<void> => {
-    const { name } = suspect;
-    written.set(name, { at: clock.now(), isDone: false });
-    const value = JSON.stringify({ crashes, since: Math.round(time()) });
-    const outcome = await store.put(`${QUARANTINE_KEY}/${name}`, value, { expect: 0 });
-    // A conflict says that another instance has written it.
-    const isDone = outcome.kind === "written" || outcome.kind === "conflict";
-    written.set(name, { at: clock.now(), isDone });
-    if (outcome.kind === "written") writtenVersion = outcome.version;
-    if (outcome.kind === "conflict") writtenVersion = outcome.current?.version ?? writtenVersion;
-    log.changed("quarantine-written", { print: name, crashes, outcome: outcome.kind });
+  const write = async ({ suspect: { name }, crashes }: CrashFinding): Promise<void> => {
+    const at = clock.now();
+    const expect = written.get(name)?.version ?? stored.get(name)?.version ?? 0;
+    written.set(name, { at, crashes, isDone: false, version: undefined });
+    const text = crashRecordText({ crashes, since: time() });
+    const outcome = await store.put(`${QUARANTINE_KEY}/${name}`, text, { expect });
+    const { version, crashes: there = 0 } = afterWrite(outcome, name);
+    const isThere = isQuarantined(there) || (there > 0 && !isQuarantined(crashes));
+    const isDone = outcome.kind === "written" || isThere;
+    written.set(name, { at: clock.now(), crashes, isDone, version });
+    writtenVersion = Math.max(writtenVersion, version ?? 0);
+    const step = isQuarantined(crashes) ? "quarantine-written" : "suspect-written";
+    log.changed(step, { print: name, crashes, outcome: outcome.kind });
   };
-  const isDue = ({ suspect: { name }, isOwn, since }: ProvenSuspect, now: number): boolean => {
+  /** Whether the store lacks what was found, and it is time to write it. */
+  const isDue = ({ suspect: { name }, crashes, since }: CrashFinding, after: number): boolean => {
+    const has = (there: number): boolean => isQuarantined(there) || !isQuarantined(crashes);
+    const record = stored.get(name);
+    if (record !== undefined && has(record.crashes)) return false;
+    const now = clock.now();
     const tried = written.get(name);
-    if (stored.has(name) || tried?.isDone === true) return false;
-    if (tried !== undefined && now - tried.at < WRITE_AGAIN) return false;
-    return now - since >= (isOwn ? WRITE_AFTER.own : WRITE_AFTER.heard);
+    if (tried?.isDone === true && has(tried.crashes)) return false;
+    if (tried?.isDone === false && now - tried.at < WRITE_AGAIN) return false;
+    return now - since >= after;
   };
-  const erase = async ({ print: { name } }: QuarantinedRequest): Promise<void> => {
+  const writeProven = async (proven: readonly CrashFinding[]): Promise<void> => {
+    for (const found of proven) {
+      if (isDue(found, found.isOwn ? WRITE_AFTER.own : WRITE_AFTER.heard)) await write(found);
+    }
+  };
+  /** Writes a suspect, so that the next crash proves it also where all instances are started anew before. */
+  const writeSuspect = async (suspected: readonly CrashFinding[]): Promise<void> => {
+    if (clock.now() - suspectWrittenAt < SUSPECT_GAP * parts.members()) return;
+    const found = suspected.find((each) => isDue(each, WRITE_SUSPECT_AFTER));
+    if (found === undefined) return;
+    suspectWrittenAt = clock.now();
+    await write(found);
+  };
+  const recall = (): void => {
+    for (const { print, crashes, since } of stored.values()) {
+      if (isQuarantined(crashes) || time() - since < SETTLED_AFTER) continue;
+      evidence.recall(print, crashes);
+    }
+  };
+  const isOver = (record: CrashRecord): boolean =>
+    isQuarantined(record.crashes)
+      ? leftOf(record) <= 0
+      : time() - record.since > CRASH_LIFE || evidence.isAnswered(record.print);
+  const erase = async ({ print: { name }, crashes }: CrashRecord): Promise<void> => {
     const isGone = await store.erase(`${QUARANTINE_KEY}/${name}`);
-    log.changed("quarantine-ended", { print: name, isGone });
+    const step = isQuarantined(crashes) ? "quarantine-ended" : "suspect-ended";
+    log.changed(step, { print: name, isGone });
   };
-  const release = (name: string): void => {
+  /** What was in the store isn't there any more: what was counted before doesn't count again. */
+  const release = ({ print: { name }, crashes }: CrashRecord): void => {
     evidence.forget(name);
     written.delete(name);
     logged.delete(name);
-    released.set(name, clock.now());
+    if (isQuarantined(crashes)) released.set(name, clock.now());
   };
   const look = async (): Promise<void> => {
     const now = clock.now();
     for (const [name, at] of released) if (now - at > RELEASE_TIME) released.delete(name);
+    recall();
     const proven = evidence.proven(now);
+    const suspected = evidence.suspected(now);
     for (const { suspect, crashes } of proven) note(suspect.name, { crashes, way: "counted" });
-    const names = new Set([...proven.map(({ suspect }) => suspect.name), ...stored.keys()]);
+    const found = [...proven, ...suspected].map(({ suspect }) => suspect.name);
+    const names = new Set([...found, ...stored.keys()]);
     for (const name of [...logged, ...written.keys()]) {
       if (names.has(name)) continue;
       logged.delete(name);
       written.delete(name);
     }
-    for (const one of proven.filter((each) => isDue(each, now))) await write(one);
+    await writeProven(proven);
+    await writeSuspect(suspected);
     if (!parts.tidies()) return;
-    for (const entry of stored.values()) if (leftOf(entry) <= 0) await erase(entry);
+    for (const record of stored.values()) if (isOver(record)) await erase(record);
   };
   const run = async (): Promise<void> => {
     while (!isClosed()) {
@@ -162,31 +218,22 @@
     },
     setObjects: (objects) => {
       const before = stored;
-      const entries = [...objects].flatMap((object) => read(object) ?? []);
-      stored = new Map(entries.map((entry) => [entry.print.name, entry]));
-      for (const { print, crashes } of entries) note(print.name, { crashes, way: "store" });
-      // Taken out by an operator, or after its time: what was counted before doesn't count again.
-      for (const name of before.keys()) if (!stored.has(name)) release(name);
+      const records = [...objects].flatMap((object) => read(object) ?? []);
+      stored = new Map(records.map((record) => [record.print.name, record]));
+      recall();
+      for (const { print, crashes } of records) {
+        if (isQuarantined(crashes)) note(print.name, { crashes, way: "store" });
+      }
+      for (const [name, record] of before) if (!stored.has(name)) release(record);
     },
     counts: () => evidence.counts(clock.now()),
     get writtenVersion() {
       return writtenVersion;
     },
-    list: () => [...stored.values()],
+    list: () => [...stored.values()].filter(({ crashes }) => isQuarantined(crashes)),
     start: () => void run(),
     close: () => {
       closed = true;
     },
   };
 }
-
-/** The text's JSON; undefined where it is none. */
-function parseText(text: unknown): unknown {
-  if (typeof text !== "string") return undefined;
-  try {
-    return JSON.parse(text);
-  } catch {
-    // The caller logs what can't be read.
-    return undefined;
-  }
-}
--- a/src/process/request_quarantine_test.ts
+++ b/src/process/request_quarantine_test.ts
@@ -8,7 +8,13 @@
 const LASTS = 60_000;
 
 /** A quarantine before a store that answers as it is told to. */
-function setUp(options: { outcomes?: PutOutcome[]; tidies?: boolean } = {}) {
+function setUp(
+  options: {
+    outcomes?: PutOutcome[];
+    tidies?: boolean;
+    others?: () => { runs: number; failures: number };
+  } = {},
+) {
   const clock = createVirtualClock();
   const written: string[] = [];
   const erased: string[] = [];
@@ -18,8 +24,8 @@
     clock,
     time: () => clock.now(),
     store: {
-      put: (key, value) => {
-        written.push(`${key} ${value}`);
+      put: (key, value, { expect: version }) => {
+        written.push(`${key} ${value} ${version}`);
         return Promise.resolve(outcomes.shift() ?? { kind: "written", version: 9 });
       },
       erase: (key) => {
@@ -28,7 +34,8 @@
       },
     },
     lasts: LASTS,
-    othersOf: () => undefined,
+    othersOf: () => options.others?.(),
+    members: () => 6,
     tidies: () => options.tidies ?? false,
     log: { changed: (step) => void steps.push(step) },
   });
@@ -38,8 +45,22 @@
   return { clock, quarantine, crash, written, erased, steps };
 }
 
-function object(since: number): FeedObject {
-  return { name: PRINT.name, version: 9, value: JSON.stringify({ crashes: 3, since }) };
+function object(since: number, crashes = 3): FeedObject {
+  return { name: PRINT.name, version: 9, value: JSON.stringify({ crashes, since }) };
+}
+
+/** What the store says to a write of another version than it has: this one. */
+function conflictWith(crashes: number): PutOutcome {
+  const value = JSON.stringify({ crashes, since: 0 });
+  return { kind: "conflict", current: { key: PRINT.name, version: 12, value } };
+}
+
+/** What a write of the request's record looks like. */
+function write(crashes: number, expected: number): unknown {
+  const value = `{"crashes":${crashes},"since":\\d+}`;
+  return expect.stringMatching(
+    new RegExp(`^${QUARANTINE_KEY}/${PRINT.name} ${value} ${expected}$`),
+  );
 }
 
 test("a request under which three workers ended is kept from workers at once, and written a second later", async () => {
@@ -88,7 +109,9 @@
   const { clock, quarantine } = setUp();
   quarantine.setObjects([object(clock.now() - 20_000)]);
   expect(quarantine.waitFor(PRINT)).toBe(LASTS - 20_000);
-  expect(quarantine.list()).toEqual([{ print: PRINT, crashes: 3, since: clock.now() - 20_000 }]);
+  expect(quarantine.list()).toEqual([
+    { print: PRINT, crashes: 3, since: clock.now() - 20_000, version: 9 },
+  ]);
   expect(quarantine.waitFor(printNamed("00000008aaaaaaaa"))).toBe(0);
 });
 
@@ -144,3 +167,99 @@
     expect(steps).toContain("quarantine-unreadable");
   },
 );
+
+test("guards against crashes that all instances forget when they are started anew", async () => {
+  const { clock, quarantine, crash, written } = setUp();
+  quarantine.start();
+  crash(2);
+  await clock.advance(1_000);
+  expect(written).toEqual([write(2, 0)]);
+  quarantine.close();
+
+  const later = setUp();
+  later.quarantine.start();
+  later.quarantine.setObjects([object(later.clock.now() - 5_000, 2)]);
+  expect(later.quarantine.waitFor(PRINT)).toBe(0);
+  expect(later.quarantine.list()).toEqual([]);
+  later.crash(1);
+  expect(later.quarantine.waitFor(PRINT)).toBe(LASTS);
+  await later.clock.advance(2_000);
+  expect(later.written).toEqual([write(3, 9)]);
+  later.quarantine.close();
+});
+
+test("guards against counting twice what the store and the others tell of the same crashes", async () => {
+  let others = { runs: 0, failures: 0 };
+  const { clock, quarantine, crash } = setUp({ others: () => others });
+  quarantine.start();
+  crash(1);
+  quarantine.setObjects([object(clock.now(), 2)]);
+  expect(quarantine.waitFor(PRINT)).toBe(0);
+  // The other instance's digest comes after what it has written.
+  others = { runs: 1, failures: 1 };
+  await clock.advance(3_000);
+  expect(quarantine.waitFor(PRINT)).toBe(0);
+  // That instance ends, and the next crash is the third.
+  others = { runs: 0, failures: 0 };
+  expect(quarantine.waitFor(PRINT)).toBe(0);
+  crash(1);
+  expect(quarantine.waitFor(PRINT)).toBe(LASTS);
+  quarantine.close();
+});
+
+test("what is answered at the next worker is no suspect, and is none any more where it was", async () => {
+  const { clock, quarantine, crash, written, erased } = setUp({ tidies: true });
+  quarantine.start();
+  crash(2);
+  await clock.advance(200);
+  quarantine.answered(PRINT);
+  await clock.advance(2_000);
+  expect(written).toEqual([]);
+  quarantine.setObjects([object(clock.now(), 2)]);
+  await clock.advance(300);
+  expect(erased).toContain(`${QUARANTINE_KEY}/${PRINT.name}`);
+  quarantine.close();
+});
+
+test("a suspect that nothing is heard of for ten minutes is none any more", async () => {
+  const { clock, quarantine, erased } = setUp({ tidies: true });
+  quarantine.start();
+  quarantine.setObjects([object(clock.now(), 2)]);
+  await clock.advance(599_000);
+  expect(erased).toEqual([]);
+  await clock.advance(1_500);
+  expect(erased.length).toBeGreaterThan(0);
+  quarantine.setObjects([]);
+  expect(quarantine.waitFor(PRINT)).toBe(0);
+  quarantine.close();
+});
+
+test("guards against a quarantine that isn't written because the store has the request as a suspect", async () => {
+  const { clock, quarantine, crash, written } = setUp({ outcomes: [conflictWith(2)] });
+  quarantine.start();
+  crash(3);
+  await clock.advance(4_000);
+  expect(written).toEqual([write(3, 0), write(3, 12)]);
+  quarantine.close();
+});
+
+test("guards against a suspect that takes the place of a quarantine", async () => {
+  const { clock, quarantine, crash, written } = setUp({ outcomes: [conflictWith(3)] });
+  quarantine.start();
+  crash(2);
+  await clock.advance(4_000);
+  expect(written).toEqual([write(2, 0)]);
+  quarantine.close();
+});
+
+test("guards against hundreds of writes where many workers end at once", async () => {
+  const { clock, quarantine, written } = setUp();
+  quarantine.start();
+  const prints = Array.from({ length: 200 }, (_, index) =>
+    printNamed(index.toString(16).padStart(16, "0")),
+  );
+  for (let worker = 0; worker < 2; worker++) quarantine.crashed(prints);
+  await clock.advance(2_000);
+  expect(written.length).toBeLessThanOrEqual(8);
+  quarantine.close();
+});
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -92,6 +92,7 @@
     store: outside.store,
     lasts: settings.quarantine.lasts,
     othersOf: (key) => fleet.sumOf(key),
+    members,
     tidies: () => lease.held().length > 0,
     log,
   });
--- a/src/process/status_parts.ts
+++ b/src/process/status_parts.ts
@@ -1,7 +1,7 @@
 import type { Route } from "../version/index.ts";
 import type { PeerInstance } from "./peer.ts";
 import type { RosterEntry } from "./digest.ts";
-import type { QuarantinedRequest } from "./request_quarantine.ts";
+import type { CrashRecord } from "./crash_record.ts";
 import type { RoutedStatus } from "./routed_status.ts";
 
 /** The other instances as operators are shown them. */
@@ -32,7 +32,7 @@
  * @param now The time of day in milliseconds since 1970.
  */
 export function quarantineStatuses(
-  requests: readonly QuarantinedRequest[],
+  requests: readonly CrashRecord[],
   now: number,
 ): RoutedStatus["quarantine"] {
   return requests.map(({ print, crashes, since }) => ({
