Introduce an instance anew to whoever is at an address that fell silent

Cause: an instance leaves its introduction out of digests once the receiver has said that it knows it, and remembered that for the address. A process that starts there anew takes in nothing of whom it doesn't know. Where all addresses that instances are given to begin with start anew in the same moments, these know only each other. In a large fleet, addresses at which somebody was heard before weren't tried at all any more.

Ruled out: that equals don't send to silent addresses (they do); and trying lost addresses at once in large fleets, with which a zone whose relays had ended changed relays back and forth for 8 s and more.

Change: silence ends what the other knows; addresses silent for five seconds, of which nobody tells, are tried again.

--- a/src/process/fleet_table.ts
+++ b/src/process/fleet_table.ts
@@ -25,7 +25,7 @@
   heard(): PeerInstance[];
   /** All that are there; only those that may be told on where `onlyFirm` is set. */
   live(options?: { onlyFirm: boolean }): RosterEntry[];
-  /** Addresses at which nobody was heard and of which nobody tells. */
+  /** Addresses of which nobody tells, and at which nobody was heard, or not for a while. */
   silent(): Peer[];
   isRelay(address: string): boolean;
   isWatcher(address: string): boolean;
@@ -40,6 +40,11 @@
 const MEMBER_TIME = 30_000;
 /** After its start an instance expects all that it was given addresses of, for so many milliseconds. */
 const EXPECT_TIME = 2_000;
+/**
+ * How long after it has fallen silent an instance is looked for at its address, in milliseconds: another process may be
+ * back there that knows nobody. Until then it may be there for others, of which this one isn't told yet.
+ */
+const SILENT_AFTER = 5_000;
 /** How long an instance that has fallen silent here is taken to be gone, against the word of others that are gone too. */
 const LOST_TIME = 6_000;
 
@@ -117,10 +122,12 @@
     ofSession: (one) => (one === undefined ? undefined : bySession.get(one)?.instance),
     heard,
     live,
-    silent: () =>
-      [...peers.values()].filter(
-        ({ heardAt, address }) => heardAt === NEVER && !there.has(address),
-      ),
+    silent: () => {
+      const from = clock.now() - SILENT_AFTER;
+      return [...peers.values()].filter(
+        ({ isLive, lostAt, address }) => !isLive && lostAt < from && !there.has(address),
+      );
+    },
     isRelay: (address) => [...tree.relays.values()].some((relays) => relays.includes(address)),
     isWatcher: (address) => tree.watchers.has(address),
     expire: () => {
@@ -132,6 +139,8 @@
         peer.lostAt = now;
         // What it had here is forgotten with it: once it is back, everything must be told again.
         peer.newsSequence = 0;
+        // Another process may be back at its address that knows nobody, and takes in nothing of whom it doesn't know.
+        peer.knowsThis = false;
         changed = true;
       }
       const tellers = new Set(livePeers().map((peer) => peer.session));
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -99,7 +99,7 @@
 const CHANGE_PERIOD = 120;
 /** Three digests of half a period each on average, by way of two relays. */
 const RELAYED_AGE = 400;
-/** Addresses at which nobody was ever heard or told of, to which a digest goes each period besides. */
+/** Addresses at which nobody is heard and of which nobody tells, to which a digest goes each period besides. */
 const TRIED = 3;
 /** How long a change of the instances that are there waits for others, in milliseconds. */
 const UPDATE_DELAY = 30;
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -298,3 +298,33 @@
   // 200 ms have room for four digests to each of two others.
   expect(first.exchange.bytesSent - before).toBeLessThan(4 * 2 * 150);
 });
+
+// All that instances are given to begin with are started anew in the same moment, and know only each other. The rest of
+// the fleet knows their addresses, and has told them everything before.
+test.each([
+  { size: 6, away: 200 },
+  { size: 6, away: 4_000 },
+  { size: 20, away: 200 },
+  { size: 20, away: 8_000 },
+])(
+  "guards against a fleet that stays in two parts: $size instances, $away ms",
+  async ({ size, away }) => {
+    const { clock, members, start } = await startFleet(size);
+    await clock.advance(4_000);
+    for (const member of members.slice(0, 2)) member.exchange.close();
+    await clock.advance(away);
+    for (const place of [0, 1]) await start(place);
+    await clock.advance(4_000);
+    for (const { exchange } of members) expect(exchange.live().length).toBe(size - 1);
+  },
+);
+
+test("guards against an instance that nobody looks for, as all that it was given are gone", async () => {
+  const { clock, members, start } = await startFleet(20);
+  await clock.advance(4_000);
+  for (const place of [0, 1, 7]) members[place]?.exchange.close();
+  await clock.advance(8_000);
+  const alone = await start(7);
+  await clock.advance(8_000);
+  expect(alone.exchange.live().length).toBe(17);
+});
