Wait for the same end where an instance is told to stop a second time

Cause: the second call of stop returned at once, and the process closes its connections and exits when a call returns. Ruled out: the grace (1.6 s of 8 s had passed) and what still came in on kept connections, which is served for 3.2 s.

Change: whoever says so again waits for the end that is under way, and the process ends once.

--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -311,8 +311,7 @@
     () => connections.opened,
   );
 
-  const stop = async (): Promise<void> => {
-    if (stoppingSince !== undefined) return;
+  const drain = async (): Promise<void> => {
     stoppingSince = clock.now();
     log.changed("stopping", { inProgress: requests.inProgress });
     fleet.announce();
@@ -325,6 +324,7 @@
     }
     log.changed("stopped", { inProgress: requests.inProgress });
   };
+  let stopped: Promise<void> | undefined;
   return {
     handle: requests.handle,
     isReady,
@@ -389,7 +389,8 @@
       const needsRestart = JSON.stringify(other) !== JSON.stringify(settings);
       log.changed("settings-reloaded", { seeds: changed.seeds.join(" "), needsRestart });
     },
-    stop,
+    // Whoever says so again waits for the same end: the process ends with it.
+    stop: () => (stopped ??= drain()),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, board, connections]) {
         part.close();
