--- a/bench/soak/plan.ts
+++ b/bench/soak/plan.ts
@@ -77,7 +77,7 @@
 }
 
 /** Milliseconds before the first fault, and after the last one's end: the fleet has to be back by then. */
-const QUIET = { before: 2_000, after: 9_000 };
+export const QUIET = { before: 2_000, after: 9_000 };
 /** The longest fault of a place, in milliseconds. */
 const LONGEST = 5_000;
 /** Milliseconds of load for each fault. */
--- a/bench/soak/play.ts
+++ b/bench/soak/play.ts
@@ -11,7 +11,7 @@
 import type { Observations, ObservedAsk, ObservedEnd } from "./observation.ts";
 import { createOperator } from "./operator.ts";
 import type { Operator } from "./operator.ts";
-import { FaultKind } from "./plan.ts";
+import { FaultKind, QUIET } from "./plan.ts";
 import type { Fault, SoakPlan } from "./plan.ts";
 import { openProcesses } from "./processes.ts";
 import { createRecord } from "./record.ts";
@@ -56,15 +56,19 @@
     const callers = { resolvers, random, onAsk: (ask: ObservedAsk): void => record.asked(ask) };
     const stage = { fleet, platform, operator, record, callers };
     record.begin();
-    const endsAt = wallNow() + plan.length;
-    const goesOn = (): boolean => wallNow() < endsAt;
+    const healed = { at: Infinity };
+    const leastEnd = wallNow() + plan.length;
+    const goesOn = (): boolean => wallNow() < Math.max(leastEnd, healed.at + QUIET.after);
     const load = Array.from({ length: plan.callers }, (_, index) =>
       runCaller(`c${index}`, { ...callers, goesOn }),
     );
     const probes = operator.probe(fleet, goesOn);
     const looks = lookAt(stage, goesOn);
     const faults = plan.faults.map((fault, index) => strike(stage, fault, index));
-    await Promise.all([...load, ...faults, probes, looks]);
+    // Restarts of all in turn take as long as they take.
+    await Promise.all(faults);
+    healed.at = wallNow();
+    await Promise.all([...load, probes, looks]);
     record.end(await endsOf(fleet));
     return { seen: record.seen(), logs: fleet.logs() };
   } finally {
--- a/bench/soak/seeds.ts
+++ b/bench/soak/seeds.ts
@@ -21,4 +21,19 @@
     processes: 10,
     cause: "The same, with one instance alone.",
   },
+  { seed: 108, seconds: 30, processes: 10, cause: "The same." },
+  { seed: 109, seconds: 30, processes: 10, cause: "The same." },
+  {
+    seed: 103,
+    seconds: 30,
+    processes: 10,
+    cause:
+      "An instance that was told to stop a second time ended at once, with a request in progress.",
+  },
+  {
+    seed: 114,
+    seconds: 30,
+    processes: 10,
+    cause: "The soak looked at its end while a restart of all in turn still went on.",
+  },
 ];
