--- a/bench/soak/fleet.ts
+++ b/bench/soak/fleet.ts
@@ -77,6 +77,8 @@
 /** Milliseconds for which a leaving worker serves beyond what it has to. */
 const LEAVES_LATER = 1_500;
 const READY_LOOK = 20;
+/** Lines of an instance that an error names. */
+const SAID_LINES = 5;
 
 interface WorkerPlace {
   generation: number;
@@ -203,8 +205,12 @@
       hasLeft();
     },
     untilReady: async () => {
-      for (const { listen } of instances) {
-        while (!(await isReady(listen))) await sleep(systemClock, READY_LOOK);
+      for (const { listen, process, settings } of instances) {
+        while (!(await isReady(listen))) {
+          const said = process.lastLines.slice(-SAID_LINES).join("\n");
+          if (process.hasEnded) throw new Error(`${settings.name} has ended at its start: ${said}`);
+          await sleep(systemClock, READY_LOOK);
+        }
       }
     },
     uses: () =>
