--- a/bench/soak/fleet.ts
+++ b/bench/soak/fleet.ts
@@ -1,6 +1,7 @@
 import { sleep } from "../../src/interface/index.ts";
 import { systemClock } from "../../src/process/system_clock.ts";
-import { takeLoopbackAddress } from "../../src/connection/testing/loopback_address.ts";
+import { takeListens } from "../../platform/testing/entry_fleet.ts";
+import type { Listens } from "../../platform/testing/entry_fleet.ts";
 import type { PlatformStandin } from "../../platform/testing/platform_standin.ts";
 import type { WorkerMood } from "../../platform/testing/worker_standin.ts";
 import { CRASHING_BODY } from "./callers.ts";
@@ -20,14 +21,6 @@
 import type { SoakRecord } from "./record.ts";
 import type { WorkerOrder } from "./worker_process.ts";
 
-/** Where an instance listens. */
-export interface Listens {
-  readonly callers: string;
-  readonly ready: string;
-  readonly resolve: string;
-  readonly peers: string;
-}
-
 /** The instances and workers of a soak. Places wrap around, so that any number names one. */
 export interface SoakFleet {
   /** The places of all instances. */
@@ -241,15 +234,6 @@
   return `zone-${place % ZONES}`;
 }
 
-function takeListens(): Listens {
-  return {
-    callers: takeLoopbackAddress(),
-    ready: takeLoopbackAddress(),
-    resolve: takeLoopbackAddress(),
-    peers: takeLoopbackAddress(),
-  };
-}
-
 function settingsOf(
   place: number,
   {
