Let a soak's questions for addresses and readiness go out on new connections

What is suspected, and couldn't be shown from the logs: the soak asked on a connection that it had kept and that was closed in that moment; callers of the platform's pages ask three.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -48,7 +48,7 @@
 /** Milliseconds that a caller waits for an answer, and a little more before it gives up. */
 const DEADLINE = 2_000;
 const PATIENCE = DEADLINE + 700;
-/** Milliseconds that a question for addresses may take, and how many instances are asked. */
+/** Milliseconds that an answer to a question for addresses may take, and how many instances are asked. */
 const RESOLVE_TIME = 1_000;
 const RESOLVERS_ASKED = 3;
 /** Milliseconds between two requests of a caller, at most. */
@@ -57,6 +57,7 @@
 const NEW_CONNECTION_PART = 0.1;
 const LONGEST_RETRY_AFTER = 700;
 const SECOND = 1_000;
+const SUCCESS = 200;
 const PATHS: Readonly<Record<RequestKind, string>> = {
   [RequestKind.Safe]: "/safe/",
   [RequestKind.Once]: "/once/",
@@ -194,15 +195,33 @@
 export async function resolveAt(
   resolver: string,
 ): Promise<{ readonly addresses: string[]; readonly ttl_s: number } | undefined> {
-  const url = `http://${resolver}/resolve?name=${HOST}&region=region&zone=zone-a`;
-  try {
-    const answer = await fetch(url, { signal: AbortSignal.timeout(RESOLVE_TIME) });
-    if (!answer.ok) return undefined;
-    return (await answer.json()) as { addresses: string[]; ttl_s: number };
-  } catch {
-    // It is disturbed or has ended: the next one is asked.
-    return undefined;
-  }
+  const answer = await get(resolver, `/resolve?name=${HOST}&region=region&zone=zone-a`);
+  if (answer?.status !== SUCCESS) return undefined;
+  return JSON.parse(answer.body) as { addresses: string[]; ttl_s: number };
+}
+
+/** Whether an instance says that it takes requests. */
+export async function isReadyAt(address: string): Promise<boolean> {
+  return (await get(address, "/ready"))?.status === SUCCESS;
+}
+
+/** Asks on a new connection: one that was kept may be closed in the same moment. Undefined where nobody answers in time. */
+function get(address: string, path: string): Promise<Pick<Answer, "status" | "body"> | undefined> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const signal = AbortSignal.timeout(RESOLVE_TIME);
+    const sent = request({ host, port: Number(port), path, agent: false, signal }, (response) => {
+      let body = "";
+      response.on("data", (chunk) => (body += String(chunk)));
+      response.on("error", () => undefined);
+      response.on("close", () => {
+        resolve(response.complete ? { status: response.statusCode ?? 0, body } : undefined);
+      });
+    });
+    // It is disturbed or has ended.
+    sent.on("error", () => resolve(undefined));
+    sent.end();
+  });
 }
 
 /** What a caller was told of addresses, kept for its time, and longer where nobody tells anything newer. */
--- a/bench/soak/fleet.ts
+++ b/bench/soak/fleet.ts
@@ -4,7 +4,7 @@
 import type { Listens } from "../../platform/testing/entry_fleet.ts";
 import type { PlatformStandin } from "../../platform/testing/platform_standin.ts";
 import type { WorkerMood } from "../../platform/testing/worker_standin.ts";
-import { CRASHING_BODY } from "./callers.ts";
+import { CRASHING_BODY, isReadyAt } from "./callers.ts";
 import { openLink } from "./link_proxy.ts";
 import type { LinkProxy } from "./link_proxy.ts";
 import { wallNow } from "./observation.ts";
@@ -199,7 +199,7 @@
     },
     untilReady: async () => {
       for (const { listen, process, settings } of instances) {
-        while (!(await isReady(listen))) {
+        while (!(await isReadyAt(listen.ready))) {
           const said = process.lastLines.slice(-SAID_LINES).join("\n");
           if (process.hasEnded) throw new Error(`${settings.name} has ended at its start: ${said}`);
           await sleep(systemClock, READY_LOOK);
@@ -261,12 +261,3 @@
     leaseTerm: "3s",
   };
 }
-
-async function isReady({ ready }: Listens): Promise<boolean> {
-  try {
-    return (await fetch(`http://${ready}/ready`)).ok;
-  } catch {
-    // Nothing listens there yet.
-    return false;
-  }
-}
--- a/bench/soak/play.ts
+++ b/bench/soak/play.ts
@@ -2,7 +2,7 @@
 import { systemClock } from "../../src/process/system_clock.ts";
 import { startPlatformStandin, StoreMood } from "../../platform/testing/platform_standin.ts";
 import type { PlatformStandin } from "../../platform/testing/platform_standin.ts";
-import { resolveAt, runCaller, runOpenLoopCaller } from "./callers.ts";
+import { isReadyAt, resolveAt, runCaller, runOpenLoopCaller } from "./callers.ts";
 import type { CallerParts } from "./callers.ts";
 import { createFleet } from "./fleet.ts";
 import type { SoakFleet } from "./fleet.ts";
@@ -244,10 +244,7 @@
 function endsOf(fleet: SoakFleet): Promise<ObservedEnd[]> {
   return Promise.all(
     fleet.listens.map(async ({ callers, ready, resolve }) => {
-      const isReady = await fetch(`http://${ready}/ready`).then(
-        ({ ok }) => ok,
-        () => false,
-      );
+      const isReady = await isReadyAt(ready);
       const resolved = (await resolveAt(resolve))?.addresses ?? [];
       return { instance: callers, isReady, resolved };
     }),
