--- a/bench/soak/seeds.ts
+++ b/bench/soak/seeds.ts
@@ -30,6 +30,12 @@
     cause:
       "An instance that was told to stop a second time ended at once, with a request in progress.",
   },
+  {
+    seed: 1034,
+    seconds: 30,
+    processes: 10,
+    cause: "The same, with two restarts of all in turn that overlap.",
+  },
   {
     seed: 114,
     seconds: 30,
