--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { sleep } from "../../src/interface/index.ts";
 import type { Random } from "../../src/interface/index.ts";
+import { splitAddress } from "../../src/connection/http_listener.ts";
 import { systemClock } from "../../src/process/system_clock.ts";
 import { CLIENT_KEY } from "../../platform/testing/entry_fleet.ts";
 import { wholeStream } from "../../platform/testing/worker_standin.ts";
@@ -148,7 +149,7 @@
 /** Sends a request to an instance. */
 export function send(question: SentRequest): Promise<Answer> {
   const { id, instance, method, path, body, key, agent } = question;
-  const [host, port] = instance.split(":");
+  const [host, port] = splitAddress(instance);
   return new Promise((resolve) => {
     let text = "";
     let isGivenUp = false;
@@ -161,7 +162,7 @@
     const sent = request(
       {
         host,
-        port: Number(port),
+        port,
         path,
         method,
         agent,
@@ -207,10 +208,10 @@
 
 /** Asks on a new connection: one that was kept may be closed in the same moment. Undefined where nobody answers in time. */
 function get(address: string, path: string): Promise<Pick<Answer, "status" | "body"> | undefined> {
-  const [host, port] = address.split(":");
+  const [host, port] = splitAddress(address);
   return new Promise((resolve) => {
     const signal = AbortSignal.timeout(RESOLVE_TIME);
-    const sent = request({ host, port: Number(port), path, agent: false, signal }, (response) => {
+    const sent = request({ host, port, path, agent: false, signal }, (response) => {
       let body = "";
       response.on("data", (chunk) => (body += String(chunk)));
       response.on("error", () => undefined);
--- a/bench/soak/link_proxy.ts
+++ b/bench/soak/link_proxy.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from "node:net";
 import type { Socket } from "node:net";
+import { splitAddress } from "../../src/connection/http_listener.ts";
 import { takeLoopbackAddress } from "../../src/connection/testing/loopback_address.ts";
 
 /** What a link does with what passes. */
@@ -58,8 +59,8 @@
       near.resetAndDestroy();
       return;
     }
-    const [host, port] = target.split(":");
-    const far = connect({ host, port: Number(port), allowHalfOpen: true });
+    const [host, port] = splitAddress(target);
+    const far = connect({ host, port, allowHalfOpen: true });
     keep(far);
     far.on("end", () => void followEnd(near, far));
     far.on("close", () => void followEnd(near, far));
@@ -88,8 +89,8 @@
     else act();
   };
   const address = takeLoopbackAddress();
-  const [host, port] = address.split(":");
-  await new Promise<void>((resolve) => server.listen(Number(port), host, resolve));
+  const [host, port] = splitAddress(address);
+  await new Promise<void>((resolve) => server.listen(port, host, resolve));
   return {
     address,
     setMood: (next) => {
@@ -107,9 +108,9 @@
 
 /** Whether anything listens at the address. */
 function listens(target: string): Promise<boolean> {
-  const [host, port] = target.split(":");
+  const [host, port] = splitAddress(target);
   return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port) });
+    const socket = connect({ host, port });
     const end = (isListening: boolean): void => {
       socket.destroy();
       resolve(isListening);
--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -170,7 +170,6 @@
   const broken: string[] = [];
   /** By process and version, when its route was first there. */
   const known = new Map<string, number>();
-  let chances = 0;
   for (const { instance, process, version, at, status } of seen.probes) {
     if (status === 0) continue;
     const key = `${instance} ${process} ${version}`;
@@ -187,7 +186,7 @@
       broken.push(`${instance} didn't know configuration ${version} after ${late} ms.`);
     }
   }
-  chances += known.size;
+  const chances = known.size;
   return { chances, broken };
 }
 
