--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -1,3 +1,4 @@
+import { createWriteStream } from "node:fs";
 import { Command, Flags } from "@oclif/core";
 import { createSeededRandom } from "../interface/index.ts";
 import { systemClock } from "../process/index.ts";
@@ -47,12 +48,16 @@
   static override enableJsonFlag = true;
   static override flags = {
     seed: Flags.integer({ description: "Seed of the random load.", default: DEFAULT_SEED }),
+    log: Flags.string({
+      description: "File for the entry instances' logs of their changes of state.",
+    }),
   };
 
   override async run(): Promise<DemoReport> {
     const { flags } = await this.parse(Demo);
     const keys = createAccountKeys(ASSOCIATION_TEMPLATE);
     const operatorKey = createRandomKey();
+    const log = flags.log === undefined ? undefined : createWriteStream(flags.log);
     const deployment = await startEmbeddedDeployment({
       port: 0,
       entryInstanceCount: 3,
@@ -61,6 +66,7 @@
       document: createDocumentValue(ASSOCIATION_TEMPLATE, keys),
       preset: ASSOCIATION_TEMPLATE.preset,
       operatorKey,
+      ...(log === undefined ? {} : { log: (line) => void log.write(`${line}\n`) }),
     });
     const startedAt = systemClock.now();
     const records = await runScenario(createScenario(keys), {
@@ -73,6 +79,7 @@
     });
     const report = createReport(records, deployment, systemClock.now() - startedAt);
     await deployment.close();
+    log?.end();
     this.printReport(report);
     if (!report.held) process.exitCode = 1;
     return report;
--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -2,8 +2,8 @@
 import type { Listener } from "../connection/index.ts";
 import { Purchase, sleep, WorkerState } from "../interface/index.ts";
 import type { Worker } from "../interface/index.ts";
-import { startEntry, systemClock, systemRandom } from "../process/index.ts";
-import type { EntryInstance, EntrySettings } from "../process/index.ts";
+import { startEntry, startStateLog, systemClock, systemRandom } from "../process/index.ts";
+import type { EntryInstance, EntrySettings, LogWriter } from "../process/index.ts";
 import { startBackendServer, startPlatformServer } from "../standin/index.ts";
 import type { BackendServer, EntryLocation, PlatformServer } from "../standin/index.ts";
 import { formatRevision, REVISION_KEY } from "../version/index.ts";
@@ -24,6 +24,8 @@
   readonly preset: string;
   /** Operator credential; the entry instances also use it among each other. */
   readonly operatorKey: string;
+  /** Receives the log of the entry instances' changes of state. Nothing is logged if absent. */
+  readonly log?: LogWriter;
 }
 
 /** A backend server stand-in and its entry in the platform's list of workers. */
@@ -171,7 +173,10 @@
       log: false,
       memory: 1_000_000_000,
     };
-    entries.push(await startEntry(entry, { clock: systemClock, random: systemRandom }));
+    const started = await startEntry(entry, { clock: systemClock, random: systemRandom });
+    if (settings.log !== undefined)
+      startStateLog({ ...started.core, self: started.self }, settings.log);
+    entries.push(started);
   }
   return entries;
 }
