Let slots move only to backups that have the whole history

Cause: a slot moves to a joining instance by becoming its backup first; then primary and backup swap. The swap was planned from the slot map alone and did not wait until the backup had been informed that its history is complete. With the swap that notice was given up, and the new primary had to assume for good that it lacked records.

Change: the primary swaps only with a backup that has acknowledged the notice and the current state of every record at this epoch.

--- a/src/process/control.ts
+++ b/src/process/control.ts
@@ -24,7 +24,7 @@
   readonly store: ObjectStore;
   readonly peers: Peers;
   /** Returns the request service. A function, because that service is created after the control tasks. */
-  readonly requests: () => Pick<RequestService, "copyTo">;
+  readonly requests: () => Pick<RequestService, "copyTo" | "isBackupReady">;
   /** Increments the counter with this name. */
   readonly count: (name: string) => void;
   /** Interval of the periodic fallback reads of the store, in milliseconds. */
@@ -62,7 +62,10 @@
     store,
     configuration,
     members,
-    requests: { copyTo: (moved, member) => parts.requests().copyTo(moved, member) },
+    requests: {
+      copyTo: (moved, member) => parts.requests().copyTo(moved, member),
+      isBackupReady: (slot, epoch) => parts.requests().isBackupReady(slot, epoch),
+    },
     count,
   });
   // Sends a newly active version to peers immediately instead of with the next probe.
--- a/src/process/slot_task.ts
+++ b/src/process/slot_task.ts
@@ -62,7 +62,7 @@
   readonly store: ObjectStore;
   readonly configuration: Configuration;
   readonly members: Membership;
-  readonly requests: Pick<RequestService, "copyTo">;
+  readonly requests: Pick<RequestService, "copyTo" | "isBackupReady">;
   readonly count: (name: string) => void;
 }
 
@@ -181,7 +181,9 @@
     const changes = [...(await copyRecords(planBackups(map, options)))];
     if (closed) return false;
     const moving = new Set(changes.map(({ slot }) => slot));
-    changes.push(...planSwaps(map, options).filter(({ slot }) => !moving.has(slot)));
+    const { isBackupReady } = parts.requests;
+    const swaps = planSwaps(map, { ...options, isBackupReady });
+    changes.push(...swaps.filter(({ slot }) => !moving.has(slot)));
     return changes.length > 0 && (await write(changes)) !== "unavailable";
   };
   /**
--- a/src/process/testing/control_fleet.ts
+++ b/src/process/testing/control_fleet.ts
@@ -79,7 +79,7 @@
       random: createSeededRandom((options.seed ?? 1) * 1_000 + nodes.length),
       store: store.connect(() => pauseControl.whenRunning()),
       peers: network.peersOf(self.id),
-      requests: () => ({ copyTo }),
+      requests: () => ({ copyTo, isBackupReady: () => true }),
       count: (counted) => counts.set(counted, (counts.get(counted) ?? 0) + 1),
     });
     network.join(self, handlersOf(control), () => pauseControl.whenRunning());
--- a/src/process/testing/core_fleet.ts
+++ b/src/process/testing/core_fleet.ts
@@ -30,6 +30,8 @@
   core(index: number): EntryCore;
   /** Writes a new revision to the store. */
   writeRevision(revision: string): Promise<void>;
+  /** Starts one more instance, in an availability zone of its own, and waits until it has joined. */
+  join(): Promise<void>;
   /** Ends an instance without notice. */
   kill(index: number): void;
   submit(index: number, submission?: Partial<Submission>): Answer;
@@ -48,7 +50,9 @@
   const written = store.connect().put(REVISION_KEY, MINIMAL_REVISION, { expect: 0 });
   await clock.advance(10);
   await written;
-  const cores = Array.from({ length: count }, (_, index) => {
+  const cores: EntryCore[] = [];
+  const startCore = (): void => {
+    const index = cores.length;
     const address = `a${index}`;
     const self = { id: `e${index}#1`, address, callerAddress: address, zone: `z${index}` };
     const core = createEntryCore(
@@ -65,8 +69,9 @@
     );
     network.join(self, core.handlers);
     void core.start();
-    return core;
-  });
+    cores.push(core);
+  };
+  for (let index = 0; index < count; index++) startCore();
   await clock.advance(FORMING_TIME);
   const coreAt = (index: number): EntryCore => {
     const core = cores[index];
@@ -83,6 +88,10 @@
       await clock.advance(10);
       await writing;
     },
+    join: async () => {
+      startCore();
+      await clock.advance(FORMING_TIME);
+    },
     kill: (index) => {
       network.kill(coreAt(index).members.self.id);
       coreAt(index).close();
--- a/src/request/handover.ts
+++ b/src/request/handover.ts
@@ -4,6 +4,7 @@
 import type { Environment } from "./environment.ts";
 import type { OwnedRequests } from "./owned_requests.ts";
 import {
+  areAllAcknowledged,
   createSlotHandover,
   createCompletionMessage,
   createCopyMessage,
@@ -38,6 +39,13 @@
    * history is complete. Only then may it take the slot over.
    */
   confirmHistory(slot: number): void;
+  /**
+   * Whether the slot's backup can become its primary without loss: it has acknowledged every record
+   * at this epoch and, if this instance has the whole history, the notice of that too.
+   *
+   * @param epoch Epoch of the assignment that the new one is to replace.
+   */
+  isBackupReady(slot: number, epoch: number): boolean;
   close(): void;
 }
 
@@ -48,6 +56,9 @@
 /** Milliseconds between two checks of whether a new backup has acknowledged every record. */
 const COMPLETION_POLL_INTERVAL = 250;
 
+/** Epoch of a slot's first owners. There is no history before it, so its backup needs no notice. */
+const FIRST_EPOCH = 1;
+
 /** Creates the component that hands over slots. */
 export function createHandover(
   environment: Environment,
@@ -131,13 +142,18 @@
 
   let isClosed = false;
   const confirming = new Set<number>();
+  /** Epoch at which the slot's backup last acknowledged that its history is complete. */
+  const confirmedEpochs = new Map<number, number>();
   const confirmNow = async (slot: number): Promise<void> => {
     const { epoch, backup } = table.get(slot).assignment;
     while (!isClosed && table.get(slot).assignment.epoch === epoch && ownsSlot(table.get(slot))) {
       const member = isAlive(backup) ? members.find(backup) : undefined;
       const message = createCompletionMessage(table.get(slot));
       if (member !== undefined && message !== undefined) {
-        if ((await sendHandover(member, message)) !== undefined) return;
+        if ((await sendHandover(member, message)) === SlotOutcome.Acknowledged) {
+          confirmedEpochs.set(slot, epoch);
+          return;
+        }
       }
       await sleep(clock, COMPLETION_POLL_INTERVAL);
     }
@@ -147,8 +163,7 @@
     confirmHistory: (slot) => {
       const { stance, assignment, completeThroughEpoch } = table.get(slot);
       const isConfirmable = stance === Stance.Primary && completeThroughEpoch >= assignment.epoch;
-      // There is no history before the first epoch, so the backup of that epoch needs no message.
-      if (!isConfirmable || assignment.epoch <= 1 || assignment.backup === "") return;
+      if (!isConfirmable || assignment.epoch <= FIRST_EPOCH || assignment.backup === "") return;
       if (confirming.has(slot)) return;
       confirming.add(slot);
       void confirmNow(slot).finally(() => {
@@ -157,6 +172,14 @@
         if (hasLaterEpoch && !isClosed) handover.confirmHistory(slot);
       });
     },
+    isBackupReady: (slot, epoch) => {
+      const replica = table.get(slot);
+      const { stance, assignment, completeThroughEpoch } = replica;
+      if (stance !== Stance.Primary || assignment.epoch !== epoch) return false;
+      if (!areAllAcknowledged(replica)) return false;
+      const needsConfirmation = epoch > FIRST_EPOCH && completeThroughEpoch >= epoch;
+      return !needsConfirmation || confirmedEpochs.get(slot) === epoch;
+    },
     copyTo: async (slots, member) => {
       // A slot that was handed over continues at the receiver: a copy from here would be out of
       // date.
--- a/src/request/request_api.ts
+++ b/src/request/request_api.ts
@@ -80,6 +80,13 @@
    * @returns True once the member has all of them.
    */
   copyTo(slots: readonly number[], member: Member): Promise<boolean>;
+  /**
+   * Whether the slot's backup can become its primary without loss, because it has the whole history
+   * and the current state of every record.
+   *
+   * @param epoch Epoch of the assignment that the new one is to replace.
+   */
+  isBackupReady(slot: number, epoch: number): boolean;
   /** Restricts new requests to those that the mode allows. Accepted requests continue. */
   setEntryMode(mode: EntryMode): void;
   /** Stops accepting new requests. Requests in progress continue. */
--- a/src/request/request_service.ts
+++ b/src/request/request_service.ts
@@ -193,6 +193,7 @@
       ask: (message) => Promise.resolve(answerAsk(message)),
     },
     copyTo: (slots, member) => handover.copyTo(slots, member),
+    isBackupReady: (slot, epoch) => handover.isBackupReady(slot, epoch),
     setEntryMode: (next) => {
       entryMode = next;
     },
--- a/src/request/slot_replica.ts
+++ b/src/request/slot_replica.ts
@@ -440,6 +440,11 @@
   return withRecord(replica, { ...held, acknowledged: acknowledgement.sequence });
 }
 
+/** Whether the backup has the current state of every record of the slot. */
+export function areAllAcknowledged(replica: SlotReplica): boolean {
+  return [...replica.records.keys()].every((id) => isAcknowledged(replica, id));
+}
+
 /** Whether the backup has the current state of the record. */
 export function isAcknowledged(replica: SlotReplica, id: string): boolean {
   const held = replica.records.get(id);
@@ -558,7 +563,7 @@
   if (replica.stance !== Stance.Primary || backup === "" || replica.completeThroughEpoch < epoch) {
     return undefined;
   }
-  if (![...replica.records.keys()].every((id) => isAcknowledged(replica, id))) return undefined;
+  if (!areAllAcknowledged(replica)) return undefined;
   const { self: from, slot } = replica;
   return { from, slot, epoch, custody: true, complete: true, records: [] };
 }
--- a/src/version/slot_plan.ts
+++ b/src/version/slot_plan.ts
@@ -136,22 +136,34 @@
   return target.primary === self ? target.backup : target.primary;
 }
 
+/** Options of {@linkcode planSwaps}. */
+export interface SwapOptions {
+  /** Member id of the instance that plans, the current primary. */
+  readonly self: string;
+  readonly fleet: SlotFleet;
+  /** Maximum number of swaps planned at once. */
+  readonly maxMoves: number;
+  /** Whether the backup has the whole history of the slot at this epoch. */
+  readonly isBackupReady: (slot: number, epoch: number) => boolean;
+}
+
 /**
- * Plans swaps of primary and backup for slots whose backup should be the primary. Both hold the slot's records.
+ * Plans swaps of primary and backup for slots whose backup should be the primary.
+ *
+ * Only a backup with the whole history becomes the primary. Any other one would have to refuse all
+ * requests that may not be repeated and whose key it doesn't know, from then on.
  *
  * @returns At most `maxMoves` changes, which the current primary may write.
  */
-export function planSwaps(
-  map: SlotMap,
-  options: { self: string; fleet: SlotFleet; maxMoves: number },
-): readonly SlotChange[] {
-  const { self, fleet, maxMoves } = options;
+export function planSwaps(map: SlotMap, options: SwapOptions): readonly SlotChange[] {
+  const { self, fleet, maxMoves, isBackupReady } = options;
   if (!map.slots.some(({ primary }) => primary === self)) return [];
   const targets = slotTargets(fleet.eligible);
   return map.slots
     .map((before, slot) => ({ before, slot }))
     .filter(({ before }) => before.primary === self && before.backup !== "")
     .filter(({ before, slot }) => targets[slot]?.primary === before.backup)
+    .filter(({ before, slot }) => isBackupReady(slot, before.epoch))
     .slice(0, maxMoves)
     .map(({ before, slot }) => ({
       slot,
--- a/src/version/slot_plan_test.ts
+++ b/src/version/slot_plan_test.ts
@@ -28,6 +28,19 @@
   return applyAll(EMPTY_SLOT_MAP, planTakeover(EMPTY_SLOT_MAP, fleetOf(all), NOW));
 }
 
+/** Assigns the planned backups of a primary. */
+function assignBackups(start: SlotMap, options: Parameters<typeof planBackups>[1]): SlotMap {
+  let map = start;
+  for (const [backup, slots] of planBackups(map, options)) {
+    const changes = slots.flatMap((slot) => {
+      const assignment = map.slots[slot];
+      return assignment === undefined ? [] : [{ slot, assignment: withBackup(assignment, backup) }];
+    });
+    map = applyAll(map, changes);
+  }
+  return map;
+}
+
 /** Lets every primary write its planned changes until there are none left. */
 function settle(start: SlotMap, fleet: SlotFleet): SlotMap {
   let map = start;
@@ -35,16 +48,8 @@
     const before = map;
     for (const self of fleet.present) {
       const options = { self, fleet, maxMoves: SLOT_COUNT };
-      for (const [backup, slots] of planBackups(map, options)) {
-        const changes = slots.flatMap((slot) => {
-          const assignment = map.slots[slot];
-          return assignment === undefined
-            ? []
-            : [{ slot, assignment: withBackup(assignment, backup) }];
-        });
-        map = applyAll(map, changes);
-      }
-      map = applyAll(map, planSwaps(map, options));
+      map = assignBackups(map, options);
+      map = applyAll(map, planSwaps(map, { ...options, isBackupReady: () => true }));
     }
     map = applyAll(map, planTakeover(map, fleet, NOW));
     if (map === before) return map;
@@ -123,6 +128,19 @@
   expect(moved.length).toBeLessThan((2 * SLOT_COUNT) / 9);
 });
 
+test("a backup without the whole history does not become the primary", () => {
+  // The backup was assigned a moment ago. As the primary it would refuse the new keys that it can't look up.
+  const all = members(9);
+  const before = assignSlots(all.slice(0, 8));
+  const map = assignBackups(before, { self: "e0#1", fleet: fleetOf(all), maxMoves: SLOT_COUNT });
+  const options = { self: "e0#1", fleet: fleetOf(all), maxMoves: SLOT_COUNT };
+  const ready = planSwaps(map, { ...options, isBackupReady: () => true });
+  expect(ready.length).toBeGreaterThan(0);
+  const [first] = ready;
+  const swaps = planSwaps(map, { ...options, isBackupReady: (slot) => slot === first?.slot });
+  expect(swaps).toEqual([first]);
+});
+
 test("a change planned for an outdated epoch is not applied", () => {
   const before = assignSlots(members(4));
   const late = planTakeover(EMPTY_SLOT_MAP, fleetOf(members(2)), NOW);
