Accept requests while the backup of their slot is leaving

Callers saw refusals (backup-unavailable) while instances were replaced in turn. Cause: a slot whose backup is leaving refused each request that may not be repeated, until the slot map named another backup, although a leaving backup still acknowledges copies.

A suspected backup still refuses: it may have failed, and a request that was sent to it could not be reported as not run.

--- a/src/request/owned_requests.ts
+++ b/src/request/owned_requests.ts
@@ -134,7 +134,7 @@
       return refusal(record, { reason: Refusal.Draining, detail, retryAfter: PAUSED_RETRY_AFTER });
     }
     const canActAlone = table.canActAlone(replica, record.repeatable);
-    if (!canActAlone && !table.hasLiveBackup(replica)) {
+    if (!canActAlone && !table.hasReachableBackup(replica)) {
       const detail =
         "No second entry instance is available at present to hold a copy of the request.";
       return refusal(record, {
--- a/src/request/slot_table.ts
+++ b/src/request/slot_table.ts
@@ -46,8 +46,11 @@
    * alive on the other side of a partition and would run the same key again.
    */
   canActAlone(replica: SlotReplica, repeatable: boolean): boolean;
-  /** Whether the backup in the slot map is known and alive. */
-  hasLiveBackup(replica: SlotReplica): boolean;
+  /**
+   * Whether the backup in the slot map can acknowledge copies. A leaving one still does, until the
+   * slot map names another one in its place.
+   */
+  hasReachableBackup(replica: SlotReplica): boolean;
   /** Returns the states of all slots, in the order of their numbers. */
   all(): readonly SlotReplica[];
   /** Calls the listener after the role or epoch of a slot has changed. */
@@ -84,17 +87,17 @@
       set(isProvisional ? provisionalOwner(next) : next);
     }
   };
-  const hasLiveBackup = ({ assignment }: SlotReplica): boolean =>
+  const hasBackupIn = ({ assignment }: SlotReplica, ...states: MemberState[]): boolean =>
     assignment.backup !== "" &&
     members.find(assignment.backup) !== undefined &&
-    members.stateOf(assignment.backup) === MemberState.Alive;
+    states.includes(members.stateOf(assignment.backup));
   const canActAlone = (replica: SlotReplica, repeatable: boolean): boolean => {
     if (replica.stance === Stance.Primary && replica.assignment.backup === "") return true;
     return repeatable && ownsSlot(replica) && isAlone();
   };
   const findEligibleSlots = (): readonly number[] => {
     const primary = replicas.filter((replica) => replica.stance === Stance.Primary);
-    const withBackup = primary.filter(hasLiveBackup);
+    const withBackup = primary.filter((replica) => hasBackupIn(replica, MemberState.Alive));
     const inOtherZone = withBackup.filter(
       ({ assignment }) => members.find(assignment.backup)?.zone !== members.self.zone,
     );
@@ -128,7 +131,7 @@
       return eligibleSlots[Math.floor(random.next() * eligibleSlots.length)];
     },
     canActAlone,
-    hasLiveBackup,
+    hasReachableBackup: (replica) => hasBackupIn(replica, MemberState.Alive, MemberState.Leaving),
     all: () => replicas,
     onChange: (listener) => {
       listeners.add(listener);
