Let a leaving instance have its own backups promoted

Callers saw requests that may not be repeated end as "may have run" (history-lost) while instances were replaced in turn. Cause: as soon as a primary announced that it leaves, any other instance promoted all of its backups. One that was assigned a moment ago, because the previous instance had left, didn't have the whole history yet and had to refuse all keys that it didn't know.

Change: for two seconds only the leaving primary plans the promotion, of those backups that have the whole history, and checks every 0.1 s. It replaces missing backups, but no longer moves any for balance. If it does nothing within that time, the others promote its backups as before. The view of the fleet moves to a file of its own.

--- a/src/process/slot_task.ts
+++ b/src/process/slot_task.ts
@@ -12,9 +12,10 @@
   SLOT_MAP_KEY,
   withBackup,
 } from "../version/index.ts";
-import type { SlotAssignment, SlotChange, SlotFleet, SlotMap } from "../version/index.ts";
+import type { SlotAssignment, SlotChange, SlotMap } from "../version/index.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Membership } from "./membership.ts";
+import { createSlotFleetView } from "./slot_fleet.ts";
 
 /**
  * Milliseconds between the writes of survivors with consecutive ranks, so that the second finds the
@@ -34,6 +35,8 @@
  */
 const POLL_INTERVAL = 2_000;
 const WRITE_JITTER = 100;
+/** Average interval of these checks while this instance waits for its backups in order to leave. */
+const LEAVING_POLL_INTERVAL = 100;
 /** Maximum number of slots of one primary that move at the same time only to balance the load. */
 const MAX_MOVES = 32;
 /**
@@ -70,6 +73,7 @@
 export function createSlotTask(parts: SlotTaskParts): SlotTask {
   const { clock, random, configuration, members } = parts;
   const self = members.self.id;
+  const fleet = createSlotFleetView(parts);
   let timer: Timer | undefined;
   let dueAt = Number.POSITIVE_INFINITY;
   let isBusy = false;
@@ -105,13 +109,16 @@
     refreshMap();
     try {
       const hasActed = (await takeOver()) || (await maintainOwnSlots()) || isWokenWhileBusy;
-      wakeIn(
-        hasActed ? WRITE_JITTER * random.next() : POLL_INTERVAL * (0.75 + 0.5 * random.next()),
-      );
+      const pollInterval = isWaitingForBackups() ? LEAVING_POLL_INTERVAL : POLL_INTERVAL;
+      wakeIn(hasActed ? WRITE_JITTER * random.next() : pollInterval * (0.75 + 0.5 * random.next()));
     } finally {
       isBusy = false;
     }
   };
+  const isLeaving = (): boolean => members.stateOf(self) === MemberState.Leaving;
+  /** Whether this instance is leaving and its backups can't all be promoted yet. */
+  const isWaitingForBackups = (): boolean =>
+    isLeaving() && map.slots.some(({ primary }) => primary === self);
   const takeOver = async (): Promise<boolean> => {
     const { claim: claimant } = map;
     if (claimant !== undefined && claimant !== self && mustAnswerClaim(claimant))
@@ -129,8 +136,7 @@
     if (outcome === "written") parts.count("slots.takeover");
     return outcome !== "unavailable";
   };
-  const planned = (): readonly SlotChange[] =>
-    planTakeover(map, fleetOf(members), clock.date().getTime());
+  const planned = (): readonly SlotChange[] => planTakeover(map, fleet(), clock.date().getTime());
   const waitForRank = (rank: number): Promise<void> =>
     new Promise((resolve) => {
       const delay = RANK_DELAY * Math.min(rank, MAX_RANK) + WRITE_JITTER * random.next();
@@ -177,7 +183,9 @@
     return (await writeMap(map.slots)) === "written";
   };
   const maintainOwnSlots = async (): Promise<boolean> => {
-    const options = { self, fleet: fleetOf(members), maxMoves: MAX_MOVES };
+    // A leaving primary replaces missing backups only. A moved one would delay the end of its ownership.
+    const maxMoves = isLeaving() ? 0 : MAX_MOVES;
+    const options = { self, fleet: fleet(), maxMoves };
     const changes = [...(await copyRecords(planBackups(map, options)))];
     if (closed) return false;
     const moving = new Set(changes.map(({ slot }) => slot));
@@ -194,17 +202,19 @@
     plan: ReadonlyMap<string, readonly number[]>,
   ): Promise<readonly SlotChange[]> => {
     const baseMap = map;
-    const { present } = fleetOf(members);
-    const isLeaving = (): boolean => members.stateOf(self) === MemberState.Leaving;
+    const { present } = fleet();
     const copies = [...plan].map(async ([backup, slots]) => {
       const member = members.find(backup);
       const hasRecords = member !== undefined && (await copy(slots, member));
       if (hasRecords) return mapSlots(baseMap, slots, (before) => withBackup(before, backup));
       // A leaving primary that has ceded its slots copies no more. Its backup already serves them
       // and is promoted.
-      return isLeaving()
-        ? mapSlots(baseMap, slots, (before) => promoteBackup(before, present))
-        : [];
+      if (!isLeaving()) return [];
+      const ready = slots.filter((slot) => {
+        const epoch = baseMap.slots[slot]?.epoch ?? 0;
+        return parts.requests.isBackupReady(slot, epoch);
+      });
+      return mapSlots(baseMap, ready, (before) => promoteBackup(before, present));
     });
     return (await Promise.all(copies)).flat();
   };
@@ -265,30 +275,6 @@
   };
 }
 
-function fleetOf(members: Membership): SlotFleet {
-  const present = members.present();
-  const alive = members.alive();
-  const leavingZones = zonesUnderNotice(members, present);
-  const outsideLeavingZones = alive.filter(({ zone }) => !leavingZones.has(zone));
-  const ids = new Set(present.map(({ id }) => id));
-  return { eligible: outsideLeavingZones.length > 0 ? outsideLeavingZones : alive, present: ids };
-}
-
-/**
- * Returns the zones in which most instances are leaving. The rest is likely to follow, so no slots
- * are moved there.
- */
-function zonesUnderNotice(members: Membership, present: readonly Member[]): ReadonlySet<string> {
-  const leaving = present.filter(({ id }) => members.stateOf(id) === MemberState.Leaving);
-  const zones = new Set(leaving.map(({ zone }) => zone));
-  return new Set(
-    [...zones].filter((zone) => {
-      const all = present.filter((member) => member.zone === zone).length;
-      return 2 * leaving.filter((member) => member.zone === zone).length > all;
-    }),
-  );
-}
-
 function rankOf(self: string, view: { map: SlotMap; members: readonly Member[] }): number {
   const key = `${SLOT_MAP_KEY}/${view.map.version}`;
   const order = rendezvousOrder(
--- a/src/request/handover.ts
+++ b/src/request/handover.ts
@@ -40,8 +40,9 @@
    */
   confirmHistory(slot: number): void;
   /**
-   * Whether the slot's backup can become its primary without loss: it has acknowledged every record
-   * at this epoch and, if this instance has the whole history, the notice of that too.
+   * Whether the slot's backup can become its primary without loss: the slot was handed over, or the
+   * backup has acknowledged every record at this epoch and, if this instance has the whole history,
+   * the notice of that too.
    *
    * @param epoch Epoch of the assignment that the new one is to replace.
    */
@@ -65,6 +66,11 @@
   { table, ownedRequests }: { table: SlotTable; ownedRequests: OwnedRequests },
 ): Handover {
   const { clock, counters, members, peers } = environment;
+  /**
+   * Epoch at which the slot's backup last acknowledged that its history is complete, or at which
+   * the slot was handed over.
+   */
+  const confirmedEpochs = new Map<number, number>();
 
   const sendHandover = async (
     to: Member,
@@ -104,6 +110,8 @@
       const slotHandover = createSlotHandover(replica, backupMember.id);
       table.set(slotHandover.replica);
       const outcome = await sendHandover(backupMember, slotHandover.message);
+      // Without an acknowledgement too, since this instance no longer acts for the slot.
+      confirmedEpochs.set(slot, slotHandover.message.epoch);
       if (outcome === SlotOutcome.Acknowledged) return;
     }
     // The assigned backup may own the slot by now. Any other instance only holds the records in
@@ -142,8 +150,6 @@
 
   let isClosed = false;
   const confirming = new Set<number>();
-  /** Epoch at which the slot's backup last acknowledged that its history is complete. */
-  const confirmedEpochs = new Map<number, number>();
   const confirmNow = async (slot: number): Promise<void> => {
     const { epoch, backup } = table.get(slot).assignment;
     while (!isClosed && table.get(slot).assignment.epoch === epoch && ownsSlot(table.get(slot))) {
@@ -175,7 +181,9 @@
     isBackupReady: (slot, epoch) => {
       const replica = table.get(slot);
       const { stance, assignment, completeThroughEpoch } = replica;
-      if (stance !== Stance.Primary || assignment.epoch !== epoch) return false;
+      if (assignment.epoch !== epoch) return false;
+      if (stance === Stance.Ceded) return confirmedEpochs.get(slot) === epoch;
+      if (stance !== Stance.Primary) return false;
       if (!areAllAcknowledged(replica)) return false;
       const needsConfirmation = epoch > FIRST_EPOCH && completeThroughEpoch >= epoch;
       return !needsConfirmation || confirmedEpochs.get(slot) === epoch;
--- a/src/version/slot_plan.ts
+++ b/src/version/slot_plan.ts
@@ -8,6 +8,11 @@
   readonly eligible: readonly SlotMember[];
   /** Ids of members that still hold their records: the eligible ones, and suspect or leaving ones. */
   readonly present: ReadonlySet<string>;
+  /**
+   * Whether the slot's backup may be promoted although the primary, which is not eligible any more, is still present.
+   * Promoted before it has the whole history, it would refuse all keys that it doesn't know.
+   */
+  readonly canReplacePrimary: (slot: number, assignment: SlotAssignment) => boolean;
 }
 
 /** A new assignment of a slot. It is written only if the slot is still at the preceding epoch. */
@@ -38,6 +43,7 @@
   const targets = slotTargets(fleet.eligible);
   return map.slots.flatMap((before, slot) => {
     const assignment = takeoverAssignment(before, {
+      slot,
       fleet,
       eligibleIds,
       target: targets[slot],
@@ -67,17 +73,19 @@
 function takeoverAssignment(
   before: SlotAssignment,
   view: {
+    slot: number;
     fleet: SlotFleet;
     eligibleIds: ReadonlySet<string>;
     target: SlotTarget | undefined;
     date: number;
   },
 ): SlotAssignment | undefined {
-  const { fleet, eligibleIds, target, date } = view;
+  const { slot, fleet, eligibleIds, target, date } = view;
   const { primary, backup, epoch } = before;
   if (eligibleIds.has(primary))
     return mustRemoveBackup(before, fleet) ? withBackup(before, "") : undefined;
-  if (fleet.present.has(primary)) return promoteBackup(before, eligibleIds);
+  if (fleet.present.has(primary))
+    return fleet.canReplacePrimary(slot, before) ? promoteBackup(before, eligibleIds) : undefined;
   if (fleet.present.has(backup)) return promoteBackup(before, fleet.present);
   if (target === undefined || target.primary === "") return undefined;
   // No member holds records of the slot any more, so the backup can be assigned at once.
@@ -110,10 +118,7 @@
  * @returns Slots by the member that is to become their backup. The slots' records must be copied to that member before
  * the assignment is written.
  */
-export function planBackups(
-  map: SlotMap,
-  options: { self: string; fleet: SlotFleet; maxMoves: number },
-): BackupPlan {
+export function planBackups(map: SlotMap, options: BackupOptions): BackupPlan {
   const { self, fleet, maxMoves } = options;
   if (!map.slots.some(({ primary }) => primary === self)) return new Map();
   const targets = slotTargets(fleet.eligible);
@@ -136,13 +141,17 @@
   return target.primary === self ? target.backup : target.primary;
 }
 
-/** Options of {@linkcode planSwaps}. */
-export interface SwapOptions {
+/** Options of {@linkcode planBackups}. */
+export interface BackupOptions {
   /** Member id of the instance that plans, the current primary. */
   readonly self: string;
   readonly fleet: SlotFleet;
-  /** Maximum number of swaps planned at once. */
+  /** Maximum number of backups replaced at once only to balance the load. */
   readonly maxMoves: number;
+}
+
+/** Options of {@linkcode planSwaps}. */
+export interface SwapOptions extends BackupOptions {
   /** Whether the backup has the whole history of the slot at this epoch. */
   readonly isBackupReady: (slot: number, epoch: number) => boolean;
 }
--- a/src/version/slot_plan_test.ts
+++ b/src/version/slot_plan_test.ts
@@ -9,7 +9,8 @@
 const NOW = 1_000;
 
 function fleetOf(eligible: readonly SlotMember[], leaving: readonly SlotMember[] = []): SlotFleet {
-  return { eligible, present: new Set([...eligible, ...leaving].map(({ id }) => id)) };
+  const present = new Set([...eligible, ...leaving].map(({ id }) => id));
+  return { eligible, present, canReplacePrimary: () => true };
 }
 
 function members(count: number, zones = 4): SlotMember[] {
@@ -28,6 +29,11 @@
   return applyAll(EMPTY_SLOT_MAP, planTakeover(EMPTY_SLOT_MAP, fleetOf(all), NOW));
 }
 
+/** Returns the slots whose primary is the given member. */
+function slotsOwnedBy({ slots }: SlotMap, id: string | undefined): number[] {
+  return slots.flatMap(({ primary }, slot) => (primary === id ? [slot] : []));
+}
+
 /** Assigns the planned backups of a primary. */
 function assignBackups(start: SlotMap, options: Parameters<typeof planBackups>[1]): SlotMap {
   let map = start;
@@ -128,6 +134,19 @@
   expect(moved.length).toBeLessThan((2 * SLOT_COUNT) / 9);
 });
 
+test("the backups of a leaving member are promoted only where they may replace it", () => {
+  // A new backup that is promoted before it has the whole history refuses the keys that it doesn't know.
+  const all = members(8);
+  const [gone, ...rest] = all;
+  const before = assignSlots(all);
+  const [first, ...others] = slotsOwnedBy(before, gone?.id);
+  const fleet = fleetOf(rest, gone === undefined ? [] : [gone]);
+  const canReplacePrimary = (slot: number): boolean => slot === first;
+  const changes = planTakeover(before, { ...fleet, canReplacePrimary }, NOW);
+  expect(others.length).toBeGreaterThan(0);
+  expect(changes.map(({ slot }) => slot)).toEqual([first]);
+});
+
 test("a backup without the whole history does not become the primary", () => {
   // The backup was assigned a moment ago. As the primary it would refuse the new keys that it can't look up.
   const all = members(9);
