End a planned stop only after the slot map has replaced the instance

Cause: the process ended 50 ms after the signal, with its slots handed over but still named in the slot map as their holder. If the other holder of a slot was replaced before the map had changed, no holder was left.

Change: a planned stop waits until the slot map names other instances in its place, at most 10 s, and hands over what is left only then. An instance that never had a peer doesn't wait.

--- a/src/process/control.ts
+++ b/src/process/control.ts
@@ -39,6 +39,8 @@
   readonly handlers: Pick<PeerHandlers, "probe" | "pull">;
   /** Starts all tasks. Resolves once a revision is known. */
   start(): Promise<void>;
+  /** Resolves once the slot map no longer needs this instance, which is leaving. */
+  whenReleased(): Promise<void>;
   /** Stops all tasks. */
   close(): void;
 }
@@ -79,6 +81,7 @@
       await configuration.start();
       slots.start();
     },
+    whenReleased: () => slots.whenReleased(),
     close: () => {
       subscription.close();
       slots.close();
--- a/src/process/entry_core.ts
+++ b/src/process/entry_core.ts
@@ -71,8 +71,8 @@
   /** Starts all tasks. Resolves once a revision is known. */
   start(): Promise<void>;
   /**
-   * Performs a planned stop: refuses new requests, waits for requests in progress, hands over its slots, and resolves
-   * when the process may exit. Further calls return the same promise.
+   * Performs a planned stop: refuses new requests, waits for requests in progress and until other instances have
+   * replaced this one in the slot map, hands over what is left, and resolves when the process may exit. Further calls return the same promise.
    */
   drain(): Promise<void>;
   /** Resolves when a drain has finished, whether a signal or an operator started it. */
@@ -119,6 +119,7 @@
   const drain = async (): Promise<void> => {
     stopAccepting();
     await requests.whenIdle();
+    await control.whenReleased();
     await requests.handOverAll();
   };
   const { readLoad } = settings;
--- a/src/process/planned_stop_test.ts
+++ b/src/process/planned_stop_test.ts
@@ -2,6 +2,7 @@
 import { formatRevision } from "../version/index.ts";
 import { MINIMAL_DOCUMENT } from "../version/testing/minimal_revision.ts";
 import { startCoreFleet } from "./testing/core_fleet.ts";
+import type { Answer, CoreFleet } from "./testing/core_fleet.ts";
 
 const SCRIPT = { body: '{"max_tokens":500}' };
 const SCRIPT_TIME = 500 * 20;
@@ -88,6 +89,72 @@
   fleet.close();
 });
 
+// The next instance stops before the slots of the previous one have another holder, and new keys are refused forever.
+test.each([0, 1_000, 4_000])(
+  "instances replaced in turn, %i ms apart, lose no slot's history",
+  async (pause) => {
+    const fleet = await startCoreFleet(3);
+    const answers = await submitEntries(fleet, "before");
+    for (const index of [0, 1, 2]) {
+      answers.push(...(await submitUntilDrained(fleet, index)));
+      fleet.kill(index);
+      fleet.restart(index);
+      await fleet.clock.advance(pause);
+    }
+    await fleet.clock.advance(10_000);
+    const { slots } = fleet.core(0).configuration.slotMap();
+    expect(slots.filter(({ historyLostAt }) => historyLostAt !== 0)).toEqual([]);
+    answers.push(...(await submitEntries(fleet, "after")));
+    expect(answers.filter(({ end }) => end !== "complete")).toEqual([]);
+    fleet.close();
+  },
+);
+
+test("a planned stop ends although the store is unavailable", async () => {
+  const fleet = await startCoreFleet();
+  fleet.store.setUnavailable(true);
+  let stopped = false;
+  void fleet
+    .core(0)
+    .drain()
+    .then(() => (stopped = true));
+  await fleet.clock.advance(12_000);
+  expect(stopped).toBe(true);
+  fleet.close();
+});
+
+/** Submits a request with a key that may not be repeated. */
+function submitEntry(fleet: CoreFleet, index: number, key: string): Answer {
+  return fleet.submit(index, { key, repeatable: false, body: '{"max_tokens":2}' });
+}
+
+/** Submits requests to all instances in turn, and waits for their ends. */
+async function submitEntries(fleet: CoreFleet, prefix: string): Promise<Answer[]> {
+  const answers: Answer[] = [];
+  for (let count = 0; count < 300; count++) {
+    answers.push(submitEntry(fleet, count % 3, `${prefix}-${count}`));
+    await fleet.clock.advance(20);
+  }
+  await fleet.clock.advance(1_000);
+  return answers;
+}
+
+/** Drains an instance, and submits requests to the next one until its process may exit. */
+async function submitUntilDrained(fleet: CoreFleet, index: number): Promise<Answer[]> {
+  let isDrained = false;
+  void fleet
+    .core(index)
+    .drain()
+    .then(() => (isDrained = true));
+  const answers: Answer[] = [];
+  const mustContinue = (): boolean => !isDrained;
+  for (let count = 0; mustContinue(); count++) {
+    answers.push(submitEntry(fleet, (index + 1) % 3, `while-${index}-${count}`));
+    await fleet.clock.advance(20);
+  }
+  return answers;
+}
+
 test("a maintenance preset finishes running scripts and refuses new requests of the service", async () => {
   // After an operator switches to maintenance, running responses must finish; a newly accepted one would be cut off
   // when the servers stop.
--- a/src/process/testing/core_fleet.ts
+++ b/src/process/testing/core_fleet.ts
@@ -32,6 +32,8 @@
   writeRevision(revision: string): Promise<void>;
   /** Starts one more instance, in an availability zone of its own, and waits until it has joined. */
   join(): Promise<void>;
+  /** Starts a successor of an instance that has ended, with the same name and address. */
+  restart(index: number): void;
   /** Ends an instance without notice. */
   kill(index: number): void;
   submit(index: number, submission?: Partial<Submission>): Answer;
@@ -51,10 +53,11 @@
   await clock.advance(10);
   await written;
   const cores: EntryCore[] = [];
-  const startCore = (): void => {
-    const index = cores.length;
+  let restarts = 0;
+  const startCore = (index: number, incarnation: number): void => {
     const address = `a${index}`;
-    const self = { id: `e${index}#1`, address, callerAddress: address, zone: `z${index}` };
+    const id = `e${index}#${incarnation}`;
+    const self = { id, address, callerAddress: address, zone: `z${index}` };
     const core = createEntryCore(
       { self, region: "test", seeds: ["a0", "a1"] },
       {
@@ -69,9 +72,9 @@
     );
     network.join(self, core.handlers);
     void core.start();
-    cores.push(core);
+    cores[index] = core;
   };
-  for (let index = 0; index < count; index++) startCore();
+  for (let index = 0; index < count; index++) startCore(index, 1);
   await clock.advance(FORMING_TIME);
   const coreAt = (index: number): EntryCore => {
     const core = cores[index];
@@ -89,9 +92,10 @@
       await writing;
     },
     join: async () => {
-      startCore();
+      startCore(cores.length, 1);
       await clock.advance(FORMING_TIME);
     },
+    restart: (index) => startCore(index, ++restarts + 1),
     kill: (index) => {
       network.kill(coreAt(index).members.self.id);
       coreAt(index).close();
