Check a connection between instances once, not once for each relay

Callers saw first tokens after several seconds, refusals (backup-unavailable, too-late) and interrupted answers in the demo beside other work, and this went on until its load ended.

Cause: a check of the connection was scheduled whenever its number of open relays rose from 0 to 1, and each check scheduled the next one for as long as any relay was open. Checks so accumulated. In a busy process one of many soon takes longer than its timeout, and it then aborts all relays of the connection and replaces it. Their callers open them again, which is the load that makes the next check fail.

The new test counts 21 checks in one interval after 20 relays, and 1 with this change.

A check that fails also no longer replaces the connection if another call has done so meanwhile.

--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -35,6 +35,8 @@
   generation: number;
   /** Abort controllers of the open relays; all are aborted if the connection is silent. */
   readonly relays: Set<AbortController>;
+  /** Whether a liveness check is scheduled or in progress. */
+  hasCheck: boolean;
 }
 
 /** Options for creating the client for calls to peers. */
@@ -62,6 +64,7 @@
       replicateStream: undefined,
       generation: 0,
       relays: new Set<AbortController>(),
+      hasCheck: false,
     };
     connections.set(address, connection);
     return connection;
@@ -85,10 +88,18 @@
   };
   const addRelay = (connection: PeerConnection, abortController: AbortController): void => {
     connection.relays.add(abortController);
-    if (connection.relays.size === 1) scheduleCheck(connection);
+    scheduleCheck(connection);
   };
+  /** Schedules a check unless there is one. Each further one would abort all relays once more. */
   const scheduleCheck = (connection: PeerConnection): void => {
-    clock.after(CHECK_INTERVAL, () => void check(connection));
+    if (connection.hasCheck || connection.relays.size === 0) return;
+    connection.hasCheck = true;
+    clock.after(CHECK_INTERVAL, () => void checkAndReschedule(connection));
+  };
+  const checkAndReschedule = async (connection: PeerConnection): Promise<void> => {
+    await check(connection);
+    connection.hasCheck = false;
+    scheduleCheck(connection);
   };
   /**
    * Checks that the connection still works, once for all of its relays. A relay has no timeout, because
@@ -96,6 +107,7 @@
    * connection would wait until its deadline.
    */
   const check = async (connection: PeerConnection): Promise<void> => {
+    const { generation } = connection;
     const relays = [...connection.relays];
     if (relays.length === 0) return;
     try {
@@ -103,9 +115,8 @@
     } catch (cause) {
       for (const abortController of relays) abortController.abort(cause);
       for (const abortController of relays) connection.relays.delete(abortController);
-      reconnect(connection);
+      if (connection.generation === generation) reconnect(connection);
     }
-    if (connection.relays.size > 0) scheduleCheck(connection);
   };
   const unary = <T>(
     target: { to: Member; step: string },
--- a/src/connection/peer_client_test.ts
+++ b/src/connection/peer_client_test.ts
@@ -190,6 +190,45 @@
   await expect(iterator.next()).rejects.toMatchObject({ step: "relay" });
 });
 
+// Each relay left a check of its own behind. Under load, one that failed then aborted all relays several times a second.
+test("a connection has one liveness check at a time, however many relays were opened on it", async () => {
+  const { handlers } = recordingHandlers();
+  let checks = 0;
+  const { address } = await startPeer({
+    ...handlers,
+    pull: () => {
+      checks++;
+      return undefined;
+    },
+  });
+  const timers: (() => void)[] = [];
+  const clock: Clock = {
+    ...CLOCK,
+    after: (_milliseconds, run) => {
+      timers.push(run);
+      return { close: () => undefined };
+    },
+  };
+  const security = { peerKey: "key-of-the-instances" };
+  const peers = createPeerClient({ self: "e1#1", clock, security });
+  closers.push(() => peers.close());
+  const message = { from: "e1#1", slot: 1, epoch: 3, record: RECORD, hops: 0, fromToken: 0 };
+  const { signal } = new AbortController();
+  const open = (): AsyncIterable<unknown> =>
+    peers.relay(memberAt(address), { ...message, follow: false }, signal);
+  const readToEnd = async (): Promise<void> => {
+    const events = open()[Symbol.asyncIterator]();
+    while ((await events.next()).done !== true);
+  };
+  for (let count = 0; count < 20; count++) await readToEnd();
+  const last = open()[Symbol.asyncIterator]();
+  await last.next();
+  for (const run of timers.splice(0)) run();
+  await expect.poll(() => checks).toBeGreaterThan(0);
+  await last.return?.();
+  expect(checks).toBe(1);
+});
+
 interface TestProxy {
   readonly address: string;
   /** Stops forwarding on all open connections without closing them. */
