Count only running time in timeouts for answers of peers

Callers saw refusals (backup-unavailable) and answers that moved between instances while other processes used all cores, although no instance had failed.

Cause: after a stall a Node.js process runs expired timers before it reads its sockets. An answer that had long arrived counted as missing, the live peer was suspected, and a suspected backup refuses requests that may not be repeated.

A test that pauses an instance between a probe and its answer shows the same on a virtual clock.

Change: such a timeout is divided into four steps. A step that ends late because of a stall doesn't count, at most four times, and between two steps the process reads what has arrived. Without stalls it expires when it did before. The timeouts were not made longer. The second copy of the function that waits with a timeout is gone.

--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -1,5 +1,6 @@
 import type { Client } from "@connectrpc/connect";
 import type { Peer } from "../gen/peer_pb.ts";
+import { withTimeout } from "../interface/index.ts";
 import type { Clock, Member, PeerFailure, Peers, SlotReply } from "../interface/index.ts";
 import {
   decodeAskReply,
@@ -77,7 +78,10 @@
     for (let retries = 0; ; retries++) {
       const { generation } = connection;
       try {
-        return await withTimeout(clock, run(connection));
+        return await withTimeout(clock, run(connection), {
+          limit: CALL_TIMEOUT,
+          step: target.step,
+        });
       } catch (cause) {
         if (retries >= MAX_RECONNECTS) throw createPeerFailure(target, cause);
         // Calls between instances are idempotent, so a call can be repeated on a new connection. Only
@@ -111,7 +115,8 @@
     const relays = [...connection.relays];
     if (relays.length === 0) return;
     try {
-      await withTimeout(clock, connection.channel.client().pull({ from: self, key: CHECK_KEY }));
+      const reply = connection.channel.client().pull({ from: self, key: CHECK_KEY });
+      await withTimeout(clock, reply, { limit: CALL_TIMEOUT, step: "check the connection" });
     } catch (cause) {
       for (const abortController of relays) abortController.abort(cause);
       for (const abortController of relays) connection.relays.delete(abortController);
@@ -184,15 +189,6 @@
   connection.channel.reconnect();
 }
 
-function withTimeout<T>(clock: Clock, reply: Promise<T>): Promise<T> {
-  return new Promise((resolve, reject) => {
-    const timer = clock.after(CALL_TIMEOUT, () => {
-      reject(new Error(`No response within ${CALL_TIMEOUT} ms.`));
-    });
-    reply.then(resolve, reject).finally(() => timer.close());
-  });
-}
-
 function createPeerFailure(
   { to, step }: { to: Member; step: string },
   cause: unknown,
--- a/src/interface/index.ts
+++ b/src/interface/index.ts
@@ -7,6 +7,7 @@
 export * from "./random.ts";
 export * from "./record.ts";
 export * from "./seeded_random.ts";
+export * from "./timeout.ts";
 export * from "./header_names.ts";
 export * from "./platform_calls.ts";
 export * from "./object_feed.ts";
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -1,4 +1,4 @@
-import { MemberState, sleep } from "../interface/index.ts";
+import { afterRunningTime, MemberState, sleep, withTimeout } from "../interface/index.ts";
 import type {
   Clock,
   Member,
@@ -14,7 +14,6 @@
 import { createMemberTable, instanceNameOf } from "./member_table.ts";
 import type { MemberTable } from "./member_table.ts";
 import { subscribe } from "./subscription.ts";
-import { withTimeout } from "./timeout.ts";
 
 /** Milliseconds between probes. */
 const PROBE_PERIOD = 1_000;
@@ -123,7 +122,7 @@
     return true;
   };
   const scheduleDeath = ({ member, rise }: MembershipUpdate): void => {
-    clock.after(SUSPICION_TIMEOUT, () => {
+    afterRunningTime(clock, SUSPICION_TIMEOUT, () => {
       const known = table.find(member.id);
       if (closed || known?.rise !== rise || known.state === MemberState.Dead) return;
       announce({ member, state: MemberState.Dead, rise, backend: false });
@@ -138,7 +137,7 @@
       if (closed || (await probe(member))) return;
       announce({ member, state: MemberState.Dead, rise, backend: false });
     };
-    clock.after(SUSPICION_TIMEOUT, () => void probeAgain());
+    afterRunningTime(clock, SUSPICION_TIMEOUT, () => void probeAgain());
   };
   const announce = (delta: MembershipUpdate): void => {
     if (!merge(delta)) return;
--- a/src/process/membership_test.ts
+++ b/src/process/membership_test.ts
@@ -54,6 +54,43 @@
   fleet.close();
 });
 
+/** Records the members that an instance suspects or considers dead from now on. */
+function recordSuspicions(fleet: ControlFleet, observer: number): ReadonlySet<string> {
+  const suspected = new Set<string>();
+  const node = fleet.nodes[observer];
+  node?.members.onChange(() => {
+    for (const { self } of fleet.nodes) {
+      const state = node.members.stateOf(self.id);
+      if (state === MemberState.Suspect || state === MemberState.Dead) suspected.add(self.id);
+    }
+  });
+  return suspected;
+}
+
+// Timers that expired during the pause run first. All probes in progress would count as failed, and owners as dead.
+/** Advances until a peer has received a message, and the sender has no answer yet. */
+async function advanceToMessage(fleet: ControlFleet, receiver: number): Promise<void> {
+  const members = fleet.nodes[receiver]?.members;
+  const before = members?.lastMessageAt();
+  while (members?.lastMessageAt() === before) await fleet.clock.advance(0.5);
+}
+
+// Timers that expired during the pause run before the answer is read. A live owner then counts as dead.
+test("an instance that is paused before the answer to a probe suspects no peer when it resumes", async () => {
+  // With two instances no third one can show that the peer answers.
+  const fleet = await startFleet(2);
+  const suspected = recordSuspicions(fleet, 0);
+  for (let pauses = 0; pauses < 5; pauses++) {
+    await advanceToMessage(fleet, 1);
+    fleet.nodes[0]?.pauseControl.pause();
+    await fleet.clock.advance(1_500);
+    fleet.nodes[0]?.pauseControl.resume();
+    await fleet.clock.advance(5_000);
+  }
+  expect([...suspected]).toEqual([]);
+  fleet.close();
+});
+
 test("a paused instance that was declared dead is alive again after it resumes", async () => {
   const fleet = await startFleet(6);
   const [paused] = fleet.nodes;
--- a/src/process/notice_task.ts
+++ b/src/process/notice_task.ts
@@ -1,10 +1,9 @@
-import { sleep } from "../interface/index.ts";
+import { sleep, withTimeout } from "../interface/index.ts";
 import type { Clock, Cloud, Random } from "../interface/index.ts";
 import type { WorkerView } from "../request/index.ts";
 import { rendezvousOrder } from "../version/index.ts";
 import { instanceNameOf } from "./member_table.ts";
 import type { Membership } from "./membership.ts";
-import { withTimeout } from "./timeout.ts";
 
 /** Interval at which the cloud is polled for reclaim notices, in milliseconds, and the timeout of one poll. */
 const POLL_INTERVAL = 500;
--- a/src/process/object_follower.ts
+++ b/src/process/object_follower.ts
@@ -1,7 +1,6 @@
-import { sleep } from "../interface/index.ts";
+import { sleep, withTimeout } from "../interface/index.ts";
 import type { Clock, GetOutcome, Member, ObjectStore, Peers, Random } from "../interface/index.ts";
 import type { StoreThrottle } from "./store_throttle.ts";
-import { withTimeout } from "./timeout.ts";
 
 /**
  * Milliseconds after which a watch is renewed. An open connection can go silent permanently. A new
--- a/src/process/order_task.ts
+++ b/src/process/order_task.ts
@@ -1,11 +1,10 @@
 import PQueue from "p-queue";
-import { sleep, WorkerState } from "../interface/index.ts";
+import { sleep, withTimeout, WorkerState } from "../interface/index.ts";
 import type { Clock, Engine, Random, Worker } from "../interface/index.ts";
 import type { WorkerView } from "../request/index.ts";
 import type { Service } from "../version/index.ts";
 import type { Configuration } from "./configuration.ts";
 import type { LeaseTask } from "./lease_task.ts";
-import { withTimeout } from "./timeout.ts";
 
 /** Timeout of one order, in milliseconds. */
 export const ORDER_TIMEOUT = 2_000;
--- a/src/request/engine_stream.ts
+++ b/src/request/engine_stream.ts
@@ -1,4 +1,4 @@
-import { CANCELLED_RUN, RetryCause } from "../interface/index.ts";
+import { afterRunningTime, CANCELLED_RUN, RetryCause } from "../interface/index.ts";
 import type { EngineEvent, EngineFailure } from "../interface/index.ts";
 import type { Environment } from "./environment.ts";
 import { StopReason } from "./live_request.ts";
@@ -161,10 +161,10 @@
   let lastEventAt = clock.now();
   const check = (): void => {
     const remaining = lastEventAt + limit - clock.now();
-    if (remaining > 0) timer = clock.after(remaining, check);
+    if (remaining > 0) timer = afterRunningTime(clock, remaining, check);
     else onSilence();
   };
-  let timer = clock.after(limit, check);
+  let timer = afterRunningTime(clock, limit, check);
   return {
     restart: (next) => {
       const previousLimit = limit;
@@ -172,7 +172,7 @@
       lastEventAt = clock.now();
       if (limit >= previousLimit) return;
       timer.close();
-      timer = clock.after(limit, check);
+      timer = afterRunningTime(clock, limit, check);
     },
     close: () => timer.close(),
   };
--- a/src/request/request_forwarding.ts
+++ b/src/request/request_forwarding.ts
@@ -1,4 +1,5 @@
 import {
+  afterRunningTime,
   isFinalRequestState,
   MemberState,
   Refusal,
@@ -262,13 +263,13 @@
   const checkIdle = (): void => {
     const remaining = lastEventAt + RELAY_IDLE_TIMEOUT - clock.now();
     if (remaining > 0) {
-      timer = clock.after(remaining, checkIdle);
+      timer = afterRunningTime(clock, remaining, checkIdle);
       return;
     }
     counters.retried(RetryCause.SilentConnection);
     abort();
   };
-  let timer = clock.after(RELAY_IDLE_TIMEOUT, checkIdle);
+  let timer = afterRunningTime(clock, RELAY_IDLE_TIMEOUT, checkIdle);
   try {
     for await (const event of peers.relay(owner, message, controller.signal)) {
       lastEventAt = clock.now();
