--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -49,7 +49,8 @@
   static override flags = {
     seed: Flags.integer({ description: "Seed of the random load.", default: DEFAULT_SEED }),
     log: Flags.string({
-      description: "File for the entry instances' logs of their changes of state.",
+      description:
+        "File for the entry instances' changes of state and, at the end, their counters.",
     }),
   };
 
@@ -78,6 +79,7 @@
         this.log(`${((systemClock.now() - startedAt) / 1_000).toFixed(1)} s  ${line}`),
     });
     const report = createReport(records, deployment, systemClock.now() - startedAt);
+    if (log !== undefined) for (const line of formatCounters(deployment)) log.write(`${line}\n`);
     await deployment.close();
     log?.end();
     this.printReport(report);
@@ -161,6 +163,14 @@
   };
 }
 
+/** Returns one JSON line for each instance, with its counters that aren't 0. */
+function formatCounters({ entries }: EmbeddedDeployment): string[] {
+  return entries.map(({ self, core }) => {
+    const counters = [...core.counters.values].filter(([, count]) => count !== 0);
+    return JSON.stringify({ instance: self.id, counters: Object.fromEntries(counters) });
+  });
+}
+
 /** Prefix of the counters that count recomputed tokens; the rest of the name is the cause. */
 const RECOMPUTED_PREFIX = "recomputed.";
 
