Keep the connection of a peer that is only slow

Callers saw answers interrupted and refusals (backup-unavailable) in the demo beside other work. Cause: a call between instances that took longer than 500 ms replaced the connection and was sent again, also if the connection had delivered other replies meanwhile. The replaced connection ended all relays and copies on it, whose callers repeated them: more load for a peer that lacked processor time.

Change: if something else has arrived on the connection since the call was sent, the reply gets the same time once more. A connection on which nothing arrives is replaced after the same time as before; the tests of silent connections are unchanged.

src/connection/peer_client_test.ts ("a call that is slow on a connection that delivers other replies is sent once"): sent twice before.

--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -36,6 +36,8 @@
   generation: number;
   /** Abort controllers of the open relays; all are aborted if the connection is silent. */
   readonly relays: Set<AbortController>;
+  /** When anything last arrived on the current connection, in the clock's milliseconds. */
+  lastDeliveryAt: number;
   /** Whether a liveness check is scheduled or in progress. */
   hasCheck: boolean;
 }
@@ -65,11 +67,39 @@
       replicateStream: undefined,
       generation: 0,
       relays: new Set<AbortController>(),
+      lastDeliveryAt: Number.NEGATIVE_INFINITY,
       hasCheck: false,
     };
     connections.set(address, connection);
     return connection;
   };
+  const noteDelivery = (connection: PeerConnection, generation: number): void => {
+    if (connection.generation === generation) connection.lastDeliveryAt = clock.now();
+  };
+  /**
+   * Waits for a reply. If something else has arrived on the connection meanwhile, the connection isn't
+   * silent and the peer is only slow, so the reply gets the same time once more. To replace the
+   * connection of a slow peer, and to repeat its calls and relays, would slow it down further.
+   */
+  const awaitReply = async <T>(
+    connection: PeerConnection,
+    reply: Promise<T>,
+    step: string,
+  ): Promise<T> => {
+    const { generation } = connection;
+    const sentAt = clock.now();
+    const delivered = reply.then((value) => {
+      noteDelivery(connection, generation);
+      return value;
+    });
+    const wait = (): Promise<T> => withTimeout(clock, delivered, { limit: CALL_TIMEOUT, step });
+    try {
+      return await wait();
+    } catch (cause) {
+      if (connection.lastDeliveryAt <= sentAt) throw cause;
+      return wait();
+    }
+  };
   const call = async <T>(
     target: { to: Member; step: string },
     run: (connection: PeerConnection) => Promise<T>,
@@ -78,10 +108,7 @@
     for (let retries = 0; ; retries++) {
       const { generation } = connection;
       try {
-        return await withTimeout(clock, run(connection), {
-          limit: CALL_TIMEOUT,
-          step: target.step,
-        });
+        return await awaitReply(connection, run(connection), target.step);
       } catch (cause) {
         if (retries >= MAX_RECONNECTS) throw createPeerFailure(target, cause);
         // Calls between instances are idempotent, so a call can be repeated on a new connection. Only
@@ -116,7 +143,7 @@
     if (relays.length === 0) return;
     try {
       const reply = connection.channel.client().pull({ from: self, key: CHECK_KEY });
-      await withTimeout(clock, reply, { limit: CALL_TIMEOUT, step: "check the connection" });
+      await awaitReply(connection, reply, "check the connection");
     } catch (cause) {
       for (const abortController of relays) abortController.abort(cause);
       for (const abortController of relays) connection.relays.delete(abortController);
@@ -150,12 +177,14 @@
       ),
     relay: async function* (to, message, signal) {
       const connection = connectionTo(to.address);
+      const { generation } = connection;
       const abortController = new AbortController();
       addRelay(connection, abortController);
       try {
         const client = connection.channel.client();
         const relaySignal = AbortSignal.any([signal, abortController.signal]);
         for await (const event of client.relay(encodeRelay(message), { signal: relaySignal })) {
+          noteDelivery(connection, generation);
           yield decodeRelayEvent(event);
         }
       } catch (cause) {
@@ -184,6 +213,7 @@
 
 function reconnect(connection: PeerConnection): void {
   connection.generation++;
+  connection.lastDeliveryAt = Number.NEGATIVE_INFINITY;
   connection.replicateStream?.close();
   connection.replicateStream = undefined;
   connection.channel.reconnect();
--- a/src/connection/peer_client_test.ts
+++ b/src/connection/peer_client_test.ts
@@ -1,7 +1,7 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
-import { Refusal, RequestState, SlotOutcome } from "../interface/index.ts";
+import { Refusal, RequestState, sleep, SlotOutcome } from "../interface/index.ts";
 import type { Clock, Member, PeerHandlers, RequestRecord } from "../interface/index.ts";
 import { createPeerClient } from "./peer_client.ts";
 import { listenPeers } from "./peer_listener.ts";
@@ -190,6 +190,27 @@
   await expect(iterator.next()).rejects.toMatchObject({ step: "relay" });
 });
 
+// A peer without processor time answered late. Its connection was replaced, and all calls and relays were repeated.
+test("a call that is slow on a connection that delivers other replies is sent once", async () => {
+  const { handlers } = recordingHandlers();
+  let probes = 0;
+  const { address } = await startPeer({
+    ...handlers,
+    probe: async ({ from, deltas, versions }) => {
+      probes++;
+      await sleep(CLOCK, 800);
+      return { from, reached: true, deltas, versions };
+    },
+  });
+  const peers = createPeers("key-of-the-instances");
+  const to = memberAt(address);
+  const probing = peers.probe(to, { from: "e1#1", deltas: [], versions: [] });
+  await sleep(CLOCK, 200);
+  await peers.pull(to, "known");
+  expect(await probing).toMatchObject({ reached: true });
+  expect(probes).toBe(1);
+});
+
 // Each relay left a check of its own behind. Under load, one that failed then aborted all relays several times a second.
 test("a connection has one liveness check at a time, however many relays were opened on it", async () => {
   const { handlers } = recordingHandlers();
