End HTTP/2 sessions by closing their sockets

It happened while an instance ended its connections or replaced one.

Cause: session.destroy() destroys the streams of a session one after another. If one has been closed before its last data was sent, and a later one is reset, Node.js sends empty frames for the first one in an endless loop.

Evidence: three stacks of a hanging process (debugger), all in Http2Session::SendPendingData below Http2Stream::RstStream.

Change: the listener closes the sockets of its sessions; the client opens its sockets itself and closes them before it aborts the session manager.

--- a/src/connection/peer_channel.ts
+++ b/src/connection/peer_channel.ts
@@ -1,10 +1,16 @@
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { connect as connectTls } from "node:tls";
 import { createClient } from "@connectrpc/connect";
 import type { Client } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { ConnectTransportOptions } from "@connectrpc/connect-node";
 import { Peer } from "../gen/peer_pb.ts";
 import { addErrorListeners } from "./session_error_listener.ts";
+import { splitAddress } from "./http_listener.ts";
 import type { Certificate } from "./http_listener.ts";
+import { createSocketSet } from "./socket_set.ts";
+import type { SocketSet } from "./socket_set.ts";
 
 /** Delay before a replaced connection is aborted, in milliseconds, so that it can report its error. */
 const ABORT_DELAY = 1_000;
@@ -40,11 +46,14 @@
 export function createPeerChannel(address: string, security: PeerSecurity): PeerChannel {
   let current = openClient(address, security);
   const dropConnection = (): void => {
-    const { manager } = current;
+    const { manager, sockets } = current;
     const reason = new Error(`The connection to ${address} was dropped.`);
     // A session that the peer has just closed may still emit an error. Aborting it at once would remove
     // the listener, and the error would end the process as an uncaught exception.
-    setTimeout(() => manager.abort(reason), ABORT_DELAY).unref();
+    setTimeout(() => {
+      sockets.destroyAll();
+      setImmediate(() => manager.abort(reason));
+    }, ABORT_DELAY).unref();
   };
   return {
     client: () => current.client,
@@ -56,19 +65,22 @@
   };
 }
 
-/** A client with the session manager of its connection. */
+/** A client with the session manager of its connection, and the sockets that the manager has opened. */
 interface OpenClient {
   readonly client: Client<typeof Peer>;
   readonly manager: Http2SessionManager;
+  readonly sockets: SocketSet;
 }
 
 function openClient(address: string, { peerKey, tls }: PeerSecurity): OpenClient {
   const baseUrl = `${tls === undefined ? "http" : "https"}://${address}`;
-  const manager = new Http2SessionManager(
-    baseUrl,
-    {},
-    tls === undefined ? {} : { ca: tls.certificate },
-  );
+  const sockets = createSocketSet();
+  const createConnection = (): Socket => {
+    const socket = openSocket(address, tls);
+    sockets.add(socket);
+    return socket;
+  };
+  const manager = new Http2SessionManager(baseUrl, {}, { createConnection });
   const options: ConnectTransportOptions = {
     httpVersion: "2",
     baseUrl,
@@ -81,5 +93,11 @@
       },
     ],
   };
-  return { client: createClient(Peer, createConnectTransport(options)), manager };
+  return { client: createClient(Peer, createConnectTransport(options)), manager, sockets };
+}
+
+function openSocket(address: string, tls: Certificate | undefined): Socket {
+  const [host, port] = splitAddress(address);
+  if (tls === undefined) return connect({ host, port });
+  return connectTls({ host, port, ca: tls.certificate, ALPNProtocols: ["h2"] });
 }
--- a/src/connection/peer_client_test.ts
+++ b/src/connection/peer_client_test.ts
@@ -5,6 +5,7 @@
 import type { Clock, Member, PeerHandlers, RequestRecord } from "../interface/index.ts";
 import { createPeerClient } from "./peer_client.ts";
 import { listenPeers } from "./peer_listener.ts";
+import { LOOPBACK_TLS } from "./testing/loopback_tls.ts";
 
 const CLOCK: Clock = {
   now: () => performance.now(),
@@ -114,6 +115,21 @@
   expect(events).toEqual(["accepted", "token"]);
 });
 
+test("calls to a peer with a certificate use TLS", async () => {
+  const { handlers } = recordingHandlers();
+  const security = { peerKey: "key-of-the-instances", tls: LOOPBACK_TLS };
+  const onUnauthenticated = (): void => undefined;
+  const listener = await listenPeers("127.0.0.1:0", handlers, { security, onUnauthenticated });
+  closers.push(() => listener.close());
+  const peers = createPeerClient({ self: "e1#1", clock: CLOCK, security });
+  closers.push(() => peers.close());
+  expect(await peers.pull(memberAt(listener.address), "known")).toEqual({ version: 7, value: "v" });
+  const plain = createPeers("key-of-the-instances");
+  await expect(plain.pull(memberAt(listener.address), "known")).rejects.toMatchObject({
+    step: "pull",
+  });
+});
+
 test("a call without the peer key is rejected and counted", async () => {
   // Guards against another process in the network calling an entry instance: it could take over slots,
   // and callers would get the responses of others or none.
--- a/src/connection/peer_listener.ts
+++ b/src/connection/peer_listener.ts
@@ -1,6 +1,6 @@
 import { createServer, createSecureServer } from "node:http2";
-import type { Http2Server, ServerHttp2Session } from "node:http2";
-import type { AddressInfo } from "node:net";
+import type { Http2Server } from "node:http2";
+import type { AddressInfo, Socket } from "node:net";
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
@@ -11,6 +11,7 @@
 import { splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 import type { PeerSecurity } from "./peer_channel.ts";
+import { createSocketSet } from "./socket_set.ts";
 import {
   decodeAsk,
   decodeCede,
@@ -61,13 +62,10 @@
   return listen(server, address);
 }
 
-/** Listens and keeps track of the HTTP/2 sessions, so that `close` can end them. */
+/** Listens and keeps track of the sockets, so that `close` can end the sessions on them. */
 function listen(server: Http2Server, address: string): Promise<Listener> {
-  const sessions = new Set<ServerHttp2Session>();
-  server.on("session", (session) => {
-    sessions.add(session);
-    session.on("close", () => sessions.delete(session));
-  });
+  const sockets = createSocketSet();
+  server.on("connection", (socket: Socket) => sockets.add(socket));
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
@@ -79,7 +77,7 @@
         close: () =>
           new Promise((closed) => {
             server.close(() => closed());
-            for (const session of sessions) session.destroy();
+            sockets.destroyAll();
           }),
       });
     });
