--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -4,6 +4,7 @@
 import { systemClock } from "../process/index.ts";
 import { computeWorkerCost, countOutcomes, computeFirstTokenLatency } from "./demo/summary.ts";
 import type { LatencyQuantiles } from "./demo/summary.ts";
+import { RequestOutcome } from "./demo/caller.ts";
 import { checkGuarantees } from "./demo/guarantees.ts";
 import type { RunRecords, GuaranteeCheck } from "./demo/guarantees.ts";
 import { runScenario } from "./demo/scenario.ts";
@@ -50,7 +51,7 @@
     seed: Flags.integer({ description: "Seed of the random load.", default: DEFAULT_SEED }),
     log: Flags.string({
       description:
-        "File for the entry instances' changes of state and, at the end, their counters.",
+        "File for the entry instances' changes of state and, at the end, their counters and the failed requests.",
     }),
   };
 
@@ -79,7 +80,8 @@
         this.log(`${((systemClock.now() - startedAt) / 1_000).toFixed(1)} s  ${line}`),
     });
     const report = createReport(records, deployment, systemClock.now() - startedAt);
-    if (log !== undefined) for (const line of formatCounters(deployment)) log.write(`${line}\n`);
+    const summary = [...formatCounters(deployment), ...formatFailures(records)];
+    for (const line of summary) log?.write(`${line}\n`);
     await deployment.close();
     log?.end();
     this.printReport(report);
@@ -171,6 +173,24 @@
   });
 }
 
+/** Returns one JSON line for each request without a complete response, with the workers that started it. */
+function formatFailures({ results, runCounts }: RunRecords): string[] {
+  const failed = results.filter(({ outcome }) => outcome !== RequestOutcome.Complete);
+  return failed.map(({ requestId, loadRequest, outcome, refusalCode, tokens, reconnects }) => {
+    const { idempotencyKey, isRepeatable } = loadRequest;
+    const workers = runCounts.filter((run) => run.requestId === requestId).map((run) => run.worker);
+    const progress = { tokens: tokens.length, reconnects, workers };
+    return JSON.stringify({
+      requestId,
+      idempotencyKey,
+      isRepeatable,
+      outcome,
+      refusalCode,
+      ...progress,
+    });
+  });
+}
+
 /** Prefix of the counters that count recomputed tokens; the rest of the name is the cause. */
 const RECOMPUTED_PREFIX = "recomputed.";
 
