--- a/src/process/control.ts
+++ b/src/process/control.ts
@@ -11,6 +11,7 @@
 import type { Configuration } from "./configuration.ts";
 import { createMembership } from "./membership.ts";
 import type { Membership } from "./membership.ts";
+import { waitForSlotRelease } from "./slot_release.ts";
 import { createSlotTask } from "./slot_task.ts";
 
 /** Dependencies and settings of {@linkcode createControl}. */
@@ -81,7 +82,7 @@
       await configuration.start();
       slots.start();
     },
-    whenReleased: () => slots.whenReleased(),
+    whenReleased: () => waitForSlotRelease({ clock, configuration, members, count }),
     close: () => {
       subscription.close();
       slots.close();
--- a/src/process/slot_task.ts
+++ b/src/process/slot_task.ts
@@ -16,6 +16,7 @@
 import type { Configuration } from "./configuration.ts";
 import type { Membership } from "./membership.ts";
 import { createSlotFleetView } from "./slot_fleet.ts";
+import { ownersOf } from "./slot_release.ts";
 
 /**
  * Milliseconds between the writes of survivors with consecutive ranks, so that the second finds the
@@ -51,23 +52,10 @@
  * instance.
  */
 const CLAIM_INTERVAL = 8_000;
-/**
- * Maximum time in milliseconds that a planned stop waits until the slot map no longer needs this
- * instance. Without the store the map can't change, and the backups serve the slots meanwhile.
- */
-const RELEASE_TIMEOUT = 10_000;
 
 /** Keeps the assignment of slots up to date with the live members. */
 export interface SlotTask {
   start(): void;
-  /**
-   * Resolves once the slot map names other instances in place of this one, which is leaving, or
-   * after {@linkcode RELEASE_TIMEOUT}.
-   *
-   * If this process ended earlier, the other instance of each of its slots would be the only one.
-   * If that one is replaced next, the slots' histories are lost.
-   */
-  whenReleased(): Promise<void>;
   close(): void;
 }
 
@@ -274,43 +262,12 @@
     wakeIn(WRITE_JITTER * random.next());
   };
   const subscriptions = [members.onChange(onChange), configuration.onChange(onChange)];
-  const isReleased = (): boolean => {
-    const current = configuration.slotMap();
-    // An instance that never had a peer doesn't wait for one. Others do: a peer may be restarting.
-    if (ownersOf(current).size <= 1) return true;
-    const others = members.alive().filter(({ id }) => id !== self);
-    // A single other instance has no other backup than this one.
-    const mayBeBackup = others.length === 1;
-    return current.slots.every(
-      ({ primary, backup }) => primary !== self && (mayBeBackup || backup !== self),
-    );
-  };
   return {
     start: () => {
       startedAt = clock.now();
       mapChangedAt = startedAt;
       clock.after(GATHERING_TIME, () => wakeIn(0));
     },
-    whenReleased: () =>
-      new Promise((resolve) => {
-        const end = (): void => {
-          for (const wait of waits) wait.close();
-          resolve();
-        };
-        const check = (): void => {
-          if (isReleased()) end();
-        };
-        const onTimeout = (): void => {
-          parts.count("slots.release-timeout");
-          end();
-        };
-        const waits = [
-          members.onChange(check),
-          configuration.onChange(check),
-          clock.after(RELEASE_TIMEOUT, onTimeout),
-        ];
-        check();
-      }),
     close: () => {
       closed = true;
       timer?.close();
@@ -328,12 +285,6 @@
   return Math.max(0, order.indexOf(self));
 }
 
-function ownersOf(map: SlotMap): ReadonlySet<string> {
-  const owners = new Set(map.slots.flatMap(({ primary, backup }) => [primary, backup]));
-  owners.delete("");
-  return owners;
-}
-
 function isMajorityOfOwnersLive(map: SlotMap, members: Membership): boolean {
   const owners = ownersOf(map);
   const liveCount = [...owners].filter((id) => members.stateOf(id) !== MemberState.Dead).length;
