Count slots without an owner, a backup or their history in one place

The state log's line on a new slot map counted again what the operators' status counts, under another name (withoutOwner, now unassigned as in the status), and counted unassigned slots also as slots without a backup. Both use countSlots now. ownersOf is with the slot map, instead of being imported by the slot task from the wait of a planned stop. The demo builds its line on a failed request in one step.

--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -179,14 +179,15 @@
   return failed.map(({ requestId, loadRequest, outcome, refusalCode, tokens, reconnects }) => {
     const { idempotencyKey, isRepeatable } = loadRequest;
     const workers = runCounts.filter((run) => run.requestId === requestId).map((run) => run.worker);
-    const progress = { tokens: tokens.length, reconnects, workers };
     return JSON.stringify({
       requestId,
       idempotencyKey,
       isRepeatable,
       outcome,
       refusalCode,
-      ...progress,
+      tokens: tokens.length,
+      reconnects,
+      workers,
     });
   });
 }
--- a/src/process/operator_service.ts
+++ b/src/process/operator_service.ts
@@ -3,7 +3,7 @@
 import { sleep } from "../interface/index.ts";
 import type { Clock, RequestRecord, ObjectVersion } from "../interface/index.ts";
 import type { RequestService } from "../request/index.ts";
-import { assignmentOf, REVISION_KEY, SLOT_MAP_KEY } from "../version/index.ts";
+import { assignmentOf, countSlots, REVISION_KEY, SLOT_MAP_KEY } from "../version/index.ts";
 import type { Revision, Service, SlotMap } from "../version/index.ts";
 import type { Configuration } from "./configuration.ts";
 import type { CounterTable } from "./counters.ts";
@@ -91,21 +91,13 @@
         backupOf: map.slots.filter(({ backup }) => backup === id).length,
       };
     }),
-    slots: slotCounts(map),
+    slots: countSlots(map),
     leaving: [...members.leavingWorkers()],
     refusals: counters.refusals(),
     retries: counters.retries(),
   };
 }
 
-function slotCounts({ slots }: SlotMap): StatusMessage["slots"] {
-  return {
-    unassigned: slots.filter(({ primary }) => primary === "").length,
-    withoutBackup: slots.filter(({ primary, backup }) => primary !== "" && backup === "").length,
-    historyLost: slots.filter(({ historyLostAt }) => historyLostAt > 0).length,
-  };
-}
-
 function servicesOf({ configuration, workers }: OperatorServiceParts): ServicesMessage {
   const revision = configuration.revision();
   if (revision === undefined) return { revision: 0, preset: "", presets: [], services: [] };
--- a/src/process/slot_release.ts
+++ b/src/process/slot_release.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../interface/index.ts";
-import type { SlotMap } from "../version/index.ts";
+import { ownersOf } from "../version/index.ts";
 import type { Configuration } from "./configuration.ts";
 import type { Membership } from "./membership.ts";
 
@@ -59,10 +59,3 @@
     ({ primary, backup }) => primary !== self && (mayBeBackup || backup !== self),
   );
 }
-
-/** Returns the member ids of all primaries and backups. */
-export function ownersOf(map: SlotMap): ReadonlySet<string> {
-  const owners = new Set(map.slots.flatMap(({ primary, backup }) => [primary, backup]));
-  owners.delete("");
-  return owners;
-}
--- a/src/process/slot_task.ts
+++ b/src/process/slot_task.ts
@@ -4,6 +4,7 @@
 import {
   applyChanges,
   formatSlotMap,
+  ownersOf,
   planBackups,
   planSwaps,
   planTakeover,
@@ -16,7 +17,6 @@
 import type { Configuration } from "./configuration.ts";
 import type { Membership } from "./membership.ts";
 import { createSlotFleetView } from "./slot_fleet.ts";
-import { ownersOf } from "./slot_release.ts";
 
 /**
  * Milliseconds between the writes of survivors with consecutive ranks, so that the second finds the
--- a/src/process/state_log.ts
+++ b/src/process/state_log.ts
@@ -8,7 +8,7 @@
   Subscription,
   WorkerView,
 } from "../request/index.ts";
-import type { SlotAssignment, SlotMap } from "../version/index.ts";
+import { countSlots } from "../version/index.ts";
 
 /** Sources of the state log. */
 export interface StateLogParts {
@@ -83,26 +83,12 @@
     const map = configuration.slotMap();
     if (map.version === slotMap) return;
     slotMap = map.version;
-    const context = { step: "slot map", peer: "store", slotMap, ...describeSlotMap(map) };
+    const { claim = "" } = map;
+    const context = { step: "slot map", peer: "store", slotMap, ...countSlots(map), claim };
     log.info(context, "a slot map is in force");
   };
 }
 
-/**
- * Returns the numbers of slots that have no owner, no backup, or lost both owners at some time, and
- * the instance that claims slots because it has no contact with most owners.
- */
-function describeSlotMap({ slots, claim }: SlotMap): Record<string, string | number> {
-  const countWhere = (condition: (assignment: SlotAssignment) => boolean): number =>
-    slots.filter(condition).length;
-  return {
-    withoutOwner: countWhere(({ primary }) => primary === ""),
-    withoutBackup: countWhere(({ backup }) => backup === ""),
-    historyLost: countWhere(({ historyLostAt }) => historyLostAt !== 0),
-    claim: claim ?? "",
-  };
-}
-
 function workerChanges({ workers }: StateLogParts, log: Log): () => void {
   const seen = new Map<string, WorkerState>();
   return () => {
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -1,5 +1,6 @@
 export * from "./deployment.ts";
 export * from "./revision.ts";
+export * from "./slot_counts.ts";
 export * from "./slot_map.ts";
 export * from "./unit.ts";
 export * from "./settings_text.ts";
--- a/src/version/slot_map.ts
+++ b/src/version/slot_map.ts
@@ -49,3 +49,10 @@
 export function assignmentOf(map: SlotMap, slot: number): SlotAssignment {
   return map.slots[slot] ?? UNASSIGNED;
 }
+
+/** Returns the member ids of all primaries and backups. */
+export function ownersOf(map: SlotMap): ReadonlySet<string> {
+  const owners = new Set(map.slots.flatMap(({ primary, backup }) => [primary, backup]));
+  owners.delete("");
+  return owners;
+}
