Watch streams for silence in one place

A worker's stream and a stream from another instance each had a timer that restarts itself until nothing has come for a time; both had to be changed in the same way when timeouts began to count running time. Both use createSilenceWatch now.

--- a/src/request/engine_stream.ts
+++ b/src/request/engine_stream.ts
@@ -1,8 +1,9 @@
-import { afterRunningTime, CANCELLED_RUN, RetryCause } from "../interface/index.ts";
+import { CANCELLED_RUN, RetryCause } from "../interface/index.ts";
 import type { EngineEvent, EngineFailure } from "../interface/index.ts";
 import type { Environment } from "./environment.ts";
 import { StopReason } from "./live_request.ts";
 import type { LiveRequest } from "./live_request.ts";
+import { createSilenceWatch } from "./silence_watch.ts";
 
 /** The end of a stream from a backend server. */
 export type StreamEnd =
@@ -69,7 +70,7 @@
     stopReason = cause;
     controller.abort(new Error(`The request was stopped: ${cause}.`));
   });
-  const progressWatch = watchProgress(clock, () => {
+  const silenceWatch = createSilenceWatch(clock, PROGRESS_TIMEOUTS.start, () => {
     isSilent = true;
     controller.abort(
       new Error(`Worker ${options.worker} sent nothing within the progress timeout.`),
@@ -103,9 +104,8 @@
     for await (const event of options.open(controller.signal)) {
       const interrupted = interruptedEnd();
       if (interrupted !== undefined) return interrupted;
-      progressWatch.restart(
-        event.kind === "token" || progress.hasToken ? "nextToken" : "firstToken",
-      );
+      const { firstToken, nextToken } = PROGRESS_TIMEOUTS;
+      silenceWatch.restart(event.kind === "token" || progress.hasToken ? nextToken : firstToken);
       if (event.kind === "finished") {
         // A previous owner cancels a run when it moves the request. An instance that still follows
         // the run has received a truncated answer and must not send it to the caller as complete.
@@ -137,7 +137,7 @@
   } catch (error) {
     return interruptedEnd() ?? toBrokenEnd(error);
   } finally {
-    progressWatch.close();
+    silenceWatch.close();
     removeStopListener();
     if (!progress.isComplete) controller.abort(new Error("The stream is no longer followed."));
   }
@@ -147,33 +147,3 @@
   const failure = error as Partial<EngineFailure>;
   return { kind: "broken", notSent: failure.notSent === true, detail: String(error) };
 }
-
-interface ProgressWatch {
-  restart(next: keyof ProgressTimeouts): void;
-  close(): void;
-}
-
-/**
- * Uses one timer for the whole stream: it checks the time since the last event and restarts itself.
- */
-function watchProgress(clock: Environment["clock"], onSilence: () => void): ProgressWatch {
-  let limit = PROGRESS_TIMEOUTS.start;
-  let lastEventAt = clock.now();
-  const check = (): void => {
-    const remaining = lastEventAt + limit - clock.now();
-    if (remaining > 0) timer = afterRunningTime(clock, remaining, check);
-    else onSilence();
-  };
-  let timer = afterRunningTime(clock, limit, check);
-  return {
-    restart: (next) => {
-      const previousLimit = limit;
-      limit = PROGRESS_TIMEOUTS[next];
-      lastEventAt = clock.now();
-      if (limit >= previousLimit) return;
-      timer.close();
-      timer = afterRunningTime(clock, limit, check);
-    },
-    close: () => timer.close(),
-  };
-}
--- a/src/request/request_forwarding.ts
+++ b/src/request/request_forwarding.ts
@@ -1,5 +1,4 @@
 import {
-  afterRunningTime,
   isFinalRequestState,
   MemberState,
   Refusal,
@@ -11,6 +10,7 @@
 import type { Environment } from "./environment.ts";
 import type { OwnedRequests } from "./owned_requests.ts";
 import type { CallerEvent, Rejection } from "./request_api.ts";
+import { createSilenceWatch } from "./silence_watch.ts";
 import { ownsSlot } from "./slot_replica.ts";
 import type { SlotTable } from "./slot_table.ts";
 
@@ -259,26 +259,19 @@
   const controller = new AbortController();
   const abort = (): void => controller.abort(new Error("The stream is no longer followed."));
   signal.addEventListener("abort", abort, { once: true });
-  let lastEventAt = clock.now();
-  const checkIdle = (): void => {
-    const remaining = lastEventAt + RELAY_IDLE_TIMEOUT - clock.now();
-    if (remaining > 0) {
-      timer = afterRunningTime(clock, remaining, checkIdle);
-      return;
-    }
+  const silenceWatch = createSilenceWatch(clock, RELAY_IDLE_TIMEOUT, () => {
     counters.retried(RetryCause.SilentConnection);
     abort();
-  };
-  let timer = afterRunningTime(clock, RELAY_IDLE_TIMEOUT, checkIdle);
+  });
   try {
     for await (const event of peers.relay(owner, message, controller.signal)) {
-      lastEventAt = clock.now();
+      silenceWatch.restart(RELAY_IDLE_TIMEOUT);
       yield event;
     }
   } catch {
     counters.count("relay.broken");
   } finally {
-    timer.close();
+    silenceWatch.close();
     signal.removeEventListener("abort", abort);
     abort();
   }
