Log the version of workers and the resumption of streams

Change: both lines contain the version, 'from' is set for every continuation, and the line 'resumed' names the caller's last event and the attempt that brought the first one.

--- a/src/interface/header_names.ts
+++ b/src/interface/header_names.ts
@@ -22,6 +22,8 @@
   readonly priority: string;
   /** Id of the last stream event that the caller has received. */
   readonly lastEventId: string;
+  /** Id of the attempt that brought the first event of the stream whose rest the caller asks for. */
+  readonly resumes: string;
   /** The number of prompt tokens and the maximum number of response tokens, separated by a comma. */
   readonly tokens: string;
   /** The parts of the prompt in order, as `ID:TOKENS` entries separated by commas. */
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -233,9 +233,9 @@
     for (const worker of current) {
       const known = removed.get(worker.id);
       removed.delete(worker.id);
-      if (known?.startedAt === worker.startedAt && known.isLeaving === worker.isLeaving) continue;
-      const { id, service, zone, purchase, isLeaving, leavesIn } = worker;
-      log.changed("worker", { worker: id, service, zone, purchase, isLeaving, leavesIn });
+      if (known !== undefined && isSameState(known, worker)) continue;
+      const { id, service, version, zone, purchase, isLeaving, leavesIn } = worker;
+      log.changed("worker", { worker: id, service, version, zone, purchase, isLeaving, leavesIn });
     }
     for (const worker of removed.keys()) log.changed("worker-gone", { worker });
   };
@@ -268,3 +268,8 @@
     },
   };
 }
+
+/** Whether two entries of a worker describe the same process in the same state. */
+function isSameState(a: RoutedWorker, b: RoutedWorker): boolean {
+  return a.startedAt === b.startedAt && a.version === b.version && a.isLeaving === b.isLeaving;
+}
--- a/src/process/worker_selection.ts
+++ b/src/process/worker_selection.ts
@@ -135,6 +135,7 @@
       warmupLeft: Math.max(0, worker.warmupLeft - (now - entry.seenAt)),
       address: worker.address,
       service: worker.service,
+      version: worker.version,
       maxConnections,
     };
   };
--- a/src/request/routed_arrival.ts
+++ b/src/request/routed_arrival.ts
@@ -27,10 +27,20 @@
   readonly declaredTokens: number | undefined;
   /** Parts of the prompt with their lengths, used to find workers that have them cached. */
   readonly promptParts: readonly PromptPart[];
+  /** Set if the caller already has a part of the stream and asks for the rest. */
+  readonly resumption: Resumption | undefined;
   /** Priority; 0 is the most urgent. */
   readonly rank: number;
 }
 
+/** What a caller states about the part of a stream that it already has. */
+export interface Resumption {
+  /** Id of the last event that it has. */
+  readonly lastEventId: string;
+  /** Id of its attempt that brought the first event; undefined if it names none. */
+  readonly attempt: string | undefined;
+}
+
 /** Why a request is refused because of its head alone. */
 export type ArrivalRefusal = { readonly kind: "no-route" } | { readonly kind: "unknown-key" };
 
@@ -65,6 +75,7 @@
     deadlineAt: now + Math.min(deadline, route.timeout),
     declaredTokens: parseTokens(header(names.tokens)),
     promptParts: parsePromptParts(header(names.promptParts)),
+    resumption: readResumption(header(names.lastEventId), header(names.resumes)),
     rank: account?.priority ?? route.priority,
   };
 }
@@ -88,6 +99,13 @@
   return Number(text);
 }
 
+function readResumption(
+  lastEventId: string | undefined,
+  attempt: string | undefined,
+): Resumption | undefined {
+  return lastEventId === undefined ? undefined : { lastEventId, attempt };
+}
+
 function parseTokens(text: string | undefined): number | undefined {
   const match = /^\s*(\d{1,9})\s*,\s*(\d{1,9})\s*$/.exec(text ?? "");
   return match === null ? undefined : Number(match[1]) + Number(match[2]);
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -50,6 +50,8 @@
 export interface CandidateWorker extends RankedWorker, WorkerEndpoint {
   /** Name of the worker's service. */
   readonly service: string;
+  /** Version of the worker's software. */
+  readonly version: string;
   /** Maximum number of connections from this instance to the worker. */
   readonly maxConnections: number;
 }
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -231,6 +231,7 @@
     runs++;
     logStep("sent", {
       worker: worker.id,
+      version: worker.version,
       account: arrival.account?.name,
       tokens: arrival.declaredTokens,
       print: fingerprint.name,
@@ -238,7 +239,7 @@
       cost: Math.round(cost),
       running: worker.running,
       left: Math.round(arrival.deadlineAt - now),
-      from: splitter.lastId,
+      from: splitter.lastId ?? arrival.resumption?.lastEventId,
     });
     if (repeatable) {
       leavingSubscription = workerLoads.onLeaving(worker.id, () => {
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -98,7 +98,12 @@
     callerResponse: CallerResponse,
   ): (() => void) | undefined => {
     const { request, arrival, body, table } = admitted;
-    const { id, account } = arrival;
+    const { id, account, resumption } = arrival;
+    if (resumption !== undefined)
+      context.logDecision("resumed", id, {
+        from: resumption.lastEventId,
+        attempt: resumption.attempt,
+      });
     const name = pickService(arrival.route, context.random);
     const service = name === undefined ? undefined : table.service(name);
     if (service === undefined) {
