Continue a stream only at the software version that began it

What callers saw: streams that were broken off went on at workers of another software version, in one answer and when the caller took them up again; what two versions write doesn't fit together.

Cause: nothing in the choice of a worker knew of versions. In one answer, a broken stream was sent on to any worker of the service. A caller that took its stream up was treated like one that begins: the instance didn't read which attempt had brought the first event, and no instance kept at which version it began. The class: a decision is repeated (which worker) without the part of the first one that must not change (its version).

Change: the first event fixes the version, for the answer and for all later attempts. The instance records it under the attempt's id and account. An instance without the record asks all others and takes the first record. If there is none, the version is certain only if the service had no other for as long as streams last, as seen by this instance or another one that is current; otherwise the request is refused at once, as not run. A run stays at a leaving worker if no other worker of its version accepts requests.

--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -33,3 +33,6 @@
 export * from "./worker_demand.ts";
 export * from "./worker_mix.ts";
 export * from "./zone_losses.ts";
+export * from "./record_holders.ts";
+export * from "./stream_records.ts";
+export * from "./version_history.ts";
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -1,3 +1,4 @@
+import { createDatagramChannels } from "../connection/datagram_channels.ts";
 import { openDatagramSocket } from "../connection/datagram_socket.ts";
 import { createWorkerConnections } from "../connection/worker_connections.ts";
 import { createWorkerPath } from "../connection/worker_path.ts";
@@ -35,6 +36,8 @@
 import { rolloutStatus } from "./rollout_status.ts";
 import { createRolloutView, servedWorkers } from "./rollout_view.ts";
 import { instanceStatuses, quarantineStatuses, routeStatuses } from "./status_parts.ts";
+import { createPeerAgreement } from "./peer_agreement.ts";
+import { createStreamVersions, versionsByService } from "./stream_versions.ts";
 import { createStoreThrottle } from "./store_throttle.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
@@ -62,6 +65,12 @@
  * lease, so only messages in flight have to arrive.
  */
 const TAKEOVER_DELAY = 300;
+/**
+ * Maximum duration of a stream over all attempts of its caller, in timeouts of its route: each attempt has its own.
+ */
+const STREAM_DURATION_FACTOR = 2;
+/** Minimum of the longest timeout of all routes, in milliseconds. It applies until there is a configuration. */
+const MIN_LONGEST_TIMEOUT = 15_000;
 
 /** Creates an instance. It does nothing until `start` is called. */
 export function createRoutedEntry(
@@ -72,6 +81,8 @@
   const startedAt = clock.now();
   const capacity = capacityOf(settings);
   let stoppingSince: number | undefined;
+  /** The longest time in milliseconds that a route allows. */
+  let longestTimeout = MIN_LONGEST_TIMEOUT;
 
   const health = createWorkerHealth();
   const quota = createSharedQuota(startedAt);
@@ -170,7 +181,13 @@
     log,
     staleAfter: settings.leaseTerm + LEASE_POLL_INTERVAL,
     fleet: () => fleet,
-    onRouting: (routing) => quota.addAccounts(routing.accounts ?? [], clock.now()),
+    onRouting: (routing) => {
+      quota.addAccounts(routing.accounts ?? [], clock.now());
+      longestTimeout = Math.max(
+        ...routing.routes.map(({ timeout }) => timeout),
+        MIN_LONGEST_TIMEOUT,
+      );
+    },
     onArrival: (source, delay) => metrics.changeReceived(source, delay),
     onQuarantine: (objects, options) => quarantine.setObjects(objects, options),
     followsQuarantine: () =>
@@ -179,12 +196,38 @@
     onRollouts: (entries, age) => versions?.setEntries(entries, age),
     onWorkers: (workers) => {
       versions?.setWorkers(workers);
+      streamVersions.setWorkers(workers);
       workerTable.setWorkers(workers);
       connections.retainWorkers(new Set(workers.map(({ id }) => id)));
       mix.workersChanged();
     },
   });
   const table = (): RouteTable | undefined => view.table();
+  const datagrams = createDatagramChannels(openDatagramSocket, (bytes) =>
+    streamVersions.receive(bytes),
+  );
+  const streamVersions = createStreamVersions({
+    clock,
+    self: { peers: settings.listen.peers, zone: settings.zone },
+    instances: () => fleet.live(),
+    expectsOthers: () => fleet.members > 1,
+    isSmallFleet: () => fleet.role === FleetRole.Mesh,
+    view: {
+      ...createPeerAgreement({
+        clock,
+        kind: kinds.workers,
+        ownVersion: () => view.feeds.get(kinds.workers)?.changedAt ?? 0,
+        peers: () => fleet.directPeers(),
+      }),
+      readVersions: async () => {
+        const { objects } = await dependencies.feed.listKind(kinds.workers);
+        return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
+      },
+    },
+    maxDuration: () => STREAM_DURATION_FACTOR * longestTimeout,
+    send: datagrams.sendMarked,
+    onFault: (detail) => log.fault("stream-records", { detail }),
+  });
   const fleet = createFleetSync({
     settings,
     clock,
@@ -213,7 +256,7 @@
       versions?.updatePlans(peer.plans);
     },
     onDigestApplied: (peer) => view.afterDigest(peer),
-    open: openDatagramSocket,
+    open: datagrams.open,
   });
   const { incarnation } = fleet;
 
@@ -315,6 +358,7 @@
       onEnded: (_worker, fingerprints) => quarantine.recordCrash(fingerprints),
     }),
     quarantine,
+    streamVersions,
     recordStart: (account, at) => {
       if (account === undefined) return;
       ledger.recordRun(account, Math.floor(time.now(at) / settings.usage.window));
@@ -446,7 +490,7 @@
     stop: () => (stopped ??= drain()),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
-      for (const part of [connections, path, relay]) part.close();
+      for (const part of [connections, path, relay, streamVersions]) part.close();
       rollouts?.close();
     },
   };
--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -316,6 +316,7 @@
   };
   return {
     candidates: (service) => selection.candidates(service),
+    hasVersion: (service, version) => selection.hasVersion(service, version),
     timeUntilCapacity,
     sample: (service, promptParts) => selection.sample(service, promptParts),
     begin,
--- /dev/null
+++ b/src/process/stream_inquiries.ts
@@ -0,0 +1,201 @@
+import type { StreamRecord } from "../decision/index.ts";
+import type { Clock, Timer } from "../interface/index.ts";
+import type { RecentVersions } from "./stream_record_codec.ts";
+
+/** Asks the other instances at which version streams began. */
+export interface StreamInquiries {
+  /** Starts an inquiry. `done` is called once, not before this returns. */
+  start(inquiry: StreamInquiry): { close(): void };
+  /** Applies the records of a message: inquiries whose record is found now end. */
+  recordsReceived(): void;
+  /** Applies an instance's statement on the recent versions of services, its answer to a question. */
+  answered(sender: string, recent: readonly RecentVersions[]): void;
+  close(): void;
+}
+
+/** What is to be found out about one stream. */
+export interface StreamInquiry {
+  /** Hash of the attempt that brought its first event; undefined if its caller names none. */
+  readonly attempt: bigint | undefined;
+  /** The service whose only version it may have begun at. */
+  readonly service: string;
+  /** The service's recent versions as seen by this instance. */
+  readonly versions: readonly string[];
+  readonly done: (record: StreamRecord | undefined) => void;
+}
+
+/** Dependencies of {@linkcode createStreamInquiries}. */
+export interface StreamInquiriesParts {
+  readonly clock: Clock;
+  /** Returns the addresses of the other live instances. */
+  readonly instances: () => readonly string[];
+  /** Whether other instances are expected, although none may be known to be live yet. */
+  readonly expectsOthers: () => boolean;
+  /** What this instance knows of the workers. */
+  readonly view: WorkerView;
+  readonly find: (attempt: bigint) => StreamRecord | undefined;
+  readonly send: (
+    question: { readonly attempts: readonly bigint[]; readonly services: readonly string[] },
+    address: string,
+  ) => void;
+}
+
+/** How far an instance's knowledge of the workers can be trusted. */
+export interface WorkerView {
+  /** Whether no recent digest of another instance shows that it knows later changes; false without such digests. */
+  isCurrent(): boolean;
+  /** Whether another instance has sent a digest recently. */
+  hasRecentDigest(): boolean;
+  /** Whether it has followed the workers for as long as streams last. */
+  coversPeriod(): boolean;
+  /** Reads the versions of all workers from the store, by service. */
+  readVersions(): Promise<ReadonlyMap<string, ReadonlySet<string>>>;
+}
+
+/** An inquiry in progress. */
+interface OpenInquiry extends StreamInquiry {
+  /** Addresses of the instances that were asked and have not answered. */
+  readonly unanswered: Set<string>;
+  /** Addresses of the instances that have answered. */
+  readonly answeredBy: Set<string>;
+  /** All recent versions that instances have stated. */
+  readonly seen: Set<string>;
+  /** Whether one of them has followed the workers for as long as streams last. */
+  hasCompleteView: boolean;
+  /** Whether the store has confirmed that all present versions are among those seen. */
+  isConfirmed: boolean;
+  readonly startedAt: number;
+  /** When its question was last sent, in the clock's milliseconds. */
+  askedAt: number;
+}
+
+/** Milliseconds for which questions are collected: all streams of an ended instance arrive together. */
+const QUESTION_DELAY = 5;
+/** Milliseconds after which instances that have not answered are asked again, because a datagram may be lost. */
+const REPEAT_INTERVAL = 60;
+/** Milliseconds after which a stream counts as unknown; an instance on a busy processor answers within this time. */
+const INQUIRY_TIMEOUT = 250;
+/** The same for an instance that has just started: it learns of the others with their next digests. */
+const DISCOVERY_TIMEOUT = 450;
+
+/** Creates an empty set of inquiries. */
+export function createStreamInquiries(parts: StreamInquiriesParts): StreamInquiries {
+  const { clock, find, view } = parts;
+  const open = new Set<OpenInquiry>();
+  let isReading = false;
+  let timer: Timer | undefined;
+  /** When the timer fires, in the clock's milliseconds. */
+  let timerAt = Infinity;
+
+  const recordOf = ({ attempt }: StreamInquiry): StreamRecord | undefined =>
+    attempt === undefined ? undefined : find(attempt);
+  const end = (inquiry: OpenInquiry, record: StreamRecord | undefined): void => {
+    if (open.delete(inquiry)) inquiry.done(record);
+  };
+  /** Returns the record of a stream whose service has had only one version for as long as streams last. */
+  const onlyVersion = (inquiry: OpenInquiry): StreamRecord | undefined => {
+    const [version] = inquiry.seen;
+    if (version === undefined || inquiry.seen.size > 1) return undefined;
+    // After all instances have been restarted, none has followed the workers for long.
+    const isCertain = inquiry.hasCompleteView || inquiry.isConfirmed || view.isCurrent();
+    return isCertain ? { kind: "known", service: inquiry.service, version } : undefined;
+  };
+  const isFinal = ({ unanswered, answeredBy, seen, isConfirmed }: OpenInquiry): boolean =>
+    (unanswered.size === 0 && (answeredBy.size > 0 || !expectsAnswers())) ||
+    (isConfirmed && seen.size === 1 && view.coversPeriod());
+  /** Whether an answer may still come: from another instance or, if there is none, from the store. */
+  const expectsAnswers = (): boolean => parts.expectsOthers() || isReading;
+  /**
+   * Reads the versions that are present from the store. Without digests of other instances, nothing
+   * else shows whether this instance has missed a change.
+   */
+  const confirm = async (): Promise<void> => {
+    if (isReading) return;
+    isReading = true;
+    const versions = await view.readVersions().catch(() => undefined);
+    isReading = false;
+    for (const inquiry of open) {
+      if (versions !== undefined) {
+        for (const version of versions.get(inquiry.service) ?? []) inquiry.seen.add(version);
+        inquiry.isConfirmed = true;
+      }
+      update(inquiry);
+    }
+  };
+  const timeoutOf = ({ unanswered, answeredBy }: OpenInquiry): number =>
+    unanswered.size + answeredBy.size > 0 ? INQUIRY_TIMEOUT : DISCOVERY_TIMEOUT;
+  const update = (inquiry: OpenInquiry): void => {
+    const record = recordOf(inquiry);
+    if (record !== undefined) end(inquiry, record);
+    else if (inquiry.attempt === undefined && inquiry.seen.size > 1) end(inquiry, undefined);
+    else if (isFinal(inquiry) || clock.now() - inquiry.startedAt >= timeoutOf(inquiry))
+      end(inquiry, onlyVersion(inquiry));
+  };
+  const ask = (): void => {
+    timer = undefined;
+    const now = clock.now();
+    const addresses = parts.instances();
+    const due = [...open].filter(({ askedAt }) => askedAt <= now - REPEAT_INTERVAL);
+    for (const inquiry of due) {
+      inquiry.askedAt = now;
+      for (const address of addresses) {
+        if (!inquiry.answeredBy.has(address)) inquiry.unanswered.add(address);
+      }
+      update(inquiry);
+    }
+    const unknown = due.filter((inquiry) => open.has(inquiry));
+    for (const address of addresses) {
+      const asked = unknown.filter(({ unanswered }) => unanswered.has(address));
+      if (asked.length === 0) continue;
+      const attempts = asked.flatMap(({ attempt }) => attempt ?? []);
+      parts.send(
+        { attempts, services: [...new Set(asked.map(({ service }) => service))] },
+        address,
+      );
+    }
+    const earliest = Math.min(...[...open].map(({ askedAt }) => askedAt));
+    if (open.size > 0) schedule(earliest + REPEAT_INTERVAL);
+  };
+  const schedule = (at: number): void => {
+    if (timer !== undefined && timerAt <= at) return;
+    timer?.close();
+    timerAt = at;
+    timer = clock.after(Math.max(0, at - clock.now()), ask);
+  };
+  return {
+    start: (inquiry) => {
+      const opened: OpenInquiry = {
+        ...inquiry,
+        unanswered: new Set(),
+        answeredBy: new Set(),
+        seen: new Set(inquiry.versions),
+        hasCompleteView: false,
+        isConfirmed: false,
+        startedAt: clock.now(),
+        askedAt: -Infinity,
+      };
+      open.add(opened);
+      if (!view.hasRecentDigest()) void confirm();
+      schedule(clock.now() + QUESTION_DELAY);
+      return { close: () => void open.delete(opened) };
+    },
+    recordsReceived: () => {
+      for (const inquiry of open) update(inquiry);
+    },
+    answered: (sender, recent) => {
+      const versionsByService = new Map(recent.map((one) => [one.service, one]));
+      for (const inquiry of open) {
+        const statement = versionsByService.get(inquiry.service);
+        if (statement === undefined || !inquiry.unanswered.delete(sender)) continue;
+        inquiry.answeredBy.add(sender);
+        for (const version of statement.versions) inquiry.seen.add(version);
+        if (statement.isComplete) inquiry.hasCompleteView = true;
+        update(inquiry);
+      }
+    },
+    close: () => {
+      timer?.close();
+      open.clear();
+    },
+  };
+}
--- /dev/null
+++ b/src/process/stream_versions.ts
@@ -0,0 +1,192 @@
+/**
+ * Finds out at which version of its workers a stream began that a caller takes up again.
+ *
+ * What two software versions write doesn't fit together, so a stream may go on only at the version
+ * that began it. The instance at which it began records the version and, while the service has
+ * several versions, sends copies of the record to a few others, since it may end before the stream.
+ * An instance without the record asks all others. If no record is found and the service has had only
+ * one version for as long as streams last, the stream began at it; otherwise its version is unknown.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { createStreamRecords, createVersionHistory } from "../decision/index.ts";
+import type { HistoryTime, StreamRecord, StreamVersion } from "../decision/index.ts";
+import type { Clock, RoutedWorker } from "../interface/index.ts";
+import type { StreamAttempt, StreamVersions } from "../request/index.ts";
+import type { RosterEntry } from "./digest.ts";
+import { createStreamInquiries } from "./stream_inquiries.ts";
+import type { WorkerView } from "./stream_inquiries.ts";
+import { createStreamRecordCopies } from "./stream_record_copies.ts";
+import { decodeStreamRecords, encodeStreamRecords } from "./stream_record_codec.ts";
+import type { AttemptVersion, RecentVersions, StreamRecordMessage } from "./stream_record_codec.ts";
+
+/** The versions of streams, as known to this instance and the others. */
+export interface StreamVersionTask extends StreamVersions {
+  /** Replaces the workers. */
+  setWorkers(workers: readonly RoutedWorker[]): void;
+  /** Handles a datagram of another instance. */
+  receive(bytes: Uint8Array): void;
+  close(): void;
+}
+
+/** Dependencies of {@linkcode createStreamVersions}. */
+export interface StreamVersionTaskParts {
+  readonly clock: Clock;
+  /** This instance's address for other instances, and its zone. */
+  readonly self: { readonly peers: string; readonly zone: string };
+  /** Returns the other live instances. */
+  readonly instances: () => readonly RosterEntry[];
+  /** Whether other instances are expected, although none may be known to be live yet. */
+  readonly expectsOthers: () => boolean;
+  /** Whether every instance exchanges digests with every other. */
+  readonly isSmallFleet: () => boolean;
+  /** What this instance knows of the workers, apart from their history. */
+  readonly view: Omit<WorkerView, "coversPeriod">;
+  /** Maximum duration of a stream in milliseconds. */
+  readonly maxDuration: () => number;
+  readonly send: (bytes: Uint8Array, address: string) => void;
+  /** Called with a description when a datagram could not be read. */
+  readonly onFault: (detail: string) => void;
+}
+
+/** Maximum number of records or attempts in one datagram, far below the maximum size. */
+const MAX_ATTEMPTS = 1_000;
+
+/** Creates the task without workers and records. */
+export function createStreamVersions(parts: StreamVersionTaskParts): StreamVersionTask {
+  const { clock, self } = parts;
+  const records = createStreamRecords();
+  const history = createVersionHistory();
+  const time = (): HistoryTime => ({ now: clock.now(), period: parts.maxDuration() });
+  const recentVersions = (service: string): string[] => history.recent(service, time());
+  const view = { ...parts.view, coversPeriod: () => history.coversPeriod(time()) };
+  const hasCompleteView = (): boolean => view.isCurrent() && view.coversPeriod();
+
+  const send = (message: Partial<StreamRecordMessage>, address: string): void => {
+    const empty = { records: [], askedAttempts: [], askedServices: [], recent: [] };
+    parts.send(encodeStreamRecords({ ...empty, ...message, sender: self.peers }), address);
+  };
+  const copies = createStreamRecordCopies({
+    ...parts,
+    isMixed: (service) => recentVersions(service).length > 1,
+    send: (all, address) => {
+      for (const some of inChunks(all)) send({ records: some }, address);
+    },
+  });
+  const inquiries = createStreamInquiries({
+    ...parts,
+    view,
+    instances: () => parts.instances().map(({ peers }) => peers),
+    find: records.find,
+    send: ({ attempts, services }, address) => {
+      const chunks = inChunks(attempts);
+      // Streams whose callers name no attempt are asked for by their service alone.
+      for (const askedAttempts of chunks.length === 0 ? [[]] : chunks)
+        send({ askedAttempts, askedServices: services }, address);
+    },
+  });
+  const statement = (service: string): RecentVersions => ({
+    service,
+    versions: recentVersions(service),
+    isComplete: hasCompleteView(),
+  });
+  const findCopies = (attempts: readonly bigint[]): AttemptVersion[] =>
+    attempts.flatMap((attempt) => {
+      const record = records.find(attempt);
+      return record?.kind === "known" ? [{ attempt, version: record }] : [];
+    });
+  const store = (added: readonly AttemptVersion[]): void => {
+    const now = clock.now();
+    records.removeBefore(now - parts.maxDuration());
+    for (const { attempt, version } of added) records.add(attempt, version, now);
+  };
+  /** Returns the record that is known without asking others. */
+  const findHere = (
+    attempt: bigint | undefined,
+    { service, versions }: { service: string; versions: readonly string[] },
+  ): StreamRecord | undefined => {
+    const record = attempt === undefined ? undefined : records.find(attempt);
+    if (record !== undefined) return record;
+    const [version] = versions;
+    // A caller that names no attempt expects only one version, so the present one is enough.
+    const isCertain = attempt === undefined ? view.isCurrent() : hasCompleteView();
+    return version !== undefined && versions.length === 1 && isCertain
+      ? { kind: "known", service, version }
+      : undefined;
+  };
+  return {
+    recordStart: (started, version) => {
+      const attempt = hashOf(started);
+      store([{ attempt, version }]);
+      copies.add({ attempt, version });
+    },
+    find: (started, service, done) => {
+      const attempt = started === undefined ? undefined : hashOf(started);
+      const versions = recentVersions(service);
+      const known = findHere(attempt, { service, versions });
+      if (known !== undefined || (attempt === undefined && versions.length > 1)) {
+        done(versionOf(known));
+        return { close: () => undefined };
+      }
+      return inquiries.start({
+        attempt,
+        service,
+        versions,
+        done: (record) => done(versionOf(record)),
+      });
+    },
+    setWorkers: (workers) => {
+      const isNewlyMixed = history.record(versionsByService(workers), time()).length > 0;
+      if (isNewlyMixed) copies.sendAll();
+    },
+    receive: (bytes) => {
+      const message = decodeStreamRecords(bytes);
+      if (message === undefined) {
+        parts.onFault("A received datagram is not a valid message about streams.");
+        return;
+      }
+      const { sender, askedAttempts, askedServices, recent } = message;
+      store(message.records);
+      inquiries.recordsReceived();
+      inquiries.answered(sender, recent);
+      if (askedServices.length === 0) return;
+      send({ records: findCopies(askedAttempts), recent: askedServices.map(statement) }, sender);
+    },
+    close: () => {
+      copies.close();
+      inquiries.close();
+    },
+  };
+}
+
+/** Groups the versions of workers by service. */
+export function versionsByService(
+  workers: readonly Pick<RoutedWorker, "service" | "version">[],
+): Map<string, Set<string>> {
+  const grouped = new Map<string, Set<string>>();
+  for (const { service, version } of workers) {
+    const versions = grouped.get(service) ?? new Set();
+    grouped.set(service, versions.add(version));
+  }
+  return grouped;
+}
+
+function versionOf(record: StreamRecord | undefined): StreamVersion | undefined {
+  return record?.kind === "known" ? record : undefined;
+}
+
+/** Returns 64 bits of a hash of an attempt. Ids are chosen by callers, so two accounts may use the same. */
+function hashOf({ account, id }: StreamAttempt): bigint {
+  const hash = createHash("sha256")
+    .update(`${account ?? ""}\n${id}`)
+    .digest();
+  return hash.readBigUInt64LE(0);
+}
+
+function inChunks<Item>(items: readonly Item[]): Item[][] {
+  const count = Math.ceil(items.length / MAX_ATTEMPTS);
+  return Array.from({ length: count }, (_, index) =>
+    items.slice(index * MAX_ATTEMPTS, (index + 1) * MAX_ATTEMPTS),
+  );
+}
--- a/src/process/worker_selection.ts
+++ b/src/process/worker_selection.ts
@@ -41,7 +41,7 @@
 }
 
 /** Selects the workers to which a request may be sent. */
-export type WorkerSelection = Pick<WorkerLoads, "candidates" | "sample">;
+export type WorkerSelection = Pick<WorkerLoads, "candidates" | "hasVersion" | "sample">;
 
 /** Dependencies of {@linkcode createWorkerSelection}. */
 export interface WorkerSelectionParts {
@@ -186,5 +186,7 @@
     unseenCache.set(service.name, { unseen: found, at: now });
     return found;
   };
-  return { candidates, sample };
+  const hasVersion: WorkerSelection["hasVersion"] = ({ name }, version) =>
+    entriesOf(name).some(({ worker, isLeaving }) => !isLeaving && worker.version === version);
+  return { candidates, hasVersion, sample };
 }
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -22,6 +22,10 @@
   Refused = "refused-by-workers",
   /** The request is in quarantine because workers crashed while running it. */
   CrashesWorkers = "crashes-workers",
+  /** It isn't known at which version of the workers the stream began that the request continues. */
+  VersionUnknown = "version-unknown",
+  /** No worker of the version at which the stream began accepts requests any more. */
+  VersionGone = "version-gone",
   /** The instance is shutting down. */
   Stopping = "stopping",
   /** The deadline passed before the request was answered. */
@@ -41,6 +45,8 @@
   [RoutedRefusal.Overloaded]: 503,
   [RoutedRefusal.Refused]: 503,
   [RoutedRefusal.CrashesWorkers]: 503,
+  [RoutedRefusal.VersionUnknown]: 503,
+  [RoutedRefusal.VersionGone]: 503,
   [RoutedRefusal.Stopping]: 503,
   [RoutedRefusal.DeadlinePassed]: 504,
   [RoutedRefusal.WorkerLost]: 502,
--- a/src/request/routed_choice.ts
+++ b/src/request/routed_choice.ts
@@ -22,27 +22,28 @@
   readonly service: RoutedService;
   /** Ids of the workers that were already tried for the request. */
   readonly tried: ReadonlySet<string>;
+  /** The only version of workers that may get the request; undefined if any may. */
+  readonly version: string | undefined;
 }
 
 /** Chooses the workers to which a request is offered. */
 export function chooseWorkers(
   { workerLoads, clock, random }: Pick<RoutedContext, "workerLoads" | "clock" | "random">,
-  { arrival, service, tried }: PlacementRequest,
+  { arrival, service, tried, version }: PlacementRequest,
 ): WorkerChoice {
   const timeLeft = arrival.deadlineAt - clock.now();
+  const isPossible = (worker: CandidateWorker): boolean =>
+    !tried.has(worker.id) && (version === undefined || worker.version === version);
   const rank = (
     workers: readonly CandidateWorker[],
     homes?: PromptHomes<CandidateWorker>,
   ): RankedChoice<CandidateWorker>[] =>
-    rankWorkers(
-      workers.filter(({ id }) => !tried.has(id)),
-      {
-        request: { parts: arrival.promptParts },
-        speed: workerLoads.timing(service),
-        random,
-        ...(homes === undefined ? {} : { homes }),
-      },
-    );
+    rankWorkers(workers.filter(isPossible), {
+      request: { parts: arrival.promptParts },
+      speed: workerLoads.timing(service),
+      random,
+      ...(homes === undefined ? {} : { homes }),
+    });
   const createOffer = (choice: RankedChoice<CandidateWorker> | undefined): WorkerOffer => ({
     expectedFirstToken: choice?.wait ?? 0,
     firstTokenTarget: arrival.route.latencyTarget,
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -1,5 +1,6 @@
 import type {
   RankedWorker,
+  StreamVersion,
   RepeatBudget,
   ServiceTiming,
   SharedQuota,
@@ -66,6 +67,8 @@
    * such workers.
    */
   timeUntilCapacity(service: RoutedService): number | undefined;
+  /** Whether the service has a worker of this version that isn't about to leave. */
+  hasVersion(service: RoutedService, version: string): boolean;
   /** Returns the sample of the candidates that is compared first for a request with this prompt. */
   sample(service: RoutedService, parts: readonly PromptPart[]): CandidateWorkers<CandidateWorker>;
   /**
@@ -86,6 +89,32 @@
   onLeaving(worker: string, listener: () => void): { close(): void };
 }
 
+/** An attempt of a caller to get a stream. */
+export interface StreamAttempt {
+  /** Name of the client account; undefined if the route requires none. */
+  readonly account: string | undefined;
+  /** The request id chosen by the caller. */
+  readonly id: string;
+}
+
+/** The versions of workers at which streams began, from all instances. */
+export interface StreamVersions {
+  /** Records that the attempt brings its caller the first event of a stream, from a worker of this version. */
+  recordStart(attempt: StreamAttempt, version: StreamVersion): void;
+  /**
+   * Finds out at which version a stream began.
+   *
+   * @param attempt The attempt that brought its first event; undefined if its caller names none.
+   * @param service The service at which it began if no instance has a record of it.
+   * @param done Called once with the version; undefined if it can't be known. It may be called at once.
+   */
+  find(
+    attempt: StreamAttempt | undefined,
+    service: string,
+    done: (version: StreamVersion | undefined) => void,
+  ): { close(): void };
+}
+
 /** Requests that are not sent to any worker because workers crashed while running them. */
 export interface Quarantine {
   /**
@@ -122,6 +151,7 @@
   readonly repeats: RepeatBudget;
   readonly checks: WorkerChecks;
   readonly quarantine: Quarantine;
+  readonly streamVersions: StreamVersions;
   /** Records that a run for the account started at this time, in the clock's milliseconds. */
   recordStart(account: string | undefined, at: number): void;
   /**
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -25,6 +25,8 @@
   readonly service: RoutedService;
   readonly body: Buffer;
   readonly fingerprint: RequestFingerprint;
+  /** The version at which the stream began that the request continues; undefined if it begins one. */
+  readonly version: string | undefined;
   /** Refunds the account's quota, because the request certainly did not run. */
   readonly refundQuota: () => void;
 }
@@ -92,6 +94,8 @@
   const isStream = route.delivery === Delivery.Events;
   const repeatable = route.repetition === Repetition.Idempotent || (isStream && route.resumable);
   const splitter = createEventSplitter();
+  /** The only version of workers that may continue the stream; undefined before its first event. */
+  let { version } = admitted;
   const tried = new Set<string>();
   /** Number of sends for which a run can't be ruled out. */
   let runs = 0;
@@ -162,8 +166,12 @@
       giveUp(RoutedRefusal.CrashesWorkers, quarantinedFor);
       return;
     }
-    const choice = chooseWorkers(context, { arrival, service, tried });
+    const choice = chooseWorkers(context, { arrival, service, tried, version });
     if (choice.kind === "none") {
+      if (version !== undefined && !workerLoads.hasVersion(service, version)) {
+        giveUp(RoutedRefusal.VersionGone, undefined);
+        return;
+      }
       const capacityIn = workerLoads.timeUntilCapacity(service);
       const after =
         capacityIn === undefined ? NO_WORKER_RETRY_AFTER : Math.max(BUSY_RETRY_AFTER, capacityIn);
@@ -281,6 +289,7 @@
       attempt.hasEvent = true;
       attempt.run.recordFirstEvent();
       context.recordStart(arrival.account?.name, clock.now());
+      recordVersion(attempt);
     }
     if (!response.hasStarted && attempt.head !== undefined) {
       response.start(attempt.head);
@@ -288,6 +297,14 @@
     }
     forward(attempt, bytes);
   };
+  /** Records the version that a stream began at before its caller gets the first event. */
+  const recordVersion = ({ worker }: Attempt): void => {
+    version ??= worker.version;
+    const id = arrival.resumption?.attempt ?? arrival.id;
+    if (!route.resumable || id === undefined) return;
+    const attempt = { account: arrival.account?.name, id };
+    context.streamVersions.recordStart(attempt, { service: service.name, version });
+  };
   const forward = (attempt: Attempt, bytes: Buffer): void => {
     if (response.write(bytes)) return;
     attempt.isPaused = true;
@@ -386,10 +403,13 @@
     complete(head.status, () => response.sendComplete(head, body));
   /** Tries another worker, or calls the function if there is none. */
   const tryNextOrElse = (fallback: () => void): void => {
-    const hasOtherWorker = workerLoads.candidates(service).some(({ id }) => !tried.has(id));
-    if (hasOtherWorker) tryNext();
+    if (hasOtherWorker()) tryNext();
     else fallback();
   };
+  const hasOtherWorker = (): boolean =>
+    workerLoads
+      .candidates(service)
+      .some((worker) => !tried.has(worker.id) && worker.version === (version ?? worker.version));
   const handleRefusedContinuation = (attempt: Attempt, head: ResponseHead): void => {
     if (head.byName.has(names.notRun)) runs--;
     logStep("not-continued", { worker: attempt.worker.id, status: head.status });
@@ -430,7 +450,7 @@
     const isLeaving = cause === "worker-leaving";
     // A request that can't be sent again stays at a worker that is about to leave but still runs
     // it.
-    if (isLeaving && !canRepeat()) return;
+    if (isLeaving && !(canRepeat() && hasOtherWorker())) return;
     endAttempt(isLeaving ? RunResult.Abandoned : RunResult.Failed)?.abort();
     if (canRepeat()) retryElsewhere(cause);
     else refuse(RoutedRefusal.WorkerLost);
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -6,8 +6,11 @@
 import type { RoutedContext } from "./routed_context.ts";
 import { fingerprintRequest } from "./request_fingerprint.ts";
 import { startRoutedRun } from "./routed_run.ts";
+import type { AdmittedRequest } from "./routed_run.ts";
 import { pickService } from "./traffic_share.ts";
-import type { RouteTable } from "../version/index.ts";
+import type { StreamVersion } from "../decision/index.ts";
+import { Delivery } from "../version/index.ts";
+import type { RoutedService, RouteTable } from "../version/index.ts";
 
 /** Serves routed requests on callers' connections. */
 export interface RoutedRequests {
@@ -85,31 +88,69 @@
         return;
       }
       if (callerResponse.isClosed) return;
-      const run = admit({ request, arrival, body, table }, callerResponse);
-      if (run !== undefined) abandon = run;
+      abandon = admit({ request, arrival, body, table }, callerResponse);
     });
   };
   /**
    * Makes the checks that need more than the request's head. Returns a function that abandons the
-   * run, or undefined if the request was refused.
+   * request.
    */
   const admit = (
     admitted: { request: IncomingMessage; arrival: RoutedArrival; body: Buffer; table: RouteTable },
     callerResponse: CallerResponse,
-  ): (() => void) | undefined => {
-    const { request, arrival, body, table } = admitted;
-    const { id, account, resumption } = arrival;
-    if (resumption !== undefined)
-      context.logDecision("resumed", id, {
-        from: resumption.lastEventId,
-        attempt: resumption.attempt,
-      });
-    const name = pickService(arrival.route, context.random);
+  ): (() => void) => {
+    const { arrival, table } = admitted;
+    const { id, route, resumption } = arrival;
+    const name = pickService(route, context.random);
     const service = name === undefined ? undefined : table.service(name);
     if (service === undefined) {
       refuse(callerResponse, { reason: RoutedRefusal.NoWorker, id });
-      return undefined;
+      return () => undefined;
     }
+    if (resumption === undefined || route.delivery !== Delivery.Events || !route.resumable)
+      return start({ ...admitted, service, version: undefined }, callerResponse);
+    let abandon = (): void => undefined;
+    const inquiry = findVersion(arrival, service, (found) => {
+      if (callerResponse.isClosed) return;
+      const began = found === undefined ? undefined : serviceOf(found, arrival, table);
+      if (found === undefined || began === undefined) {
+        const reason =
+          found === undefined ? RoutedRefusal.VersionUnknown : RoutedRefusal.VersionGone;
+        refuse(callerResponse, { reason, id });
+        return;
+      }
+      abandon = start({ ...admitted, service: began, version: found.version }, callerResponse);
+    });
+    return () => {
+      inquiry.close();
+      abandon();
+    };
+  };
+  /** Finds out at which version the stream began that the request continues. */
+  const findVersion = (
+    { id, account, resumption }: RoutedArrival,
+    service: RoutedService,
+    done: (version: StreamVersion | undefined) => void,
+  ): { close(): void } => {
+    const { lastEventId: from, attempt } = resumption ?? {};
+    context.logDecision("resumed", id, { from, attempt });
+    const named = attempt === undefined ? undefined : { account: account?.name, id: attempt };
+    return context.streamVersions.find(named, service.name, done);
+  };
+  /** Returns the service at which a stream began; undefined if the route no longer leads to it. */
+  const serviceOf = (
+    { service }: StreamVersion,
+    { route }: RoutedArrival,
+    table: RouteTable,
+  ): RoutedService | undefined =>
+    route.shares.some((share) => share.service === service) ? table.service(service) : undefined;
+  /** Charges the quota and starts the run. Returns a function that abandons the run. */
+  const start = (
+    admitted: Omit<AdmittedRequest, "fingerprint" | "refundQuota">,
+    callerResponse: CallerResponse,
+  ): (() => void) => {
+    const { request, arrival, body } = admitted;
+    const { id, account } = arrival;
     let refundQuota = (): void => undefined;
     if (account?.quota !== undefined) {
       const { name: accountName, quota } = account;
@@ -126,13 +167,12 @@
           size,
           rate: quota.perSecond,
         });
-        return undefined;
+        return () => undefined;
       }
       refundQuota = () => context.quota.refund(accountName, size);
     }
     const fingerprint = fingerprintRequest(request, { account: account?.name, body });
-    const admittedRequest = { request, arrival, service, body, fingerprint, refundQuota };
-    const run = startRoutedRun(context, admittedRequest, callerResponse);
+    const run = startRoutedRun(context, { ...admitted, fingerprint, refundQuota }, callerResponse);
     return () => run.abandon();
   };
   return {
