Learn of the other instances from their digests after a start

What callers saw: an instance that starts after the ones in its settings have ended knows no other for 1.1 s or more. It can't ask at which version a stream began, and refuses it.

Cause: the others send digests to its address, but without an introduction, since the process before it acknowledged theirs. Such digests were ignored until the others noticed the end of the earlier process. Now the instance replies to the sender's address. The reply doesn't acknowledge the sender, whose next digest then contains its introduction.

--- a/src/connection/datagram_channels.ts
+++ b/src/connection/datagram_channels.ts
@@ -26,9 +26,9 @@
     open: async (options) => {
       socket = await openSocket({
         ...options,
-        onMessage: (bytes) => {
+        onMessage: (bytes, source) => {
           if (bytes[0] === MARK) onMarked(bytes.subarray(1));
-          else options.onMessage(bytes);
+          else options.onMessage(bytes, source);
         },
       });
       return socket;
--- a/src/connection/datagram_socket.ts
+++ b/src/connection/datagram_socket.ts
@@ -13,8 +13,8 @@
 export interface DatagramSocketOptions {
   /** Local address to bind, as `IP:PORT`. */
   readonly address: string;
-  /** Called with each datagram received. */
-  readonly onMessage: (bytes: Uint8Array) => void;
+  /** Called with each datagram received and the `IP:PORT` from which it was sent. */
+  readonly onMessage: (bytes: Uint8Array, source: string) => void;
   /** Called with an error message if a datagram couldn't be sent or the socket failed. */
   readonly onError: (detail: string) => void;
 }
@@ -30,7 +30,9 @@
   return new Promise((resolve, reject) => {
     const socket = createSocket("udp4");
     socket.once("error", reject);
-    socket.on("message", onMessage);
+    socket.on("message", (bytes, { address: from, port: fromPort }) =>
+      onMessage(bytes, `${from}:${fromPort}`),
+    );
     socket.bind({ address: host, port }, () => {
       socket.off("error", reject);
       socket.on("error", (error) => onError(`The digest socket failed: ${error.message}.`));
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -190,15 +190,14 @@
       ...sample(table.silent(), { count: RETRIED_ADDRESSES, random }),
     ];
   };
-  const receive = (bytes: Uint8Array): void => {
+  const receive = (bytes: Uint8Array, source: string): void => {
     const digest = decodeDigest(bytes);
     if (digest === undefined) {
       parts.onFault("A received datagram is not a valid digest.");
       return;
     }
     const peer = table.senderOf(digest);
-    // A digest of an unknown process without an introduction is ignored. As it isn't acknowledged,
-    // the process includes its introduction in the next one.
+    if (peer === undefined) introduceTo(source, digest);
     if (peer === undefined || digest.sequence <= peer.lastSequence) return;
     const isNew = peer.receivedAt === NEVER;
     const acknowledgedSession = peer.acknowledgesSession;
@@ -215,6 +214,16 @@
       sendDigest(peer, rounds.answer(peer));
     if (applyUpdate(peer, digest) || changed) scheduleTopologyUpdate();
   };
+  /**
+   * Replies to a digest of an unknown process without an introduction: the process knows an earlier
+   * one at this address. As the reply doesn't acknowledge it, its next digest contains one.
+   */
+  const introduceTo = (source: string, { session: sender, introduction: known }: Digest): void => {
+    if (sender === session || known !== undefined) return;
+    table.addAddresses([source]);
+    const peer = table.peers.get(source);
+    if (peer !== undefined) sendDigest(peer, rounds.answer(peer));
+  };
   /** Applies the update and the roster of a digest. Returns whether the roster has changed. */
   const applyUpdate = (peer: Peer, digest: Digest): boolean => {
     const { roster, update: counts } = digest;
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -242,6 +242,22 @@
   expect(restarted.exchange.members).toBe(4);
 });
 
+// Guards against an instance that knows no other for more than a second after its start, because the addresses in its
+// settings belong to instances that have ended.
+test("an instance whose seeds have ended learns of the others from their digests", async () => {
+  const { clock, members, start } = await startFleet(4);
+  await clock.advance(2_000);
+  for (const member of members.slice(0, 2)) member.exchange.close();
+  const restarted = await start(1);
+  await clock.advance(450);
+  expect(
+    restarted.exchange
+      .live()
+      .map(({ name }) => name)
+      .sort(),
+  ).toEqual(["e2", "e3"]);
+});
+
 // The other instances must detect at once that an instance is stopping, so that callers leave it,
 // and within little more than a second that one has failed.
 test("other instances detect a change of readiness within 50 ms and a failure within 1.5 s", async () => {
--- a/src/process/testing/datagram_network.ts
+++ b/src/process/testing/datagram_network.ts
@@ -19,8 +19,8 @@
 /** Creates a network without faults. */
 export function createDatagramNetwork(clock: Clock, random: Random): DatagramNetwork {
   const receivers = new Map<string, DatagramSocketOptions>();
-  const deliver = (bytes: Uint8Array, to: string): void => {
-    clock.after(random.next() * MAX_DELAY, () => receivers.get(to)?.onMessage(bytes));
+  const deliver = (bytes: Uint8Array, { from, to }: { from: string; to: string }): void => {
+    clock.after(random.next() * MAX_DELAY, () => receivers.get(to)?.onMessage(bytes, from));
   };
   const network: DatagramNetwork = {
     faults: { lost: 0, twice: 0 },
@@ -31,8 +31,9 @@
         send: (bytes, to) => {
           if (network.cut.has(`${parts.address}>${to}`)) return;
           if (random.next() < network.faults.lost) return;
-          deliver(bytes, to);
-          if (random.next() < network.faults.twice) deliver(bytes, to);
+          const link = { from: parts.address, to };
+          deliver(bytes, link);
+          if (random.next() < network.faults.twice) deliver(bytes, link);
         },
         close: () => {
           if (receivers.get(parts.address) === parts) receivers.delete(parts.address);
