End inquiries about streams as soon as one complete view is known

A peer that has ended stays in the list of live instances for 1.1 s, so an inquiry without a record waited 250 ms for its answer. One instance with a complete view of the workers is enough, and any answer if the caller names no attempt: it expects only one version.

--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -97,12 +97,17 @@
     const [version] = inquiry.seen;
     if (version === undefined || inquiry.seen.size > 1) return undefined;
     // After all instances have been restarted, none has followed the workers for long.
-    const isCertain = inquiry.hasCompleteView || inquiry.isConfirmed || view.isCurrent();
+    const isCertain = hasCompleteView(inquiry) || inquiry.isConfirmed || view.isCurrent();
     return isCertain ? { kind: "known", service: inquiry.service, version } : undefined;
   };
-  const isFinal = ({ unanswered, answeredBy, seen, isConfirmed }: OpenInquiry): boolean =>
-    (unanswered.size === 0 && (answeredBy.size > 0 || !expectsAnswers())) ||
-    (isConfirmed && seen.size === 1 && view.coversPeriod());
+  const isFinal = (inquiry: OpenInquiry): boolean =>
+    (inquiry.unanswered.size === 0 && (inquiry.answeredBy.size > 0 || !expectsAnswers())) ||
+    (inquiry.seen.size === 1 && hasCompleteView(inquiry));
+  const hasCompleteView = (inquiry: OpenInquiry): boolean =>
+    inquiry.hasCompleteView ||
+    (inquiry.isConfirmed && view.coversPeriod()) ||
+    // A caller that names no attempt expects only one version, so the present one is enough.
+    (inquiry.attempt === undefined && (inquiry.answeredBy.size > 0 || inquiry.isConfirmed));
   /** Whether an answer may still come: from another instance or, if there is none, from the store. */
   const expectsAnswers = (): boolean => parts.expectsOthers() || isReading;
   /**
