Don't send streams to another process that has a worker's id

What callers saw: a worker came back under its id with other software. Until its entry in the store changed, it got the rest of streams of its earlier version, and new streams were recorded under that version.

Cause: a request names only the worker's id, which a restarted worker may keep. Now a stream that can be resumed is sent on a connection only after the worker has stated on it, once, when its process started. If that isn't the start in its entry, nothing is sent and another worker is tried. Workers whose entries state no start get a new id with each process and aren't asked.

--- /dev/null
+++ b/src/connection/process_identity.ts
@@ -0,0 +1,91 @@
+import type {
+  Exchange,
+  ExchangeEnd,
+  ExchangeSink,
+  WorkerEndpoint,
+  WorkerRequest,
+} from "../interface/index.ts";
+import { DialFailure } from "../interface/index.ts";
+import type { WorkerConnection } from "./worker_connection.ts";
+
+/** The report in which a worker states when its process started. */
+export interface ProcessReport {
+  /** Path of the report at every worker. */
+  readonly path: string;
+  /** Reads the start of the process in Unix milliseconds from a report; undefined if it contains none. */
+  readonly readStart: (body: string) => number | undefined;
+}
+
+/** Sends requests on connections whose worker process has been identified. */
+export interface ProcessIdentity {
+  /**
+   * Sends a request after the worker has stated on the same connection that its process is the one that the endpoint
+   * describes. A connection is identified only once.
+   *
+   * A worker may come back under its id as another process with other software. Until its entry in the store
+   * changes, nothing else distinguishes them.
+   */
+  exchange(
+    connection: WorkerConnection,
+    request: WorkerRequest,
+    options: { readonly worker: WorkerEndpoint; readonly sink: ExchangeSink },
+  ): Exchange;
+}
+
+const SUCCESS = 200;
+const EMPTY_BODY = Buffer.alloc(0);
+
+/** Creates an identity without any identified connection. */
+export function createProcessIdentity({ path, readStart }: ProcessReport): ProcessIdentity {
+  const identified = new WeakSet<WorkerConnection>();
+  return {
+    exchange: (connection, request, { worker, sink }) => {
+      // Workers whose entries state no start get a new id with each process.
+      if (worker.startedAt === 0 || identified.has(connection))
+        return connection.exchange(request, sink);
+      const chunks: Buffer[] = [];
+      let status = 0;
+      const continueWith = (end: ExchangeEnd): void => {
+        if (end.kind !== "complete" || !connection.isIdle()) {
+          sink.end(unsent(end));
+          return;
+        }
+        const start = status === SUCCESS ? readStart(Buffer.concat(chunks).toString()) : undefined;
+        if (start !== undefined && start !== worker.startedAt) {
+          connection.close();
+          sink.end({ kind: "replaced", detail: "Another process has the worker's id." });
+          return;
+        }
+        if (start !== undefined) identified.add(connection);
+        current = connection.exchange(request, sink);
+      };
+      const report: WorkerRequest = {
+        method: "GET",
+        target: path,
+        headers: ["Host", worker.address],
+        body: EMPTY_BODY,
+        id: undefined,
+      };
+      let current = connection.exchange(report, {
+        head: (head) => (status = head.status),
+        data: (chunk) => void chunks.push(chunk),
+        end: continueWith,
+      });
+      return {
+        pause: () => current.pause(),
+        resume: () => current.resume(),
+        abort: () => current.abort(),
+      };
+    },
+  };
+}
+
+/** Returns the end of a request that was not sent, because its worker's process could not be identified. */
+function unsent(end: ExchangeEnd): ExchangeEnd {
+  if (end.kind === "not-sent" || end.kind === "replaced") return end;
+  const detail =
+    end.kind === "broken"
+      ? end.detail
+      : "The worker closed the connection after the report on its process.";
+  return { kind: "not-sent", detail, cause: DialFailure.Unanswered };
+}
--- /dev/null
+++ b/src/connection/process_identity_test.ts
@@ -0,0 +1,103 @@
+import { expect, test } from "vitest";
+import { BodyFraming } from "../interface/index.ts";
+import type { ExchangeEnd, ExchangeSink, WorkerRequest } from "../interface/index.ts";
+import { createProcessIdentity } from "./process_identity.ts";
+import type { WorkerConnection } from "./worker_connection.ts";
+
+const WORKER = { id: "i-1", startedAt: 1_000, address: "127.0.0.1:1" };
+const REQUEST: WorkerRequest = {
+  method: "POST",
+  target: "/stream/x",
+  headers: [],
+  body: Buffer.from("go"),
+  id: "r-1",
+};
+const identity = createProcessIdentity({
+  path: "/report",
+  readStart: (body) => (body === "" ? undefined : Number(body)),
+});
+
+/** A connection whose exchanges the test answers. */
+function connectionWith(): {
+  connection: WorkerConnection;
+  sent: { target: string; sink: ExchangeSink }[];
+  isClosed: () => boolean;
+} {
+  const sent: { target: string; sink: ExchangeSink }[] = [];
+  let closed = false;
+  const connection: WorkerConnection = {
+    isIdle: () => !closed,
+    idleFor: () => 0,
+    idleTimeout: undefined,
+    exchangeCount: 0,
+    exchange: ({ target }, sink) => {
+      sent.push({ target, sink });
+      return { pause: () => undefined, resume: () => undefined, abort: () => undefined };
+    },
+    close: () => (closed = true),
+  };
+  return { connection, sent, isClosed: () => closed };
+}
+
+function send(connection: WorkerConnection, worker = WORKER): ExchangeEnd[] {
+  const ends: ExchangeEnd[] = [];
+  const sink = {
+    head: () => undefined,
+    data: () => undefined,
+    end: (end: ExchangeEnd) => void ends.push(end),
+  };
+  identity.exchange(connection, REQUEST, { worker, sink });
+  return ends;
+}
+
+function answer(sink: ExchangeSink | undefined, status: number, body: string): void {
+  sink?.head({ status, framing: BodyFraming.Length, headers: [], byName: new Map() });
+  if (body !== "") sink?.data(Buffer.from(body));
+  sink?.end({ kind: "complete" });
+}
+
+const targets = (sent: { target: string }[]): string[] => sent.map(({ target }) => target);
+
+test("a connection is identified once", () => {
+  const { connection, sent } = connectionWith();
+  send(connection);
+  expect(targets(sent)).toEqual(["/report"]);
+  answer(sent[0]?.sink, 200, "1000");
+  expect(targets(sent)).toEqual(["/report", "/stream/x"]);
+  answer(sent[1]?.sink, 200, "events");
+  send(connection);
+  expect(targets(sent)).toEqual(["/report", "/stream/x", "/stream/x"]);
+});
+
+// Guards against a request that reaches another process than the one whose entry was read.
+test("nothing is sent to another process, and its connection is closed", () => {
+  const { connection, sent, isClosed } = connectionWith();
+  const ends = send(connection);
+  answer(sent[0]?.sink, 200, "2000");
+  expect(targets(sent)).toEqual(["/report"]);
+  expect(ends).toMatchObject([{ kind: "replaced" }]);
+  expect(isClosed()).toBe(true);
+});
+
+test("a connection that breaks during the report ends as not sent", () => {
+  const { connection, sent } = connectionWith();
+  const ends = send(connection);
+  sent[0]?.sink.end({ kind: "broken", detail: "The worker reset the connection." });
+  expect(ends).toMatchObject([{ kind: "not-sent" }]);
+});
+
+test.each([
+  [503, ""],
+  [200, ""],
+])("a worker that doesn't state its start (status %i) gets the request", (status, body) => {
+  const { connection, sent } = connectionWith();
+  send(connection);
+  answer(sent[0]?.sink, status, body);
+  expect(targets(sent)).toEqual(["/report", "/stream/x"]);
+});
+
+test("a worker whose entry states no start isn't asked", () => {
+  const { connection, sent } = connectionWith();
+  send(connection, { ...WORKER, startedAt: 0 });
+  expect(targets(sent)).toEqual(["/stream/x"]);
+});
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -1,4 +1,12 @@
-import type { Clock, ResponseHead, WorkerConnections, WorkerEndpoint } from "../interface/index.ts";
+import type {
+  Clock,
+  Exchange,
+  ResponseHead,
+  WorkerConnections,
+  WorkerEndpoint,
+} from "../interface/index.ts";
+import { createProcessIdentity } from "./process_identity.ts";
+import type { ProcessReport } from "./process_identity.ts";
 import { openWorkerConnection } from "./worker_connection.ts";
 import type { ResponseMatching, WorkerConnection } from "./worker_connection.ts";
 import type { WorkerPath } from "./worker_path.ts";
@@ -33,15 +41,18 @@
  * Creates an empty set of connection pools, one per worker.
  *
  * @param options `matching` names the headers by which responses are matched with requests. `onHead` is called with the
- * head of each response that a worker sends.
+ * head of each response that a worker sends. `report` is where workers state when their process started; without it, the
+ * processes of workers aren't verified.
  */
 export function createWorkerConnections(options: {
   readonly clock: Clock;
   readonly path: WorkerPath;
   readonly matching: ResponseMatching;
   readonly onHead: (worker: WorkerEndpoint, head: ResponseHead) => void;
+  readonly report?: ProcessReport;
 }): WorkerConnections {
-  const { clock, path, matching, onHead } = options;
+  const { clock, path, matching, onHead, report } = options;
+  const identity = report === undefined ? undefined : createProcessIdentity(report);
   const pools = new Map<string, ConnectionPool>();
 
   const open = (worker: WorkerEndpoint, pool: ConnectionPool): WorkerConnection => {
@@ -70,7 +81,11 @@
     return connection;
   };
   return {
-    exchange: (worker, request, { sink, repeatable, maxConnections }) => {
+    exchange: (worker, request, { sink, repeatable, needsProcess = false, maxConnections }) => {
+      const sendOn = (connection: WorkerConnection): Exchange =>
+        needsProcess && identity !== undefined
+          ? identity.exchange(connection, request, { worker, sink })
+          : connection.exchange(request, sink);
       const pool = pools.get(worker.id) ?? { connections: [], lastReceivedAt: undefined };
       for (const stale of pool.connections.filter(
         (connection) => connection.isIdle() && !canReuse(connection, true),
@@ -81,13 +96,13 @@
         (connection) =>
           path.keepsOpenConnections && connection.isIdle() && canReuse(connection, repeatable),
       );
-      if (reusable !== undefined) return reusable.exchange(request, sink);
+      if (reusable !== undefined) return sendOn(reusable);
       if (pool.connections.length >= maxConnections) {
         const spare = pool.connections.find((connection) => connection.isIdle());
         if (spare === undefined) return undefined;
         spare.close();
       }
-      return open(worker, pool).exchange(request, sink);
+      return sendOn(open(worker, pool));
     },
     tryConnect: (worker) => path.tryConnect(worker),
     retainWorkers: (ids) => {
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -50,6 +50,8 @@
       readonly detail: string;
       readonly cause: DialFailure;
     }
+  /** The process at the address isn't the one that the endpoint describes. No byte was sent to it. */
+  | { readonly kind: "replaced"; readonly detail: string }
   /** The request may have run. The response is missing or incomplete. */
   | { readonly kind: "broken"; readonly detail: string };
 
@@ -84,6 +86,11 @@
   readonly sink: ExchangeSink;
   /** Whether the request may be sent again. If not, it is sent only on a connection that is known to be open. */
   readonly repeatable: boolean;
+  /**
+   * Whether the worker's process must be the one that the endpoint describes, which is verified once for each
+   * connection. Otherwise another process with the same id may get the request.
+   */
+  readonly needsProcess?: boolean;
   /** The maximum number of connections that this instance may have open to the worker. */
   readonly maxConnections: number;
 }
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -120,6 +120,7 @@
     clock,
     path,
     matching: { idHeader: dependencies.names.requestId, notRunHeader: dependencies.names.notRun },
+    report: dependencies.report,
     onHead: (worker, head) =>
       workerTable.recordStatement(worker, parseWorkerStatement(head, dependencies.names)),
   });
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -16,6 +16,7 @@
 } from "../interface/index.ts";
 import type { Duplex } from "node:stream";
 import type { Connect } from "../connection/dial.ts";
+import type { ProcessReport } from "../connection/process_identity.ts";
 import type { Routing } from "../version/index.ts";
 import type { RoutedLog } from "./routed_log.ts";
 import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
@@ -50,6 +51,8 @@
   readonly platform: Platform;
   readonly kinds: StoredKinds;
   readonly names: HeaderNames;
+  /** Where workers state when their process started. */
+  readonly report: ProcessReport;
   readonly log: RoutedLog;
   readonly metrics: RoutedMetricsRegistry;
   /** Opens connections to workers; by default, those of the operating system. */
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -234,8 +234,18 @@
       const known = removed.get(worker.id);
       removed.delete(worker.id);
       if (known !== undefined && isSameState(known, worker)) continue;
-      const { id, service, version, zone, purchase, isLeaving, leavesIn } = worker;
-      log.changed("worker", { worker: id, service, version, zone, purchase, isLeaving, leavesIn });
+      const { id, ...rest } = worker;
+      const { startedAt, service, version, zone, purchase, isLeaving, leavesIn } = rest;
+      log.changed("worker", {
+        worker: id,
+        startedAt,
+        service,
+        version,
+        zone,
+        purchase,
+        isLeaving,
+        leavesIn,
+      });
     }
     for (const worker of removed.keys()) log.changed("worker-gone", { worker });
   };
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -227,6 +227,7 @@
           end: (end) => onEnd(attempt, end),
         },
         repeatable,
+        needsProcess: isStream && route.resumable,
         maxConnections: worker.maxConnections,
       },
     );
@@ -328,7 +329,8 @@
       return;
     }
     logStep("not-sent", { worker: attempt.worker.id, detail: end.detail });
-    onNotSent(attempt.worker, end.cause);
+    if (end.kind === "replaced") onReplaced();
+    else onNotSent(attempt.worker, end.cause);
   };
   /** Handles a response that is missing or incomplete. */
   const onBroken = (attempt: Attempt, detail: string): void => {
@@ -351,6 +353,13 @@
     else if (cause === DialFailure.NoPath) pathTimer = clock.after(LOST_PATH_DELAY, tryNext);
     else tryNext();
   };
+  /** Tries another worker: another process has the id of this one. */
+  const onReplaced = (): void => {
+    runs--;
+    endAttempt(RunResult.Replaced);
+    context.metrics.repeated("replaced");
+    tryNext();
+  };
   /**
    * Counts a run without a response as started. A stream counts as started with its first event;
    * any other request has most probably run where it was sent.
