Test the versions of streams in fleets of 6 to 300 instances

On a virtual clock: 5 of 6, 8 of 9, 36 of 60 and 180 of 300 instances end at once and more than half of their streams are found; lost datagrams, instances out of touch, a missed second version, a version that has just left, bursts, and the bytes of copies. With 8 of 9 ended, half of the streams were found with five holders; a small fleet has eight now. Nothing is sent while a service has one version.

--- a/src/process/stream_record_codec.ts
+++ b/src/process/stream_record_codec.ts
@@ -22,7 +22,7 @@
 
 /** A datagram about streams: records, a question, or the answer to one. */
 export interface StreamRecordMessage {
-  /** The sender's address for other instances, `IP:PORT`. */
+  /** The sender's address for other instances, `IP:PORT`; empty if the message contains only copies of records. */
   readonly sender: string;
   readonly records: readonly AttemptVersion[];
   readonly askedAttempts: readonly bigint[];
--- a/src/process/stream_record_copies.ts
+++ b/src/process/stream_record_copies.ts
@@ -30,8 +30,8 @@
 
 /** Milliseconds for which records are collected: a stream lasts some seconds, and each message has a cost. */
 const COPY_INTERVAL = 200;
-/** Number of holders: enough for copies to survive the end of most instances of a small fleet. */
-const HOLDERS_IN_SMALL_FLEET = 5;
+/** Number of holders: enough for copies to survive the end of all other instances but one of a small fleet. */
+const HOLDERS_IN_SMALL_FLEET = 8;
 /** The same in a large fleet, where the bytes of all copies matter more. */
 const HOLDERS_IN_LARGE_FLEET = 3;
 
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -65,7 +65,7 @@
 
   const send = (message: Partial<StreamRecordMessage>, address: string): void => {
     const empty = { records: [], askedAttempts: [], askedServices: [], recent: [] };
-    parts.send(encodeStreamRecords({ ...empty, ...message, sender: self.peers }), address);
+    parts.send(encodeStreamRecords({ sender: "", ...empty, ...message }), address);
   };
   const copies = createStreamRecordCopies({
     ...parts,
@@ -83,7 +83,7 @@
       const chunks = inChunks(attempts);
       // Streams whose callers name no attempt are asked for by their service alone.
       for (const askedAttempts of chunks.length === 0 ? [[]] : chunks)
-        send({ askedAttempts, askedServices: services }, address);
+        send({ sender: self.peers, askedAttempts, askedServices: services }, address);
     },
   });
   const statement = (service: string): RecentVersions => ({
@@ -151,7 +151,9 @@
       inquiries.recordsReceived();
       inquiries.answered(sender, recent);
       if (askedServices.length === 0) return;
-      send({ records: findCopies(askedAttempts), recent: askedServices.map(statement) }, sender);
+      const found = findCopies(askedAttempts);
+      const answer = { records: found, recent: askedServices.map(statement) };
+      send({ sender: self.peers, ...answer }, sender);
     },
     close: () => {
       copies.close();
--- /dev/null
+++ b/src/process/stream_versions_test.ts
@@ -0,0 +1,292 @@
+import { expect, test } from "vitest";
+import { createSeededRandom } from "../interface/index.ts";
+import type { RoutedWorker } from "../interface/index.ts";
+import type { StreamVersion } from "../decision/index.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
+import type { VirtualClock } from "../standin/memory/index.ts";
+import { createStreamVersions } from "./stream_versions.ts";
+import type { StreamVersionTask } from "./stream_versions.ts";
+
+const SERVICE = "desk";
+/** Maximum duration of a stream in milliseconds. */
+const MAX_DURATION = 30_000;
+/** Milliseconds after which copies of a record have arrived. */
+const COPY_TIME = 300;
+/** Maximum milliseconds until it is certain that a version can't be known. */
+const MAX_INQUIRY_TIME = 500;
+
+interface Member {
+  readonly address: string;
+  readonly task: StreamVersionTask;
+  /** Whether it receives digests that show that it knows the latest workers. */
+  isCurrent: boolean;
+  /** Whether it receives digests at all. */
+  hasRecentDigest: boolean;
+  /** The versions that the store returns; undefined if it doesn't answer. */
+  stored: readonly string[] | undefined;
+  isDown: boolean;
+  bytesSent: number;
+}
+
+interface Fleet {
+  readonly clock: VirtualClock;
+  readonly members: Member[];
+  /** Fraction of datagrams that are lost. */
+  lost: number;
+  /** Whether datagrams between two members are dropped. */
+  isCut: (from: Member, to: Member) => boolean;
+}
+
+function startFleet(size: number, { seed = 1, zones = 4 } = {}): Fleet {
+  const clock = createVirtualClock();
+  const random = createSeededRandom(seed);
+  const fleet: Fleet = { clock, members: [], lost: 0, isCut: () => false };
+  const zoneOf = (index: number): string => `zone-${index % zones}`;
+  const addressOf = (index: number): string => `10.0.0.${index}:9`;
+  const live = Array.from({ length: size }, (_, index) => ({
+    name: `e${index}`,
+    zone: zoneOf(index),
+    callers: addressOf(index),
+    peers: addressOf(index),
+    capacity: 1,
+    session: index + 1,
+    ready: true,
+    reachesStore: true,
+  }));
+  const byAddress = new Map<string, Member>();
+  for (const { peers: address, zone } of live) {
+    const deliver = (bytes: Uint8Array, to: string): void => {
+      member.bytesSent += bytes.length;
+      const receiver = byAddress.get(to);
+      if (receiver === undefined || random.next() < fleet.lost) return;
+      clock.after(1 + random.next() * 4, () => {
+        if (!receiver.isDown && !fleet.isCut(member, receiver)) receiver.task.receive(bytes);
+      });
+    };
+    const member: Member = {
+      address,
+      isCurrent: true,
+      hasRecentDigest: true,
+      stored: undefined,
+      isDown: false,
+      bytesSent: 0,
+      task: createStreamVersions({
+        clock,
+        self: { peers: address, zone },
+        // Instances that have just ended are still regarded as live.
+        instances: () => live.filter(({ peers }) => peers !== address),
+        expectsOthers: () => size > 1,
+        isSmallFleet: () => size <= 13,
+        view: {
+          isCurrent: () => member.isCurrent,
+          hasRecentDigest: () => member.hasRecentDigest,
+          readVersions: () =>
+            member.stored === undefined
+              ? Promise.reject(new Error("The store doesn't answer."))
+              : Promise.resolve(new Map([[SERVICE, new Set(member.stored)]])),
+        },
+        maxDuration: () => MAX_DURATION,
+        send: (bytes, to) => {
+          if (!member.isDown) deliver(bytes, to);
+        },
+        onFault: (detail) => expect.unreachable(detail),
+      }),
+    };
+    fleet.members.push(member);
+    byAddress.set(address, member);
+  }
+  return fleet;
+}
+
+const workers = (...versions: string[]): RoutedWorker[] =>
+  versions.map((version) => ({ service: SERVICE, version }) as RoutedWorker);
+
+function setVersions({ members }: Fleet, ...versions: string[]): void {
+  for (const { task } of members) task.setWorkers(workers(...versions));
+}
+
+function memberAt({ members }: Fleet, index: number): Member {
+  const member = members[index];
+  if (member === undefined) throw new Error(`There is no member ${index}.`);
+  return member;
+}
+
+const attempt = (id: string): { account: string; id: string } => ({ account: "club", id });
+const version = (name: string): StreamVersion => ({ service: SERVICE, version: name });
+
+/** Asks a member for the version of a stream; returns it, and how long it took. */
+async function find(
+  { clock }: Fleet,
+  { task }: Member,
+  id: string | undefined,
+): Promise<{ found: string | undefined; after: number }> {
+  const startedAt = clock.now();
+  let result: { found: string | undefined; after: number } | undefined;
+  const named = id === undefined ? undefined : attempt(id);
+  task.find(named, SERVICE, (found) => {
+    expect(result).toBeUndefined();
+    result = { found: found?.version, after: clock.now() - startedAt };
+  });
+  for (let waited = 0; result === undefined && waited < MAX_INQUIRY_TIME; waited += 10)
+    await clock.advance(10);
+  if (result === undefined) throw new Error("The inquiry has not ended in time.");
+  return result;
+}
+
+// Guards against streams that are refused because most instances ended at once and took the records with them.
+test.each([
+  { size: 6, killed: 5 },
+  { size: 9, killed: 8 },
+  { size: 60, killed: 36 },
+  { size: 300, killed: 180 },
+])("most streams of $killed of $size ended instances are found", async ({ size, killed }) => {
+  const fleet = startFleet(size);
+  setVersions(fleet, "v1", "v2");
+  const ended = fleet.members.slice(0, killed);
+  const streams = ended.flatMap(({ address, task }) =>
+    ["v1", "v2"].map((name) => {
+      const id = `${address} ${name}`;
+      task.recordStart(attempt(id), version(name));
+      return { id, name };
+    }),
+  );
+  await fleet.clock.advance(COPY_TIME);
+  for (const member of ended) member.isDown = true;
+  const finder = memberAt(fleet, size - 1);
+  const results = await Promise.all(
+    streams.map(async ({ id, name }) => {
+      const { found } = await find(fleet, finder, id);
+      expect([name, undefined]).toContain(found);
+      return found;
+    }),
+  );
+  const share = results.filter((found) => found !== undefined).length / results.length;
+  expect(share).toBeGreaterThan(0.5);
+});
+
+test.each([0.03, 0.2])("a stream is found although %f of the datagrams are lost", async (lost) => {
+  const fleet = startFleet(6);
+  fleet.lost = lost;
+  setVersions(fleet, "v1", "v2");
+  const ids = Array.from({ length: 50 }, (_, index) => `s-${index}`);
+  for (const id of ids) memberAt(fleet, 0).task.recordStart(attempt(id), version("v2"));
+  await fleet.clock.advance(COPY_TIME);
+  memberAt(fleet, 0).isDown = true;
+  for (const id of ids) expect((await find(fleet, memberAt(fleet, 1), id)).found).toBe("v2");
+});
+
+// Guards against an instance that is out of touch and takes the only version that it knows for the only one there is.
+test("an instance without a path to the store and the others finds no version", async () => {
+  const fleet = startFleet(6);
+  setVersions(fleet, "v1");
+  await fleet.clock.advance(MAX_DURATION + 1_000);
+  const alone = memberAt(fleet, 0);
+  fleet.isCut = (from, to) => from === alone || to === alone;
+  alone.isCurrent = false;
+  alone.hasRecentDigest = false;
+  expect((await find(fleet, alone, "s-1")).found).toBeUndefined();
+});
+
+test("an instance that has missed the second version learns of it from the others", async () => {
+  const fleet = startFleet(6);
+  setVersions(fleet, "v1");
+  await fleet.clock.advance(MAX_DURATION + 1_000);
+  const [late, ...others] = fleet.members;
+  if (late === undefined) throw new Error("The fleet is empty.");
+  late.isCurrent = false;
+  for (const { task } of others) task.setWorkers(workers("v1", "v2"));
+  expect((await find(fleet, late, "s-1")).found).toBeUndefined();
+  memberAt(fleet, 1).task.recordStart(attempt("s-2"), version("v2"));
+  expect((await find(fleet, late, "s-2")).found).toBe("v2");
+});
+
+// Guards against streams that are refused although the version is certain, because no instance recorded it.
+test("without records, the only version is found at once and nothing is sent", async () => {
+  const fleet = startFleet(6);
+  setVersions(fleet, "v1");
+  await fleet.clock.advance(MAX_DURATION + 1_000);
+  memberAt(fleet, 0).task.recordStart(attempt("s-1"), version("v1"));
+  await fleet.clock.advance(COPY_TIME);
+  expect(await find(fleet, memberAt(fleet, 1), "s-1")).toEqual({ found: "v1", after: 0 });
+  expect(await find(fleet, memberAt(fleet, 1), undefined)).toEqual({ found: "v1", after: 0 });
+  expect(fleet.members.map(({ bytesSent }) => bytesSent)).toEqual(fleet.members.map(() => 0));
+});
+
+test("an instance that alone survives confirms the only version with the store", async () => {
+  const fleet = startFleet(6);
+  setVersions(fleet, "v1");
+  await fleet.clock.advance(MAX_DURATION + 1_000);
+  const [survivor, ...ended] = fleet.members;
+  if (survivor === undefined) throw new Error("The fleet is empty.");
+  for (const member of ended) member.isDown = true;
+  survivor.isCurrent = false;
+  survivor.hasRecentDigest = false;
+  survivor.stored = ["v1"];
+  expect((await find(fleet, survivor, "s-1")).found).toBe("v1");
+  survivor.stored = ["v1", "v2"];
+  expect((await find(fleet, survivor, "s-1")).found).toBeUndefined();
+});
+
+// Guards against a stream of a version whose last worker has just left.
+test("a version that has left counts for as long as streams last", async () => {
+  const fleet = startFleet(3);
+  setVersions(fleet, "v1", "v2");
+  await fleet.clock.advance(MAX_DURATION + 1_000);
+  setVersions(fleet, "v2");
+  expect((await find(fleet, memberAt(fleet, 0), "s-1")).found).toBeUndefined();
+  expect((await find(fleet, memberAt(fleet, 0), undefined)).found).toBeUndefined();
+  await fleet.clock.advance(MAX_DURATION + 1_000);
+  expect((await find(fleet, memberAt(fleet, 0), "s-1")).found).toBe("v2");
+});
+
+// Guards against streams of the first version without a copy, because they began before there was a second one.
+test("streams that began before the second version appeared are copied when it does", async () => {
+  const fleet = startFleet(6);
+  setVersions(fleet, "v1");
+  memberAt(fleet, 0).task.recordStart(attempt("s-1"), version("v1"));
+  await fleet.clock.advance(COPY_TIME);
+  setVersions(fleet, "v1", "v2");
+  await fleet.clock.advance(COPY_TIME);
+  memberAt(fleet, 0).isDown = true;
+  expect((await find(fleet, memberAt(fleet, 1), "s-1")).found).toBe("v1");
+});
+
+test("two accounts may use the same request id", async () => {
+  const fleet = startFleet(3);
+  setVersions(fleet, "v1", "v2");
+  const { task } = memberAt(fleet, 0);
+  task.recordStart({ account: "club", id: "s-1" }, version("v1"));
+  task.recordStart({ account: "desk", id: "s-1" }, version("v2"));
+  expect((await find(fleet, memberAt(fleet, 1), "s-1")).found).toBe("v1");
+});
+
+// Burst: an instance ends, and all its streams are taken up within a tenth of a second.
+test("a burst of inquiries is answered with few datagrams", async () => {
+  const fleet = startFleet(60);
+  setVersions(fleet, "v1", "v2");
+  const ids = Array.from({ length: 200 }, (_, index) => `s-${index}`);
+  for (const id of ids) memberAt(fleet, 0).task.recordStart(attempt(id), version("v1"));
+  await fleet.clock.advance(COPY_TIME);
+  memberAt(fleet, 0).isDown = true;
+  const finder = memberAt(fleet, 1);
+  finder.bytesSent = 0;
+  const found = await Promise.all(ids.map((id) => find(fleet, finder, id)));
+  expect(found.every((one) => one.found === "v1")).toBe(true);
+  expect(Math.max(...found.map(({ after }) => after))).toBeLessThan(100);
+  // One question to each of the other instances, with 8 bytes for each stream.
+  expect(finder.bytesSent).toBeLessThan(59 * (200 * 8 + 100));
+});
+
+// The budget of an instance for control is 2 KB/s; at the target size, some 35 streams begin at each in a second.
+test("copies cost an instance of a large fleet less than its budget", async () => {
+  const fleet = startFleet(300, { zones: 6 });
+  setVersions(fleet, "v1", "v2");
+  const { task } = memberAt(fleet, 0);
+  const seconds = 10;
+  for (let step = 0; step < seconds * 35; step++) {
+    task.recordStart(attempt(`s-${step}`), version(step % 2 === 0 ? "v1" : "v2"));
+    await fleet.clock.advance(1_000 / 35);
+  }
+  const perSecond = memberAt(fleet, 0).bytesSent / seconds;
+  expect(perSecond).toBeLessThan(2_000);
+});
