Record in the store which versions a service has had recently

What callers saw: the last workers of a version leave, all instances are killed, and a caller takes up a stream of that version. The instances that start find one version, regard it as the only one, and send the rest of the stream to it.

Cause: the versions that a service has had were remembered only by instances, which lose everything when all of them end. While the store is away, such an instance refuses streams without a record whose callers name the attempt.

--- a/src/decision/version_history.ts
+++ b/src/decision/version_history.ts
@@ -18,6 +18,8 @@
   record(present: ReadonlyMap<string, ReadonlySet<string>>, at: HistoryTime): string[];
   /** Returns the versions of a service that were present within the period. */
   recent(service: string, at: HistoryTime): string[];
+  /** Returns the recent versions of all services that had several of them. */
+  mixed(at: HistoryTime): ReadonlyMap<string, ReadonlySet<string>>;
   /** Whether the history reaches back to the beginning of the period. */
   coversPeriod(at: HistoryTime): boolean;
 }
@@ -62,6 +64,12 @@
       return [...single].filter((service) => recent(service, at).length > 1);
     },
     recent,
+    mixed: (at) =>
+      new Map(
+        [...lastSeen.keys()]
+          .map((service): [string, Set<string>] => [service, new Set(recent(service, at))])
+          .filter(([, versions]) => versions.size > 1),
+      ),
     coversPeriod: ({ now, period }) => startedAt <= now - period,
   };
 }
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -38,6 +38,8 @@
 import { instanceStatuses, quarantineStatuses, routeStatuses } from "./status_parts.ts";
 import { createPeerAgreement } from "./peer_agreement.ts";
 import { createStreamVersions, versionsByService } from "./stream_versions.ts";
+import { createVersionRecord, union } from "./version_record.ts";
+import type { ServiceVersions } from "./version_record.ts";
 import { createStoreThrottle } from "./store_throttle.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
@@ -207,6 +209,26 @@
   const datagrams = createDatagramChannels(openDatagramSocket, (bytes) =>
     streamVersions.receive(bytes),
   );
+  const peerAgreement = createPeerAgreement({
+    clock,
+    kind: kinds.workers,
+    ownVersion: () => view.feeds.get(kinds.workers)?.changedAt ?? 0,
+    peers: () => fleet.directPeers(),
+  });
+  const versionRecord = createVersionRecord({
+    clock,
+    store: dependencies.store,
+    isWriter: () => lease.held().length > 0,
+    mixed: () => streamVersions.mixed(),
+    coversPeriod: () => streamVersions.coversPeriod(),
+    log,
+  });
+  /** Reads the versions of all workers, unless the other instances show that this one has them already. */
+  const readPresentVersions = async (): Promise<ServiceVersions> => {
+    if (peerAgreement.isCurrent()) return new Map();
+    const { objects } = await dependencies.feed.listKind(kinds.workers);
+    return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
+  };
   const streamVersions = createStreamVersions({
     clock,
     self: { peers: settings.listen.peers, zone: settings.zone },
@@ -214,16 +236,9 @@
     expectsOthers: () => fleet.members > 1,
     isSmallFleet: () => fleet.role === FleetRole.Mesh,
     view: {
-      ...createPeerAgreement({
-        clock,
-        kind: kinds.workers,
-        ownVersion: () => view.feeds.get(kinds.workers)?.changedAt ?? 0,
-        peers: () => fleet.directPeers(),
-      }),
-      readVersions: async () => {
-        const { objects } = await dependencies.feed.listKind(kinds.workers);
-        return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
-      },
+      ...peerAgreement,
+      readVersions: async () =>
+        union(...(await Promise.all([readPresentVersions(), versionRecord.read()]))),
     },
     maxDuration: () => STREAM_DURATION_FACTOR * longestTimeout,
     send: datagrams.sendMarked,
@@ -479,6 +494,7 @@
       usage.start();
       mix.start();
       quarantine.start();
+      versionRecord.start();
       rollouts?.start();
     },
     reload: (changed) => {
@@ -491,7 +507,7 @@
     stop: () => (stopped ??= drain()),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
-      for (const part of [connections, path, relay, streamVersions]) part.close();
+      for (const part of [connections, path, relay, streamVersions, versionRecord]) part.close();
       rollouts?.close();
     },
   };
--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -1,5 +1,6 @@
 import type { StreamRecord } from "../decision/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
+import type { ServiceVersions } from "./version_record.ts";
 import type { RecentVersions } from "./stream_record_codec.ts";
 
 /** Asks the other instances at which version streams began. */
@@ -48,8 +49,8 @@
   hasRecentDigest(): boolean;
   /** Whether it has followed the workers for as long as streams last. */
   coversPeriod(): boolean;
-  /** Reads the versions of all workers from the store, by service. */
-  readVersions(): Promise<ReadonlyMap<string, ReadonlySet<string>>>;
+  /** Reads from the store which versions the services have or have recently had. */
+  readVersions(): Promise<ServiceVersions>;
 }
 
 /** An inquiry in progress. */
@@ -62,7 +63,7 @@
   readonly seen: Set<string>;
   /** Whether one of them has followed the workers for as long as streams last. */
   hasCompleteView: boolean;
-  /** Whether the store has confirmed that all present versions are among those seen. */
+  /** Whether the recent versions according to the store are among those seen. */
   isConfirmed: boolean;
   readonly startedAt: number;
   /** When its question was last sent, in the clock's milliseconds. */
@@ -96,23 +97,23 @@
   const onlyVersion = (inquiry: OpenInquiry): StreamRecord | undefined => {
     const [version] = inquiry.seen;
     if (version === undefined || inquiry.seen.size > 1) return undefined;
-    // After all instances have been restarted, none has followed the workers for long.
-    const isCertain = hasCompleteView(inquiry) || inquiry.isConfirmed || view.isCurrent();
-    return isCertain ? { kind: "known", service: inquiry.service, version } : undefined;
+    return hasCompleteView(inquiry)
+      ? { kind: "known", service: inquiry.service, version }
+      : undefined;
   };
   const isFinal = (inquiry: OpenInquiry): boolean =>
     (inquiry.unanswered.size === 0 && (inquiry.answeredBy.size > 0 || !expectsAnswers())) ||
     (inquiry.seen.size === 1 && hasCompleteView(inquiry));
   const hasCompleteView = (inquiry: OpenInquiry): boolean =>
     inquiry.hasCompleteView ||
-    (inquiry.isConfirmed && view.coversPeriod()) ||
+    inquiry.isConfirmed ||
     // A caller that names no attempt expects only one version, so the present one is enough.
-    (inquiry.attempt === undefined && (inquiry.answeredBy.size > 0 || inquiry.isConfirmed));
+    (inquiry.attempt === undefined && (inquiry.answeredBy.size > 0 || view.isCurrent()));
   /** Whether an answer may still come: from another instance or, if there is none, from the store. */
   const expectsAnswers = (): boolean => parts.expectsOthers() || isReading;
   /**
-   * Reads the versions that are present from the store. Without digests of other instances, nothing
-   * else shows whether this instance has missed a change.
+   * Reads the versions from the store. Without digests of other instances, nothing else shows whether
+   * this instance has missed a change, and after a start, which version has just left.
    */
   const confirm = async (): Promise<void> => {
     if (isReading) return;
@@ -180,7 +181,7 @@
         askedAt: -Infinity,
       };
       open.add(opened);
-      if (!view.hasRecentDigest()) void confirm();
+      if (!view.hasRecentDigest() || !view.coversPeriod()) void confirm();
       schedule(clock.now() + QUESTION_DELAY);
       return { close: () => void open.delete(opened) };
     },
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -18,11 +18,16 @@
 import { createStreamInquiries } from "./stream_inquiries.ts";
 import type { WorkerView } from "./stream_inquiries.ts";
 import { createStreamRecordCopies } from "./stream_record_copies.ts";
+import type { ServiceVersions } from "./version_record.ts";
 import { decodeStreamRecords, encodeStreamRecords } from "./stream_record_codec.ts";
 import type { AttemptVersion, RecentVersions, StreamRecordMessage } from "./stream_record_codec.ts";
 
 /** The versions of streams, as known to this instance and the others. */
 export interface StreamVersionTask extends StreamVersions {
+  /** Returns the services that have had several versions within the time that streams last, with these versions. */
+  mixed(): ServiceVersions;
+  /** Whether this instance has followed the workers for as long as streams last. */
+  coversPeriod(): boolean;
   /** Replaces the workers. */
   setWorkers(workers: readonly RoutedWorker[]): void;
   /** Handles a datagram of another instance. */
@@ -136,6 +141,8 @@
         done: (record) => done(versionOf(record)),
       });
     },
+    mixed: () => history.mixed(time()),
+    coversPeriod: () => view.coversPeriod(),
     setWorkers: (workers) => {
       const isNewlyMixed = history.record(versionsByService(workers), time()).length > 0;
       if (isNewlyMixed) copies.sendAll();
--- a/src/process/stream_versions_test.ts
+++ b/src/process/stream_versions_test.ts
@@ -22,7 +22,7 @@
   isCurrent: boolean;
   /** Whether it receives digests at all. */
   hasRecentDigest: boolean;
-  /** The versions that the store returns; undefined if it doesn't answer. */
+  /** The recent versions according to the store; undefined if it doesn't answer. */
   stored: readonly string[] | undefined;
   isDown: boolean;
   bytesSent: number;
