Take up streams in the soak, at backend servers of two versions

The soak had one version and callers that never took up a stream, so it could not have found streams that go on at another version. Two guarantees: a stream goes on at the version that began it, and the share that goes on is at least half of that of new streams (instances in touch, 12 or more). Streams that a caller left itself no longer count as unserved at the end of a run.

--- a/bench/soak/check.ts
+++ b/bench/soak/check.ts
@@ -26,6 +26,8 @@
   crashes: { minCrashes: 3, tolerated: 3 },
   /** Requested pauses: time until one must be in force, and requests that may arrive after that. */
   pause: { reaction: 500, maxArrivals: 2 },
+  /** Streams that are taken up: minimum number to check, and the share that goes on, of that of new streams. */
+  resumed: { minimum: 12, share: 0.5 },
   /** Announced limits: window, tolerated factor and fixed number of requests, and propagation time. */
   limit: { window: 4_000, factor: 1.5, slack: 5, propagation: 500 },
   /** Resident set size of an instance, in bytes. */
--- a/bench/soak/fleet.ts
+++ b/bench/soak/fleet.ts
@@ -15,6 +15,7 @@
 import { openLinkProxy } from "./link_proxy.ts";
 import type { LinkProxy } from "./link_proxy.ts";
 import { wallNow } from "./observation.ts";
+import { VERSIONS } from "./stream_callers.ts";
 import type { ObservedProcess } from "./observation.ts";
 import type { SoakPlan } from "./plan.ts";
 import { BOUNDS } from "./check.ts";
@@ -143,13 +144,21 @@
 
   const startWorker = async (place: number, generation: number): Promise<WorkerPlace> => {
     const id = `w-${place}-${generation}`;
-    const settings = { id, service: SERVICE, answerTime: ANSWER_TIME, crashesOn: CRASHING_BODY };
-    const process = await processes.startWorker(settings, record);
+    const startedAt = Math.round(wallNow());
+    const version = versionOf(place);
+    const process = await processes.startWorker(
+      {
+        ...{ id, service: SERVICE, version, startedAt },
+        answerTime: ANSWER_TIME,
+        crashesOn: CRASHING_BODY,
+      },
+      record,
+    );
     const link = await openLinkProxy(process.address);
     const worker: WorkerPlace = {
       generation,
       id,
-      startedAt: Math.round(wallNow()),
+      startedAt,
       state: "ready",
       process,
       link,
@@ -174,7 +183,7 @@
     service: SERVICE,
     address: link.address,
     zone: zoneOf(place),
-    version: "v1",
+    version: versionOf(place),
     slots: SLOTS,
     state,
     cold_remaining_ms: 0,
@@ -334,3 +343,8 @@
     leaseTerm: "3s",
   };
 }
+
+/** Returns the version of the backend servers at a place: both versions serve side by side. */
+function versionOf(place: number): string {
+  return VERSIONS[place % VERSIONS.length] ?? VERSIONS[0];
+}
--- a/bench/soak/guarantees.ts
+++ b/bench/soak/guarantees.ts
@@ -23,6 +23,8 @@
   "an answer is whole and belongs to its request": checkAnswers,
   "what may run once runs once": checkOnce,
   "what is said not to have run hasn't": checkNotRun,
+  "a stream goes on at the version that began it": checkStreamVersions,
+  "a stream that is taken up goes on": checkResumedStreams,
   "a refusal comes at once": checkRefusals,
   "a worker that leaves gets nothing more": checkDraining,
   "a configuration is in force in time, and stays": checkConfigurations,
@@ -85,6 +87,33 @@
   return { chances: refused.length, broken };
 }
 
+function checkStreamVersions({ requests }: Observations): ReturnType<Check> {
+  const resumed = requests.filter((one) => one.isResumed && isServed(one));
+  const broken = resumed
+    .filter(({ isRight }) => !isRight)
+    .map(({ id }) => `${id} brought events that don't continue the stream.`);
+  return { chances: resumed.length, broken };
+}
+
+function checkResumedStreams(observations: Observations): ReturnType<Check> {
+  const streams = observations.requests.filter(
+    ({ kind, instance, sentAt }) =>
+      kind === RequestKind.Stream && isUndisturbed(observations, instance, sentAt),
+  );
+  const resumed = streams.filter(({ isResumed }) => isResumed);
+  const begun = streams.filter(({ isResumed }) => !isResumed);
+  const shareOf = (some: readonly ObservedRequest[]): number =>
+    some.filter(isServed).length / Math.max(1, some.length);
+  const isViolated =
+    resumed.length >= BOUNDS.resumed.minimum &&
+    shareOf(resumed) < shareOf(begun) * BOUNDS.resumed.share;
+  const share = Math.round(shareOf(resumed) * 100);
+  return {
+    chances: resumed.length,
+    broken: isViolated ? [`${share} in 100 of ${resumed.length} streams went on.`] : [],
+  };
+}
+
 function checkRefusals(observations: Observations): ReturnType<Check> {
   const refused = observations.requests.filter(
     ({ status, instance, sentAt, endedAt }) =>
@@ -265,9 +294,10 @@
 
 function checkRecovery({ requests, endedAt }: Observations): ReturnType<Check> {
   const regular = requests.filter(
-    ({ kind, sentAt }) =>
+    ({ kind, sentAt, hasLeft }) =>
       kind !== RequestKind.Hot &&
       kind !== RequestKind.Crashing &&
+      !hasLeft &&
       sentAt > endedAt - BOUNDS.finalPeriod,
   );
   const served = regular.filter((one) => isServed(one) && one.isWhole).length;
--- a/bench/soak/guarantees_test.ts
+++ b/bench/soak/guarantees_test.ts
@@ -29,6 +29,8 @@
     isWhole: true,
     isRight: true,
     isGivenUp: false,
+    hasLeft: false,
+    isResumed: false,
     ...more,
   };
 }
@@ -178,6 +180,29 @@
       ],
     },
   ],
+  [
+    "a stream goes on at the version that began it",
+    {
+      requests: [
+        requestOf("a"),
+        requestOf("b", { kind: RequestKind.Stream, isResumed: true, isRight: false }),
+      ],
+    },
+  ],
+  [
+    "a stream that is taken up goes on",
+    {
+      requests: [
+        LATEST,
+        ...series(20, { from: 20_000, gap: 10, kind: RequestKind.Stream }).requests,
+        ...series(12, {
+          ...{ from: 30_000, gap: 10, kind: RequestKind.Stream },
+          ...{ isResumed: true, status: 503 },
+        }).requests,
+      ],
+      runs: [],
+    },
+  ],
   [
     "a window of usage is reported with one count",
     {
--- a/bench/soak/observation.ts
+++ b/bench/soak/observation.ts
@@ -37,6 +37,10 @@
   readonly isRight: boolean;
   /** Whether the caller gave up after its timeout. */
   readonly isGivenUp: boolean;
+  /** Whether the caller closed the connection in the middle of the answer. */
+  readonly hasLeft: boolean;
+  /** Whether the caller already had a part of the stream and asked for the rest. */
+  readonly isResumed: boolean;
 }
 
 /** A run of a request as its backend server observed it. */
--- a/bench/soak/worker_process.ts
+++ b/bench/soak/worker_process.ts
@@ -14,6 +14,10 @@
   /** Id of the backend server. */
   readonly id: string;
   readonly service: string;
+  /** Version of its software. */
+  readonly version: string;
+  /** When the process started, in Unix milliseconds. */
+  readonly startedAt: number;
   /** Milliseconds that an answer takes. */
   readonly answerTime: number;
   /** Request body that crashes the process when its run starts. */
@@ -48,6 +52,8 @@
 
 const worker = await startWorkerStandin(settings.id, settings.service, {
   answerTime: settings.answerTime,
+  version: settings.version,
+  startedAt: settings.startedAt,
   crashesOn: (body) => body === settings.crashesOn,
   onRun: ({ id, body }) => {
     const run = {
