Keep a relayed connection open after the report on a worker's process

Cause: a relayed connection carries one exchange, and the report is one. Now a preparatory exchange doesn't close it. A worker that closes the connection itself after the report gets another connection and no longer counts as failed.

--- a/src/connection/process_identity.ts
+++ b/src/connection/process_identity.ts
@@ -66,11 +66,12 @@
         body: EMPTY_BODY,
         id: undefined,
       };
-      let current = connection.exchange(report, {
+      const reportSink: ExchangeSink = {
         head: (head) => (status = head.status),
         data: (chunk) => void chunks.push(chunk),
         end: continueWith,
-      });
+      };
+      let current = connection.exchange(report, reportSink, { isPreparatory: true });
       return {
         pause: () => current.pause(),
         resume: () => current.resume(),
@@ -83,9 +84,9 @@
 /** Returns the end of a request that was not sent, because its worker's process could not be identified. */
 function unsent(end: ExchangeEnd): ExchangeEnd {
   if (end.kind === "not-sent" || end.kind === "replaced") return end;
-  const detail =
-    end.kind === "broken"
-      ? end.detail
-      : "The worker closed the connection after the report on its process.";
-  return { kind: "not-sent", detail, cause: DialFailure.Unanswered };
+  if (end.kind === "broken")
+    return { kind: "not-sent", detail: end.detail, cause: DialFailure.Unanswered };
+  // A worker may close any connection after a response. Another connection is opened at once.
+  const detail = "The worker closed the connection after the report on its process.";
+  return { kind: "not-sent", detail, cause: DialFailure.NoPath };
 }
--- a/src/connection/process_identity_test.ts
+++ b/src/connection/process_identity_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { BodyFraming } from "../interface/index.ts";
+import { BodyFraming, DialFailure } from "../interface/index.ts";
 import type { ExchangeEnd, ExchangeSink, WorkerRequest } from "../interface/index.ts";
 import { createProcessIdentity } from "./process_identity.ts";
 import type { WorkerConnection } from "./worker_connection.ts";
@@ -86,6 +86,16 @@
   expect(ends).toMatchObject([{ kind: "not-sent" }]);
 });
 
+// Guards against a worker that counts as failed because it closes a connection after a response.
+test("a connection that is closed after the report is replaced by another", () => {
+  const { connection, sent } = connectionWith();
+  const ends = send(connection);
+  connection.close();
+  answer(sent[0]?.sink, 200, "1000");
+  expect(targets(sent)).toEqual(["/report"]);
+  expect(ends).toMatchObject([{ kind: "not-sent", cause: DialFailure.NoPath }]);
+});
+
 test.each([
   [503, ""],
   [200, ""],
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -43,8 +43,14 @@
    * Sends a request; the connection must be idle.
    *
    * @param sink Receives the response and the end of the exchange.
+   * @param options `isPreparatory` if another exchange follows at once, also on a relayed connection, which otherwise
+   * carries only one.
    */
-  exchange(request: WorkerRequest, sink: ExchangeSink): Exchange;
+  exchange(
+    request: WorkerRequest,
+    sink: ExchangeSink,
+    options?: { readonly isPreparatory?: boolean },
+  ): Exchange;
   /** Closes the connection; an exchange in progress ends as broken or not sent. */
   close(): void;
 }
@@ -77,7 +83,7 @@
  * connection is established.
  */
 export function openWorkerConnection(options: WorkerConnectionOptions): WorkerConnection {
-  const { clock, matching } = options;
+  const { clock, matching, onHead } = options;
   const parser = createResponseParser();
   let socket: Socket | undefined;
   /** The request that waits until the connection is established. */
@@ -87,6 +93,9 @@
   /** Whether nothing has arrived on a connection that isn't relayed. */
   let isUnused = false;
   let canReuse = true;
+  let isRelayed = false;
+  /** Whether another exchange follows the current one. */
+  let isPreparatory = false;
   let idleSince = clock.now();
   let idleTimeout: number | undefined;
   let exchangeCount = 0;
@@ -113,7 +122,8 @@
     current = undefined;
     idleSince = clock.now();
     // If the worker responded before it read the whole body, the rest of the body would be parsed as the next request.
-    if (!canReuse || (socket?.writableLength ?? 0) > 0) close();
+    const isLast = !canReuse || (isRelayed && !isPreparatory);
+    if (isLast || (socket?.writableLength ?? 0) > 0) close();
     else options.onIdle();
     sink?.end({ kind: "complete" });
   };
@@ -124,10 +134,10 @@
     if (/\bclose\b/i.test(head.byName.get("connection") ?? "")) canReuse = false;
     return true;
   };
-  const attach = ({ socket: opened, isRelayed }: DialedConnection): void => {
+  const attach = ({ socket: opened, ...dialed }: DialedConnection): void => {
     socket = opened;
+    isRelayed = dialed.isRelayed;
     isUnused = !isRelayed;
-    if (isRelayed) canReuse = false;
     opened.on("data", (bytes) => {
       if (isClosed) return;
       options.onReceived();
@@ -158,12 +168,13 @@
     failed: (cause, detail) => endExchange({ kind: "not-sent", detail, cause }),
   });
 
-  const exchange = (request: WorkerRequest, sink: ExchangeSink): Exchange => {
+  const exchange: WorkerConnection["exchange"] = (request, sink, options = {}) => {
     current = sink;
+    isPreparatory = options.isPreparatory ?? false;
     exchangeCount++;
     parser.expectResponse(request.method, {
       head: (head) => {
-        options.onHead(head);
+        onHead(head);
         if (acceptHead(head, request.id)) sink.head(head);
         else fail("The worker sent the response to another request.");
       },
