--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -70,6 +70,8 @@
   readonly isWhole: boolean;
   /** Whether the caller gave up after its timeout. */
   readonly isGivenUp: boolean;
+  /** Whether the caller closed the connection after `maxEvents` events. */
+  readonly hasLeft: boolean;
 }
 
 /** Deadline that a caller sends with a request, in milliseconds. */
@@ -199,7 +201,7 @@
     ...{ id, instance, method, path, body, key, agent, extraHeaders },
     ...(maxEvents === undefined ? {} : { maxEvents }),
   });
-  const { status, headers, isWhole, isGivenUp } = answer;
+  const { status, headers, isWhole, isGivenUp, hasLeft } = answer;
   const isStream = kind === RequestKind.Stream && status === SUCCESS;
   const isRight =
     headers["x-request-id"] === id &&
@@ -219,7 +221,7 @@
       isRight,
       isGivenUp,
     },
-    hasLeft: maxEvents !== undefined && !isWhole,
+    hasLeft,
     isResumed: previous !== undefined,
   });
   return { ...answer, part: isStream ? partAfter({ id, body: answer.body }, previous) : previous };
@@ -237,11 +239,12 @@
   return new Promise((resolve) => {
     let text = "";
     let isGivenUp = false;
+    let hasLeft = false;
     let headers: IncomingMessage["headers"] = {};
     let status = 0;
     const end = (isWhole: boolean): void => {
       clearTimeout(timer);
-      resolve({ status, headers, body: text, isWhole, isGivenUp });
+      resolve({ status, headers, body: text, isWhole: isWhole && !hasLeft, isGivenUp, hasLeft });
     };
     const sent = request(
       {
@@ -262,8 +265,10 @@
         status = response.statusCode ?? 0;
         headers = response.headers;
         response.on("data", (chunk) => {
+          if (hasLeft) return;
           text += String(chunk);
-          if (text.split("\n\n").length > maxEvents) response.destroy();
+          hasLeft = text.split("\n\n").length > maxEvents;
+          if (hasLeft) response.destroy();
         });
         response.on("error", () => undefined);
         response.on("close", () => end(response.complete));
--- a/bench/soak/seeds.ts
+++ b/bench/soak/seeds.ts
@@ -44,4 +44,11 @@
     processes: 10,
     cause: "The test read the final states while a rolling restart was still in progress.",
   },
+  {
+    seed: 7311,
+    seconds: 30,
+    processes: 10,
+    cause:
+      "The test took a part of a stream for the whole one: its caller left when all of it had arrived at once.",
+  },
 ];
