--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -37,9 +37,10 @@
 import { createRolloutView, servedWorkers } from "./rollout_view.ts";
 import { instanceStatuses, quarantineStatuses, routeStatuses } from "./status_parts.ts";
 import { createPeerAgreement } from "./peer_agreement.ts";
-import { createStreamVersions, versionsByService } from "./stream_versions.ts";
-import { createVersionRecord, union } from "./version_record.ts";
-import type { ServiceVersions } from "./version_record.ts";
+import { mergeVersions, versionsByService } from "./service_versions.ts";
+import type { ServiceVersions } from "./service_versions.ts";
+import { createStreamVersions } from "./stream_versions.ts";
+import { createVersionRecord } from "./version_record.ts";
 import { createStoreThrottle } from "./store_throttle.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
@@ -237,8 +238,13 @@
     isSmallFleet: () => fleet.role === FleetRole.Mesh,
     view: {
       ...peerAgreement,
-      readVersions: async () =>
-        union(...(await Promise.all([readPresentVersions(), versionRecord.read()]))),
+      readVersions: async () => {
+        const [present, recorded] = await Promise.all([
+          readPresentVersions(),
+          versionRecord.read(),
+        ]);
+        return mergeVersions(present, recorded);
+      },
     },
     maxDuration: () => STREAM_DURATION_FACTOR * longestTimeout,
     send: datagrams.sendMarked,
--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -1,6 +1,6 @@
 import type { StreamRecord } from "../decision/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
-import type { ServiceVersions } from "./version_record.ts";
+import type { ServiceVersions } from "./service_versions.ts";
 import type { RecentVersions } from "./stream_record_codec.ts";
 
 /** Asks the other instances at which version streams began. */
@@ -79,7 +79,13 @@
 /** The same for an instance that has just started: it learns of the others with their next digests. */
 const DISCOVERY_TIMEOUT = 450;
 
-/** Creates an empty set of inquiries. */
+/**
+ * Creates an empty set of inquiries.
+ *
+ * An inquiry ends with the first record that is found. Without one, it ends once a complete view shows that the service
+ * has had only one version, when all instances have answered, or after a timeout; the stream is unknown then unless
+ * its version is the only one.
+ */
 export function createStreamInquiries(parts: StreamInquiriesParts): StreamInquiries {
   const { clock, find, view } = parts;
   const open = new Set<OpenInquiry>();
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -18,7 +18,8 @@
 import { createStreamInquiries } from "./stream_inquiries.ts";
 import type { WorkerView } from "./stream_inquiries.ts";
 import { createStreamRecordCopies } from "./stream_record_copies.ts";
-import type { ServiceVersions } from "./version_record.ts";
+import { versionsByService } from "./service_versions.ts";
+import type { ServiceVersions } from "./service_versions.ts";
 import { decodeStreamRecords, encodeStreamRecords } from "./stream_record_codec.ts";
 import type { AttemptVersion, RecentVersions, StreamRecordMessage } from "./stream_record_codec.ts";
 
@@ -169,18 +170,6 @@
   };
 }
 
-/** Groups the versions of workers by service. */
-export function versionsByService(
-  workers: readonly Pick<RoutedWorker, "service" | "version">[],
-): Map<string, Set<string>> {
-  const grouped = new Map<string, Set<string>>();
-  for (const { service, version } of workers) {
-    const versions = grouped.get(service) ?? new Set();
-    grouped.set(service, versions.add(version));
-  }
-  return grouped;
-}
-
 function versionOf(record: StreamRecord | undefined): StreamVersion | undefined {
   return record?.kind === "known" ? record : undefined;
 }
--- a/src/process/version_record.ts
+++ b/src/process/version_record.ts
@@ -2,9 +2,8 @@
 import { sleep } from "../interface/index.ts";
 import type { Clock, ObjectStore } from "../interface/index.ts";
 import type { RoutedLog } from "./routed_log.ts";
-
-/** Versions by service. */
-export type ServiceVersions = ReadonlyMap<string, ReadonlySet<string>>;
+import { mergeVersions } from "./service_versions.ts";
+import type { ServiceVersions } from "./service_versions.ts";
 
 /**
  * The record in the store of services that have had several versions recently.
@@ -62,7 +61,7 @@
     if (hasNothing) return;
     known ??= await load();
     // What an earlier writer has recorded counts until this one has followed the workers for as long.
-    const text = encode(coversPeriod() ? mixed() : union(decode(known.text), mixed()));
+    const text = encode(coversPeriod() ? mixed() : mergeVersions(decode(known.text), mixed()));
     if (text === known.text) return;
     const outcome = await store.put(VERSION_RECORD_KEY, text, { expect: known.version });
     known = outcome.kind === "written" ? { text, version: outcome.version } : undefined;
@@ -98,14 +97,3 @@
     return new Map();
   }
 }
-
-/** Returns the versions of both, by service. */
-export function union(a: ServiceVersions, b: ServiceVersions): ServiceVersions {
-  const services = new Set([...a.keys(), ...b.keys()]);
-  return new Map(
-    [...services].map((service) => [
-      service,
-      new Set([...(a.get(service) ?? []), ...(b.get(service) ?? [])]),
-    ]),
-  );
-}
