Wait for the store before a stream counts as unknown

What callers saw: after a restart of all instances, streams whose callers name the attempt are refused as version-unknown now and then, although all workers have one version.

Cause: an inquiry ended when all other instances had answered, also while the versions were still being read from the store. After such a restart the others know as little and answer sooner than a busy store. Now it ends only when neither can answer any more.

--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -108,15 +108,15 @@
       : undefined;
   };
   const isFinal = (inquiry: OpenInquiry): boolean =>
-    (inquiry.unanswered.size === 0 && (inquiry.answeredBy.size > 0 || !expectsAnswers())) ||
-    (inquiry.seen.size === 1 && hasCompleteView(inquiry));
+    !expectsAnswers(inquiry) || (inquiry.seen.size === 1 && hasCompleteView(inquiry));
   const hasCompleteView = (inquiry: OpenInquiry): boolean =>
     inquiry.hasCompleteView ||
     inquiry.isConfirmed ||
     // A caller that names no attempt expects only one version, so the present one is enough.
     (inquiry.attempt === undefined && (inquiry.answeredBy.size > 0 || view.isCurrent()));
-  /** Whether an answer may still come: from another instance or, if there is none, from the store. */
-  const expectsAnswers = (): boolean => parts.expectsOthers() || isReading;
+  /** Whether an answer may still come from the store or another instance. */
+  const expectsAnswers = ({ unanswered, answeredBy }: OpenInquiry): boolean =>
+    isReading || unanswered.size > 0 || (answeredBy.size === 0 && parts.expectsOthers());
   /**
    * Reads the versions from the store. Without digests of other instances, nothing else shows whether
    * this instance has missed a change, and after a start, which version has just left.
--- a/src/process/stream_versions_test.ts
+++ b/src/process/stream_versions_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { createSeededRandom } from "../interface/index.ts";
+import { createSeededRandom, sleep } from "../interface/index.ts";
 import type { RoutedWorker } from "../interface/index.ts";
 import type { StreamVersion } from "../decision/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
@@ -24,6 +24,8 @@
   hasRecentDigest: boolean;
   /** The recent versions according to the store; undefined if it doesn't answer. */
   stored: readonly string[] | undefined;
+  /** Milliseconds that the store takes to answer. */
+  storeDelay: number;
   isDown: boolean;
   bytesSent: number;
 }
@@ -68,6 +70,7 @@
       isCurrent: true,
       hasRecentDigest: true,
       stored: undefined,
+      storeDelay: 0,
       isDown: false,
       bytesSent: 0,
       task: createStreamVersions({
@@ -80,10 +83,11 @@
         view: {
           isCurrent: () => member.isCurrent,
           hasRecentDigest: () => member.hasRecentDigest,
-          readVersions: () =>
-            member.stored === undefined
-              ? Promise.reject(new Error("The store doesn't answer."))
-              : Promise.resolve(new Map([[SERVICE, new Set(member.stored)]])),
+          readVersions: async () => {
+            await sleep(clock, member.storeDelay);
+            if (member.stored === undefined) throw new Error("The store doesn't answer.");
+            return new Map([[SERVICE, new Set(member.stored)]]);
+          },
         },
         maxDuration: () => MAX_DURATION,
         send: (bytes, to) => {
@@ -227,6 +231,19 @@
   expect((await find(fleet, survivor, "s-1")).found).toBeUndefined();
 });
 
+// Guards against streams that are refused after a restart of all instances, because the others, which know as little,
+// answer before the store does.
+test("an instance that has just started waits for the store although all others have answered", async () => {
+  const fleet = startFleet(3);
+  setVersions(fleet, "v1");
+  const finder = memberAt(fleet, 0);
+  finder.stored = ["v1"];
+  finder.storeDelay = 100;
+  expect((await find(fleet, finder, "s-1")).found).toBe("v1");
+  finder.stored = ["v1", "v2"];
+  expect((await find(fleet, finder, "s-1")).found).toBeUndefined();
+});
+
 // Guards against a stream of a version whose last worker has just left.
 test("a version that has left counts for as long as streams last", async () => {
   const fleet = startFleet(3);
