Give an inquiry of a just started instance its whole time

What callers saw: an instance that has just started and learns of the others after 250 ms refuses streams as version-unknown without asking them.

Cause: without a known instance an inquiry may take 450 ms, but as soon as one was known the shorter timeout applied, counted from the start, and had passed already. The end is fixed when the inquiry starts now.

--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -65,7 +65,8 @@
   hasCompleteView: boolean;
   /** Whether the recent versions according to the store are among those seen. */
   isConfirmed: boolean;
-  readonly startedAt: number;
+  /** When the stream counts as unknown at the latest, in the clock's milliseconds. */
+  readonly endsAt: number;
   /** When its question was last sent, in the clock's milliseconds. */
   askedAt: number;
 }
@@ -134,14 +135,11 @@
       update(inquiry);
     }
   };
-  const timeoutOf = ({ unanswered, answeredBy }: OpenInquiry): number =>
-    unanswered.size + answeredBy.size > 0 ? INQUIRY_TIMEOUT : DISCOVERY_TIMEOUT;
   const update = (inquiry: OpenInquiry): void => {
     const record = recordOf(inquiry);
     if (record !== undefined) end(inquiry, record);
     else if (inquiry.attempt === undefined && inquiry.seen.size > 1) end(inquiry, undefined);
-    else if (isFinal(inquiry) || clock.now() - inquiry.startedAt >= timeoutOf(inquiry))
-      end(inquiry, onlyVersion(inquiry));
+    else if (isFinal(inquiry) || clock.now() >= inquiry.endsAt) end(inquiry, onlyVersion(inquiry));
   };
   const ask = (): void => {
     timer = undefined;
@@ -176,6 +174,7 @@
   };
   return {
     start: (inquiry) => {
+      const knowsOthers = parts.instances().length > 0;
       const opened: OpenInquiry = {
         ...inquiry,
         unanswered: new Set(),
@@ -183,7 +182,7 @@
         seen: new Set(inquiry.versions),
         hasCompleteView: false,
         isConfirmed: false,
-        startedAt: clock.now(),
+        endsAt: clock.now() + (knowsOthers ? INQUIRY_TIMEOUT : DISCOVERY_TIMEOUT),
         askedAt: -Infinity,
       };
       open.add(opened);
--- a/src/process/stream_versions_test.ts
+++ b/src/process/stream_versions_test.ts
@@ -27,6 +27,8 @@
   /** Milliseconds that the store takes to answer. */
   storeDelay: number;
   isDown: boolean;
+  /** Whether it knows the other instances. */
+  knowsOthers: boolean;
   bytesSent: number;
 }
 
@@ -72,12 +74,13 @@
       stored: undefined,
       storeDelay: 0,
       isDown: false,
+      knowsOthers: true,
       bytesSent: 0,
       task: createStreamVersions({
         clock,
         self: { peers: address, zone },
         // Instances that have just ended are still regarded as live.
-        instances: () => live.filter(({ peers }) => peers !== address),
+        instances: () => live.filter(({ peers }) => member.knowsOthers && peers !== address),
         expectsOthers: () => size > 1,
         isSmallFleet: () => size <= 13,
         view: {
@@ -244,6 +247,24 @@
   expect((await find(fleet, finder, "s-1")).found).toBeUndefined();
 });
 
+// Guards against streams that are refused as soon as an instance that has just started learns of the others.
+test("an instance that learns of the others during an inquiry asks them", async () => {
+  const fleet = startFleet(3);
+  setVersions(fleet, "v1", "v2");
+  const finder = memberAt(fleet, 2);
+  // It was not running when the copies were sent.
+  finder.isDown = true;
+  memberAt(fleet, 0).task.recordStart(attempt("s-1"), version("v1"));
+  await fleet.clock.advance(COPY_TIME);
+  finder.isDown = false;
+  finder.knowsOthers = false;
+  finder.hasRecentDigest = false;
+  fleet.clock.after(300, () => (finder.knowsOthers = true));
+  const { found, after } = await find(fleet, finder, "s-1");
+  expect(found).toBe("v1");
+  expect(after).toBeGreaterThan(300);
+});
+
 // Guards against a stream of a version whose last worker has just left.
 test("a version that has left counts for as long as streams last", async () => {
   const fleet = startFleet(3);
