Check in one place whether a worker may still get a request

Found on the last reading: the choice of workers and the check for another worker each compared the tried workers and the version of a stream. Both call isUntried now.

--- a/src/request/routed_choice.ts
+++ b/src/request/routed_choice.ts
@@ -26,24 +26,34 @@
   readonly version: string | undefined;
 }
 
+/** Whether a worker was not tried for a request yet and has the only version that may get it, if there is one. */
+export function isUntried(
+  worker: Pick<CandidateWorker, "id" | "version">,
+  { tried, version }: Pick<PlacementRequest, "tried" | "version">,
+): boolean {
+  return !tried.has(worker.id) && (version === undefined || worker.version === version);
+}
+
 /** Chooses the workers to which a request is offered. */
 export function chooseWorkers(
   { workerLoads, clock, random }: Pick<RoutedContext, "workerLoads" | "clock" | "random">,
-  { arrival, service, tried, version }: PlacementRequest,
+  placement: PlacementRequest,
 ): WorkerChoice {
+  const { arrival, service, tried } = placement;
   const timeLeft = arrival.deadlineAt - clock.now();
-  const isPossible = (worker: CandidateWorker): boolean =>
-    !tried.has(worker.id) && (version === undefined || worker.version === version);
   const rank = (
     workers: readonly CandidateWorker[],
     homes?: PromptHomes<CandidateWorker>,
   ): RankedChoice<CandidateWorker>[] =>
-    rankWorkers(workers.filter(isPossible), {
-      request: { parts: arrival.promptParts },
-      speed: workerLoads.timing(service),
-      random,
-      ...(homes === undefined ? {} : { homes }),
-    });
+    rankWorkers(
+      workers.filter((worker) => isUntried(worker, placement)),
+      {
+        request: { parts: arrival.promptParts },
+        speed: workerLoads.timing(service),
+        random,
+        ...(homes === undefined ? {} : { homes }),
+      },
+    );
   const createOffer = (choice: RankedChoice<CandidateWorker> | undefined): WorkerOffer => ({
     expectedFirstToken: choice?.wait ?? 0,
     firstTokenTarget: arrival.route.latencyTarget,
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -12,7 +12,7 @@
 import type { RoutedArrival } from "./routed_arrival.ts";
 import { RunResult } from "./routed_context.ts";
 import type { CandidateWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
-import { chooseWorkers } from "./routed_choice.ts";
+import { chooseWorkers, isUntried } from "./routed_choice.ts";
 import { buildAddedHeaders, buildRequestHeaders } from "./routed_headers.ts";
 import { createAttempt, isHungAttempt } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
@@ -169,7 +169,7 @@
     const choice = chooseWorkers(context, { arrival, service, tried, version });
     if (choice.kind === "none") {
       if (version !== undefined && !workerLoads.hasVersion(service, version)) {
-        giveUp(RoutedRefusal.VersionGone, undefined);
+        giveUp(RoutedRefusal.VersionGone);
         return;
       }
       const capacityIn = workerLoads.timeUntilCapacity(service);
@@ -416,9 +416,7 @@
     else fallback();
   };
   const hasOtherWorker = (): boolean =>
-    workerLoads
-      .candidates(service)
-      .some((worker) => !tried.has(worker.id) && worker.version === (version ?? worker.version));
+    workerLoads.candidates(service).some((worker) => isUntried(worker, { tried, version }));
   const handleRefusedContinuation = (attempt: Attempt, head: ResponseHead): void => {
     if (head.byName.has(names.notRun)) runs--;
     logStep("not-continued", { worker: attempt.worker.id, status: head.status });
