Add failing tests of connections to the store that go silent

What callers saw: a configuration that the store had acknowledged wasn't in force in time (CONFIG), and workers whose leaving it had acknowledged got requests (DRAIN).

Instances wait for changes on connections that deliver nothing any more, without an error.

--- a/src/process/change_propagation_test.ts
+++ b/src/process/change_propagation_test.ts
@@ -9,6 +9,11 @@
  */
 const BOUND = 1_000;
 
+/**
+ * Milliseconds after a disturbance from which every instance must again know each change in time.
+ */
+const DISTURBANCE_TIME = 3_000;
+
 const closers: (() => void)[] = [];
 afterEach(() => {
   for (const close of closers.splice(0)) close();
@@ -66,6 +71,24 @@
   },
 );
 
+// The connections on which all instances wait for the store deliver nothing any more, without an error. No instance learns
+// of a change until it calls the store again.
+test.each([1, 3, 6, 13, 14])(
+  "a change reaches each of %i instances in time after all connections to the store have gone silent",
+  async (size) => {
+    const fleet = await startFleet(size);
+    for (let round = 0; round < 8; round++) {
+      // All instances have just received a change, so all of them have just called the store.
+      await measurePropagation(fleet, [`before-${round}`]);
+      await fleet.clock.advance(250 + 330 * round);
+      fleet.store.silencePending();
+      expect(await measurePropagation(fleet, [`after-${round}`])).toBeLessThanOrEqual(
+        DISTURBANCE_TIME,
+      );
+    }
+  },
+);
+
 // Half of a zone's workers change at once, which is more than one digest can carry.
 test.each([14, 67])(
   "many simultaneous changes reach each of %i instances within a second",
--- a/src/process/testing/memory_feed.ts
+++ b/src/process/testing/memory_feed.ts
@@ -10,6 +10,8 @@
   copy(): () => void;
   /** Returns the store as accessed by the named instance. */
   of(instance: string): ObjectFeed;
+  /** Stops answering all pending calls. New calls are answered. */
+  silencePending(): void;
   /** Names of instances that get no answer. */
   readonly cut: Set<string>;
   /** Number of calls since the start, by instance. */
@@ -28,6 +30,7 @@
   let history: { version: number; change: FeedChange }[] = [];
   const waiting = new Set<() => void>();
   const cut = new Set<string>();
+  let silences = 0;
   const calls = new Map<string, number>();
 
   const countCall = (instance: string): void =>
@@ -88,12 +91,21 @@
       },
       watchKind: async (_kind, from, wait) => {
         countCall(instance);
+        const givesUpAt = clock.now() + wait + GIVE_UP_DELAY;
+        const silencesBefore = silences;
         if (since(from).length === 0) await waitForChange(wait);
         await simulateCall(instance, 0);
+        if (silences !== silencesBefore) {
+          await sleep(clock, Math.max(0, givesUpAt - clock.now()));
+          throw new Error("no answer");
+        }
         if (eraOf(from) < eraOf(version)) return { kind: "history-lost" };
         return { kind: "changed", changes: since(from), version };
       },
     }),
+    silencePending: () => {
+      silences++;
+    },
     cut,
     calls,
   };
