Renew the fleet's watches of the store in turn

Callers saw configurations come into force seconds late, and workers got requests after the store had acknowledged that they leave. When connections to the store go silent, an instance notices it only by the timeout of its watch, 3 to 10 s.

The instances now renew their watches at assigned times, one instance a second, each kind of object at another moment.

--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -36,3 +36,4 @@
 export * from "./record_holders.ts";
 export * from "./stream_records.ts";
 export * from "./version_history.ts";
+export * from "./watch_schedule.ts";
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -89,27 +89,14 @@
    * return the same data.
    */
   readonly isNeeded?: () => boolean;
-  /** Whether other instances depend on this one for changes. Its watches are then short. */
-  readonly feedsPeers?: () => boolean;
+  /** Returns the milliseconds until a watch that starts now is to be renewed. */
+  readonly watchTimeout: () => number;
   /** Called after objects have changed. */
   readonly onChange: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
   /** Called when the store starts or stops answering. */
   readonly onReachabilityChange: (reached: boolean, detail: string) => void;
 }
 
-/**
- * Range of the watch timeout in milliseconds. An open connection can go silent permanently, which
- * only the timeout reveals. Timeouts differ between instances, and the first instance to receive a
- * change forwards it to the others, so even if all connections go silent at once, a change is
- * delayed only until the first timeout. Shorter timeouts cost more calls.
- */
-const WATCH_TIMEOUT = { min: 3_000, max: 10_000 };
-/**
- * Range of the watch timeout in milliseconds where a few instances watch the store on behalf of
- * hundreds. They detect a silent connection sooner, and with few watchers the additional calls are
- * few.
- */
-const FEEDER_WATCH_TIMEOUT = { min: 1_500, max: 2_500 };
 /**
  * Watch timeout in milliseconds after a failed call. A request sent to a silent store is never
  * answered, even after the store recovers; with a long timeout, the instance would miss changes in
@@ -145,7 +132,6 @@
 /** Creates a follower without any objects. */
 export function createFeedFollower(parts: FeedFollowerParts): FeedFollower {
   const { kind, clock, random, feed, isNeeded = () => true } = parts;
-  const { feedsPeers = () => false } = parts;
   let objects = new Map<string, FeedObject>();
   let version = 0;
   let changedAt = 0;
@@ -240,8 +226,7 @@
     return sleep(clock, maxDelay * (0.5 + 0.5 * random.next()));
   };
   const watch = async (): Promise<void> => {
-    const { min, max } = feedsPeers() ? FEEDER_WATCH_TIMEOUT : WATCH_TIMEOUT;
-    const timeout = failures > 0 ? RETRY_WATCH_TIMEOUT : min + random.next() * (max - min);
+    const timeout = failures > 0 ? RETRY_WATCH_TIMEOUT : parts.watchTimeout();
     const outcome = await feed.watchKind(kind, version, timeout);
     if (outcome.kind === "history-lost") {
       isListNeeded = true;
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -40,6 +40,9 @@
   return store;
 }
 
+/** Milliseconds. */
+const WATCH_TIMEOUT = 5_000;
+
 function object(name: string, version: number): FeedObject {
   return { name, version, value: version };
 }
@@ -63,6 +66,7 @@
     clock,
     random: createSeededRandom(1),
     feed: store,
+    watchTimeout: () => WATCH_TIMEOUT,
     onChange: () => undefined,
     onReachabilityChange: (isReached) => reached.push(isReached),
   });
@@ -143,7 +147,7 @@
   expect(store.timeouts.at(-1)).toBeLessThan(1_000);
   store.answer({ kind: "changed", version: 11, changes: [] });
   await clock.advance(1);
-  expect(store.timeouts.at(-1)).toBeGreaterThan(2_000);
+  expect(store.timeouts.at(-1)).toBe(WATCH_TIMEOUT);
 });
 
 // Other instances forward store changes. A delta must start at or before the last known change; a
@@ -224,6 +228,7 @@
     clock,
     random: createSeededRandom(1),
     feed: store,
+    watchTimeout: () => WATCH_TIMEOUT,
     isNeeded: () => isNeeded,
     onChange: () => undefined,
     onReachabilityChange: () => undefined,
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -51,6 +51,8 @@
    * itself.
    */
   feeders(): readonly PeerInstance[];
+  /** Returns the addresses of the instances that watch the store. */
+  watchers(): readonly string[];
   /**
    * Returns the instances that can hold a lease: all in a small fleet, otherwise the relays that
    * send digests to this instance.
@@ -322,6 +324,11 @@
       const feeder = currentRelay();
       return feeder?.isCurrent === true ? [feeder] : [];
     },
+    watchers: () => {
+      const { role, watchers } = table.topology;
+      if (role !== FleetRole.Mesh) return [...watchers];
+      return [introduction.peers, ...table.live().map(({ peers }) => peers)];
+    },
     leaseCandidates: () =>
       table
         .directPeers()
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -184,6 +184,8 @@
     followsRollouts: versions !== undefined,
     log,
     staleAfter: settings.leaseTerm + LEASE_POLL_INTERVAL,
+    time: synchronizedNow,
+    self: settings.listen.peers,
     fleet: () => fleet,
     onRouting: (routing) => {
       quota.addAccounts(routing.accounts ?? [], clock.now());
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -7,6 +7,7 @@
   RolloutEntry,
   RoutedWorker,
 } from "../interface/index.ts";
+import { RENEWAL_INTERVAL, timeUntilRenewal } from "../decision/index.ts";
 import { createRouteTable } from "../version/index.ts";
 import type { Routing, RouteTable } from "../version/index.ts";
 import type { InstanceState } from "./digest.ts";
@@ -59,7 +60,11 @@
    * last answer.
    */
   readonly staleAfter: number;
-  readonly fleet: () => Pick<FleetSync, "role" | "isFed" | "reportStoreChange">;
+  /** Returns the time that all instances agree on, in milliseconds since 1970. */
+  readonly time: () => number;
+  /** This instance's address for other instances. */
+  readonly self: string;
+  readonly fleet: () => Pick<FleetSync, "role" | "isFed" | "reportStoreChange" | "watchers">;
   /** Called when a routing configuration comes into force. */
   readonly onRouting: (routing: Routing) => void;
   /**
@@ -113,17 +118,27 @@
     });
     if (delay !== undefined) parts.onArrival(source, delay);
   };
+  const watchTimeout = (kind: string): number =>
+    timeUntilRenewal(
+      {
+        watchers: fleet().watchers(),
+        self: parts.self,
+        position: [...feeds.keys()].indexOf(kind) / feeds.size,
+        interval:
+          fleet().role === FleetRole.Mesh ? RENEWAL_INTERVAL.mesh : RENEWAL_INTERVAL.relayed,
+      },
+      { time: parts.time(), random },
+    );
   /** Follows a kind of objects. `name` is the kind's name in the log. */
   const follow = (
     { kind, name }: { kind: string; name: string },
     options: {
       readonly apply: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
       readonly isNeeded?: () => boolean;
-      readonly feedsPeers?: () => boolean;
       readonly onReachabilityChange?: (reached: boolean) => void;
     },
   ): FeedFollower => {
-    const { apply, feedsPeers = () => false, onReachabilityChange = () => undefined } = options;
+    const { apply, onReachabilityChange = () => undefined } = options;
     const isQueryNeeded = options.isNeeded ?? (() => !fleet().isFed());
     const follower: FeedFollower = createFeedFollower({
       kind,
@@ -131,7 +146,7 @@
       random,
       feed: parts.feed,
       isNeeded: () => isQueryNeeded() || catchUp.isBehind(kind),
-      feedsPeers,
+      watchTimeout: () => watchTimeout(kind),
       onChange: (changes, arrival) => {
         apply(changes, arrival);
         reportChanges(follower, changes, arrival);
@@ -150,7 +165,6 @@
   const workerFeed: FeedFollower = follow(
     { kind: kinds.workers, name: "workers" },
     {
-      feedsPeers: () => fleet().role !== FleetRole.Mesh,
       apply: (changes, { isRestored }) => {
         if (isRestored) roster.applyRestore(changes);
         else roster.applyChanges(changes);
--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -7,6 +7,8 @@
   createFleetTime,
   createUsageLedger,
   createWorkerHealth,
+  RENEWAL_INTERVAL,
+  timeUntilRenewal,
 } from "../../decision/index.ts";
 import type { CrashEvidence, SharedQuota, UsageLedger } from "../../decision/index.ts";
 import { createSeededRandom, Purchase, sleep } from "../../interface/index.ts";
@@ -228,7 +230,12 @@
     random,
     feed: store.of(name),
     isNeeded: () => !sync.isFed() || catchUp.isBehind(KIND),
-    feedsPeers: () => sync.role !== FleetRole.Mesh,
+    watchTimeout: () => {
+      const { mesh, relayed } = RENEWAL_INTERVAL;
+      const interval = sync.role === FleetRole.Mesh ? mesh : relayed;
+      const watch = { watchers: sync.watchers(), self: address, position: 0, interval };
+      return timeUntilRenewal(watch, { time: clock.now(), random });
+    },
     onChange: () => sync.reportStoreChange(),
     onReachabilityChange: () => undefined,
   });
