Close idle connections to a service when a call to it times out

A call that times out now closes the idle connections, so that the next call opens a new one. Calls in progress continue.

--- a/src/connection/json_client.ts
+++ b/src/connection/json_client.ts
@@ -78,10 +78,11 @@
         agent,
         headers: { ...headers, ...framing },
       });
-      // A call that times out also closes its connection, so that the next call doesn't get a connection
-      // that no longer delivers data.
+      // A call that times out also closes its connection and the idle ones, so that the next call doesn't get
+      // a connection that no longer delivers data.
       const timer = setTimeout(() => {
         outgoing.destroy(new Error(`no response within ${timeout} ms`));
+        closeIdleConnections(agent);
       }, timeout);
       const abort = (): void => void outgoing.destroy(new Error("the call was aborted"));
       signal?.addEventListener("abort", abort);
@@ -110,6 +111,12 @@
   return { call, close: () => agent.destroy() };
 }
 
+function closeIdleConnections({ freeSockets }: Agent): void {
+  for (const sockets of Object.values(freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
+
 function settleCall(call: {
   response: { statusCode?: number | undefined; headers: IncomingHttpHeaders };
   chunks: readonly Buffer[];
