Tell an outage of the store from a loss of connections to it

Callers' requests reached workers whose entries the store had removed more than two seconds before: after any failed call, an instance held back removals for two seconds more, as after an outage, although only its connection had been lost. After a real outage the opposite happened: the first answer was applied before the outage counted as ended, and all workers whose entries had expired were dropped at once.

A failed call can't distinguish the two. What can is whether the store has answered any instance: digests now contain the time of the last answer that their sender knows of (in place of a flag that only large fleets used), and two seconds without any answer are an outage. Answers count before their changes are applied. Watches that are renewed one after the other belong to different instances, so that the loss of one or two instances leaves no gap that looks like an outage.

The log has the line store-returned, and store-reached says for how long no instance was answered.

--- a/src/decision/watch_schedule.ts
+++ b/src/decision/watch_schedule.ts
@@ -50,7 +50,10 @@
   const period = interval * Math.max(1, watchers.length);
   const index = [...watchers].sort().indexOf(self);
   const turn = index < 0 ? random.next() * watchers.length : index;
-  const renewalTime = (turn + position) * interval;
+  // Watches that are renewed one after the other belong to different instances, so that the loss of
+  // some instances leaves no long gap.
+  const shift = Math.floor(position * watchers.length) + position;
+  const renewalTime = (turn + shift) * interval;
   const wait = (((renewalTime - time) % period) + period) % period;
   return wait < MIN_WATCH_TIME ? wait + period : wait;
 }
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -50,10 +50,10 @@
   /** Store version of the last change that the instance has received, by kind of object. */
   readonly versions: ReadonlyMap<string, number>;
   /**
-   * Whether the store has just returned from an outage that affected all instances. Workers'
-   * entries may have expired in the meantime.
+   * When the store last answered any instance, as far as the sender knows, in milliseconds since
+   * 1970; 0 if no answer is known.
    */
-  readonly hasStoreReturned: boolean;
+  readonly storeAnsweredAt: number;
   /** Rollout plans of the versions on trial, as last received from the lease holder. */
   readonly plans: readonly RolloutPlan[];
   /** Recent changes of the request rate limits that workers state, including limits withdrawn. */
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -95,7 +95,7 @@
     }),
   ),
   versions: fc.array(fc.tuple(NAME, fc.nat())).map((entries) => new Map(entries)),
-  hasStoreReturned: fc.boolean(),
+  storeAnsweredAt: fc.nat(),
   introduction: fc.option(INTRODUCTION, { nil: undefined }),
   scope: fc.constantFrom(...Object.values(UpdateScope)),
   update: fc.option(UPDATE, { nil: undefined }),
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -91,6 +91,8 @@
   readonly isNeeded?: () => boolean;
   /** Returns the milliseconds until a watch that starts now is to be renewed. */
   readonly watchTimeout: () => number;
+  /** Called when the store has answered, before changes in the answer are applied. */
+  readonly onAnswer: () => void;
   /** Called after objects have changed. */
   readonly onChange: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
   /** Called when the store starts or stops answering. */
@@ -218,7 +220,9 @@
     });
   };
   const list = async (): Promise<void> => {
-    replaceObjects(await feed.listKind(kind), FROM_STORE);
+    const snapshot = await feed.listKind(kind);
+    parts.onAnswer();
+    replaceObjects(snapshot, FROM_STORE);
     isListNeeded = false;
   };
   const backOff = (attempts: number): Promise<void> => {
@@ -228,6 +232,7 @@
   const watch = async (): Promise<void> => {
     const timeout = failures > 0 ? RETRY_WATCH_TIMEOUT : parts.watchTimeout();
     const outcome = await feed.watchKind(kind, version, timeout);
+    parts.onAnswer();
     if (outcome.kind === "history-lost") {
       isListNeeded = true;
       // A watch from the version of a new list should not fail like this. If it does nevertheless, both
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -67,6 +67,7 @@
     random: createSeededRandom(1),
     feed: store,
     watchTimeout: () => WATCH_TIMEOUT,
+    onAnswer: () => undefined,
     onChange: () => undefined,
     onReachabilityChange: (isReached) => reached.push(isReached),
   });
@@ -230,6 +231,7 @@
     feed: store,
     watchTimeout: () => WATCH_TIMEOUT,
     isNeeded: () => isNeeded,
+    onAnswer: () => undefined,
     onChange: () => undefined,
     onReachabilityChange: () => undefined,
   });
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -260,7 +260,7 @@
     const knownIntroduction = digest.introduction ?? peer.instance;
     if (knownIntroduction === undefined) return undefined;
     const { name, zone, callers, peers, capacity } = knownIntroduction;
-    const { ready, reachesStore, isCurrent, versions, leaseVersion, hasStoreReturned } = digest;
+    const { ready, reachesStore, isCurrent, versions, leaseVersion, storeAnsweredAt } = digest;
     const { plans, limits, tries } = digest;
     return {
       ...{ name, zone, callers, peers, capacity },
@@ -270,7 +270,7 @@
         isCurrent,
         versions,
         leaseVersion,
-        hasStoreReturned,
+        storeAnsweredAt,
         plans,
         limits,
         tries,
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -82,7 +82,7 @@
           ready: member.isReady,
           reachesStore: true,
           leaseVersion: 0,
-          hasStoreReturned: false,
+          storeAnsweredAt: 0,
           plans: [],
           limits: [],
           tries: [],
--- a/src/process/store_outage.ts
+++ b/src/process/store_outage.ts
@@ -1,58 +1,54 @@
 import type { Clock } from "../interface/index.ts";
 
-/**
- * Distinguishes an outage of the platform's store from a loss of this instance's connection to it.
- */
+/** Detects outages of the platform's store from its answers to any instance of the fleet. */
 export interface StoreOutage {
-  /** Records that the store has stopped answering this instance. */
-  start(): void;
-  /** Records that another instance reports an answer of the store. */
-  reportAnswer(): void;
   /**
-   * Records that the store answers this instance again. Returns whether the outage may have
-   * affected all instances.
+   * When the store last answered any instance, in milliseconds of the local clock; undefined if no
+   * answer is known.
    */
-  end(): boolean;
+  readonly answeredAt: number | undefined;
+  /** Records that the store has answered this instance. */
+  recordAnswer(): void;
+  /** Records an answer to another instance, which arrived at a time of the local clock. */
+  recordPeerAnswer(at: number): void;
+}
+
+/** Dependencies of {@linkcode createStoreOutage}. */
+export interface StoreOutageParts {
+  readonly clock: Clock;
+  /** Called when the store answers again, with the time of the local clock at which it did. */
+  readonly onEnd: (at: number) => void;
 }
 
 /**
- * Maximum difference in milliseconds between the times at which the store answers two instances
- * again: the backoff and timeout of their calls to an unavailable store, doubled. If the others
- * have been answered for less than this, the outage may have affected them too.
+ * Milliseconds without an answer to any instance that show an outage. The instances call the store
+ * in turn, at least once a second, and one that gets no answer because its connection is silent
+ * calls it again 0.7 s later. An entry expires only after several seconds without a renewal.
  */
-const RECOVERY_SPREAD = 2_000;
+const MIN_OUTAGE = 2_000;
 
 /**
  * Creates the detector.
  *
  * After an outage of the store, entries may be missing for a while although their workers exist.
- * After a loss of only this instance's connection, a missing entry means that the worker has left,
- * and requests sent there would reach a worker that can stop at any moment. The reports of the
- * other instances distinguish the two cases: in the second one, the store keeps answering them.
- *
- * @param staleAfter Milliseconds for which other instances keep reporting that the store answers
- * them after it has stopped.
+ * After a loss of connections to it, a missing entry means that the worker has left, and requests
+ * sent there would reach a worker that can stop at any moment. A failed call doesn't distinguish
+ * the two: in the second case, the store has answered another instance, or answers the next call.
  */
-export function createStoreOutage(parts: {
-  readonly clock: Clock;
-  readonly staleAfter: number;
-}): StoreOutage {
-  const { clock, staleAfter } = parts;
-  let startedAt: number | undefined;
-  /** When another instance first reported an answer during this outage. */
-  let peersAnsweredSince: number | undefined;
+export function createStoreOutage({ clock, onEnd }: StoreOutageParts): StoreOutage {
+  let answeredAt: number | undefined;
+  const record = (at: number): void => {
+    const previous = answeredAt;
+    if (previous !== undefined && at <= previous) return;
+    answeredAt = at;
+    if (previous !== undefined && at - previous >= MIN_OUTAGE) onEnd(at);
+  };
   return {
-    start: () => {
-      startedAt = clock.now();
-      peersAnsweredSince = undefined;
-    },
-    reportAnswer: () => {
-      const now = clock.now();
-      if (startedAt !== undefined && now - startedAt > staleAfter) peersAnsweredSince ??= now;
-    },
-    end: () => {
-      startedAt = undefined;
-      return peersAnsweredSince === undefined || clock.now() - peersAnsweredSince < RECOVERY_SPREAD;
+    get answeredAt() {
+      return answeredAt;
     },
+    recordAnswer: () => record(clock.now()),
+    // The clocks of the instances differ slightly; no answer has arrived in the future.
+    recordPeerAnswer: (at) => record(Math.min(at, clock.now())),
   };
 }
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -35,7 +35,7 @@
   /** Whether any worker has ever been present. */
   readonly hasWorkers: boolean;
   /** Returns the state of the store that this instance reports in its digests. */
-  state(): Pick<InstanceState, "reachesStore" | "hasStoreReturned">;
+  state(): Pick<InstanceState, "reachesStore" | "storeAnsweredAt">;
   /**
    * Must be called with each digest's sender, before and after the store changes in the digest are
    * applied.
@@ -135,10 +135,8 @@
     options: {
       readonly apply: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
       readonly isNeeded?: () => boolean;
-      readonly onReachabilityChange?: (reached: boolean) => void;
     },
   ): FeedFollower => {
-    const { apply, onReachabilityChange = () => undefined } = options;
     const isQueryNeeded = options.isNeeded ?? (() => !fleet().isFed());
     const follower: FeedFollower = createFeedFollower({
       kind,
@@ -148,12 +146,14 @@
       isNeeded: () => isQueryNeeded() || catchUp.isBehind(kind),
       watchTimeout: () => watchTimeout(kind),
       onChange: (changes, arrival) => {
-        apply(changes, arrival);
+        options.apply(changes, arrival);
         reportChanges(follower, changes, arrival);
       },
+      onAnswer: () => outage.recordAnswer(),
       onReachabilityChange: (reached, detail) => {
-        onReachabilityChange(reached);
-        log.changed("store-reached", { kind: name, reached, detail });
+        const answeredAt = outage.answeredAt ?? clock.now();
+        const silence = Math.round(clock.now() - answeredAt);
+        log.changed("store-reached", { kind: name, reached, detail, silence });
       },
     });
     return follower;
@@ -170,10 +170,6 @@
         else roster.applyChanges(changes);
         applyWorkers();
       },
-      onReachabilityChange: (reached) => {
-        if (!reached) outage.start();
-        else if (outage.end() && workerFeed.answeredAt !== undefined) roster.storeReturned();
-      },
     },
   );
   const rolloutFeed: FeedFollower = follow(
@@ -194,7 +190,13 @@
     [kinds.quarantine, quarantineFeed],
     ...(parts.followsRollouts ? [[kinds.rollouts, rolloutFeed] as const] : []),
   ]);
-  const outage = createStoreOutage({ clock, staleAfter: parts.staleAfter });
+  const outage = createStoreOutage({
+    clock,
+    onEnd: (at) => {
+      log.changed("store-returned", {});
+      roster.storeReturned(at);
+    },
+  });
   const roster = createWorkerRoster({
     clock,
     decode: kinds.readWorker,
@@ -271,17 +273,19 @@
   const reachesStore = (): boolean =>
     (fleet().role === FleetRole.Mesh || workerFeed.isStoreAnswering) &&
     clock.now() - (workerFeed.answeredAt ?? -Infinity) < parts.staleAfter;
+  const storeAnsweredAt = (): number => {
+    const { answeredAt } = outage;
+    return answeredAt === undefined ? 0 : Math.round(parts.time() - (clock.now() - answeredAt));
+  };
   return {
     feeds,
     table: () => table,
     get hasWorkers() {
       return hasWorkers;
     },
-    state: () => ({ reachesStore: reachesStore(), hasStoreReturned: roster.isReturning() }),
-    beforeDigest: (peer) => {
-      if (peer.reachesStore) outage.reportAnswer();
-      // Otherwise the peer's changes would remove workers whose entries have only expired.
-      if (peer.hasStoreReturned && fleet().isFed() && !roster.isReturning()) roster.storeReturned();
+    state: () => ({ reachesStore: reachesStore(), storeAnsweredAt: storeAnsweredAt() }),
+    beforeDigest: ({ storeAnsweredAt: at }) => {
+      if (at > 0) outage.recordPeerAnswer(clock.now() - (parts.time() - at));
     },
     afterDigest: (peer) => catchUp.receive(peer),
     start: () => {
--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -236,6 +236,7 @@
       const watch = { watchers: sync.watchers(), self: address, position: 0, interval };
       return timeUntilRenewal(watch, { time: clock.now(), random });
     },
+    onAnswer: () => undefined,
     onChange: () => sync.reportStoreChange(),
     onReachabilityChange: () => undefined,
   });
@@ -282,7 +283,7 @@
       ready: true,
       reachesStore: feed.isStoreAnswering,
       leaseVersion: 0,
-      hasStoreReturned: false,
+      storeAnsweredAt: 0,
       plans: [],
       limits: workerTable.recentLimitReports(),
       tries: workerTable.recentTryReports(),
--- a/src/process/worker_roster.ts
+++ b/src/process/worker_roster.ts
@@ -4,12 +4,10 @@
 export interface WorkerRoster {
   /** Applies changes of registrations. */
   applyChanges(changes: readonly FeedChange[]): void;
-  /** Records that the store responds again after an outage. */
-  storeReturned(): void;
+  /** Records that the store has responded again after an outage, at a time of the clock. */
+  storeReturned(at: number): void;
   /** Applies the changes that a restore of the store from a copy has caused. */
   applyRestore(changes: readonly FeedChange[]): void;
-  /** Whether registrations of live workers may still be missing after an outage of the store. */
-  isReturning(): boolean;
   /** Lists the workers, including those whose removal is held back. */
   list(): RoutedWorker[];
 }
@@ -122,10 +120,9 @@
         else applyChanges([change]);
       }
     },
-    storeReturned: () => {
-      returnedAt = clock.now();
+    storeReturned: (at) => {
+      returnedAt = at;
     },
-    isReturning,
     list: () => [...workers.values(), ...heldBack.values()],
   };
 }
--- a/src/process/worker_roster_test.ts
+++ b/src/process/worker_roster_test.ts
@@ -41,7 +41,7 @@
     onUnreadable: () => undefined,
   });
   roster.applyChanges([change("w1", ""), change("w2", ""), change("w3", "leaving")]);
-  roster.storeReturned();
+  roster.storeReturned(clock.now());
   roster.applyChanges(["w1", "w2", "w3"].map((name) => change(name, "", true)));
   expect(roster.list().map(({ id }) => id)).toEqual(["w1", "w2"]);
   roster.applyChanges([change("w1", "")]);
