Give a removal found in a list the version of the list

A worker that has left could remain in use for good at one instance (DRAIN): an instance that had lost changes found the removal with a list, and forwarded it with the object's last version that it knew. An instance that had received a later update took the removal for outdated, took over the later version of the delta nevertheless, and so never asked for the change again. In a small fleet instances fetch whole lists; deltas pass between instances in large ones, and to an instance that the store doesn't answer.

The object is known to be absent as of the list's version, which the removal now has. The new test failed before; an object that was created again afterwards is kept, as before.

--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -192,7 +192,7 @@
     }
     objects = new Map(snapshot.objects.map((object) => [object.name, object]));
     version = snapshot.version;
-    const changes = differences(previous, objects);
+    const changes = differences(previous, { objects, version });
     if (changes.length === 0) {
       if (snapshot.changedAt !== undefined) {
         recordChanges(Math.max(changedAt, snapshot.changedAt), [], arrival);
@@ -316,13 +316,17 @@
   return object.version < (objects.get(object.name)?.version ?? 0);
 }
 
+/**
+ * Returns the changes that lead to the objects of a list. A removal has the list's version: the
+ * object may have been updated after its last version that is known here.
+ */
 function differences(
   before: ReadonlyMap<string, FeedObject>,
-  after: ReadonlyMap<string, FeedObject>,
+  { objects: after, version }: { objects: ReadonlyMap<string, FeedObject>; version: number },
 ): FeedChange[] {
   const changes: FeedChange[] = [];
   for (const [name, object] of before) {
-    if (!after.has(name)) changes.push({ object, removed: true });
+    if (!after.has(name)) changes.push({ object: { ...object, version }, removed: true });
   }
   for (const [name, object] of after) {
     if (before.get(name)?.version !== object.version) changes.push({ object, removed: false });
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -285,3 +285,36 @@
   expect(store.lists).toBeGreaterThan(5);
   expect(store.lists).toBeLessThan(40);
 });
+
+// Instance A has lost some changes and finds with a list that an object was removed; B has received an update of the object
+// that A has not. If B took the removal for older than the update, it would keep the object for good: a worker that has left.
+test("a removal that another instance found in a list removes an object with a later update", async () => {
+  const a = await follow([object("w", 3), object("x", 9)]);
+  const b = await follow([object("w", 3), object("x", 9)]);
+  const update = [{ object: object("w", 12), removed: false }];
+  b.store.answer({ kind: "changed", version: 12, changes: update });
+  await b.clock.advance(200);
+  a.store.objects = [object("x", 9)];
+  a.store.version = 15;
+  a.store.answer({ kind: "history-lost" });
+  await a.clock.advance(200);
+  const delta = a.follower.changesSince(b.follower.changedAt);
+  if (delta === undefined) throw new Error("The list has caused no change.");
+  b.follower.applyDelta(delta);
+  expect(b.names()).toEqual(["x"]);
+});
+
+test("a removal that another instance found in a list keeps an object that was created again", async () => {
+  const a = await follow([object("w", 3), object("x", 9)]);
+  const b = await follow([object("w", 3), object("x", 9)]);
+  a.store.objects = [object("x", 9)];
+  a.store.version = 15;
+  a.store.answer({ kind: "history-lost" });
+  await a.clock.advance(200);
+  const found = a.follower.changesSince(9);
+  if (found === undefined) throw new Error("The list has caused no change.");
+  const created = { object: object("w", 17), removed: false };
+  b.follower.applyDelta({ kind: "k", from: 9, to: 17, changes: [created], age: 0 });
+  b.follower.applyDelta({ ...found, to: 18 });
+  expect(b.names().sort()).toEqual(["w", "x"]);
+});
