Log the shared parts of prompts, and whether a broken run had delivered events

Neither the incident's logs nor its other records tell which parts the prompts had whose workers ended, so they can't distinguish a part of prompts that crashes workers from an account whose requests do.

--- a/src/request/routed_arrival.ts
+++ b/src/request/routed_arrival.ts
@@ -80,6 +80,11 @@
   };
 }
 
+/** Returns the ids of the parts of a request's prompt that other requests share: all but the last. */
+export function sharedParts({ promptParts }: Pick<RoutedArrival, "promptParts">): string[] {
+  return promptParts.slice(0, -1).map(({ id }) => id);
+}
+
 /** Returns the amount that a request uses of its account's quota. */
 export function quotaCost(
   { unit, unstatedTokens }: Quota,
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -9,6 +9,7 @@
 import { RoutedRefusal } from "./caller_response.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { RequestFingerprint } from "./request_fingerprint.ts";
+import { sharedParts } from "./routed_arrival.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import { RunResult } from "./routed_context.ts";
 import type { CandidateWorker, DecisionFields, RoutedContext } from "./routed_context.ts";
@@ -66,6 +67,8 @@
   [DialFailure.Unanswered]: RunResult.Failed,
   [DialFailure.NoPath]: RunResult.Abandoned,
 };
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 6;
 const SUCCESS = 200;
 const REDIRECTION = 300;
 const SERVER_ERROR = 500;
@@ -244,6 +247,7 @@
       account: arrival.account?.name,
       tokens: arrival.declaredTokens,
       print: fingerprint.name,
+      parts: sharedParts(arrival).slice(0, MAX_LOGGED_PARTS).join(" "),
       run: runs,
       cost: Math.round(cost),
       running: worker.running,
@@ -334,7 +338,12 @@
   };
   /** Handles a response that is missing or incomplete. */
   const onBroken = (attempt: Attempt, detail: string): void => {
-    logStep("broken", { worker: attempt.worker.id, detail, framing: attempt.head?.framing });
+    logStep("broken", {
+      worker: attempt.worker.id,
+      detail,
+      framing: attempt.head?.framing,
+      hasEvent: attempt.hasEvent,
+    });
     hasPossiblyRun = true;
     context.checks.reportBrokenConnection(attempt.worker, fingerprint);
     countUnanswered(attempt);
