Quarantine parts of prompts that crash workers

No two of these requests are alike, and the quarantine knew only whole requests.

A crash is now attributed to all shared parts of the prompts of runs that had not been answering for 0.3 s: a part that crashes workers does so as soon as one begins to answer. A part is the cause if workers have crashed with it at four moments in a row and none has answered a request with it in between; the caller and the other parts are answered in sound requests. Crashes within 0.2 s count once, since all workers may crash for one other reason, and a part answered within 1.5 s isn't found, since answers at other instances are known a little later. The instances exchange these observations in digests, each one for 3 s. Records in the store keep a quarantine, and a suspicion that lacks one crash, across a restart of all instances.

What a request has to do with crashes moved out of routed_run.ts into crash_suspects.ts; the quarantine gets what it is for as an argument, so that requests and parts share it.

--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -9,6 +9,7 @@
 export * from "./model_loads.ts";
 export * from "./worker_offer.ts";
 export * from "./attempt_silence.ts";
+export * from "./part_evidence.ts";
 export * from "./policy.ts";
 export * from "./resolve_addresses.ts";
 export type { RetryDecision } from "./retry_budget.ts";
--- a/src/process/crash_evidence_fleet_test.ts
+++ b/src/process/crash_evidence_fleet_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, expect, test } from "vitest";
+import { MIN_PROVING_MOMENTS } from "../decision/index.ts";
 import type { SuspectRequest } from "../decision/index.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { startChangeFleet } from "./testing/sync_fleet.ts";
@@ -6,6 +7,7 @@
 
 const CRASHING: SuspectRequest = { name: "reason", key: 77 };
 const HARMLESS: SuspectRequest = { name: "chance", key: 78 };
+const CRASHING_PART: SuspectRequest = { name: "part-00000000000000ab", key: 0 };
 /** Maximum time after the third crash until every instance refuses the request, in milliseconds. */
 const PROPAGATION_TIME = 3_000;
 /** Test timeout in real milliseconds: hundreds of instances in one process take half a minute on a busy machine. */
@@ -115,3 +117,38 @@
       expect(evidence.isProven(HARMLESS, clock.now())).toBe(false);
   },
 );
+
+// The parts are known only to the instances that sent the requests. Without the reports of the others, each instance would
+// have to lose several workers itself.
+test.each([1, 6, 13, 14, 60, 300])(
+  "all %i instances refuse a part of prompts that crashed workers anywhere in the fleet",
+  async (size) => {
+    const fleet = await start(size);
+    for (let crash = 0; crash < MIN_PROVING_MOMENTS; crash++) {
+      memberAt(fleet, crash).partEvidence.recordCrash(CRASHING_PART, fleet.clock.now());
+      await fleet.clock.advance(400);
+    }
+    await fleet.clock.advance(PROPAGATION_TIME - 400);
+    for (const { partEvidence } of fleet.members)
+      expect(partEvidence.isProven(CRASHING_PART, fleet.clock.now())).toBe(true);
+  },
+  TEST_TIMEOUT,
+);
+
+// Three of ten digests are lost, and a part that every prompt has is answered at other instances than those that lose workers.
+test.each([6, 60])(
+  "a fleet of %i instances does not refuse a part of prompts that other instances have answered",
+  async (size) => {
+    const fleet = await start(size);
+    fleet.network.faults = { lost: 0.3, twice: 0.1 };
+    for (let round = 0; round < 30; round++) {
+      memberAt(fleet, round).partEvidence.recordCrash(CRASHING_PART, fleet.clock.now());
+      for (let answer = 1; answer <= 3; answer++)
+        memberAt(fleet, round + answer).partEvidence.recordAnswer(CRASHING_PART, 0);
+      await fleet.clock.advance(250);
+      for (const { partEvidence } of fleet.members)
+        expect(partEvidence.isProven(CRASHING_PART, fleet.clock.now())).toBe(false);
+    }
+  },
+  TEST_TIMEOUT,
+);
--- a/src/process/crash_record.ts
+++ b/src/process/crash_record.ts
@@ -1,12 +1,11 @@
 import { z } from "zod";
-import { MIN_PROVING_CRASHES } from "../decision/index.ts";
 import type { FeedObject } from "../interface/index.ts";
 import { fingerprintFromName } from "../request/index.ts";
 import type { RequestFingerprint } from "../request/index.ts";
 
-/** A request during which workers crashed, as recorded in the store. */
+/** A request, or a part of prompts, during which workers crashed, as recorded in the store. */
 export interface CrashRecord {
-  /** Fingerprint of the request. */
+  /** Its fingerprint. */
   readonly fingerprint: RequestFingerprint;
   /** Number of workers that had crashed while running it when the record was written. */
   readonly crashes: number;
@@ -16,17 +15,9 @@
   readonly version: number;
 }
 
-const NAME = /^[0-9a-f]{16}$/;
+const NAME = /^(part-)?[0-9a-f]{16}$/;
 const valueSchema = z.object({ crashes: z.number(), since: z.number() });
 
-/**
- * Reports whether a request with this number of crashes is quarantined, that is, not sent to any worker. A request with
- * fewer crashes is only suspected.
- */
-export function isQuarantined(crashes: number): boolean {
-  return crashes >= MIN_PROVING_CRASHES;
-}
-
 /** Parses a record. Returns undefined if the object is invalid, because any client may write to the store. */
 export function readCrashRecord({
   name,
--- a/src/process/digest.ts
+++ b/src/process/digest.ts
@@ -1,4 +1,4 @@
-import type { LimitReport, WindowCounts } from "../decision/index.ts";
+import type { LimitReport, PartReport, WindowCounts } from "../decision/index.ts";
 import type { FeedDelta } from "../interface/index.ts";
 import type { RolloutPlan } from "./rollout_plan.ts";
 
@@ -60,6 +60,8 @@
   readonly limits: readonly LimitReport[];
   /** Recent changes of the rates at which brittle workers may be tried, including rates withdrawn. */
   readonly tries: readonly LimitReport[];
+  /** Recent observations of parts of prompts with which workers have crashed. */
+  readonly partReports: readonly PartReport[];
 }
 
 /** An instance as listed in another instance's digest. */
--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -5,15 +5,17 @@
   FeedDeltaSchema,
   IntroductionSchema,
   NewsSchema,
+  PartReportSchema,
   RolloutPlanSchema,
   RosterEntrySchema,
   Scope,
   WorkerLimitSchema,
 } from "../gen/digest_pb.ts";
 import type * as wire from "../gen/digest_pb.ts";
-import { countsByWindow, RolloutPhase } from "../decision/index.ts";
-import type { LimitReport, WindowCounts } from "../decision/index.ts";
+import { countsByWindow, PartOutcome, RolloutPhase } from "../decision/index.ts";
+import type { LimitReport, PartReport, WindowCounts } from "../decision/index.ts";
 import type { FeedDelta, FeedObject } from "../interface/index.ts";
+import { fingerprintDigits, partName } from "../request/index.ts";
 import { UpdateScope } from "./digest.ts";
 import type { Digest, InstanceUpdate, Introduction, Roster, WorkerCounts } from "./digest.ts";
 import type { RolloutPlan } from "./rollout_plan.ts";
@@ -59,6 +61,7 @@
     plans: digest.plans.map(encodePlan),
     limits: digest.limits.map(encodeLimit),
     tries: digest.tries.map(encodeLimit),
+    partReports: digest.partReports.map(encodePart),
   });
   return toBinary(DigestSchema, message);
 }
@@ -114,6 +117,22 @@
   return { worker, perSecond, at: Number(at) };
 }
 
+function encodePart({ part, outcome, at }: PartReport): wire.PartReport {
+  return create(PartReportSchema, {
+    part: BigInt(`0x${fingerprintDigits(part)}`),
+    answered: outcome === PartOutcome.Answer,
+    at: BigInt(Math.max(0, Math.round(at))),
+  });
+}
+
+function decodePart({ part, answered, at }: wire.PartReport): PartReport {
+  return {
+    part: partName(part),
+    outcome: answered ? PartOutcome.Answer : PartOutcome.Crash,
+    at: Number(at),
+  };
+}
+
 function encodeFeed({ kind, from, to, changes, age }: FeedDelta): wire.FeedDelta {
   return create(FeedDeltaSchema, {
     kind,
@@ -214,6 +233,7 @@
     plans: message.plans.map(decodePlan),
     limits: message.limits.map(decodeLimit),
     tries: message.tries.map(decodeLimit),
+    partReports: message.partReports.map(decodePart),
     knownAddresses: message.known,
   };
 }
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -1,7 +1,8 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
-import { RolloutPhase } from "../decision/index.ts";
+import { PartOutcome, RolloutPhase } from "../decision/index.ts";
 import { decodeDigest, encodeDigest } from "./digest_codec.ts";
+import { partName } from "../request/index.ts";
 import { UpdateScope } from "./digest.ts";
 import type { Digest, InstanceUpdate } from "./digest.ts";
 
@@ -84,6 +85,13 @@
   isCurrent: fc.boolean(),
   limits: LIMIT_REPORTS,
   tries: LIMIT_REPORTS,
+  partReports: fc.array(
+    fc.record({
+      part: fc.bigInt({ min: 0n, max: 2n ** 64n - 1n }).map(partName),
+      outcome: fc.constantFrom(...Object.values(PartOutcome)),
+      at: fc.nat(),
+    }),
+  ),
   plans: fc.array(
     fc.record({
       service: NAME,
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -261,7 +261,7 @@
     if (knownIntroduction === undefined) return undefined;
     const { name, zone, callers, peers, capacity } = knownIntroduction;
     const { ready, reachesStore, isCurrent, versions, leaseVersion, storeAnsweredAt } = digest;
-    const { plans, limits, tries } = digest;
+    const { plans, limits, tries, partReports } = digest;
     return {
       ...{ name, zone, callers, peers, capacity },
       ...{
@@ -274,6 +274,7 @@
         plans,
         limits,
         tries,
+        partReports,
       },
       session: digest.session,
       incarnation: incarnationOf(name, digest.session),
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -86,6 +86,7 @@
           plans: [],
           limits: [],
           tries: [],
+          partReports: [],
           isCurrent: true,
           versions: new Map([["routing", state.version]]),
         }),
--- a/src/process/request_quarantine.ts
+++ b/src/process/request_quarantine.ts
@@ -1,4 +1,4 @@
-import { CRASH_TTL, createCrashEvidence } from "../decision/index.ts";
+import { CRASH_TTL } from "../decision/index.ts";
 import type { CrashEvidence, CrashFinding, RunCounts } from "../decision/index.ts";
 import { sleep } from "../interface/index.ts";
 import type {
@@ -9,15 +9,15 @@
   PutOutcome,
 } from "../interface/index.ts";
 import type { Quarantine, RequestFingerprint } from "../request/index.ts";
-import { crashRecordText, isQuarantined, readCrashRecord } from "./crash_record.ts";
+import { crashRecordText, readCrashRecord } from "./crash_record.ts";
 import type { CrashRecord } from "./crash_record.ts";
 import { createLostCrashRecords } from "./lost_crash_records.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
-/** Quarantines requests that crash workers, so that no worker receives them. */
+/** Quarantines what crashes workers, requests or parts of prompts, so that no worker receives it. */
 export interface RequestQuarantine extends Quarantine {
-  /** Records that a worker crashed while it ran these requests. */
-  recordCrash(fingerprints: readonly RequestFingerprint[]): void;
+  /** Records that a worker crashed, with what may be the cause. Suspects of other quarantines are ignored. */
+  recordCrash(suspects: readonly RequestFingerprint[]): void;
   /**
    * Replaces the local view of the store's quarantine objects.
    *
@@ -32,23 +32,31 @@
   counts(): ReadonlyMap<number, RunCounts>;
   /** Store version of this instance's latest write; 0 if it has written nothing. */
   readonly writtenVersion: number;
-  /** Lists all quarantined requests recorded in the store, for operators. */
+  /** Lists all quarantines recorded in the store, for operators. */
   list(): CrashRecord[];
   /** Starts the periodic writes to the store. */
   start(): void;
   close(): void;
 }
 
+/** What a quarantine is for, and how it is proven to crash workers. */
+export interface QuarantineSubject {
+  /** Whether the fingerprint with this name belongs to the quarantine. */
+  readonly covers: (name: string) => boolean;
+  readonly evidence: CrashEvidence;
+  /** Number of crashes in the evidence that prove the cause. */
+  readonly provingCrashes: number;
+}
+
 /** Dependencies of {@linkcode createRequestQuarantine}. */
 export interface RequestQuarantineParts {
+  readonly subject: QuarantineSubject;
   readonly clock: Clock;
   /** Returns the time synchronized across instances, in milliseconds since the Unix epoch. */
   readonly time: () => number;
   readonly store: Pick<ObjectStore, "put"> & DeletableStore;
   /** Duration of a quarantine, in milliseconds. */
   readonly duration: number;
-  /** Returns the total counts of all other instances for a key. */
-  readonly peerCounts: (key: number) => RunCounts | undefined;
   /** Returns the number of entry instances, all of which may write to the store. */
   readonly instanceCount: () => number;
   /** Whether this instance erases expired records from the store. */
@@ -104,7 +112,7 @@
  */
 export function createRequestQuarantine(parts: RequestQuarantineParts): RequestQuarantine {
   const { clock, time, store, duration, log } = parts;
-  const evidence: CrashEvidence = createCrashEvidence(parts.peerCounts);
+  const { covers, evidence, provingCrashes } = parts.subject;
   /** Records in the store, by fingerprint name. */
   let storedRecords: ReadonlyMap<string, CrashRecord> = new Map();
   const lostRecords = createLostCrashRecords({ clock, store, keyOf, log });
@@ -118,6 +126,8 @@
   let closed = false;
   const isClosed = (): boolean => closed;
 
+  /** Whether this number of crashes is a proof. With fewer, there is only a suspicion. */
+  const isQuarantined = (crashes: number): boolean => crashes >= provingCrashes;
   const remainingTime = ({ crashes, since }: CrashRecord): number =>
     isQuarantined(crashes) ? since + duration - time() : 0;
   const logOnce = (name: string, fields: { crashes: number; way: string }): void => {
@@ -245,13 +255,15 @@
   return {
     remainingTime: timeUntilRelease,
     recordAnswer: (fingerprint) => evidence.recordAnswer(fingerprint, clock.now()),
-    recordCrash: (fingerprints) => {
-      for (const fingerprint of fingerprints) evidence.recordCrash(fingerprint, clock.now());
+    recordCrash: (suspects) => {
+      for (const suspect of suspects)
+        if (covers(suspect.name)) evidence.recordCrash(suspect, clock.now());
     },
     setObjects: (objects, { isRestored = false } = {}) => {
       const before = storedRecords;
       const records = new Map(
         [...objects]
+          .filter(({ name }) => covers(name))
           .flatMap((object) => parseRecord(object) ?? [])
           .map((record) => [record.fingerprint.name, record]),
       );
--- a/src/process/request_quarantine_test.ts
+++ b/src/process/request_quarantine_test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { createCrashEvidence, MIN_PROVING_CRASHES } from "../decision/index.ts";
 import type { FeedObject, PutOutcome } from "../interface/index.ts";
 import { fingerprintFromName } from "../request/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
@@ -21,6 +22,11 @@
   const steps: string[] = [];
   const outcomes = [...(options.outcomes ?? [])];
   const quarantine = createRequestQuarantine({
+    subject: {
+      covers: () => true,
+      evidence: createCrashEvidence(() => options.peerCounts?.()),
+      provingCrashes: MIN_PROVING_CRASHES,
+    },
     clock,
     time: () => clock.now(),
     store: {
@@ -34,7 +40,6 @@
       },
     },
     duration: DURATION,
-    peerCounts: () => options.peerCounts?.(),
     instanceCount: () => 6,
     canErase: () => options.canErase ?? false,
     log: { changed: (step) => void steps.push(step) },
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -27,7 +27,7 @@
 import { createFleetSync } from "./fleet_sync.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { createInstanceHashes } from "./instance_hashes.ts";
-import { createRequestQuarantine } from "./request_quarantine.ts";
+import { createCrashQuarantine } from "./crash_quarantine.ts";
 import { createRoutedWorkerTable } from "./routed_worker_table.ts";
 import type { RoutedEntry, RoutedEntryDependencies } from "./routed_entry_parts.ts";
 import { capacityOf } from "./routed_settings.ts";
@@ -132,7 +132,7 @@
     workerAt: (address) => workerTable.workers().find((worker) => worker.address === address),
   });
   const instanceCount = (): number => fleet.members;
-  const quarantine = createRequestQuarantine({
+  const quarantine = createCrashQuarantine({
     clock,
     time: synchronizedNow,
     store: dependencies.store,
@@ -265,6 +265,7 @@
       plans: versions?.plans() ?? [],
       limits: workerTable.recentLimitReports(),
       tries: workerTable.recentTryReports(),
+      partReports: quarantine.partReports(),
     }),
     time,
     quota,
@@ -277,6 +278,7 @@
       view.beforeDigest(peer);
       workerTable.updateLimits(peer.limits);
       workerTable.updateTries(peer.tries);
+      quarantine.receivePartReports(peer.partReports);
       versions?.updatePlans(peer.plans);
     },
     onDigestApplied: (peer) => view.afterDigest(peer),
@@ -379,9 +381,10 @@
       tryConnect: (worker) => connections.tryConnect(worker),
       isLeaving: ({ id }) => workerTable.isLeaving(id),
       log,
-      onEnded: (_worker, fingerprints) => quarantine.recordCrash(fingerprints),
+      onEnded: (_worker, suspects) => quarantine.recordCrash(suspects),
     }),
-    quarantine,
+    quarantine: quarantine.requests,
+    partQuarantine: quarantine.parts,
     streamVersions,
     recordStart: (account, at) => {
       if (account === undefined) return;
--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -1,5 +1,6 @@
 import {
   createCrashEvidence,
+  createPartEvidence,
   createWorkerLimits,
   createWorkerRooms,
   createRepeatBudget,
@@ -10,7 +11,12 @@
   RENEWAL_INTERVAL,
   timeUntilRenewal,
 } from "../../decision/index.ts";
-import type { CrashEvidence, SharedQuota, UsageLedger } from "../../decision/index.ts";
+import type {
+  CrashEvidence,
+  PartEvidence,
+  SharedQuota,
+  UsageLedger,
+} from "../../decision/index.ts";
 import { createSeededRandom, Purchase, sleep } from "../../interface/index.ts";
 import type { RoutedWorker } from "../../interface/index.ts";
 import type { WorkerRun, CandidateWorker } from "../../request/index.ts";
@@ -56,6 +62,8 @@
   readonly quota: SharedQuota;
   /** Known requests that crash workers. */
   readonly evidence: CrashEvidence;
+  /** Known parts of prompts that crash workers. */
+  readonly partEvidence: PartEvidence;
   /** The instance's view of the store. */
   readonly feed: FeedFollower;
   /** Address for other instances. */
@@ -206,6 +214,7 @@
   const quota = createSharedQuota(clock.now());
   const ledger = createUsageLedger();
   const evidence = createCrashEvidence((key) => sync.sumOf(key));
+  const partEvidence = createPartEvidence(() => clock.now());
   const divisionAmongInstances = {
     time: () => clock.now(),
     self: hashText(address),
@@ -287,6 +296,7 @@
       plans: [],
       limits: workerTable.recentLimitReports(),
       tries: workerTable.recentTryReports(),
+      partReports: partEvidence.recentReports(),
     }),
     time: createFleetTime({ date: clock.now(), steady: clock.now() }),
     quota,
@@ -297,10 +307,11 @@
     onDigest: (peer) => {
       workerTable.updateLimits(peer.limits);
       workerTable.updateTries(peer.tries);
+      for (const report of peer.partReports) partEvidence.receiveReport(report);
     },
     onDigestApplied: (peer) => catchUp.receive(peer),
     open: network.open,
   });
-  const parts = { zone, sync, feed, address, workerTable, ledger, quota, evidence };
+  const parts = { zone, sync, feed, address, workerTable, ledger, quota, evidence, partEvidence };
   return { ...parts, isLive: true, canAnswerFetches: true };
 }
--- a/src/process/worker_checks.ts
+++ b/src/process/worker_checks.ts
@@ -1,5 +1,6 @@
 import { ConnectResult } from "../interface/index.ts";
 import type { Clock, WorkerEndpoint } from "../interface/index.ts";
+import { isPartName } from "../request/index.ts";
 import type { RequestFingerprint, WorkerChecks } from "../request/index.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
@@ -11,8 +12,8 @@
   /** Whether the worker was leaving or no longer registered, which explains its end. */
   readonly isLeaving: (worker: WorkerEndpoint) => boolean;
   readonly log: Pick<RoutedLog, "changed">;
-  /** Called when a worker that wasn't leaving has ended, with the distinct requests that it was running. */
-  readonly onEnded: (worker: WorkerEndpoint, fingerprints: readonly RequestFingerprint[]) => void;
+  /** Called when a worker that wasn't leaving has ended, with what may have crashed it, without duplicates. */
+  readonly onEnded: (worker: WorkerEndpoint, suspects: readonly RequestFingerprint[]) => void;
 }
 
 /** Time for which a worker's end is remembered, in milliseconds: its last connections break during this time. */
@@ -29,7 +30,7 @@
  */
 export function createWorkerChecks(parts: WorkerChecksParts): WorkerChecks {
   const { clock, tryConnect, log, onEnded } = parts;
-  /** By worker being checked, the requests whose connections to it broke. */
+  /** By worker being checked, what may have crashed it. */
   const pending = new Map<string, Map<string, RequestFingerprint>>();
   /** Clock time at which each recently ended worker was found to have ended, by worker id. */
   const endedAt = new Map<string, number>();
@@ -45,7 +46,7 @@
     log.changed("worker-checked", {
       worker: worker.id,
       found,
-      runs: fingerprints.length,
+      runs: fingerprints.filter(({ name }) => !isPartName(name)).length,
       leaving: isLeaving,
       prints: names.join(" "),
     });
@@ -59,13 +60,12 @@
     for (const [id, at] of endedAt) if (at < cutoff) endedAt.delete(id);
   };
   return {
-    reportBrokenConnection: (worker, fingerprint) => {
+    reportBrokenConnection: (worker, suspects) => {
       const known = pending.get(worker.id);
-      if (known !== undefined) {
-        known.set(fingerprint.name, fingerprint);
-        return;
-      }
-      pending.set(worker.id, new Map([[fingerprint.name, fingerprint]]));
+      const found = known ?? new Map<string, RequestFingerprint>();
+      for (const suspect of suspects) found.set(suspect.name, suspect);
+      if (known !== undefined) return;
+      pending.set(worker.id, found);
       void check(worker);
     },
   };
--- a/src/process/worker_checks_test.ts
+++ b/src/process/worker_checks_test.ts
@@ -29,7 +29,7 @@
 test("reports a worker that refuses connections as ended with all its requests, after one attempt", async () => {
   const { clock, checks, ended, reached } = setUp(ConnectResult.Refused);
   for (const fingerprint of [a, b, a])
-    if (fingerprint !== undefined) checks.reportBrokenConnection(WORKER, fingerprint);
+    if (fingerprint !== undefined) checks.reportBrokenConnection(WORKER, [fingerprint]);
   await clock.advance(10);
   expect(ended).toEqual([["a", "b"]]);
   expect(reached()).toBe(1);
@@ -37,9 +37,9 @@
 
 test("attributes a run whose connection breaks slightly later to the same end of the worker", async () => {
   const { clock, checks, ended, reached } = setUp(ConnectResult.Refused);
-  if (a !== undefined) checks.reportBrokenConnection(WORKER, a);
+  if (a !== undefined) checks.reportBrokenConnection(WORKER, [a]);
   await clock.advance(300);
-  if (c !== undefined) checks.reportBrokenConnection(WORKER, c);
+  if (c !== undefined) checks.reportBrokenConnection(WORKER, [c]);
   await clock.advance(10);
   expect(ended).toEqual([["a"], ["c"]]);
   expect(reached()).toBe(1);
@@ -47,7 +47,7 @@
 
 test("does not report the requests of a leaving worker as the cause of its end", async () => {
   const { clock, checks, ended } = setUp(ConnectResult.Refused, true);
-  if (a !== undefined) checks.reportBrokenConnection(WORKER, a);
+  if (a !== undefined) checks.reportBrokenConnection(WORKER, [a]);
   await clock.advance(10);
   expect(ended).toEqual([]);
 });
@@ -57,7 +57,7 @@
   "does not report a worker as ended if a new connection is %s",
   async (found) => {
     const { clock, checks, ended } = setUp(found);
-    if (a !== undefined) checks.reportBrokenConnection(WORKER, a);
+    if (a !== undefined) checks.reportBrokenConnection(WORKER, [a]);
     await clock.advance(10);
     expect(ended).toEqual([]);
   },
--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -22,8 +22,8 @@
   isStreaming: boolean;
   /** Time of the last data from the worker, or of the last resume, in the clock's milliseconds. */
   lastReceivedAt: number;
-  /** Whether a complete event has arrived. */
-  hasEvent: boolean;
+  /** When the first complete event arrived, in the clock's milliseconds; undefined until then. */
+  firstEventAt: number | undefined;
   /** Whether reading from the worker is paused because the caller reads too slowly. */
   isPaused: boolean;
 }
@@ -44,7 +44,7 @@
     size: 0,
     isStreaming: false,
     lastReceivedAt: startedAt,
-    hasEvent: false,
+    firstEventAt: undefined,
     isPaused: false,
   };
 }
@@ -66,13 +66,13 @@
  * worker while the caller reads too slowly.
  */
 export function isHungAttempt(
-  { isPaused, hasEvent, lastReceivedAt, startedAt, expectedWait }: Attempt,
+  { isPaused, firstEventAt, lastReceivedAt, startedAt, expectedWait }: Attempt,
   { now, workerLastReceivedAt = startedAt, isStream, target }: AttemptCheck,
 ): boolean {
   if (isPaused) return false;
   return isWorkerSilent({
     isStream,
-    hasFirstEvent: hasEvent,
+    hasFirstEvent: firstEventAt !== undefined,
     silentFor: now - lastReceivedAt,
     workerSilentFor: now - workerLastReceivedAt,
     target,
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -115,21 +115,20 @@
   ): { close(): void };
 }
 
-/** Requests that are not sent to any worker because workers crashed while running them. */
+/** Requests, or parts of prompts, that are not sent to any worker because workers crashed while running them. */
 export interface Quarantine {
   /**
-   * Returns the milliseconds after which the request may be sent to a worker again; 0 if it may be
-   * sent now.
+   * Returns the milliseconds after which it may be sent to a worker again; 0 if it may be sent now.
    */
   remainingTime(fingerprint: RequestFingerprint): number;
-  /** Records that a worker sent a complete response to the request. */
+  /** Records that a worker answered. */
   recordAnswer(fingerprint: RequestFingerprint): void;
 }
 
 /** Determines what happened to workers that lost their connection during a run. */
 export interface WorkerChecks {
-  /** Reports that the connection to the worker broke while it ran the request. */
-  reportBrokenConnection(worker: WorkerEndpoint, fingerprint: RequestFingerprint): void;
+  /** Reports that the connection to the worker broke during a run, and what may have crashed the worker. */
+  reportBrokenConnection(worker: WorkerEndpoint, suspects: readonly RequestFingerprint[]): void;
 }
 
 /** The fields of a line of the decision log besides the request id. */
@@ -150,7 +149,10 @@
   /** Limit on the repeats of each service. */
   readonly repeats: RepeatBudget;
   readonly checks: WorkerChecks;
+  /** Quarantine of whole requests. */
   readonly quarantine: Quarantine;
+  /** Quarantine of parts that the prompts of different requests share. */
+  readonly partQuarantine: Quarantine;
   readonly streamVersions: StreamVersions;
   /** Records that a run for the account started at this time, in the clock's milliseconds. */
   recordStart(account: string | undefined, at: number): void;
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { createCrashSuspects } from "./crash_suspects.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import { offerRetryDelay } from "../decision/index.ts";
 import type { RankedChoice } from "../decision/index.ts";
@@ -97,6 +98,7 @@
   const isStream = route.delivery === Delivery.Events;
   const repeatable = route.repetition === Repetition.Idempotent || (isStream && route.resumable);
   const splitter = createEventSplitter();
+  const suspects = createCrashSuspects(context, admitted);
   /** The only version of workers that may continue the stream; undefined before its first event. */
   let { version } = admitted;
   const tried = new Set<string>();
@@ -164,7 +166,7 @@
       giveUp(RoutedRefusal.DeadlinePassed);
       return;
     }
-    const quarantinedFor = context.quarantine.remainingTime(fingerprint);
+    const quarantinedFor = suspects.remainingTime();
     if (quarantinedFor > 0) {
       giveUp(RoutedRefusal.CrashesWorkers, quarantinedFor);
       return;
@@ -290,12 +292,13 @@
       return;
     }
     if (count === 0) return;
-    if (!attempt.hasEvent) {
-      attempt.hasEvent = true;
+    if (attempt.firstEventAt === undefined) {
+      attempt.firstEventAt = clock.now();
       attempt.run.recordFirstEvent();
       context.recordStart(arrival.account?.name, clock.now());
       recordVersion(attempt);
     }
+    suspects.recordEvents(attempt);
     if (!response.hasStarted && attempt.head !== undefined) {
       response.start(attempt.head);
       context.metrics.firstEvent(route.name, clock.now() - arrival.arrivedAt);
@@ -342,10 +345,10 @@
       worker: attempt.worker.id,
       detail,
       framing: attempt.head?.framing,
-      hasEvent: attempt.hasEvent,
+      hasEvent: attempt.firstEventAt !== undefined,
     });
     hasPossiblyRun = true;
-    context.checks.reportBrokenConnection(attempt.worker, fingerprint);
+    suspects.reportBrokenConnection(attempt);
     countUnanswered(attempt);
     retry("worker-lost");
   };
@@ -406,7 +409,7 @@
       return;
     }
     context.recordStart(arrival.account?.name, attempt.startedAt);
-    context.quarantine.recordAnswer(fingerprint);
+    suspects.recordAnswer();
     hasPossiblyRun = true;
     const isFailed = head.status >= SERVER_ERROR && head.status !== GATEWAY_TIMEOUT;
     endAttempt(isFailed ? RunResult.Failed : RunResult.Answered);
@@ -437,8 +440,9 @@
       return;
     }
     endAttempt(RunResult.Answered);
-    context.quarantine.recordAnswer(fingerprint);
-    if (!attempt.hasEvent) context.recordStart(arrival.account?.name, attempt.startedAt);
+    suspects.recordAnswer();
+    if (attempt.firstEventAt === undefined)
+      context.recordStart(arrival.account?.name, attempt.startedAt);
     if (!response.hasStarted && attempt.head !== undefined) response.start(attempt.head);
     complete(attempt.head?.status ?? SUCCESS, () => response.end());
   };
@@ -446,9 +450,10 @@
    * Whether a stream ended early although its framing is complete. The end of the connection is the
    * end of a stream without a length, also if its worker broke it off.
    */
-  const isBrokenOff = ({ head, hasEvent }: Attempt): boolean => {
+  const isBrokenOff = ({ head, firstEventAt }: Attempt): boolean => {
     if (splitter.partialEvent.length > 0) return true;
-    return head?.framing === BodyFraming.Connection && !hasEvent && !response.hasStarted;
+    const hasBegun = firstEventAt !== undefined || response.hasStarted;
+    return head?.framing === BodyFraming.Connection && !hasBegun;
   };
   const complete = (status: number, write: () => void): void => {
     finish();
