--- /dev/null
+++ b/src/process/recorded_stream_versions.ts
@@ -0,0 +1,89 @@
+import { FleetRole } from "./fleet_topology.ts";
+import type { FleetSync } from "./fleet_sync.ts";
+import { createPeerAgreement } from "./peer_agreement.ts";
+import type { RoutedEntryDependencies } from "./routed_entry_parts.ts";
+import type { RoutedSettings } from "./routed_settings.ts";
+import { mergeVersions, versionsByService } from "./service_versions.ts";
+import type { ServiceVersions } from "./service_versions.ts";
+import { createStreamVersions } from "./stream_versions.ts";
+import type { StreamVersionTask } from "./stream_versions.ts";
+import { createVersionRecord } from "./version_record.ts";
+
+/** The versions of streams, with a record of recent versions in the store. */
+export interface RecordedStreamVersions extends StreamVersionTask {
+  /** Starts the periodic writes to the store. */
+  start(): void;
+}
+
+/** Dependencies of {@linkcode createRecordedStreamVersions}. */
+export interface RecordedStreamVersionsParts extends Pick<
+  RoutedEntryDependencies,
+  "clock" | "feed" | "kinds" | "log" | "store"
+> {
+  readonly settings: RoutedSettings;
+  readonly fleet: () => Pick<FleetSync, "directPeers" | "live" | "members" | "role">;
+  /** Returns the store version of the last change of workers that this instance has. */
+  readonly workersVersion: () => number;
+  /** Whether this instance writes the record. */
+  readonly isWriter: () => boolean;
+  /** Returns the longest time that a route allows, in milliseconds. */
+  readonly longestTimeout: () => number;
+  readonly send: (bytes: Uint8Array, address: string) => void;
+}
+
+/**
+ * Maximum duration of a stream over all attempts of its caller, in timeouts of its route: each attempt has its own.
+ */
+const STREAM_DURATION_FACTOR = 2;
+
+/** Creates the versions of streams of an entry instance. */
+export function createRecordedStreamVersions(
+  parts: RecordedStreamVersionsParts,
+): RecordedStreamVersions {
+  const { clock, settings, fleet, feed, kinds, log } = parts;
+  const peerAgreement = createPeerAgreement({
+    clock,
+    kind: kinds.workers,
+    ownVersion: parts.workersVersion,
+    peers: () => fleet().directPeers(),
+  });
+  const record = createVersionRecord({
+    clock,
+    store: parts.store,
+    isWriter: parts.isWriter,
+    mixed: () => versions.mixed(),
+    coversPeriod: () => versions.coversPeriod(),
+    log,
+  });
+  /** Reads the versions of all workers, unless the other instances show that this one has them already. */
+  const readPresentVersions = async (): Promise<ServiceVersions> => {
+    if (peerAgreement.isCurrent()) return new Map();
+    const { objects } = await feed.listKind(kinds.workers);
+    return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
+  };
+  const versions: StreamVersionTask = createStreamVersions({
+    clock,
+    self: { peers: settings.listen.peers, zone: settings.zone },
+    instances: () => fleet().live(),
+    expectsOthers: () => fleet().members > 1,
+    isSmallFleet: () => fleet().role === FleetRole.Mesh,
+    view: {
+      ...peerAgreement,
+      readVersions: async () => {
+        const [present, recorded] = await Promise.all([readPresentVersions(), record.read()]);
+        return mergeVersions(present, recorded);
+      },
+    },
+    maxDuration: () => STREAM_DURATION_FACTOR * parts.longestTimeout(),
+    send: parts.send,
+    onFault: (detail) => log.fault("stream-records", { detail }),
+  });
+  return {
+    ...versions,
+    start: () => record.start(),
+    close: () => {
+      versions.close();
+      record.close();
+    },
+  };
+}
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -36,11 +36,7 @@
 import { rolloutStatus } from "./rollout_status.ts";
 import { createRolloutView, servedWorkers } from "./rollout_view.ts";
 import { instanceStatuses, quarantineStatuses, routeStatuses } from "./status_parts.ts";
-import { createPeerAgreement } from "./peer_agreement.ts";
-import { mergeVersions, versionsByService } from "./service_versions.ts";
-import type { ServiceVersions } from "./service_versions.ts";
-import { createStreamVersions } from "./stream_versions.ts";
-import { createVersionRecord } from "./version_record.ts";
+import { createRecordedStreamVersions } from "./recorded_stream_versions.ts";
 import { createStoreThrottle } from "./store_throttle.ts";
 import { createStoreView } from "./store_view.ts";
 import { createUsageTask } from "./usage_task.ts";
@@ -68,10 +64,6 @@
  * lease, so only messages in flight have to arrive.
  */
 const TAKEOVER_DELAY = 300;
-/**
- * Maximum duration of a stream over all attempts of its caller, in timeouts of its route: each attempt has its own.
- */
-const STREAM_DURATION_FACTOR = 2;
 /** Minimum of the longest timeout of all routes, in milliseconds. It applies until there is a configuration. */
 const MIN_LONGEST_TIMEOUT = 15_000;
 
@@ -212,45 +204,14 @@
   const datagrams = createDatagramChannels(openDatagramSocket, (bytes) =>
     streamVersions.receive(bytes),
   );
-  const peerAgreement = createPeerAgreement({
-    clock,
-    kind: kinds.workers,
-    ownVersion: () => view.feeds.get(kinds.workers)?.changedAt ?? 0,
-    peers: () => fleet.directPeers(),
-  });
-  const versionRecord = createVersionRecord({
-    clock,
-    store: dependencies.store,
+  const streamVersions = createRecordedStreamVersions({
+    ...dependencies,
+    settings,
+    fleet: () => fleet,
+    workersVersion: () => view.feeds.get(kinds.workers)?.changedAt ?? 0,
     isWriter: () => lease.held().length > 0,
-    mixed: () => streamVersions.mixed(),
-    coversPeriod: () => streamVersions.coversPeriod(),
-    log,
-  });
-  /** Reads the versions of all workers, unless the other instances show that this one has them already. */
-  const readPresentVersions = async (): Promise<ServiceVersions> => {
-    if (peerAgreement.isCurrent()) return new Map();
-    const { objects } = await dependencies.feed.listKind(kinds.workers);
-    return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
-  };
-  const streamVersions = createStreamVersions({
-    clock,
-    self: { peers: settings.listen.peers, zone: settings.zone },
-    instances: () => fleet.live(),
-    expectsOthers: () => fleet.members > 1,
-    isSmallFleet: () => fleet.role === FleetRole.Mesh,
-    view: {
-      ...peerAgreement,
-      readVersions: async () => {
-        const [present, recorded] = await Promise.all([
-          readPresentVersions(),
-          versionRecord.read(),
-        ]);
-        return mergeVersions(present, recorded);
-      },
-    },
-    maxDuration: () => STREAM_DURATION_FACTOR * longestTimeout,
+    longestTimeout: () => longestTimeout,
     send: datagrams.sendMarked,
-    onFault: (detail) => log.fault("stream-records", { detail }),
   });
   const fleet = createFleetSync({
     settings,
@@ -505,7 +466,7 @@
       usage.start();
       mix.start();
       quarantine.start();
-      versionRecord.start();
+      streamVersions.start();
       rollouts?.start();
     },
     reload: (changed) => {
@@ -518,7 +479,7 @@
     stop: () => (stopped ??= drain()),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
-      for (const part of [connections, path, relay, streamVersions, versionRecord]) part.close();
+      for (const part of [connections, path, relay, streamVersions]) part.close();
       rollouts?.close();
     },
   };
