--- a/src/decision/watch_schedule.ts
+++ b/src/decision/watch_schedule.ts
@@ -20,10 +20,7 @@
   readonly watchers: readonly string[];
   /** Id of this instance. It may be missing from `watchers` while views of the fleet differ. */
   readonly self: string;
-  /**
-   * Position of the watch among those of this instance, from 0 to less than 1. One that is renewed
-   * also shows whether the connections of the others are silent.
-   */
+  /** Position of the watch among those of this instance, from 0 to less than 1. */
   readonly position: number;
   /** Milliseconds between the renewals of two instances. */
   readonly interval: number;
