--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -8,7 +8,6 @@
   createFleetTime,
   createUsageLedger,
   createWorkerHealth,
-  RENEWAL_INTERVAL,
   timeUntilRenewal,
 } from "../../decision/index.ts";
 import type {
@@ -25,7 +24,6 @@
 import type { RoutedService } from "../../version/index.ts";
 import { createFleetSync } from "../fleet_sync.ts";
 import type { FleetSync } from "../fleet_sync.ts";
-import { FleetRole } from "../fleet_topology.ts";
 import { createInstanceHashes } from "../instance_hashes.ts";
 import { createRoutedWorkerTable } from "../routed_worker_table.ts";
 import type { RoutedWorkerTable } from "../routed_worker_table.ts";
@@ -240,9 +238,7 @@
     feed: store.of(name),
     isNeeded: () => !sync.isFed() || catchUp.isBehind(KIND),
     watchTimeout: () => {
-      const { mesh, relayed } = RENEWAL_INTERVAL;
-      const interval = sync.role === FleetRole.Mesh ? mesh : relayed;
-      const watch = { watchers: sync.watchers(), self: address, position: 0, interval };
+      const watch = { watchers: sync.watchers(), self: address, position: 0 };
       return timeUntilRenewal(watch, { time: clock.now(), random });
     },
     onAnswer: () => undefined,
