--- a/src/decision/watch_schedule.ts
+++ b/src/decision/watch_schedule.ts
@@ -22,10 +22,15 @@
   readonly self: string;
   /** Position of the watch among those of this instance, from 0 to less than 1. */
   readonly position: number;
+  /** Milliseconds between the renewals of two instances. */
+  readonly interval: number;
 }
 
-/** Milliseconds between the renewals of two instances' watches. */
-const RENEWAL_INTERVAL = 1_000;
+/**
+ * Milliseconds between the renewals of two instances' watches: in a fleet whose instances all watch
+ * the store, and in one where a few watch it for all others. There, changes take longer to arrive.
+ */
+export const RENEWAL_INTERVAL = { mesh: 1_000, relayed: 500 };
 
 /** A watch that would be renewed within this number of milliseconds skips the renewal. */
 const MIN_WATCH_TIME = 150;
@@ -36,16 +41,16 @@
  * @param time The time that all instances agree on, in milliseconds.
  */
 export function timeUntilRenewal(
-  { watchers, self, position }: ScheduledWatch,
+  { watchers, self, position, interval }: ScheduledWatch,
   { time, random }: { readonly time: number; readonly random: Random },
 ): number {
-  const period = RENEWAL_INTERVAL * Math.max(1, watchers.length);
+  const period = interval * Math.max(1, watchers.length);
   const index = [...watchers].sort().indexOf(self);
   const turn = index < 0 ? random.next() * watchers.length : index;
   // Watches that are renewed one after the other belong to different instances, so that the loss of
   // some instances leaves no long gap.
   const shift = Math.floor(position * watchers.length) + position;
-  const renewalTime = (turn + shift) * RENEWAL_INTERVAL;
+  const renewalTime = (turn + shift) * interval;
   const wait = (((renewalTime - time) % period) + period) % period;
   return wait < MIN_WATCH_TIME ? wait + period : wait;
 }
--- a/src/decision/watch_schedule_test.ts
+++ b/src/decision/watch_schedule_test.ts
@@ -15,7 +15,7 @@
   for (const self of watchers) {
     let time = from;
     while (time < until) {
-      time += timeUntilRenewal({ watchers, self, position }, { time, random });
+      time += timeUntilRenewal({ watchers, self, position, interval: INTERVAL }, { time, random });
       times.push(time);
     }
   }
@@ -49,7 +49,7 @@
 
 // Instances may disagree on which of them watch the store.
 test("an instance that isn't listed renews its watch within a period", () => {
-  const watch = { watchers: ["a", "b", "c"], self: "d", position: 0 };
+  const watch = { watchers: ["a", "b", "c"], self: "d", position: 0, interval: INTERVAL };
   for (let time = 0; time < 5_000; time += 97) {
     const wait = timeUntilRenewal(watch, { time, random });
     expect(wait).toBeGreaterThan(0);
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -7,7 +7,7 @@
   RolloutEntry,
   RoutedWorker,
 } from "../interface/index.ts";
-import { timeUntilRenewal } from "../decision/index.ts";
+import { RENEWAL_INTERVAL, timeUntilRenewal } from "../decision/index.ts";
 import { createRouteTable } from "../version/index.ts";
 import type { Routing, RouteTable } from "../version/index.ts";
 import type { InstanceState } from "./digest.ts";
@@ -124,6 +124,8 @@
         watchers: fleet().watchers(),
         self: parts.self,
         position: [...feeds.keys()].indexOf(kind) / feeds.size,
+        interval:
+          fleet().role === FleetRole.Mesh ? RENEWAL_INTERVAL.mesh : RENEWAL_INTERVAL.relayed,
       },
       { time: parts.time(), random },
     );
--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -8,6 +8,7 @@
   createFleetTime,
   createUsageLedger,
   createWorkerHealth,
+  RENEWAL_INTERVAL,
   timeUntilRenewal,
 } from "../../decision/index.ts";
 import type {
@@ -24,6 +25,7 @@
 import type { RoutedService } from "../../version/index.ts";
 import { createFleetSync } from "../fleet_sync.ts";
 import type { FleetSync } from "../fleet_sync.ts";
+import { FleetRole } from "../fleet_topology.ts";
 import { createInstanceHashes } from "../instance_hashes.ts";
 import { createRoutedWorkerTable } from "../routed_worker_table.ts";
 import type { RoutedWorkerTable } from "../routed_worker_table.ts";
@@ -238,7 +240,9 @@
     feed: store.of(name),
     isNeeded: () => !sync.isFed() || catchUp.isBehind(KIND),
     watchTimeout: () => {
-      const watch = { watchers: sync.watchers(), self: address, position: 0 };
+      const { mesh, relayed } = RENEWAL_INTERVAL;
+      const interval = sync.role === FleetRole.Mesh ? mesh : relayed;
+      const watch = { watchers: sync.watchers(), self: address, position: 0, interval };
       return timeUntilRenewal(watch, { time: clock.now(), random });
     },
     onAnswer: () => undefined,
