--- a/src/decision/part_evidence.ts
+++ b/src/decision/part_evidence.ts
@@ -56,6 +56,11 @@
 const QUIET_TIME = 1_500;
 /** Milliseconds for which an observation is sent to other instances, since digests may be lost. */
 const REPORT_DURATION = 3_000;
+/**
+ * Milliseconds after which a reported crash is ignored, since the part may have been forgotten
+ * meanwhile. A report takes some digests to arrive.
+ */
+const MAX_REPORT_AGE = 2 * REPORT_DURATION;
 /** Maximum number of parts whose last answer is known, and of suspected parts; the oldest are evicted. */
 const MAX_ANSWERED_PARTS = 4_096;
 const MAX_SUSPECTS = 512;
@@ -180,7 +185,7 @@
         if (known !== undefined && at > known.answeredAt) addAnswer(touch(known.suspect), at);
         return;
       }
-      if (at <= time() - REPORT_DURATION * 2) return;
+      if (at <= time() - MAX_REPORT_AGE) return;
       const before = known?.moments.length ?? 0;
       const history = known ?? touch({ name: part, key: 0 });
       addCrash(history, at);
