--- a/src/interface/timeout_test.ts
+++ b/src/interface/timeout_test.ts
@@ -1,48 +1,8 @@
 import { expect, test } from "vitest";
-import type { Clock } from "./clock.ts";
+import { createStallingClock } from "../standin/memory/index.ts";
+import type { StallingClock } from "../standin/memory/index.ts";
 import { afterRunningTime, withTimeout } from "./timeout.ts";
 
-/** A clock on which a process can stall: timers that become due meanwhile run late, at its end. */
-interface StallingClock extends Clock {
-  /** Lets time pass in a process that runs. */
-  advance(milliseconds: number): void;
-  /** Lets time pass without any timer running. */
-  stall(milliseconds: number): void;
-}
-
-function createStallingClock(): StallingClock {
-  let now = 0;
-  let timers: { at: number; run: () => void }[] = [];
-  const runDueTimers = (): void => {
-    const due = timers.filter(({ at }) => at <= now);
-    timers = timers.filter(({ at }) => at > now);
-    for (const { run } of due) run();
-  };
-  return {
-    now: () => now,
-    date: () => new Date(now),
-    after: (milliseconds, run) => {
-      const timer = { at: now + milliseconds, run };
-      timers.push(timer);
-      return {
-        close: () => {
-          timers = timers.filter((open) => open !== timer);
-        },
-      };
-    },
-    advance: (milliseconds) => {
-      for (let passed = 0; passed < milliseconds; passed++) {
-        now++;
-        runDueTimers();
-      }
-    },
-    stall: (milliseconds) => {
-      now += milliseconds;
-      runDueTimers();
-    },
-  };
-}
-
 function startTimer(milliseconds: number): { clock: StallingClock; runs: () => number } {
   const clock = createStallingClock();
   let runs = 0;
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -44,6 +44,7 @@
 import { createStoreThrottle } from "./store_throttle.ts";
 import { shareServices } from "./share_services.ts";
 import { createStoreView } from "./store_view.ts";
+import { createStallMonitor } from "./stall_monitor.ts";
 import { createUsageTask } from "./usage_task.ts";
 import { createWorkerChecks } from "./worker_checks.ts";
 import type { WorkerEntry } from "./worker_selection.ts";
@@ -359,6 +360,11 @@
     log: (step, fields) => log.changed(step, fields),
   });
 
+  const stalls = createStallMonitor({
+    clock,
+    onStall: (duration) => log.changed("stalled", { duration: Math.round(duration) }),
+  });
+
   const context: RoutedContext = {
     clock,
     random,
@@ -473,6 +479,7 @@
       mix.start();
       quarantine.start();
       streamVersions.start();
+      stalls.start();
       rollouts?.start();
     },
     reload: (changed) => {
@@ -485,7 +492,7 @@
     stop: () => (stopped ??= drain()),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
-      for (const part of [connections, path, relay, streamVersions]) part.close();
+      for (const part of [connections, path, relay, streamVersions, stalls]) part.close();
       rollouts?.close();
     },
   };
--- a/src/process/routed_metrics.ts
+++ b/src/process/routed_metrics.ts
@@ -46,6 +46,7 @@
     firstEvent: (route, milliseconds) =>
       recordOrBuffer((loaded) => loaded.firstEvent(route, milliseconds)),
     refused: (reason) => recordOrBuffer((loaded) => loaded.refused(reason)),
+    cut: (reason) => recordOrBuffer((loaded) => loaded.cut(reason)),
     repeated: (cause) => recordOrBuffer((loaded) => loaded.repeated(cause)),
     sent: (service, version) => recordOrBuffer((loaded) => loaded.sent(service, version)),
     changeReceived: (source, milliseconds) =>
@@ -73,6 +74,12 @@
     labelNames: ["reason"],
     registers,
   });
+  const cut = new Counter({
+    name: "samphireshore_answers_cut_total",
+    help: "Requests ended by the entry instance itself after their callers had a part of the answer, by reason.",
+    labelNames: ["reason"],
+    registers,
+  });
   const repeated = new Counter({
     name: "samphireshore_repeats_total",
     help: "Requests sent to a further worker, by cause.",
@@ -114,6 +121,7 @@
     firstEvent: (route, milliseconds) =>
       firstEvent.observe({ route }, milliseconds / MILLISECONDS_PER_SECOND),
     refused: (reason) => refused.inc({ reason }),
+    cut: (reason) => cut.inc({ reason }),
     repeated: (cause) => repeated.inc({ cause }),
     sent: (service, version) => sent.inc({ service, version }),
     changeReceived: (source, milliseconds) =>
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -201,6 +201,8 @@
   firstEvent(route: string, milliseconds: number): void;
   /** Counts a refusal. */
   refused(reason: string): void;
+  /** Counts a refusal of which the caller already had a part of the answer. */
+  cut(reason: string): void;
   /** Counts a repeat at another worker. */
   repeated(cause: string): void;
 }
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -36,8 +36,10 @@
   if (response.isClosed) return;
   context.metrics.refused(reason);
   const after = Math.round(elapsedTime(state));
-  logStep(state, "refused", { reason, runs: progress.runs, after, retryAfter, ...inputs });
-  if (response.hasStarted) response.abort();
+  const isCut = response.hasStarted;
+  logStep(state, "refused", { reason, runs: progress.runs, after, retryAfter, isCut, ...inputs });
+  if (isCut) context.metrics.cut(reason);
+  if (isCut) response.abort();
   else response.refuse(reason, retryAfter);
 }
 
--- a/src/request/routed_end_test.ts
+++ b/src/request/routed_end_test.ts
@@ -19,7 +19,11 @@
   const events: string[] = [];
   const arrivedAt = clock.now();
   const state = {
-    context: { clock, metrics: { refused: () => undefined }, logDecision: () => undefined },
+    context: {
+      clock,
+      metrics: { refused: () => undefined, cut: () => undefined },
+      logDecision: () => undefined,
+    },
     admitted: {
       arrival: { route: {}, arrivedAt, deadlineAt: arrivedAt + TIMEOUT },
       refundQuota: () => events.push("refunded"),
--- a/src/request/routed_repeats.ts
+++ b/src/request/routed_repeats.ts
@@ -9,7 +9,7 @@
 import { RunResult } from "./routed_context.ts";
 import { BUSY_RETRY_AFTER, giveUp, refuse } from "./routed_end.ts";
 import { isRepeatable } from "./routed_request.ts";
-import { endAttempt } from "./routed_run_state.ts";
+import { endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
 /** Why a request is sent to another worker. */
@@ -53,6 +53,7 @@
 export function leaveWorker(state: RoutedRunState): void {
   state.progress.hasPossiblyRun = true;
   if (!canRepeat(state) || !hasOtherWorker(state)) return;
+  logStep(state, "leaving", { worker: state.current?.worker.id });
   abortAndRetry(state, { result: RunResult.Abandoned, cause: RepeatCause.WorkerLeaving });
 }
 
