Keep an attempt until another worker has answered

Callers lost streams that they were reading although their workers still sent them. A request moves when its worker is about to leave or has sent nothing for a while. The run there was aborted first; if no other worker then took the request (all were busy, refused it, broke off, or the repeat budget was used up), the caller's connection was closed.

The attempt is now kept, and nothing is read from it, until the next worker has sent an event or a complete answer. Every way in which the request would be given up leads back to it. A deadline or a caller that has left end both.

A request also stays where it is if there is no other worker.

--- a/src/request/event_splitter.ts
+++ b/src/request/event_splitter.ts
@@ -28,6 +28,8 @@
    * event.
    */
   discardPartial(): void;
+  /** Replaces the incomplete event, because the stream continues where these bytes had arrived. */
+  replacePartial(bytes: Buffer): void;
 }
 
 /**
@@ -54,6 +56,10 @@
     isTooLong ||= bytes.length > MAX_EVENT_BYTES;
     partial = isTooLong ? Buffer.alloc(0) : bytes;
   };
+  const replacePartial = (bytes: Buffer): void => {
+    partial = bytes;
+    isTooLong = false;
+  };
   return {
     push: (chunk) => {
       if (isTooLong) return NO_EVENTS;
@@ -77,10 +83,8 @@
     get isTooLong() {
       return isTooLong;
     },
-    discardPartial: () => {
-      partial = Buffer.alloc(0);
-      isTooLong = false;
-    },
+    discardPartial: () => replacePartial(Buffer.alloc(0)),
+    replacePartial,
   };
 }
 
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -1,7 +1,13 @@
 import { RoutedRefusal } from "./caller_response.ts";
 import { RunResult } from "./routed_context.ts";
 import type { DecisionFields } from "./routed_context.ts";
-import { endAttempt, finishRun, logStep } from "./routed_run_state.ts";
+import {
+  endAttempt,
+  finishRun,
+  logStep,
+  releaseReserve,
+  resumeReserve,
+} from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
 /** A refusal that ends a request. */
@@ -26,12 +32,20 @@
  */
 export const BUSY_RETRY_AFTER = 300;
 
-/** Ends the request with a refusal, or closes the connection if a part of the answer was sent. */
+/**
+ * Ends the request with a refusal, or closes the connection if a part of the answer was sent. If a worker that the
+ * request was to move away from still runs it, the request goes on there instead.
+ */
 export function refuse(
   state: RoutedRunState,
   { reason, retryAfter, inputs = {} }: RunRefusal,
 ): void {
   const { context, response, progress } = state;
+  const kept = resumeReserve(state);
+  if (kept !== undefined) {
+    logStep(state, "stays", { worker: kept.worker.id, reason });
+    return;
+  }
   finishRun(state);
   if (response.isClosed) return;
   context.metrics.refused(reason);
@@ -90,6 +104,7 @@
   state.deadlineTimer = context.clock.after(timeLeft, () => {
     if (state.isDone) return;
     endAttempt(state, RunResult.Abandoned)?.abort();
+    releaseReserve(state);
     refuse(state, { reason: RoutedRefusal.DeadlinePassed });
   });
 }
--- a/src/request/routed_failures.ts
+++ b/src/request/routed_failures.ts
@@ -10,9 +10,8 @@
 import { RunResult } from "./routed_context.ts";
 import { giveUp, NO_WORKER_RETRY_AFTER } from "./routed_end.ts";
 import { recordNoPath } from "./routed_progress.ts";
-import { RepeatCause, retry } from "./routed_repeats.ts";
-import { deliversEvents } from "./routed_request.ts";
-import { endAttempt, logStep } from "./routed_run_state.ts";
+import { moveElsewhere, RepeatCause, retry } from "./routed_repeats.ts";
+import { countUnanswered, endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
 /** The end of an exchange without a complete response. */
@@ -65,8 +64,7 @@
 /** Handles an attempt whose worker hangs. */
 export function handleSilence(state: RoutedRunState, attempt: Attempt): void {
   logStep(state, "silent", { worker: attempt.worker.id });
-  countUnanswered(state, attempt);
-  retry(state, RepeatCause.WorkerSilent);
+  moveElsewhere(state, { result: RunResult.Failed, cause: RepeatCause.WorkerSilent });
 }
 
 /** Tries another worker. Nothing has reached the first one, so this is not a repeat. */
@@ -93,14 +91,3 @@
   state.context.metrics.repeated(RepeatCause.Replaced);
   state.tryNext();
 }
-
-/**
- * Counts a run without a response as started. A stream counts as started with its first event;
- * any other request has most probably run where it was sent.
- */
-function countUnanswered(
-  { context, admitted: { arrival } }: RoutedRunState,
-  { startedAt }: Attempt,
-): void {
-  if (!deliversEvents(arrival.route)) context.recordStart(arrival.account?.name, startedAt);
-}
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -7,7 +7,7 @@
 import type { Attempt } from "./routed_attempt.ts";
 import { RepeatCause, retry } from "./routed_repeats.ts";
 import { deliversEvents } from "./routed_request.ts";
-import { logStep } from "./routed_run_state.ts";
+import { logStep, releaseReserve } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 import { parseWorkerTolerance } from "./worker_statement.ts";
 
@@ -53,10 +53,12 @@
   current.exchange?.resume();
 }
 
-function receiveBody({ response }: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
+function receiveBody(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
+  const { response } = state;
   attempt.chunks.push(chunk);
   attempt.size += chunk.length;
   if (attempt.size <= MAX_BUFFERED_BYTES || attempt.head === undefined) return;
+  releaseReserve(state);
   if (!response.hasStarted) response.start(attempt.head);
   const buffered = Buffer.concat(attempt.chunks.splice(0));
   if (!response.write(buffered)) pauseReading(attempt);
@@ -71,6 +73,7 @@
     return;
   }
   if (count === 0) return;
+  releaseReserve(state);
   if (attempt.firstEventAt === undefined) recordFirstEvent(state, attempt);
   suspects.recordEvents(attempt);
   if (!response.hasStarted && attempt.head !== undefined) startStream(state, attempt.head);
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,10 +1,12 @@
 import type { CallerResponse } from "./caller_response.ts";
+import type { Attempt } from "./routed_attempt.ts";
 import type { RoutedContext } from "./routed_context.ts";
 import { abandon, watchDeadline } from "./routed_end.ts";
 import { resumeReading } from "./routed_forwarding.ts";
 import { placeRequest } from "./routed_placement.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
 import { createRunState } from "./routed_run_state.ts";
+import { watchSilence } from "./routed_silence.ts";
 
 /** A run of a request that can be abandoned from outside. */
 export interface RoutedRun {
@@ -34,7 +36,8 @@
   response: CallerResponse,
 ): RoutedRun {
   const tryNext = (): void => placeRequest(state);
-  const state = createRunState(context, { admitted, response, tryNext });
+  const watch = (attempt: Attempt): void => watchSilence(state, attempt);
+  const state = createRunState(context, { admitted, response, tryNext, watch });
   watchDeadline(state);
   response.onDrain(() => resumeReading(state));
   context.repeats.recordRequest(admitted.service.name, context.clock.now());
--- a/src/request/routed_run_state.ts
+++ b/src/request/routed_run_state.ts
@@ -5,11 +5,22 @@
 import { createEventSplitter } from "./event_splitter.ts";
 import type { EventSplitter } from "./event_splitter.ts";
 import type { Attempt } from "./routed_attempt.ts";
-import type { DecisionFields, RoutedContext, RunResult } from "./routed_context.ts";
+import { RunResult } from "./routed_context.ts";
+import type { DecisionFields, RoutedContext } from "./routed_context.ts";
 import { createRunProgress } from "./routed_progress.ts";
 import type { RunProgress } from "./routed_progress.ts";
+import { deliversEvents } from "./routed_request.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
 
+/** The attempt that a request moves away from. It goes on there if no other worker answers. */
+interface ReservedAttempt {
+  readonly attempt: Attempt;
+  /** Result of its run once another worker has answered. */
+  readonly result: RunResult;
+  /** What has arrived of its next event. */
+  readonly partialEvent: Buffer;
+}
+
 /**
  * The state of a request's run. The steps of a run are functions of this state, so that a request
  * creates no closures for them.
@@ -28,8 +39,12 @@
    * because the placement leads to attempts, whose failures lead to the placement again.
    */
   readonly tryNext: () => void;
+  /** Watches whether the worker of an attempt hangs. A part of the state for the same reason. */
+  readonly watch: (attempt: Attempt) => void;
   /** The attempt in progress; undefined between two attempts. Events of other attempts are ignored. */
   current: Attempt | undefined;
+  /** The attempt that is kept until the one in progress has answered. Nothing is read from its worker. */
+  reserve: ReservedAttempt | undefined;
   /** Whether the request has ended. */
   isDone: boolean;
   /** Ends the request after its deadline. */
@@ -45,17 +60,17 @@
 /** Creates the state of a run that hasn't sent its request yet. */
 export function createRunState(
   context: RoutedContext,
-  { admitted, response, tryNext }: Pick<RoutedRunState, "admitted" | "response" | "tryNext">,
+  parts: Pick<RoutedRunState, "admitted" | "response" | "tryNext" | "watch">,
 ): RoutedRunState {
+  const { admitted } = parts;
   return {
     context,
-    admitted,
-    response,
+    ...parts,
     progress: createRunProgress(admitted.version),
     suspects: createCrashSuspects(context, admitted),
     splitter: createEventSplitter(),
-    tryNext,
     current: undefined,
+    reserve: undefined,
     isDone: false,
     deadlineTimer: undefined,
     silenceTimer: undefined,
@@ -87,9 +102,78 @@
   return current?.exchange;
 }
 
-/** Marks the request as ended, and closes its timers and its subscription. */
+/**
+ * Detaches the attempt in progress like {@linkcode endAttempt}, but keeps it in case no other worker answers. Only one
+ * attempt is kept: if there is one already, this one is aborted.
+ *
+ * Another worker may be busy, refuse the request or fail. If the attempt were aborted before, the caller would lose an
+ * answer that its worker still sends.
+ */
+export function reserveAttempt(state: RoutedRunState, result: RunResult): void {
+  const { current: attempt, splitter } = state;
+  if (attempt === undefined) return;
+  if (state.reserve !== undefined) {
+    endAttempt(state, result)?.abort();
+    return;
+  }
+  state.current = undefined;
+  state.leavingSubscription?.close();
+  attempt.exchange?.pause();
+  state.reserve = { attempt, result, partialEvent: splitter.partialEvent };
+}
+
+/**
+ * Continues the kept attempt, because no other worker has answered.
+ *
+ * @returns The attempt; undefined if none is kept.
+ */
+export function resumeReserve(state: RoutedRunState): Attempt | undefined {
+  const { context, reserve, splitter } = state;
+  if (reserve === undefined) return undefined;
+  const { attempt, partialEvent } = reserve;
+  state.reserve = undefined;
+  state.current = attempt;
+  splitter.replacePartial(partialEvent);
+  attempt.isPaused = false;
+  attempt.lastReceivedAt = context.clock.now();
+  attempt.exchange?.resume();
+  state.watch(attempt);
+  return attempt;
+}
+
+/** Aborts the kept attempt, because another worker has answered or the request has ended. */
+export function releaseReserve(state: RoutedRunState): void {
+  const { reserve } = state;
+  if (reserve === undefined) return;
+  state.reserve = undefined;
+  const { attempt, result } = reserve;
+  if (result === RunResult.Failed) countUnanswered(state, attempt);
+  attempt.run.end(result);
+  attempt.exchange?.abort();
+}
+
+/** Forgets the kept attempt, because its connection has ended. */
+export function dropReserve(state: RoutedRunState): void {
+  const { reserve } = state;
+  state.reserve = undefined;
+  reserve?.attempt.run.end(RunResult.Failed);
+}
+
+/**
+ * Counts a run without a response as started. A stream counts as started with its first event;
+ * any other request has most probably run where it was sent.
+ */
+export function countUnanswered(
+  { context, admitted: { arrival } }: Pick<RoutedRunState, "admitted" | "context">,
+  { startedAt }: Attempt,
+): void {
+  if (!deliversEvents(arrival.route)) context.recordStart(arrival.account?.name, startedAt);
+}
+
+/** Marks the request as ended, and closes its timers, its subscription and the kept attempt. */
 export function finishRun(state: RoutedRunState): void {
   state.isDone = true;
+  releaseReserve(state);
   state.deadlineTimer?.close();
   state.silenceTimer?.close();
   state.pathTimer?.close();
--- a/src/request/routed_silence.ts
+++ b/src/request/routed_silence.ts
@@ -1,7 +1,7 @@
 import { isHungAttempt } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { handleSilence } from "./routed_failures.ts";
-import { canRepeat } from "./routed_repeats.ts";
+import { canMove } from "./routed_repeats.ts";
 import { deliversEvents } from "./routed_request.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -17,7 +17,7 @@
   state.silenceTimer?.close();
   state.silenceTimer = state.context.clock.after(SILENCE_CHECK_INTERVAL, () => {
     if (state.isDone || state.current !== attempt) return;
-    if (isHung(state, attempt) && canRepeat(state)) handleSilence(state, attempt);
+    if (isHung(state, attempt) && canMove(state)) handleSilence(state, attempt);
     else watchSilence(state, attempt);
   });
 }
