Read what workers have sent before they count as silent after a stall

After a time without processor time, Node.js runs expired timers before it reads sockets. The checks for silent workers then found the last data older than the limit for all requests in progress, although their answers were waiting to be read: all requests of the instance moved to other workers at the same moment.

The check uses running time, as other timeouts do: a check that comes late is made again, and sockets are read in between. It uses one step instead of four, since every request in progress has this timer.

The new test in src/request/routed_silence_test.ts failed before: a request moved at the end of a stall of 5 s.

--- a/src/interface/timeout.ts
+++ b/src/interface/timeout.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from "./clock.ts";
 
-/** Number of steps that a period of running time is divided into. */
-const STEPS = 4;
+/** Default number of steps that a period of running time is divided into. */
+const DEFAULT_STEPS = 4;
 /**
  * Maximum number of steps that don't count because the process was stalled. Bounds the time until a
  * timeout expires in a process that is permanently late.
@@ -19,10 +19,17 @@
  * @param clock The clock to wait on.
  * @param milliseconds The running time in milliseconds.
  * @param run Called once, unless the timer is closed before.
+ * @param options `steps` is the number of steps that the time is divided into. With fewer steps, only longer stalls are
+ * noticed, and fewer timers run.
  */
-export function afterRunningTime(clock: Clock, milliseconds: number, run: () => void): Timer {
-  const step = milliseconds / STEPS;
-  let remainingSteps = STEPS;
+export function afterRunningTime(
+  clock: Clock,
+  milliseconds: number,
+  run: () => void,
+  { steps = DEFAULT_STEPS }: { readonly steps?: number } = {},
+): Timer {
+  const step = milliseconds / steps;
+  let remainingSteps = steps;
   let stalledSteps = 0;
   let startedAt = clock.now();
   const onStep = (): void => {
--- a/src/request/routed_silence.ts
+++ b/src/request/routed_silence.ts
@@ -1,3 +1,4 @@
+import { afterRunningTime } from "../interface/index.ts";
 import { isHungAttempt } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { handleSilence } from "./routed_failures.ts";
@@ -15,10 +16,14 @@
  */
 export function watchSilence(state: RoutedRunState, attempt: Attempt): void {
   state.silenceTimer?.close();
-  state.silenceTimer = state.context.clock.after(SILENCE_CHECK_INTERVAL, () => {
+  const check = (): void => {
     if (state.isDone || state.current !== attempt) return;
     if (isHung(state, attempt) && canMove(state)) handleSilence(state, attempt);
     else watchSilence(state, attempt);
+  };
+  // One step, because every request in progress has this timer.
+  state.silenceTimer = afterRunningTime(state.context.clock, SILENCE_CHECK_INTERVAL, check, {
+    steps: 1,
   });
 }
 
--- a/src/request/routed_silence_test.ts
+++ b/src/request/routed_silence_test.ts
@@ -1,5 +1,7 @@
 import { expect, test } from "vitest";
-import { createVirtualClock } from "../standin/memory/index.ts";
+import type { Clock } from "../interface/index.ts";
+import { createStallingClock, createVirtualClock } from "../standin/memory/index.ts";
+import type { VirtualClock } from "../standin/memory/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { Attempt } from "./routed_attempt.ts";
@@ -17,7 +19,7 @@
 };
 
 interface SilenceSetup {
-  readonly clock: ReturnType<typeof createVirtualClock>;
+  readonly clock: VirtualClock;
   readonly state: RoutedRunState;
   /** The results of the attempt, and "next" when the request is sent to another worker. */
   readonly events: string[];
@@ -26,6 +28,10 @@
 /** Watches an attempt at a worker that never sends anything. */
 function setUp(): SilenceSetup {
   const clock = createVirtualClock();
+  return { clock, ...watchAttempt(clock) };
+}
+
+function watchAttempt(clock: Clock): Omit<SilenceSetup, "clock"> {
   const events: string[] = [];
   const attempt = {
     worker: { id: "w" },
@@ -52,7 +58,7 @@
     tryNext: () => events.push("next"),
   } as unknown as RoutedRunState;
   watchSilence(state, attempt);
-  return { clock, state, events };
+  return { state, events };
 }
 
 // A worker that hangs with an open connection would otherwise keep its caller waiting until the deadline.
@@ -91,3 +97,17 @@
   await clock.advance(150);
   expect(events).toEqual(["next"]);
 });
+
+// Expired timers run before sockets are read, so that all workers of an instance would look silent at once.
+test("what a worker sent while the process was stalled counts before its silence", () => {
+  const clock = createStallingClock();
+  const { state, events } = watchAttempt(clock);
+  clock.advance(1_000);
+  clock.stall(5_000);
+  expect(events).toEqual([]);
+  if (state.current !== undefined) state.current.lastReceivedAt = clock.now();
+  clock.advance(1_000);
+  expect(events).toEqual([]);
+  clock.advance(1_000);
+  expect(events).toEqual(["next"]);
+});
