Deliver answers that arrive during a stall of the process before a deadline ends them

The timer of a deadline runs before sockets are read, too: after a stall that outlasted a deadline, an answer that was waiting to be read was aborted, and the caller of a stream lost its connection. The 100 ms in which the worker's own final response is awaited now start when the timer runs, and count running time.

The new test in src/request/routed_end_test.ts failed before. Without a stall requests end when they did.

--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -1,3 +1,4 @@
+import { afterRunningTime } from "../interface/index.ts";
 import { RoutedRefusal } from "./caller_response.ts";
 import { RunResult } from "./routed_context.ts";
 import type { DecisionFields } from "./routed_context.ts";
@@ -99,16 +100,22 @@
 
 /** Ends the request when its deadline has passed, unless it ends before. */
 export function watchDeadline(state: RoutedRunState): void {
-  const { context, admitted } = state;
-  const timeLeft = admitted.arrival.deadlineAt + DEADLINE_GRACE - context.clock.now();
-  state.deadlineTimer = context.clock.after(timeLeft, () => {
-    if (state.isDone) return;
-    endAttempt(state, RunResult.Abandoned)?.abort();
-    releaseReserve(state);
-    refuse(state, { reason: RoutedRefusal.DeadlinePassed });
+  const { clock } = state.context;
+  const timeLeft = state.admitted.arrival.deadlineAt - clock.now();
+  state.deadlineTimer = clock.after(timeLeft, () => {
+    // Running time, so that an answer that arrived during a stall of the process is read before.
+    const end = (): void => endAtDeadline(state);
+    state.deadlineTimer = afterRunningTime(clock, DEADLINE_GRACE, end, { steps: 1 });
   });
 }
 
+function endAtDeadline(state: RoutedRunState): void {
+  if (state.isDone) return;
+  endAttempt(state, RunResult.Abandoned)?.abort();
+  releaseReserve(state);
+  refuse(state, { reason: RoutedRefusal.DeadlinePassed });
+}
+
 function elapsedTime({ context, admitted }: RoutedRunState): number {
   return context.clock.now() - admitted.arrival.arrivedAt;
 }
--- a/src/request/routed_end_test.ts
+++ b/src/request/routed_end_test.ts
@@ -1,5 +1,7 @@
 import { expect, test } from "vitest";
-import { createVirtualClock } from "../standin/memory/index.ts";
+import type { Clock } from "../interface/index.ts";
+import { createStallingClock, createVirtualClock } from "../standin/memory/index.ts";
+import type { VirtualClock } from "../standin/memory/index.ts";
 import { RoutedRefusal } from "./caller_response.ts";
 import { abandon, giveUp, watchDeadline } from "./routed_end.ts";
 import { createRunProgress } from "./routed_progress.ts";
@@ -8,7 +10,7 @@
 const TIMEOUT = 1_000;
 
 interface EndSetup {
-  readonly clock: ReturnType<typeof createVirtualClock>;
+  readonly clock: VirtualClock;
   readonly state: RoutedRunState;
   /** What happened to the request, in order. */
   readonly events: string[];
@@ -16,6 +18,10 @@
 
 function setUp(): EndSetup {
   const clock = createVirtualClock();
+  return { clock, ...startRequest(clock) };
+}
+
+function startRequest(clock: Clock): Omit<EndSetup, "clock"> {
   const events: string[] = [];
   const arrivedAt = clock.now();
   const state = {
@@ -33,7 +39,7 @@
     isDone: false,
   } as unknown as RoutedRunState;
   watchDeadline(state);
-  return { clock, state, events };
+  return { state, events };
 }
 
 // A caller that takes "not run" literally would otherwise send a request again that has run.
@@ -60,3 +66,14 @@
   abandon(state);
   expect(events).toEqual([RoutedRefusal.DeadlinePassed]);
 });
+
+// Expired timers run before sockets are read, so that an answer that had arrived in time would be lost.
+test("a request doesn't end before what arrived during a stall of the process is read", () => {
+  const clock = createStallingClock();
+  const { events } = startRequest(clock);
+  clock.advance(TIMEOUT / 2);
+  clock.stall(2 * TIMEOUT);
+  expect(events).toEqual([]);
+  clock.advance(TIMEOUT / 2);
+  expect(events).toEqual([RoutedRefusal.DeadlinePassed]);
+});
