--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -216,7 +216,7 @@
   const address = addressAt(index);
   const health = createWorkerHealth();
   const sharedCounts = createSharedCounts();
-  const quota = createSharedQuota(clock.now());
+  const quota = createSharedQuota(clock.now(), { duration: 0, counts: sharedCounts, random });
   const ledger = createUsageLedger();
   const evidence = createCrashEvidence((key) => sync.sumOf(key));
   const partEvidence = createPartEvidence(() => clock.now());
