--- a/src/decision/attempt_silence.ts
+++ b/src/decision/attempt_silence.ts
@@ -1,6 +1,5 @@
 /**
- * Decides when an attempt at a silent worker is abandoned and its repeatable request is sent to
- * another worker.
+ * Decides when a repeatable request moves from a silent worker to another one.
  *
  * Load: a worker that hangs or stops responding. Its connection stays open, its health check may
  * succeed, and no error occurs; without a limit the caller waits until its deadline. With a limit
@@ -12,7 +11,7 @@
  * - The first event of a stream is requested elsewhere after three times its target or three times
  *   its expected time, whichever is longer: a prompt of 60,000 tokens takes a second to process,
  *   and would be processed from the beginning elsewhere.
- * - A stream that has begun is abandoned only if its worker has sent nothing on any stream for
+ * - A stream that has begun moves only if its worker has sent nothing on any stream for
  *   0.9 s: engines generate tokens for all their requests in turn, so one stream alone is not
  *   silent for long. Callers give up on a stream after two seconds or more.
  *
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -261,11 +261,11 @@
       // rest of a level that is small.
       const isOverShare =
         bucket.takenSinceReport > Math.max(0, bucket.levelAtReport * ownShare(bucket));
-      const isOutnumbered =
+      const isOverFraction =
         reportAge > 0 && random !== undefined && random.next() >= admittedFraction(bucket);
       bucket.recentRequests++;
       bucket.requested += size;
-      if (bucket.level <= threshold || isOverShare || isOutnumbered) {
+      if (bucket.level <= threshold || isOverShare || isOverFraction) {
         bucket.refused++;
         return reserve?.refuse(request, state) ?? retryAfter(bucket);
       }
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -53,9 +53,12 @@
   const after = Math.round(elapsedTime(state));
   const isCut = response.hasStarted;
   logStep(state, "refused", { reason, runs: progress.runs, after, retryAfter, isCut, ...inputs });
-  if (isCut) context.metrics.cut(reason);
-  if (isCut) response.abort();
-  else response.refuse(reason, retryAfter);
+  if (!isCut) {
+    response.refuse(reason, retryAfter);
+    return;
+  }
+  context.metrics.cut(reason);
+  response.abort();
 }
 
 /**
--- a/src/request/routed_silence.ts
+++ b/src/request/routed_silence.ts
@@ -10,9 +10,9 @@
 const SILENCE_CHECK_INTERVAL = 150;
 
 /**
- * Watches an attempt instead of the one before it, and abandons its worker if that hangs. The
- * connection stays open, so nothing else would detect this. Silence has no consequence while the
- * request can't be sent again.
+ * Watches an attempt instead of the one before it, and moves the request to another worker if its
+ * own hangs. The connection stays open, so nothing else would detect this. Silence has no consequence
+ * while the request can't be sent again or there is no other worker.
  */
 export function watchSilence(state: RoutedRunState, attempt: Attempt): void {
   state.silenceTimer?.close();
