--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -20,12 +20,6 @@
  * quota would get everything that was refilled since the last report from each of six instances,
  * six times over.
  *
- * In a large fleet, reports pass through relays. While an account sends several times its quota, all
- * instances see the same level until they receive what the others have admitted against it, and then
- * none admits anything until the excess is paid back. Each instance therefore estimates the demand at
- * all instances in that time from its own, and admits only the fraction of its requests for which the
- * level and the refill suffice.
- *
  * A request is admitted while the level is above zero, whatever its size, and the excess is paid
  * back before the next request. If requests had to fit, an account at its limit would always get
  * its small requests through and never its large ones. The overdraft is at most one request per
@@ -79,10 +73,10 @@
    */
   receiveReport(incarnation: string, report: { admitted: AdmittedCounts; age: number }): void;
   /**
-   * Sets the number of instances that this one receives reports from (itself included), the number
-   * of all instances, and the average age of reports in milliseconds if they pass through relays.
+   * Sets the number of instances that this one receives reports from (itself included), and the
+   * number of all instances.
    */
-  setReachability(reach: { reachable: number; members: number; reportAge?: number }): void;
+  setReachability(reach: { reachable: number; members: number }): void;
   /** Returns the amounts that this instance has admitted, for the report that is sent now. */
   createReport(now: number): AdmittedCounts;
 }
@@ -111,10 +105,6 @@
   /** Recent admissions of this instance and of its peers, with older ones weighted less. */
   recentOwn: number;
   recentPeers: number;
-  /** Number of recent requests of this instance, admitted or not, weighted in the same way. */
-  recentRequests: number;
-  /** Sum of the sizes of all its requests, since it started. */
-  requested: number;
   /** Number of requests of this instance, since it started. */
   admitted: number;
   refused: number;
@@ -152,20 +142,22 @@
  * Creates quotas that are unused.
  *
  * @param startedAt When the instance started, in milliseconds of the clock.
- * @param parts The reserve of each account, and the source of random choices. If it is absent or its
- * duration is 0, requests of all sizes are admitted in the order in which they arrive. It may be absent
- * only in a fleet without relays.
+ * @param reserveParts The reserve of each account. If it is absent or its duration is 0, requests of
+ * all sizes are admitted in the order in which they arrive.
  */
-export function createSharedQuota(startedAt: number, parts?: QuotaReserveParts): SharedQuota {
+export function createSharedQuota(
+  startedAt: number,
+  reserveParts?: QuotaReserveParts,
+): SharedQuota {
   const reserve =
-    parts === undefined || parts.duration === 0 ? undefined : createQuotaReserve(parts);
-  const random = parts?.random;
+    reserveParts === undefined || reserveParts.duration === 0
+      ? undefined
+      : createQuotaReserve(reserveParts);
   const buckets = new Map<string, Bucket>();
   const ownAdmitted = new Map<string, number>();
   const peers = new Map<string, Map<string, number>>();
   let reachableFraction = 1;
   let totalMembers = 1;
-  let reportAge = 0;
   let lastReportAt = startedAt;
 
   const bucketOf = (account: string, quota: Quota, now: number): Bucket => {
@@ -181,8 +173,6 @@
         takenSinceReport: 0,
         recentOwn: 0,
         recentPeers: 0,
-        recentRequests: 0,
-        requested: 0,
         admitted: 0,
         refused: 0,
       };
@@ -210,18 +200,6 @@
   };
   /** The share of the remaining level that this instance may take until its next report. */
   const ownShare = (bucket: Bucket): number => Math.min(1, ownFraction(bucket) * SHARE_HEADROOM);
-  /**
-   * The fraction of requests that can be admitted until the reports of the others arrive, if all
-   * instances admit the same fraction.
-   */
-  const admittedFraction = (bucket: Bucket): number => {
-    // Sizes differ by orders of magnitude, so that the recent ones say little about the demand elsewhere.
-    const meanSize = bucket.requested / Math.max(1, bucket.admitted + bucket.refused);
-    const requests = (bucket.recentRequests * Math.LN2 * reportAge) / RECENT_HALF_LIFE;
-    const demand = (requests * meanSize) / ownFraction(bucket);
-    const refill = (bucket.quota.perSecond * reachableFraction * reportAge) / MS_PER_SECOND;
-    return (bucket.level + refill) / Math.max(demand, Number.MIN_VALUE);
-  };
   /**
    * Milliseconds after which a refused request may be sent again: as soon as the level is above
    * zero. Callers come back within a third of this time anyway, and a longer time makes the answer
@@ -261,11 +239,7 @@
       // rest of a level that is small.
       const isOverShare =
         bucket.takenSinceReport > Math.max(0, bucket.levelAtReport * ownShare(bucket));
-      const isOverFraction =
-        reportAge > 0 && random !== undefined && random.next() >= admittedFraction(bucket);
-      bucket.recentRequests++;
-      bucket.requested += size;
-      if (bucket.level <= threshold || isOverShare || isOverFraction) {
+      if (bucket.level <= threshold || isOverShare) {
         bucket.refused++;
         return reserve?.refuse(request, state) ?? retryAfter(bucket);
       }
@@ -308,8 +282,7 @@
         bucket.recentPeers = Math.max(0, bucket.recentPeers + delta);
       }
     },
-    setReachability: ({ reachable, members: memberCount, reportAge: age = 0 }) => {
-      reportAge = age;
+    setReachability: ({ reachable, members: memberCount }) => {
       totalMembers = Math.max(1, memberCount);
       reachableFraction = Math.min(1, reachable / totalMembers);
     },
@@ -323,7 +296,6 @@
         bucket.takenSinceReport = 0;
         bucket.recentOwn *= decay;
         bucket.recentPeers *= decay;
-        bucket.recentRequests *= decay;
       }
       return ownAdmitted;
     },
--- a/src/process/shared_quota_fleet_test.ts
+++ b/src/process/shared_quota_fleet_test.ts
@@ -112,7 +112,7 @@
   [78, 12, 0],
   [78, 12, 3],
 ])(
-  "%i instances admit an account that sends %i times its quota about once, with %i relays stopped",
+  "%s instances admit an account that sends %s times its quota about once, with %s relays stopped",
   async (instances, factor, stops) => {
     const { admissions } = await overload(instances, { factor, seed: 1, stops });
     const quota = (QUOTA.perSecond * WINDOW) / 1_000 + QUOTA.burst;
