Log what the expected wait of a refused request follows from

A request refused as overloaded states the wait but not whether it follows from many runs at the worker or from a long time for each of them. The line now has running, slots and runTime.

--- a/src/request/placement_request.ts
+++ b/src/request/placement_request.ts
@@ -8,7 +8,15 @@
   /** No worker accepts requests, or all that do were already tried. */
   | { readonly kind: "none" }
   /** No worker is expected to start the request in time. */
-  | { readonly kind: "overloaded"; readonly offer: WorkerOffer; readonly candidates: number }
+  | {
+      readonly kind: "overloaded";
+      readonly offer: WorkerOffer;
+      /** The worker with the lowest cost. */
+      readonly best: CandidateWorker;
+      /** Milliseconds that a run at a usual worker is expected to take. */
+      readonly runTime: number;
+      readonly candidates: number;
+    }
   /** The service is overloaded, and the account has reached its share of it. */
   | {
       readonly kind: "over-share";
--- a/src/request/routed_choice.ts
+++ b/src/request/routed_choice.ts
@@ -41,7 +41,10 @@
   const isOffered = shouldOffer(offer);
   if (!isOffered && division?.isOverShare === true) return division.refuse(best, offer);
   division?.record(best, { offer, isBegun: isOffered });
-  if (!isOffered) return { kind: "overloaded", offer, candidates: ranked.length };
+  if (!isOffered) {
+    const { runTime } = context.workerLoads.timing(placement.service);
+    return { kind: "overloaded", offer, best: best.worker, runTime, candidates: ranked.length };
+  }
   return {
     kind: "ranked",
     *inOrder() {
--- a/src/request/routed_placement.ts
+++ b/src/request/routed_placement.ts
@@ -45,7 +45,7 @@
 function refuseOverload(
   state: RoutedRunState,
   {
-    choice: { offer, candidates },
+    choice: { offer, best, runTime, candidates },
     timeLeft,
   }: {
     readonly choice: Extract<WorkerChoice, { readonly kind: "overloaded" }>;
@@ -61,6 +61,9 @@
       left: Math.round(timeLeft),
       rank: offer.priorityRank,
       isReturn: offer.isRetry,
+      running: best.running,
+      slots: best.slots,
+      runTime: Math.round(runTime),
       candidates,
     },
   });
