Keep requests at their workers while several workers are silent together

Callers got 503 (overloaded) while all workers of a service stood still for 1.0 or 1.5 s, although the workers had room and the callers had seconds left.

Cause: since a run is kept until another worker has answered, a request that moves away from a silent worker takes a second place at a worker that is just as silent. With 45 requests in 1.5 s at 48 places, the instances counted 13 to 16 runs at each worker of 8 slots, and refused what came then.

A request now moves only to workers that have answered since its own fell silent, or that have no request of this instance. It stays if two or more are silent, none has answered and one was asked so recently that its answer will show whether all are. After the first answer of another worker its own has until the next check, since all requests would otherwise move as the workers go on.

--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -33,6 +33,8 @@
 export interface WorkerConnection {
   /** Returns whether the connection can take a request now. */
   isIdle(): boolean;
+  /** Returns whether an exchange is in progress whose answer is being read. */
+  isAwaited(): boolean;
   /** Returns the milliseconds since the last exchange ended, or since the connection was opened. */
   idleFor(): number;
   /** The worker's idle timeout in milliseconds, from its `Keep-Alive` header; undefined if not announced. */
@@ -96,6 +98,7 @@
   let isRelayed = false;
   /** Whether another exchange follows the current one. */
   let isPreparatory = false;
+  let isPaused = false;
   let idleSince = clock.now();
   let idleTimeout: number | undefined;
   let exchangeCount = 0;
@@ -171,6 +174,7 @@
   const exchange: WorkerConnection["exchange"] = (request, sink, options = {}) => {
     current = sink;
     isPreparatory = options.isPreparatory ?? false;
+    isPaused = false;
     exchangeCount++;
     parser.expectResponse(request.method, {
       head: (head) => {
@@ -189,8 +193,14 @@
     if (socket === undefined) queuedRequest = bytes;
     else socket.write(bytes);
     return {
-      pause: () => void socket?.pause(),
-      resume: () => void socket?.resume(),
+      pause: () => {
+        isPaused = true;
+        socket?.pause();
+      },
+      resume: () => {
+        isPaused = false;
+        socket?.resume();
+      },
       abort: () => {
         current = undefined;
         close();
@@ -199,6 +209,7 @@
   };
   return {
     isIdle: () => !isClosed && current === undefined,
+    isAwaited: () => current !== undefined && !isPaused,
     idleFor: () => clock.now() - idleSince,
     get idleTimeout() {
       return idleTimeout;
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -33,6 +33,8 @@
 interface ConnectionPool {
   /** All open connections, the most recently used last. */
   readonly connections: WorkerConnection[];
+  /** When a request was last sent to the worker, in the clock's milliseconds. */
+  lastSentAt: number | undefined;
   /** When bytes last arrived from the worker, in the clock's milliseconds. */
   lastReceivedAt: number | undefined;
 }
@@ -82,11 +84,13 @@
   };
   return {
     exchange: (worker, request, { sink, repeatable, needsProcess = false, maxConnections }) => {
-      const sendOn = (connection: WorkerConnection): Exchange =>
-        needsProcess && identity !== undefined
+      const pool = pools.get(worker.id) ?? createPool();
+      const sendOn = (connection: WorkerConnection): Exchange => {
+        pool.lastSentAt = clock.now();
+        return needsProcess && identity !== undefined
           ? identity.exchange(connection, request, { worker, sink })
           : connection.exchange(request, sink);
-      const pool = pools.get(worker.id) ?? { connections: [], lastReceivedAt: undefined };
+      };
       for (const stale of pool.connections.filter(
         (connection) => connection.isIdle() && !canReuse(connection, true),
       )) {
@@ -112,7 +116,13 @@
           idle.close();
       }
     },
-    lastReceivedAt: (id) => pools.get(id)?.lastReceivedAt,
+    activity: (id) => {
+      const pool = pools.get(id);
+      if (pool === undefined) return undefined;
+      const { lastSentAt, lastReceivedAt, connections } = pool;
+      const isAwaited = connections.some((connection) => connection.isAwaited());
+      return { lastSentAt, lastReceivedAt, isAwaited };
+    },
     get openedCount() {
       return path.dialCount;
     },
@@ -124,6 +134,10 @@
   };
 }
 
+function createPool(): ConnectionPool {
+  return { connections: [], lastSentAt: undefined, lastReceivedAt: undefined };
+}
+
 /** Returns whether an idle connection may be reused, depending on whether the request is repeatable. */
 function canReuse(connection: WorkerConnection, repeatable: boolean): boolean {
   const { idleTimeout } = connection;
--- a/src/decision/attempt_silence.ts
+++ b/src/decision/attempt_silence.ts
@@ -15,25 +15,42 @@
  *   0.9 s: engines generate tokens for all their requests in turn, so one stream alone is not
  *   silent for long. Callers give up on a stream after two seconds or more.
  *
+ * Workers that stand still together, such as those of a machine or a service that is paused, look
+ * like hanging ones too. A request that moves between them takes a place at each, and soon all
+ * places seem taken. So a request moves only to workers that aren't silent, and it stays if several
+ * are and the next answer to this instance will show whether all are.
+ *
  * @module
  */
+import type { WorkerActivity } from "../interface/index.ts";
 
-/** The progress of an attempt; times are in milliseconds. */
-export interface AttemptProgress {
+/** What is expected next of the worker of an attempt; times are in milliseconds. */
+export interface AnswerExpectation {
   /** Whether the answer is streamed. */
   readonly isStream: boolean;
   /** Whether any event has been received. */
   readonly hasFirstEvent: boolean;
-  /** Time since data of this attempt was received. */
-  readonly silentFor: number;
-  /** Time since the worker sent anything to this instance. */
-  readonly workerSilentFor: number;
   /** The latency target of the route. */
   readonly target: number;
   /** The expected time to the first token. */
   readonly expectedFirstToken: number;
 }
 
+/** The progress of an attempt; times are in milliseconds. */
+export interface AttemptProgress extends AnswerExpectation {
+  /** Time since data of this attempt was received. */
+  readonly silentFor: number;
+  /** Time since the worker sent anything to this instance. */
+  readonly workerSilentFor: number;
+}
+
+/** A worker of the service of a request that waits for a silent worker. */
+export interface OtherWorker {
+  readonly id: string;
+  /** What this instance has exchanged with it lately. */
+  readonly activity: WorkerActivity | undefined;
+}
+
 /** Factor on the target of a complete answer. */
 const WHOLE_ANSWER_FACTOR = 2.5;
 /** Factor on the target of a stream's first event. */
@@ -47,10 +64,46 @@
 
 /** Returns whether the worker counts as silent. */
 export function isWorkerSilent(wait: AttemptProgress): boolean {
-  const { isStream, hasFirstEvent, silentFor, workerSilentFor, target, expectedFirstToken } = wait;
-  if (hasFirstEvent) return silentFor > STREAM_SILENCE && workerSilentFor > STREAM_SILENCE;
+  const { hasFirstEvent, silentFor, workerSilentFor } = wait;
+  const limit = silenceLimit(wait);
+  return silentFor > limit && (!hasFirstEvent || workerSilentFor > limit);
+}
+
+/** Returns the milliseconds after which a worker counts as silent. */
+export function silenceLimit({
+  isStream,
+  hasFirstEvent,
+  target,
+  expectedFirstToken,
+}: AnswerExpectation): number {
+  if (hasFirstEvent) return STREAM_SILENCE;
   const targetFactor = isStream ? STREAM_FACTOR : WHOLE_ANSWER_FACTOR;
-  return (
-    silentFor > Math.max(MIN_SILENCE, targetFactor * target, EXPECTED_FACTOR * expectedFirstToken)
-  );
+  return Math.max(MIN_SILENCE, targetFactor * target, EXPECTED_FACTOR * expectedFirstToken);
+}
+
+/**
+ * Returns the workers that a request must not move to as it leaves a silent one, because they have sent nothing since,
+ * either.
+ *
+ * @param workers All workers of the service, its own included.
+ * @param options `silentSince` is when its own worker last sent any of its answer, `limit` the milliseconds after which
+ * a worker counts as silent.
+ * @returns Their ids; undefined if several workers are silent, none has answered since, and one was asked so recently
+ * that its answer will show whether they all are.
+ */
+export function findSilentWorkers(
+  workers: readonly OtherWorker[],
+  options: { readonly silentSince: number; readonly now: number; readonly limit: number },
+): ReadonlySet<string> | undefined {
+  const { silentSince, now, limit } = options;
+  const hasAnswered = ({ activity }: OtherWorker): boolean =>
+    (activity?.lastReceivedAt ?? -Infinity) > silentSince;
+  const isAwaited = ({ activity }: OtherWorker): boolean => activity?.isAwaited ?? false;
+  const wasJustAsked = ({ activity }: OtherWorker): boolean =>
+    now - (activity?.lastSentAt ?? -Infinity) < limit;
+  const unanswered = workers.filter((worker) => isAwaited(worker) && !hasAnswered(worker));
+  const justAsked = unanswered.filter(wasJustAsked);
+  const silentCount = unanswered.length - justAsked.length;
+  if (silentCount > 1 && justAsked.length > 0 && !workers.some(hasAnswered)) return undefined;
+  return new Set(unanswered.map(({ id }) => id));
 }
--- a/src/decision/attempt_silence_test.ts
+++ b/src/decision/attempt_silence_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "vitest";
-import { isWorkerSilent } from "./attempt_silence.ts";
-import type { AttemptProgress } from "./attempt_silence.ts";
+import { findSilentWorkers, isWorkerSilent } from "./attempt_silence.ts";
+import type { AttemptProgress, OtherWorker } from "./attempt_silence.ts";
 
 const LOOKUP: AttemptProgress = {
   isStream: false,
@@ -31,3 +31,36 @@
   expect(isWorkerSilent({ ...streaming, workerSilentFor: 20 })).toBe(false);
   expect(isWorkerSilent({ ...streaming, workerSilentFor: 1_500 })).toBe(true);
 });
+
+const NOW = 10_000;
+const SILENCE = { silentSince: 9_700, now: NOW, limit: 250 };
+
+/** A worker with an unanswered request of this instance. */
+function awaited(id: string, { sentAgo, receivedAgo }: Record<string, number>): OtherWorker {
+  const lastReceivedAt = receivedAgo === undefined ? undefined : NOW - receivedAgo;
+  return { id, activity: { lastSentAt: NOW - (sentAgo ?? 0), lastReceivedAt, isAwaited: true } };
+}
+
+// Guards against requests that each take places at two silent workers when all workers stand still for a while.
+test("a request stays while several workers are silent and the last one asked may still answer", () => {
+  const silent = [awaited("a", { sentAgo: 300, receivedAgo: 400 }), awaited("b", { sentAgo: 280 })];
+  const justAsked = awaited("c", { sentAgo: 100 });
+  expect(findSilentWorkers([...silent, justAsked], SILENCE)).toBeUndefined();
+  const answering = awaited("d", { sentAgo: 100, receivedAgo: 20 });
+  expect(findSilentWorkers([...silent, justAsked, answering], SILENCE)).toEqual(
+    new Set(["a", "b", "c"]),
+  );
+});
+
+// Guards against callers that wait until their deadline although workers are idle.
+test("a request moves away from silent workers if no answer is expected soon", () => {
+  const silent = [awaited("a", { sentAgo: 300 }), awaited("b", { sentAgo: 300 })];
+  const idle: OtherWorker = { id: "c", activity: undefined };
+  expect(findSilentWorkers([...silent, idle], SILENCE)).toEqual(new Set(["a", "b"]));
+});
+
+test("a request moves at once if only its own worker is silent", () => {
+  const own = awaited("a", { sentAgo: 300 });
+  const justAsked = awaited("b", { sentAgo: 10 });
+  expect(findSilentWorkers([own, justAsked], SILENCE)).toEqual(new Set(["a", "b"]));
+});
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -104,6 +104,16 @@
   Unanswered = "unanswered",
 }
 
+/** What an instance has exchanged with a worker lately. Times are in milliseconds of the clock. */
+export interface WorkerActivity {
+  /** When a request was last sent to the worker; undefined if none was. */
+  readonly lastSentAt: number | undefined;
+  /** When data was last received from the worker; undefined if never. */
+  readonly lastReceivedAt: number | undefined;
+  /** Whether the worker has yet to answer a request. Those whose answers are not being read are not counted. */
+  readonly isAwaited: boolean;
+}
+
 /** This instance's connections to all workers. */
 export interface WorkerConnections {
   /**
@@ -120,8 +130,8 @@
   tryConnect(place: WorkerEndpoint): Promise<ConnectResult>;
   /** Closes the idle connections of all workers except those with the given ids. Exchanges in progress continue. */
   retainWorkers(ids: ReadonlySet<string>): void;
-  /** Returns when data was last received from the worker, in milliseconds of the clock; undefined if never. */
-  lastReceivedAt(id: string): number | undefined;
+  /** Returns what this instance has exchanged with the worker lately; undefined if it has no connection to it. */
+  activity(id: string): WorkerActivity | undefined;
   /** The number of connections opened so far. */
   readonly openedCount: number;
   /** Closes all connections. */
--- a/src/request/placement_request.ts
+++ b/src/request/placement_request.ts
@@ -37,14 +37,17 @@
   readonly service: RoutedService;
   /** Ids of the workers that were already tried for the request. */
   readonly tried: ReadonlySet<string>;
+  /** Ids of the workers that don't get it now for another reason; none by default. */
+  readonly avoided?: ReadonlySet<string>;
   /** The only version of workers that may get the request; undefined if any may. */
   readonly version: string | undefined;
 }
 
-/** Whether a worker was not tried for a request yet and has the only version that may get it, if there is one. */
-export function isUntried(
-  worker: Pick<CandidateWorker, "id" | "version">,
-  { tried, version }: Pick<PlacementRequest, "tried" | "version">,
+/** Whether a worker may get a request: it was not tried for it and has the only version that may get it, if there is one. */
+export function isEligible(
+  { id, version: workerVersion }: Pick<CandidateWorker, "id" | "version">,
+  { tried, avoided, version }: Pick<PlacementRequest, "tried" | "avoided" | "version">,
 ): boolean {
-  return !tried.has(worker.id) && (version === undefined || worker.version === version);
+  if (tried.has(id) || avoided?.has(id) === true) return false;
+  return version === undefined || workerVersion === version;
 }
--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -1,4 +1,5 @@
-import { isWorkerSilent } from "../decision/index.ts";
+import { isWorkerSilent, silenceLimit } from "../decision/index.ts";
+import type { AnswerExpectation } from "../decision/index.ts";
 import type { ResponseHead, Exchange } from "../interface/index.ts";
 import type { WorkerRun, CandidateWorker } from "./routed_context.ts";
 
@@ -22,6 +23,8 @@
   isStreaming: boolean;
   /** Time of the last data from the worker, or of the last resume, in the clock's milliseconds. */
   lastReceivedAt: number;
+  /** Whether the last check found several workers silent that may have stopped together. */
+  isSilenceShared: boolean;
   /** When the first complete event arrived, in the clock's milliseconds; undefined until then. */
   firstEventAt: number | undefined;
   /** Whether reading from the worker is paused because the caller reads too slowly. */
@@ -44,38 +47,51 @@
     size: 0,
     isStreaming: false,
     lastReceivedAt: startedAt,
+    isSilenceShared: false,
     firstEventAt: undefined,
     isPaused: false,
   };
 }
 
+/** The properties of a route from which the expected time of its answers follows. */
+export interface RouteTiming {
+  /** Whether the route delivers a stream of events. */
+  readonly isStream: boolean;
+  /** Maximum time to the first event for which the answer is on time, in milliseconds. */
+  readonly target: number;
+}
+
 /** Inputs for the check of an attempt. */
-export interface AttemptCheck {
+export interface AttemptCheck extends RouteTiming {
   /** Current time, in the clock's milliseconds. */
   readonly now: number;
   /** Time at which the worker last sent anything; undefined if it has sent nothing. */
   readonly workerLastReceivedAt: number | undefined;
-  /** Whether the route delivers a stream of events. */
-  readonly isStream: boolean;
-  /** Maximum time to the first event for which the answer is on time, in milliseconds. */
-  readonly target: number;
 }
 
 /**
  * Whether the worker has sent nothing for so long that it counts as hung. Nothing is expected of a
  * worker while the caller reads too slowly.
  */
-export function isHungAttempt(
-  { isPaused, firstEventAt, lastReceivedAt, startedAt, expectedWait }: Attempt,
-  { now, workerLastReceivedAt = startedAt, isStream, target }: AttemptCheck,
-): boolean {
-  if (isPaused) return false;
+export function isHungAttempt(attempt: Attempt, check: AttemptCheck): boolean {
+  const { now, workerLastReceivedAt = attempt.startedAt } = check;
+  if (attempt.isPaused) return false;
   return isWorkerSilent({
-    isStream,
-    hasFirstEvent: firstEventAt !== undefined,
-    silentFor: now - lastReceivedAt,
+    ...expectationOf(attempt, check),
+    silentFor: now - attempt.lastReceivedAt,
     workerSilentFor: now - workerLastReceivedAt,
-    target,
-    expectedFirstToken: expectedWait,
   });
 }
+
+/** Returns the milliseconds after which the worker of an attempt counts as silent. */
+export function silenceLimitOf(attempt: Attempt, timing: RouteTiming): number {
+  return silenceLimit(expectationOf(attempt, timing));
+}
+
+function expectationOf(
+  { firstEventAt, expectedWait }: Attempt,
+  { isStream, target }: RouteTiming,
+): AnswerExpectation {
+  const hasFirstEvent = firstEventAt !== undefined;
+  return { isStream, hasFirstEvent, target, expectedFirstToken: expectedWait };
+}
--- a/src/request/routed_failures.ts
+++ b/src/request/routed_failures.ts
@@ -3,14 +3,15 @@
  *
  * @module
  */
+import { findSilentWorkers } from "../decision/index.ts";
 import { DialFailure } from "../interface/index.ts";
 import type { ExchangeEnd } from "../interface/index.ts";
 import { RoutedRefusal } from "./caller_response.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RunResult } from "./routed_context.ts";
 import { giveUp, NO_WORKER_RETRY_AFTER } from "./routed_end.ts";
-import { recordNoPath } from "./routed_progress.ts";
-import { moveElsewhere, RepeatCause, retry } from "./routed_repeats.ts";
+import { NO_WORKERS, recordNoPath } from "./routed_progress.ts";
+import { canMove, moveElsewhere, RepeatCause, retry } from "./routed_repeats.ts";
 import { countUnanswered, endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -61,10 +62,42 @@
   retry(state, RepeatCause.WorkerLost);
 }
 
-/** Handles an attempt whose worker hangs. */
-export function handleSilence(state: RoutedRunState, attempt: Attempt): void {
-  logStep(state, "silent", { worker: attempt.worker.id });
-  moveElsewhere(state, { result: RunResult.Failed, cause: RepeatCause.WorkerSilent });
+/**
+ * Moves the request away from a worker that hangs, if it may move and there is a worker that isn't silent, too.
+ *
+ * @param options `limit` is the time after which the worker counts as silent, in milliseconds.
+ * @returns Whether the request has moved.
+ */
+export function handleSilence(
+  state: RoutedRunState,
+  { attempt, limit }: { readonly attempt: Attempt; readonly limit: number },
+): boolean {
+  const { progress } = state;
+  const silent = findSilent(state, { attempt, limit });
+  const wasShared = attempt.isSilenceShared;
+  attempt.isSilenceShared = silent === undefined;
+  // After the first answer of another worker, its own has until the next check. Otherwise all requests would move as
+  // soon as one of the workers goes on.
+  if (silent === undefined || wasShared) return false;
+  progress.avoided = silent;
+  const isMoving = canMove(state);
+  if (isMoving) {
+    logStep(state, "silent", { worker: attempt.worker.id, others: silent.size });
+    moveElsewhere(state, { result: RunResult.Failed, cause: RepeatCause.WorkerSilent });
+  }
+  progress.avoided = NO_WORKERS;
+  return isMoving;
+}
+
+function findSilent(
+  { context: { clock, connections, workerLoads }, admitted }: RoutedRunState,
+  { attempt, limit }: { readonly attempt: Attempt; readonly limit: number },
+): ReadonlySet<string> | undefined {
+  const { lastReceivedAt: silentSince } = attempt;
+  const workers = workerLoads
+    .candidates(admitted.service)
+    .map(({ id }) => ({ id, activity: connections.activity(id) }));
+  return findSilentWorkers(workers, { silentSince, now: clock.now(), limit });
 }
 
 /** Tries another worker. Nothing has reached the first one, so this is not a repeat. */
--- a/src/request/routed_placement.ts
+++ b/src/request/routed_placement.ts
@@ -24,8 +24,8 @@
     return;
   }
   const { arrival, service } = admitted;
-  const { tried, version } = progress;
-  const choice = chooseWorkers(context, { arrival, service, tried, version });
+  const { tried, avoided, version } = progress;
+  const choice = chooseWorkers(context, { arrival, service, tried, avoided, version });
   if (choice.kind === "ranked") sendToFirst(state, choice.inOrder());
   else if (choice.kind === "overloaded") refuseOverload(state, { choice, timeLeft });
   else if (choice.kind === "over-share") refuseOverShare(state, choice);
--- a/src/request/routed_progress.ts
+++ b/src/request/routed_progress.ts
@@ -4,6 +4,8 @@
   readonly tried: Set<string>;
   /** Those of them to which no path was found. They are tried again if there is no other one. */
   readonly unreached: Set<string>;
+  /** Ids of the workers that don't get the request as it moves away from a silent one, because they are silent, too. */
+  avoided: ReadonlySet<string>;
   /** Number of sends for which a run can't be ruled out. */
   runs: number;
   /** Whether a send has ended after which the request may have run. */
@@ -16,6 +18,9 @@
   firstEventAfter: number | undefined;
 }
 
+/** No workers are avoided. */
+export const NO_WORKERS: ReadonlySet<string> = new Set();
+
 /**
  * Creates the progress of a request that was not sent yet.
  *
@@ -25,6 +30,7 @@
   return {
     tried: new Set(),
     unreached: new Set(),
+    avoided: NO_WORKERS,
     runs: 0,
     hasPossiblyRun: false,
     lostPaths: 0,
--- a/src/request/routed_ranking.ts
+++ b/src/request/routed_ranking.ts
@@ -1,6 +1,6 @@
 import { findHomes, rankWorkers } from "../decision/index.ts";
 import type { PromptHomes, RankedChoice } from "../decision/index.ts";
-import { isUntried } from "./placement_request.ts";
+import { isEligible } from "./placement_request.ts";
 import type { PlacementRequest } from "./placement_request.ts";
 import type { CandidateWorker, RoutedContext } from "./routed_context.ts";
 
@@ -24,7 +24,7 @@
     homes?: PromptHomes<CandidateWorker>,
   ): readonly RankedChoice<CandidateWorker>[] =>
     rankWorkers(
-      workers.filter((worker) => isUntried(worker, placement)),
+      workers.filter((worker) => isEligible(worker, placement)),
       {
         request: { parts: promptParts },
         speed: workerLoads.timing(service),
--- a/src/request/routed_repeats.ts
+++ b/src/request/routed_repeats.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { RoutedRefusal } from "./caller_response.ts";
-import { isUntried } from "./placement_request.ts";
+import { isEligible } from "./placement_request.ts";
 import { RunResult } from "./routed_context.ts";
 import { BUSY_RETRY_AFTER, giveUp, refuse } from "./routed_end.ts";
 import { isRepeatable } from "./routed_request.ts";
@@ -110,7 +110,7 @@
 
 function hasOtherWorker({ context, admitted, progress }: RoutedRunState): boolean {
   const candidates = context.workerLoads.candidates(admitted.service);
-  return candidates.some((worker) => isUntried(worker, progress));
+  return candidates.some((worker) => isEligible(worker, progress));
 }
 
 function takeFromBudget({ context, admitted }: RoutedRunState): boolean {
--- a/src/request/routed_silence.ts
+++ b/src/request/routed_silence.ts
@@ -1,8 +1,7 @@
 import { afterRunningTime } from "../interface/index.ts";
-import { isHungAttempt } from "./routed_attempt.ts";
+import { isHungAttempt, silenceLimitOf } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { handleSilence } from "./routed_failures.ts";
-import { canMove } from "./routed_repeats.ts";
 import { deliversEvents } from "./routed_request.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -18,8 +17,7 @@
   state.silenceTimer?.close();
   const check = (): void => {
     if (state.isDone || state.current !== attempt) return;
-    if (isHung(state, attempt) && canMove(state)) handleSilence(state, attempt);
-    else watchSilence(state, attempt);
+    if (!moveIfHung(state, attempt)) watchSilence(state, attempt);
   };
   // One step, because every request in progress has this timer.
   state.silenceTimer = afterRunningTime(state.context.clock, SILENCE_CHECK_INTERVAL, check, {
@@ -27,13 +25,15 @@
   });
 }
 
-function isHung({ context, admitted }: RoutedRunState, attempt: Attempt): boolean {
+function moveIfHung(state: RoutedRunState, attempt: Attempt): boolean {
+  const { context, admitted } = state;
   const { route } = admitted.arrival;
-  const workerLastReceivedAt = context.connections.lastReceivedAt(attempt.worker.id);
-  return isHungAttempt(attempt, {
+  const check = {
     now: context.clock.now(),
-    workerLastReceivedAt,
+    workerLastReceivedAt: context.connections.activity(attempt.worker.id)?.lastReceivedAt,
     isStream: deliversEvents(route),
     target: route.latencyTarget,
-  });
+  };
+  if (!isHungAttempt(attempt, check)) return false;
+  return handleSilence(state, { attempt, limit: silenceLimitOf(attempt, check) });
 }
--- a/src/request/routed_silence_test.ts
+++ b/src/request/routed_silence_test.ts
@@ -44,7 +44,7 @@
     context: {
       clock,
       workerLoads: { candidates: () => [{ id: "other" }] },
-      connections: { lastReceivedAt: () => undefined },
+      connections: { activity: () => undefined },
       repeats: { take: () => true },
       metrics: { repeated: () => undefined },
       logDecision: () => undefined,
