Leave the silence of a worker out of the time that its runs take

Callers were refused as overloaded in the second and third silence of all workers that served the first one.

Cause: the runs that waited for the end of a silence of 1.5 s counted with that time. The moving average rose from 50 to 140 to 400 ms, so that two or three runs above a worker's slots seemed to be a wait above the target, long after the workers had gone on. The time beyond that after which a worker counts as silent is now left out. Runs that are slow in every case still count with that time.

--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -287,6 +287,7 @@
       entry.unreadTokens = Math.max(0, entry.unreadTokens + tokensBy);
     };
     let unread = prefillTokens;
+    let silence = 0;
     const clearUnread = (): void => {
       adjustLoad(0, -unread);
       unread = 0;
@@ -306,6 +307,9 @@
           rooms.recordAnswer(hash, { survives, sentAt }),
         );
       },
+      recordSilence: (duration) => {
+        silence += duration;
+      },
       recordFirstEvent: () => {
         const now = clock.now();
         recordPrefill(target, { tokens: unreadTotal, duration: now - startedAt });
@@ -320,7 +324,7 @@
         const now = clock.now();
         const entry = entries.get(id);
         if (result === RunResult.Answered) {
-          timings.recordRun(service, now - startedAt);
+          timings.recordRun(service, now - startedAt - silence);
           tally?.recordAnswer(now);
         }
         const effect = HEALTH_EFFECT[result];
--- a/src/process/routed_worker_table_test.ts
+++ b/src/process/routed_worker_table_test.ts
@@ -237,3 +237,21 @@
   expect(factors).toEqual([slowness, 1, 1]);
   expect(table.candidates(service).map((worker) => Math.round(worker.slowness))).toEqual(factors);
 });
+
+// Guards against refusals after workers stood still for a moment, because runs seem to take as long as that.
+test("the silence of a worker isn't counted as the time of its runs", async () => {
+  const clock = createVirtualClock();
+  const table = createTestTable({ clock });
+  const service = { name: "desk", maxConnections: 60 } as RoutedService;
+  const [worker] = table.candidates(service);
+  if (worker === undefined) throw new Error("There is no worker.");
+  const serve = async (silence: number): Promise<void> => {
+    const run = table.begin(worker, { prefillTokens: 0, route: "r" });
+    await clock.advance(20 + silence);
+    if (silence > 0) run.recordSilence(silence);
+    run.end(RunResult.Answered);
+  };
+  for (let index = 0; index < 10; index++) await serve(0);
+  for (let index = 0; index < 10; index++) await serve(1_500);
+  expect(table.timing(service).runTime).toBeCloseTo(20);
+});
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -43,6 +43,8 @@
 export interface WorkerRun {
   /** Records that the worker has started to respond, and what the response states about the load that it bears. */
   recordResponse(tolerance: WorkerTolerance): void;
+  /** Records the milliseconds of silence by which the worker exceeded the time after which it counts as silent. */
+  recordSilence(duration: number): void;
   /** Records that the first event has arrived, so the worker has read the prompt. */
   recordFirstEvent(): void;
   /** Ends the run and records its result. */
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ResponseHead } from "../interface/index.ts";
+import { silenceLimitOf } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RepeatCause, retry } from "./routed_repeats.ts";
 import { deliversEvents } from "./routed_request.ts";
@@ -27,16 +28,26 @@
 
 /** Handles the head of a worker's response. */
 export function receiveHead(
-  { context, admitted, current }: RoutedRunState,
+  state: RoutedRunState,
   { attempt, head }: { readonly attempt: Attempt; readonly head: ResponseHead },
 ): void {
-  if (current !== attempt) return;
+  const { context, admitted } = state;
+  if (state.current !== attempt) return;
+  recordSilence(state, attempt);
   attempt.lastReceivedAt = context.clock.now();
   attempt.head = head;
   attempt.run.recordResponse(parseWorkerTolerance(head, context.names));
   attempt.isStreaming = deliversEvents(admitted.arrival.route) && isSuccess(head.status);
 }
 
+/** Records how long the worker has stood still, so that it doesn't count as the usual time of a run. */
+function recordSilence({ context, admitted }: RoutedRunState, attempt: Attempt): void {
+  const { route } = admitted.arrival;
+  const options = { isStream: deliversEvents(route), target: route.latencyTarget };
+  const excess = context.clock.now() - attempt.lastReceivedAt - silenceLimitOf(attempt, options);
+  if (excess > 0) attempt.run.recordSilence(excess);
+}
+
 /** Handles bytes of the body of a worker's response. */
 export function receiveData(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
   if (state.current !== attempt) return;
