Test that requests stay while workers that stood still together go on

A request that waited through a shared silence moves at the second check after the first answer of another worker.

--- a/src/request/routed_silence_test.ts
+++ b/src/request/routed_silence_test.ts
@@ -1,11 +1,12 @@
 import { expect, test } from "vitest";
-import type { Clock } from "../interface/index.ts";
+import type { Clock, WorkerActivity } from "../interface/index.ts";
 import { createStallingClock, createVirtualClock } from "../standin/memory/index.ts";
 import type { VirtualClock } from "../standin/memory/index.ts";
 import { Delivery, Repetition } from "../version/index.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RunResult } from "./routed_context.ts";
+import type { CandidateWorker } from "./routed_context.ts";
 import { createRunProgress } from "./routed_progress.ts";
 import { releaseReserve } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
@@ -111,3 +112,23 @@
   clock.advance(1_000);
   expect(events).toEqual(["next"]);
 });
+
+// Guards against requests that all move at the moment in which workers that stood still together go on.
+test("a request that waited through a shared silence moves later than the first answer of another worker", async () => {
+  const { clock, state, events } = setUp();
+  const lastSentAt = (): number => clock.now() - 50;
+  const asked = { lastReceivedAt: undefined, isAwaited: true };
+  const other = { ...asked, lastSentAt: clock.now() };
+  const activities: Record<string, WorkerActivity> = { w: other, second: other };
+  state.context.connections.activity = (id) =>
+    id === "third" ? { ...asked, lastSentAt: lastSentAt() } : activities[id];
+  state.context.workerLoads.candidates = () =>
+    ["w", "second", "third"].map((id) => ({ id })) as CandidateWorker[];
+  await clock.advance(5_000);
+  expect(events).toEqual([]);
+  activities["second"] = { ...other, lastReceivedAt: clock.now(), isAwaited: false };
+  await clock.advance(150);
+  expect(events).toEqual([]);
+  await clock.advance(150);
+  expect(events).toEqual(["next"]);
+});
