End an answer of endless interim responses or trailers at once

Cause: the size of each interim head and each trailer line was bounded, but not their sum, and chunk extensions only if their line came in pieces. Each received piece was joined with everything before it and searched from the start, so small pieces of a long head cost time that grew with the square of its length.

Change: sums and counts of interim responses, trailers and chunk extensions are bounded for each response.

--- a/src/connection/response_parser.ts
+++ b/src/connection/response_parser.ts
@@ -11,6 +11,7 @@
  */
 import { BodyFraming } from "../interface/index.ts";
 import type { ResponseHead } from "../interface/index.ts";
+import { createReceivedBytes } from "./received_bytes.ts";
 
 /** Receives the parsed parts of a response, in order. */
 export interface ResponseSink {
@@ -52,7 +53,7 @@
   Unexpected = "unexpected bytes",
   /** The status line, a header line or the body framing is invalid or ambiguous. */
   Malformed = "malformed answer",
-  /** The head or a trailer line exceeds its size limit. */
+  /** The head, the interim responses, the trailers or the chunk extensions exceed their limit. */
   TooLarge = "head too large",
   /** The connection was closed before the response was complete. */
   Truncated = "truncated answer",
@@ -60,11 +61,32 @@
 
 /** Maximum size of a response head, in bytes; the engines' heads are under 1000 bytes. */
 const MAX_HEAD_BYTES = 65_536;
+/**
+ * Maximum size of the interim (1xx) responses before one final response, in bytes. Without a limit on their sum, a
+ * worker that sends them without end would be read until the request's deadline.
+ */
+const MAX_INTERIM_BYTES = 65_536;
+/**
+ * Maximum number of interim responses before one final response, since small ones reach the size limit late. A worker
+ * that reports progress (102) every 200 ms stays below it for 20 s.
+ */
+const MAX_INTERIM_RESPONSES = 100;
+/** Maximum size of the trailers of one response, in bytes, for the same reason as that of interim responses. */
+const MAX_TRAILER_BYTES = 65_536;
+/** Maximum number of trailer lines of one response, since short ones reach the size limit late. */
+const MAX_TRAILER_LINES = 100;
 /** Maximum length of a chunk size line with its extensions, in characters. */
 const MAX_SIZE_LINE_LENGTH = 256;
+/**
+ * Maximum sum of the chunk extensions of one response, in bytes. Otherwise a small body could cost any amount of
+ * processing.
+ */
+const MAX_EXTENSION_BYTES = 65_536;
 const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
-const SIZE_LINE = /^([0-9a-fA-F]{1,12})[ \t]*(?:;.*)?$/;
+const SIZE_LINE = /^([0-9a-fA-F]{1,12})([ \t]*(?:;.*)?)$/;
+const LINE_END = "\r\n";
+const HEAD_END = "\r\n\r\n";
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 const MIN_FINAL_STATUS = 200;
@@ -94,8 +116,14 @@
   let state = ParserState.Idle;
   let sink: ResponseSink | undefined;
   let method = "";
-  let buffered: Buffer = Buffer.alloc(0);
+  const buffered = createReceivedBytes();
   let remaining = 0;
+  /** Sums over the response that is being parsed, for their limits. */
+  let interimBytes = 0;
+  let interimCount = 0;
+  let trailerBytes = 0;
+  let trailerLines = 0;
+  let extensionBytes = 0;
 
   const complete = (): void => {
     state = ParserState.Idle;
@@ -103,23 +131,21 @@
     sink = undefined;
     completed?.end();
   };
-  /** Removes a line ending in CR LF from the buffer; undefined if it is incomplete. */
-  const takeLine = (): string | undefined => {
-    const end = buffered.indexOf("\r\n");
-    if (end < 0) return undefined;
-    const line = buffered.toString("latin1", 0, end);
-    buffered = buffered.subarray(end + 2);
-    return line;
+  const takeInterim = (size: number): ParseFault | boolean => {
+    interimBytes += size;
+    interimCount++;
+    const isWithinLimits =
+      interimBytes <= MAX_INTERIM_BYTES && interimCount <= MAX_INTERIM_RESPONSES;
+    return isWithinLimits ? true : ParseFault.TooLarge;
   };
   const takeHead = (): ParseFault | boolean => {
-    const end = buffered.indexOf("\r\n\r\n");
-    if (end < 0) return buffered.length > MAX_HEAD_BYTES ? ParseFault.TooLarge : false;
-    const head = parseHead(buffered.toString("latin1", 0, end));
-    buffered = buffered.subarray(end + 4);
+    const text = buffered.takeThrough(HEAD_END);
+    if (text === undefined) return buffered.length > MAX_HEAD_BYTES ? ParseFault.TooLarge : false;
+    const head = parseHead(text);
     if (head === undefined) return ParseFault.Malformed;
     if (head.status === SWITCHING_PROTOCOLS) return ParseFault.Malformed;
     // An interim (1xx) response is followed by the final one.
-    if (head.status < MIN_FINAL_STATUS) return true;
+    if (head.status < MIN_FINAL_STATUS) return takeInterim(text.length + HEAD_END.length);
     const body = responseBody(head, method);
     if (body === undefined) return ParseFault.Malformed;
     state = STATE_BY_FRAMING[body.framing];
@@ -130,8 +156,7 @@
   };
   const takeBody = (next: ParserState): boolean => {
     if (buffered.length === 0) return false;
-    const chunk = buffered.subarray(0, remaining);
-    buffered = buffered.subarray(chunk.length);
+    const chunk = buffered.take(remaining);
     remaining -= chunk.length;
     sink?.data(chunk);
     if (remaining > 0) return true;
@@ -140,27 +165,37 @@
     return true;
   };
   const takeChunkSize = (): ParseFault | boolean => {
-    const line = takeLine();
+    const line = buffered.takeThrough(LINE_END);
     if (line === undefined)
       return buffered.length > MAX_SIZE_LINE_LENGTH ? ParseFault.Malformed : false;
-    const size = SIZE_LINE.exec(line)?.[1];
+    if (line.length > MAX_SIZE_LINE_LENGTH) return ParseFault.Malformed;
+    const [, size, extension = ""] = SIZE_LINE.exec(line) ?? [];
     if (size === undefined) return ParseFault.Malformed;
+    extensionBytes += extension.length;
+    if (extensionBytes > MAX_EXTENSION_BYTES) return ParseFault.TooLarge;
     remaining = Number.parseInt(size, 16);
     state = remaining === 0 ? ParserState.Trailer : ParserState.ChunkData;
     return true;
   };
   const takeChunkEnd = (): ParseFault | boolean => {
-    const line = takeLine();
+    const line = buffered.takeThrough(LINE_END);
     if (line === undefined) return buffered.length > 1 ? ParseFault.Malformed : false;
     if (line !== "") return ParseFault.Malformed;
     state = ParserState.ChunkSize;
     return true;
   };
   const takeTrailer = (): ParseFault | boolean => {
-    const line = takeLine();
-    if (line === undefined) return buffered.length > MAX_HEAD_BYTES ? ParseFault.TooLarge : false;
-    if (line === "") complete();
-    return true;
+    const line = buffered.takeThrough(LINE_END);
+    const size = line === undefined ? buffered.length : line.length + LINE_END.length;
+    if (trailerBytes + size > MAX_TRAILER_BYTES) return ParseFault.TooLarge;
+    if (line === undefined) return false;
+    if (line === "") {
+      complete();
+      return true;
+    }
+    trailerBytes += size;
+    trailerLines++;
+    return trailerLines > MAX_TRAILER_LINES ? ParseFault.TooLarge : true;
   };
   /** Parses the next element; returns false if more bytes are needed. */
   const step = (): ParseFault | boolean => {
@@ -186,7 +221,7 @@
   };
   return {
     feed: (bytes) => {
-      buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
+      buffered.append(bytes);
       for (;;) {
         const result = step();
         if (result === true) continue;
@@ -203,6 +238,11 @@
       method = requestMethod;
       sink = responseSink;
       state = ParserState.Head;
+      interimBytes = 0;
+      interimCount = 0;
+      trailerBytes = 0;
+      trailerLines = 0;
+      extensionBytes = 0;
     },
   };
 }
--- a/src/connection/response_parser_test.ts
+++ b/src/connection/response_parser_test.ts
@@ -120,3 +120,81 @@
   const endless = Buffer.from(`HTTP/1.1 200 OK\r\nA: ${"x".repeat(70_000)}`);
   expect(parse(endless, [1_000]).fault).toBe(ParseFault.TooLarge);
 });
+
+/** Parses copies of a part without end, up to a number of bytes far above any limit. */
+function parseEndless(
+  start: string,
+  part: string,
+  size: number,
+): ParseResult & { readonly read: number } {
+  const most = 4_000_000;
+  const parser = createResponseParser();
+  let endCount = 0;
+  parser.expectResponse("GET", {
+    head: () => undefined,
+    data: () => undefined,
+    end: () => endCount++,
+  });
+  let fault = parser.feed(Buffer.from(start));
+  const bytes = Buffer.from(part.repeat(Math.ceil(Math.max(size, 1) / part.length)));
+  let read = 0;
+  for (; fault === undefined && read < most; read += bytes.length) {
+    for (let offset = 0; fault === undefined && offset < bytes.length; offset += size)
+      fault = parser.feed(bytes.subarray(offset, offset + size));
+  }
+  return { status: undefined, body: "", endCount, fault, read };
+}
+
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const ENDLESS = [
+  { name: "small interim responses", start: "", part: "HTTP/1.1 102 Processing\r\n\r\n" },
+  {
+    name: "large interim responses",
+    start: "",
+    part: `HTTP/1.1 103 Early Hints\r\nLink: ${"x".repeat(30_000)}\r\n\r\n`,
+  },
+  { name: "short trailer lines", start: `${CHUNKED_HEAD}0\r\n`, part: "a: b\r\n" },
+  {
+    name: "long trailer lines",
+    start: `${CHUNKED_HEAD}0\r\n`,
+    part: `a: ${"x".repeat(30_000)}\r\n`,
+  },
+  { name: "one trailer line", start: `${CHUNKED_HEAD}0\r\n`, part: "x" },
+  {
+    name: "chunk extensions",
+    start: CHUNKED_HEAD,
+    part: `1;${"x".repeat(200)}\r\nx\r\n`,
+  },
+];
+
+// Guards against a worker whose bytes are no answer and never end: they were read until the request's deadline.
+test.each(ENDLESS)("an answer with endless $name is a fault", ({ start, part }) => {
+  for (const size of [1, 7, 65_536]) {
+    const { fault, read, endCount } = parseEndless(start, part, size);
+    expect(fault).toBe(ParseFault.TooLarge);
+    expect(read).toBeLessThan(300_000);
+    expect(endCount).toBe(0);
+  }
+});
+
+test("interim responses and trailers below the limits are accepted for each response", () => {
+  const interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(90);
+  const text = `${interim}${CHUNKED_HEAD}1\r\nx\r\n0\r\n${"a: b\r\n".repeat(90)}\r\n`;
+  const parser = createResponseParser();
+  for (let count = 1; count <= 3; count++) {
+    let endCount = 0;
+    parser.expectResponse("GET", {
+      head: () => undefined,
+      data: () => undefined,
+      end: () => endCount++,
+    });
+    expect(parser.feed(Buffer.from(text))).toBeUndefined();
+    expect(endCount).toBe(1);
+  }
+});
+
+test("a size line over its limit is rejected however its bytes are split", () => {
+  const line = `${CHUNKED_HEAD}1;${"x".repeat(300)}\r\nx\r\n0\r\n\r\n`;
+  for (const size of [1, 10_000])
+    expect(parse(Buffer.from(line), [size]).fault).toBe(ParseFault.Malformed);
+});
