Treat a control character in a worker's header as a fault of the worker

Callers saw: all requests of an instance ended without a byte, because the process ended. One answer of one worker was enough.

Cause: the value of a worker's header was passed to Node.js unchecked. Node.js refuses control characters by an error, which was thrown while the worker's connection was read, where nothing catches it.

Change: such a head is malformed, so that the request is sent to another worker or ends with 502.

--- a/src/connection/response_parser.ts
+++ b/src/connection/response_parser.ts
@@ -84,6 +84,8 @@
 const MAX_EXTENSION_BYTES = 65_536;
 const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+/** A field value as Node.js accepts it for a caller's response. */
+const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
 const SIZE_LINE = /^([0-9a-fA-F]{1,12})([ \t]*(?:;.*)?)$/;
 const LINE_END = "\r\n";
 const HEAD_END = "\r\n\r\n";
@@ -258,6 +260,8 @@
     const name = line.slice(0, Math.max(0, colon));
     if (!TOKEN.test(name)) return undefined;
     const value = line.slice(colon + 1).trim();
+    // A control character can't be sent on: writing the caller's response would throw an error.
+    if (!FIELD_VALUE.test(value)) return undefined;
     headers.push(name, value);
     const previousValue = byName.get(name.toLowerCase());
     // With two different lengths, two peers could disagree about where the response ends.
--- a/src/connection/response_parser_test.ts
+++ b/src/connection/response_parser_test.ts
@@ -198,3 +198,12 @@
   for (const size of [1, 10_000])
     expect(parse(Buffer.from(line), [size]).fault).toBe(ParseFault.Malformed);
 });
+
+// Guards against a head that can't be sent on to a caller: writing it threw an error that ended the whole instance.
+test.each(["\0", "\u0001", "\n", "\r", "\u007f"])(
+  "a header value with the control character %j is rejected",
+  (character) => {
+    const text = `HTTP/1.1 200 OK\r\nA: x${character}y\r\nContent-Length: 0\r\n\r\n`;
+    expect(parse(Buffer.from(text), [1_000]).fault).toBe(ParseFault.Malformed);
+  },
+);
