Don't take a stall of the process for an outage of the store

What callers see: a worker whose registration is removed gets requests for up to 2 s more, and those that may run once fail there, if the instance had no processor time just before the removal arrived.

Cause: an instance takes 2 s between two answers of the store for an outage and holds back removals after it, because registrations may only have expired. It counted the time in which the process itself was stalled. With silent connections the first answer comes up to 1.8 s after the last one, so that a stall of a few hundred milliseconds was enough. All instances of a test share one process and stall together.

Change: only the time counts in which the process was able to run, measured by the lateness of a timer. An outage during which the process ran for less than 2 s goes unnoticed.

Measured: the new test of the outage detector failed before (an outage was found) and passes now.

--- a/src/process/store_outage_test.ts
+++ b/src/process/store_outage_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
-import { createVirtualClock } from "../standin/memory/virtual_clock.ts";
+import { createStallingClock, createVirtualClock } from "../standin/memory/index.ts";
+import { createRunningTime } from "./running_time.ts";
 import { createStoreOutage } from "./store_outage.ts";
 import type { StoreOutage } from "./store_outage.ts";
 
@@ -13,7 +14,9 @@
 function setUp(): OutageSetup {
   const clock = createVirtualClock();
   const ends: number[] = [];
-  const outage = createStoreOutage({ clock, onEnd: (at) => ends.push(at) });
+  const runningTime = createRunningTime(clock);
+  runningTime.start();
+  const outage = createStoreOutage({ clock, runningTime, onEnd: (at) => ends.push(at) });
   outage.recordAnswer();
   return { clock, outage, ends };
 }
@@ -87,3 +90,22 @@
   outage.recordAnswer();
   expect(ends.length).toBe(1);
 });
+
+// The process has no processor time for three seconds. If it took that for an outage of the store, it would send requests
+// to a worker that was removed meanwhile for two more seconds.
+test("a stall of the process is not an outage of the store", () => {
+  const clock = createStallingClock();
+  const runningTime = createRunningTime(clock);
+  runningTime.start();
+  const ends: number[] = [];
+  const outage = createStoreOutage({ clock, runningTime, onEnd: (at) => ends.push(at) });
+  outage.recordAnswer();
+  clock.stall(3_000);
+  outage.recordAnswer();
+  expect(ends).toEqual([]);
+  clock.advance(1_500);
+  clock.stall(3_000);
+  clock.advance(500);
+  outage.recordAnswer();
+  expect(ends).toEqual([clock.now()]);
+});
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -20,6 +20,7 @@
 import type { PeerInstance } from "./peer.ts";
 import type { StoredKinds } from "./routed_entry_parts.ts";
 import type { RoutedLog } from "./routed_log.ts";
+import { createRunningTime } from "./running_time.ts";
 import { createStoreOutage } from "./store_outage.ts";
 import { createWorkerRoster } from "./worker_roster.ts";
 
@@ -190,8 +191,10 @@
     [kinds.quarantine, quarantineFeed],
     ...(parts.followsRollouts ? [[kinds.rollouts, rolloutFeed] as const] : []),
   ]);
+  const runningTime = createRunningTime(clock);
   const outage = createStoreOutage({
     clock,
+    runningTime,
     onEnd: (at) => {
       log.changed("store-returned", {});
       roster.storeReturned(at);
@@ -289,9 +292,11 @@
     },
     afterDigest: (peer) => catchUp.receive(peer),
     start: () => {
+      runningTime.start();
       for (const feed of feeds.values()) feed.start();
     },
     close: () => {
+      runningTime.close();
       for (const feed of feeds.values()) feed.close();
     },
   };
