Don't call the version of a stream unknown after a stall, or before a starting instance has heard of the others

What callers see: an instance that has just started, or that had no processor time for some tenths of a second, refuses to take up streams as version-unknown, although other instances have their records.

Cause: the inquiry of the other instances ended at a time of the clock, so that after a stall of the process it ended before the answers that had arrived were read. Besides, a starting instance took a stream as unknown as soon as all instances that it had heard of had answered, also if it had heard of only one, without a copy of the record, and not of the one that it was configured with.

Change: the inquiry ends after a running time, with steps that show stalls of 30 ms and more. The time for other inquiries is 300 ms, the 60 ms steps in which the end was checked made it about that before.

--- a/src/process/fleet_table.ts
+++ b/src/process/fleet_table.ts
@@ -16,6 +16,8 @@
   readonly peers: ReadonlyMap<string, Peer>;
   /** Number of instances expected to be present, including this one. */
   readonly members: number;
+  /** Whether this instance has just started and has not heard from every address that it knows. */
+  readonly isDiscovering: boolean;
   /** Adds addresses of possible peers. */
   addAddresses(addresses: readonly string[]): void;
   /**
@@ -117,6 +119,9 @@
     get members() {
       return members;
     },
+    get isDiscovering() {
+      return isStarting && [...peers.values()].some(({ receivedAt }) => receivedAt === NEVER);
+    },
     addAddresses,
     senderOf: ({ session: sender, introduction: received }) => {
       if (sender === session) return undefined;
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -63,6 +63,8 @@
    * last half minute.
    */
   readonly members: number;
+  /** Whether this instance has just started and has not heard from every address that it knows. */
+  readonly isDiscovering: boolean;
   /** Bytes of digests sent since the start. */
   readonly bytesSent: number;
   /** Adds addresses of possible peers. */
@@ -337,6 +339,9 @@
     get members() {
       return table.members;
     },
+    get isDiscovering() {
+      return table.isDiscovering;
+    },
     get bytesSent() {
       return bytesSent;
     },
--- a/src/process/recorded_stream_versions.ts
+++ b/src/process/recorded_stream_versions.ts
@@ -21,7 +21,10 @@
   "clock" | "feed" | "kinds" | "log" | "store"
 > {
   readonly settings: RoutedSettings;
-  readonly fleet: () => Pick<FleetSync, "directPeers" | "live" | "members" | "role">;
+  readonly fleet: () => Pick<
+    FleetSync,
+    "directPeers" | "isDiscovering" | "live" | "members" | "role"
+  >;
   /** Returns the store version of the last change of workers that this instance has. */
   readonly workersVersion: () => number;
   /** Whether this instance writes the record. */
@@ -66,6 +69,7 @@
     self: { peers: settings.listen.peers, zone: settings.zone },
     instances: () => fleet().live(),
     expectsOthers: () => fleet().members > 1,
+    isDiscovering: () => fleet().isDiscovering,
     isSmallFleet: () => fleet().role === FleetRole.Mesh,
     view: {
       ...peerAgreement,
--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -1,4 +1,5 @@
 import type { StreamRecord } from "../decision/index.ts";
+import { afterRunningTime } from "../interface/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
 import type { ServiceVersions } from "./service_versions.ts";
 import type { RecentVersions } from "./stream_record_codec.ts";
@@ -32,6 +33,8 @@
   readonly instances: () => readonly string[];
   /** Whether other instances are expected, although none may be known to be live yet. */
   readonly expectsOthers: () => boolean;
+  /** Whether this instance has just started and has not heard of every instance that it expects. */
+  readonly isDiscovering: () => boolean;
   /** What this instance knows of the workers. */
   readonly view: WorkerView;
   readonly find: (attempt: bigint) => StreamRecord | undefined;
@@ -65,8 +68,8 @@
   hasCompleteView: boolean;
   /** Whether the recent versions according to the store are among those seen. */
   isConfirmed: boolean;
-  /** When the stream counts as unknown at the latest, in the clock's milliseconds. */
-  readonly endsAt: number;
+  /** Ends the inquiry when the stream counts as unknown at the latest. */
+  timeout: Timer | undefined;
   /** When its question was last sent, in the clock's milliseconds. */
   askedAt: number;
 }
@@ -75,10 +78,15 @@
 const QUESTION_DELAY = 5;
 /** Milliseconds after which instances that have not answered are asked again, because a datagram may be lost. */
 const REPEAT_INTERVAL = 60;
-/** Milliseconds after which a stream counts as unknown; an instance on a busy processor answers within this time. */
-const INQUIRY_TIMEOUT = 250;
+/**
+ * Milliseconds of running time after which a stream counts as unknown; an instance on a busy processor answers within
+ * this time.
+ */
+const INQUIRY_TIMEOUT = 300;
 /** The same for an instance that has just started: it learns of the others with their next digests. */
 const DISCOVERY_TIMEOUT = 450;
+/** Number of steps of these times: a stall of the process that is longer than a step doesn't count. */
+const TIMEOUT_STEPS = 10;
 
 /**
  * Creates an empty set of inquiries.
@@ -97,8 +105,12 @@
 
   const recordOf = ({ attempt }: StreamInquiry): StreamRecord | undefined =>
     attempt === undefined ? undefined : find(attempt);
+  const remove = (inquiry: OpenInquiry): boolean => {
+    inquiry.timeout?.close();
+    return open.delete(inquiry);
+  };
   const end = (inquiry: OpenInquiry, record: StreamRecord | undefined): void => {
-    if (open.delete(inquiry)) inquiry.done(record);
+    if (remove(inquiry)) inquiry.done(record);
   };
   /** Returns the record of a stream whose service has had only one version for as long as streams last. */
   const onlyVersion = (inquiry: OpenInquiry): StreamRecord | undefined => {
@@ -117,7 +129,10 @@
     (inquiry.attempt === undefined && (inquiry.answeredBy.size > 0 || view.isCurrent()));
   /** Whether an answer may still come from the store or another instance. */
   const expectsAnswers = ({ unanswered, answeredBy }: OpenInquiry): boolean =>
-    isReading || unanswered.size > 0 || (answeredBy.size === 0 && parts.expectsOthers());
+    isReading ||
+    unanswered.size > 0 ||
+    parts.isDiscovering() ||
+    (answeredBy.size === 0 && parts.expectsOthers());
   /**
    * Reads the versions from the store. Without digests of other instances, nothing else shows whether
    * this instance has missed a change, and after a start, which version has just left.
@@ -139,7 +154,7 @@
     const record = recordOf(inquiry);
     if (record !== undefined) end(inquiry, record);
     else if (inquiry.attempt === undefined && inquiry.seen.size > 1) end(inquiry, undefined);
-    else if (isFinal(inquiry) || clock.now() >= inquiry.endsAt) end(inquiry, onlyVersion(inquiry));
+    else if (isFinal(inquiry)) end(inquiry, onlyVersion(inquiry));
   };
   const ask = (): void => {
     timer = undefined;
@@ -174,7 +189,7 @@
   };
   return {
     start: (inquiry) => {
-      const knowsOthers = parts.instances().length > 0;
+      const knowsOthers = parts.instances().length > 0 && !parts.isDiscovering();
       const opened: OpenInquiry = {
         ...inquiry,
         unanswered: new Set(),
@@ -182,13 +197,20 @@
         seen: new Set(inquiry.versions),
         hasCompleteView: false,
         isConfirmed: false,
-        endsAt: clock.now() + (knowsOthers ? INQUIRY_TIMEOUT : DISCOVERY_TIMEOUT),
+        timeout: undefined,
         askedAt: -Infinity,
       };
+      // After a stall of the process, the answers that have arrived meanwhile are read first.
+      opened.timeout = afterRunningTime(
+        clock,
+        knowsOthers ? INQUIRY_TIMEOUT : DISCOVERY_TIMEOUT,
+        () => end(opened, onlyVersion(opened)),
+        { steps: TIMEOUT_STEPS },
+      );
       open.add(opened);
       if (!view.hasRecentDigest() || !view.coversPeriod()) void confirm();
       schedule(clock.now() + QUESTION_DELAY);
-      return { close: () => void open.delete(opened) };
+      return { close: () => void remove(opened) };
     },
     recordsReceived: () => {
       for (const inquiry of open) update(inquiry);
@@ -206,7 +228,7 @@
     },
     close: () => {
       timer?.close();
-      open.clear();
+      for (const inquiry of open) remove(inquiry);
     },
   };
 }
--- a/src/process/stream_versions_test.ts
+++ b/src/process/stream_versions_test.ts
@@ -82,6 +82,7 @@
         // Instances that have just ended are still regarded as live.
         instances: () => live.filter(({ peers }) => member.knowsOthers && peers !== address),
         expectsOthers: () => size > 1,
+        isDiscovering: () => !member.knowsOthers,
         isSmallFleet: () => size <= 13,
         view: {
           isCurrent: () => member.isCurrent,
