Prefer workers with a recently used connection when candidates are drawn

Cause: with 10 requests a second per instance and a hundred workers, the two workers that are drawn for a request are seldom among those to which the instance has a connection that it may reuse.

Change: for a request that may be repeated and hasn't been sent yet, one of the workers drawn is one to which an idle connection was used in the last 500 ms, if there is any. The others are drawn from all, so load still moves to workers that are less busy. Requests that may run at most once are drawn as before, because a worker may close the connection while they are on their way.

--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -122,6 +122,11 @@
   retainWorkers(ids: ReadonlySet<string>): void;
   /** Returns when data was last received from the worker, in milliseconds of the clock; undefined if never. */
   lastReceivedAt(id: string): number | undefined;
+  /**
+   * Returns whether an idle connection to the worker was used so recently that a request that may be repeated should
+   * rather reuse it than open one to another worker.
+   */
+  wasJustUsed(id: string): boolean;
   /** The number of connections opened so far. */
   readonly openedCount: number;
   /** Closes all connections. */
--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -96,7 +96,7 @@
 /** Dependencies of the worker table. */
 export interface RoutedWorkerTableParts extends Pick<
   WorkerSelectionParts,
-  "clock" | "random" | "zone" | "health" | "instanceCount" | "updateAge"
+  "clock" | "random" | "zone" | "health" | "instanceCount" | "updateAge" | "isConnected"
 > {
   /** Separates long prompts from others. No prompts are separated if undefined. */
   readonly longPrompts?:
