Read the body of a refused request before its connection is closed

Callers saw: a broken connection (EPIPE or ECONNRESET) in place of a refusal. It concerned refusals that are made before the body has arrived (no route, unknown key, not ready, stopping, too large) on a connection that is closed after them, at the caller's wish or since the instance stops. A change of the configuration that takes away a route or a key leads there.

Cause: a connection that is closed with unread bytes is reset. A caller that still writes its body then fails to write and may never read the refusal.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -1,5 +1,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../interface/index.ts";
+import { endAfterRequest } from "../request/index.ts";
 import type { CallerLimits } from "../version/index.ts";
 import { createListener, splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
@@ -37,9 +39,14 @@
  * Listens for HTTP requests of callers. The header and timeout limits follow the configuration in force.
  *
  * @param address `IP:PORT`; port 0 binds a free port.
+ * @param clock For the time in which the rest of refused requests is read.
  * @returns The listener, once it accepts connections. Rejects if the address can't be bound.
  */
-export function listenCallers(address: string, handler: CallerHandler): Promise<Listener> {
+export function listenCallers(
+  address: string,
+  handler: CallerHandler,
+  clock: Clock,
+): Promise<Listener> {
   const limits = (): CallerLimits => handler.routing()?.limits ?? DEFAULT_LIMITS;
   const server = createServer(
     {
@@ -59,7 +66,8 @@
         return;
       }
       response.shouldKeepAlive = false;
-      response.writeHead(HEADERS_TOO_LARGE).end();
+      response.writeHead(HEADERS_TOO_LARGE, { "Content-Length": 0 });
+      endAfterRequest(response, Buffer.alloc(0), clock);
     },
   );
   const [host, port] = splitAddress(address);
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
-import type { ResponseHead } from "../interface/index.ts";
+import type { Clock, ResponseHead } from "../interface/index.ts";
+import { endAfterRequest } from "./lingering_end.ts";
 import { buildResponseHeaders } from "./routed_headers.ts";
 
 /** Reason for which the entry instance itself ends a routed request. */
@@ -66,7 +67,7 @@
    * aborted.
    */
   readonly hasStarted: boolean;
-  /** Whether the response has ended or the caller has disconnected. */
+  /** Whether the response has ended, is a refusal, or the caller has disconnected. */
   readonly isClosed: boolean;
   /** Sends a complete worker response. */
   sendComplete(head: ResponseHead, body: Buffer): void;
@@ -103,8 +104,9 @@
  */
 export function createCallerResponse(
   response: ServerResponse,
-  { isClosing }: { isClosing: () => boolean },
+  { clock, isClosing }: { clock: Clock; isClosing: () => boolean },
 ): CallerResponse {
+  let isRefused = false;
   const start = (status: number, headers: readonly string[]): void => {
     if (isClosing()) response.shouldKeepAlive = false;
     response.writeHead(status, [...headers]);
@@ -114,7 +116,7 @@
       return response.headersSent;
     },
     get isClosed() {
-      return response.writableEnded || response.destroyed;
+      return isRefused || response.writableEnded || response.destroyed;
     },
     sendComplete: (head, body) => {
       const headers = buildResponseHeaders(head);
@@ -137,8 +139,9 @@
       if (retryAfter !== undefined) {
         headers.push("Retry-After", (retryAfter / MILLISECONDS_PER_SECOND).toFixed(3));
       }
+      isRefused = true;
       start(status, headers);
-      response.end(body);
+      endAfterRequest(response, body, clock);
     },
     onDrain: (listener) => void response.on("drain", listener),
   };
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -7,6 +7,7 @@
 export * from "./request_key.ts";
 export * from "./request_service.ts";
 export * from "./caller_response.ts";
+export * from "./lingering_end.ts";
 export * from "./routed_context.ts";
 export * from "./request_fingerprint.ts";
 export * from "./routed_service.ts";
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -59,7 +59,10 @@
   };
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
     inProgress++;
-    const callerResponse = createCallerResponse(response, { isClosing: context.isStopping });
+    const callerResponse = createCallerResponse(response, {
+      clock: context.clock,
+      isClosing: context.isStopping,
+    });
     let abandon = (): void => undefined;
     response.once("close", () => {
       inProgress--;
