Read what has arrived before a caller's connection is closed as idle

Callers saw: after a time in which the process could not run, a connection ended without a byte although a whole request waited in it, or a new connection got 408.

Cause: Node.js closes a connection when its idle timer expires, or when the check of the header timeout finds it late. After a stall outside the timers (while sockets are read, or between reading and timers), both run before sockets are read again.

Change: sockets are read once more before a connection is closed as idle, or a request as late. An invalid request still gets the same status. An error is no longer written into a response that has begun to an earlier request.

Measured: caller_listener_test.ts, a stall of 2.6 s with an idle timeout of 0.4 s (1.4 s with what Node.js adds) and a header timeout of 1.2 s: 2 of 2 failed before (closed without a byte, 408), 2 of 2 pass. entry_test.ts and caller_connection_test.ts: 27 of 27 pass.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../interface/index.ts";
 import { endAfterRequest } from "../request/index.ts";
 import type { CallerLimits } from "../version/index.ts";
+import { endConnectionsAfterReading } from "./caller_sockets.ts";
 import { createListener, splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 
@@ -70,6 +71,7 @@
       endAfterRequest(response, Buffer.alloc(0), clock);
     },
   );
+  endConnectionsAfterReading(server);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- /dev/null
+++ b/src/connection/caller_sockets.ts
@@ -0,0 +1,73 @@
+/**
+ * Ends callers' connections that are idle, too slow or invalid.
+ *
+ * Node.js would end a connection as soon as its timer expires. After a time in which the process could not run, timers
+ * may come before sockets are read. A request that has completely arrived on a connection would then be lost: the
+ * connection would be reset without an answer. So what has arrived is read before a connection counts as idle or slow.
+ *
+ * @module
+ */
+import { STATUS_CODES } from "node:http";
+import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+
+/** What happened on a caller's connection. */
+interface Progress {
+  requestCount: number;
+  /** The responses that have not ended; more than one if the caller doesn't wait for them. */
+  readonly unfinished: Set<ServerResponse>;
+}
+
+const REQUEST_TIMEOUT = 408;
+const BAD_REQUEST = 400;
+/** HTTP statuses of the errors of the parser. */
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  HPE_HEADER_OVERFLOW: 431,
+};
+
+/** Applies the rules of this module to the connections of a server. */
+export function endConnectionsAfterReading(server: Server): void {
+  const connections = new WeakMap<Duplex, Progress>();
+  const progressOf = (socket: Duplex): Progress => {
+    const progress = connections.get(socket) ?? { requestCount: 0, unfinished: new Set() };
+    connections.set(socket, progress);
+    return progress;
+  };
+  server.prependListener("request", ({ socket }, response) => {
+    const progress = progressOf(socket);
+    progress.requestCount++;
+    progress.unfinished.add(response);
+    response.once("close", () => progress.unfinished.delete(response));
+  });
+  server.on("timeout", (socket: Socket) => {
+    const { bytesRead } = socket;
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  });
+  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    const status = STATUS_BY_CODE[error.code ?? ""] ?? BAD_REQUEST;
+    const progress = progressOf(socket);
+    const end = (): void => endWithError(socket, status, progress);
+    if (status !== REQUEST_TIMEOUT) {
+      end();
+      return;
+    }
+    const { requestCount } = progress;
+    setImmediate(() => {
+      if (progress.requestCount === requestCount) end();
+    });
+  });
+}
+
+/** Ends a connection with an error, which is sent unless a response to an earlier request has begun. */
+function endWithError(socket: Duplex, status: number, { unfinished }: Progress): void {
+  const isWithinResponse = [...unfinished].some(({ headersSent }) => headersSent);
+  if (socket.writable && !isWithinResponse) {
+    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy();
+}
