Move the runs of an instance at its workers out of the worker table

What begins and ends a run is in worker_runs.ts. No change of behaviour: the 20 tests of the table and of the limits in a fleet pass.

--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -6,8 +6,7 @@
   WorkerSpeeds,
 } from "../decision/index.ts";
 import type { RoutedWorker, WorkerEndpoint } from "../interface/index.ts";
-import { RunResult } from "../request/routed_context.ts";
-import type { CandidateWorker, WorkerLoads, WorkerStatement } from "../request/index.ts";
+import type { WorkerLoads, WorkerStatement } from "../request/index.ts";
 import { hashText } from "../version/index.ts";
 import { NO_WORKER_COUNTS } from "./digest.ts";
 import type { InstanceUpdate, WorkerCounts } from "./digest.ts";
@@ -17,8 +16,10 @@
 import type { RolloutView } from "./rollout_view.ts";
 import type { RoutedStatus } from "./routed_status.ts";
 import { createServiceTimings } from "./service_timings.ts";
-import { createWorkerSelection, roomLoadOf } from "./worker_selection.ts";
+import { createWorkerSelection } from "./worker_selection.ts";
 import type { WorkerEntry, WorkerSelectionParts } from "./worker_selection.ts";
+import { createWorkerRuns } from "./worker_runs.ts";
+import type { TrackedChange } from "./worker_runs.ts";
 import { createWorkerStatements, idOfStartKey, startKey } from "./worker_statements.ts";
 
 /** The worker table of an instance: the workers, their load from all instances, health and limits. */
@@ -126,22 +127,6 @@
   readonly versions?: Pick<RolloutView, "admitting" | "begin" | "counts"> | undefined;
 }
 
-/** How the result of a run counts for the health of its worker and of the worker's version. */
-const HEALTH_EFFECT: Readonly<Record<RunResult, "well" | "failed" | "unknown">> = {
-  [RunResult.Answered]: "well",
-  [RunResult.Failed]: "failed",
-  [RunResult.Refused]: "unknown",
-  [RunResult.Unreachable]: "failed",
-  [RunResult.Replaced]: "unknown",
-  [RunResult.Abandoned]: "unknown",
-};
-/** Time for which a worker receives no requests after such a result, in milliseconds. It may restart under its id. */
-const PAUSE_TIMES: Partial<Record<RunResult, number>> = {
-  [RunResult.Replaced]: 60_000,
-  [RunResult.Unreachable]: 500,
-};
-/** Time after the end of a run until a brittle worker counts its place as free, in milliseconds. */
-const PLACE_RELEASE_DELAY = 10;
 /** Time before the end of a leaving worker at which its remaining runs move to another one, in milliseconds. */
 const LEAVE_MARGIN = 450;
 
@@ -152,8 +137,8 @@
  * other instances, so that together they don't overload a worker.
  */
 export function createRoutedWorkerTable(parts: RoutedWorkerTableParts): RoutedWorkerTable {
-  const { clock, health, onBegin, versions, speeds } = parts;
-  const { time, limits, onLimit = () => undefined, onLeaving = () => undefined } = parts;
+  const { clock, health, versions, speeds } = parts;
+  const { limits, onLimit = () => undefined, onLeaving = () => undefined } = parts;
   const { rooms, onPause = () => undefined, onBrittleness = () => undefined } = parts;
   const statements = createWorkerStatements({ clock });
   const { extraCounts = () => new Map<number, RunCounts>() } = parts;
@@ -226,10 +211,7 @@
   const idOf = (hash: number): string =>
     [...entries.values()].find((entry) => entry.hash === hash)?.worker.id ?? "";
   /** Runs an action and calls `onLimit` if it changed the worker's limit. */
-  const trackLimit = (
-    { hash, isOwn }: { hash: number; isOwn: boolean },
-    action: () => void,
-  ): void => {
+  const trackLimit: TrackedChange = ({ hash, isOwn }, action) => {
     const before = limits.limitOf(hash);
     action();
     const limit = limits.limitOf(hash);
@@ -237,106 +219,20 @@
     onLimit({ worker: idOf(hash), limit, isOwn });
   };
   /** The same for `onBrittleness`. */
-  const trackBrittleness = (
-    { hash, isOwn }: { hash: number; isOwn: boolean },
-    action: () => void,
-  ): void => {
+  const trackBrittleness: TrackedChange = ({ hash, isOwn }, action) => {
     const before = rooms.isBrittle(hash);
     action();
     const isBrittle = rooms.isBrittle(hash);
     if (isBrittle !== before) onBrittleness({ worker: idOf(hash), isBrittle, isOwn });
   };
-  /** Records the time of a first event for the speed of the worker and of its service. */
-  const recordPrefill = (
-    { hash, service }: Pick<CandidateWorker, "hash" | "service">,
-    { tokens, duration }: { tokens: number; duration: number },
-  ): void => {
-    const now = clock.now();
-    const slowness = speeds?.slowness(hash, now) ?? 1;
-    const expected = timings.expectedPrefill(service, tokens);
-    if (expected !== undefined) speeds?.recordPrefill(hash, { expected, observed: duration, now });
-    // The service's rate is that of a usual worker, however many requests the slow ones get.
-    timings.recordPrefill(service, { tokens, duration: duration / slowness });
-  };
-  const begin: RoutedWorkerTable["begin"] = (target, { prefillTokens, route, promptTokens }) => {
-    const { id, hash, service, unreadTokens, warmupLeft } = target;
-    if (parts.longPrompts?.separates(service) === true)
-      parts.longPrompts.recordRun(service, {
-        route,
-        tokens: promptTokens ?? prefillTokens,
-        prefillTokens,
-        prefillRate: timings.prefillRateOf(service),
-      });
-    const startedAt = clock.now();
-    const sentAt = time();
-    const routedWorker = entries.get(id)?.worker;
-    const unreadTotal = unreadTokens + prefillTokens;
-    const tally =
-      routedWorker === undefined
-        ? undefined
-        : versions?.begin({
-            worker: routedWorker,
-            route,
-            reads: unreadTotal,
-            isCold: warmupLeft > 0,
-          });
-    const adjustLoad = (by: number, tokensBy: number): void => {
-      const entry = entries.get(id);
-      if (entry === undefined) return;
-      entry.running = Math.max(0, entry.running + by);
-      entry.unreadTokens = Math.max(0, entry.unreadTokens + tokensBy);
-    };
-    let unread = prefillTokens;
-    let silence = 0;
-    const clearUnread = (): void => {
-      adjustLoad(0, -unread);
-      unread = 0;
-    };
-    const entryAtStart = entries.get(id);
-    if (entryAtStart !== undefined)
-      rooms.recordSent(hash, roomLoadOf(entryAtStart, loadAt(entryAtStart)));
-    adjustLoad(1, prefillTokens);
-    limits.recordSent(hash);
-    onBegin();
-    return {
-      recordResponse: ({ limit, survives }) => {
-        trackLimit({ hash, isOwn: true }, () =>
-          limits.recordAnswer(hash, { perSecond: limit, sentAt }),
-        );
-        trackBrittleness({ hash, isOwn: true }, () =>
-          rooms.recordAnswer(hash, { survives, sentAt }),
-        );
-      },
-      recordSilence: (duration) => {
-        silence += duration;
-      },
-      recordFirstEvent: () => {
-        const now = clock.now();
-        recordPrefill(target, { tokens: unreadTotal, duration: now - startedAt });
-        tally?.recordAnswer(now);
-        clearUnread();
-      },
-      end: (result) => {
-        clearUnread();
-        if (result === RunResult.Refused) rooms.recordRejected(hash);
-        if (rooms.isBrittle(hash)) clock.after(PLACE_RELEASE_DELAY, () => adjustLoad(-1, 0));
-        else adjustLoad(-1, 0);
-        const now = clock.now();
-        const entry = entries.get(id);
-        if (result === RunResult.Answered) {
-          timings.recordRun(service, now - startedAt - silence);
-          tally?.recordAnswer(now);
-        }
-        const effect = HEALTH_EFFECT[result];
-        tally?.recordEnd(effect);
-        if (effect !== "unknown") {
-          health.recordRun({ worker: hash, service, failed: effect === "failed", now });
-        }
-        const pause = PAUSE_TIMES[result];
-        if (pause !== undefined && entry !== undefined) entry.pausedUntil = now + pause;
-      },
-    };
-  };
+  const runs = createWorkerRuns({
+    ...parts,
+    entries,
+    loadAt,
+    timings,
+    trackLimit,
+    trackBrittleness,
+  });
   const timeUntilCapacity: RoutedWorkerTable["timeUntilCapacity"] = ({ name }) => {
     const now = clock.now();
     const staying = entriesOf(name).filter(({ isLeaving }) => !isLeaving);
@@ -355,7 +251,7 @@
     hasVersion: (service, version) => selection.hasVersion(service, version),
     timeUntilCapacity,
     sample: (service, prompt) => selection.sample(service, prompt),
-    begin,
+    begin: runs.begin,
     timing: (service) => timings.of(service),
     onLeaving: (id, listener) => {
       const entry = entries.get(id);
