Answer the requests that are in progress at the end of a planned stop

Callers saw: a connection that ended without a byte when an instance stopped and their request took longer than the grace period. They couldn't tell whether it had run. The log counted these requests but had no line about them.

Cause: after the grace period all connections were closed at once. So was a connection on which a request had arrived that the process had not read yet.

Change: these requests are refused with "stopping" if they haven't been sent, and end with "worker-lost" otherwise; each has its line in the log. The process then reads for another 50 ms, within the part of the grace period that is kept for its end, and refuses what arrives.

--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -60,6 +60,11 @@
 const STOP_ACCEPT_TIME = 3_200;
 /** Part of the grace period reserved for closing connections and writing the last log lines, in milliseconds. */
 const STOP_MARGIN = 700;
+/**
+ * Time at the end of a stop in which final answers are written and requests that have arrived are read and refused, in
+ * milliseconds.
+ */
+const STOP_LAST_READ = 50;
 /** Poll interval of the drain, in milliseconds. */
 const STOP_POLL_INTERVAL = 50;
 /** Name of the single lease for all platform calls. One lease is enough, and each renewal is a billed call. */
@@ -83,6 +88,8 @@
   const startedAt = clock.now();
   const capacity = capacityOf(settings);
   let stoppingSince: number | undefined;
+  /** Whether the drain has ended. */
+  let isDrained = false;
   /** The longest time in milliseconds that a route allows. */
   let longestTimeout = MIN_LONGEST_TIMEOUT;
 
@@ -391,7 +398,7 @@
     },
     isStopping,
     isClosedToNew: () =>
-      stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME,
+      isDrained || (stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME),
     logDecision: log.decided,
     metrics,
   };
@@ -422,6 +429,10 @@
       await sleep(clock, STOP_POLL_INTERVAL);
     }
     log.changed("stopped", { inProgress: requests.inProgress });
+    isDrained = true;
+    requests.endAll();
+    // Without it, the process would end before it has written these answers and read what waits in its sockets.
+    await sleep(clock, STOP_LAST_READ);
   };
   let stopped: Promise<void> | undefined;
   return {
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -32,6 +32,11 @@
  * hundred milliseconds.
  */
 export const BUSY_RETRY_AFTER = 300;
+/**
+ * Milliseconds after which a caller may retry if the instance is stopping: other instances are
+ * available at once.
+ */
+export const STOPPING_RETRY_AFTER = 50;
 
 /**
  * Ends the request with a refusal, or closes the connection if a part of the answer was sent. If a worker that the
@@ -92,6 +97,18 @@
   if (!response.isClosed) write();
 }
 
+/**
+ * Ends the request because the instance ends. Otherwise its caller would see its connection end without an answer, and
+ * could not tell whether the request has run.
+ */
+export function endAtStop(state: RoutedRunState): void {
+  if (state.isDone) return;
+  state.progress.hasPossiblyRun ||= state.progress.runs > 0;
+  endAttempt(state, RunResult.Abandoned)?.abort();
+  releaseReserve(state);
+  giveUp(state, { reason: RoutedRefusal.Stopping, retryAfter: STOPPING_RETRY_AFTER });
+}
+
 /** Stops whatever is running, because the caller has disconnected. */
 export function abandon(state: RoutedRunState): void {
   if (state.isDone) return;
--- a/src/request/routed_run.ts
+++ b/src/request/routed_run.ts
@@ -1,7 +1,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import type { RoutedContext } from "./routed_context.ts";
-import { abandon, watchDeadline } from "./routed_end.ts";
+import { abandon, endAtStop, watchDeadline } from "./routed_end.ts";
 import { resumeReading } from "./routed_forwarding.ts";
 import { placeRequest } from "./routed_placement.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
@@ -12,6 +12,8 @@
 export interface RoutedRun {
   /** Stops whatever is running, because the caller has disconnected. */
   abandon(): void;
+  /** Gives the request its final answer, because the instance ends. */
+  endAtStop(): void;
 }
 
 /**
@@ -42,5 +44,5 @@
   response.onDrain(() => resumeReading(state));
   context.repeats.recordRequest(admitted.service.name, context.clock.now());
   placeRequest(state);
-  return { abandon: () => abandon(state) };
+  return { abandon: () => abandon(state), endAtStop: () => endAtStop(state) };
 }
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -6,7 +6,9 @@
 import type { RoutedContext } from "./routed_context.ts";
 import { fingerprintRequest } from "./request_fingerprint.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
+import { STOPPING_RETRY_AFTER } from "./routed_end.ts";
 import { startRoutedRun } from "./routed_run.ts";
+import type { RoutedRun } from "./routed_run.ts";
 import { pickService } from "./traffic_share.ts";
 import type { StreamVersion } from "../decision/index.ts";
 import { Delivery } from "../version/index.ts";
@@ -18,6 +20,8 @@
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
   /** Number of requests that have arrived and not ended. */
   readonly inProgress: number;
+  /** Gives all requests in progress their final answers, because the instance ends. */
+  endAll(): void;
 }
 
 /**
@@ -40,15 +44,10 @@
 
 /** Milliseconds after which a caller may retry at an instance without a configuration. */
 const NOT_READY_RETRY_AFTER = 300;
-/**
- * Milliseconds after which a caller may retry if the instance is stopping: other instances are
- * available at once.
- */
-const STOPPING_RETRY_AFTER = 50;
-
 /** Creates the service for routed requests of one instance. */
 export function createRoutedRequests(context: RoutedContext): RoutedRequests {
-  let inProgress = 0;
+  /** For each request in progress, how it is ended when the instance ends. */
+  const openRequests = new Map<ServerResponse, () => void>();
   const refuse = (
     callerResponse: CallerResponse,
     { reason, id, retryAfter, ...fields }: RefusalDetail,
@@ -58,15 +57,18 @@
     if (!callerResponse.isClosed) callerResponse.refuse(reason, retryAfter);
   };
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
-    inProgress++;
     const callerResponse = createCallerResponse(response, {
       clock: context.clock,
       isClosing: context.isStopping,
     });
-    let abandon = (): void => undefined;
+    let run: RoutedRun | undefined;
     response.once("close", () => {
-      inProgress--;
-      if (!response.writableFinished) abandon();
+      openRequests.delete(response);
+      if (!response.writableFinished) run?.abandon();
+    });
+    openRequests.set(response, () => {
+      if (run !== undefined) run.endAtStop();
+      else if (!callerResponse.isClosed) refuseStopping();
     });
     const now = context.clock.now();
     const idHeader = request.headers[context.names.requestId];
@@ -77,9 +79,12 @@
       refuse(callerResponse, { reason, id, retryAfter: NOT_READY_RETRY_AFTER });
       return;
     }
-    if (context.isClosedToNew()) {
+    const refuseStopping = (): void => {
       const reason = RoutedRefusal.Stopping;
       refuse(callerResponse, { reason, id, retryAfter: STOPPING_RETRY_AFTER });
+    };
+    if (context.isClosedToNew()) {
+      refuseStopping();
       return;
     }
     const arrival = readArrival(request, { table, names: context.names, now });
@@ -94,28 +99,28 @@
         return;
       }
       if (callerResponse.isClosed) return;
-      abandon = admit({ request, arrival, body, table }, callerResponse);
+      run = admit({ request, arrival, body, table }, callerResponse);
     });
   };
   /**
-   * Makes the checks that need more than the request's head. Returns a function that abandons the
-   * request.
+   * Makes the checks that need more than the request's head. Returns the run that the request leads to; undefined if it
+   * was refused.
    */
   const admit = (
     admitted: { request: IncomingMessage; arrival: RoutedArrival; body: Buffer; table: RouteTable },
     callerResponse: CallerResponse,
-  ): (() => void) => {
+  ): RoutedRun | undefined => {
     const { arrival, table } = admitted;
     const { id, route, resumption } = arrival;
     const name = pickService(route, context.random);
     const service = name === undefined ? undefined : table.service(name);
     if (service === undefined) {
       refuse(callerResponse, { reason: RoutedRefusal.NoWorker, id });
-      return () => undefined;
+      return undefined;
     }
     if (resumption === undefined || route.delivery !== Delivery.Events || !route.resumable)
       return start({ ...admitted, service, version: undefined }, callerResponse);
-    let abandon = (): void => undefined;
+    let run: RoutedRun | undefined;
     const inquiry = findVersion(arrival, service, (found) => {
       if (callerResponse.isClosed) return;
       const began = found === undefined ? undefined : serviceOf(found, arrival, table);
@@ -125,11 +130,21 @@
         refuse(callerResponse, { reason, id });
         return;
       }
-      abandon = start({ ...admitted, service: began, version: found.version }, callerResponse);
+      run = start({ ...admitted, service: began, version: found.version }, callerResponse);
     });
-    return () => {
-      inquiry.close();
-      abandon();
+    return {
+      abandon: () => {
+        inquiry.close();
+        run?.abandon();
+      },
+      endAtStop: () => {
+        inquiry.close();
+        if (run !== undefined) run.endAtStop();
+        else if (!callerResponse.isClosed) {
+          const reason = RoutedRefusal.Stopping;
+          refuse(callerResponse, { reason, id, retryAfter: STOPPING_RETRY_AFTER });
+        }
+      },
     };
   };
   /** Finds out at which version the stream began that the request continues. */
@@ -150,11 +165,11 @@
     table: RouteTable,
   ): RoutedService | undefined =>
     route.shares.some((share) => share.service === service) ? table.service(service) : undefined;
-  /** Charges the quota and starts the run. Returns a function that abandons the run. */
+  /** Charges the quota and starts the run; undefined if the quota is used up. */
   const start = (
     admitted: Omit<AdmittedRequest, "fingerprint" | "refundQuota">,
     callerResponse: CallerResponse,
-  ): (() => void) => {
+  ): RoutedRun | undefined => {
     const { request, arrival, body } = admitted;
     const { id, account } = arrival;
     let refundQuota = (): void => undefined;
@@ -177,18 +192,20 @@
           level: Math.round(level),
           reserve: Math.round(reserve),
         });
-        return () => undefined;
+        return undefined;
       }
       refundQuota = () => context.quota.refund(accountName, size);
     }
     const fingerprint = fingerprintRequest(request, { account: account?.name, body });
-    const run = startRoutedRun(context, { ...admitted, fingerprint, refundQuota }, callerResponse);
-    return () => run.abandon();
+    return startRoutedRun(context, { ...admitted, fingerprint, refundQuota }, callerResponse);
   };
   return {
     handle,
     get inProgress() {
-      return inProgress;
+      return openRequests.size;
+    },
+    endAll: () => {
+      for (const end of openRequests.values()) end();
     },
   };
 }
