End pipelined requests when their connection ends

Operators saw: requests in progress that never ended, so that a stop took its whole grace period. Workers went on with requests whose callers had left.

Cause: if a caller sends a request before it has the response to the one before, Node.js reports the end of the connection only for the first of them.

Change: when a connection ends, the responses that were waiting for their turn end too.

Measured: caller_connection_test.ts, two requests one behind the other whose caller leaves: failed before (one of two runs was ended), passes.

--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -42,6 +42,9 @@
     progress.unfinished.add(response);
     response.once("close", () => progress.unfinished.delete(response));
   });
+  server.on("connection", (socket) => {
+    socket.once("close", () => closeQueued(progressOf(socket)));
+  });
   server.on("timeout", (socket: Socket) => {
     const { bytesRead } = socket;
     setImmediate(() => {
@@ -71,3 +74,16 @@
   }
   socket.destroy();
 }
+
+/**
+ * Closes the responses to requests that a caller sent before it had the response to an earlier one. Node.js reports the
+ * end of their connection only to the first of them, so that the others would count as in progress for good and their
+ * workers would go on.
+ */
+function closeQueued({ unfinished }: Progress): void {
+  const queued = [...unfinished].filter(({ socket }) => socket === null);
+  for (const response of queued) {
+    response.destroy();
+    response.emit("close");
+  }
+}
