Answer CONNECT on the callers' listener

Callers saw: a connection that ended without a byte after a request with the method CONNECT, for instance from a caller that takes the instance for a proxy.

Cause: Node.js closes the connection if nothing handles the method.

Change: the request is refused with 405.

Measured: caller_connection_test.ts, the new test: failed before (nothing received), passes; the file: 8 of 8.

--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -21,6 +21,7 @@
 
 const REQUEST_TIMEOUT = 408;
 const BAD_REQUEST = 400;
+const METHOD_NOT_ALLOWED = 405;
 /** HTTP statuses of the errors of the parser. */
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
   ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT,
@@ -45,6 +46,10 @@
   server.on("connection", (socket) => {
     socket.once("close", () => closeQueued(progressOf(socket)));
   });
+  // Without a listener, Node.js closes the connection without an answer.
+  server.on("connect", (_request, socket) =>
+    endWithError(socket, METHOD_NOT_ALLOWED, progressOf(socket)),
+  );
   server.on("timeout", (socket: Socket) => {
     const { bytesRead } = socket;
     setImmediate(() => {
