Deliver the chunks of an answer that arrive together as one piece

Callers saw: requests of all callers waited while one worker sent its answer in chunks of one byte.

Cause: each chunk was passed on by itself. What is done with a piece grows with what is buffered: an incomplete event is copied and searched with each of its pieces. Each piece of a buffered answer also took some 110 bytes of memory.

Change: the parser joins the pieces of the body that arrived together.

--- a/src/connection/response_parser.ts
+++ b/src/connection/response_parser.ts
@@ -17,7 +17,7 @@
 export interface ResponseSink {
   /** Called once, with the head of the final response; interim (1xx) responses are skipped. */
   head(head: ResponseHead): void;
-  /** Called with each piece of the body, without chunk framing. */
+  /** Called with the next part of the body, without chunk framing; once for all chunks that arrived together. */
   data(chunk: Buffer): void;
   /** Called once the response is complete. */
   end(): void;
@@ -120,6 +120,8 @@
   let method = "";
   const buffered = createReceivedBytes();
   let remaining = 0;
+  /** Pieces of the body among the bytes that are being parsed. */
+  let pieces: Buffer[] = [];
   /** Sums over the response that is being parsed, for their limits. */
   let interimBytes = 0;
   let interimCount = 0;
@@ -127,7 +129,18 @@
   let trailerLines = 0;
   let extensionBytes = 0;
 
+  /**
+   * Delivers the pieces of the body as one. Receivers do work for each piece that grows with what they have buffered, so
+   * a worker that sends chunks of one byte would otherwise stop the process for seconds.
+   */
+  const deliver = (): void => {
+    const [first, ...others] = pieces;
+    if (first === undefined) return;
+    pieces = [];
+    sink?.data(others.length === 0 ? first : Buffer.concat([first, ...others]));
+  };
   const complete = (): void => {
+    deliver();
     state = ParserState.Idle;
     const completed = sink;
     sink = undefined;
@@ -160,7 +173,7 @@
     if (buffered.length === 0) return false;
     const chunk = buffered.take(remaining);
     remaining -= chunk.length;
-    sink?.data(chunk);
+    pieces.push(chunk);
     if (remaining > 0) return true;
     if (next === ParserState.Idle) complete();
     else state = next;
@@ -227,6 +240,7 @@
       for (;;) {
         const result = step();
         if (result === true) continue;
+        deliver();
         return result === false ? undefined : result;
       }
     },
--- a/src/connection/response_parser_test.ts
+++ b/src/connection/response_parser_test.ts
@@ -207,3 +207,18 @@
     expect(parse(Buffer.from(text), [1_000]).fault).toBe(ParseFault.Malformed);
   },
 );
+
+// Guards against a worker whose tiny chunks stop the process: each was passed on by itself and cost work and memory.
+test("chunks that arrive together are delivered as one piece", () => {
+  const text = `${CHUNKED_HEAD}${"1\r\nx\r\n".repeat(10_000)}0\r\n\r\n`;
+  const parser = createResponseParser();
+  const sizes: number[] = [];
+  let hasEnded = false;
+  parser.expectResponse("GET", {
+    head: () => undefined,
+    data: ({ length }) => sizes.push(length),
+    end: () => (hasEnded = true),
+  });
+  expect(parser.feed(Buffer.from(text))).toBeUndefined();
+  expect({ sizes, hasEnded }).toEqual({ sizes: [10_000], hasEnded: true });
+});
