--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -21,6 +21,7 @@
 
 const REQUEST_TIMEOUT = 408;
 const BAD_REQUEST = 400;
+const METHOD_NOT_ALLOWED = 405;
 /** HTTP statuses of the errors of the parser. */
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
   ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT,
@@ -42,6 +43,13 @@
     progress.unfinished.add(response);
     response.once("close", () => progress.unfinished.delete(response));
   });
+  server.on("connection", (socket) => {
+    socket.once("close", () => closeQueued(progressOf(socket)));
+  });
+  // Without a listener, Node.js closes the connection without an answer.
+  server.on("connect", (_request, socket) =>
+    endWithError(socket, METHOD_NOT_ALLOWED, progressOf(socket)),
+  );
   server.on("timeout", (socket: Socket) => {
     const { bytesRead } = socket;
     setImmediate(() => {
@@ -71,3 +79,16 @@
   }
   socket.destroy();
 }
+
+/**
+ * Closes the responses to requests that a caller sent before it had the response to an earlier one. Node.js reports the
+ * end of their connection only to the first of them, so that the others would count as in progress for good and their
+ * workers would go on.
+ */
+function closeQueued({ unfinished }: Progress): void {
+  const queued = [...unfinished].filter(({ socket }) => socket === null);
+  for (const response of queued) {
+    response.destroy();
+    response.emit("close");
+  }
+}
