Let the first call after a silent watch be answered at once

What callers see: a worker whose registration is removed gets requests for up to 2 s more when all connections of a small fleet to the store go silent at about the same time.

Cause: the first watch after a failed one waited up to 400 ms for a change. A store that had no change to report thus answered up to 2.1 s after its last answer (1 s until the watch ends, 0.5 s margin, 0.2 s backoff, 0.4 s), and 2 s without an answer count as an outage of the store, after which removals are held back.

Change: a watch after a failure waits 20 ms. The next one is a usual one if the store has answered.

--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -102,9 +102,10 @@
 /**
  * Watch timeout in milliseconds after a failed call. A request sent to a silent store is never
  * answered, even after the store recovers; with a long timeout, the instance would miss changes in
- * the first seconds after the recovery.
+ * the first seconds after the recovery. The first answer must also come soon after a failure: until
+ * then, a silent connection can't be distinguished from an outage of the store.
  */
-const RETRY_WATCH_TIMEOUT = 400;
+const RETRY_WATCH_TIMEOUT = 20;
 /**
  * Milliseconds between a change and the next watch. Changes come in bursts, and every watch
  * response costs a call.
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -5,6 +5,7 @@
 import { storeVersion } from "../version/index.ts";
 import { createFeedFollower } from "./feed_follower.ts";
 import type { FeedFollower } from "./feed_follower.ts";
+import { createMemoryFeed } from "./testing/memory_feed.ts";
 
 /** A feed whose pending watch is completed by the test. */
 interface Store extends ObjectFeed {
@@ -151,6 +152,32 @@
   expect(store.timeouts.at(-1)).toBe(WATCH_TIMEOUT);
 });
 
+// All connections to the store go silent just before a watch ends. An answer that comes 2 s after the last one would
+// count as the end of an outage, and removals of workers would be held back.
+test("the store's answer to the first call after a silent watch comes within two seconds", async () => {
+  const clock = createVirtualClock();
+  const feed = createMemoryFeed(clock);
+  const answers: number[] = [];
+  const follower = createFeedFollower({
+    kind: "k",
+    clock,
+    random: { next: () => 1 },
+    feed: feed.of("a"),
+    watchTimeout: () => 1_000,
+    onAnswer: () => answers.push(clock.now()),
+    onChange: () => undefined,
+    onReachabilityChange: () => undefined,
+  });
+  follower.start();
+  await clock.advance(1_500);
+  feed.silencePending();
+  await clock.advance(4_000);
+  follower.close();
+  const gaps = answers.slice(1).map((at, index) => at - (answers[index] ?? 0));
+  // The watch, the margin after its timeout, the longest backoff, and 40 ms for the next call.
+  expect(Math.max(...gaps)).toBeLessThanOrEqual(1_000 + 500 + 200 + 40);
+});
+
 // Other instances forward store changes. A delta must start at or before the last known change; a
 // gap would lose the changes in it permanently.
 test("a forwarded delta is applied only if it leaves no gap", async () => {
