Don't pass on a worker's failure while the slower worker may still answer

What callers see: status 500 for a repeatable request, although a healthy worker is about to answer it.

Cause: a request moves to another worker when its own takes more than 2.5 times the target, and its own is kept until the other one has answered. An answer with status 500 counted as such an answer, so that the kept attempt was aborted.

Change: if the other worker answers with a failure and the request can't be sent to a further one, it goes on at the kept one, as it already did after a refusal or a broken connection.

--- a/src/request/routed_completion.ts
+++ b/src/request/routed_completion.ts
@@ -8,7 +8,7 @@
 import type { HeaderNames, ResponseHead } from "../interface/index.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RunResult } from "./routed_context.ts";
-import { complete } from "./routed_end.ts";
+import { complete, continueReserve } from "./routed_end.ts";
 import { handleBroken } from "./routed_failures.ts";
 import { RepeatCause, retryElsewhere, retryOrElse } from "./routed_repeats.ts";
 import { deliversEvents } from "./routed_request.ts";
@@ -109,7 +109,12 @@
   const send = (): void => {
     complete(state, { status: head.status, write: () => response.sendComplete(head, body) });
   };
-  if (isFailed) retryOrElse(state, { cause: RepeatCause.WorkerError, fallback: send });
+  const cause = RepeatCause.WorkerError;
+  // The worker that the request was to move away from may still answer it well.
+  const stayOrSend = (): void => {
+    if (!continueReserve(state, cause)) send();
+  };
+  if (isFailed) retryOrElse(state, { cause, fallback: stayOrSend });
   else send();
 }
 
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -33,6 +33,19 @@
  */
 export const BUSY_RETRY_AFTER = 300;
 
+/**
+ * Lets the request go on at the worker that it was to move away from, if that one still runs it.
+ *
+ * @param reason Why it ends at no other worker, for the log.
+ * @returns Whether it goes on.
+ */
+export function continueReserve(state: RoutedRunState, reason: string): boolean {
+  const kept = resumeReserve(state);
+  if (kept === undefined) return false;
+  logStep(state, "stays", { worker: kept.worker.id, reason });
+  return true;
+}
+
 /**
  * Ends the request with a refusal, or closes the connection if a part of the answer was sent. If a worker that the
  * request was to move away from still runs it, the request goes on there instead.
@@ -42,11 +55,7 @@
   { reason, retryAfter, inputs = {} }: RunRefusal,
 ): void {
   const { context, response, progress } = state;
-  const kept = resumeReserve(state);
-  if (kept !== undefined) {
-    logStep(state, "stays", { worker: kept.worker.id, reason });
-    return;
-  }
+  if (continueReserve(state, reason)) return;
   finishRun(state);
   if (response.isClosed) return;
   context.metrics.refused(reason);
