Count only late answers as a sign that other workers aren't silent

Workers that stop together have not sent their last data at the same moment: a worker that sent some a few milliseconds later than the request's own counted as one that had answered, so that requests moved to it at the beginning of a shared silence. Now it must have answered in the second half of the silence.

--- a/src/decision/attempt_silence.ts
+++ b/src/decision/attempt_silence.ts
@@ -82,8 +82,8 @@
 }
 
 /**
- * Returns the workers that a request must not move to as it leaves a silent one, because they have sent nothing since,
- * either.
+ * Returns the workers that a request must not move to as it leaves a silent one, because they have sent nothing in
+ * the second half of its silence, either.
  *
  * @param workers All workers of the service, its own included.
  * @param options `silentSince` is when its own worker last sent any of its answer, `limit` the milliseconds after which
@@ -96,8 +96,10 @@
   options: { readonly silentSince: number; readonly now: number; readonly limit: number },
 ): ReadonlySet<string> | undefined {
   const { silentSince, now, limit } = options;
+  // Workers that stop together have not all sent their last data at the same moment.
+  const answeredAfter = silentSince + (now - silentSince) / 2;
   const hasAnswered = ({ activity }: OtherWorker): boolean =>
-    (activity?.lastReceivedAt ?? -Infinity) > silentSince;
+    (activity?.lastReceivedAt ?? -Infinity) > answeredAfter;
   const isAwaited = ({ activity }: OtherWorker): boolean => activity?.isAwaited ?? false;
   const wasJustAsked = ({ activity }: OtherWorker): boolean =>
     now - (activity?.lastSentAt ?? -Infinity) < limit;
