--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -28,11 +28,6 @@
  * than announced, and only the next request detects that. A new connection costs one round trip.
  */
 const UNREPEATABLE_MAX_IDLE = 500;
-/**
- * Maximum idle time in milliseconds of a connection for which its worker is preferred. Reuse after a longer time meets
- * more connections that the worker has dropped, and makes the workers with long idle timeouts the busiest.
- */
-const PREFERRED_MAX_IDLE = 500;
 
 /** The connections to one worker. */
 interface ConnectionPool {
@@ -128,12 +123,6 @@
       const isAwaited = connections.some((connection) => connection.isAwaited());
       return { lastSentAt, lastReceivedAt, isAwaited };
     },
-    wasJustUsed: (id) => {
-      // The most recently used connection is the last idle one.
-      const connection = pools.get(id)?.connections.findLast((other) => other.isIdle());
-      if (connection === undefined || !path.keepsOpenConnections) return false;
-      return connection.idleFor() < PREFERRED_MAX_IDLE && canReuse(connection, true);
-    },
     get openedCount() {
       return path.dialCount;
     },
--- a/src/decision/candidate_workers.ts
+++ b/src/decision/candidate_workers.ts
@@ -15,11 +15,6 @@
  * The home workers of the request's prompt are always compared as well, since only requests that
  * share the prompt go there.
  *
- * With ten requests a second and a hundred workers, an instance seldom draws a worker to which it
- * has an open connection. Symptom: nearly every request opens one, which takes a round trip and
- * processor time at both ends. So one of the workers drawn is a preferred one if there is any. The
- * others are drawn from all, so that load still moves to the workers that are less busy.
- *
  * @module
  */
 import type { Random } from "../interface/index.ts";
@@ -43,21 +38,15 @@
  *
  * @param workers All workers that may serve the request.
  * @param options `unseen` is the number of runs that other instances start at each worker before
- * this instance receives the next digest; `parts` are the parts of the request's prompt;
- * `isPreferred` selects the workers of which one is drawn first, by default none.
+ * this instance receives the next digest; `parts` are the parts of the request's prompt.
  * @returns A random sample of `workers` and the prompt's home workers, or all workers if there are
  * no more than that.
  */
 export function sampleWorkers<W extends { readonly hash: number }>(
   workers: readonly W[],
-  options: {
-    unseen: number;
-    parts: readonly PromptPart[];
-    random: Random;
-    isPreferred?: ((worker: W) => boolean) | undefined;
-  },
+  options: { unseen: number; parts: readonly PromptPart[]; random: Random },
 ): CandidateWorkers<W> {
-  const { unseen, parts, random, isPreferred } = options;
+  const { unseen, parts, random } = options;
   const homes = findHomes(workers, parts);
   const sampleSize = Math.max(
     MIN_SAMPLE_SIZE,
@@ -65,10 +54,8 @@
   );
   if (sampleSize + homes.size >= workers.length) return { workers, homes };
   const selected = new Set(homes.keys());
-  const preferred = isPreferred === undefined ? [] : workers.filter(isPreferred);
   for (let count = 0; count < sampleSize; count++) {
-    const source = count === 0 && preferred.length > 0 ? preferred : workers;
-    const worker = source[Math.floor(random.next() * source.length)];
+    const worker = workers[Math.floor(random.next() * workers.length)];
     if (worker !== undefined) selected.add(worker);
   }
   return { workers: [...selected], homes };
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -132,11 +132,6 @@
   retainWorkers(ids: ReadonlySet<string>): void;
   /** Returns what this instance has exchanged with the worker lately; undefined if it has no connection to it. */
   activity(id: string): WorkerActivity | undefined;
-  /**
-   * Returns whether an idle connection to the worker was used so recently that a request that may be repeated should
-   * rather reuse it than open one to another worker.
-   */
-  wasJustUsed(id: string): boolean;
   /** The number of connections opened so far. */
   readonly openedCount: number;
   /** Closes all connections. */
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -184,7 +184,6 @@
     health,
     instanceCount,
     updateAge: () => fleet.updateAge,
-    isConnected: (worker) => connections.wasJustUsed(worker),
     onBegin: () => fleet.reportRunStart(),
     versions,
     speeds,
--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -97,7 +97,7 @@
 /** Dependencies of the worker table. */
 export interface RoutedWorkerTableParts extends Pick<
   WorkerSelectionParts,
-  "clock" | "random" | "zone" | "health" | "instanceCount" | "updateAge" | "isConnected"
+  "clock" | "random" | "zone" | "health" | "instanceCount" | "updateAge"
 > {
   /** Separates long prompts from others. No prompts are separated if undefined. */
   readonly longPrompts?:
--- a/src/process/worker_selection.ts
+++ b/src/process/worker_selection.ts
@@ -69,8 +69,6 @@
   /** Separates long prompts from others. No prompts are separated if undefined. */
   readonly longPrompts?:
     Pick<LongPromptWorkers<WorkerEntry>, "partFor" | "select" | "separates"> | undefined;
-  /** Returns whether a connection to the worker is open and was used a moment ago. None is if undefined. */
-  readonly isConnected?: ((worker: string) => boolean) | undefined;
   /** Returns the registered workers of a service. */
   readonly entriesOf: (service: string) => readonly WorkerEntry[];
   /** Returns a worker's load from all instances. */
@@ -108,7 +106,7 @@
  */
 export function createWorkerSelection(parts: WorkerSelectionParts): WorkerSelection {
   const { clock, random, zone, health, instanceCount, updateAge, limits, versions } = parts;
-  const { rooms, speeds, entriesOf, loadAt, peerLoadAt, timing, longPrompts, isConnected } = parts;
+  const { rooms, speeds, entriesOf, loadAt, peerLoadAt, timing, longPrompts } = parts;
   const unseenCache = new Map<string, { unseen: number; at: number }>();
   // Every request checks every worker, so the load of those that aren't brittle is not added up.
   const hasRoom = (entry: WorkerEntry): boolean =>
@@ -199,11 +197,7 @@
     all: readonly WorkerEntry[],
     { prompt, part, partOf, unseenRuns }: DrawOptions,
   ): CandidateWorkers<WorkerEntry> => {
-    const isPreferred =
-      isConnected === undefined || prompt.prefersConnected !== true
-        ? undefined
-        : ({ worker }: WorkerEntry): boolean => isConnected(worker.id);
-    const options = { unseen: unseenRuns, parts: prompt.parts, random, isPreferred };
+    const options = { unseen: unseenRuns, parts: prompt.parts, random };
     if (part === undefined) return sampleWorkers(all, options);
     const intended = all.filter((entry) => partOf?.(entry) === part);
     if (prompt.fromAll !== true) return sampleWorkers(intended, options);
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -70,11 +70,6 @@
   readonly parts: readonly PromptPart[];
   /** Whether workers of both parts are drawn, because those of the intended part have no capacity. */
   readonly fromAll?: boolean;
-  /**
-   * Whether to prefer workers to which a connection is open. Not for requests that may run at most once: the worker may
-   * close it at the same time, and then it is unknown whether the request ran.
-   */
-  readonly prefersConnected?: boolean;
 }
 
 /** The workers that are compared first for a request. */
--- a/src/request/routed_ranking.ts
+++ b/src/request/routed_ranking.ts
@@ -3,7 +3,6 @@
 import { isEligible } from "./placement_request.ts";
 import type { PlacementRequest } from "./placement_request.ts";
 import type { CandidateWorker, RoutedContext } from "./routed_context.ts";
-import { isRepeatable } from "./routed_request.ts";
 
 /** Workers that are compared for a request at the same time. */
 export interface RankingStage {
@@ -33,12 +32,7 @@
         ...(homes === undefined ? {} : { homes }),
       },
     );
-  const prompt = {
-    route: arrival.route.name,
-    parts: promptParts,
-    // A repeat may follow a connection that broke, so it isn't drawn to one.
-    prefersConnected: isRepeatable(arrival.route) && placement.tried.size === 0,
-  };
+  const prompt = { route: arrival.route.name, parts: promptParts };
   const sample = workerLoads.sample(service, prompt);
   const isSeparated = sample.part !== undefined;
   yield { ranked: rank(sample.workers, sample.homes), isSeparated };
