Don't count a silence that was shared as a failure of one worker

Callers were refused as overloaded in the second silence of all workers although one worker had room.

Cause: the first request that moves away from a silent worker ends its kept attempt as failed when the next worker answers, also if that one stood still just as long. With few runs that one failure costs more than the queue of the other workers, so in the next silence this worker got 1 or 2 runs and the others 10 to 12 each, above their 8 slots.

The kept attempt now says nothing about its worker if the next one exceeded its own limit of silence.

--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -41,11 +41,14 @@
 }
 
 /** Records how long the worker has stood still, so that it doesn't count as the usual time of a run. */
-function recordSilence({ context, admitted }: RoutedRunState, attempt: Attempt): void {
+function recordSilence(state: RoutedRunState, attempt: Attempt): void {
+  const { context, admitted, reserve } = state;
   const { route } = admitted.arrival;
   const options = { isStream: deliversEvents(route), target: route.latencyTarget };
   const excess = context.clock.now() - attempt.lastReceivedAt - silenceLimitOf(attempt, options);
-  if (excess > 0) attempt.run.recordSilence(excess);
+  if (excess <= 0) return;
+  attempt.run.recordSilence(excess);
+  if (reserve !== undefined) state.reserve = { ...reserve, isSilenceShared: true };
 }
 
 /** Handles bytes of the body of a worker's response. */
--- a/src/request/routed_run_state.ts
+++ b/src/request/routed_run_state.ts
@@ -19,6 +19,8 @@
   readonly result: RunResult;
   /** What has arrived of its next event. */
   readonly partialEvent: Buffer;
+  /** Whether the worker that the request moved to was just as silent, so that the silence says nothing about this one. */
+  readonly isSilenceShared: boolean;
 }
 
 /**
@@ -119,7 +121,8 @@
   state.current = undefined;
   state.leavingSubscription?.close();
   attempt.exchange?.pause();
-  state.reserve = { attempt, result, partialEvent: splitter.partialEvent };
+  const { partialEvent } = splitter;
+  state.reserve = { attempt, result, partialEvent, isSilenceShared: false };
 }
 
 /**
@@ -146,9 +149,9 @@
   const { reserve } = state;
   if (reserve === undefined) return;
   state.reserve = undefined;
-  const { attempt, result } = reserve;
+  const { attempt, result, isSilenceShared } = reserve;
   if (result === RunResult.Failed) countUnanswered(state, attempt);
-  attempt.run.end(result);
+  attempt.run.end(isSilenceShared ? RunResult.Abandoned : result);
   attempt.exchange?.abort();
 }
 
