Don't close a connection as idle while the head of a request arrives

Callers saw: a connection that ended without a byte if the head of their next request arrived in two parts, with a pause longer than the idle timeout. It concerns configurations whose idle timeout is shorter than the header timeout.

Cause: Node.js stops the idle timer only when a head is complete.

Change: if bytes have arrived since the last request, the header timeout decides.

Measured: caller_listener_test.ts: the new test on a head in two parts failed before, 4 of 4 tests pass.

--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -1,10 +1,14 @@
 import { fork } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import { connect } from "node:net";
 import { fileURLToPath } from "node:url";
 import { expect, test } from "vitest";
 import { systemClock } from "../process/system_clock.ts";
 import { listenCallers } from "./caller_listener.ts";
+import { splitAddress } from "./http_listener.ts";
+import type { Listener } from "./http_listener.ts";
 
 const CALLER = fileURLToPath(new URL("testing/stalled_server_caller.ts", import.meta.url));
 const IDLE_TIMEOUT = 400;
@@ -12,6 +16,21 @@
 /** Milliseconds for which the process stands still: longer than all its timeouts, with what Node.js adds to them. */
 const STALL = 2_600;
 
+/** Listens with the limits of these tests. */
+function listen(headerTimeout: number): Promise<Listener> {
+  const limits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000,
+    headerTimeout,
+    idleTimeout: IDLE_TIMEOUT,
+  };
+  const handler = {
+    handle: (_request: unknown, response: ServerResponse) => void response.end("yes"),
+    routing: () => ({ limits }),
+  };
+  return listenCallers("127.0.0.1:0", handler, systemClock);
+}
+
 /** Blocks the event loop between reading sockets and running timers. */
 function stall(): void {
   setImmediate(() => {
@@ -24,17 +43,7 @@
 test.each(["kept", "new"])(
   "a request that arrives during a stall on a %s connection is answered",
   async (kind) => {
-    const limits = {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000,
-      headerTimeout: HEADER_TIMEOUT,
-      idleTimeout: IDLE_TIMEOUT,
-    };
-    const handler = {
-      handle: (_request: unknown, response: { end(text: string): void }) => response.end("yes"),
-      routing: () => ({ limits }),
-    };
-    const listener = await listenCallers("127.0.0.1:0", handler, systemClock);
+    const listener = await listen(HEADER_TIMEOUT);
     // The first request makes the limits those in force.
     await (await fetch(`http://${listener.address}/`)).text();
     const caller: ChildProcess = fork(CALLER, [listener.address, kind], {
@@ -48,3 +57,36 @@
     await listener.close();
   },
 );
+
+/** Milliseconds between two parts of a head: longer than the idle timeout with what Node.js adds to it. */
+const PART_DELAY = 2_000;
+
+// Guards against a connection that is closed as idle while a request arrives, without an answer, since the idle timeout
+// is shorter than the header timeout.
+test("a head that arrives more slowly than the idle timeout allows is answered", async () => {
+  const listener = await listen(10_000);
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  await once(socket, "data");
+  socket.write("GET / HT");
+  await new Promise((resolve) => setTimeout(resolve, PART_DELAY));
+  socket.write("TP/1.1\r\nHost: x\r\n\r\n");
+  const [received] = (await once(socket, "data")) as [Buffer];
+  expect(String(received)).toMatch(/^HTTP\/1.1 200 /);
+  // An idle connection still ends with its timeout.
+  await once(socket, "close");
+  await listener.close();
+});
+
+// Guards against connections that stay open for good, since bytes between two requests don't always begin a head.
+test("a connection with an empty line behind its request ends when it is idle", async () => {
+  const listener = await listen(500);
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  await once(socket, "data");
+  socket.write("\r\n");
+  await once(socket, "close");
+  await listener.close();
+});
--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -17,8 +17,12 @@
   requestCount: number;
   /** The responses that have not ended; more than one if the caller doesn't wait for them. */
   readonly unfinished: Set<ServerResponse>;
+  /** Number of bytes read when the last response ended; undefined if its request was still arriving then. */
+  readAtEnd: number | undefined;
 }
 
+/** Time after the header timeout by which it has been checked, in milliseconds. */
+const HEADER_CHECK_MARGIN = 1_000;
 const REQUEST_TIMEOUT = 408;
 const BAD_REQUEST = 400;
 const METHOD_NOT_ALLOWED = 405;
@@ -33,15 +37,23 @@
 export function endConnectionsAfterReading(server: Server): void {
   const connections = new WeakMap<Duplex, Progress>();
   const progressOf = (socket: Duplex): Progress => {
-    const progress = connections.get(socket) ?? { requestCount: 0, unfinished: new Set() };
+    const progress = connections.get(socket) ?? {
+      requestCount: 0,
+      unfinished: new Set(),
+      readAtEnd: undefined,
+    };
     connections.set(socket, progress);
     return progress;
   };
-  server.prependListener("request", ({ socket }, response) => {
+  server.prependListener("request", (request, response) => {
+    const { socket } = request;
     const progress = progressOf(socket);
     progress.requestCount++;
     progress.unfinished.add(response);
-    response.once("close", () => progress.unfinished.delete(response));
+    response.once("close", () => {
+      progress.unfinished.delete(response);
+      progress.readAtEnd = request.complete ? socket.bytesRead : undefined;
+    });
   });
   server.on("connection", (socket) => {
     socket.once("close", () => closeQueued(progressOf(socket)));
@@ -51,6 +63,16 @@
     endWithError(socket, METHOD_NOT_ALLOWED, progressOf(socket)),
   );
   server.on("timeout", (socket: Socket) => {
+    const progress = progressOf(socket);
+    const { readAtEnd } = progress;
+    // The header timeout applies if a part of the next head has arrived: the connection is not idle then.
+    const isWithinHead = readAtEnd !== undefined && socket.bytesRead > readAtEnd;
+    if (isWithinHead) {
+      // Not every byte begins a head, so the connection ends here if the header timeout doesn't apply.
+      progress.readAtEnd = undefined;
+      socket.setTimeout(server.headersTimeout + HEADER_CHECK_MARGIN);
+      return;
+    }
     const { bytesRead } = socket;
     setImmediate(() => {
       if (socket.bytesRead === bytesRead) socket.destroy();
