Handle errors of a connection whose CONNECT is refused

Node.js removes its error listener from a connection before it reports a CONNECT request, so that an error of that connection would end the process. The listener rules it out.

--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -59,9 +59,11 @@
     socket.once("close", () => closeQueued(progressOf(socket)));
   });
   // Without a listener, Node.js closes the connection without an answer.
-  server.on("connect", (_request, socket) =>
-    endWithError(socket, METHOD_NOT_ALLOWED, progressOf(socket)),
-  );
+  server.on("connect", (_request, socket) => {
+    // Node.js has removed its own listener, without which an error would end the process.
+    socket.on("error", () => undefined);
+    endWithError(socket, METHOD_NOT_ALLOWED, progressOf(socket));
+  });
   server.on("timeout", (socket: Socket) => {
     const progress = progressOf(socket);
     const { readAtEnd } = progress;
