Search and copy an incomplete event only once

Callers saw: requests of all callers were slow while one worker sent a stream that contained no complete event.

Cause: each piece of an incomplete event was joined with everything before it, and all of it was searched again, up to 4 MB.

Change: an incomplete event is stored with room to grow, and only new bytes are searched.

--- a/src/request/event_splitter.ts
+++ b/src/request/event_splitter.ts
@@ -43,6 +43,8 @@
  * request that continues the stream.
  */
 const ID_LINE = /^id:\s*([\x21-\x7e]{1,128})\s*$/;
+/** Factor by which the storage of an incomplete event grows, so that each byte is copied a bounded number of times. */
+const GROWTH_FACTOR = 2;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const NO_EVENTS: CompleteEvents = { bytes: Buffer.alloc(0), count: 0 };
@@ -50,21 +52,48 @@
 /** Creates a splitter for one stream. */
 export function createEventSplitter(): EventSplitter {
   let partial: Buffer = Buffer.alloc(0);
+  /** Free bytes directly behind the incomplete event. */
+  let spare: Buffer = Buffer.alloc(0);
+  /** Start of the last, incomplete line in it. */
+  let lineStart = 0;
   let lastId: string | undefined;
   let isTooLong = false;
+  /**
+   * Returns the incomplete event with the bytes behind it. Copying and searching all of it for each piece would cost
+   * time that grows with the square of its length: seconds for a stream without events.
+   */
+  const join = (chunk: Buffer): Buffer => {
+    if (partial.length === 0) {
+      spare = Buffer.alloc(0);
+      return chunk;
+    }
+    if (spare.length < chunk.length) {
+      const storage = Buffer.allocUnsafe(GROWTH_FACTOR * (partial.length + chunk.length));
+      partial.copy(storage);
+      spare = storage.subarray(partial.length);
+      partial = storage.subarray(0, partial.length);
+    }
+    chunk.copy(spare);
+    spare = spare.subarray(chunk.length);
+    return Buffer.from(partial.buffer, partial.byteOffset, partial.length + chunk.length);
+  };
   const setPartial = (bytes: Buffer): void => {
     isTooLong ||= bytes.length > MAX_EVENT_BYTES;
     partial = isTooLong ? Buffer.alloc(0) : bytes;
   };
   const replacePartial = (bytes: Buffer): void => {
     partial = bytes;
+    spare = Buffer.alloc(0);
+    lineStart = bytes.lastIndexOf(LINE_FEED) + 1;
     isTooLong = false;
   };
   return {
     push: (chunk) => {
       if (isTooLong) return NO_EVENTS;
-      const all = partial.length === 0 ? chunk : Buffer.concat([partial, chunk]);
-      const { end, count } = findCompleteEnd(all);
+      const searchFrom = partial.length;
+      const all = join(chunk);
+      const { end, count, lastLine } = findCompleteEnd(all, { lineStart, searchFrom });
+      lineStart = lastLine - end;
       if (count === 0) {
         setPartial(all);
         return NO_EVENTS;
@@ -88,12 +117,30 @@
   };
 }
 
-/** Finds the end of the last complete event, which is an empty line. Lines end with LF or CR LF. */
-function findCompleteEnd(bytes: Buffer): { end: number; count: number } {
+/** The part of an event in which its end wasn't found. */
+interface SearchedPart {
+  /** Start of its last line, which is incomplete. */
+  readonly lineStart: number;
+  /** Its length. */
+  readonly searchFrom: number;
+}
+
+/**
+ * Finds the end of the last complete event, which is an empty line, and the start of the line after all complete ones.
+ * Lines end with LF or CR LF.
+ */
+function findCompleteEnd(
+  bytes: Buffer,
+  { lineStart: firstLine, searchFrom }: SearchedPart,
+): { end: number; count: number; lastLine: number } {
   let end = 0;
   let count = 0;
-  let lineStart = 0;
-  for (let at = bytes.indexOf(LINE_FEED); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
+  let lineStart = firstLine;
+  for (
+    let at = bytes.indexOf(LINE_FEED, searchFrom);
+    at >= 0;
+    at = bytes.indexOf(LINE_FEED, at + 1)
+  ) {
     const length = at - lineStart;
     const isEmpty = length === 0 || (length === 1 && bytes[lineStart] === CARRIAGE_RETURN);
     lineStart = at + 1;
@@ -101,7 +148,7 @@
     end = lineStart;
     count++;
   }
-  return { end, count };
+  return { end, count, lastLine: lineStart };
 }
 
 function findLastId(bytes: Buffer): string | undefined {
--- a/src/request/event_splitter_test.ts
+++ b/src/request/event_splitter_test.ts
@@ -81,3 +81,31 @@
     }),
   );
 });
+
+// Guards against an end of an event that is missed or found twice, since only new bytes are searched for it.
+test("the same events are found however the lines of a stream are split", () => {
+  const text = fc
+    .array(fc.constantFrom("id: 3", "\r", "", "data: a", "x".repeat(40)), { maxLength: 40 })
+    .map((lines) => Buffer.from(lines.join("\n")));
+  const sizes = fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 });
+  fc.assert(
+    fc.property(text, sizes, (bytes, pieceSizes) => {
+      const whole = createEventSplitter();
+      const expected = whole.push(bytes);
+      const splitter = createEventSplitter();
+      const found: Buffer[] = [];
+      let count = 0;
+      for (let at = 0, step = 0; at < bytes.length; step++) {
+        const size = pieceSizes[step % pieceSizes.length] ?? 1;
+        const events = splitter.push(bytes.subarray(at, at + size));
+        found.push(events.bytes);
+        count += events.count;
+        at += size;
+      }
+      expect(Buffer.concat(found)).toEqual(expected.bytes);
+      expect(count).toBe(expected.count);
+      expect(splitter.partialEvent).toEqual(whole.partialEvent);
+    }),
+    { numRuns: 500 },
+  );
+});
