Keep the answer of a worker whose connection opens late

What callers see: status 502 (worker-lost) for a repeatable request, although a healthy worker has answered it.

Cause: a request moves to another worker after 2.5 times its target, and its own attempt is kept, without reading, until the other worker has answered. A connection that wasn't open yet couldn't be paused, so that what arrived on it was discarded and the attempt given up. If the other worker then refused the request, for instance with a pause, none was left.

Change: a connection that is paused before it is open reads nothing once it is, until it is resumed.

Measured: the new test of the connection failed before and passes now (8 of 8 in its file).

--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -94,6 +94,8 @@
   let isUnused = false;
   let canReuse = true;
   let isRelayed = false;
+  /** Whether nothing is read; also before the connection is established. */
+  let isPaused = false;
   /** Whether another exchange follows the current one. */
   let isPreparatory = false;
   let idleSince = clock.now();
@@ -160,6 +162,7 @@
     });
     opened.on("error", (error) => fail(`The connection to the worker failed: ${error.message}.`));
     opened.on("close", () => fail("The connection to the worker was closed."));
+    if (isPaused) opened.pause();
     if (queuedRequest !== undefined) opened.write(queuedRequest);
     queuedRequest = undefined;
   };
@@ -189,8 +192,14 @@
     if (socket === undefined) queuedRequest = bytes;
     else socket.write(bytes);
     return {
-      pause: () => void socket?.pause(),
-      resume: () => void socket?.resume(),
+      pause: () => {
+        isPaused = true;
+        socket?.pause();
+      },
+      resume: () => {
+        isPaused = false;
+        socket?.resume();
+      },
       abort: () => {
         current = undefined;
         close();
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -160,3 +160,35 @@
   expect(end.kind).toBe("complete");
   expect(status).toBe(503);
 });
+
+// An attempt that is kept while another worker is asked is paused, perhaps before its connection is open. What arrives in
+// the meantime must not be lost: the caller gets it if the other worker refuses the request.
+test("a response is read after a pause that began before the connection was open", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () =>
+      socket.end("HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nwhole"),
+    );
+  });
+  const connection = connectTo(address);
+  const events: string[] = [];
+  const ended = new Promise<void>((resolve) => {
+    const exchange = connection.exchange(
+      { method: "GET", target: "/", headers: ["X-Id", "r1"], body: Buffer.alloc(0), id: "r1" },
+      {
+        head: () => events.push("head"),
+        data: (chunk) => events.push(chunk.toString()),
+        end: ({ kind }) => {
+          events.push(kind);
+          resolve();
+        },
+      },
+    );
+    exchange.pause();
+    setTimeout(() => {
+      events.push("resumed");
+      exchange.resume();
+    }, 100);
+  });
+  await ended;
+  expect(events).toEqual(["resumed", "head", "whole", "complete"]);
+});
--- a/src/request/routed_sending.ts
+++ b/src/request/routed_sending.ts
@@ -13,7 +13,7 @@
 import { recordSent } from "./routed_progress.ts";
 import { leaveWorker } from "./routed_repeats.ts";
 import { canContinueStreams, deliversEvents, isRepeatable } from "./routed_request.ts";
-import { dropReserve, endAttempt, logStep, releaseReserve } from "./routed_run_state.ts";
+import { dropReserve, endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 import { watchSilence } from "./routed_silence.ts";
 
@@ -86,11 +86,7 @@
 function createSink(state: RoutedRunState, attempt: Attempt): ExchangeSink {
   const isKept = (): boolean => state.reserve?.attempt === attempt;
   return {
-    head: (head) => {
-      // Reading can't be paused before the connection is open. What arrives then would be lost for the kept attempt.
-      if (isKept()) releaseReserve(state);
-      receiveHead(state, { attempt, head });
-    },
+    head: (head) => receiveHead(state, { attempt, head }),
     data: (chunk) => receiveData(state, { attempt, chunk }),
     end: (end) => {
       if (isKept()) dropReserve(state);
