Don't take a stall of the process for the silence of other instances

What operators see: after an instance had no processor time for a second, it logs all other instances as lost, and in a large fleet it watches the store itself although relays send it the changes.

Cause: after a stall, timers run before sockets are read. The ages of the last digests included the stall.

Change: these ages count the time in which the process was able to run. The measure is one part of an instance, which the detector of outages of the store uses too.

--- a/src/process/fleet_sync.ts
+++ b/src/process/fleet_sync.ts
@@ -23,6 +23,7 @@
 import type { PeerExchange } from "./peer_exchange.ts";
 import type { RoutedWorkerTable } from "./routed_worker_table.ts";
 import type { RoutedLog } from "./routed_log.ts";
+import type { RunningTime } from "./running_time.ts";
 import { capacityOf } from "./routed_settings.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 
@@ -48,6 +49,7 @@
 export interface FleetSyncParts {
   readonly settings: RoutedSettings;
   readonly clock: Clock;
+  readonly runningTime: Pick<RunningTime, "between">;
   readonly random: Random;
   readonly log: RoutedLog;
   readonly feeds: ReadonlyMap<string, FeedFollower>;
@@ -74,7 +76,7 @@
 const SENT_WINDOWS = 4;
 /** Exclusive upper bound of the session number, which has 32 bits. */
 const SESSION_RANGE = 2 ** 32;
-/** Milliseconds without a digest after which a feeding relay no longer counts: three digests. */
+/** Milliseconds of running time without a digest after which a feeding relay no longer counts: three digests. */
 const FEEDER_TIMEOUT = 800;
 /**
  * Maximum number of store changes, and of JSON characters in them, in one digest; far below the
@@ -90,7 +92,19 @@
 
 /** Creates the synchronization. Nothing is sent before it is started. */
 export function createFleetSync(parts: FleetSyncParts): FleetSync {
-  const { settings, clock, random, log, feeds, time, quota, ledger, health, workerTable } = parts;
+  const {
+    settings,
+    clock,
+    runningTime,
+    random,
+    log,
+    feeds,
+    time,
+    quota,
+    ledger,
+    health,
+    workerTable,
+  } = parts;
   const session = randomInt(1, SESSION_RANGE);
   const startedAt = clock.now();
   /** Sums over the instances that this one receives from directly, and over all instances. */
@@ -163,6 +177,7 @@
   };
   const exchange = createPeerExchange({
     clock,
+    runningTime,
     random,
     session,
     introduction: {
@@ -191,8 +206,10 @@
     open: parts.open,
   });
   const isFed = (): boolean => {
-    const from = clock.now() - FEEDER_TIMEOUT;
-    return exchange.feeders().some(({ receivedAt }) => receivedAt >= from);
+    const now = clock.now();
+    return exchange
+      .feeders()
+      .some(({ receivedAt }) => runningTime.between(receivedAt, now) <= FEEDER_TIMEOUT);
   };
   return Object.assign(exchange, {
     incarnation: incarnationOf(settings.name, session),
--- a/src/process/fleet_table.ts
+++ b/src/process/fleet_table.ts
@@ -6,6 +6,7 @@
 import type { FleetTopology } from "./fleet_topology.ts";
 import { isResponding, NEVER, createPeer } from "./peer.ts";
 import type { Peer, PeerInstance } from "./peer.ts";
+import type { RunningTime } from "./running_time.ts";
 
 /** The peers known to this instance, and its role in the fleet's topology. */
 export interface FleetTable {
@@ -64,10 +65,11 @@
 /** Creates a table without peers. */
 export function createFleetTable(parts: {
   readonly clock: Clock;
+  readonly runningTime: Pick<RunningTime, "between">;
   readonly introduction: Introduction;
   readonly session: number;
 }): FleetTable {
-  const { clock, introduction, session } = parts;
+  const { clock, runningTime, introduction, session } = parts;
   const self = introduction.peers;
   const peers = new Map<string, Peer>();
   const bySession = new Map<number, Peer>();
@@ -156,7 +158,7 @@
       const now = clock.now();
       let changed = false;
       for (const peer of livePeers()) {
-        if (isResponding(peer, now)) continue;
+        if (isResponding(peer, { now, runningTime })) continue;
         peer.isLive = false;
         peer.lostAt = now;
         // The local copy of its counts is discarded, so the peer must send a full snapshot when it
--- a/src/process/peer.ts
+++ b/src/process/peer.ts
@@ -1,5 +1,6 @@
 import { UpdateScope } from "./digest.ts";
 import type { InstanceState, RosterEntry } from "./digest.ts";
+import type { RunningTime } from "./running_time.ts";
 
 /** Another instance, as described by its last digest. */
 export interface PeerInstance extends RosterEntry, InstanceState {
@@ -40,14 +41,20 @@
 export const NEVER = -Infinity;
 
 /**
- * Milliseconds without a digest after which an instance counts as lost. Four digests in a row are
- * almost never lost by packet loss alone.
+ * Milliseconds of running time without a digest after which an instance counts as lost. Four digests
+ * in a row are almost never lost by packet loss alone.
  */
 const LIVENESS_TIMEOUT = 1_100;
 
-/** Whether a digest from the peer has arrived recently enough. */
-export function isResponding({ receivedAt }: Peer, now: number): boolean {
-  return receivedAt >= now - LIVENESS_TIMEOUT;
+/** Whether a digest from the peer has arrived recently enough. A stall of this process says nothing about the peer. */
+export function isResponding(
+  { receivedAt }: Peer,
+  {
+    now,
+    runningTime,
+  }: { readonly now: number; readonly runningTime: Pick<RunningTime, "between"> },
+): boolean {
+  return runningTime.between(receivedAt, now) <= LIVENESS_TIMEOUT;
 }
 
 /** Returns the id of a process: the instance's name and the session in hexadecimal. */
--- a/src/process/peer_exchange.ts
+++ b/src/process/peer_exchange.ts
@@ -29,6 +29,7 @@
 import type { InstanceCounts } from "./count_log.ts";
 import { incarnationOf, NEVER } from "./peer.ts";
 import type { Peer, PeerInstance } from "./peer.ts";
+import type { RunningTime } from "./running_time.ts";
 
 /** Exchange of digests between entry instances. */
 export interface PeerExchange {
@@ -85,6 +86,7 @@
 /** Dependencies and settings of {@linkcode createPeerExchange}. */
 export interface PeerExchangeParts {
   readonly clock: Clock;
+  readonly runningTime: Pick<RunningTime, "between">;
   readonly random: Random;
   readonly introduction: Introduction;
   /** Random nonzero number that identifies this process. */
@@ -137,8 +139,8 @@
 
 /** Creates the exchange. */
 export function createPeerExchange(parts: PeerExchangeParts): PeerExchange {
-  const { clock, random, introduction, session } = parts;
-  const table = createFleetTable({ clock, introduction, session });
+  const { clock, runningTime, random, introduction, session } = parts;
+  const table = createFleetTable({ clock, runningTime, introduction, session });
   const rounds: DigestRounds = createDigestRounds({
     ...parts,
     table,
--- a/src/process/peer_exchange_test.ts
+++ b/src/process/peer_exchange_test.ts
@@ -5,6 +5,7 @@
 import type { InstanceCounts } from "./count_log.ts";
 import { createPeerExchange } from "./peer_exchange.ts";
 import type { PeerExchange } from "./peer_exchange.ts";
+import { createRunningTime } from "./running_time.ts";
 import { createDatagramNetwork, MAX_DELAY } from "./testing/datagram_network.ts";
 import type { DatagramNetwork } from "./testing/datagram_network.ts";
 
@@ -69,6 +70,7 @@
       isReady: true,
       exchange: createPeerExchange({
         clock,
+        runningTime: createRunningTime(clock),
         random,
         session: ++session,
         introduction: {
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -44,6 +44,7 @@
 import { createStoreThrottle } from "./store_throttle.ts";
 import { shareServices } from "./share_services.ts";
 import { createStoreView } from "./store_view.ts";
+import { createRunningTime } from "./running_time.ts";
 import { createStallMonitor } from "./stall_monitor.ts";
 import { createUsageTask } from "./usage_task.ts";
 import { createWorkerChecks } from "./worker_checks.ts";
@@ -197,8 +198,10 @@
   const isStopping = (): boolean => stoppingSince !== undefined;
   const isReady = (): boolean => table() !== undefined && view.hasWorkers && !isStopping();
 
+  const runningTime = createRunningTime(clock);
   const view = createStoreView({
     clock,
+    runningTime,
     random,
     feed: dependencies.feed,
     kinds,
@@ -245,6 +248,7 @@
     send: datagrams.sendMarked,
   });
   const fleet = createFleetSync({
+    runningTime,
     settings,
     clock,
     random,
@@ -472,6 +476,7 @@
     start: async () => {
       log.changed("starting", { incarnation, zone: settings.zone });
       fleet.addAddresses(settings.seeds);
+      runningTime.start();
       await fleet.start();
       view.start();
       lease.start();
@@ -492,7 +497,8 @@
     stop: () => (stopped ??= drain()),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
-      for (const part of [connections, path, relay, streamVersions, stalls]) part.close();
+      for (const part of [connections, path, relay, streamVersions, stalls, runningTime])
+        part.close();
       rollouts?.close();
     },
   };
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -20,7 +20,7 @@
 import type { PeerInstance } from "./peer.ts";
 import type { StoredKinds } from "./routed_entry_parts.ts";
 import type { RoutedLog } from "./routed_log.ts";
-import { createRunningTime } from "./running_time.ts";
+import type { RunningTime } from "./running_time.ts";
 import { createStoreOutage } from "./store_outage.ts";
 import { createWorkerRoster } from "./worker_roster.ts";
 
@@ -50,6 +50,7 @@
 /** Dependencies and settings of {@linkcode createStoreView}. */
 export interface StoreViewParts {
   readonly clock: Clock;
+  readonly runningTime: Pick<RunningTime, "between">;
   readonly random: Random;
   readonly feed: ObjectFeed;
   readonly kinds: StoredKinds;
@@ -191,10 +192,9 @@
     [kinds.quarantine, quarantineFeed],
     ...(parts.followsRollouts ? [[kinds.rollouts, rolloutFeed] as const] : []),
   ]);
-  const runningTime = createRunningTime(clock);
   const outage = createStoreOutage({
     clock,
-    runningTime,
+    runningTime: parts.runningTime,
     onEnd: (at) => {
       log.changed("store-returned", {});
       roster.storeReturned(at);
@@ -292,11 +292,9 @@
     },
     afterDigest: (peer) => catchUp.receive(peer),
     start: () => {
-      runningTime.start();
       for (const feed of feeds.values()) feed.start();
     },
     close: () => {
-      runningTime.close();
       for (const feed of feeds.values()) feed.close();
     },
   };
--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -25,6 +25,7 @@
 import { createVirtualClock } from "../../standin/memory/index.ts";
 import { hashText, QuotaUnit } from "../../version/index.ts";
 import type { RoutedService } from "../../version/index.ts";
+import { createRunningTime } from "../running_time.ts";
 import { createFleetSync } from "../fleet_sync.ts";
 import type { FleetSync } from "../fleet_sync.ts";
 import { FleetRole } from "../fleet_topology.ts";
@@ -275,6 +276,7 @@
     },
   });
   const sync: FleetSync = createFleetSync({
+    runningTime: createRunningTime(clock),
     settings: {
       name,
       zone,
