--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -96,6 +96,8 @@
   let isUnused = false;
   let canReuse = true;
   let isRelayed = false;
+  /** Whether nothing is read; also before the connection is established. */
+  let isPaused = false;
   /** Whether another exchange follows the current one. */
   let isPreparatory = false;
   let isPaused = false;
@@ -163,6 +165,7 @@
     });
     opened.on("error", (error) => fail(`The connection to the worker failed: ${error.message}.`));
     opened.on("close", () => fail("The connection to the worker was closed."));
+    if (isPaused) opened.pause();
     if (queuedRequest !== undefined) opened.write(queuedRequest);
     queuedRequest = undefined;
   };
