Admit a fraction of an overloaded account's requests while reports are on their way

Seen by callers of other accounts: an account of a large fleet that sends many times its quota got up to 1.25 times what it may have in 8 s.

Cause: reports pass through relays and are 0.4 s old on average. Until then all instances see the same level, and each admits a request against it, whatever its size.

Change: after an account's level was used up, and for three seconds, each instance estimates the account's demand at all instances until the reports arrive, and admits the fraction for which the level and the refill suffice.

--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -20,6 +20,13 @@
  * quota would get everything that was refilled since the last report from each of six instances,
  * six times over.
  *
+ * In a large fleet, reports pass through relays. While an account sends several times its quota, all
+ * instances see the same level until they receive what the others have admitted against it, and then
+ * none admits anything until the excess is paid back. After the level was used up, each instance
+ * therefore estimates the demand at all instances in that time from its own, and admits only the
+ * fraction of its requests for which the level and the refill suffice. The estimate from a few
+ * requests is inaccurate, so that it must not be applied to an account that keeps to its quota.
+ *
  * A request is admitted while the level is above zero, whatever its size, and the excess is paid
  * back before the next request. If requests had to fit, an account at its limit would always get
  * its small requests through and never its large ones. The overdraft is at most one request per
@@ -73,10 +80,10 @@
    */
   receiveReport(incarnation: string, report: { admitted: AdmittedCounts; age: number }): void;
   /**
-   * Sets the number of instances that this one receives reports from (itself included), and the
-   * number of all instances.
+   * Sets the number of instances that this one receives reports from (itself included), the number
+   * of all instances, and the average age of reports in milliseconds if they pass through relays.
    */
-  setReachability(reach: { reachable: number; members: number }): void;
+  setReachability(reach: { reachable: number; members: number; reportAge?: number }): void;
   /** Returns the amounts that this instance has admitted, for the report that is sent now. */
   createReport(now: number): AdmittedCounts;
 }
@@ -105,6 +112,12 @@
   /** Recent admissions of this instance and of its peers, with older ones weighted less. */
   recentOwn: number;
   recentPeers: number;
+  /** Number of recent requests of this instance, admitted or not, weighted in the same way. */
+  recentRequests: number;
+  /** Sum of the sizes of all its requests, since it started. */
+  requested: number;
+  /** When a request last found the level at 0 or below. */
+  exhaustedAt: number;
   /** Number of requests of this instance, since it started. */
   admitted: number;
   refused: number;
@@ -134,6 +147,11 @@
  */
 const MIN_WAIT = 50;
 const MAX_WAIT = 60_000;
+/**
+ * Milliseconds for which an account counts as overloaded after its level was used up. While it sends
+ * several times its quota, the level is used up at least every two seconds.
+ */
+const EXHAUSTION_TIME = 3_000;
 /** Maximum milliseconds until the next report to the other instances. */
 const MAX_REPORT_INTERVAL = 275;
 const MS_PER_SECOND = 1_000;
@@ -142,22 +160,20 @@
  * Creates quotas that are unused.
  *
  * @param startedAt When the instance started, in milliseconds of the clock.
- * @param reserveParts The reserve of each account. If it is absent or its duration is 0, requests of
- * all sizes are admitted in the order in which they arrive.
+ * @param parts The reserve of each account, and the source of random choices. If it is absent or its
+ * duration is 0, requests of all sizes are admitted in the order in which they arrive. It may be absent
+ * only in a fleet without relays.
  */
-export function createSharedQuota(
-  startedAt: number,
-  reserveParts?: QuotaReserveParts,
-): SharedQuota {
+export function createSharedQuota(startedAt: number, parts?: QuotaReserveParts): SharedQuota {
   const reserve =
-    reserveParts === undefined || reserveParts.duration === 0
-      ? undefined
-      : createQuotaReserve(reserveParts);
+    parts === undefined || parts.duration === 0 ? undefined : createQuotaReserve(parts);
+  const random = parts?.random;
   const buckets = new Map<string, Bucket>();
   const ownAdmitted = new Map<string, number>();
   const peers = new Map<string, Map<string, number>>();
   let reachableFraction = 1;
   let totalMembers = 1;
+  let reportAge = 0;
   let lastReportAt = startedAt;
 
   const bucketOf = (account: string, quota: Quota, now: number): Bucket => {
@@ -173,6 +189,9 @@
         takenSinceReport: 0,
         recentOwn: 0,
         recentPeers: 0,
+        recentRequests: 0,
+        requested: 0,
+        exhaustedAt: -Infinity,
         admitted: 0,
         refused: 0,
       };
@@ -200,6 +219,18 @@
   };
   /** The share of the remaining level that this instance may take until its next report. */
   const ownShare = (bucket: Bucket): number => Math.min(1, ownFraction(bucket) * SHARE_HEADROOM);
+  /**
+   * The fraction of requests that can be admitted until the reports of the others arrive, if all
+   * instances admit the same fraction.
+   */
+  const admittedFraction = (bucket: Bucket): number => {
+    // Sizes differ by orders of magnitude, so that the recent ones say little about the demand elsewhere.
+    const meanSize = bucket.requested / Math.max(1, bucket.admitted + bucket.refused);
+    const requests = (bucket.recentRequests * Math.LN2 * reportAge) / RECENT_HALF_LIFE;
+    const demand = (requests * meanSize) / ownFraction(bucket);
+    const refill = (bucket.quota.perSecond * reachableFraction * reportAge) / MS_PER_SECOND;
+    return (bucket.level + refill) / Math.max(demand, Number.MIN_VALUE);
+  };
   /**
    * Milliseconds after which a refused request may be sent again: as soon as the level is above
    * zero. Callers come back within a third of this time anyway, and a longer time makes the answer
@@ -239,7 +270,15 @@
       // rest of a level that is small.
       const isOverShare =
         bucket.takenSinceReport > Math.max(0, bucket.levelAtReport * ownShare(bucket));
-      if (bucket.level <= threshold || isOverShare) {
+      if (bucket.level <= 0) bucket.exhaustedAt = now;
+      const isOverFraction =
+        reportAge > 0 &&
+        random !== undefined &&
+        now - bucket.exhaustedAt < EXHAUSTION_TIME &&
+        random.next() >= admittedFraction(bucket);
+      bucket.recentRequests++;
+      bucket.requested += size;
+      if (bucket.level <= threshold || isOverShare || isOverFraction) {
         bucket.refused++;
         return reserve?.refuse(request, state) ?? retryAfter(bucket);
       }
@@ -282,7 +321,8 @@
         bucket.recentPeers = Math.max(0, bucket.recentPeers + delta);
       }
     },
-    setReachability: ({ reachable, members: memberCount }) => {
+    setReachability: ({ reachable, members: memberCount, reportAge: age = 0 }) => {
+      reportAge = age;
       totalMembers = Math.max(1, memberCount);
       reachableFraction = Math.min(1, reachable / totalMembers);
     },
@@ -296,6 +336,7 @@
         bucket.takenSinceReport = 0;
         bucket.recentOwn *= decay;
         bucket.recentPeers *= decay;
+        bucket.recentRequests *= decay;
       }
       return ownAdmitted;
     },
--- a/src/process/fleet_sync.ts
+++ b/src/process/fleet_sync.ts
@@ -176,7 +176,11 @@
     const live = exchange.live();
     const count = exchange.members;
     parts.repeats.setMemberCount(count);
-    quota.setReachability({ reachable: live.length + 1, members: count });
+    quota.setReachability({
+      reachable: live.length + 1,
+      members: count,
+      reportAge: exchange.updateAge,
+    });
     const sources = exchange.sources();
     workerTable.retainInstances(sources);
     health.retainInstances(sources);
