Keep the path to each worker instead of one for all of them

Callers of an instance that reached only half of its workers were refused as overloaded, although its peers reached the other half. When several workers ended at once, all instances took their paths for lost, none confirmed to another that a worker had ended, and the checks of crashes stayed unanswered. A request could be held for 0.7 s by a paused instance that was asked to relay.

Cause: whether the path was lost was one fact for all workers. The next connection that worked reset it, an instance without a path confirmed nothing, and the instances asked to relay were tried one after the other. With hanging connections, missing responses also counted as failures of the workers behind the partition, at all instances, so that they got no requests for seconds.

Change: the state is kept for each worker. A path is lost if a direct connection fails and another instance opens one. It returns when a direct one works, and is tried less and less often if it is lost again soon. A direct attempt that fails or is slow is continued through other instances, which are asked 100 ms apart and have 400 ms together; only the connection that opens first gets the request. A worker that refuses this instance and two others, or the only one that answers, has ended. An instance that is refused by a worker which others reach is no witness. A missing response counts against a worker only after a check of the path. An instance relays 256 connections at most. Requests for workers behind a lost path always go through another instance; ranking such workers behind others was not built, so the two are not compared.

--- a/src/connection/dial.ts
+++ b/src/connection/dial.ts
@@ -7,7 +7,7 @@
 /** Timeout for opening a connection to a worker, in milliseconds; the platform's own clients use the same. */
 export const CONNECT_TIMEOUT = 1_000;
 /** Milliseconds after which a connection that isn't established counts as slow. */
-const SLOW_CONNECT_TIME = 300;
+export const SLOW_CONNECT_TIME = 300;
 
 /** An established connection to a worker. */
 export interface DialedConnection {
--- a/src/connection/relay_dial.ts
+++ b/src/connection/relay_dial.ts
@@ -1,14 +1,17 @@
-import { request } from "node:http";
-import type { ClientRequest } from "node:http";
-import type { Socket } from "node:net";
 import { afterRunningTime, DialFailure } from "../interface/index.ts";
-import type { Clock } from "../interface/index.ts";
+import type { Clock, Timer } from "../interface/index.ts";
 import type { DialListener, PendingDial } from "./dial.ts";
-import { splitAddress } from "./http_listener.ts";
-import { RELAY_ESTABLISHED, workerFailureOf } from "./relay_status.ts";
+import { requestRelay } from "./relay_request.ts";
 
-/** Timeout for a relay's answer, in milliseconds. It exceeds the relay's own timeout for the worker. */
-const RELAY_TIMEOUT = 700;
+/**
+ * Timeout for opening a connection through other instances, in milliseconds. It exceeds a relay's own timeout for the
+ * worker, and a refusal within 500 ms remains possible if all relays are paused.
+ */
+const RELAY_TIMEOUT = 400;
+/** Milliseconds without an answer after which another instance is asked, too: the first one may be paused. */
+const NEXT_RELAY_DELAY = 100;
+/** Number of instances that must be refused before the others are asked: one may be partitioned and not know it yet. */
+const MIN_REFUSALS = 2;
 
 /** Dependencies and options of {@linkcode dialRelayed}. */
 export interface RelayDialOptions {
@@ -17,80 +20,88 @@
   readonly relays: readonly string[];
   /** Called with the address of an instance that can't relay connections at the moment. */
   readonly onRelayFailed: (relay: string) => void;
+  /** Called with the address of an instance that did not answer. */
+  readonly onRelaySilent?: (relay: string) => void;
+  /** Called with the address of the instance that relays the connection. */
+  readonly onRelayOpened?: (relay: string) => void;
 }
 
 /**
- * Opens a connection to a worker through another instance, with the method CONNECT.
+ * Opens a connection to a worker through another instance. Several are asked if one is slow to answer or can't reach the
+ * worker. The first connection is used, the others are closed unused.
  *
  * @param target `IP:PORT` of the worker.
  */
 export function dialRelayed(
   target: string,
-  { clock, relays, onRelayFailed }: RelayDialOptions,
+  options: RelayDialOptions,
   listener: DialListener,
 ): PendingDial {
-  const remaining = [...relays];
-  let current: ClientRequest | undefined;
+  const { clock, onRelayFailed, onRelayOpened, onRelaySilent } = options;
+  const remaining = [...options.relays];
+  const pending = new Map<string, PendingDial>();
+  const failures: DialFailure[] = [];
   let isSettled = false;
-  const fail = (failure: DialFailure, detail: string): void => {
+  let nextTimer: Timer | undefined;
+
+  const countOf = (failure: DialFailure): number =>
+    failures.filter((one) => one === failure).length;
+  const close = (): void => {
     isSettled = true;
-    listener.failed(failure, detail);
+    for (const timer of [start, timeout, nextTimer]) timer?.close();
+    for (const dialing of pending.values()) dialing.close();
+    pending.clear();
   };
-  const tryNext = (): void => {
-    const relay = remaining.shift();
-    if (relay === undefined) {
-      fail(DialFailure.NoPath, "Neither this instance nor another one has a path to the worker.");
-      return;
-    }
-    const [host, port] = splitAddress(relay);
-    const attempt = request({ host, port, method: "CONNECT", path: target, agent: false });
-    current = attempt;
-    let hasEnded = false;
-    const end = (): boolean => {
-      if (hasEnded || isSettled) return false;
-      hasEnded = true;
-      timer.close();
-      return true;
-    };
-    const skip = (): void => {
-      if (!end()) return;
-      attempt.destroy();
-      onRelayFailed(relay);
-      tryNext();
-    };
-    const timer = afterRunningTime(clock, RELAY_TIMEOUT, skip);
-    attempt.on("error", skip);
-    attempt.on("connect", (response, socket: Socket, head) => {
-      if (!end()) {
-        socket.destroy();
-        return;
-      }
-      if (response.statusCode === RELAY_ESTABLISHED) {
-        isSettled = true;
-        if (head.length > 0) socket.unshift(head);
-        socket.setNoDelay(true);
-        listener.opened({ socket, isRelayed: true });
-        return;
-      }
-      socket.destroy();
-      const failure = workerFailureOf(response.statusCode);
-      if (failure !== undefined) {
-        fail(failure, "The worker didn't accept the relayed connection.");
-        return;
-      }
-      onRelayFailed(relay);
-      tryNext();
+  const fail = (): void => {
+    close();
+    const found = [DialFailure.Refused, DialFailure.Unanswered].find((one) => countOf(one) > 0);
+    if (found !== undefined) listener.failed(found, "Other instances don't reach the worker.");
+    else listener.failed(DialFailure.NoPath, "No instance was found that reaches the worker.");
+  };
+  const isConclusive = (): boolean =>
+    countOf(DialFailure.Refused) >= MIN_REFUSALS || (remaining.length === 0 && pending.size === 0);
+  const ask = (relay: string): void => {
+    const dialing = requestRelay(relay, target, {
+      opened: (connection) => {
+        pending.delete(relay);
+        close();
+        onRelayOpened?.(relay);
+        listener.opened(connection);
+      },
+      failed: (failure) => {
+        pending.delete(relay);
+        failures.push(failure);
+        if (failure === DialFailure.NoPath) onRelayFailed(relay);
+        if (isConclusive()) fail();
+        else askNext();
+      },
     });
-    attempt.end();
+    pending.set(relay, dialing);
+  };
+  const askNext = (): void => {
+    nextTimer?.close();
+    const relay = remaining.shift();
+    if (relay !== undefined) ask(relay);
+    nextTimer = afterRunningTime(clock, NEXT_RELAY_DELAY, onDelay);
+  };
+  /** An instance that was refused is believed if the others don't answer. */
+  const onDelay = (): void => {
+    if (remaining.length === 0 && countOf(DialFailure.Refused) > 0) fail();
+    else if (remaining.length > 0) askNext();
+  };
+  const endSilent = (): void => {
+    for (const relay of pending.keys()) onRelaySilent?.(relay);
+    fail();
   };
+  const timeout = afterRunningTime(clock, RELAY_TIMEOUT, endSilent);
   // The listener must not be called before this function returns.
-  const start = clock.after(0, tryNext);
+  const start = clock.after(0, () => {
+    if (isConclusive()) fail();
+    else askNext();
+  });
   return {
     close: () => {
-      if (isSettled) return;
-      isSettled = true;
-      start.close();
-      current?.destroy();
+      if (!isSettled) close();
     },
   };
 }
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -65,8 +65,8 @@
   readonly onReceived: () => void;
   /** Called with the head of each response, also of one that doesn't belong to the request in progress. */
   readonly onHead: (head: ResponseHead) => void;
-  /** Called when the first data arrives on a connection that isn't relayed. */
-  readonly onWorking: () => void;
+  /** Called when the first data arrives on a connection. */
+  readonly onWorking: (connection: { readonly isRelayed: boolean }) => void;
   /** Called when a connection that isn't relayed breaks during its first exchange, before any data has arrived. */
   readonly onBrokenUnused: () => void;
   /** Called when an exchange has ended and the connection can be reused. */
@@ -90,7 +90,7 @@
   let queuedRequest: Buffer | undefined;
   let current: ExchangeSink | undefined;
   let isClosed = false;
-  /** Whether nothing has arrived on a connection that isn't relayed. */
+  /** Whether nothing has arrived on the connection. */
   let isUnused = false;
   let canReuse = true;
   let isRelayed = false;
@@ -114,7 +114,7 @@
     sink?.end(end);
   };
   const fail = (detail: string): void => {
-    if (isUnused && !isClosed && current !== undefined) options.onBrokenUnused();
+    if (isUnused && !isRelayed && !isClosed && current !== undefined) options.onBrokenUnused();
     endExchange({ kind: "broken", detail });
   };
   const completeExchange = (): void => {
@@ -137,11 +137,11 @@
   const attach = ({ socket: opened, ...dialed }: DialedConnection): void => {
     socket = opened;
     isRelayed = dialed.isRelayed;
-    isUnused = !isRelayed;
+    isUnused = true;
     opened.on("data", (bytes) => {
       if (isClosed) return;
       options.onReceived();
-      if (isUnused) options.onWorking();
+      if (isUnused) options.onWorking({ isRelayed });
       isUnused = false;
       const fault = parser.feed(bytes);
       if (fault !== undefined) fail(`The worker sent an invalid response: ${fault}.`);
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -64,7 +64,7 @@
       dial: (listener) => path.dial(worker, listener),
       matching,
       onReceived: () => (pool.lastReceivedAt = clock.now()),
-      onWorking: () => path.recordWorking(),
+      onWorking: (dialed) => path.recordWorking(worker, dialed),
       onBrokenUnused: () => path.recordBroken(worker),
       onHead: (head) => onHead(worker, head),
       onIdle: () => {
@@ -94,7 +94,9 @@
       }
       const reusable = pool.connections.findLast(
         (connection) =>
-          path.keepsOpenConnections && connection.isIdle() && canReuse(connection, repeatable),
+          connection.isIdle() &&
+          canReuse(connection, repeatable) &&
+          path.keepsOpenConnections(worker),
       );
       if (reusable !== undefined) return sendOn(reusable);
       if (pool.connections.length >= maxConnections) {
@@ -105,7 +107,9 @@
       return sendOn(open(worker, pool));
     },
     tryConnect: (worker) => path.tryConnect(worker),
+    hasLostPath: (worker) => path.hasLostPath(worker),
     retainWorkers: (ids) => {
+      path.retainWorkers(ids);
       for (const [id, pool] of pools) {
         if (ids.has(id)) continue;
         for (const idle of pool.connections.filter((connection) => connection.isIdle()))
--- a/src/connection/worker_relay.ts
+++ b/src/connection/worker_relay.ts
@@ -18,15 +18,21 @@
   handle(request: IncomingMessage, stream: Duplex, head: Buffer): void;
   /** Number of open relayed connections. */
   readonly openCount: number;
+  /** Number of connections relayed so far. */
+  readonly openedCount: number;
+  /** Bytes exchanged with other instances on relayed connections so far. */
+  readonly bytes: number;
   /** Closes all of them. */
   close(): void;
 }
 
 /** Dependencies of {@linkcode createWorkerRelay}. */
 export interface WorkerRelayParts {
-  readonly path: Pick<WorkerPath, "dialDirectly" | "isCutOff">;
+  readonly path: Pick<WorkerPath, "dialForPeer">;
   /** Returns the registered worker at an address. Connections to other addresses are not relayed. */
   readonly workerAt: (address: string) => WorkerEndpoint | undefined;
+  /** Maximum number of connections that are relayed at the same time. */
+  readonly maxConnections?: number;
 }
 
 /**
@@ -34,15 +40,27 @@
  * place at the worker for good.
  */
 const KEEP_ALIVE_DELAY = 5_000;
+/**
+ * Maximum number of connections that an instance relays at the same time. If few instances of a large fleet reach a worker,
+ * the others would otherwise take up their descriptors and processor time.
+ */
+const MAX_RELAYED_CONNECTIONS = 256;
 
 /** Creates the relay of an instance. */
-export function createWorkerRelay({ path, workerAt }: WorkerRelayParts): WorkerRelay {
+export function createWorkerRelay({
+  path,
+  workerAt,
+  maxConnections = MAX_RELAYED_CONNECTIONS,
+}: WorkerRelayParts): WorkerRelay {
   const sockets = new Set<Socket>();
+  let openedCount = 0;
+  let closedBytes = 0;
   const open = (socket: Socket, dial: () => PendingDial): void => {
     sockets.add(socket);
     const dialing = dial();
     socket.on("close", () => {
       sockets.delete(socket);
+      closedBytes += bytesOf(socket);
       dialing.close();
     });
   };
@@ -59,15 +77,16 @@
         reject(socket, RELAY_UNKNOWN_WORKER);
         return;
       }
-      if (path.isCutOff) {
+      if (sockets.size >= maxConnections) {
         reject(socket, RELAY_STATUS_BY_FAILURE[DialFailure.NoPath]);
         return;
       }
       open(socket, () =>
-        path.dialDirectly(worker, {
+        path.dialForPeer(worker, {
           opened: ({ socket: far }) => {
             socket.write(responseHead(RELAY_ESTABLISHED));
             if (head.length > 0) far.write(head);
+            openedCount++;
             join(socket, far);
           },
           failed: (failure) => reject(socket, RELAY_STATUS_BY_FAILURE[failure]),
@@ -77,12 +96,24 @@
     get openCount() {
       return sockets.size;
     },
+    get openedCount() {
+      return openedCount;
+    },
+    get bytes() {
+      let bytes = closedBytes;
+      for (const socket of sockets) bytes += bytesOf(socket);
+      return bytes;
+    },
     close: () => {
       for (const socket of sockets) socket.destroy();
     },
   };
 }
 
+function bytesOf({ bytesRead, bytesWritten }: Socket): number {
+  return bytesRead + bytesWritten;
+}
+
 function responseHead(status: number): string {
   return `HTTP/1.1 ${status} \r\n\r\n`;
 }
--- a/src/connection/worker_relay_test.ts
+++ b/src/connection/worker_relay_test.ts
@@ -2,13 +2,16 @@
 import type { Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
 import { ConnectResult, createSeededRandom, DialFailure } from "../interface/index.ts";
+import type { WorkerEndpoint } from "../interface/index.ts";
 import { systemClock } from "../process/system_clock.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
 import { connectTcp, wasReset } from "./dial.ts";
-import type { DialedConnection } from "./dial.ts";
+import type { Connect, DialedConnection } from "./dial.ts";
 import { listenHttp } from "./http_listener.ts";
 import { dialRelayed } from "./relay_dial.ts";
 import { reserveLoopbackAddress } from "./testing/loopback_address.ts";
 import { createWorkerPath } from "./worker_path.ts";
+import type { WorkerPath } from "./worker_path.ts";
 import { createWorkerRelay } from "./worker_relay.ts";
 
 const closers: (() => unknown)[] = [];
@@ -35,10 +38,14 @@
 }
 
 /** Starts an instance that relays connections to the worker at `known`; resolves with its address. */
-async function startRelay(known: string): Promise<string> {
-  const path = createWorkerPath({ clock: systemClock, random: createSeededRandom(1) });
+async function startRelay(
+  known: string,
+  { connect, maxConnections }: { connect?: Connect; maxConnections?: number } = {},
+): Promise<string> {
+  const path = createWorkerPath({ clock: systemClock, random: createSeededRandom(1), connect });
   const relay = createWorkerRelay({
     path,
+    ...(maxConnections === undefined ? {} : { maxConnections }),
     workerAt: (address) => (address === known ? { id: "i-1", startedAt: 1, address } : undefined),
   });
   const listener = await listenHttp(reserveLoopbackAddress(), (_, response) => response.end(), {
@@ -145,3 +152,116 @@
   relays.splice(0, 1, await startRelay(address));
   expect(await refused.tryConnect({ ...worker, address })).toBe(ConnectResult.Refused);
 });
+
+// Guards against a worker that counts as ended because two instances can't reach it, while a third one does.
+test("a worker that one of three instances reaches has not ended", async () => {
+  const address = await startWorker(() => undefined);
+  const worker = { id: "i-1", startedAt: 1, address };
+  const refuse: Connect = () => connectTcp(reserveLoopbackAddress());
+  const relays = [await startRelay(address, { connect: refuse }), await startRelay(address)];
+  for (let seed = 1; seed <= 10; seed++) {
+    const path = createWorkerPath({
+      clock: systemClock,
+      random: createSeededRandom(seed),
+      relays: () => relays,
+      connect: refuse,
+    });
+    expect(await path.tryConnect(worker)).toBe(ConnectResult.Accepted);
+    path.close();
+  }
+});
+
+// Guards against requests that are held by an instance which is paused, and refused too late.
+test("an instance that doesn't answer holds no request longer than 400 ms", async () => {
+  const paused = await startWorker(() => undefined);
+  const clock = createVirtualClock();
+  const results: unknown[] = [];
+  dialRelayed(
+    "127.0.0.1:1",
+    { clock, relays: [paused], onRelayFailed: () => undefined },
+    { opened: () => results.push("opened"), failed: (failure) => results.push(failure) },
+  );
+  await clock.advance(399);
+  expect(results).toEqual([]);
+  await clock.advance(1);
+  expect(results).toEqual([DialFailure.NoPath]);
+});
+
+// Guards against waiting for a paused instance while another one reaches the worker.
+test("another instance is asked if one doesn't answer", async () => {
+  const worker = await startWorker(() => undefined);
+  const paused = await startWorker(() => undefined);
+  const dialed = await dial(worker, [paused, await startRelay(worker)]);
+  expect(dialed).toMatchObject({ isRelayed: true });
+});
+
+// Guards against an instance that all others use and that has no capacity left for its own callers.
+test("an instance relays no more than the maximum number of connections at the same time", async () => {
+  const worker = await startWorker(() => undefined);
+  const relay = await startRelay(worker, { maxConnections: 1 });
+  expect(await dial(worker, [relay])).toMatchObject({ isRelayed: true });
+  expect(await dial(worker, [relay])).toBe(DialFailure.NoPath);
+});
+
+/** Connects to a worker that resets all connections. */
+async function connectToReset(): Promise<Connect> {
+  const resetting = await startWorker((socket) => socket.resetAndDestroy());
+  return () => connectTcp(resetting);
+}
+
+// Guards against a worker that is avoided, also by other instances, because one of them lost its path to it.
+test("a missing response is due to the path if another instance reaches the worker, and only then", async () => {
+  const address = await startWorker(() => undefined);
+  const worker = { id: "i-1", startedAt: 1, address };
+  const relays = [await startRelay(address)];
+  const parts = { clock: systemClock, random: createSeededRandom(1), relays: () => relays };
+  const cut = createWorkerPath({ ...parts, connect: await connectToReset() });
+  expect(await cut.hasLostPath(worker)).toBe(true);
+  expect(cut.lostCount).toBe(1);
+  expect(await createWorkerPath(parts).hasLostPath(worker)).toBe(false);
+  const connect = await connectToReset();
+  relays.splice(0, 1, await startRelay(address, { connect }));
+  expect(await createWorkerPath({ ...parts, connect }).hasLostPath(worker)).toBe(false);
+  cut.close();
+});
+
+/** Starts two instances that relay for each other; resolves with their paths. */
+async function startInstances(workers: readonly WorkerEndpoint[]): Promise<WorkerPath[]> {
+  const addresses = [reserveLoopbackAddress(), reserveLoopbackAddress()];
+  const paths = addresses.map((own, index) =>
+    createWorkerPath({
+      clock: systemClock,
+      random: createSeededRandom(index + 1),
+      relays: () => addresses.filter((address) => address !== own),
+    }),
+  );
+  for (const [index, path] of paths.entries()) {
+    const workerAt = (address: string): WorkerEndpoint | undefined =>
+      workers.find((worker) => worker.address === address);
+    const relay = createWorkerRelay({ path, workerAt });
+    const listener = await listenHttp(addresses[index] ?? "", (_, response) => response.end(), {
+      onConnect: (request, stream, head) => relay.handle(request, stream, head),
+    });
+    closers.push(
+      () => path.close(),
+      () => relay.close(),
+      () => listener.close(),
+    );
+  }
+  return paths;
+}
+
+// Guards against instances that take the end of several workers for the loss of their paths, so that none confirms to
+// another that a worker has ended.
+test("all instances find that each worker of a group has ended", async () => {
+  const workers = [1, 2, 3, 4, 5].map((index) => ({
+    id: `i-${index}`,
+    startedAt: 1,
+    address: reserveLoopbackAddress(),
+  }));
+  const paths = await startInstances(workers);
+  const checks = paths.flatMap((path) => workers.map((worker) => path.tryConnect(worker)));
+  const found = new Set(await Promise.all(checks));
+  expect([...found]).toEqual([ConnectResult.Refused]);
+  expect(paths.map(({ lostCount }) => lostCount)).toEqual([0, 0]);
+});
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -2,6 +2,7 @@
 export type { ShareAccount, ShareService } from "./share_service.ts";
 export * from "./candidate_workers.ts";
 export * from "./crash_evidence.ts";
+export * from "./dial_verdict.ts";
 export * from "./entry_overload.ts";
 export * from "./fair_queue.ts";
 export * from "./fleet.ts";
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -118,6 +118,8 @@
   ): Exchange | undefined;
   /** Checks whether the worker's process accepts connections. */
   tryConnect(place: WorkerEndpoint): Promise<ConnectResult>;
+  /** Finds out whether the direct path to a worker that didn't answer is lost, although another instance reaches it. */
+  hasLostPath(place: WorkerEndpoint): Promise<boolean>;
   /** Closes the idle connections of all workers except those with the given ids. Exchanges in progress continue. */
   retainWorkers(ids: ReadonlySet<string>): void;
   /** Returns when data was last received from the worker, in milliseconds of the clock; undefined if never. */
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -73,6 +73,8 @@
 const TAKEOVER_DELAY = 300;
 /** Minimum of the longest timeout of all routes, in milliseconds. It applies until there is a configuration. */
 const MIN_LONGEST_TIMEOUT = 15_000;
+/** Maximum number of worker ids in a log line. */
+const MAX_LOGGED_WORKERS = 24;
 
 /** Creates an instance. It does nothing until `start` is called. */
 export function createRoutedEntry(
@@ -121,7 +123,11 @@
         .map(({ peers }) => peers),
     workers: () => workerTable.workers().filter(({ isLeaving }) => !isLeaving),
     onChange: ({ isCutOff, workers, cause }) =>
-      log.changed("worker-path", { isCutOff, workers: workers.join(" "), cause }),
+      log.changed("worker-path", {
+        isCutOff,
+        workers: workers.slice(0, MAX_LOGGED_WORKERS).join(" "),
+        cause,
+      }),
   });
   const connections = createWorkerConnections({
     clock,
@@ -177,6 +183,7 @@
     health,
     instanceCount,
     updateAge: () => fleet.updateAge,
+    hasLostPath: (worker) => connections.hasLostPath(worker),
     onBegin: () => fleet.reportRunStart(),
     versions,
     speeds,
--- a/src/process/routed_gauges.ts
+++ b/src/process/routed_gauges.ts
@@ -18,8 +18,8 @@
   readonly table: () => RouteTable | undefined;
   readonly fleet: Pick<FleetSync, "members" | "bytesSent">;
   readonly quarantine: Pick<CrashQuarantine, "list">;
-  readonly relay: Pick<WorkerRelay, "openCount">;
-  readonly path: Pick<WorkerPath, "isCutOff">;
+  readonly relay: Pick<WorkerRelay, "openCount" | "openedCount" | "bytes">;
+  readonly path: Pick<WorkerPath, "lostCount">;
   readonly connections: Pick<WorkerConnections, "openedCount">;
   readonly workerTable: Pick<RoutedWorkerTable, "overview">;
   readonly longPrompts: Pick<LongPromptWorkers<WorkerEntry>, "numbers">;
@@ -60,10 +60,20 @@
     "Connections to workers that are open for other instances.",
     () => relay.openCount,
   );
+  metrics.addGauge(
+    "samphireshore_relayed_connections_opened",
+    "Connections to workers opened for other instances.",
+    () => relay.openedCount,
+  );
+  metrics.addGauge(
+    "samphireshore_relayed_bytes",
+    "Bytes exchanged with other instances on such connections.",
+    () => relay.bytes,
+  );
   metrics.addGauge(
     "samphireshore_worker_path_lost",
-    "1 while connections to workers go through other instances.",
-    () => Number(path.isCutOff),
+    "Workers to which connections go through other instances.",
+    () => path.lostCount,
   );
   metrics.addGauge(
     "samphireshore_worker_connections_opened",
--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -118,6 +118,11 @@
   readonly onLeaving?: ((announcement: LeavingAnnouncement) => void) | undefined;
   /** Called when a worker without a pause asks for one, with its duration in milliseconds. */
   readonly onPause?: ((pause: { worker: string; duration: number }) => void) | undefined;
+  /**
+   * Finds out whether a missing response is due to the path from this instance to the worker. All of them count as the
+   * worker's failures if undefined.
+   */
+  readonly hasLostPath?: ((worker: WorkerEndpoint) => Promise<boolean>) | undefined;
   /** Called when a run begins. */
   readonly onBegin: () => void;
   /** Returns further counts of this instance that are sent to others together with the workers' run counts. */
@@ -126,9 +131,12 @@
   readonly versions?: Pick<RolloutView, "admitting" | "begin" | "counts"> | undefined;
 }
 
+type HealthEffect = "well" | "failed" | "unknown";
+
 /** How the result of a run counts for the health of its worker and of the worker's version. */
-const HEALTH_EFFECT: Readonly<Record<RunResult, "well" | "failed" | "unknown">> = {
+const HEALTH_EFFECT: Readonly<Record<RunResult, HealthEffect>> = {
   [RunResult.Answered]: "well",
+  [RunResult.Error]: "failed",
   [RunResult.Failed]: "failed",
   [RunResult.Refused]: "unknown",
   [RunResult.Unreachable]: "failed",
@@ -154,7 +162,7 @@
 export function createRoutedWorkerTable(parts: RoutedWorkerTableParts): RoutedWorkerTable {
   const { clock, health, onBegin, versions, speeds } = parts;
   const { time, limits, onLimit = () => undefined, onLeaving = () => undefined } = parts;
-  const { rooms, onPause = () => undefined, onBrittleness = () => undefined } = parts;
+  const { hasLostPath, rooms, onPause = () => undefined, onBrittleness = () => undefined } = parts;
   const statements = createWorkerStatements({ clock });
   const { extraCounts = () => new Map<number, RunCounts>() } = parts;
   const entries = new Map<string, WorkerEntry>();
@@ -297,6 +305,16 @@
     adjustLoad(1, prefillTokens);
     limits.recordSent(hash);
     onBegin();
+    const recordEffect = (effect: HealthEffect): void => {
+      tally?.recordEnd(effect);
+      if (effect !== "unknown")
+        health.recordRun({ worker: hash, service, failed: effect === "failed", now: clock.now() });
+    };
+    /** A missing response is no evidence about the worker and its version if only the path from here is at fault. */
+    const recordFailed = async (): Promise<void> => {
+      const isPathLost = (await hasLostPath?.(target)) ?? false;
+      recordEffect(isPathLost ? "unknown" : "failed");
+    };
     return {
       recordResponse: ({ limit, survives }) => {
         trackLimit({ hash, isOwn: true }, () =>
@@ -323,11 +341,8 @@
           timings.recordRun(service, now - startedAt);
           tally?.recordAnswer(now);
         }
-        const effect = HEALTH_EFFECT[result];
-        tally?.recordEnd(effect);
-        if (effect !== "unknown") {
-          health.recordRun({ worker: hash, service, failed: effect === "failed", now });
-        }
+        if (result === RunResult.Failed && hasLostPath !== undefined) void recordFailed();
+        else recordEffect(HEALTH_EFFECT[result]);
         const pause = PAUSE_TIMES[result];
         if (pause !== undefined && entry !== undefined) entry.pausedUntil = now + pause;
       },
--- a/src/request/routed_completion.ts
+++ b/src/request/routed_completion.ts
@@ -105,7 +105,7 @@
   suspects.recordAnswer();
   progress.hasPossiblyRun = true;
   const isFailed = isFailure(head);
-  endAttempt(state, isFailed ? RunResult.Failed : RunResult.Answered);
+  endAttempt(state, isFailed ? RunResult.Error : RunResult.Answered);
   const send = (): void => {
     complete(state, { status: head.status, write: () => response.sendComplete(head, body) });
   };
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -29,7 +29,9 @@
    * time until the deadline.
    */
   Refused = "refused",
-  /** The worker failed the request: an internal error, a truncated response or no response. */
+  /** The worker responded with an internal error. */
+  Error = "error",
+  /** There was a truncated response or none. The worker has failed, or the path to it. */
   Failed = "failed",
   /** Nothing listens at the worker's address, so the request was never sent. */
   Unreachable = "unreachable",
