--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -128,6 +128,8 @@
   ): Exchange | undefined;
   /** Checks whether the worker's process accepts connections. */
   tryConnect(place: WorkerEndpoint): Promise<ConnectResult>;
+  /** Finds out whether the direct path to a worker that didn't answer is lost, although another instance reaches it. */
+  hasLostPath(place: WorkerEndpoint): Promise<boolean>;
   /** Closes the idle connections of all workers except those with the given ids. Exchanges in progress continue. */
   retainWorkers(ids: ReadonlySet<string>): void;
   /** Returns what this instance has exchanged with the worker lately; undefined if it has no connection to it. */
--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -119,6 +119,11 @@
   readonly onLeaving?: ((announcement: LeavingAnnouncement) => void) | undefined;
   /** Called when a worker without a pause asks for one, with its duration in milliseconds. */
   readonly onPause?: ((pause: { worker: string; duration: number }) => void) | undefined;
+  /**
+   * Finds out whether a missing response is due to the path from this instance to the worker. All of them count as the
+   * worker's failures if undefined.
+   */
+  readonly hasLostPath?: ((worker: WorkerEndpoint) => Promise<boolean>) | undefined;
   /** Called when a run begins. */
   readonly onBegin: () => void;
   /** Returns further counts of this instance that are sent to others together with the workers' run counts. */
--- a/src/process/worker_runs.ts
+++ b/src/process/worker_runs.ts
@@ -1,5 +1,5 @@
 import type { WorkerRooms, WorkerHealth, WorkerLimits, WorkerSpeeds } from "../decision/index.ts";
-import type { Clock } from "../interface/index.ts";
+import type { Clock, WorkerEndpoint } from "../interface/index.ts";
 import { RunResult } from "../request/routed_context.ts";
 import type { CandidateWorker, WorkerLoads } from "../request/index.ts";
 import type { LongPromptWorkers } from "./long_prompt_workers.ts";
@@ -9,9 +9,12 @@
 import { roomLoadOf } from "./worker_selection.ts";
 import type { WorkerEntry } from "./worker_selection.ts";
 
+type HealthEffect = "well" | "failed" | "unknown";
+
 /** How the result of a run counts for the health of its worker and of the worker's version. */
-const HEALTH_EFFECT: Readonly<Record<RunResult, "well" | "failed" | "unknown">> = {
+const HEALTH_EFFECT: Readonly<Record<RunResult, HealthEffect>> = {
   [RunResult.Answered]: "well",
+  [RunResult.Error]: "failed",
   [RunResult.Failed]: "failed",
   [RunResult.Refused]: "unknown",
   [RunResult.Unreachable]: "failed",
@@ -54,12 +57,17 @@
   readonly trackBrittleness: TrackedChange;
   /** Called when a run begins. */
   readonly onBegin: () => void;
+  /**
+   * Finds out whether a missing response is due to the path from this instance to the worker. All of them count as the
+   * worker's failures if undefined.
+   */
+  readonly hasLostPath?: ((worker: WorkerEndpoint) => Promise<boolean>) | undefined;
 }
 
 /** Creates the runs of an instance at its workers: their load, and what their results say about workers and services. */
 export function createWorkerRuns(parts: WorkerRunsParts): Pick<WorkerLoads, "begin"> {
   const { clock, time, entries, loadAt, health, limits, rooms, timings, speeds } = parts;
-  const { versions, longPrompts, trackLimit, trackBrittleness, onBegin } = parts;
+  const { versions, longPrompts, trackLimit, trackBrittleness, onBegin, hasLostPath } = parts;
   /** Records the time of a first event for the speed of the worker and of its service. */
   const recordPrefill = (
     { hash, service }: Pick<CandidateWorker, "hash" | "service">,
@@ -112,6 +120,16 @@
     adjustLoad(1, prefillTokens);
     limits.recordSent(hash);
     onBegin();
+    const recordEffect = (effect: HealthEffect): void => {
+      tally?.recordEnd(effect);
+      if (effect !== "unknown")
+        health.recordRun({ worker: hash, service, failed: effect === "failed", now: clock.now() });
+    };
+    /** A missing response is no evidence about the worker and its version if only the path from here is at fault. */
+    const recordFailed = async (): Promise<void> => {
+      const isPathLost = (await hasLostPath?.(target)) ?? false;
+      recordEffect(isPathLost ? "unknown" : "failed");
+    };
     return {
       recordResponse: ({ limit, survives }) => {
         trackLimit({ hash, isOwn: true }, () =>
@@ -141,11 +159,8 @@
           timings.recordRun(service, now - startedAt - silence);
           tally?.recordAnswer(now);
         }
-        const effect = HEALTH_EFFECT[result];
-        tally?.recordEnd(effect);
-        if (effect !== "unknown") {
-          health.recordRun({ worker: hash, service, failed: effect === "failed", now });
-        }
+        if (result === RunResult.Failed && hasLostPath !== undefined) void recordFailed();
+        else recordEffect(HEALTH_EFFECT[result]);
         const pause = PAUSE_TIMES[result];
         if (pause !== undefined && entry !== undefined) entry.pausedUntil = now + pause;
       },
