Correct statements and names that a newcomer's reading found

A relay that was asked less than 300 ms before the end of a relayed dial no longer counts as silent; the third relay is asked 200 ms before it and may still answer. The line `silent` doesn't count the request's own worker in `others`. The gauge samphireshore_worker_path_lost is 0 or 1 again, and samphireshore_worker_paths_lost is the number of workers.

--- a/src/connection/peer_dial.ts
+++ b/src/connection/peer_dial.ts
@@ -5,7 +5,7 @@
 import { dialDirect } from "./dial.ts";
 import type { Connect, DialListener, PendingDial } from "./dial.ts";
 
-/** Timeout in milliseconds. The other instance waits longer for the answer. */
+/** Timeout in milliseconds. The other instance takes this one for silent only after a longer time. */
 const PEER_DIAL_TIMEOUT = 250;
 const NO_PATH_DETAIL = "This instance doesn't reach the worker, either.";
 
--- a/src/connection/process_identity_test.ts
+++ b/src/connection/process_identity_test.ts
@@ -27,7 +27,7 @@
   let closed = false;
   const connection: WorkerConnection = {
     isIdle: () => !closed,
-    isAwaited: () => false,
+    hasPendingResponse: () => false,
     idleFor: () => 0,
     idleTimeout: undefined,
     exchangeCount: 0,
--- a/src/connection/relay_dial.ts
+++ b/src/connection/relay_dial.ts
@@ -4,13 +4,15 @@
 import { requestRelay } from "./relay_request.ts";
 
 /**
- * Timeout for opening a connection through other instances, in milliseconds. It exceeds a relay's own timeout for the
- * worker, and a refusal within 500 ms remains possible if all relays are paused.
+ * Timeout for opening a connection through other instances, in milliseconds. A refusal within 500 ms remains possible if
+ * all relays are paused.
  */
 const RELAY_TIMEOUT = 400;
+/** Milliseconds after which an instance counts as silent. Its own timeout for the worker is shorter. */
+const RELAY_SILENCE = 300;
 /** Milliseconds without an answer after which another instance is asked, too: the first one may be paused. */
 const NEXT_RELAY_DELAY = 100;
-/** Number of instances that must be refused before the others are asked: one may be partitioned and not know it yet. */
+/** Number of refused instances that show that the worker has ended: one may be partitioned and not know it yet. */
 const MIN_REFUSALS = 2;
 
 /** Dependencies and options of {@linkcode dialRelayed}. */
@@ -39,7 +41,7 @@
 ): PendingDial {
   const { clock, onRelayFailed, onRelayOpened, onRelaySilent } = options;
   const remaining = [...options.relays];
-  const pending = new Map<string, PendingDial>();
+  const pending = new Map<string, { readonly dialing: PendingDial; readonly askedAt: number }>();
   const failures: DialFailure[] = [];
   let isSettled = false;
   let nextTimer: Timer | undefined;
@@ -49,7 +51,7 @@
   const close = (): void => {
     isSettled = true;
     for (const timer of [start, timeout, nextTimer]) timer?.close();
-    for (const dialing of pending.values()) dialing.close();
+    for (const { dialing } of pending.values()) dialing.close();
     pending.clear();
   };
   const fail = (): void => {
@@ -76,7 +78,7 @@
         else askNext();
       },
     });
-    pending.set(relay, dialing);
+    pending.set(relay, { dialing, askedAt: clock.now() });
   };
   const askNext = (): void => {
     nextTimer?.close();
@@ -90,7 +92,8 @@
     else if (remaining.length > 0) askNext();
   };
   const endSilent = (): void => {
-    for (const relay of pending.keys()) onRelaySilent?.(relay);
+    for (const [relay, { askedAt }] of pending)
+      if (clock.now() - askedAt >= RELAY_SILENCE) onRelaySilent?.(relay);
     fail();
   };
   const timeout = afterRunningTime(clock, RELAY_TIMEOUT, endSilent);
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -34,7 +34,7 @@
   /** Returns whether the connection can take a request now. */
   isIdle(): boolean;
   /** Returns whether an exchange is in progress whose answer is being read. */
-  isAwaited(): boolean;
+  hasPendingResponse(): boolean;
   /** Returns the milliseconds since the last exchange ended, or since the connection was opened. */
   idleFor(): number;
   /** The worker's idle timeout in milliseconds, from its `Keep-Alive` header; undefined if not announced. */
@@ -211,7 +211,7 @@
   };
   return {
     isIdle: () => !isClosed && current === undefined,
-    isAwaited: () => current !== undefined && !isPaused,
+    hasPendingResponse: () => current !== undefined && !isPaused,
     idleFor: () => clock.now() - idleSince,
     get idleTimeout() {
       return idleTimeout;
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -124,8 +124,8 @@
       const pool = pools.get(id);
       if (pool === undefined) return undefined;
       const { lastSentAt, lastReceivedAt, connections } = pool;
-      const isAwaited = connections.some((connection) => connection.isAwaited());
-      return { lastSentAt, lastReceivedAt, isAwaited };
+      const hasPendingResponse = connections.some((connection) => connection.hasPendingResponse());
+      return { lastSentAt, lastReceivedAt, hasPendingResponse };
     },
     get openedCount() {
       return path.dialCount;
--- a/src/connection/worker_path.ts
+++ b/src/connection/worker_path.ts
@@ -53,8 +53,8 @@
   readonly onChange?: (change: PathChange) => void;
 }
 
-/** Maximum number of times that other instances are asked whether a worker has ended. */
-const MAX_CONFIRMATIONS = 3;
+/** Maximum number of attempts to find out whether a worker has ended while no path to it is found. */
+const MAX_CONNECT_TRIES = 3;
 
 /** Creates the path. */
 export function createWorkerPath(parts: WorkerPathParts): WorkerPath {
@@ -88,7 +88,7 @@
     onWorking: recordWorking,
   });
   const tryConnect = async (worker: WorkerEndpoint): Promise<ConnectResult> => {
-    for (let tries = 0; tries < MAX_CONFIRMATIONS; tries++) {
+    for (let tries = 0; tries < MAX_CONNECT_TRIES; tries++) {
       if (tries > 0) await sleep(clock, RETURN_CHECK_INTERVAL);
       const failure = await tryDial(dials.dial, worker);
       if (failure !== DialFailure.NoPath) return connectResultOf(failure);
--- a/src/decision/attempt_silence.ts
+++ b/src/decision/attempt_silence.ts
@@ -100,10 +100,11 @@
   const answeredAfter = silentSince + (now - silentSince) / 2;
   const hasAnswered = ({ activity }: OtherWorker): boolean =>
     (activity?.lastReceivedAt ?? -Infinity) > answeredAfter;
-  const isAwaited = ({ activity }: OtherWorker): boolean => activity?.isAwaited ?? false;
+  const hasPendingResponse = ({ activity }: OtherWorker): boolean =>
+    activity?.hasPendingResponse ?? false;
   const wasJustAsked = ({ activity }: OtherWorker): boolean =>
     now - (activity?.lastSentAt ?? -Infinity) < limit;
-  const unanswered = workers.filter((worker) => isAwaited(worker) && !hasAnswered(worker));
+  const unanswered = workers.filter((worker) => hasPendingResponse(worker) && !hasAnswered(worker));
   const justAsked = unanswered.filter(wasJustAsked);
   const silentCount = unanswered.length - justAsked.length;
   if (silentCount > 1 && justAsked.length > 0 && !workers.some(hasAnswered)) return undefined;
--- a/src/decision/attempt_silence_test.ts
+++ b/src/decision/attempt_silence_test.ts
@@ -38,7 +38,10 @@
 /** A worker with an unanswered request of this instance. */
 function awaited(id: string, { sentAgo, receivedAgo }: Record<string, number>): OtherWorker {
   const lastReceivedAt = receivedAgo === undefined ? undefined : NOW - receivedAgo;
-  return { id, activity: { lastSentAt: NOW - (sentAgo ?? 0), lastReceivedAt, isAwaited: true } };
+  return {
+    id,
+    activity: { lastSentAt: NOW - (sentAgo ?? 0), lastReceivedAt, hasPendingResponse: true },
+  };
 }
 
 // Guards against requests that each take places at two silent workers when all workers stand still for a while.
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -111,7 +111,7 @@
   /** When data was last received from the worker; undefined if never. */
   readonly lastReceivedAt: number | undefined;
   /** Whether the worker has yet to answer a request. Those whose answers are not being read are not counted. */
-  readonly isAwaited: boolean;
+  readonly hasPendingResponse: boolean;
 }
 
 /** This instance's connections to all workers. */
--- a/src/process/routed_gauges.ts
+++ b/src/process/routed_gauges.ts
@@ -67,11 +67,16 @@
   );
   metrics.addGauge(
     "samphireshore_relayed_bytes",
-    "Bytes exchanged with other instances on such connections.",
+    "Bytes exchanged with other instances on relayed connections.",
     () => relay.bytes,
   );
   metrics.addGauge(
     "samphireshore_worker_path_lost",
+    "1 if connections to any worker go through other instances, otherwise 0.",
+    () => (path.lostCount > 0 ? 1 : 0),
+  );
+  metrics.addGauge(
+    "samphireshore_worker_paths_lost",
     "Workers to which connections go through other instances.",
     () => path.lostCount,
   );
--- a/src/process/running_time.ts
+++ b/src/process/running_time.ts
@@ -4,7 +4,9 @@
 export interface RunningTime {
   /** Returns the milliseconds between two times of the clock, without stalls of the process. */
   between(from: number, to: number): number;
+  /** Starts to check for stalls. */
   start(): void;
+  /** Ends the checks. The time after it counts as running time. */
   close(): void;
 }
 
@@ -54,6 +56,9 @@
       return running;
     },
     start,
-    close: () => timer?.close(),
+    close: () => {
+      timer?.close();
+      nextCheck = Infinity;
+    },
   };
 }
--- a/src/process/worker_runs.ts
+++ b/src/process/worker_runs.ts
@@ -109,6 +109,7 @@
       entry.unreadTokens = Math.max(0, entry.unreadTokens + tokensBy);
     };
     let unread = prefillTokens;
+    /** Milliseconds of silence that don't count as run time. */
     let silence = 0;
     const clearUnread = (): void => {
       adjustLoad(0, -unread);
--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -23,8 +23,8 @@
   isStreaming: boolean;
   /** Time of the last data from the worker, or of the last resume, in the clock's milliseconds. */
   lastReceivedAt: number;
-  /** Whether the last check found several workers silent that may have stopped together. */
-  isSilenceShared: boolean;
+  /** Whether the last check left the request here, because several workers were silent that may have stopped together. */
+  wasMoveDeferred: boolean;
   /** When the first complete event arrived, in the clock's milliseconds; undefined until then. */
   firstEventAt: number | undefined;
   /** Whether reading from the worker is paused because the caller reads too slowly. */
@@ -47,7 +47,7 @@
     size: 0,
     isStreaming: false,
     lastReceivedAt: startedAt,
-    isSilenceShared: false,
+    wasMoveDeferred: false,
     firstEventAt: undefined,
     isPaused: false,
   };
--- a/src/request/routed_failures.ts
+++ b/src/request/routed_failures.ts
@@ -74,15 +74,16 @@
 ): boolean {
   const { progress } = state;
   const silent = findSilent(state, { attempt, limit });
-  const wasShared = attempt.isSilenceShared;
-  attempt.isSilenceShared = silent === undefined;
+  const wasShared = attempt.wasMoveDeferred;
+  attempt.wasMoveDeferred = silent === undefined;
   // After the first answer of another worker, its own has until the next check. Otherwise all requests would move as
   // soon as one of the workers goes on.
   if (silent === undefined || wasShared) return false;
   progress.avoided = silent;
   const isMoving = canMove(state);
   if (isMoving) {
-    logStep(state, "silent", { worker: attempt.worker.id, others: silent.size });
+    const { id: worker } = attempt.worker;
+    logStep(state, "silent", { worker, others: silent.size - (silent.has(worker) ? 1 : 0) });
     moveElsewhere(state, { result: RunResult.Failed, cause: RepeatCause.WorkerSilent });
   }
   progress.avoided = NO_WORKERS;
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -48,6 +48,7 @@
   const excess = context.clock.now() - attempt.lastReceivedAt - silenceLimitOf(attempt, options);
   if (excess <= 0) return;
   attempt.run.recordSilence(excess);
+  // The worker that the request moved to was just as silent as the one before it.
   if (reserve !== undefined) state.reserve = { ...reserve, isSilenceShared: true };
 }
 
--- a/src/request/routed_silence_test.ts
+++ b/src/request/routed_silence_test.ts
@@ -117,7 +117,7 @@
 test("a request that waited through a shared silence moves later than the first answer of another worker", async () => {
   const { clock, state, events } = setUp();
   const lastSentAt = (): number => clock.now() - 50;
-  const asked = { lastReceivedAt: undefined, isAwaited: true };
+  const asked = { lastReceivedAt: undefined, hasPendingResponse: true };
   const other = { ...asked, lastSentAt: clock.now() };
   const activities: Record<string, WorkerActivity> = { w: other, second: other };
   state.context.connections.activity = (id) =>
@@ -126,7 +126,7 @@
     ["w", "second", "third"].map((id) => ({ id })) as CandidateWorker[];
   await clock.advance(5_000);
   expect(events).toEqual([]);
-  activities["second"] = { ...other, lastReceivedAt: clock.now(), isAwaited: false };
+  activities["second"] = { ...other, lastReceivedAt: clock.now(), hasPendingResponse: false };
   await clock.advance(150);
   expect(events).toEqual([]);
   await clock.advance(150);
