Leave a hung worker also for one with a long request, and read what a kept worker sent

If all other workers are awaited and no answer is expected soon, the request now moves. - A kept attempt was read again only if the next one ended. If the next worker hung, an answer that had arrived from the kept one was never read. A request that may not move any further now goes back to the kept worker, and keeps the other one.

Besides: the silence of a kept attempt is shared only if the next worker was silent for at least half as long; the dials to workers and the reading of refused bodies use running time, since after a stall all dials would fail before their connections are seen.

--- a/src/connection/dial.ts
+++ b/src/connection/dial.ts
@@ -68,7 +68,7 @@
     listener.failed(failure, detail);
   };
   timers.push(
-    clock.after(timeout, () =>
+    afterRunningTime(clock, timeout, () =>
       fail(DialFailure.Unanswered, `The worker didn't accept the connection within ${timeout} ms.`),
     ),
   );
--- a/src/request/lingering_end.ts
+++ b/src/request/lingering_end.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { afterRunningTime } from "../interface/index.ts";
 import type { Clock } from "../interface/index.ts";
 
 /** Maximum time for which the rest of a refused request is read, in milliseconds. */
@@ -25,7 +26,7 @@
     timer.close();
     response.end();
   };
-  const timer = clock.after(LINGER_TIME, end);
+  const timer = afterRunningTime(clock, LINGER_TIME, end);
   request.once("end", end);
   response.once("close", () => timer.close());
   request.resume();
--- a/src/request/routed_failures.ts
+++ b/src/request/routed_failures.ts
@@ -11,8 +11,8 @@
 import { RunResult } from "./routed_context.ts";
 import { giveUp, NO_WORKER_RETRY_AFTER } from "./routed_end.ts";
 import { NO_WORKERS, recordNoPath } from "./routed_progress.ts";
-import { canMove, moveElsewhere, RepeatCause, retry } from "./routed_repeats.ts";
-import { countUnanswered, endAttempt, logStep } from "./routed_run_state.ts";
+import { canMove, hasOtherWorker, moveElsewhere, RepeatCause, retry } from "./routed_repeats.ts";
+import { countUnanswered, endAttempt, logStep, swapReserve } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
 /** The end of an exchange without a complete response. */
@@ -63,7 +63,8 @@
 }
 
 /**
- * Moves the request away from a worker that hangs, if it may move and there is a worker that isn't silent, too.
+ * Moves the request away from a worker that hangs, if it may move and there is another one. If it has moved before, it
+ * goes back to the worker that was kept.
  *
  * @param options `limit` is the time after which the worker counts as silent, in milliseconds.
  * @returns Whether the request has moved.
@@ -80,6 +81,8 @@
   // soon as one of the workers goes on.
   if (silent === undefined || wasShared) return false;
   progress.avoided = silent;
+  // With no other worker, one that has yet to answer is better than one that hangs: its request may be a long one.
+  if (!hasOtherWorker(state)) progress.avoided = NO_WORKERS;
   const isMoving = canMove(state);
   if (isMoving) {
     const { id: worker } = attempt.worker;
@@ -87,7 +90,7 @@
     moveElsewhere(state, { result: RunResult.Failed, cause: RepeatCause.WorkerSilent });
   }
   progress.avoided = NO_WORKERS;
-  return isMoving;
+  return isMoving || swapReserve(state);
 }
 
 function findSilent(
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -45,11 +45,15 @@
   const { context, admitted, reserve } = state;
   const { route } = admitted.arrival;
   const options = { isStream: deliversEvents(route), target: route.latencyTarget };
-  const excess = context.clock.now() - attempt.lastReceivedAt - silenceLimitOf(attempt, options);
+  const now = context.clock.now();
+  const silence = now - attempt.lastReceivedAt;
+  const excess = silence - silenceLimitOf(attempt, options);
   if (excess <= 0) return;
   attempt.run.recordSilence(excess);
-  // The worker that the request moved to was just as silent as the one before it.
-  if (reserve !== undefined) state.reserve = { ...reserve, isSilenceShared: true };
+  if (reserve === undefined) return;
+  // The worker that the request moved to was about as silent as the one before it.
+  const isSilenceShared = 2 * silence >= now - reserve.attempt.lastReceivedAt;
+  state.reserve = { ...reserve, isSilenceShared };
 }
 
 /** Handles bytes of the body of a worker's response. */
--- a/src/request/routed_repeats.ts
+++ b/src/request/routed_repeats.ts
@@ -108,7 +108,8 @@
   return !response.hasStarted || splitter.lastId !== undefined;
 }
 
-function hasOtherWorker({ context, admitted, progress }: RoutedRunState): boolean {
+/** Whether there is a worker that may get the request besides those that were tried. */
+export function hasOtherWorker({ context, admitted, progress }: RoutedRunState): boolean {
   const candidates = context.workerLoads.candidates(admitted.service);
   return candidates.some((worker) => isEligible(worker, progress));
 }
--- a/src/request/routed_run_state.ts
+++ b/src/request/routed_run_state.ts
@@ -144,6 +144,25 @@
   return attempt;
 }
 
+/**
+ * Continues the kept attempt and keeps the one in progress instead, because that one is silent. What has arrived from
+ * the kept worker meanwhile would otherwise never be read.
+ *
+ * @returns Whether there was a kept attempt.
+ */
+export function swapReserve(state: RoutedRunState): boolean {
+  const { reserve, current } = state;
+  if (reserve === undefined || current === undefined) return false;
+  state.reserve = undefined;
+  reserveAttempt(state, RunResult.Failed);
+  const { reserve: swapped } = state;
+  state.reserve = reserve;
+  const resumed = resumeReserve(state);
+  state.reserve = swapped;
+  logStep(state, "stays", { worker: resumed?.worker.id, reason: "next-worker-silent" });
+  return true;
+}
+
 /** Aborts the kept attempt, because another worker has answered or the request has ended. */
 export function releaseReserve(state: RoutedRunState): void {
   const { reserve } = state;
