--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -21,16 +21,18 @@
   readAtEnd: number | undefined;
 }
 
-/** Time after the header timeout by which it has been checked, in milliseconds. */
+/** Milliseconds by which Node.js may check the header timeout late. */
 const HEADER_CHECK_MARGIN = 1_000;
 const REQUEST_TIMEOUT = 408;
 const BAD_REQUEST = 400;
 const METHOD_NOT_ALLOWED = 405;
+const PAYLOAD_TOO_LARGE = 413;
+const HEADERS_TOO_LARGE = 431;
 /** HTTP statuses of the errors of the parser. */
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
   ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT,
-  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: PAYLOAD_TOO_LARGE,
+  HPE_HEADER_OVERFLOW: HEADERS_TOO_LARGE,
 };
 
 /** Applies the rules of this module to the connections of a server. */
--- a/src/decision/shared_quota.ts
+++ b/src/decision/shared_quota.ts
@@ -151,7 +151,7 @@
  * Milliseconds for which an account counts as overloaded after its level was used up. While it sends
  * several times its quota, the level is used up at least every two seconds.
  */
-const EXHAUSTION_TIME = 3_000;
+const OVERLOAD_TTL = 3_000;
 /** Maximum milliseconds until the next report to the other instances. */
 const MAX_REPORT_INTERVAL = 275;
 const MS_PER_SECOND = 1_000;
@@ -226,6 +226,7 @@
   const admittedFraction = (bucket: Bucket): number => {
     // Sizes differ by orders of magnitude, so that the recent ones say little about the demand elsewhere.
     const meanSize = bucket.requested / Math.max(1, bucket.admitted + bucket.refused);
+    // A count that decays, divided by its mean lifetime, half-life / ln 2, is a rate.
     const requests = (bucket.recentRequests * Math.LN2 * reportAge) / RECENT_HALF_LIFE;
     const demand = (requests * meanSize) / ownFraction(bucket);
     const refill = (bucket.quota.perSecond * reachableFraction * reportAge) / MS_PER_SECOND;
@@ -274,7 +275,7 @@
       const isOverFraction =
         reportAge > 0 &&
         random !== undefined &&
-        now - bucket.exhaustedAt < EXHAUSTION_TIME &&
+        now - bucket.exhaustedAt < OVERLOAD_TTL &&
         random.next() >= admittedFraction(bucket);
       bucket.recentRequests++;
       bucket.requested += size;
--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -33,7 +33,7 @@
   readonly instances: () => readonly string[];
   /** Whether other instances are expected, although none may be known to be live yet. */
   readonly expectsOthers: () => boolean;
-  /** Whether this instance has just started and has not heard of every instance that it expects. */
+  /** Whether this instance has just started and has not heard from every address that it knows. */
   readonly isDiscovering: () => boolean;
   /** What this instance knows of the workers. */
   readonly view: WorkerView;
@@ -85,7 +85,7 @@
 const INQUIRY_TIMEOUT = 300;
 /** The same for an instance that has just started: it learns of the others with their next digests. */
 const DISCOVERY_TIMEOUT = 450;
-/** Number of steps of these times: a stall of the process that is longer than a step doesn't count. */
+/** Number of steps of these times: a stall of the process that takes as long as two steps doesn't count. */
 const TIMEOUT_STEPS = 10;
 
 /**
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -45,7 +45,7 @@
   readonly instances: () => readonly RosterEntry[];
   /** Whether other instances are expected, although none may be known to be live yet. */
   readonly expectsOthers: () => boolean;
-  /** Whether this instance has just started and has not heard of every instance that it expects. */
+  /** Whether this instance has just started and has not heard from every address that it knows. */
   readonly isDiscovering: () => boolean;
   /** Whether every instance exchanges digests with every other. */
   readonly isSmallFleet: () => boolean;
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -56,11 +56,17 @@
     context.logDecision("refused", id, { reason, retryAfter, ...fields });
     if (!callerResponse.isClosed) callerResponse.refuse(reason, retryAfter);
   };
+  const refuseStopping = (callerResponse: CallerResponse, id: string | undefined): void => {
+    const reason = RoutedRefusal.Stopping;
+    refuse(callerResponse, { reason, id, retryAfter: STOPPING_RETRY_AFTER });
+  };
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
     const callerResponse = createCallerResponse(response, {
       clock: context.clock,
       isClosing: context.isStopping,
     });
+    const idHeader = request.headers[context.names.requestId];
+    const id = typeof idHeader === "string" ? idHeader : undefined;
     let run: RoutedRun | undefined;
     response.once("close", () => {
       openRequests.delete(response);
@@ -68,23 +74,17 @@
     });
     openRequests.set(response, () => {
       if (run !== undefined) run.endAtStop();
-      else if (!callerResponse.isClosed) refuseStopping();
+      else if (!callerResponse.isClosed) refuseStopping(callerResponse, id);
     });
     const now = context.clock.now();
-    const idHeader = request.headers[context.names.requestId];
-    const id = typeof idHeader === "string" ? idHeader : undefined;
     const table = context.table();
     if (table === undefined) {
       const reason = RoutedRefusal.NotReady;
       refuse(callerResponse, { reason, id, retryAfter: NOT_READY_RETRY_AFTER });
       return;
     }
-    const refuseStopping = (): void => {
-      const reason = RoutedRefusal.Stopping;
-      refuse(callerResponse, { reason, id, retryAfter: STOPPING_RETRY_AFTER });
-    };
     if (context.isClosedToNew()) {
-      refuseStopping();
+      refuseStopping(callerResponse, id);
       return;
     }
     const arrival = readArrival(request, { table, names: context.names, now });
@@ -140,10 +140,7 @@
       endAtStop: () => {
         inquiry.close();
         if (run !== undefined) run.endAtStop();
-        else if (!callerResponse.isClosed) {
-          const reason = RoutedRefusal.Stopping;
-          refuse(callerResponse, { reason, id, retryAfter: STOPPING_RETRY_AFTER });
-        }
+        else if (!callerResponse.isClosed) refuseStopping(callerResponse, id);
       },
     };
   };
