--- a/bench/soak/seeds.ts
+++ b/bench/soak/seeds.ts
@@ -52,4 +52,11 @@
       "The test took a part of a stream for the whole one: its caller left when all of it had arrived at once.",
   },
   { seed: 7325, seconds: 30, processes: 10, cause: "As for seed 7311." },
+  {
+    seed: 99202,
+    seconds: 30,
+    processes: 10,
+    cause:
+      "The stand-in worker sent a seventh event of six to a caller that left after it had received all of a stream.",
+  },
 ];
