Show also that a planned stop of a relaying instance ends answers as complete

Cause: the relay closes its connections in an orderly way when its instance stops, so an answer without a length that is still being sent looks complete.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,17 +1,24 @@
 /**
- * A machine is partitioned from all workers and reaches them through the other machines. One of these is killed. The
- * workers' answers have no length and end with their connections.
+ * A machine is partitioned from all workers and reaches them through the other machines. One of these is killed, or stopped
+ * as planned. The workers' answers have no length and end with their connections.
  */
 import { wholeAnswer, wholeStream } from "../lib/answers.mjs";
 import { configuration, HAS_TROUBLE, runCase, sendAttempt, sleep } from "../lib/harness.mjs";
 
 const SERVICE = "entry-model";
 const STREAMS = 24;
-const ROUNDS = 4;
 const EVENTS = 50;
-const EVENT_INTERVAL = 80;
-/** Milliseconds after the start of a round's streams at which a machine is killed. */
-const KILL_AFTER = 2_000;
+/**
+ * How a machine ends in each round, the milliseconds between two events of the round's streams, and for how long the
+ * partition lasts after the signal.
+ */
+const ROUNDS = [
+  ...Array.from({ length: 4 }, () => ({ signal: "SIGKILL", interval: 80, cutFor: 2_000 })),
+  // Streams that last longer than the 8 s after which a stopped machine is gone.
+  { signal: "SIGTERM", interval: 250, cutFor: 8_500 },
+];
+/** Milliseconds after the start of a round's streams at which a machine ends. */
+const END_AFTER = 2_000;
 
 await runCase(import.meta.dirname, async (deployment, { record, say }) => {
   await deployment.startPlatform(configuration({ service: SERVICE }));
@@ -39,22 +46,25 @@
       await sleep(40);
     }
   };
+  const setCut = (pids) => {
+    record(`partition from all workers: ${pids.length > 0 ? cut.name : "none"}`);
+    for (const worker of deployment.workers) worker.send({ cut: pids });
+  };
   await sendShort(5);
-  if (HAS_TROUBLE) {
-    record(`partition: ${cut.name} from all workers; connections are reset`);
-    for (const worker of deployment.workers) worker.send({ cut: [cut.child.pid] });
-  }
-  await sendShort(40);
-  for (let round = 0; round < ROUNDS; round++) {
+  for (const [round, { signal, interval, cutFor }] of ROUNDS.entries()) {
+    if (HAS_TROUBLE) setCut([cut.child.pid]);
+    await sendShort(20);
     const streams = Array.from({ length: STREAMS }, (_, index) =>
-      send(`/stream/${EVENTS}/${EVENT_INTERVAL}/${round}-${index}`, { deadline: 15_000 }),
+      send(`/stream/${EVENTS}/${interval}/${round}-${index}`, { deadline: 15_000 }),
     );
-    await sleep(KILL_AFTER);
-    const killed = others[round % others.length];
+    await sleep(END_AFTER);
+    const ended = others[round % others.length];
     if (HAS_TROUBLE) {
-      record(`kill: ${killed.name}, process ${killed.child.pid}`);
-      killed.child.kill("SIGKILL");
+      record(`${signal} to ${ended.name}, process ${ended.child.pid}`);
+      ended.child.kill(signal);
     }
+    await sleep(cutFor);
+    if (HAS_TROUBLE) setCut([]);
     await Promise.all(streams);
     await sleep(2_500);
   }
@@ -70,8 +80,10 @@
   say(
     `${wrong.length} answers with status 200 ended as complete before the end of their workers' bodies`,
   );
-  for (const { id, target, body } of wrong.slice(0, 5))
-    say(`  ${id} ${target}: ${body.length} of ${wholeStream(target).length} bytes`);
+  for (const [round, { signal }] of ROUNDS.entries()) {
+    const count = wrong.filter(({ target }) => target.includes(`/${round}-`)).length;
+    say(`  round ${round + 1}, ${signal}: ${count} of ${STREAMS}`);
+  }
   if (good.length < ofStreams.length / 4) throw new Error("too few streams were served");
   return wrong.length === 0;
 });
