Send endless bytes below the rate of an instance's link in case 3

Cause: rounding let the stand-in send more than the stated rate, and the time was short for the number of ends that the rule asks for.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -11,7 +11,7 @@
 /** Milliseconds between two streams of the clients of one instance. */
 const STREAM_INTERVAL = 120;
 const CALM = 4_000;
-const TROUBLE = 60_000;
+const TROUBLE = 80_000;
 /** `memory_mb` of the deployment. */
 const MEMORY_LIMIT = 350 * 1_048_576;
 const RESTART_DELAY = 1_000;
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -18,8 +18,11 @@
 
 const settings = JSON.parse(process.argv[2]);
 const { id, host, port, isFramed = true, startedAt, errorBytes = 3_000_000 } = settings;
-/** Bytes per second without end that this worker sends to one instance at most. */
-const { endlessBytesPerSecond = 110_000_000 } = settings;
+/** Bytes per second without end that this worker sends to one instance; the link of an instance has 125,000,000. */
+const { endlessBytesPerSecond = 95_000_000 } = settings;
+/** Size of one write of them, small beside what one connection gets in one tick. */
+const ENDLESS_PIECE = Buffer.alloc(16_384, "x");
+const ENDLESS_TICK = 10;
 let state = { cut: [], silentUntil: 0, trouble: undefined, share: 1, instances: [] };
 const owners = new Map();
 
@@ -116,22 +119,20 @@
   });
 }
 
-/** Sends a head and a body without end until the caller closes the connection, within the rate that the instance's link leaves it. */
+/** Sends a head and a body without end until the caller closes the connection. */
 function sendEndless(socket) {
   socket.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n");
   const owner = owners.get(socket);
-  // The link of an instance has 1,000 Mbit/s, and other workers use it, too.
-  const piece = Buffer.alloc(65_536, "x");
   const tick = () => {
     if (socket.destroyed) return;
     const streams = [...owners].filter(
       ([other, pid]) => pid === owner && other.isEndless && !other.destroyed,
     ).length;
-    const budget = (endlessBytesPerSecond / Math.max(1, streams)) * 0.01;
-    for (let sent = 0; sent < budget && socket.writableLength === 0; sent += piece.length)
-      socket.write(piece);
+    const budget = ((endlessBytesPerSecond / Math.max(1, streams)) * ENDLESS_TICK) / 1_000;
+    for (let sent = 0; sent < budget && socket.writableLength === 0; sent += ENDLESS_PIECE.length)
+      socket.write(ENDLESS_PIECE);
   };
   socket.isEndless = true;
-  const timer = setInterval(tick, 10);
+  const timer = setInterval(tick, ENDLESS_TICK);
   socket.on("close", () => clearInterval(timer));
 }
