Take the end of a relayed connection for the worker's only if the relay says so

Cause: a response without a length ends with its connection. On a relayed connection that is the relay's, which the operating system closes in an orderly way whenever the process ends; `worker_connection.ts` took it for the worker's. Ruled out: a reset that the relay turns into a close (tested, arrives as a reset).

Change: an instance asks for frames in its CONNECT request, and the relay confirms and sends the worker's bytes in frames as they arrive, then an empty frame once the worker itself has closed in an orderly way. Without that frame the exchange is broken, however the relay has ended.

--- a/src/connection/dial.ts
+++ b/src/connection/dial.ts
@@ -3,6 +3,7 @@
 import { afterRunningTime, DialFailure } from "../interface/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
 import { splitAddress } from "./http_listener.ts";
+import type { RelayDecoder } from "./relay_framing.ts";
 
 /** Timeout for opening a connection to a worker, in milliseconds; the platform's own clients use the same. */
 export const CONNECT_TIMEOUT = 1_000;
@@ -14,6 +15,8 @@
   readonly socket: Socket;
   /** Whether it goes through another instance. Such a connection carries one exchange only. */
   readonly isRelayed: boolean;
+  /** Decodes what arrives on a relayed connection; undefined if the bytes are the worker's own. */
+  readonly decoder?: RelayDecoder | undefined;
 }
 
 /** Receives the result of an attempt to open a connection: exactly one call. */
--- a/src/connection/relay_request.ts
+++ b/src/connection/relay_request.ts
@@ -3,6 +3,12 @@
 import { DialFailure } from "../interface/index.ts";
 import type { DialListener, PendingDial } from "./dial.ts";
 import { splitAddress } from "./http_listener.ts";
+import {
+  createRelayDecoder,
+  createUnframedDecoder,
+  RELAY_FRAMING_HEADER,
+  RELAY_FRAMING_VERSION,
+} from "./relay_framing.ts";
 import { RELAY_ESTABLISHED, workerFailureOf } from "./relay_status.ts";
 
 /** The listener gets no call before the function returns. */
@@ -16,7 +22,8 @@
  */
 export const requestRelay: RequestRelay = (relay, target, listener) => {
   const [host, port] = splitAddress(relay);
-  const attempt = request({ host, port, method: "CONNECT", path: target, agent: false });
+  const headers = { [RELAY_FRAMING_HEADER]: RELAY_FRAMING_VERSION };
+  const attempt = request({ host, port, method: "CONNECT", path: target, agent: false, headers });
   let isSettled = false;
   const settle = (): boolean => {
     if (isSettled) return false;
@@ -35,7 +42,9 @@
     if (response.statusCode === RELAY_ESTABLISHED) {
       if (head.length > 0) socket.unshift(head);
       socket.setNoDelay(true);
-      listener.opened({ socket, isRelayed: true });
+      const isFramed = response.headers[RELAY_FRAMING_HEADER] === RELAY_FRAMING_VERSION;
+      const decoder = isFramed ? createRelayDecoder() : createUnframedDecoder();
+      listener.opened({ socket, isRelayed: true, decoder });
       return;
     }
     socket.destroy();
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -3,7 +3,7 @@
  *
  * It distinguishes three ends of an exchange, because they decide whether a request may be sent again:
  * complete, certainly not sent, and broken after the request may have run. A response that belongs to
- * another request, or that is truncated by a reset, ends the exchange as broken.
+ * another request, or that is truncated by a reset or by the end of a relaying instance, ends the exchange as broken.
  *
  * @module
  */
@@ -138,7 +138,7 @@
     if (/\bclose\b/i.test(head.byName.get("connection") ?? "")) canReuse = false;
     return true;
   };
-  const attach = ({ socket: opened, ...dialed }: DialedConnection): void => {
+  const attach = ({ socket: opened, decoder, ...dialed }: DialedConnection): void => {
     socket = opened;
     isRelayed = dialed.isRelayed;
     isUnused = true;
@@ -147,7 +147,7 @@
       options.onReceived();
       if (isUnused) options.onWorking({ isRelayed });
       isUnused = false;
-      const fault = parser.feed(bytes);
+      const fault = parser.feed(decoder?.decode(bytes) ?? bytes);
       if (fault !== undefined) fail(`The worker sent an invalid response: ${fault}.`);
     });
     opened.on("end", () => {
@@ -157,6 +157,10 @@
         fail("The worker reset the connection.");
         return;
       }
+      if (decoder?.hasWorkerEnd === false) {
+        fail("The connection was closed by the instance that relays it, not by the worker.");
+        return;
+      }
       const fault = parser.finish();
       if (fault !== undefined)
         fail("The worker closed the connection before the response was complete.");
--- a/src/connection/worker_relay.ts
+++ b/src/connection/worker_relay.ts
@@ -5,6 +5,12 @@
 import type { WorkerEndpoint } from "../interface/index.ts";
 import { wasReset } from "./dial.ts";
 import type { PendingDial } from "./dial.ts";
+import {
+  encodeFrame,
+  END_FRAME,
+  RELAY_FRAMING_HEADER,
+  RELAY_FRAMING_VERSION,
+} from "./relay_framing.ts";
 import {
   RELAY_ESTABLISHED,
   RELAY_STATUS_BY_FAILURE,
@@ -81,13 +87,14 @@
         reject(socket, RELAY_STATUS_BY_FAILURE[DialFailure.NoPath]);
         return;
       }
+      const isFramed = request.headers[RELAY_FRAMING_HEADER] === RELAY_FRAMING_VERSION;
       open(socket, () =>
         path.dialForPeer(worker, {
           opened: ({ socket: far }) => {
-            socket.write(responseHead(RELAY_ESTABLISHED));
+            socket.write(responseHead(RELAY_ESTABLISHED, { isFramed }));
             if (head.length > 0) far.write(head);
             openedCount++;
-            join(socket, far);
+            join(socket, far, { isFramed });
           },
           failed: (failure) => reject(socket, RELAY_STATUS_BY_FAILURE[failure]),
         }),
@@ -114,8 +121,9 @@
   return bytesRead + bytesWritten;
 }
 
-function responseHead(status: number): string {
-  return `HTTP/1.1 ${status} \r\n\r\n`;
+function responseHead(status: number, { isFramed = false }: { isFramed?: boolean } = {}): string {
+  const framing = isFramed ? `${RELAY_FRAMING_HEADER}: ${RELAY_FRAMING_VERSION}\r\n` : "";
+  return `HTTP/1.1 ${status} \r\n${framing}\r\n`;
 }
 
 function reject(socket: Socket, status: number): void {
@@ -125,16 +133,20 @@
 
 /**
  * Joins the connections of an instance and of a worker. The worker's end is passed on as it is: an orderly close
- * completes a response without a length, a reset must not.
+ * completes a response without a length, a reset must not. An instance that asks for no framing can't distinguish the
+ * worker's end from that of this process.
  */
-function join(near: Socket, far: Socket): void {
+function join(near: Socket, far: Socket, { isFramed }: { readonly isFramed: boolean }): void {
   near.setNoDelay(true);
   for (const socket of [near, far]) socket.setKeepAlive(true, KEEP_ALIVE_DELAY);
-  far.pipe(near, { end: false });
   near.pipe(far, { end: false });
+  far.on("data", (bytes) => {
+    if (!near.write(isFramed ? encodeFrame(bytes) : bytes)) far.pause();
+  });
+  near.on("drain", () => far.resume());
   far.on("end", () => {
     if (wasReset(far)) near.resetAndDestroy();
-    else near.end();
+    else near.end(isFramed ? END_FRAME : "");
   });
   far.on("error", () => near.resetAndDestroy());
   near.on("end", () => {
--- a/src/connection/worker_relay_test.ts
+++ b/src/connection/worker_relay_test.ts
@@ -1,3 +1,4 @@
+import { request } from "node:http";
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
@@ -13,6 +14,7 @@
 import { createWorkerPath } from "./worker_path.ts";
 import type { WorkerPath } from "./worker_path.ts";
 import { createWorkerRelay } from "./worker_relay.ts";
+import type { WorkerRelay } from "./worker_relay.ts";
 
 const closers: (() => unknown)[] = [];
 afterEach(async () => {
@@ -40,7 +42,15 @@
 /** Starts an instance that relays connections to the worker at `known`; resolves with its address. */
 async function startRelay(
   known: string,
-  { connect, maxConnections }: { connect?: Connect; maxConnections?: number } = {},
+  {
+    connect,
+    maxConnections,
+    onCreated,
+  }: {
+    connect?: Connect;
+    maxConnections?: number;
+    onCreated?: (relay: WorkerRelay) => void;
+  } = {},
 ): Promise<string> {
   const path = createWorkerPath({ clock: systemClock, random: createSeededRandom(1), connect });
   const relay = createWorkerRelay({
@@ -48,6 +58,7 @@
     ...(maxConnections === undefined ? {} : { maxConnections }),
     workerAt: (address) => (address === known ? { id: "i-1", startedAt: 1, address } : undefined),
   });
+  onCreated?.(relay);
   const listener = await listenHttp(reserveLoopbackAddress(), (_, response) => response.end(), {
     onConnect: (request, stream, head) => relay.handle(request, stream, head),
   });
@@ -68,21 +79,24 @@
   });
 }
 
-/** Opens a relayed connection, sends a line, and returns what the worker sent and how the connection ended. */
+/**
+ * Opens a relayed connection, sends a line, and returns what the worker sent and whether the connection ended otherwise
+ * than by an orderly close of the worker.
+ */
 async function exchange(
   target: string,
   relay: string,
 ): Promise<{ text: string; isReset: boolean }> {
   const dialed = await dial(target, [relay]);
   if (typeof dialed === "string") throw new Error(`Not connected: ${dialed}`);
-  const { socket } = dialed;
+  const { socket, decoder } = dialed;
   socket.write("hello");
   let text = "";
   return new Promise((resolve) => {
-    socket.on("data", (bytes) => (text += String(bytes)));
+    socket.on("data", (bytes) => (text += String(decoder?.decode(bytes))));
     socket.on("error", () => resolve({ text, isReset: true }));
     socket.on("end", () => {
-      resolve({ text, isReset: wasReset(socket) });
+      resolve({ text, isReset: wasReset(socket) || decoder?.hasWorkerEnd !== true });
       socket.destroy();
     });
   });
@@ -107,6 +121,35 @@
   expect((await exchange(worker, relay)).isReset).toBe(true);
 });
 
+// Guards against an incomplete response that looks complete because the relaying instance ended.
+test("the end of a relay isn't taken for the end of the worker", async () => {
+  let relay: WorkerRelay | undefined;
+  const worker = await startWorker((socket) =>
+    socket.once("data", () => socket.write("half", () => setTimeout(() => relay?.close(), 20))),
+  );
+  const address = await startRelay(worker, { onCreated: (created) => (relay = created) });
+  expect(await exchange(worker, address)).toEqual({ text: "half", isReset: true });
+});
+
+// Guards against instances of an earlier version that read frames as a part of their workers' responses.
+test("an instance that asks for no framing gets the worker's own bytes", async () => {
+  const worker = await startWorker((socket) =>
+    socket.once("data", (one) => socket.end(`${String(one)} back`)),
+  );
+  const [host, port] = (await startRelay(worker)).split(":");
+  const attempt = request({ host, port, method: "CONNECT", path: worker, agent: false });
+  const text = await new Promise<string>((resolve) => {
+    attempt.on("connect", (_, socket) => {
+      let received = "";
+      socket.on("data", (bytes) => (received += String(bytes)));
+      socket.on("end", () => resolve(received));
+      socket.write("hello");
+    });
+    attempt.end();
+  });
+  expect(text).toBe("hello back");
+});
+
 // Guards against a worker that keeps working on a request whose caller has left.
 test("the worker's connection is closed at once when the instance closes the relayed one", async () => {
   let closed: (value: unknown) => void;
