Limit the size of a worker's report on its process

Cause: process_identity.ts kept all chunks of the report until it was complete.

Over a limit the connection is closed, the request isn't sent and goes to another worker; it is logged as receive-limit and counted in samphireshore_receive_limits_total.

--- a/src/connection/process_identity.ts
+++ b/src/connection/process_identity.ts
@@ -1,3 +1,5 @@
+import { createReceiveBudget, ReceivedPart } from "../decision/index.ts";
+import type { ReceiveBudget } from "../decision/index.ts";
 import type {
   Exchange,
   ExchangeEnd,
@@ -34,9 +36,18 @@
 
 const SUCCESS = 200;
 const EMPTY_BODY = Buffer.alloc(0);
+/** Maximum size of a report in bytes. Reports have some hundred; a faulty worker may send one that never ends. */
+const MAX_REPORT_BYTES = 65_536;
 
-/** Creates an identity without any identified connection. */
-export function createProcessIdentity({ path, readStart }: ProcessReport): ProcessIdentity {
+/**
+ * Creates an identity without any identified connection.
+ *
+ * @param options `budget` limits what the reports of all workers hold together.
+ */
+export function createProcessIdentity(
+  { path, readStart }: ProcessReport,
+  { budget = createReceiveBudget() }: { readonly budget?: ReceiveBudget } = {},
+): ProcessIdentity {
   const identified = new WeakSet<WorkerConnection>();
   return {
     exchange: (connection, request, { worker, sink }) => {
@@ -44,8 +55,21 @@
       if (worker.startedAt === 0 || identified.has(connection))
         return connection.exchange(request, sink);
       const chunks: Buffer[] = [];
+      const held = budget.open(ReceivedPart.Report);
+      let size = 0;
       let status = 0;
+      const receive = (chunk: Buffer): void => {
+        size += chunk.length;
+        chunks.push(chunk);
+        if (held.hold(size) && size <= MAX_REPORT_BYTES) return;
+        held.recordExceeded(worker.id);
+        held.close();
+        current.abort();
+        const detail = `The worker's report on its process is too long: ${size} bytes or more.`;
+        sink.end({ kind: "not-sent", detail, cause: DialFailure.Unanswered });
+      };
       const continueWith = (end: ExchangeEnd): void => {
+        held.close();
         if (end.kind !== "complete" || !connection.isIdle()) {
           sink.end(unsent(end));
           return;
@@ -68,14 +92,17 @@
       };
       const reportSink: ExchangeSink = {
         head: (head) => (status = head.status),
-        data: (chunk) => void chunks.push(chunk),
+        data: receive,
         end: continueWith,
       };
       let current = connection.exchange(report, reportSink, { isPreparatory: true });
       return {
         pause: () => current.pause(),
         resume: () => current.resume(),
-        abort: () => current.abort(),
+        abort: () => {
+          held.close();
+          current.abort();
+        },
       };
     },
   };
--- a/src/connection/process_identity_test.ts
+++ b/src/connection/process_identity_test.ts
@@ -4,6 +4,9 @@
 import { createProcessIdentity } from "./process_identity.ts";
 import type { WorkerConnection } from "./worker_connection.ts";
 
+/** Maximum size of a report in bytes, and the size of a piece of one that is longer. */
+const MAX_REPORT = 65_536;
+const REPORT_PIECE = 16_384;
 const WORKER = { id: "i-1", startedAt: 1_000, address: "127.0.0.1:1" };
 const REQUEST: WorkerRequest = {
   method: "POST",
@@ -22,9 +25,11 @@
   connection: WorkerConnection;
   sent: { target: string; sink: ExchangeSink }[];
   isClosed: () => boolean;
+  isAborted: () => boolean;
 } {
   const sent: { target: string; sink: ExchangeSink }[] = [];
   let closed = false;
+  let aborted = false;
   const connection: WorkerConnection = {
     isIdle: () => !closed,
     hasPendingResponse: () => false,
@@ -33,11 +38,15 @@
     exchangeCount: 0,
     exchange: ({ target }, sink) => {
       sent.push({ target, sink });
-      return { pause: () => undefined, resume: () => undefined, abort: () => undefined };
+      return {
+        pause: () => undefined,
+        resume: () => undefined,
+        abort: () => (aborted = true),
+      };
     },
     close: () => (closed = true),
   };
-  return { connection, sent, isClosed: () => closed };
+  return { connection, sent, isClosed: () => closed, isAborted: () => aborted };
 }
 
 function send(connection: WorkerConnection, worker = WORKER): ExchangeEnd[] {
@@ -97,6 +106,27 @@
   expect(ends).toMatchObject([{ kind: "not-sent", cause: DialFailure.NoPath }]);
 });
 
+// Guards against a worker whose report never ends and fills the memory of the process.
+test("a report that is too long ends the request as not sent, and its connection is closed", () => {
+  const { connection, sent, isAborted } = connectionWith();
+  const ends = send(connection);
+  const [report] = sent;
+  report?.sink.head({
+    status: 200,
+    framing: BodyFraming.Connection,
+    headers: [],
+    byName: new Map(),
+  });
+  let received = 0;
+  while (!isAborted() && received < 100 * REPORT_PIECE) {
+    report?.sink.data(Buffer.alloc(REPORT_PIECE, "x"));
+    received += REPORT_PIECE;
+  }
+  expect(received).toBeLessThan(2 * MAX_REPORT);
+  expect(ends).toMatchObject([{ kind: "not-sent", cause: DialFailure.Unanswered }]);
+  expect(targets(sent)).toEqual(["/report"]);
+});
+
 test.each([
   [503, ""],
   [200, ""],
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -1,3 +1,5 @@
+import { createReceiveBudget } from "../decision/index.ts";
+import type { ReceiveBudget } from "../decision/index.ts";
 import type {
   Clock,
   Exchange,
@@ -44,7 +46,7 @@
  *
  * @param options `matching` names the headers by which responses are matched with requests. `onHead` is called with the
  * head of each response that a worker sends. `report` is where workers state when their process started; without it, the
- * processes of workers aren't verified.
+ * processes of workers aren't verified. `budget` limits what all connections hold of incomplete responses.
  */
 export function createWorkerConnections(options: {
   readonly clock: Clock;
@@ -52,9 +54,10 @@
   readonly matching: ResponseMatching;
   readonly onHead: (worker: WorkerEndpoint, head: ResponseHead) => void;
   readonly report?: ProcessReport;
+  readonly budget?: ReceiveBudget;
 }): WorkerConnections {
-  const { clock, path, matching, onHead, report } = options;
-  const identity = report === undefined ? undefined : createProcessIdentity(report);
+  const { clock, path, matching, onHead, report, budget = createReceiveBudget() } = options;
+  const identity = report === undefined ? undefined : createProcessIdentity(report, { budget });
   const pools = new Map<string, ConnectionPool>();
 
   const open = (worker: WorkerEndpoint, pool: ConnectionPool): WorkerConnection => {
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -5,6 +5,7 @@
 import { createWorkerRelay } from "../connection/worker_relay.ts";
 import {
   createAccountShares,
+  createReceiveBudget,
   createRepeatBudget,
   createSharedCounts,
   createSharedQuota,
@@ -137,11 +138,18 @@
         cause,
       }),
   });
+  const received = createReceiveBudget({
+    onExceeded: ({ part, ...exceeded }) => {
+      metrics.receiveLimitExceeded(part);
+      log.fault("receive-limit", { part, ...exceeded });
+    },
+  });
   const connections = createWorkerConnections({
     clock,
     path,
     matching: { idHeader: dependencies.names.requestId, notRunHeader: dependencies.names.notRun },
     report: dependencies.report,
+    budget: received,
     onHead: (worker, head) =>
       workerTable.recordStatement(worker, parseWorkerStatement(head, dependencies.names)),
   });
--- a/src/process/routed_metrics.ts
+++ b/src/process/routed_metrics.ts
@@ -4,6 +4,8 @@
 export interface RoutedMetricsRegistry extends RoutedMetrics {
   /** Counts a request sent to a worker of this version. */
   sent(service: string, version: string): void;
+  /** Counts an exchange that was closed because what it received exceeded a limit. */
+  receiveLimitExceeded(part: string): void;
   /** Records how a store change reached this instance, and its delay after the first instance in milliseconds. */
   changeReceived(source: string, milliseconds: number): void;
   /** Returns all metrics in the Prometheus text exposition format. */
@@ -49,6 +51,7 @@
     cut: (reason) => recordOrBuffer((loaded) => loaded.cut(reason)),
     repeated: (cause) => recordOrBuffer((loaded) => loaded.repeated(cause)),
     sent: (service, version) => recordOrBuffer((loaded) => loaded.sent(service, version)),
+    receiveLimitExceeded: (part) => recordOrBuffer((loaded) => loaded.receiveLimitExceeded(part)),
     changeReceived: (source, milliseconds) =>
       recordOrBuffer((loaded) => loaded.changeReceived(source, milliseconds)),
     addGauge: (name, help, read) => recordOrBuffer((loaded) => loaded.addGauge(name, help, read)),
@@ -106,6 +109,12 @@
     labelNames: ["service", "version"],
     registers,
   });
+  const receiveLimits = new Counter({
+    name: "samphireshore_receive_limits_total",
+    help: "Exchanges closed because the bytes received exceeded a limit, by what was received.",
+    labelNames: ["part"],
+    registers,
+  });
   const changeDelay = new Histogram({
     name: "samphireshore_change_known_seconds",
     help: "Time from when the first instance knew a change of the store until this one did, by its way.",
@@ -124,6 +133,7 @@
     cut: (reason) => cut.inc({ reason }),
     repeated: (cause) => repeated.inc({ cause }),
     sent: (service, version) => sent.inc({ service, version }),
+    receiveLimitExceeded: (part) => receiveLimits.inc({ part }),
     changeReceived: (source, milliseconds) =>
       changeDelay.observe({ way: source }, milliseconds / MILLISECONDS_PER_SECOND),
     addGauge: (name, help, read) => {
