Limit what all responses of workers hold together in memory

Workers in trouble on a hundred connections could fill the memory of an instance, which would be ended with all its requests.

Change: answers, incomplete events and incomplete heads take what they hold from one budget (16 KiB each, and 32 MiB for all beyond that). An answer beyond it is forwarded as it arrives, as large ones are. A stream or a head beyond it ends as a fault of its worker, with a receive-limit line and in the counter. What a caller hasn't read yet counts, too, until its response is closed.

--- a/src/connection/response_parser.ts
+++ b/src/connection/response_parser.ts
@@ -45,6 +45,8 @@
    * @param sink Receives the response.
    */
   expectResponse(method: string, sink: ResponseSink): void;
+  /** Number of bytes that are held until the rest of an element arrives. */
+  readonly bufferedBytes: number;
 }
 
 /** Why the bytes of a connection can't be parsed as a response. */
@@ -250,6 +252,9 @@
       complete();
       return undefined;
     },
+    get bufferedBytes() {
+      return buffered.length;
+    },
     expectResponse: (requestMethod, responseSink) => {
       method = requestMethod;
       sink = responseSink;
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -8,6 +8,8 @@
  * @module
  */
 import type { Socket } from "node:net";
+import { ReceivedPart } from "../decision/index.ts";
+import type { ReceiveBudget } from "../decision/index.ts";
 import { DialFailure } from "../interface/index.ts";
 import type {
   ResponseHead,
@@ -17,7 +19,7 @@
   ExchangeSink,
   WorkerRequest,
 } from "../interface/index.ts";
-import { createResponseParser } from "./response_parser.ts";
+import { createResponseParser, ParseFault } from "./response_parser.ts";
 import { wasReset } from "./dial.ts";
 import type { DialedConnection, DialListener, PendingDial } from "./dial.ts";
 
@@ -63,6 +65,10 @@
   /** Starts to open the connection. The listener is not called before this returns. */
   readonly dial: (listener: DialListener) => PendingDial;
   readonly matching: ResponseMatching;
+  /** Limits what all connections hold of incomplete heads. */
+  readonly budget: ReceiveBudget;
+  /** Id of the worker, with which an exceeded limit is reported. */
+  readonly worker: string;
   /** Called when bytes arrive from the worker. */
   readonly onReceived: () => void;
   /** Called with the head of each response, also of one that doesn't belong to the request in progress. */
@@ -87,6 +93,7 @@
 export function openWorkerConnection(options: WorkerConnectionOptions): WorkerConnection {
   const { clock, matching, onHead } = options;
   const parser = createResponseParser();
+  const held = options.budget.open(ReceivedPart.Head);
   let socket: Socket | undefined;
   /** The request that waits until the connection is established. */
   let queuedRequest: Buffer | undefined;
@@ -107,6 +114,7 @@
   const close = (): void => {
     if (isClosed) return;
     isClosed = true;
+    held.close();
     dialing.close();
     socket?.destroy();
     options.onClosed();
@@ -131,6 +139,14 @@
     else options.onIdle();
     sink?.end({ kind: "complete" });
   };
+  const parse = (bytes: Buffer): ParseFault | undefined => {
+    const fault = parser.feed(bytes);
+    // The exchange may have ended with these bytes.
+    const isWithinLimit = isClosed || held.hold(parser.bufferedBytes);
+    if (isWithinLimit && fault !== ParseFault.TooLarge) return fault;
+    held.recordExceeded(options.worker);
+    return ParseFault.TooLarge;
+  };
   const acceptHead = (head: ResponseHead, id: string | undefined): boolean => {
     if (!isResponseTo(head, { id, matching })) return false;
     const keepAlive = KEEP_ALIVE_TIMEOUT.exec(head.byName.get("keep-alive") ?? "")?.[1];
@@ -147,7 +163,7 @@
       options.onReceived();
       if (isUnused) options.onWorking({ isRelayed });
       isUnused = false;
-      const fault = parser.feed(decoder?.decode(bytes) ?? bytes);
+      const fault = parse(decoder?.decode(bytes) ?? bytes);
       if (fault !== undefined) fail(`The worker sent an invalid response: ${fault}.`);
     });
     opened.on("end", () => {
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -1,7 +1,9 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { Worker } from "node:worker_threads";
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
+import { createReceiveBudget } from "../decision/index.ts";
+import type { ExceededLimit, ReceiveBudget } from "../decision/index.ts";
 import { systemClock } from "../process/system_clock.ts";
 import { connectTcp, dialDirect } from "./dial.ts";
 import { openWorkerConnection } from "./worker_connection.ts";
@@ -34,11 +36,16 @@
   });
 }
 
-function connectTo(address: string): WorkerConnection {
+function connectTo(
+  address: string,
+  { budget = createReceiveBudget() }: { budget?: ReceiveBudget } = {},
+): WorkerConnection {
   const connection = openWorkerConnection({
     clock: systemClock,
     dial: (listener) => dialDirect(address, { clock: systemClock, connect: connectTcp }, listener),
     matching: { idHeader: "x-id", notRunHeader: "x-not-run" },
+    budget,
+    worker: "i-1",
     onReceived: () => undefined,
     onWorking: () => undefined,
     onBrokenUnused: () => undefined,
@@ -143,6 +150,28 @@
   expect(connection.isIdle()).toBe(false);
 });
 
+// Guards against incomplete heads on many connections that together exceed the memory of the process.
+test("incomplete heads hold no more than the budget together", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () =>
+      socket.write(`HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Long: ${"x".repeat(40_000)}`),
+    );
+  });
+  const exceeded: ExceededLimit[] = [];
+  const budget = createReceiveBudget({
+    maxShared: 50_000,
+    onExceeded: (one) => void exceeded.push(one),
+  });
+  const ends: ExchangeEnd[] = [];
+  for (let index = 0; index < 4; index++) {
+    const connection = connectTo(address, { budget });
+    void sendRequest(connection).then(({ end }) => void ends.push(end));
+  }
+  await vi.waitFor(() => expect(ends.map(({ kind }) => kind)).toEqual(["broken", "broken"]));
+  expect(exceeded).toHaveLength(2);
+  expect(budget.shared).toBeLessThanOrEqual(50_000);
+});
+
 // Guards against treating a request that was certainly not sent as one that may have run.
 test("an exchange on a refused connection ends as not sent", async () => {
   const { end } = await sendRequest(connectTo("127.0.0.1:9"));
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -68,6 +68,8 @@
       clock,
       dial: (listener) => path.dial(worker, listener),
       matching,
+      budget,
+      worker: id,
       onReceived: () => (pool.lastReceivedAt = clock.now()),
       onWorking: (dialed) => path.recordWorking(worker, dialed),
       onBrokenUnused: () => path.recordBroken(worker),
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -398,6 +398,7 @@
     table,
     workerLoads: workerTable,
     connections,
+    received,
     quota,
     shares,
     repeats,
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -1,4 +1,6 @@
 import type { ServerResponse } from "node:http";
+import { ReceivedPart } from "../decision/index.ts";
+import type { HeldBytes, ReceiveBudget } from "../decision/index.ts";
 import type { Clock, ResponseHead } from "../interface/index.ts";
 import { endAfterRequest } from "./lingering_end.ts";
 import { buildResponseHeaders } from "./routed_headers.ts";
@@ -69,6 +71,8 @@
   readonly hasStarted: boolean;
   /** Whether the response has ended, is a refusal, or the caller has disconnected. */
   readonly isClosed: boolean;
+  /** What is held of workers' responses until it can be written. It ends with the response. */
+  readonly received: HeldBytes;
   /** Sends a complete worker response. */
   sendComplete(head: ResponseHead, body: Buffer): void;
   /** Starts a worker response of unknown length. */
@@ -100,18 +104,28 @@
  *
  * @param response The Node.js response to write to.
  * @param options `isClosing` returns whether the connection is to be closed after the response,
- * because the instance is shutting down.
+ * because the instance is shutting down. `budget` limits what all responses hold.
  */
 export function createCallerResponse(
   response: ServerResponse,
-  { clock, isClosing }: { clock: Clock; isClosing: () => boolean },
+  { clock, isClosing, budget }: { clock: Clock; isClosing: () => boolean; budget: ReceiveBudget },
 ): CallerResponse {
   let isRefused = false;
+  const received = budget.open(ReceivedPart.Answer);
+  /** What was written and waits until the caller reads it. */
+  const unsent = budget.open(ReceivedPart.Answer);
+  const countUnsent = (): void => void unsent.hold(response.writableLength);
+  response.on("drain", countUnsent);
+  response.once("close", () => {
+    received.close();
+    unsent.close();
+  });
   const start = (status: number, headers: readonly string[]): void => {
     if (isClosing()) response.shouldKeepAlive = false;
     response.writeHead(status, [...headers]);
   };
   return {
+    received,
     get hasStarted() {
       return response.headersSent;
     },
@@ -125,9 +139,14 @@
       const length = body.length > 0 ? String(body.length) : head.byName.get("content-length");
       start(head.status, length === undefined ? headers : [...headers, "Content-Length", length]);
       response.end(body);
+      countUnsent();
     },
     start: (head) => start(head.status, buildResponseHeaders(head)),
-    write: (bytes) => response.write(bytes),
+    write: (bytes) => {
+      const canContinue = response.write(bytes);
+      countUnsent();
+      return canContinue;
+    },
     end: () => void response.end(),
     abort: () => void response.destroy(),
     refuse: (reason, retryAfter) => {
--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -17,8 +17,10 @@
   head: ResponseHead | undefined;
   /** Buffered body of a response that is not streamed. */
   readonly chunks: Buffer[];
-  /** Bytes of the body received so far. */
-  size: number;
+  /** Number of bytes in it. */
+  bufferedBytes: number;
+  /** Whether the response that isn't streamed is forwarded before its end. */
+  isForwarded: boolean;
   /** Whether the response is forwarded to the caller as a stream of events. */
   isStreaming: boolean;
   /** Time of the last data from the worker, or of the last resume, in the clock's milliseconds. */
@@ -44,7 +46,8 @@
     exchange: undefined,
     head: undefined,
     chunks: [],
-    size: 0,
+    bufferedBytes: 0,
+    isForwarded: false,
     isStreaming: false,
     lastReceivedAt: startedAt,
     wasMoveDeferred: false,
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -2,6 +2,7 @@
   AccountShares,
   RankedWorker,
   StreamVersion,
+  ReceiveBudget,
   RepeatBudget,
   ServiceTiming,
   SharedQuota,
@@ -172,6 +173,8 @@
   table(): RouteTable | undefined;
   readonly workerLoads: WorkerLoads;
   readonly connections: WorkerConnections;
+  /** Limit on the memory for what workers send. */
+  readonly received: ReceiveBudget;
   /** Quotas of the client accounts, shared by all instances. */
   readonly quota: SharedQuota;
   /** The accounts' shares of services that are overloaded. */
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -75,18 +75,30 @@
 function receiveBody(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
   const { response } = state;
   attempt.chunks.push(chunk);
-  attempt.size += chunk.length;
-  if (attempt.size <= MAX_BUFFERED_BYTES || attempt.head === undefined) return;
+  attempt.bufferedBytes += chunk.length;
+  const canBuffer = holdReceived(state) && attempt.bufferedBytes <= MAX_BUFFERED_BYTES;
+  if ((canBuffer && !attempt.isForwarded) || attempt.head === undefined) return;
   releaseReserve(state);
+  attempt.isForwarded = true;
   if (!response.hasStarted) response.start(attempt.head);
   const buffered = Buffer.concat(attempt.chunks.splice(0));
+  attempt.bufferedBytes = 0;
+  holdReceived(state);
   if (!response.write(buffered)) pauseReading(attempt);
 }
 
+/** Accounts for what is held of the responses of all attempts; returns whether it is within the limit. */
+function holdReceived({ response, current, splitter, reserve }: RoutedRunState): boolean {
+  const partialEvents = splitter.partialEvent.length + (reserve?.partialEvent.length ?? 0);
+  return response.received.hold(partialEvents + (current?.bufferedBytes ?? 0));
+}
+
 function receiveEvents(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
   const { response, splitter, suspects } = state;
   const { bytes, count } = splitter.push(chunk);
-  if (splitter.isTooLong) {
+  const isWithinLimit = holdReceived(state);
+  if (splitter.isTooLong || (count === 0 && !isWithinLimit)) {
+    response.received.recordExceeded(attempt.worker.id);
     logStep(state, "no-events", { worker: attempt.worker.id });
     retry(state, RepeatCause.WorkerGarbled);
     return;
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -64,6 +64,7 @@
     const callerResponse = createCallerResponse(response, {
       clock: context.clock,
       isClosing: context.isStopping,
+      budget: context.received,
     });
     const idHeader = request.headers[context.names.requestId];
     const id = typeof idHeader === "string" ? idHeader : undefined;
