Limit what responses of the platform and of other instances hold in memory

Change: a response has at most 8 MiB (a list of the store has 1 MB by its page, the entries of 4,600 workers about two), and all share a budget of their own, so that workers in trouble can't keep an instance from its store. Closed connections are logged and counted like those of workers.

--- a/src/connection/json_client.ts
+++ b/src/connection/json_client.ts
@@ -1,5 +1,7 @@
 import { Agent, request } from "node:http";
 import type { IncomingHttpHeaders } from "node:http";
+import { ReceivedPart } from "../decision/index.ts";
+import type { ReceiveBudget } from "../decision/index.ts";
 import { splitAddress } from "./http_listener.ts";
 
 /** A request to a service with a JSON API. */
@@ -38,8 +40,19 @@
   close(): void;
 }
 
-/** Maximum size of a response body, in bytes; a list of the store has at most one megabyte. */
-const MAX_RESPONSE_BYTES = 16_777_216;
+/**
+ * Maximum size of a response body, in bytes. A list of the store has at most one megabyte, and the entries of all workers,
+ * as another instance has them, two at the size that the design is meant for.
+ */
+const MAX_RESPONSE_BYTES = 8_388_608;
+
+/** Options of {@linkcode createJsonClient}. */
+export interface JsonClientOptions {
+  /** Maximum number of connections; further calls wait for a free one. */
+  readonly connections: number;
+  /** Limits what the responses of all clients hold until they are complete. */
+  readonly budget: ReceiveBudget;
+}
 
 /**
  * Creates a client for one service.
@@ -48,9 +61,11 @@
  * and after a power failure callers wait for that start.
  *
  * @param address `IP:PORT` of the service.
- * @param connections Maximum number of connections; further calls wait for a free one.
  */
-export function createJsonClient(address: string, connections: number): JsonClient {
+export function createJsonClient(
+  address: string,
+  { connections, budget }: JsonClientOptions,
+): JsonClient {
   const [host, port] = splitAddress(address);
   const agent = new Agent({ keepAlive: true, maxSockets: connections, noDelay: true });
   const call = ({
@@ -94,14 +109,18 @@
       outgoing.on("error", (error) => end(() => reject(error)));
       outgoing.on("response", (response) => {
         const chunks: Buffer[] = [];
+        const held = budget.open(ReceivedPart.Json);
         let size = 0;
         response.on("data", (chunk: Buffer) => {
           size += chunk.length;
           chunks.push(chunk);
-          if (size > MAX_RESPONSE_BYTES) outgoing.destroy(new Error("the response is too large"));
+          if (held.hold(size) && size <= MAX_RESPONSE_BYTES) return;
+          held.recordExceeded(address);
+          outgoing.destroy(new Error("the response is too large"));
         });
         response.on("error", (error) => end(() => reject(error)));
         response.on("close", () => {
+          held.close();
           if (!response.complete) end(() => reject(new Error("the response is incomplete")));
           else end(() => settleCall({ response, chunks, resolve, reject }));
         });
--- a/src/process/peer_catch_up.ts
+++ b/src/process/peer_catch_up.ts
@@ -3,7 +3,7 @@
 import type { FeedFollower } from "./feed_follower.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import type { PeerInstance } from "./peer.ts";
-import type { FetchedObjects } from "./peer_fetch.ts";
+import type { FetchObjects } from "./peer_fetch.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
 /**
@@ -25,11 +25,7 @@
   /** Followers by kind of object. */
   readonly feeds: ReadonlyMap<string, FeedFollower>;
   readonly log: RoutedLog;
-  /**
-   * Fetches all objects of a kind from the instance at an address. Rejects if it doesn't answer in
-   * time.
-   */
-  readonly fetch: (peer: string, kind: string) => Promise<FetchedObjects>;
+  readonly fetch: FetchObjects;
 }
 
 /** Milliseconds to wait for the store to deliver a change before it is fetched from a peer. */
--- a/src/process/peer_fetch.ts
+++ b/src/process/peer_fetch.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { createJsonClient } from "../connection/json_client.ts";
+import type { ReceiveBudget } from "../decision/index.ts";
 
 /** Timeout in milliseconds for fetching a peer's objects. */
 const FETCH_TIMEOUT = 1_000;
@@ -22,19 +23,25 @@
 export type FetchedObjects = z.infer<typeof fetchedSchema>;
 
 /**
- * Fetches all objects of a kind from another instance.
+ * Fetches all objects of a kind from the instance at an address. Rejects if it doesn't answer in time or its response is
+ * invalid.
+ */
+export type FetchObjects = (peer: string, kind: string) => Promise<FetchedObjects>;
+
+/**
+ * Creates the function that fetches objects.
  *
- * @param peer The peer's address for other instances.
- * @param kind The kind of the objects.
- * @throws {Error} If the peer doesn't answer in time or its response is invalid.
+ * @param budget Limits what responses hold until they are complete.
  */
-export async function fetchObjects(peer: string, kind: string): Promise<FetchedObjects> {
-  const client = createJsonClient(peer, 1);
-  try {
-    const path = `/objects/${encodeURIComponent(kind)}`;
-    const response = await client.call({ method: "GET", path, timeout: FETCH_TIMEOUT });
-    return fetchedSchema.parse(response.body);
-  } finally {
-    client.close();
-  }
+export function createObjectFetch(budget: ReceiveBudget): FetchObjects {
+  return async (peer, kind) => {
+    const client = createJsonClient(peer, { connections: 1, budget });
+    try {
+      const path = `/objects/${encodeURIComponent(kind)}`;
+      const response = await client.call({ method: "GET", path, timeout: FETCH_TIMEOUT });
+      return fetchedSchema.parse(response.body);
+    } finally {
+      client.close();
+    }
+  };
 }
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -5,7 +5,6 @@
 import { createWorkerRelay } from "../connection/worker_relay.ts";
 import {
   createAccountShares,
-  createReceiveBudget,
   createRepeatBudget,
   createSharedCounts,
   createSharedQuota,
@@ -35,6 +34,7 @@
 import { createLongPromptWorkers } from "./long_prompt_workers.ts";
 import { createRoutedWorkerTable } from "./routed_worker_table.ts";
 import type { RoutedEntry, RoutedEntryDependencies } from "./routed_entry_parts.ts";
+import { createLoggedBudget } from "./receive_limits.ts";
 import { addRoutedGauges } from "./routed_gauges.ts";
 import { routedInstanceStatus } from "./routed_instance_status.ts";
 import { capacityOf } from "./routed_settings.ts";
@@ -138,12 +138,7 @@
         cause,
       }),
   });
-  const received = createReceiveBudget({
-    onExceeded: ({ part, ...exceeded }) => {
-      metrics.receiveLimitExceeded(part);
-      log.fault("receive-limit", { part, ...exceeded });
-    },
-  });
+  const received = createLoggedBudget({ log, metrics });
   const connections = createWorkerConnections({
     clock,
     path,
@@ -226,6 +221,7 @@
     runningTime,
     random,
     feed: dependencies.feed,
+    fetch: dependencies.fetchObjects,
     kinds,
     followsRollouts: versions !== undefined,
     log,
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -18,6 +18,7 @@
 import type { Connect } from "../connection/dial.ts";
 import type { ProcessReport } from "../connection/process_identity.ts";
 import type { Routing } from "../version/index.ts";
+import type { FetchObjects } from "./peer_fetch.ts";
 import type { RoutedLog } from "./routed_log.ts";
 import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
@@ -46,6 +47,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly feed: ObjectFeed;
+  /** Fetches objects from other instances. */
+  readonly fetchObjects: FetchObjects;
   readonly store: Pick<ObjectStore, "get" | "put"> & DeletableStore & RestorableStore;
   readonly rollouts: RolloutStore;
   readonly platform: Platform;
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -16,7 +16,7 @@
 import type { FleetSync } from "./fleet_sync.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { createPeerCatchUp } from "./peer_catch_up.ts";
-import { fetchObjects } from "./peer_fetch.ts";
+import type { FetchObjects } from "./peer_fetch.ts";
 import type { PeerInstance } from "./peer.ts";
 import type { StoredKinds } from "./routed_entry_parts.ts";
 import type { RoutedLog } from "./routed_log.ts";
@@ -53,6 +53,8 @@
   readonly runningTime: Pick<RunningTime, "between">;
   readonly random: Random;
   readonly feed: ObjectFeed;
+  /** Fetches objects from other instances. */
+  readonly fetch: FetchObjects;
   readonly kinds: StoredKinds;
   /** Whether orders that move services to other versions are followed. */
   readonly followsRollouts: boolean;
@@ -212,7 +214,7 @@
     role: () => fleet().role,
     feeds,
     log,
-    fetch: fetchObjects,
+    fetch: parts.fetch,
   });
 
   const applyRouting = (object: FeedObject | undefined): void => {
