Limit the size of responses that the other clients read

Change: a body has at most 8 MiB (64 MB for a call to an engine, which may export a cache) and an event 4 MiB; over it the connection is closed and the call fails. readText reads all of them. Parsing events closes the connection when it ends with an error; it stayed open until the caller's own timeout.

--- a/src/connection/event_stream.ts
+++ b/src/connection/event_stream.ts
@@ -1,3 +1,6 @@
+/** Maximum length of an event in characters. A backend server that never ends an event would fill the memory. */
+const MAX_EVENT_LENGTH = 4_194_304;
+
 /**
  * Parses the data of each event of a server-sent event stream.
  *
@@ -5,7 +8,7 @@
  * asynchronous generator takes longer than that per event.
  *
  * @param chunks The bytes of the stream, split at any position.
- * @param parse Converts the data of an event into a value; an exception ends the iteration.
+ * @param parse Converts the data of an event into a value; an exception ends the iteration, and so does an event that is too long.
  * @param options `failure` wraps an error of the stream or of `parse` into the error that is thrown.
  * @returns The values, in order.
  */
@@ -22,6 +25,8 @@
   const parseChunk = (chunk: Uint8Array): void => {
     const events = (partial + decoder.decode(chunk, { stream: true })).split("\n\n");
     partial = events.pop() ?? "";
+    if (partial.length > MAX_EVENT_LENGTH)
+      throw new Error(`An event is longer than ${MAX_EVENT_LENGTH} characters.`);
     values = [];
     nextIndex = 0;
     for (const event of events) {
@@ -33,6 +38,8 @@
     try {
       return await nextChunk();
     } catch (error) {
+      // Otherwise the connection would stay open, and its bytes would be read until the caller ends.
+      void source.return?.().catch(() => undefined);
       throw options.failure?.(error) ?? error;
     }
   };
--- a/src/connection/http_body.ts
+++ b/src/connection/http_body.ts
@@ -3,6 +3,12 @@
 
 /** Maximum size of the body of a caller's request, in bytes. */
 export const MAX_BODY_BYTES = 4_000_000;
+/**
+ * Maximum size of the body of a response of the platform, another instance or a backend server, in bytes. A list of the
+ * store has at most one megabyte, and the entries of all workers, as another instance has them, two at the size that the
+ * design is meant for.
+ */
+export const MAX_RESPONSE_BYTES = 8_388_608;
 /** Timeout for receiving a whole request body, in milliseconds. */
 const BODY_TIMEOUT = 30_000;
 
@@ -39,16 +45,25 @@
     });
   });
   try {
-    return await Promise.race([readAll(message, maxBytes), timeout]);
+    return await Promise.race([readText(message, maxBytes), timeout]);
   } finally {
     timer?.close();
   }
 }
 
-async function readAll(message: IncomingMessage, maxBytes: number): Promise<string> {
-  const chunks: Buffer[] = [];
+/**
+ * Reads a body to its end.
+ *
+ * @returns The body, decoded as UTF-8.
+ * @throws {BodyTooLarge} As soon as more than the maximum number of bytes were received; the connection is closed.
+ */
+export async function readText(
+  body: AsyncIterable<Uint8Array>,
+  maxBytes = MAX_RESPONSE_BYTES,
+): Promise<string> {
+  const chunks: Uint8Array[] = [];
   let size = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
+  for await (const chunk of body) {
     size += chunk.length;
     if (size > maxBytes)
       throw new BodyTooLarge(`The body is larger than the limit of ${maxBytes} bytes.`);
--- a/src/connection/http_cloud.ts
+++ b/src/connection/http_cloud.ts
@@ -1,5 +1,6 @@
 import { Pool } from "undici";
 import { z } from "zod";
+import { readText } from "./http_body.ts";
 import type { Cloud, Launch, LaunchOutcome } from "../interface/index.ts";
 
 const launchOutcomeSchema: z.ZodType<LaunchOutcome> = z.discriminatedUnion("kind", [
@@ -35,7 +36,10 @@
       ...(body === undefined ? {} : { body: JSON.stringify(body) }),
       signal: AbortSignal.timeout(CALL_TIMEOUT),
     });
-    return { status: response.statusCode, body: await response.body.json() };
+    return {
+      status: response.statusCode,
+      body: JSON.parse(await readText(response.body)) as unknown,
+    };
   };
   const launch = async (launchRequest: Launch): Promise<LaunchOutcome> => {
     try {
--- a/src/connection/http_engine.ts
+++ b/src/connection/http_engine.ts
@@ -12,6 +12,7 @@
   Random,
   Worker,
 } from "../interface/index.ts";
+import { readText } from "./http_body.ts";
 import { createEngineFailure } from "./engine_failure.ts";
 import { parseEvents } from "./event_stream.ts";
 import { callPlainService } from "./plain_service_call.ts";
@@ -41,6 +42,8 @@
 
 /** Timeout of a call without an event stream, in milliseconds. */
 const CALL_TIMEOUT = 2_000;
+/** Maximum size of the response to such a call, in bytes; an exported cache is large. */
+const MAX_CALL_RESPONSE_BYTES = 64_000_000;
 
 /**
  * Creates an HTTP client for backend servers. `run` and `attach` return the server-sent events of the
@@ -73,7 +76,7 @@
         body: JSON.stringify(body),
         signal: AbortSignal.timeout(CALL_TIMEOUT),
       });
-      const result: unknown = await response.body.json();
+      const result: unknown = JSON.parse(await readText(response.body, MAX_CALL_RESPONSE_BYTES));
       // Otherwise a rejected order would count as accepted and the worker would silently stay unchanged.
       if (response.statusCode >= 400) throw new Error(`Status ${response.statusCode}`);
       return result;
@@ -165,7 +168,7 @@
       signal,
     });
     if (response.statusCode !== 200) {
-      return statusEvent(response.statusCode, await response.body.text());
+      return statusEvent(response.statusCode, await readText(response.body));
     }
     const failure = (cause: unknown): EngineFailure =>
       createEngineFailure(worker, { step: "stream", cause, notSent: false });
--- a/src/connection/http_engine_test.ts
+++ b/src/connection/http_engine_test.ts
@@ -27,10 +27,10 @@
   });
 }
 
-async function call(worker: Worker): Promise<EngineEvent[]> {
+async function call(worker: Worker, path = "GET /chips/7"): Promise<EngineEvent[]> {
   const engine = createHttpEngine({ clock: systemClock, random: systemRandom });
   closers.push(() => engine.close());
-  const dispatch = { id: "r1", path: "GET /chips/7", body: "" } as Dispatch;
+  const dispatch = { id: "r1", path, body: "" } as Dispatch;
   const events: EngineEvent[] = [];
   for await (const event of engine.run(worker, dispatch, AbortSignal.timeout(5_000)))
     events.push(event);
@@ -66,3 +66,25 @@
   expect(finished).toMatchObject({ kind: "finished" });
   expect(JSON.stringify(finished)).toContain("whole");
 });
+
+/** Sends bytes until the caller closes the connection. */
+const sendEndlessly = (socket: Socket): void => {
+  const piece = Buffer.alloc(65_536, "x");
+  const write = (): void => {
+    while (!socket.destroyed && socket.write(piece));
+  };
+  socket.on("drain", write);
+  write();
+};
+
+// Guards against a backend server in trouble that fills the memory of the instance with bytes that never end.
+describe("an answer without end fails the call", () => {
+  test.each([
+    ["of a plain service", "GET /chips/7", `${HEAD}\r\n`],
+    ["of an engine, within an event", "/v1/chat", `${HEAD}\r\ndata: `],
+    ["of an engine, with an error", "/v1/chat", "HTTP/1.1 500 Internal Server Error\r\n\r\n"],
+  ])("%s", async (_, path, bytes) => {
+    const worker = await startService(bytes, sendEndlessly);
+    await expect(call(worker, path)).rejects.toThrow(/larger|longer/);
+  });
+});
--- a/src/connection/http_instance_list.ts
+++ b/src/connection/http_instance_list.ts
@@ -1,4 +1,5 @@
 import { request } from "undici";
+import { readText } from "./http_body.ts";
 import type { InstanceList, Worker } from "../interface/index.ts";
 
 /**
@@ -10,7 +11,7 @@
   return {
     workers: async () => {
       const response = await request(`http://${address}/instances`);
-      return (await response.body.json()) as readonly Worker[];
+      return JSON.parse(await readText(response.body)) as readonly Worker[];
     },
   };
 }
--- a/src/connection/http_object_store.ts
+++ b/src/connection/http_object_store.ts
@@ -1,5 +1,6 @@
 import { Pool } from "undici";
 import { z } from "zod";
+import { readText } from "./http_body.ts";
 import type { GetOutcome, ObjectStore, PutOutcome, StoredObject } from "../interface/index.ts";
 
 const storedObjectSchema = z.object({
@@ -40,7 +41,7 @@
       path,
       signal: AbortSignal.timeout(CALL_TIMEOUT),
     });
-    const body = await response.body.text();
+    const body = await readText(response.body);
     if (response.statusCode === 404) return { kind: "absent" };
     if (response.statusCode === 200)
       return { kind: "found", object: storedObjectSchema.parse(JSON.parse(body)) };
@@ -68,7 +69,7 @@
       body: write.value,
       signal: AbortSignal.timeout(CALL_TIMEOUT),
     });
-    const body = await response.body.text();
+    const body = await readText(response.body);
     if (response.statusCode === 200) {
       return { kind: "written", version: writeResultSchema.parse(JSON.parse(body)).version };
     }
@@ -101,6 +102,6 @@
     signal: AbortSignal.any([watch.signal, AbortSignal.timeout(WATCH_TIMEOUT)]),
     headersTimeout: WATCH_TIMEOUT,
   });
-  const body = await response.body.text();
+  const body = await readText(response.body);
   return response.statusCode === 200 ? storedObjectSchema.parse(JSON.parse(body)) : undefined;
 }
--- a/src/connection/json_client.ts
+++ b/src/connection/json_client.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { ReceivedPart } from "../decision/index.ts";
 import type { ReceiveBudget } from "../decision/index.ts";
+import { MAX_RESPONSE_BYTES } from "./http_body.ts";
 import { splitAddress } from "./http_listener.ts";
 
 /** A request to a service with a JSON API. */
@@ -40,12 +41,6 @@
   close(): void;
 }
 
-/**
- * Maximum size of a response body, in bytes. A list of the store has at most one megabyte, and the entries of all workers,
- * as another instance has them, two at the size that the design is meant for.
- */
-const MAX_RESPONSE_BYTES = 8_388_608;
-
 /** Options of {@linkcode createJsonClient}. */
 export interface JsonClientOptions {
   /** Maximum number of connections; further calls wait for a free one. */
--- a/src/connection/operator_routes.ts
+++ b/src/connection/operator_routes.ts
@@ -11,7 +11,7 @@
 import type { OperatorRouteContext } from "./route_context.ts";
 import { guardRoute } from "./guarded_route.ts";
 import type { ParameterizedRequest } from "./guarded_route.ts";
-import { readBody, sendJson } from "./http_body.ts";
+import { readBody, readText, sendJson } from "./http_body.ts";
 import { deploymentRequestMessage, presetRequestMessage } from "./operator_messages.ts";
 import type { ChangeOutcomeMessage, DrainMessage } from "./operator_messages.ts";
 import { routeParameter } from "./route_parameter.ts";
@@ -183,7 +183,7 @@
       headers: { authorization: `Bearer ${context.operatorKey}` },
       signal: AbortSignal.timeout(FORWARD_TIMEOUT),
     });
-    const detail = await reply.body.text();
+    const detail = await readText(reply.body);
     if (reply.statusCode === 202) return { kind: "draining", instance: member.id };
     return { kind: "unreachable", instance: member.id, detail };
   } catch (error) {
--- a/src/connection/plain_service_call.ts
+++ b/src/connection/plain_service_call.ts
@@ -6,6 +6,7 @@
   Worker,
   WorkerConnections,
 } from "../interface/index.ts";
+import { MAX_RESPONSE_BYTES } from "./http_body.ts";
 import { createEngineFailure } from "./engine_failure.ts";
 
 /** A call to a plain service. */
@@ -53,6 +54,7 @@
   return new Promise((resolve, reject) => {
     let head: ResponseHead | undefined;
     const chunks: Buffer[] = [];
+    let size = 0;
     const fail = (cause: unknown, notSent: boolean): void => {
       signal.removeEventListener("abort", abort);
       reject(createEngineFailure(worker, { step: "connect", cause, notSent }));
@@ -76,7 +78,14 @@
       body: Buffer.from(dispatch.body),
       id: undefined,
     };
-    const sink = { head: (one: ResponseHead) => (head = one), data: chunks.push.bind(chunks), end };
+    const receive = (chunk: Buffer): void => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size <= MAX_RESPONSE_BYTES) return;
+      started?.abort();
+      fail(`The response is larger than ${MAX_RESPONSE_BYTES} bytes.`, false);
+    };
+    const sink = { head: (one: ResponseHead) => (head = one), data: receive, end };
     const started = connections.exchange({ id: worker.id, startedAt: 0, address }, request, {
       sink,
       repeatable: false,
