Decide from the head of a worker's response whether it is for the caller

Cause: a body of more than 1 MiB was forwarded before its end without asking whether the response to the caller was a stream of another worker. Shorter answers were sorted out at their end, so that slow ones held their stream until its deadline. On the same path: a success without events ended a moved stream as complete; pages with empty lines and streams begun anew passed as its rest; a long failure before the first event was forwarded, and the next worker's stream followed it. Ruled out for the case: failures that pass as events.

Change: routed_head.ts decides at the head. What can't be the rest of the stream is left at once, whatever its size or speed, and so is a failure that another worker or the kept one can replace. A continuation begins above the last id, only complete events count against silence, and an empty continuation is checked with another worker. The rest of a short answer is read, so that its connection is kept.

--- a/src/connection/process_identity.ts
+++ b/src/connection/process_identity.ts
@@ -103,6 +103,7 @@
           held.close();
           current.abort();
         },
+        discard: () => current.discard(),
       };
     },
   };
--- a/src/connection/process_identity_test.ts
+++ b/src/connection/process_identity_test.ts
@@ -42,6 +42,7 @@
         pause: () => undefined,
         resume: () => undefined,
         abort: () => (aborted = true),
+        discard: () => undefined,
       };
     },
     close: () => (closed = true),
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -10,7 +10,7 @@
 import type { Socket } from "node:net";
 import { ReceivedPart } from "../decision/index.ts";
 import type { ReceiveBudget } from "../decision/index.ts";
-import { DialFailure } from "../interface/index.ts";
+import { afterRunningTime, DialFailure } from "../interface/index.ts";
 import type {
   ResponseHead,
   Clock,
@@ -85,6 +85,10 @@
 
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Maximum size in bytes of the rest of a response that is read only to keep its connection. */
+const MAX_DISCARDED_BYTES = 65_536;
+/** Maximum time in milliseconds that this takes; a new connection takes less. */
+const MAX_DISCARD_TIME = 100;
 
 /**
  * Opens a connection to a worker. The first exchange may start at once; its request is sent when the
@@ -205,7 +209,7 @@
         else fail("The worker sent the response to another request.");
       },
       data: (chunk) => {
-        if (!isClosed) sink.data(chunk);
+        if (!isClosed) current?.data(chunk);
       },
       end: () => {
         if (!isClosed) completeExchange();
@@ -227,6 +231,11 @@
         current = undefined;
         close();
       },
+      discard: () => {
+        isPaused = false;
+        socket?.resume();
+        current = createDiscardingSink(clock, close);
+      },
     };
   };
   return {
@@ -252,6 +261,22 @@
   };
 }
 
+/** Creates a sink that ignores a response, and closes its connection if the rest is long or takes long. */
+function createDiscardingSink(clock: Clock, close: () => void): ExchangeSink {
+  const timer = afterRunningTime(clock, MAX_DISCARD_TIME, close);
+  let size = 0;
+  return {
+    head: () => undefined,
+    data: (chunk) => {
+      size += chunk.length;
+      if (size <= MAX_DISCARDED_BYTES) return;
+      timer.close();
+      close();
+    },
+    end: () => timer.close(),
+  };
+}
+
 /** Returns whether a response belongs to the request; a late one may belong to an earlier request. */
 function isResponseTo(
   { byName }: ResponseHead,
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -70,6 +70,11 @@
   resume(): void;
   /** Aborts the exchange and closes its connection. The sink gets no more calls. */
   abort(): void;
+  /**
+   * Ends the exchange like {@linkcode Exchange.abort}, after the head of its response. If the rest of the response is short
+   * and arrives soon, the connection is kept for another exchange.
+   */
+  discard(): void;
 }
 
 /** A worker that a request is sent to. */
--- a/src/request/event_splitter.ts
+++ b/src/request/event_splitter.ts
@@ -16,6 +16,11 @@
   push(chunk: Buffer): CompleteEvents;
   /** Id of the last complete event. */
   readonly lastId: string | undefined;
+  /**
+   * Whether the stream was continued with an event whose id isn't above the last one before it. The events belong to another
+   * stream or were sent before, and are not returned. Ids that aren't numbers are not compared.
+   */
+  readonly isRepeated: boolean;
   /** Bytes of an incomplete event. */
   readonly partialEvent: Buffer;
   /**
@@ -43,6 +48,7 @@
  * request that continues the stream.
  */
 const ID_LINE = /^id:\s*([\x21-\x7e]{1,128})\s*$/;
+const NUMBER = /^\d{1,15}$/;
 /** Factor by which the storage of an incomplete event grows, so that each byte is copied a bounded number of times. */
 const GROWTH_FACTOR = 2;
 const LINE_FEED = 0x0a;
@@ -58,6 +64,9 @@
   let lineStart = 0;
   let lastId: string | undefined;
   let isTooLong = false;
+  let isRepeated = false;
+  /** Whether the next events continue a stream that broke. */
+  let isContinuing = false;
   /**
    * Returns the incomplete event with the bytes behind it. Copying and searching all of it for each piece would cost
    * time that grows with the square of its length: seconds for a stream without events.
@@ -86,10 +95,12 @@
     spare = Buffer.alloc(0);
     lineStart = bytes.lastIndexOf(LINE_FEED) + 1;
     isTooLong = false;
+    isRepeated = false;
+    isContinuing = false;
   };
   return {
     push: (chunk) => {
-      if (isTooLong) return NO_EVENTS;
+      if (isTooLong || isRepeated) return NO_EVENTS;
       const searchFrom = partial.length;
       const all = join(chunk);
       const { end, count, lastLine } = findCompleteEnd(all, { lineStart, searchFrom });
@@ -98,9 +109,13 @@
         setPartial(all);
         return NO_EVENTS;
       }
-      setPartial(all.subarray(end));
       const bytes = all.subarray(0, end);
-      lastId = findLastId(bytes) ?? lastId;
+      const ids = findIds(bytes);
+      isRepeated = isContinuing && isNotAbove(ids[0], lastId);
+      if (isRepeated) return NO_EVENTS;
+      isContinuing = false;
+      setPartial(all.subarray(end));
+      lastId = ids.at(-1) ?? lastId;
       return { bytes, count };
     },
     get lastId() {
@@ -112,7 +127,13 @@
     get isTooLong() {
       return isTooLong;
     },
-    discardPartial: () => replacePartial(Buffer.alloc(0)),
+    get isRepeated() {
+      return isRepeated;
+    },
+    discardPartial: () => {
+      replacePartial(Buffer.alloc(0));
+      isContinuing = true;
+    },
     replacePartial,
   };
 }
@@ -151,8 +172,18 @@
   return { end, count, lastLine: lineStart };
 }
 
-function findLastId(bytes: Buffer): string | undefined {
+/** Returns the ids of the first and of the last event that have one. */
+function findIds(bytes: Buffer): string[] {
   const lines = bytes.toString("latin1").split(/\r?\n/);
-  const line = lines.findLast((candidate) => ID_LINE.test(candidate)) ?? "";
-  return ID_LINE.exec(line)?.[1];
+  const ends = [lines.find(isIdLine), lines.findLast(isIdLine)];
+  return ends.flatMap((line = "") => ID_LINE.exec(line)?.[1] ?? []);
+}
+
+function isIdLine(line: string): boolean {
+  return ID_LINE.test(line);
+}
+
+function isNotAbove(id: string | undefined, last: string | undefined): boolean {
+  if (id === undefined || last === undefined) return false;
+  return NUMBER.test(id) && NUMBER.test(last) && Number(id) <= Number(last);
 }
--- a/src/request/event_splitter_test.ts
+++ b/src/request/event_splitter_test.ts
@@ -109,3 +109,20 @@
     { numRuns: 500 },
   );
 });
+
+// Guards against events that a caller gets twice, because the next worker begins the stream anew.
+test.each([
+  { first: "id: 2\ndata: b\n\n", isRepeated: true },
+  { first: "id: 1\ndata: a\n\n", isRepeated: true },
+  { first: "id: 3\ndata: c\n\n", isRepeated: false },
+  { first: "id: x\ndata: c\n\n", isRepeated: false },
+  { first: "data: c\n\n", isRepeated: false },
+])("a stream continues only with a higher id: $first", ({ first, isRepeated }) => {
+  const splitter = createEventSplitter();
+  splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n"));
+  splitter.discardPartial();
+  expect(splitter.push(Buffer.from(first)).bytes.toString()).toBe(isRepeated ? "" : first);
+  expect(splitter.isRepeated).toBe(isRepeated);
+  splitter.discardPartial();
+  expect(splitter.isRepeated).toBe(false);
+});
--- a/src/request/received_bytes_test.ts
+++ b/src/request/received_bytes_test.ts
@@ -8,7 +8,8 @@
 import { createEventSplitter } from "./event_splitter.ts";
 import { createAttempt } from "./routed_attempt.ts";
 import type { CandidateWorker } from "./routed_context.ts";
-import { receiveData, receiveHead } from "./routed_forwarding.ts";
+import { receiveData } from "./routed_forwarding.ts";
+import { receiveHead } from "./routed_head.ts";
 import { createRunProgress } from "./routed_progress.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
--- a/src/request/routed_completion.ts
+++ b/src/request/routed_completion.ts
@@ -1,17 +1,17 @@
 /**
- * Handles complete responses: each one ends the request, or the request is sent to another worker
- * because this one failed or refused it.
+ * Handles complete responses: each one ends the request, unless it is a stream that was broken off.
  *
  * @module
  */
 import { BodyFraming } from "../interface/index.ts";
-import type { HeaderNames, ResponseHead } from "../interface/index.ts";
+import type { ResponseHead } from "../interface/index.ts";
+import { RoutedRefusal } from "./caller_response.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RunResult } from "./routed_context.ts";
-import { complete, continueReserve } from "./routed_end.ts";
+import { complete, refuse } from "./routed_end.ts";
 import { handleBroken } from "./routed_failures.ts";
-import { RepeatCause, retryElsewhere, retryOrElse } from "./routed_repeats.ts";
-import { deliversEvents } from "./routed_request.ts";
+import { isFailure } from "./routed_head.ts";
+import { RepeatCause, takeRepeat } from "./routed_repeats.ts";
 import { endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -21,17 +21,12 @@
   readonly head: ResponseHead;
 }
 
-const SERVER_ERROR = 500;
-const MISDIRECTED_REQUEST = 421;
-const GATEWAY_TIMEOUT = 504;
-
 /** Handles the complete response to the attempt in progress. */
 export function handleCompletion(state: RoutedRunState, attempt: Attempt): void {
   const { head } = attempt;
   if (head === undefined) return;
   if (attempt.isStreaming) handleStream(state, { attempt, head });
-  else if (state.response.hasStarted) handleRest(state, { attempt, head });
-  else if (statesNotRun(head, state.context.names)) handleNotRun(state, { attempt, head });
+  else if (attempt.isForwarded) handleRest(state, { attempt, head });
   else handleAnswer(state, { attempt, head });
 }
 
@@ -41,6 +36,7 @@
     handleBroken(state, { attempt, detail: "The stream ended early." });
     return;
   }
+  if (attempt.firstEventAt === undefined && leaveEmptyStream(state, attempt)) return;
   endAttempt(state, RunResult.Answered);
   suspects.recordAnswer();
   if (attempt.firstEventAt === undefined) recordStart(state, attempt);
@@ -48,6 +44,23 @@
   complete(state, { status: head.status, write: () => response.end() });
 }
 
+/**
+ * Leaves a worker that ended a stream without any event, although its beginning came from another one. That may be the end
+ * of the stream or a fault, so another worker is asked, if that is possible. With a part of an event it is a fault.
+ */
+function leaveEmptyStream(state: RoutedRunState, { worker }: Attempt): boolean {
+  const { response, progress, reserve } = state;
+  if (reserve === undefined && !response.hasStarted) return false;
+  const isFault = progress.hasPartialEvent;
+  const isMoving = reserve === undefined && takeRepeat(state, RepeatCause.NotContinued);
+  if (reserve === undefined && !isMoving && !isFault) return false;
+  endAttempt(state, isFault ? RunResult.Failed : RunResult.Answered);
+  logStep(state, "not-continued", { worker: worker.id, isFault });
+  if (isMoving) state.tryNext();
+  else refuse(state, { reason: RoutedRefusal.WorkerLost });
+  return true;
+}
+
 /**
  * Whether a stream ended early although its framing is complete. The end of the connection is the
  * end of a stream without a length, also if its worker broke it off.
@@ -63,14 +76,9 @@
 
 /** Handles the rest of a response whose beginning was forwarded. */
 function handleRest(state: RoutedRunState, { attempt, head }: CompleteAttempt): void {
-  const { response, admitted } = state;
+  const { response } = state;
   const body = Buffer.concat(attempt.chunks);
-  endAttempt(state, RunResult.Answered);
-  // A worker refused or failed to continue a stream of which the caller has the beginning.
-  if (deliversEvents(admitted.arrival.route)) {
-    handleRefusedContinuation(state, { attempt, head });
-    return;
-  }
+  endAttempt(state, resultOf(head));
   const write = (): void => {
     response.write(body);
     response.end();
@@ -78,56 +86,20 @@
   complete(state, { status: head.status, write });
 }
 
-function handleRefusedContinuation(
-  state: RoutedRunState,
-  { attempt, head }: CompleteAttempt,
-): void {
-  if (head.byName.has(state.context.names.notRun)) state.progress.runs--;
-  logStep(state, "not-continued", { worker: attempt.worker.id, status: head.status });
-  retryElsewhere(state, RepeatCause.NotContinued);
-}
-
-function handleNotRun(
-  state: RoutedRunState,
-  { attempt: { worker }, head: { status } }: CompleteAttempt,
-): void {
-  state.progress.runs--;
-  const isReplaced = status === MISDIRECTED_REQUEST;
-  endAttempt(state, isReplaced ? RunResult.Replaced : RunResult.Refused);
-  logStep(state, "not-run", { worker: worker.id, status });
-  retryElsewhere(state, RepeatCause.RefusedByWorker);
-}
-
 function handleAnswer(state: RoutedRunState, { attempt, head }: CompleteAttempt): void {
   const { response, progress, suspects } = state;
   const body = Buffer.concat(attempt.chunks);
   recordStart(state, attempt);
   suspects.recordAnswer();
   progress.hasPossiblyRun = true;
-  const isFailed = isFailure(head);
-  endAttempt(state, isFailed ? RunResult.Error : RunResult.Answered);
-  const send = (): void => {
-    complete(state, { status: head.status, write: () => response.sendComplete(head, body) });
-  };
-  const cause = RepeatCause.WorkerError;
-  // The worker that the request was to move away from may still answer it well.
-  const stayOrSend = (): void => {
-    if (!continueReserve(state, cause)) send();
-  };
-  if (isFailed) retryOrElse(state, { cause, fallback: stayOrSend });
-  else send();
-}
-
-function recordStart({ context, admitted }: RoutedRunState, { startedAt }: Attempt): void {
-  context.recordStart(admitted.arrival.account?.name, startedAt);
+  endAttempt(state, resultOf(head));
+  complete(state, { status: head.status, write: () => response.sendComplete(head, body) });
 }
 
-/** Whether the worker states that it hasn't run the request. */
-function statesNotRun({ byName, status }: ResponseHead, { notRun }: HeaderNames): boolean {
-  return byName.has(notRun) || status === MISDIRECTED_REQUEST;
+function resultOf(head: ResponseHead): RunResult {
+  return isFailure(head) ? RunResult.Error : RunResult.Answered;
 }
 
-/** Whether the worker failed for another reason than that the deadline passed. */
-function isFailure({ status }: ResponseHead): boolean {
-  return status >= SERVER_ERROR && status !== GATEWAY_TIMEOUT;
+function recordStart({ context, admitted }: RoutedRunState, { startedAt }: Attempt): void {
+  context.recordStart(admitted.arrival.account?.name, startedAt);
 }
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -4,13 +4,10 @@
  * @module
  */
 import type { ResponseHead } from "../interface/index.ts";
-import { silenceLimitOf } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RepeatCause, retry } from "./routed_repeats.ts";
-import { deliversEvents } from "./routed_request.ts";
 import { logStep, releaseReserve } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
-import { parseWorkerTolerance } from "./worker_statement.ts";
 
 /** Bytes of the body of an attempt's response. */
 interface ReceivedChunk {
@@ -23,43 +20,10 @@
  * one can be requested again. Larger responses are forwarded as they arrive.
  */
 const MAX_BUFFERED_BYTES = 1_048_576;
-const SUCCESS = 200;
-const REDIRECTION = 300;
-
-/** Handles the head of a worker's response. */
-export function receiveHead(
-  state: RoutedRunState,
-  { attempt, head }: { readonly attempt: Attempt; readonly head: ResponseHead },
-): void {
-  const { context, admitted } = state;
-  if (state.current !== attempt) return;
-  recordSilence(state, attempt);
-  attempt.lastReceivedAt = context.clock.now();
-  attempt.head = head;
-  attempt.run.recordResponse(parseWorkerTolerance(head, context.names));
-  attempt.isStreaming = deliversEvents(admitted.arrival.route) && isSuccess(head.status);
-}
-
-/** Records how long the worker has stood still, so that it doesn't count as the usual time of a run. */
-function recordSilence(state: RoutedRunState, attempt: Attempt): void {
-  const { context, admitted, reserve } = state;
-  const { route } = admitted.arrival;
-  const options = { isStream: deliversEvents(route), target: route.latencyTarget };
-  const now = context.clock.now();
-  const silence = now - attempt.lastReceivedAt;
-  const excess = silence - silenceLimitOf(attempt, options);
-  if (excess <= 0) return;
-  attempt.run.recordSilence(excess);
-  if (reserve === undefined) return;
-  // The worker that the request moved to was about as silent as the one before it.
-  const isSilenceShared = 2 * silence >= now - reserve.attempt.lastReceivedAt;
-  state.reserve = { ...reserve, isSilenceShared };
-}
 
 /** Handles bytes of the body of a worker's response. */
 export function receiveData(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
   if (state.current !== attempt) return;
-  attempt.lastReceivedAt = state.context.clock.now();
   if (attempt.isStreaming) receiveEvents(state, { attempt, chunk });
   else receiveBody(state, { attempt, chunk });
 }
@@ -73,7 +37,8 @@
 }
 
 function receiveBody(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
-  const { response } = state;
+  const { context, response } = state;
+  attempt.lastReceivedAt = context.clock.now();
   attempt.chunks.push(chunk);
   attempt.bufferedBytes += chunk.length;
   const canBuffer = holdReceived(state) && attempt.bufferedBytes <= MAX_BUFFERED_BYTES;
@@ -94,16 +59,24 @@
 }
 
 function receiveEvents(state: RoutedRunState, { attempt, chunk }: ReceivedChunk): void {
-  const { response, splitter, suspects } = state;
+  const { response, splitter, suspects, progress } = state;
   const { bytes, count } = splitter.push(chunk);
   const isWithinLimit = holdReceived(state);
+  if (splitter.isRepeated) {
+    logStep(state, "events-repeated", { worker: attempt.worker.id, after: splitter.lastId });
+    retry(state, RepeatCause.WorkerGarbled);
+    return;
+  }
   if (splitter.isTooLong || (count === 0 && !isWithinLimit)) {
     response.received.recordExceeded(attempt.worker.id);
     logStep(state, "no-events", { worker: attempt.worker.id });
     retry(state, RepeatCause.WorkerGarbled);
     return;
   }
+  // Only complete events count, since a faulty worker may send other bytes slowly and without end.
   if (count === 0) return;
+  attempt.lastReceivedAt = state.context.clock.now();
+  progress.hasPartialEvent = false;
   releaseReserve(state);
   if (attempt.firstEventAt === undefined) recordFirstEvent(state, attempt);
   suspects.recordEvents(attempt);
@@ -129,10 +102,10 @@
   context.streamVersions.recordStart(attempt, { service: service.name, version });
 }
 
-function startStream(
-  { context, admitted: { arrival }, response, progress }: RoutedRunState,
-  head: ResponseHead,
-): void {
+function startStream(state: RoutedRunState, head: ResponseHead): void {
+  const { context, admitted, response, progress } = state;
+  const { arrival } = admitted;
+  state.streamHead = head;
   response.start(head);
   const after = Math.round(context.clock.now() - arrival.arrivedAt);
   progress.firstEventAfter = after;
@@ -144,7 +117,3 @@
   attempt.isPaused = true;
   attempt.exchange?.pause();
 }
-
-function isSuccess(status: number): boolean {
-  return status >= SUCCESS && status < REDIRECTION;
-}
--- a/src/request/routed_forwarding_test.ts
+++ b/src/request/routed_forwarding_test.ts
@@ -6,7 +6,7 @@
 import type { Attempt } from "./routed_attempt.ts";
 import { RunResult } from "./routed_context.ts";
 import type { CandidateWorker } from "./routed_context.ts";
-import { receiveHead } from "./routed_forwarding.ts";
+import { receiveHead } from "./routed_head.ts";
 import { releaseReserve } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -36,6 +36,7 @@
     const state = {
       context: { clock, names: {}, recordStart: () => undefined },
       admitted: { arrival: { route: ROUTE } },
+      response: { hasStarted: false },
       current,
       reserve: { attempt: kept, result: RunResult.Failed, isSilenceShared: false },
     } as unknown as RoutedRunState;
--- a/src/request/routed_progress.ts
+++ b/src/request/routed_progress.ts
@@ -10,6 +10,8 @@
   runs: number;
   /** Whether a send has ended after which the request may have run. */
   hasPossiblyRun: boolean;
+  /** Whether a stream broke off within an event, so that more events follow. */
+  hasPartialEvent: boolean;
   /** Number of sends that failed because no path to the workers was found. */
   lostPaths: number;
   /** The only version of workers that may continue the stream; undefined before its first event. */
@@ -33,6 +35,7 @@
     avoided: NO_WORKERS,
     runs: 0,
     hasPossiblyRun: false,
+    hasPartialEvent: false,
     lostPaths: 0,
     version,
     firstEventAfter: undefined,
--- a/src/request/routed_repeats.ts
+++ b/src/request/routed_repeats.ts
@@ -86,21 +86,14 @@
 }
 
 /**
- * Sends the request to another worker after a failed answer.
+ * Takes a repeat from the budget if the request may be sent again and there is another worker for it.
  *
- * @param options `fallback` is called if that isn't possible.
+ * @returns Whether it may be sent there now.
  */
-export function retryOrElse(
-  state: RoutedRunState,
-  { cause, fallback }: { readonly cause: RepeatCause; readonly fallback: () => void },
-): void {
-  if (!canRepeat(state) || !takeFromBudget(state)) {
-    fallback();
-    return;
-  }
+export function takeRepeat(state: RoutedRunState, cause: RepeatCause): boolean {
+  if (!canMove(state) || !takeFromBudget(state)) return false;
   state.context.metrics.repeated(cause);
-  if (hasOtherWorker(state)) state.tryNext();
-  else fallback();
+  return true;
 }
 
 /** Whether nothing was sent to the caller, or a worker can continue after what was. */
--- a/src/request/routed_run_state.ts
+++ b/src/request/routed_run_state.ts
@@ -1,4 +1,4 @@
-import type { Exchange, Timer } from "../interface/index.ts";
+import type { Exchange, ResponseHead, Timer } from "../interface/index.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { createCrashSuspects } from "./crash_suspects.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
@@ -47,6 +47,8 @@
   current: Attempt | undefined;
   /** The attempt that is kept until the one in progress has answered. Nothing is read from its worker. */
   reserve: ReservedAttempt | undefined;
+  /** The head of the stream of which the caller has the beginning; undefined before its first event. */
+  streamHead: ResponseHead | undefined;
   /** Whether the request has ended. */
   isDone: boolean;
   /** Ends the request after its deadline. */
@@ -73,6 +75,7 @@
     splitter: createEventSplitter(),
     current: undefined,
     reserve: undefined,
+    streamHead: undefined,
     isDone: false,
     deadlineTimer: undefined,
     silenceTimer: undefined,
--- a/src/request/routed_sending.ts
+++ b/src/request/routed_sending.ts
@@ -8,7 +8,8 @@
 import { RunResult } from "./routed_context.ts";
 import type { CandidateWorker } from "./routed_context.ts";
 import { handleFailure } from "./routed_failures.ts";
-import { receiveData, receiveHead } from "./routed_forwarding.ts";
+import { receiveData } from "./routed_forwarding.ts";
+import { receiveHead } from "./routed_head.ts";
 import { buildAddedHeaders, buildRequestHeaders } from "./routed_headers.ts";
 import { recordSent } from "./routed_progress.ts";
 import { leaveWorker } from "./routed_repeats.ts";
@@ -30,6 +31,7 @@
   const { worker, prefillTokens, wait } = choice;
   const { route, promptParts } = admitted.arrival;
   const now = context.clock.now();
+  progress.hasPartialEvent ||= splitter.partialEvent.length > 0;
   splitter.discardPartial();
   const run = context.workerLoads.begin(worker, {
     prefillTokens,
