Don't count the end of a relaying instance against workers

When a relaying instance ends, all exchanges through it break at once. Each counted as a failure of its worker and had the worker checked for a crash, with the request as a suspect, although the relay itself shows that the worker has not ended the connection.

Change: an exchange that broke at the relay says so, its run ends as abandoned, and a report on the process that broke there counts as no path instead of an unanswered connection.

--- a/src/connection/process_identity.ts
+++ b/src/connection/process_identity.ts
@@ -112,8 +112,10 @@
 /** Returns the end of a request that was not sent, because its worker's process could not be identified. */
 function unsent(end: ExchangeEnd): ExchangeEnd {
   if (end.kind === "not-sent" || end.kind === "replaced") return end;
-  if (end.kind === "broken")
-    return { kind: "not-sent", detail: end.detail, cause: DialFailure.Unanswered };
+  if (end.kind === "broken") {
+    const cause = end.isRelayFault === true ? DialFailure.NoPath : DialFailure.Unanswered;
+    return { kind: "not-sent", detail: end.detail, cause };
+  }
   // A worker may close any connection after a response. Another connection is opened at once.
   const detail = "The worker closed the connection after the report on its process.";
   return { kind: "not-sent", detail, cause: DialFailure.NoPath };
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -178,7 +178,9 @@
         return;
       }
       if (decoder?.hasWorkerEnd === false) {
-        fail("The connection was closed by the instance that relays it, not by the worker.");
+        const detail =
+          "The connection was closed by the instance that relays it, not by the worker.";
+        endExchange({ kind: "broken", detail, isRelayFault: true });
         return;
       }
       const fault = parser.finish();
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -53,7 +53,12 @@
   /** The process at the address isn't the one that the endpoint describes. No byte was sent to it. */
   | { readonly kind: "replaced"; readonly detail: string }
   /** The request may have run. The response is missing or incomplete. */
-  | { readonly kind: "broken"; readonly detail: string };
+  | {
+      readonly kind: "broken";
+      readonly detail: string;
+      /** Whether it broke at the instance that relays the connection, which is no evidence about the worker. */
+      readonly isRelayFault?: boolean;
+    };
 
 /** Receives the response of an exchange. `end` is the last call. */
 export interface ExchangeSink {
--- a/src/request/routed_failures.ts
+++ b/src/request/routed_failures.ts
@@ -34,11 +34,11 @@
   state: RoutedRunState,
   { attempt, failure }: { readonly attempt: Attempt; readonly failure: ExchangeFailure },
 ): void {
-  const { detail } = failure;
   if (failure.kind === "broken") {
-    handleBroken(state, { attempt, detail });
+    handleBroken(state, { attempt, ...failure });
     return;
   }
+  const { detail } = failure;
   const { id: worker } = attempt.worker;
   logStep(state, "not-sent", { worker, detail });
   if (failure.kind === "replaced") handleReplaced(state);
@@ -48,7 +48,11 @@
 /** Handles a response that is missing or incomplete. */
 export function handleBroken(
   state: RoutedRunState,
-  { attempt, detail }: { readonly attempt: Attempt; readonly detail: string },
+  {
+    attempt,
+    detail,
+    isRelayFault = false,
+  }: { readonly attempt: Attempt; readonly detail: string; readonly isRelayFault?: boolean },
 ): void {
   logStep(state, "broken", {
     worker: attempt.worker.id,
@@ -57,7 +61,8 @@
     hasEvent: attempt.firstEventAt !== undefined,
   });
   state.progress.hasPossiblyRun = true;
-  state.suspects.reportBrokenConnection(attempt);
+  if (isRelayFault) endAttempt(state, RunResult.Abandoned);
+  else state.suspects.reportBrokenConnection(attempt);
   countUnanswered(state, attempt);
   retry(state, RepeatCause.WorkerLost);
 }
