--- a/src/connection/datagram_socket.ts
+++ b/src/connection/datagram_socket.ts
@@ -1,5 +1,5 @@
 import { createSocket } from "node:dgram";
-import { splitAddress } from "./http_listener.ts";
+import { hasValidPort, splitAddress } from "./http_listener.ts";
 
 /** A bound socket for sending and receiving datagrams. */
 export interface DatagramSocket {
@@ -38,6 +38,10 @@
       socket.on("error", (error) => onError(`The digest socket failed: ${error.message}.`));
       resolve({
         send: (bytes, target) => {
+          if (!hasValidPort(target)) {
+            onError(`No instance can listen at ${target}.`);
+            return;
+          }
           const [targetHost, targetPort] = splitAddress(target);
           socket.send(bytes, targetPort, targetHost, (error) => {
             if (error !== null) onError(`Sending a digest to ${target} failed: ${error.message}.`);
--- a/src/connection/dial.ts
+++ b/src/connection/dial.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import { afterRunningTime, DialFailure } from "../interface/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
-import { splitAddress } from "./http_listener.ts";
+import { hasValidPort, splitAddress } from "./http_listener.ts";
 import type { RelayDecoder } from "./relay_framing.ts";
 
 /** Timeout for opening a connection to a worker, in milliseconds; the platform's own clients use the same. */
@@ -56,6 +56,10 @@
   { clock, connect: open, onSlow, timeout = CONNECT_TIMEOUT }: DialOptions,
   listener: DialListener,
 ): PendingDial {
+  if (!hasValidPort(address)) {
+    const detail = `No worker can listen at ${address}.`;
+    return clock.after(0, () => listener.failed(DialFailure.Unanswered, detail));
+  }
   const socket = open(address);
   const timers: Timer[] = [];
   let isSettled = false;
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -99,3 +99,12 @@
   const colon = address.lastIndexOf(":");
   return [address.slice(0, colon), Number(address.slice(colon + 1))];
 }
+
+const MAX_PORT = 65_535;
+const PORT_END = /:\d{1,5}$/;
+
+/** Returns whether an address has a port that can be connected to. For any other, Node.js throws instead of failing. */
+export function hasValidPort(address: string): boolean {
+  const [, port] = splitAddress(address);
+  return PORT_END.test(address) && port > 0 && port <= MAX_PORT;
+}
--- a/src/connection/relay_dial.ts
+++ b/src/connection/relay_dial.ts
@@ -1,6 +1,7 @@
 import { afterRunningTime, DialFailure } from "../interface/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
 import type { DialListener, PendingDial } from "./dial.ts";
+import { hasValidPort } from "./http_listener.ts";
 import { requestRelay } from "./relay_request.ts";
 
 /**
@@ -40,7 +41,7 @@
   listener: DialListener,
 ): PendingDial {
   const { clock, onRelayFailed, onRelayOpened, onRelaySilent } = options;
-  const remaining = [...options.relays];
+  const remaining = options.relays.filter(hasValidPort);
   const pending = new Map<string, { readonly dialing: PendingDial; readonly askedAt: number }>();
   const failures: DialFailure[] = [];
   let isSettled = false;
