Notice and report the end of a kept worker's connection

Cause: reading from a kept worker was paused, so that the end of its connection went unnoticed until the request went on there, and was not reported as a possible crash if it was noticed.

Change: a kept attempt reads until something arrives, and puts that back. Its connection's end before that ends it at once and has its worker checked.

--- a/src/connection/process_identity.ts
+++ b/src/connection/process_identity.ts
@@ -98,6 +98,7 @@
       let current = connection.exchange(report, reportSink, { isPreparatory: true });
       return {
         pause: () => current.pause(),
+        hold: () => current.hold(),
         resume: () => current.resume(),
         abort: () => {
           held.close();
--- a/src/connection/process_identity_test.ts
+++ b/src/connection/process_identity_test.ts
@@ -40,6 +40,7 @@
       sent.push({ target, sink });
       return {
         pause: () => undefined,
+        hold: () => undefined,
         resume: () => undefined,
         abort: () => (aborted = true),
         discard: () => undefined,
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -109,6 +109,8 @@
   let isRelayed = false;
   /** Whether nothing is read; also before the connection is established. */
   let isPaused = false;
+  /** Whether reading stops as soon as something arrives. */
+  let isHeld = false;
   /** Whether another exchange follows the current one. */
   let isPreparatory = false;
   let idleSince = clock.now();
@@ -164,6 +166,11 @@
     isUnused = true;
     opened.on("data", (bytes) => {
       if (isClosed) return;
+      if (isHeld) {
+        opened.pause();
+        opened.unshift(bytes);
+        return;
+      }
       options.onReceived();
       if (isUnused) options.onWorking({ isRelayed });
       isUnused = false;
@@ -203,6 +210,7 @@
     current = sink;
     isPreparatory = options.isPreparatory ?? false;
     isPaused = false;
+    isHeld = false;
     exchangeCount++;
     parser.expectResponse(request.method, {
       head: (head) => {
@@ -220,29 +228,33 @@
     const bytes = encodeRequest(request);
     if (socket === undefined) queuedRequest = bytes;
     else socket.write(bytes);
+    const resume = (): void => {
+      isPaused = false;
+      isHeld = false;
+      socket?.resume();
+    };
     return {
       pause: () => {
         isPaused = true;
         socket?.pause();
       },
-      resume: () => {
-        isPaused = false;
-        socket?.resume();
+      hold: () => {
+        isHeld = true;
       },
+      resume,
       abort: () => {
         current = undefined;
         close();
       },
       discard: () => {
-        isPaused = false;
-        socket?.resume();
+        resume();
         current = createDiscardingSink(clock, close);
       },
     };
   };
   return {
     isIdle: () => !isClosed && current === undefined,
-    hasPendingResponse: () => current !== undefined && !isPaused,
+    hasPendingResponse: () => current !== undefined && !isPaused && !isHeld,
     idleFor: () => clock.now() - idleSince,
     get idleTimeout() {
       return idleTimeout;
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -192,32 +192,50 @@
 
 // An attempt that is kept while another worker is asked is paused, perhaps before its connection is open. What arrives in
 // the meantime must not be lost: the caller gets it if the other worker refuses the request.
-test("a response is read after a pause that began before the connection was open", async () => {
+test.each(["pause", "hold"] as const)(
+  "a response is read after a %s that began before the connection was open",
+  async (stop) => {
+    const address = await startWorker((socket) => {
+      socket.once("data", () =>
+        socket.end("HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nwhole"),
+      );
+    });
+    const connection = connectTo(address);
+    const events: string[] = [];
+    const ended = new Promise<void>((resolve) => {
+      const exchange = connection.exchange(
+        { method: "GET", target: "/", headers: ["X-Id", "r1"], body: Buffer.alloc(0), id: "r1" },
+        {
+          head: () => events.push("head"),
+          data: (chunk) => events.push(chunk.toString()),
+          end: ({ kind }) => {
+            events.push(kind);
+            resolve();
+          },
+        },
+      );
+      exchange[stop]();
+      setTimeout(() => {
+        events.push("resumed");
+        exchange.resume();
+      }, 100);
+    });
+    await ended;
+    expect(events).toEqual(["resumed", "head", "whole", "complete"]);
+  },
+);
+
+// Guards against a crash of a worker that isn't noticed, because nothing is read from it while the request is elsewhere.
+test("an exchange that is held ends at once with its connection", async () => {
   const address = await startWorker((socket) => {
-    socket.once("data", () =>
-      socket.end("HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nwhole"),
-    );
+    socket.once("data", () => setTimeout(() => socket.end(), 50));
   });
-  const connection = connectTo(address);
-  const events: string[] = [];
-  const ended = new Promise<void>((resolve) => {
-    const exchange = connection.exchange(
+  const ended = new Promise<ExchangeEnd>((resolve) => {
+    const exchange = connectTo(address).exchange(
       { method: "GET", target: "/", headers: ["X-Id", "r1"], body: Buffer.alloc(0), id: "r1" },
-      {
-        head: () => events.push("head"),
-        data: (chunk) => events.push(chunk.toString()),
-        end: ({ kind }) => {
-          events.push(kind);
-          resolve();
-        },
-      },
+      { head: () => undefined, data: () => undefined, end: resolve },
     );
-    exchange.pause();
-    setTimeout(() => {
-      events.push("resumed");
-      exchange.resume();
-    }, 100);
+    exchange.hold();
   });
-  await ended;
-  expect(events).toEqual(["resumed", "head", "whole", "complete"]);
+  expect((await ended).kind).toBe("broken");
 });
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -71,7 +71,12 @@
 export interface Exchange {
   /** Stops reading from the worker while the caller is slow to read the response. */
   pause(): void;
-  /** Continues reading after {@linkcode Exchange.pause}. */
+  /**
+   * Stops reading as soon as something arrives, and reports it only after {@linkcode Exchange.resume}. If the connection
+   * ends before, the exchange ends at once.
+   */
+  hold(): void;
+  /** Continues reading after {@linkcode Exchange.pause} or {@linkcode Exchange.hold}. */
   resume(): void;
   /** Aborts the exchange and closes its connection. The sink gets no more calls. */
   abort(): void;
--- a/src/request/routed_run_state.ts
+++ b/src/request/routed_run_state.ts
@@ -1,4 +1,4 @@
-import type { Exchange, ResponseHead, Timer } from "../interface/index.ts";
+import type { Exchange, ExchangeEnd, ResponseHead, Timer } from "../interface/index.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { createCrashSuspects } from "./crash_suspects.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
@@ -45,7 +45,7 @@
   readonly watch: (attempt: Attempt) => void;
   /** The attempt in progress; undefined between two attempts. Events of other attempts are ignored. */
   current: Attempt | undefined;
-  /** The attempt that is kept until the one in progress has answered. Nothing is read from its worker. */
+  /** The attempt that is kept until the one in progress has answered. Nothing of its response is read. */
   reserve: ReservedAttempt | undefined;
   /** The head of the stream of which the caller has the beginning; undefined before its first event. */
   streamHead: ResponseHead | undefined;
@@ -123,7 +123,7 @@
   }
   state.current = undefined;
   state.leavingSubscription?.close();
-  attempt.exchange?.pause();
+  attempt.exchange?.hold();
   const { partialEvent } = splitter;
   state.reserve = { attempt, result, partialEvent, isSilenceShared: false };
 }
@@ -177,11 +177,16 @@
   attempt.exchange?.abort();
 }
 
-/** Forgets the kept attempt, because its connection has ended. */
-export function dropReserve(state: RoutedRunState): void {
-  const { reserve } = state;
+/** Forgets the kept attempt, because its exchange has ended. Its worker may have crashed. */
+export function dropReserve(state: RoutedRunState, end: ExchangeEnd): void {
+  const { reserve, suspects } = state;
+  if (reserve === undefined) return;
+  const { attempt } = reserve;
   state.reserve = undefined;
-  reserve?.attempt.run.end(RunResult.Failed);
+  attempt.run.end(RunResult.Failed);
+  if (end.kind !== "broken" || end.isRelayFault === true) return;
+  logStep(state, "kept-broken", { worker: attempt.worker.id, detail: end.detail });
+  suspects.reportBrokenConnection(attempt);
 }
 
 /**
--- a/src/request/routed_sending.ts
+++ b/src/request/routed_sending.ts
@@ -91,7 +91,7 @@
     head: (head) => receiveHead(state, { attempt, head }),
     data: (chunk) => receiveData(state, { attempt, chunk }),
     end: (end) => {
-      if (isKept()) dropReserve(state);
+      if (isKept()) dropReserve(state, end);
       if (state.current !== attempt) return;
       if (end.kind === "complete") handleCompletion(state, attempt);
       else handleFailure(state, { attempt, failure: end });
