Keep the end of a held response that ends with its connection

Since kept attempts notice the end of their connection, a response without a length whose connection ended in an orderly way while its request was to move was dropped with its attempt, although it was complete. It is now reported after the exchange is resumed. The sink for responses that are left is a module of its own.

Result: worker_connection_test.ts, "a response that ended with its connection while it was held is complete after it is resumed", failed before (the end came while the exchange was held, when it is ignored) and passes.

--- a/src/connection/response_parser.ts
+++ b/src/connection/response_parser.ts
@@ -45,6 +45,8 @@
    * @param sink Receives the response.
    */
   expectResponse(method: string, sink: ResponseSink): void;
+  /** Whether the response in progress ends with its connection, so that {@linkcode ResponseParser.finish} completes it. */
+  readonly endsWithConnection: boolean;
   /** Number of bytes that are held until the rest of an element arrives. */
   readonly bufferedBytes: number;
 }
@@ -252,6 +254,9 @@
       complete();
       return undefined;
     },
+    get endsWithConnection() {
+      return state === ParserState.BodyUntilClose;
+    },
     get bufferedBytes() {
       return buffered.length;
     },
--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -10,7 +10,7 @@
 import type { Socket } from "node:net";
 import { ReceivedPart } from "../decision/index.ts";
 import type { ReceiveBudget } from "../decision/index.ts";
-import { afterRunningTime, DialFailure } from "../interface/index.ts";
+import { DialFailure } from "../interface/index.ts";
 import type {
   ResponseHead,
   Clock,
@@ -19,6 +19,7 @@
   ExchangeSink,
   WorkerRequest,
 } from "../interface/index.ts";
+import { createDiscardingSink } from "./discarding_sink.ts";
 import { createResponseParser, ParseFault } from "./response_parser.ts";
 import { wasReset } from "./dial.ts";
 import type { DialedConnection, DialListener, PendingDial } from "./dial.ts";
@@ -85,10 +86,6 @@
 
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Maximum size in bytes of the rest of a response that is read only to keep its connection. */
-const MAX_DISCARDED_BYTES = 65_536;
-/** Maximum time in milliseconds that this takes; a new connection takes less. */
-const MAX_DISCARD_TIME = 100;
 
 /**
  * Opens a connection to a worker. The first exchange may start at once; its request is sent when the
@@ -111,6 +108,8 @@
   let isPaused = false;
   /** Whether reading stops as soon as something arrives. */
   let isHeld = false;
+  /** Handles the end of the connection that arrived while nothing was read. */
+  let heldEnd: (() => void) | undefined;
   /** Whether another exchange follows the current one. */
   let isPreparatory = false;
   let idleSince = clock.now();
@@ -177,10 +176,10 @@
       const fault = parse(decoder?.decode(bytes) ?? bytes);
       if (fault !== undefined) fail(`The worker sent an invalid response: ${fault}.`);
     });
-    opened.on("end", () => {
+    const handleEnd = ({ isReset }: { readonly isReset: boolean }): void => {
       if (isClosed) return;
       canReuse = false;
-      if (wasReset(opened)) {
+      if (isReset) {
         fail("The worker reset the connection.");
         return;
       }
@@ -194,9 +193,19 @@
       if (fault !== undefined)
         fail("The worker closed the connection before the response was complete.");
       else close();
+    };
+    opened.on("end", () => {
+      const isReset = wasReset(opened);
+      const isWorkerEnd = !isReset && decoder?.hasWorkerEnd !== false;
+      const isComplete = isWorkerEnd && parser.endsWithConnection;
+      // It is reported only after the exchange is resumed.
+      if (isHeld && isComplete) heldEnd = () => handleEnd({ isReset });
+      else handleEnd({ isReset });
     });
     opened.on("error", (error) => fail(`The connection to the worker failed: ${error.message}.`));
-    opened.on("close", () => fail("The connection to the worker was closed."));
+    opened.on("close", () => {
+      if (heldEnd === undefined) fail("The connection to the worker was closed.");
+    });
     if (isPaused) opened.pause();
     if (queuedRequest !== undefined) opened.write(queuedRequest);
     queuedRequest = undefined;
@@ -232,6 +241,7 @@
       isPaused = false;
       isHeld = false;
       socket?.resume();
+      heldEnd?.();
     };
     return {
       pause: () => {
@@ -275,22 +285,6 @@
   };
 }
 
-/** Creates a sink that ignores a response, and closes its connection if the rest is long or takes long. */
-function createDiscardingSink(clock: Clock, close: () => void): ExchangeSink {
-  const timer = afterRunningTime(clock, MAX_DISCARD_TIME, close);
-  let size = 0;
-  return {
-    head: () => undefined,
-    data: (chunk) => {
-      size += chunk.length;
-      if (size <= MAX_DISCARDED_BYTES) return;
-      timer.close();
-      close();
-    },
-    end: () => timer.close(),
-  };
-}
-
 /** Returns whether a response belongs to the request; a late one may belong to an earlier request. */
 function isResponseTo(
   { byName }: ResponseHead,
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -239,3 +239,30 @@
   });
   expect((await ended).kind).toBe("broken");
 });
+
+// Guards against a complete answer that is lost, because its connection ended while the request was to move.
+test("a response that ended with its connection while it was held is complete after it is resumed", async () => {
+  const address = await startWorker((socket) => {
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nwhole");
+      setTimeout(() => socket.end(), 50);
+    });
+  });
+  const events: string[] = [];
+  const exchange = connectTo(address).exchange(
+    { method: "GET", target: "/", headers: ["X-Id", "r1"], body: Buffer.alloc(0), id: "r1" },
+    {
+      head: () => undefined,
+      data: (chunk) => {
+        events.push(chunk.toString());
+        exchange.hold();
+        setTimeout(() => {
+          events.push("resumed");
+          exchange.resume();
+        }, 100);
+      },
+      end: ({ kind }) => void events.push(kind),
+    },
+  );
+  await vi.waitFor(() => expect(events).toEqual(["whole", "resumed", "complete"]));
+});
