Name the stop as the reason of answers that a stop ends

An answer that the end of a planned stop cut was logged, counted and answered as worker-lost, although its worker was at work. In the users' record nothing separates the two. The reason is now 'stopped' (502: the request may have run), also in samphireshore_answers_cut_total.

Two requests had no line at the end of a stop: one whose caller disconnected in the same turn, and one whose answer had ended but wasn't read by its caller. The first has its line 'refused', the second 'unsent'.

Tests: three in routed_end_test; the reason was worker-lost before, and 'unsent' didn't exist.

--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -33,6 +33,8 @@
   VersionGone = "version-gone",
   /** The instance is shutting down. */
   Stopping = "stopping",
+  /** The instance ended before the answer was complete; the request may have run. */
+  Stopped = "stopped",
   /** The deadline passed before the request was answered. */
   DeadlinePassed = "deadline-passed",
   /** The request may have run: the worker or its response was lost. */
@@ -54,6 +56,7 @@
   [RoutedRefusal.VersionUnknown]: 503,
   [RoutedRefusal.VersionGone]: 503,
   [RoutedRefusal.Stopping]: 503,
+  [RoutedRefusal.Stopped]: 502,
   [RoutedRefusal.DeadlinePassed]: 504,
   [RoutedRefusal.WorkerLost]: 502,
 };
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -62,11 +62,11 @@
   const { context, response, progress } = state;
   if (continueReserve(state, reason)) return;
   finishRun(state);
-  if (response.isClosed) return;
-  context.metrics.refused(reason);
   const after = Math.round(elapsedTime(state));
   const isCut = response.hasStarted;
   logStep(state, "refused", { reason, runs: progress.runs, after, retryAfter, isCut, ...inputs });
+  if (response.isClosed) return;
+  context.metrics.refused(reason);
   if (!isCut) {
     response.refuse(reason, retryAfter);
     return;
@@ -108,14 +108,18 @@
 
 /**
  * Ends the request because the instance ends. Otherwise its caller would see its connection end without an answer, and
- * could not tell whether the request has run.
+ * could not tell whether the request has run. If it has ended already, its caller hasn't read all of the answer.
  */
 export function endAtStop(state: RoutedRunState): void {
-  if (state.isDone) return;
-  state.progress.hasPossiblyRun ||= state.progress.runs > 0;
+  if (state.isDone) {
+    logStep(state, "unsent", { after: Math.round(elapsedTime(state)) });
+    return;
+  }
+  const hasPossiblyRun = state.progress.hasPossiblyRun || state.progress.runs > 0;
   endAttempt(state, RunResult.Abandoned)?.abort();
   releaseReserve(state);
-  giveUp(state, { reason: RoutedRefusal.Stopping, retryAfter: STOPPING_RETRY_AFTER });
+  if (hasPossiblyRun) refuse(state, { reason: RoutedRefusal.Stopped });
+  else giveUp(state, { reason: RoutedRefusal.Stopping, retryAfter: STOPPING_RETRY_AFTER });
 }
 
 /** Stops whatever is running, because the caller has disconnected. */
--- a/src/request/routed_end_test.ts
+++ b/src/request/routed_end_test.ts
@@ -3,7 +3,7 @@
 import { createStallingClock, createVirtualClock } from "../standin/memory/index.ts";
 import type { VirtualClock } from "../standin/memory/index.ts";
 import { RoutedRefusal } from "./caller_response.ts";
-import { abandon, giveUp, watchDeadline } from "./routed_end.ts";
+import { abandon, endAtStop, giveUp, watchDeadline } from "./routed_end.ts";
 import { createRunProgress } from "./routed_progress.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -14,6 +14,8 @@
   readonly state: RoutedRunState;
   /** What happened to the request, in order. */
   readonly events: string[];
+  /** The steps that were logged, in order. */
+  readonly steps: string[];
 }
 
 function setUp(): EndSetup {
@@ -23,12 +25,13 @@
 
 function startRequest(clock: Clock): Omit<EndSetup, "clock"> {
   const events: string[] = [];
+  const steps: string[] = [];
   const arrivedAt = clock.now();
   const state = {
     context: {
       clock,
       metrics: { refused: () => undefined, cut: () => undefined },
-      logDecision: () => undefined,
+      logDecision: (step: string) => steps.push(step),
     },
     admitted: {
       arrival: { route: {}, arrivedAt, deadlineAt: arrivedAt + TIMEOUT },
@@ -39,7 +42,7 @@
     isDone: false,
   } as unknown as RoutedRunState;
   watchDeadline(state);
-  return { state, events };
+  return { state, events, steps };
 }
 
 // A caller that takes "not run" literally would otherwise send a request again that has run.
@@ -77,3 +80,26 @@
   clock.advance(TIMEOUT / 2);
   expect(events).toEqual([RoutedRefusal.DeadlinePassed]);
 });
+
+// Otherwise the log names a lost worker for each answer that a stop of the instance ends.
+test("a request that a stop ends has the stop as its reason", () => {
+  const { state, events } = setUp();
+  state.progress.runs = 1;
+  endAtStop(state);
+  expect(events).toEqual([RoutedRefusal.Stopped]);
+});
+
+test("a request that was not sent when the instance stops is refused as not run and refunded", () => {
+  const { state, events } = setUp();
+  endAtStop(state);
+  expect(events).toEqual(["refunded", RoutedRefusal.Stopping]);
+});
+
+// Without a line of its own, an answer that is cut while its caller reads it can't be found in the log.
+test("an answer that its caller has not read at the end of a stop is logged", () => {
+  const { state, steps } = setUp();
+  state.progress.hasPossiblyRun = true;
+  giveUp(state, { reason: RoutedRefusal.WorkerLost });
+  endAtStop(state);
+  expect(steps).toEqual(["refused", "unsent"]);
+});
