--- a/bench/soak/processes.ts
+++ b/bench/soak/processes.ts
@@ -17,8 +17,8 @@
 
 /** Processes of one soak test. All of them are ended with it, even if the test process itself is killed. */
 export interface SoakProcesses {
-  /** Starts the built entry instance with these settings. */
-  startInstance(settings: InstanceSettings): InstanceProcess;
+  /** Starts the built entry instance with these settings; `onLine` is called with each line that it logs. */
+  startInstance(settings: InstanceSettings, onLine?: (line: string) => void): InstanceProcess;
   /** Starts a backend server and waits until it listens; rejects if it ends before. */
   startWorker(settings: WorkerProcessSettings, observer: WorkerObserver): Promise<WorkerProcess>;
   /** Kills all processes, waits for their end and removes the temporary files. */
@@ -115,7 +115,7 @@
     };
   };
   return {
-    startInstance: (settings) => {
+    startInstance: (settings, onLine) => {
       const file = path.join(folder, `${settings.name}.jsonc`);
       writeFileSync(file, JSON.stringify(settings));
       const child = spawn(process.execPath, [ENTRY_PROGRAM], {
@@ -128,6 +128,7 @@
       for (const stream of [child.stdout, child.stderr]) {
         createInterface({ input: stream }).on("line", (line) => {
           lineCount++;
+          onLine?.(line);
           lastLines.push(line);
           if (lastLines.length > MAX_KEPT_LINES) lastLines.shift();
         });
