Refuse requests that a stopping instance can't finish

Callers' streams were cut in the middle of the answer at the end of a planned stop (LOST). A stopping instance accepted requests for 3.2 s after SIGTERM whatever time they needed, and ended all of them at 7.3 s of its grace period of 8 s.

A stopping instance now compares the expected end of each answer with the end of its stop and refuses at once, as not run, what would be cut. A line fitted to the latest answers of the route (or its service) gives the time for the declared output tokens. A request of which nothing is known may take until its deadline. 100 ms of the reserve at the end of the stop go to answers (STOP_MARGIN 600 in place of 700 ms), since the first answers on new connections take some 95 ms longer than later ones.

--- /dev/null
+++ b/src/decision/answer_times.ts
@@ -0,0 +1,143 @@
+/**
+ * Estimates how long an answer takes beyond the expected time to its first token.
+ *
+ * Load: an instance that is stopping still gets requests from callers that don't know it yet. Accepted
+ * whatever time they need, long streams are cut at the end of the stop although another instance could
+ * have served them whole. Refused altogether, short ones would wait for another connection in vain.
+ *
+ * Mechanism: a line is fitted to the durations and output tokens of a route's latest answers. The estimate
+ * is a duration on this line plus two mean deviations from it. Answers whose callers declare no output
+ * tokens are estimated by their mean duration in the same way.
+ *
+ * @module
+ */
+
+/** A complete answer to a request. */
+export interface AnswerDuration {
+  /** Maximum number of output tokens that its caller declared; undefined if it declared none. */
+  readonly outputTokens: number | undefined;
+  /** Number of the last event of a stream; undefined if the answer isn't a stream of numbered events. */
+  readonly lastEvent: number | undefined;
+  /** Milliseconds from the time at which the first token was expected to the end; negative if it ended before. */
+  readonly duration: number;
+}
+
+/** The part of an answer that is still to be produced. */
+export interface AnswerRest {
+  /** As in {@linkcode AnswerDuration}. */
+  readonly outputTokens: number | undefined;
+  /** Number of the last event that the caller has; undefined if it has none. */
+  readonly lastEvent: number | undefined;
+}
+
+/** The route of an answer, and the service that produces it. */
+export interface AnswerOrigin {
+  readonly route: string;
+  readonly service: string;
+}
+
+/** How long the answers of each route take. */
+export interface AnswerTimes {
+  /** Records an answer that was produced as a whole for one request. */
+  record(origin: AnswerOrigin, answer: AnswerDuration): void;
+  /**
+   * Returns the milliseconds that the rest of an answer takes from the time at which its first token is
+   * expected; undefined until a similar answer of the route or, failing that, of the service was recorded.
+   */
+  expected(origin: AnswerOrigin, rest: AnswerRest): number | undefined;
+}
+
+/** Moving averages over the answers of a route or service. The size of an answer is its output tokens, or 1 if none are declared. */
+interface RouteAverages {
+  readonly size: number;
+  readonly sizeSquared: number;
+  /** In milliseconds, as the two below. */
+  readonly duration: number;
+  readonly sizeTimesDuration: number;
+  /** Deviation of the durations from what was expected of them. */
+  readonly deviation: number;
+  /** Number of events for a unit of size; undefined if no events were numbered. */
+  readonly eventRate: number | undefined;
+}
+
+/** Weight of the latest answer in the moving averages. */
+const WEIGHT = 1 / 8;
+/** Number of mean deviations above the expected time, so that few answers take longer. */
+const DEVIATIONS = 2;
+/** Variance of the sizes, as a fraction of their mean square, below which they say nothing about the time for a token. */
+const MIN_SIZE_VARIANCE = 0.01;
+
+/** Creates the estimates without any answers. */
+export function createAnswerTimes(): AnswerTimes {
+  const known = new Map<string, RouteAverages>();
+  return {
+    record: (origin, answer) => {
+      for (const key of keysOf(origin, answer)) known.set(key, average(known.get(key), answer));
+    },
+    expected: (origin, rest) => {
+      const [ofRoute, ofService] = keysOf(origin, rest).map((key) => known.get(key));
+      const averages = ofRoute ?? ofService;
+      if (averages === undefined) return undefined;
+      const whole = expectedWhole(averages, sizeOf(rest)) + DEVIATIONS * averages.deviation;
+      return Math.max(0, whole * fractionLeft(rest, averages.eventRate));
+    },
+  };
+}
+
+/** Returns the keys of the averages that an answer counts for: those of its route and of its service. */
+function keysOf(
+  { route, service }: AnswerOrigin,
+  { outputTokens }: Pick<AnswerRest, "outputTokens">,
+): string[] {
+  const kind = outputTokens === undefined ? "whole" : "tokens";
+  return [`${kind} route ${route}`, `${kind} service ${service}`];
+}
+
+function sizeOf({ outputTokens = 1 }: Pick<AnswerRest, "outputTokens">): number {
+  return Math.max(1, outputTokens);
+}
+
+function average(before: RouteAverages | undefined, answer: AnswerDuration): RouteAverages {
+  const size = sizeOf(answer);
+  const { duration } = answer;
+  const eventRate = answer.lastEvent === undefined ? undefined : answer.lastEvent / size;
+  const sums = { size, sizeSquared: size ** 2, duration, sizeTimesDuration: size * duration };
+  if (before === undefined) return { ...sums, deviation: 0, eventRate };
+  return {
+    size: moved(before.size, size),
+    sizeSquared: moved(before.sizeSquared, sums.sizeSquared),
+    duration: moved(before.duration, duration),
+    sizeTimesDuration: moved(before.sizeTimesDuration, sums.sizeTimesDuration),
+    deviation: moved(before.deviation, Math.abs(duration - expectedWhole(before, size))),
+    eventRate: averageRate(before.eventRate, eventRate),
+  };
+}
+
+/** Returns the duration of a whole answer on the line that fits the recorded ones best. */
+function expectedWhole(averages: RouteAverages, size: number): number {
+  const { size: meanSize, duration: meanDuration, sizeSquared, sizeTimesDuration } = averages;
+  const variance = sizeSquared - meanSize ** 2;
+  const isVaried = variance > MIN_SIZE_VARIANCE * sizeSquared;
+  const pace = isVaried
+    ? (sizeTimesDuration - meanSize * meanDuration) / variance
+    : meanDuration / meanSize;
+  return meanDuration + pace * (size - meanSize);
+}
+
+function moved(before: number, latest: number): number {
+  return before + (latest - before) * WEIGHT;
+}
+
+function averageRate(before: number | undefined, latest: number | undefined): number | undefined {
+  return before === undefined || latest === undefined ? (latest ?? before) : moved(before, latest);
+}
+
+/** Returns the fraction of the answer that its caller doesn't have yet. */
+function fractionLeft(
+  { outputTokens, lastEvent }: AnswerRest,
+  eventRate: number | undefined,
+): number {
+  if (lastEvent === undefined || eventRate === undefined || eventRate === 0) return 1;
+  const events = eventRate * sizeOf({ outputTokens });
+  return Math.max(0, 1 - lastEvent / events);
+}
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -1,4 +1,6 @@
 export * from "./account_shares.ts";
+export { createAnswerTimes } from "./answer_times.ts";
+export type { AnswerOrigin, AnswerTimes } from "./answer_times.ts";
 export type { ShareAccount, ShareService } from "./share_service.ts";
 export * from "./candidate_workers.ts";
 export * from "./crash_evidence.ts";
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -5,6 +5,7 @@
 import { createWorkerRelay } from "../connection/worker_relay.ts";
 import {
   createAccountShares,
+  createAnswerTimes,
   createRepeatBudget,
   createSharedCounts,
   createSharedQuota,
@@ -61,7 +62,7 @@
  */
 const STOP_ACCEPT_TIME = 3_200;
 /** Part of the grace period reserved for closing connections and writing the last log lines, in milliseconds. */
-const STOP_MARGIN = 700;
+const STOP_MARGIN = 600;
 /**
  * Time at the end of a stop in which final answers are written and requests that have arrived are read and refused, in
  * milliseconds.
@@ -213,6 +214,8 @@
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
+  const answersEndAt = (): number | undefined =>
+    stoppingSince === undefined ? undefined : stoppingSince + settings.grace - STOP_MARGIN;
   const isReady = (): boolean => table() !== undefined && view.hasWorkers && !isStopping();
 
   const runningTime = createRunningTime(clock);
@@ -415,6 +418,8 @@
     isStopping,
     isClosedToNew: () =>
       isDrained || (stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME),
+    answersEndAt,
+    answerTimes: createAnswerTimes(),
     logDecision: log.decided,
     metrics,
   };
@@ -438,7 +443,7 @@
     log.changed("stopping", { inProgress: requests.inProgress });
     fleet.sendNow();
     void lease.release();
-    const deadline = stoppingSince + settings.grace - STOP_MARGIN;
+    const deadline = answersEndAt() ?? stoppingSince;
     while (clock.now() < deadline) {
       const isAccepting = !context.isClosedToNew();
       if (!isAccepting && requests.inProgress === 0 && relay.openCount === 0) break;
--- a/src/request/routed_arrival.ts
+++ b/src/request/routed_arrival.ts
@@ -25,6 +25,8 @@
   readonly isRetry: boolean;
   /** Prompt and answer tokens together; undefined if the caller declared none. */
   readonly declaredTokens: number | undefined;
+  /** Maximum number of answer tokens; undefined if the caller declared none. */
+  readonly outputTokens: number | undefined;
   /** Parts of the prompt with their lengths, used to find workers that have them cached. */
   readonly promptParts: readonly PromptPart[];
   /** Set if the caller already has a part of the stream and asks for the rest. */
@@ -66,6 +68,7 @@
     if (account === undefined) return { kind: "unknown-key" };
   }
   const deadline = parsePositiveNumber(header(names.deadline)) ?? Infinity;
+  const tokens = parseTokens(header(names.tokens));
   return {
     id: header(names.requestId),
     route,
@@ -73,7 +76,8 @@
     arrivedAt: now,
     isRetry: deadline < route.timeout - RETRY_MARGIN,
     deadlineAt: now + Math.min(deadline, route.timeout),
-    declaredTokens: parseTokens(header(names.tokens)),
+    declaredTokens: tokens === undefined ? undefined : tokens.prompt + tokens.output,
+    outputTokens: tokens?.output,
     promptParts: parsePromptParts(header(names.promptParts)),
     resumption: readResumption(header(names.lastEventId), header(names.resumes)),
     rank: account?.priority ?? route.priority,
@@ -120,9 +124,9 @@
   return lastEventId === undefined ? undefined : { lastEventId, attempt };
 }
 
-function parseTokens(text: string | undefined): number | undefined {
+function parseTokens(text: string | undefined): { prompt: number; output: number } | undefined {
   const match = /^\s*(\d{1,9})\s*,\s*(\d{1,9})\s*$/.exec(text ?? "");
-  return match === null ? undefined : Number(match[1]) + Number(match[2]);
+  return match === null ? undefined : { prompt: Number(match[1]), output: Number(match[2]) };
 }
 
 /** Milliseconds by which the deadline of a first attempt may be below its route's timeout. */
--- a/src/request/routed_completion.ts
+++ b/src/request/routed_completion.ts
@@ -14,6 +14,7 @@
 import { RepeatCause, takeRepeat } from "./routed_repeats.ts";
 import { endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
+import { recordAnswerTime } from "./routed_stop.ts";
 
 /** An attempt whose response is complete. */
 interface CompleteAttempt {
@@ -38,6 +39,7 @@
   }
   if (attempt.firstEventAt === undefined && leaveEmptyStream(state, attempt)) return;
   endAttempt(state, RunResult.Answered);
+  recordAnswerTime(state, { attempt, head });
   suspects.recordAnswer();
   if (attempt.firstEventAt === undefined) recordStart(state, attempt);
   if (!response.hasStarted) response.start(head);
@@ -79,6 +81,7 @@
   const { response } = state;
   const body = Buffer.concat(attempt.chunks);
   endAttempt(state, resultOf(head));
+  recordAnswerTime(state, { attempt, head });
   const write = (): void => {
     response.write(body);
     response.end();
@@ -93,6 +96,7 @@
   suspects.recordAnswer();
   progress.hasPossiblyRun = true;
   endAttempt(state, resultOf(head));
+  recordAnswerTime(state, { attempt, head });
   complete(state, { status: head.status, write: () => response.sendComplete(head, body) });
 }
 
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -1,5 +1,6 @@
 import type {
   AccountShares,
+  AnswerTimes,
   RankedWorker,
   StreamVersion,
   ReceiveBudget,
@@ -195,6 +196,10 @@
   readonly isStopping: () => boolean;
   /** Whether a planned stop has progressed too far to start new requests. */
   isClosedToNew(): boolean;
+  /** When a planned stop ends all answers, in the clock's milliseconds; undefined if the instance isn't stopping. */
+  answersEndAt(): number | undefined;
+  /** How long answers take, to find those that would not end before. */
+  readonly answerTimes: AnswerTimes;
   /** Writes a line of the decision log. */
   readonly logDecision: (step: string, id: string | undefined, fields: DecisionFields) => void;
   readonly metrics: RoutedMetrics;
--- a/src/request/routed_head.ts
+++ b/src/request/routed_head.ts
@@ -122,7 +122,8 @@
   return byName.has(notRun) || status === MISDIRECTED_REQUEST;
 }
 
-function isSuccess({ status }: ResponseHead): boolean {
+/** Whether a response is a success. */
+export function isSuccess({ status }: ResponseHead): boolean {
   return status >= SUCCESS && status < REDIRECTION;
 }
 
--- a/src/request/routed_placement.ts
+++ b/src/request/routed_placement.ts
@@ -3,11 +3,17 @@
 import { RoutedRefusal } from "./caller_response.ts";
 import type { WorkerChoice } from "./placement_request.ts";
 import { chooseWorkers } from "./routed_choice.ts";
-import type { CandidateWorker } from "./routed_context.ts";
-import { BUSY_RETRY_AFTER, giveUp, NO_WORKER_RETRY_AFTER } from "./routed_end.ts";
+import type { CandidateWorker, DecisionFields } from "./routed_context.ts";
+import {
+  BUSY_RETRY_AFTER,
+  giveUp,
+  NO_WORKER_RETRY_AFTER,
+  STOPPING_RETRY_AFTER,
+} from "./routed_end.ts";
 import { readmitUnreached } from "./routed_progress.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 import { sendRequest } from "./routed_sending.ts";
+import { findStopConflict } from "./routed_stop.ts";
 
 /** Sends the request to the next worker, or refuses it if there is none. */
 export function placeRequest(state: RoutedRunState): void {
@@ -38,10 +44,22 @@
   state: RoutedRunState,
   choices: Iterable<RankedChoice<CandidateWorker>>,
 ): void {
-  for (const choice of choices) if (sendRequest(state, choice)) return;
+  for (const choice of choices) {
+    const conflict = findStopConflict(state, choice);
+    if (conflict !== undefined) {
+      refuseBeforeStop(state, conflict);
+      return;
+    }
+    if (sendRequest(state, choice)) return;
+  }
   giveUp(state, { reason: RoutedRefusal.Overloaded, retryAfter: BUSY_RETRY_AFTER });
 }
 
+function refuseBeforeStop(state: RoutedRunState, inputs: DecisionFields): void {
+  const reason = RoutedRefusal.Stopping;
+  giveUp(state, { reason, retryAfter: STOPPING_RETRY_AFTER, inputs });
+}
+
 function refuseOverload(
   state: RoutedRunState,
   {
--- /dev/null
+++ b/src/request/routed_stop.ts
@@ -0,0 +1,69 @@
+/**
+ * Decides whether a stopping instance accepts a request.
+ *
+ * @module
+ */
+import type { AnswerOrigin, RankedChoice } from "../decision/index.ts";
+import type { ResponseHead } from "../interface/index.ts";
+import type { Attempt } from "./routed_attempt.ts";
+import type { CandidateWorker, DecisionFields } from "./routed_context.ts";
+import { isSuccess } from "./routed_head.ts";
+import type { AdmittedRequest } from "./routed_request.ts";
+import type { RoutedRunState } from "./routed_run_state.ts";
+
+/** Why a request isn't sent to a worker by a stopping instance; times are in milliseconds. */
+interface StopConflict extends DecisionFields {
+  /** Expected time until the end of the answer. */
+  readonly expected: number;
+  /** Time until the instance ends all answers. */
+  readonly left: number;
+}
+
+/**
+ * Finds out whether the stop of the instance would cut the answer to a request that was not sent yet. Another
+ * instance can serve it whole.
+ *
+ * @returns Undefined if the answer is expected to end in time or the instance isn't stopping.
+ */
+export function findStopConflict(
+  { context, admitted, progress, reserve, response }: RoutedRunState,
+  choice: RankedChoice<CandidateWorker>,
+): StopConflict | undefined {
+  const endAt = context.answersEndAt();
+  if (endAt === undefined) return undefined;
+  if (progress.hasPossiblyRun || reserve !== undefined || response.hasStarted) return undefined;
+  const { arrival } = admitted;
+  const now = context.clock.now();
+  if (arrival.deadlineAt <= endAt) return undefined;
+  const { outputTokens, resumption } = arrival;
+  const lastEvent = eventNumber(resumption?.lastEventId);
+  // A request of which nothing is known may take until its deadline. Its caller loses less by a refusal than by a cut.
+  const rest = context.answerTimes.expected(originOf(admitted), { outputTokens, lastEvent });
+  const expected = rest === undefined ? arrival.deadlineAt - now : choice.wait + rest;
+  if (now + expected <= endAt) return undefined;
+  return { expected: Math.round(expected), left: Math.round(endAt - now) };
+}
+
+/** Records how long the answer of a request's only run took, for later estimates. */
+export function recordAnswerTime(
+  { context, admitted, progress, splitter }: RoutedRunState,
+  { attempt, head }: { readonly attempt: Attempt; readonly head: ResponseHead },
+): void {
+  const { arrival } = admitted;
+  if (!isSuccess(head) || progress.runs !== 1 || arrival.resumption !== undefined) return;
+  const { startedAt, expectedWait } = attempt;
+  context.answerTimes.record(originOf(admitted), {
+    outputTokens: arrival.outputTokens,
+    lastEvent: eventNumber(splitter.lastId),
+    duration: context.clock.now() - startedAt - expectedWait,
+  });
+}
+
+function originOf({ arrival, service }: AdmittedRequest): AnswerOrigin {
+  return { route: arrival.route.name, service: service.name };
+}
+
+/** Returns the number that an event's id is; undefined if there is none. */
+function eventNumber(id: string | undefined): number | undefined {
+  return id !== undefined && /^\d{1,9}$/.test(id) ? Number(id) : undefined;
+}
