End idle connections on which bytes follow a response

Cause: Node.js replaces the timer that it starts at the end of a response by the server's `timeout` as soon as any bytes arrive, and that was 0. The header timeout applies only once a head has begun. After an empty line or a part of a body behind a response, a caller's connection had no timer at all and stayed open for good.

Change: `timeout` of the server is the idle timeout too. When it expires while a request is in progress, nothing is done; the first head of a connection still has the header timeout.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -1,5 +1,5 @@
 import { createServer } from "node:http";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Clock } from "../interface/index.ts";
 import { endAfterRequest } from "../request/index.ts";
 import type { CallerLimits } from "../version/index.ts";
@@ -53,7 +53,6 @@
     {
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL,
       headersTimeout: DEFAULT_LIMITS.headerTimeout,
-      keepAliveTimeout: DEFAULT_LIMITS.idleTimeout,
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
       noDelay: true,
@@ -61,7 +60,7 @@
     (request, response) => {
       const { maxHeaderBytes, headerTimeout, idleTimeout } = limits();
       server.headersTimeout = headerTimeout;
-      server.keepAliveTimeout = idleTimeout;
+      setIdleTimeout(server, idleTimeout);
       if (headerSize(request) <= maxHeaderBytes) {
         handler.handle(request, response);
         return;
@@ -71,6 +70,7 @@
       endAfterRequest(response, Buffer.alloc(0), clock);
     },
   );
+  setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
   endConnectionsAfterReading(server);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
@@ -81,6 +81,17 @@
   });
 }
 
+/**
+ * Sets the time after which connections without a request in progress end.
+ *
+ * `timeout` replaces `keepAliveTimeout` on a connection as soon as any bytes follow a response. Without it, a connection
+ * on which an empty line or the rest of a body follows would have no timer and stay open for good.
+ */
+function setIdleTimeout(server: Server, idleTimeout: number): void {
+  server.keepAliveTimeout = idleTimeout;
+  server.timeout = idleTimeout;
+}
+
 /** Approximate size of the headers in bytes, assuming a separator of two bytes per name and value. */
 function headerSize({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -16,8 +16,10 @@
 /** Milliseconds for which the process stands still: longer than all its timeouts, with what Node.js adds to them. */
 const STALL = 2_600;
 
+const answer = (response: ServerResponse): void => void response.end("yes");
+
 /** Listens with the limits of these tests. */
-function listen(headerTimeout: number): Promise<Listener> {
+function listen(headerTimeout: number, respond = answer): Promise<Listener> {
   const limits = {
     maxHeaderBytes: 16_384,
     maxBodyBytes: 1_000,
@@ -25,7 +27,7 @@
     idleTimeout: IDLE_TIMEOUT,
   };
   const handler = {
-    handle: (_request: unknown, response: ServerResponse) => void response.end("yes"),
+    handle: (_request: unknown, response: ServerResponse) => respond(response),
     routing: () => ({ limits }),
   };
   return listenCallers("127.0.0.1:0", handler, systemClock);
@@ -90,3 +92,66 @@
   await once(socket, "close");
   await listener.close();
 });
+
+// Guards against connections that stay open for good: bytes behind a response don't always begin a head, but remove the
+// timer that Node.js starts at its end.
+test.each([
+  { title: "an empty line", request: "GET / HTTP/1.1\r\nHost: x\r\n\r\n", rest: "\r\n" },
+  {
+    title: "a part of the body",
+    request: "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n",
+    rest: "x",
+  },
+])("a connection with $title behind its response ends when it is idle", async (bytes) => {
+  const responses: ServerResponse[] = [];
+  const listener = await listen(500, (response) => {
+    responses.push(response);
+    answer(response);
+  });
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.write(bytes.request);
+  await once(socket, "data");
+  await expect.poll(() => responses[0]?.closed).toBe(true);
+  socket.write(bytes.rest);
+  await once(socket, "close");
+  await listener.close();
+});
+
+// Guards against requests whose connection is ended as idle while they run.
+test("a request that runs longer than the idle timeout allows is answered", async () => {
+  const listener = await listen(500, (response) => {
+    setTimeout(() => response.end("yes"), PART_DELAY);
+  });
+  for (let request = 0; request < 2; request++) {
+    expect(await (await fetch(`http://${listener.address}/`)).text()).toBe("yes");
+  }
+  await listener.close();
+});
+
+// Guards against first requests whose connection is ended as idle before the header timeout has passed.
+test("a first head that begins later than the idle timeout allows is answered", async () => {
+  const listener = await listen(10_000);
+  // The first request makes the limits those in force.
+  await (await fetch(`http://${listener.address}/`)).text();
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  await new Promise((resolve) => setTimeout(resolve, PART_DELAY));
+  socket.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const [received] = (await once(socket, "data")) as [Buffer];
+  expect(String(received)).toMatch(/^HTTP\/1.1 200 /);
+  socket.destroy();
+  await listener.close();
+});
+
+// Guards against connections on which nothing that belongs to a request arrives and that stay open for good.
+test.each(["", "\r\n"])("a new connection with only %j ends", async (bytes) => {
+  const listener = await listen(500);
+  await (await fetch(`http://${listener.address}/`)).text();
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.write(bytes);
+  socket.resume();
+  await once(socket, "close");
+  await listener.close();
+});
--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -17,7 +17,10 @@
   requestCount: number;
   /** The responses that have not ended; more than one if the caller doesn't wait for them. */
   readonly unfinished: Set<ServerResponse>;
-  /** Number of bytes read when the last response ended; undefined if its request was still arriving then. */
+  /**
+   * Number of bytes read when the connection opened or the last response ended; undefined if its request was still
+   * arriving then, or if the time for the next head has passed.
+   */
   readAtEnd: number | undefined;
 }
 
@@ -42,7 +45,7 @@
     const progress = connections.get(socket) ?? {
       requestCount: 0,
       unfinished: new Set(),
-      readAtEnd: undefined,
+      readAtEnd: 0,
     };
     connections.set(socket, progress);
     return progress;
@@ -68,10 +71,13 @@
   });
   server.on("timeout", (socket: Socket) => {
     const progress = progressOf(socket);
-    const { readAtEnd } = progress;
-    // The header timeout applies if a part of the next head has arrived: the connection is not idle then.
-    const isWithinHead = readAtEnd !== undefined && socket.bytesRead > readAtEnd;
-    if (isWithinHead) {
+    const { readAtEnd, requestCount, unfinished } = progress;
+    // The connection is not idle. The end of the last response starts the timer again.
+    if (unfinished.size > 0) return;
+    // The header timeout applies to the first head, and if a part of the next one has arrived.
+    const mayBeWithinHead =
+      readAtEnd !== undefined && (requestCount === 0 || socket.bytesRead > readAtEnd);
+    if (mayBeWithinHead) {
       // Not every byte begins a head, so the connection ends here if the header timeout doesn't apply.
       progress.readAtEnd = undefined;
       socket.setTimeout(server.headersTimeout + HEADER_CHECK_MARGIN);
