Delete the code cache before the bundle is built again

The build loads the new bundle with the cache of the one before it. V8 compares only the length of the source, so after a change that keeps the length (a constant 700 that becomes 600) it ran, and cached again, the old code. The cache is now deleted first; a build then has none to load.

--- a/build.mjs
+++ b/build.mjs
@@ -3,7 +3,7 @@
 import { execFileSync } from "node:child_process";
 import { createRequire } from "node:module";
 import { resolve } from "node:path";
-import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { build } from "esbuild";
 import { inject } from "postject";
 
@@ -38,6 +38,8 @@
  * the cache, compiling the bundle takes a large part of that time.
  */
 async function buildPlatform() {
+  // V8 accepts the cache of another bundle of the same length, and the loader would run the code of that one.
+  rmSync("target/main.cache", { force: true });
   await build({
     ...BUNDLE,
     entryPoints: ["platform/main.ts"],
