Keep the records of streams in the store while several versions serve

The records of streams and their copies were only in the memory of instances.

One instance of a small fleet, and one in each zone of a large one, now writes the records that are not in the store yet, every 250 ms or 1 s and only while a service has had several versions. It is one of the holders of copies. Each write contains only new records, in an object that replaces one older than the longest stream. An instance that becomes the writer reads the objects once, and uses them as it uses copies; the others ask it. A restored store, a lost response or another writer makes it read again and write what is missing. Deletions name the version that they delete.

--- a/src/decision/record_holders.ts
+++ b/src/decision/record_holders.ts
@@ -16,6 +16,23 @@
   readonly zone: string;
 }
 
+/** Key by which the instance is selected that writes records to the store. */
+const WRITER_KEY = "samphireshore/stream-records";
+
+/**
+ * Selects the instance that writes the records of the given instances to the store, by rendezvous hashing. Instances
+ * whose views differ for a moment may select two; their writes don't conflict.
+ */
+export function selectRecordWriter<Candidate extends Pick<HolderCandidate, "peers">>(
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  const [first] = rendezvousOrder(
+    WRITER_KEY,
+    candidates.map(({ peers }) => peers),
+  );
+  return candidates.find(({ peers }) => peers === first);
+}
+
 /**
  * Selects holders by rendezvous hashing, so that few change when an instance joins or leaves. As
  * many zones as possible other than the instance's own are used before any zone is used again.
--- a/src/decision/stream_records.ts
+++ b/src/decision/stream_records.ts
@@ -25,6 +25,8 @@
   /** Adds a record, at a time in milliseconds of the clock. */
   add(attempt: bigint, version: StreamVersion, now: number): void;
   readonly find: (attempt: bigint) => StreamRecord | undefined;
+  /** Returns all records that are not ambiguous, those added last at the end. */
+  known(): Iterable<readonly [bigint, StreamVersion]>;
   /** Removes the records that were last added before this time. */
   removeBefore(time: number): void;
   readonly size: number;
@@ -47,6 +49,10 @@
       records.set(attempt, { record, at: now });
     },
     find: (attempt) => records.get(attempt)?.record,
+    known: function* () {
+      for (const [attempt, { record }] of records)
+        if (record.kind === "known") yield [attempt, record];
+    },
     removeBefore: (time) => {
       for (const [attempt, { at }] of records) {
         if (at >= time) break;
--- a/src/interface/object_store.ts
+++ b/src/interface/object_store.ts
@@ -31,8 +31,12 @@
 
 /** A store whose objects can be deleted. */
 export interface DeletableStore {
-  /** Deletes an object. Resolves with true only if the object certainly no longer exists. */
-  delete(key: string): Promise<boolean>;
+  /**
+   * Deletes an object. Resolves with true only if the object certainly no longer exists.
+   *
+   * @param options `expect` is the version that the object must have; by default any version is deleted.
+   */
+  delete(key: string, options?: PutOptions): Promise<boolean>;
 }
 
 /** Options of {@linkcode ObjectStore.put}. */
--- a/src/process/recorded_stream_versions.ts
+++ b/src/process/recorded_stream_versions.ts
@@ -1,10 +1,13 @@
+import { hashText } from "../version/index.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import type { FleetSync } from "./fleet_sync.ts";
 import { createPeerAgreement } from "./peer_agreement.ts";
+import { createRecordWriter } from "./record_writer.ts";
 import type { RoutedEntryDependencies } from "./routed_entry_parts.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import { mergeVersions, versionsByService } from "./service_versions.ts";
 import type { ServiceVersions } from "./service_versions.ts";
+import { createStreamRecordStore } from "./stream_record_store.ts";
 import { createStreamVersions } from "./stream_versions.ts";
 import type { StreamVersionTask } from "./stream_versions.ts";
 import { createVersionRecord } from "./version_record.ts";
@@ -23,7 +26,7 @@
   readonly settings: RoutedSettings;
   readonly fleet: () => Pick<
     FleetSync,
-    "directPeers" | "isDiscovering" | "live" | "members" | "role"
+    "directPeers" | "incarnation" | "isDiscovering" | "live" | "members" | "role"
   >;
   /** Returns the store version of the last change of workers that this instance has. */
   readonly workersVersion: () => number;
@@ -64,13 +67,19 @@
     const { objects } = await feed.listKind(kinds.workers);
     return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
   };
-  const versions: StreamVersionTask = createStreamVersions({
-    clock,
+  const others = {
     self: { peers: settings.listen.peers, zone: settings.zone },
     instances: () => fleet().live(),
-    expectsOthers: () => fleet().members > 1,
-    isDiscovering: () => fleet().isDiscovering,
     isSmallFleet: () => fleet().role === FleetRole.Mesh,
+    isDiscovering: () => fleet().isDiscovering,
+  };
+  const writer = createRecordWriter(others);
+  const maxDuration = (): number => STREAM_DURATION_FACTOR * parts.longestTimeout();
+  const versions: StreamVersionTask = createStreamVersions({
+    clock,
+    ...others,
+    writer,
+    expectsOthers: () => fleet().members > 1,
     view: {
       ...peerAgreement,
       readVersions: async () => {
@@ -78,16 +87,34 @@
         return mergeVersions(present, recorded);
       },
     },
-    maxDuration: () => STREAM_DURATION_FACTOR * parts.longestTimeout(),
+    maxDuration,
     send: parts.send,
     onFault: (detail) => log.fault("stream-records", { detail }),
   });
+  const recordStore = createStreamRecordStore({
+    clock,
+    store: parts.store,
+    feed,
+    kindOf: kinds.streamRecordsOf,
+    writer,
+    ...others,
+    namePrefix: () => hashText(fleet().incarnation).toString(16),
+    records: () => versions.records(),
+    mixed: () => versions.mixed(),
+    restore: (records) => versions.restore(records),
+    maxDuration,
+    log,
+  });
   return {
     ...versions,
-    start: () => record.start(),
+    start: () => {
+      record.start();
+      recordStore.start();
+    },
     close: () => {
       versions.close();
       record.close();
+      recordStore.close();
     },
   };
 }
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -34,6 +34,8 @@
   readonly rollouts: string;
   /** Kind of the objects under `QUARANTINE_KEY`. */
   readonly quarantine: string;
+  /** Returns the kind of the objects of a group of instances under `STREAM_RECORDS_KEY`. */
+  readonly streamRecordsOf: (group: string) => string;
   /** Parses a configuration. Throws if it is invalid. */
   readonly readRouting: (value: unknown) => Routing;
   /** Parses a worker's registration. Returns undefined if it describes no usable worker. */
--- a/src/process/stream_record_copies.ts
+++ b/src/process/stream_record_copies.ts
@@ -1,6 +1,7 @@
 import { selectHolders } from "../decision/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
 import type { RosterEntry } from "./digest.ts";
+import type { RecordWriter } from "./record_writer.ts";
 import type { AttemptVersion } from "./stream_record_codec.ts";
 
 /** Sends copies of this instance's records to a few other instances. */
@@ -21,6 +22,8 @@
   readonly instances: () => readonly RosterEntry[];
   /** Whether every instance exchanges digests with every other. */
   readonly isSmallFleet: () => boolean;
+  /** The instance that writes records to the store; it is one of the holders. */
+  readonly writer: Pick<RecordWriter, "other">;
   /** Whether the workers of a service have had several versions recently. */
   readonly isMixed: (service: string) => boolean;
   /** Maximum duration of a stream in milliseconds. */
@@ -65,7 +68,13 @@
     if (sessions === selectedFrom) return holders;
     selectedFrom = sessions;
     const count = parts.isSmallFleet() ? HOLDERS_IN_SMALL_FLEET : HOLDERS_IN_LARGE_FLEET;
-    holders = selectHolders(self, { others, count });
+    const writer = parts.writer.other();
+    const selected = writer === undefined ? [] : [writer];
+    const rest = others.filter(({ peers }) => peers !== writer?.peers);
+    holders = [
+      ...selected,
+      ...selectHolders(self, { others: rest, count: count - selected.length }),
+    ];
     return holders;
   };
   const sendCopies = (): void => {
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -15,6 +15,7 @@
 import type { Clock, RoutedWorker } from "../interface/index.ts";
 import type { StreamAttempt, StreamVersions } from "../request/index.ts";
 import type { RosterEntry } from "./digest.ts";
+import type { RecordWriter } from "./record_writer.ts";
 import { createStreamInquiries } from "./stream_inquiries.ts";
 import type { WorkerView } from "./stream_inquiries.ts";
 import { createStreamRecordCopies } from "./stream_record_copies.ts";
@@ -29,6 +30,10 @@
   mixed(): ServiceVersions;
   /** Whether this instance has followed the workers for as long as streams last. */
   coversPeriod(): boolean;
+  /** Returns the records of all streams that are known here and may still be taken up. */
+  records(): Iterable<AttemptVersion>;
+  /** Adds records that the store has kept. Those known already are kept no longer for it. */
+  restore(records: readonly AttemptVersion[]): void;
   /** Replaces the workers. */
   setWorkers(workers: readonly RoutedWorker[]): void;
   /** Handles a datagram of another instance. */
@@ -47,6 +52,8 @@
   readonly expectsOthers: () => boolean;
   /** Whether this instance has just started and has not heard from every address that it knows. */
   readonly isDiscovering: () => boolean;
+  /** The instance that writes records to the store. */
+  readonly writer: Pick<RecordWriter, "other">;
   /** Whether every instance exchanges digests with every other. */
   readonly isSmallFleet: () => boolean;
   /** What this instance knows of the workers, apart from their history. */
@@ -104,11 +111,16 @@
       const record = records.find(attempt);
       return record?.kind === "known" ? [{ attempt, version: record }] : [];
     });
+  const removeExpired = (): void => records.removeBefore(clock.now() - parts.maxDuration());
   const store = (added: readonly AttemptVersion[]): void => {
     const now = clock.now();
-    records.removeBefore(now - parts.maxDuration());
+    removeExpired();
     for (const { attempt, version } of added) records.add(attempt, version, now);
   };
+  const isKnown = ({ attempt, version: { service, version } }: AttemptVersion): boolean => {
+    const record = records.find(attempt);
+    return record?.kind === "known" && record.service === service && record.version === version;
+  };
   /** Returns the record that is known without asking others. */
   const findHere = (
     attempt: bigint | undefined,
@@ -145,6 +157,15 @@
       });
     },
     mixed: () => history.mixed(time()),
+    records: function* () {
+      removeExpired();
+      for (const [attempt, version] of records.known()) yield { attempt, version };
+    },
+    restore: (restored) => {
+      removeExpired();
+      store(restored.filter((record) => !isKnown(record)));
+      inquiries.recordsReceived();
+    },
     coversPeriod: () => view.coversPeriod(),
     setWorkers: (workers) => {
       const isNewlyMixed = history.record(versionsByService(workers), time()).length > 0;
--- a/src/process/stream_versions_test.ts
+++ b/src/process/stream_versions_test.ts
@@ -4,6 +4,7 @@
 import type { StreamVersion } from "../decision/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
 import type { VirtualClock } from "../standin/memory/index.ts";
+import { createRecordWriter } from "./record_writer.ts";
 import { createStreamVersions } from "./stream_versions.ts";
 import type { StreamVersionTask } from "./stream_versions.ts";
 
@@ -67,6 +68,11 @@
         if (!receiver.isDown && !fleet.isCut(member, receiver)) receiver.task.receive(bytes);
       });
     };
+    const self = { peers: address, zone };
+    // Instances that have just ended are still regarded as live.
+    const instances = (): typeof live =>
+      live.filter(({ peers }) => member.knowsOthers && peers !== address);
+    const isSmallFleet = (): boolean => size <= 13;
     const member: Member = {
       address,
       isCurrent: true,
@@ -78,12 +84,12 @@
       bytesSent: 0,
       task: createStreamVersions({
         clock,
-        self: { peers: address, zone },
-        // Instances that have just ended are still regarded as live.
-        instances: () => live.filter(({ peers }) => member.knowsOthers && peers !== address),
+        self,
+        instances,
         expectsOthers: () => size > 1,
         isDiscovering: () => !member.knowsOthers,
-        isSmallFleet: () => size <= 13,
+        isSmallFleet,
+        writer: createRecordWriter({ self, instances, isSmallFleet }),
         view: {
           isCurrent: () => member.isCurrent,
           hasRecentDigest: () => member.hasRecentDigest,
