Store the records of streams only where the settings say so

The setting streamRecords (memory by default, stored) turns them on; with memory nothing is written and the holders of copies are chosen as before.

--- a/src/process/recorded_stream_versions.ts
+++ b/src/process/recorded_stream_versions.ts
@@ -73,12 +73,13 @@
     isSmallFleet: () => fleet().role === FleetRole.Mesh,
     isDiscovering: () => fleet().isDiscovering,
   };
+  const isStored = settings.streamRecords === "stored";
   const writer = createRecordWriter(others);
   const maxDuration = (): number => STREAM_DURATION_FACTOR * parts.longestTimeout();
   const versions: StreamVersionTask = createStreamVersions({
     clock,
     ...others,
-    writer,
+    writer: isStored ? writer : { other: () => undefined },
     expectsOthers: () => fleet().members > 1,
     view: {
       ...peerAgreement,
@@ -109,7 +110,7 @@
     ...versions,
     start: () => {
       record.start();
-      recordStore.start();
+      if (isStored) recordStore.start();
     },
     close: () => {
       versions.close();
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -75,6 +75,11 @@
       longPrompts: z.enum(["together", "separated"]).default("together"),
     })
     .default({ workerSpeeds: "equal", longPrompts: "together" }),
+  /**
+   * Where the records are kept of the versions at which streams began. With `stored`, streams can go on after all
+   * instances have ended at once, at the price of writes while several versions serve. In memory only if absent.
+   */
+  streamRecords: z.enum(["memory", "stored"]).optional(),
   /** Duration of a lease after each renewal. */
   leaseTerm: duration,
   /** The instance's share of its machine's processor. In a large fleet, the instances with more become relays. */
