Expect more time of answers of which little is known

The review of the estimate found cases in which a stopping instance still accepts what its stop cuts: a fitted line that falls with the tokens (600 tokens in no time), one answer that counts like many, and streams taken up again beyond the usual number of events. The line doesn't fall any more, the first answer has an assumed deviation, the deviation isn't divided by the fraction that is left, and streams beyond the usual number of events count as whole.

Calls of plain services of which nothing is known are no longer refused: they are short.

--- a/src/decision/answer_times.ts
+++ b/src/decision/answer_times.ts
@@ -78,8 +78,8 @@
       const [ofRoute, ofService] = keysOf(origin, rest).map((key) => known.get(key));
       const averages = ofRoute ?? ofService;
       if (averages === undefined) return undefined;
-      const whole = expectedWhole(averages, sizeOf(rest)) + DEVIATIONS * averages.deviation;
-      return Math.max(0, whole * fractionLeft(rest, averages.eventRate));
+      const whole = Math.max(0, expectedWhole(averages, sizeOf(rest)));
+      return whole * fractionLeft(rest, averages.eventRate) + DEVIATIONS * averages.deviation;
     },
   };
 }
@@ -102,7 +102,8 @@
   const { duration } = answer;
   const eventRate = answer.lastEvent === undefined ? undefined : answer.lastEvent / size;
   const sums = { size, sizeSquared: size ** 2, duration, sizeTimesDuration: size * duration };
-  if (before === undefined) return { ...sums, deviation: 0, eventRate };
+  // One answer says little about the next, so its deviation is assumed, as for retransmission timeouts (RFC 6298).
+  if (before === undefined) return { ...sums, deviation: Math.abs(duration) / 2, eventRate };
   return {
     size: moved(before.size, size),
     sizeSquared: moved(before.sizeSquared, sums.sizeSquared),
@@ -118,9 +119,9 @@
   const { size: meanSize, duration: meanDuration, sizeSquared, sizeTimesDuration } = averages;
   const variance = sizeSquared - meanSize ** 2;
   const isVaried = variance > MIN_SIZE_VARIANCE * sizeSquared;
-  const pace = isVaried
-    ? (sizeTimesDuration - meanSize * meanDuration) / variance
-    : meanDuration / meanSize;
+  const slope = isVaried ? (sizeTimesDuration - meanSize * meanDuration) / variance : 0;
+  // More tokens don't take less time: answers that end before their declared maximum only look like it.
+  const pace = slope > 0 ? slope : meanDuration / meanSize;
   return meanDuration + pace * (size - meanSize);
 }
 
@@ -139,5 +140,6 @@
 ): number {
   if (lastEvent === undefined || eventRate === undefined || eventRate === 0) return 1;
   const events = eventRate * sizeOf({ outputTokens });
-  return Math.max(0, 1 - lastEvent / events);
+  // Beyond the usual number, nothing is known of how many are left.
+  return lastEvent < events ? 1 - lastEvent / events : 1;
 }
--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -8,6 +8,7 @@
 import type { Attempt } from "./routed_attempt.ts";
 import type { CandidateWorker, DecisionFields } from "./routed_context.ts";
 import { isSuccess } from "./routed_head.ts";
+import { deliversEvents } from "./routed_request.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
@@ -35,15 +36,28 @@
   const { arrival } = admitted;
   const now = context.clock.now();
   if (arrival.deadlineAt <= endAt) return undefined;
-  const { outputTokens, resumption } = arrival;
-  const lastEvent = eventNumber(resumption?.lastEventId);
-  // A request of which nothing is known may take until its deadline. Its caller loses less by a refusal than by a cut.
-  const rest = context.answerTimes.expected(originOf(admitted), { outputTokens, lastEvent });
+  const rest = expectedRest({ context, admitted });
   const expected = rest === undefined ? arrival.deadlineAt - now : choice.wait + rest;
   if (now + expected <= endAt) return undefined;
   return { expected: Math.round(expected), left: Math.round(endAt - now) };
 }
 
+/** Returns the milliseconds that the answer takes beyond the wait for its first token; undefined if nothing is known. */
+function expectedRest({
+  context,
+  admitted,
+}: Pick<RoutedRunState, "context" | "admitted">): number | undefined {
+  const { arrival, service } = admitted;
+  const { outputTokens, resumption, route } = arrival;
+  const lastEvent = eventNumber(resumption?.lastEventId);
+  const known = context.answerTimes.expected(originOf(admitted), { outputTokens, lastEvent });
+  if (known !== undefined) return known;
+  // Calls of plain services are short. A stream of which nothing is known may take until its deadline, and its caller
+  // loses less by a refusal than by a cut.
+  const isShort = service.engine === undefined && !deliversEvents(route);
+  return isShort ? context.workerLoads.timing(service).runTime : undefined;
+}
+
 /** Records how long the answer of a request's only run took, for later estimates. */
 export function recordAnswerTime(
   { context, admitted, progress, splitter }: RoutedRunState,
