Log for each request of a stopping instance what of its answer left the process

The line answered says that an answer is complete for the process, not that its caller can have it, and a request behind the last response of a connection has no line at all. In a stop, each response now has a line closed with its end (written, unwritten, partial, unanswered).

--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -7,6 +7,7 @@
 import type { RoutedContext } from "./routed_context.ts";
 import { fingerprintRequest } from "./request_fingerprint.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
+import { responseEndOf } from "./response_end.ts";
 import { STOPPING_RETRY_AFTER } from "./routed_end.ts";
 import { startRoutedRun } from "./routed_run.ts";
 import type { RoutedRun } from "./routed_run.ts";
@@ -62,8 +63,20 @@
     const reason = RoutedRefusal.Stopping;
     refuse(callerResponse, { reason, id, retryAfter: STOPPING_RETRY_AFTER });
   };
+  /** Logs what a stopping instance has written of a response, because no other line tells whether it left the process. */
+  const logCloseInStop = (response: ServerResponse, id: string | undefined): void => {
+    const arrivedAt = context.clock.now();
+    response.once("close", () => {
+      if (!context.isStopping()) return;
+      const after = Math.round(context.clock.now() - arrivedAt);
+      context.logDecision("closed", id, { end: responseEndOf(response), after });
+    });
+  };
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
     const connection = callerConnections.add(request.socket, response);
+    const idHeader = request.headers[context.names.requestId];
+    const id = typeof idHeader === "string" ? idHeader : undefined;
+    logCloseInStop(response, id);
     if (connection.isEnding) {
       request.resume();
       return;
@@ -73,8 +86,6 @@
       isClosing: () => context.isStopping() && connection.endWithResponse(),
       budget: context.received,
     });
-    const idHeader = request.headers[context.names.requestId];
-    const id = typeof idHeader === "string" ? idHeader : undefined;
     let run: RoutedRun | undefined;
     response.once("close", () => {
       openRequests.delete(response);
