--- /dev/null
+++ b/src/process/planned_stop.ts
@@ -0,0 +1,89 @@
+/**
+ * The planned stop of an instance: it accepts requests for a while, finishes those in progress and gives the others
+ * their final answers.
+ *
+ * @module
+ */
+import { sleep } from "../interface/index.ts";
+import type { Clock } from "../interface/index.ts";
+import type { RoutedLog } from "./routed_log.ts";
+
+/** A planned stop, which may not have begun. */
+export interface PlannedStop {
+  /** Whether the stop has begun. */
+  readonly hasBegun: boolean;
+  /** Whether new requests are refused. */
+  readonly isClosedToNew: boolean;
+  /** When all answers in progress are ended, in milliseconds of the clock; undefined before the stop has begun. */
+  readonly answersEndAt: number | undefined;
+  /** Stops the instance. Resolves when its connections can be closed. A repeated call returns the same promise. */
+  run(): Promise<void>;
+}
+
+/** What a stop needs of its instance. */
+export interface PlannedStopParts {
+  readonly clock: Clock;
+  readonly log: Pick<RoutedLog, "changed">;
+  /** Time after which the platform kills the process, in milliseconds. */
+  readonly grace: number;
+  /** Number of requests in progress. */
+  readonly requestsInProgress: () => number;
+  /** Number of connections that are relayed for other instances. */
+  readonly relayedConnections: () => number;
+  /** Called once, when the stop begins. */
+  readonly onBegin: () => void;
+  /** Gives all requests in progress their final answers. */
+  readonly endRequests: () => void;
+}
+
+/**
+ * Time for which a stopping instance still accepts requests, in milliseconds: callers keep old addresses for up to
+ * three times their time to live.
+ */
+const ACCEPT_TIME = 3_200;
+/** Part of the grace period reserved for closing connections and writing the last log lines, in milliseconds. */
+const MARGIN = 600;
+/**
+ * Time at the end of a stop in which final answers are written and requests that have arrived are read and refused, in
+ * milliseconds.
+ */
+const LAST_READ_TIME = 50;
+/** Interval of the check whether everything in progress has ended, in milliseconds. */
+const POLL_INTERVAL = 50;
+
+/** Creates the stop of an instance, which begins with `run`. */
+export function createPlannedStop(parts: PlannedStopParts): PlannedStop {
+  const { clock, log, grace, requestsInProgress, relayedConnections } = parts;
+  let beganAt: number | undefined;
+  let isDrained = false;
+  let stopped: Promise<void> | undefined;
+  const isClosedToNew = (): boolean =>
+    isDrained || (beganAt !== undefined && clock.now() - beganAt > ACCEPT_TIME);
+  const stop = async (): Promise<void> => {
+    beganAt = clock.now();
+    log.changed("stopping", { inProgress: requestsInProgress() });
+    parts.onBegin();
+    const deadline = beganAt + grace - MARGIN;
+    while (clock.now() < deadline) {
+      if (isClosedToNew() && requestsInProgress() === 0 && relayedConnections() === 0) break;
+      await sleep(clock, POLL_INTERVAL);
+    }
+    log.changed("stopped", { inProgress: requestsInProgress() });
+    isDrained = true;
+    parts.endRequests();
+    // Without it, the process would end before it has written these answers and read what waits in its sockets.
+    await sleep(clock, LAST_READ_TIME);
+  };
+  return {
+    get hasBegun() {
+      return beganAt !== undefined;
+    },
+    get isClosedToNew() {
+      return isClosedToNew();
+    },
+    get answersEndAt() {
+      return beganAt === undefined ? undefined : beganAt + grace - MARGIN;
+    },
+    run: () => (stopped ??= stop()),
+  };
+}
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -20,7 +20,6 @@
   sum,
 } from "../decision/index.ts";
 import type { DemandLevel, DemandEstimator } from "../decision/index.ts";
-import { sleep } from "../interface/index.ts";
 import { createRoutedRequests } from "../request/routed_service.ts";
 import { parseWorkerStatement } from "../request/index.ts";
 import type { RoutedContext } from "../request/index.ts";
@@ -28,6 +27,7 @@
 import type { RoutedService, RouteTable } from "../version/index.ts";
 import { createLeaseTask } from "./lease_task.ts";
 import { createMixTask } from "./mix_task.ts";
+import { createPlannedStop } from "./planned_stop.ts";
 import { createFleetSync } from "./fleet_sync.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { createInstanceHashes } from "./instance_hashes.ts";
@@ -56,20 +56,6 @@
 const MAX_ADDRESSES = 64;
 /** Maximum time to live of resolved addresses, in milliseconds: a stopping instance loses its callers about as fast. */
 const RESOLVE_TTL = 1_000;
-/**
- * Time for which a stopping instance still accepts requests, in milliseconds: callers keep old addresses for up to
- * three times their time to live.
- */
-const STOP_ACCEPT_TIME = 3_200;
-/** Part of the grace period reserved for closing connections and writing the last log lines, in milliseconds. */
-const STOP_MARGIN = 600;
-/**
- * Time at the end of a stop in which final answers are written and requests that have arrived are read and refused, in
- * milliseconds.
- */
-const STOP_LAST_READ = 50;
-/** Poll interval of the drain, in milliseconds. */
-const STOP_POLL_INTERVAL = 50;
 /** Name of the single lease for all platform calls. One lease is enough, and each renewal is a billed call. */
 const LEASE_NAME = "platform";
 /** Interval between two checks whether the lease can be taken over, in milliseconds. */
@@ -92,9 +78,6 @@
   const { clock, random, log, metrics, kinds } = dependencies;
   const startedAt = clock.now();
   const capacity = capacityOf(settings);
-  let stoppingSince: number | undefined;
-  /** Whether the drain has ended. */
-  let isDrained = false;
   /** The longest time in milliseconds that a route allows. */
   let longestTimeout = MIN_LONGEST_TIMEOUT;
 
@@ -213,9 +196,19 @@
     onLeaving: ({ worker, isOwn }) => log.changed("worker-leaving", { worker, isOwn }),
   });
 
-  const isStopping = (): boolean => stoppingSince !== undefined;
-  const answersEndAt = (): number | undefined =>
-    stoppingSince === undefined ? undefined : stoppingSince + settings.grace - STOP_MARGIN;
+  const stop = createPlannedStop({
+    clock,
+    log,
+    grace: settings.grace,
+    requestsInProgress: () => requests.inProgress,
+    relayedConnections: () => relay.openCount,
+    onBegin: () => {
+      fleet.sendNow();
+      void lease.release();
+    },
+    endRequests: () => requests.endAll(),
+  });
+  const isStopping = (): boolean => stop.hasBegun;
   const isReady = (): boolean => table() !== undefined && view.hasWorkers && !isStopping();
 
   const runningTime = createRunningTime(clock);
@@ -416,9 +409,8 @@
       ledger.recordRun(account, Math.floor(time.now(at) / settings.usage.window));
     },
     isStopping,
-    isClosedToNew: () =>
-      isDrained || (stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME),
-    answersEndAt,
+    isClosedToNew: () => stop.isClosedToNew,
+    answersEndAt: () => stop.answersEndAt,
     answerTimes: createAnswerTimes(),
     logDecision: log.decided,
     metrics,
@@ -438,24 +430,6 @@
     clock,
   });
 
-  const drain = async (): Promise<void> => {
-    stoppingSince = clock.now();
-    log.changed("stopping", { inProgress: requests.inProgress });
-    fleet.sendNow();
-    void lease.release();
-    const deadline = answersEndAt() ?? stoppingSince;
-    while (clock.now() < deadline) {
-      const isAccepting = !context.isClosedToNew();
-      if (!isAccepting && requests.inProgress === 0 && relay.openCount === 0) break;
-      await sleep(clock, STOP_POLL_INTERVAL);
-    }
-    log.changed("stopped", { inProgress: requests.inProgress });
-    isDrained = true;
-    requests.endAll();
-    // Without it, the process would end before it has written these answers and read what waits in its sockets.
-    await sleep(clock, STOP_LAST_READ);
-  };
-  let stopped: Promise<void> | undefined;
   return {
     handle: requests.handle,
     relay: (request, stream, head) => relay.handle(request, stream, head),
@@ -521,8 +495,8 @@
       const needsRestart = JSON.stringify(withCurrentSeeds) !== JSON.stringify(settings);
       log.changed("settings-reloaded", { seeds: changed.seeds.join(" "), needsRestart });
     },
-    // A repeated call returns the same promise: the process exits when it resolves.
-    stop: () => (stopped ??= drain()),
+    // The process exits when the promise resolves.
+    stop: () => stop.run(),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
       for (const part of [connections, path, relay, streamVersions, stalls, runningTime])
