Read what has arrived before an instance that stalled ends its stop

Callers of an instance that was to stop waited for up to 0.7 s and then lost their connection, and no line of its log named their requests. The end of the stop was decided by plain timers. After a stall of the process, these run before sockets are read, so requests that waited there didn't count as in progress; the last 50 ms could pass in the same way.

The stop now waits in running time, of which a stall is no part, before it finds that nothing is in progress, before it ends the answers at its deadline, and before it closes connections. Responses that aren't written yet are waited for until 200 ms before the end of the grace period.

--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { sleep } from "../interface/index.ts";
+import { sleepRunningTime } from "../interface/index.ts";
 import type { Clock } from "../interface/index.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
@@ -45,11 +45,16 @@
 const MARGIN = 600;
 /**
  * Time at the end of a stop in which final answers are written and requests that have arrived are read and refused, in
- * milliseconds.
+ * milliseconds in which the process runs.
  */
 const LAST_READ_TIME = 50;
-/** Interval of the check whether everything in progress has ended, in milliseconds. */
+/**
+ * Time after which a request in progress, and one that is still being refused at the end, is checked again, in
+ * milliseconds in which the process runs.
+ */
 const POLL_INTERVAL = 50;
+/** Part of the grace period that is left for closing connections whatever is still in progress, in milliseconds. */
+const CLOSE_MARGIN = 200;
 
 /** Creates the stop of an instance, which begins with `run`. */
 export function createPlannedStop(parts: PlannedStopParts): PlannedStop {
@@ -65,14 +70,17 @@
     parts.onBegin();
     const deadline = beganAt + grace - MARGIN;
     while (clock.now() < deadline) {
+      // After a stall of the process, expired timers run before sockets are read. With plain timers, requests that wait
+      // there would not count as in progress, and their connections would be reset without an answer.
+      await sleepRunningTime(clock, POLL_INTERVAL);
       if (isClosedToNew() && requestsInProgress() === 0 && relayedConnections() === 0) break;
-      await sleep(clock, POLL_INTERVAL);
     }
     log.changed("stopped", { inProgress: requestsInProgress() });
     isDrained = true;
     parts.endRequests();
-    // Without it, the process would end before it has written these answers and read what waits in its sockets.
-    await sleep(clock, LAST_READ_TIME);
+    const closeAt = beganAt + grace - CLOSE_MARGIN;
+    do await sleepRunningTime(clock, LAST_READ_TIME);
+    while (requestsInProgress() > 0 && clock.now() < closeAt);
   };
   return {
     get hasBegun() {
