End a stop within its grace period on a starved machine

A wait is now repeated only while it was itself late, and not beyond 200 ms before the end of the grace period. planned_stop_test passes.

--- a/src/interface/timeout.ts
+++ b/src/interface/timeout.ts
@@ -48,11 +48,6 @@
   return { close: () => timer.close() };
 }
 
-/** Resolves after this process has been running for the given time in milliseconds; see {@linkcode afterRunningTime}. */
-export function sleepRunningTime(clock: Clock, milliseconds: number): Promise<void> {
-  return new Promise((resolve) => void afterRunningTime(clock, milliseconds, resolve));
-}
-
 /** Options of {@linkcode withTimeout}. */
 export interface TimeoutOptions {
   /** Running time in milliseconds after which the wait ends; see {@linkcode afterRunningTime}. */
--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { sleepRunningTime } from "../interface/index.ts";
+import { sleep } from "../interface/index.ts";
 import type { Clock } from "../interface/index.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
@@ -45,13 +45,10 @@
 const MARGIN = 600;
 /**
  * Time at the end of a stop in which final answers are written and requests that have arrived are read and refused, in
- * milliseconds in which the process runs.
+ * milliseconds.
  */
 const LAST_READ_TIME = 50;
-/**
- * Time after which a request in progress, and one that is still being refused at the end, is checked again, in
- * milliseconds in which the process runs.
- */
+/** Interval of the check whether everything in progress has ended, in milliseconds. */
 const POLL_INTERVAL = 50;
 /** Part of the grace period that is left for closing connections whatever is still in progress, in milliseconds. */
 const CLOSE_MARGIN = 200;
@@ -69,17 +66,15 @@
     log.changed("stopping", { inProgress: requestsInProgress() });
     parts.onBegin();
     const deadline = beganAt + grace - MARGIN;
+    const closeAt = beganAt + grace - CLOSE_MARGIN;
     while (clock.now() < deadline) {
-      // After a stall of the process, expired timers run before sockets are read. With plain timers, requests that wait
-      // there would not count as in progress, and their connections would be reset without an answer.
-      await sleepRunningTime(clock, POLL_INTERVAL);
+      await waitAndRead(clock, { duration: POLL_INTERVAL, until: closeAt });
       if (isClosedToNew() && requestsInProgress() === 0 && relayedConnections() === 0) break;
     }
     log.changed("stopped", { inProgress: requestsInProgress() });
     isDrained = true;
     parts.endRequests();
-    const closeAt = beganAt + grace - CLOSE_MARGIN;
-    do await sleepRunningTime(clock, LAST_READ_TIME);
+    do await waitAndRead(clock, { duration: LAST_READ_TIME, until: closeAt });
     while (requestsInProgress() > 0 && clock.now() < closeAt);
   };
   return {
@@ -95,3 +90,21 @@
     run: () => (stopped ??= stop()),
   };
 }
+
+/**
+ * Waits, and once more after a stall of the process, but not beyond `until`.
+ *
+ * After a stall, expired timers run before sockets are read. Requests that wait there would not count as in progress, and
+ * their connections would be reset without an answer.
+ */
+async function waitAndRead(
+  clock: Clock,
+  { duration, until }: { readonly duration: number; readonly until: number },
+): Promise<void> {
+  let isStalled = true;
+  while (isStalled) {
+    const from = clock.now();
+    await sleep(clock, duration);
+    isStalled = clock.now() - from >= 2 * duration && clock.now() < until;
+  }
+}
