Add a row of stops with raw callers and a slow link

The clients of the other rows read at once and wait for each answer, so a stop never met a slow reader, a full link, or bytes behind a request.

The row "raw" stops four instances with 14 groups of callers each: slow readers, a link of 400 KB/s with 40 ms of delay (a userland proxy), an empty line or a second request behind a request, two requests at once, bodies of 100,000 bytes sent slowly, requests at the end and until the process is gone, and streams that began before SIGTERM. The report counts each group, and failed requests with their last log line.

--- a/bench/stops/judge.ts
+++ b/bench/stops/judge.ts
@@ -8,6 +8,8 @@
 /** A request as its client observed it. Times are in milliseconds since 1970. */
 export interface StopRequest {
   readonly id: string;
+  /** Name under which it is counted in the report, if it isn't only counted among all. */
+  readonly group?: string;
   /** Process id of the instance that it was sent to. */
   readonly pid: number;
   readonly sentAt: number;
--- a/bench/stops/paced_worker.ts
+++ b/bench/stops/paced_worker.ts
@@ -11,6 +11,9 @@
 /** Path prefix of the requests that are answered with a stream of events. */
 export const STREAM_PATH = "/stream/";
 
+/** Header in which a request states the bytes of padding of each event of its stream, or of its whole answer. */
+export const PADDING_HEADER = "x-padding";
+
 const TOKENS_PER_EVENT = 4;
 const STARTED_AT = 1_000;
 const SLOTS = 64;
@@ -34,7 +37,7 @@
   isSilent: boolean;
   /** Whether its answers have no length and end with their connections. */
   isUnframed: boolean;
-  /** Bytes of padding in each event. */
+  /** Bytes of padding in each event; a request may state another size. */
   padding: number;
   /** Returns its entry in the store. */
   entry(overrides?: object): object;
@@ -118,6 +121,7 @@
   readonly headers: Record<string, string>;
 }): void {
   const tokens = outputTokens(request);
+  const padding = Number(request.headers[PADDING_HEADER] ?? state.padding);
   const isStream = request.url?.startsWith(STREAM_PATH) === true;
   if (state.isUnframed) endWithConnection(response);
   if (isStream) response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
@@ -132,13 +136,16 @@
       return;
     }
     sent = Math.min(tokens, sent + TOKENS_PER_EVENT);
-    if (isStream) response.write(eventText(sent, state.padding));
+    if (isStream) response.write(eventText(sent, padding));
     if (sent < tokens) {
       scheduleNext();
       return;
     }
     if (isStream) response.end();
-    else response.writeHead(200, headers).end(`${request.method} ${request.url}`);
+    else
+      response
+        .writeHead(200, headers)
+        .end(`${request.method} ${request.url}${"x".repeat(padding)}`);
   };
   const scheduleNext = (): void => {
     const dueAt = startedAt + silence + Math.min(tokens, sent + TOKENS_PER_EVENT) * TOKEN_TIME;
--- a/bench/stops/report.ts
+++ b/bench/stops/report.ts
@@ -18,6 +18,7 @@
     `sent to stopping ones:   ${countsOf(inStop)}`,
     `LOST, after SIGTERM:     ${spread(judgements.filter(({ isLost }) => isLost))}`,
     ...brokenOffLines(judgements, fleet.lastLine),
+    ...groupLines(judgements),
     `instances killed after the grace period: ${fleet.kills}`,
   ];
 }
@@ -37,24 +38,37 @@
   ].join(", ");
 }
 
-/** States for the broken-off requests whether the instances logged them, and the last lines that name them. */
+/** Counts the requests of each group. */
+function groupLines(judgements: readonly Judgement[]): string[] {
+  const groups = new Map<string, Judgement[]>();
+  for (const judgement of judgements) {
+    const { group } = judgement.request;
+    if (group !== undefined) groups.set(group, [...(groups.get(group) ?? []), judgement]);
+  }
+  return [...groups].map(([group, members]) => `${group}: ${countsOf(members)}`);
+}
+
+const UNSERVED_FATES: ReadonlySet<Fate> = new Set([Fate.BrokenOff, Fate.Failed]);
+
+/** States for requests that were broken off or failed whether the instances logged them, and the last lines on them. */
 function brokenOffLines(
   judgements: readonly Judgement[],
   lastLine: (id: string) => RequestLine | undefined,
 ): string[] {
-  const broken = judgements.filter(({ fate }) => fate === Fate.BrokenOff);
+  const notServed = judgements.filter(({ fate }) => UNSERVED_FATES.has(fate));
   const counts = new Map<string, number>();
-  for (const { request } of broken) {
-    const text = describeLine(lastLine(request.id));
+  for (const { request, fate } of notServed) {
+    const { group = "", status, id } = request;
+    const text = `${group} ${fate}, status ${status}, last log line: ${describeLine(lastLine(id))}`;
     counts.set(text, (counts.get(text) ?? 0) + 1);
   }
-  return [...counts].map(([text, count]) => `broken off, last log line: ${text}: ${count}`);
+  return [...counts].map(([text, count]) => `${text}: ${count}`);
 }
 
 function describeLine(line: RequestLine | undefined): string {
   if (line === undefined) return "none";
-  const { step, reason = "", isCut, runs } = line;
-  return `${step} ${reason} isCut=${isCut ?? ""} runs=${runs ?? ""}`;
+  const { step, reason = "", isCut, runs, end } = line;
+  return `${step} ${reason} isCut=${isCut ?? ""} runs=${runs ?? ""} end=${end ?? ""}`;
 }
 
 /** Returns the first and last time after SIGTERM at which requests were sent and ended, in seconds. */
--- a/bench/stops/rows.ts
+++ b/bench/stops/rows.ts
@@ -7,6 +7,7 @@
 import type { Random } from "../../src/interface/index.ts";
 import { systemClock } from "../../src/process/system_clock.ts";
 import { createKeptConnection, pickBetween, runMixedClient, sendTo, tokensFor } from "./clients.ts";
+import { runRawCallers } from "./raw_callers.ts";
 import type { StopFleet, StopInstance } from "./stop_fleet.ts";
 
 /** Name of a row. */
@@ -23,6 +24,8 @@
   Changes = "changes",
   /** The same, with answers that have no length. */
   Unframed = "unframed",
+  /** Callers that read slowly, use slow links, or don't wait for their answers. */
+  Raw = "raw",
 }
 
 const STREAMS_PER_STOP = 60;
@@ -42,6 +45,7 @@
 
 /** Runs a row to the end of all its requests. */
 export function runRow(row: Row, fleet: StopFleet, random: Random): Promise<void> {
+  if (row === Row.Raw) return runRawCallers(fleet, random);
   return row === Row.Streams ? runStreams(fleet, random) : runTurns(row, fleet, random);
 }
 
--- a/bench/stops/stop_fleet.ts
+++ b/bench/stops/stop_fleet.ts
@@ -31,6 +31,8 @@
   readonly reason?: string;
   readonly isCut?: boolean;
   readonly runs?: number;
+  /** What of the response had left the process when it closed. */
+  readonly end?: string;
 }
 
 /** The fleet of one run. */
