Read a worker's next response after one that ended within a pause

Callers saw: requests that a worker ran and answered completely had no answer until their deadline, or got 502 (reason=stopped) at the end of a stop, 4 to 7 s after the worker had answered. Streams there had no first event, so that their callers gave up.

Cause: if a caller reads slowly, or more than 16 KB of a stream arrive at once, reading from the worker is paused until the caller has caught up. If the response ended with the same bytes, the run was over when the caller caught up, so nobody resumed the connection. It went back to the pool with its socket paused, and whatever the worker answered to the next request was never read. The class: a state of one exchange survives on what the next one reuses.

A connection now reads again as soon as its exchange is complete, before it counts as idle. An idle connection also notices that its worker closes it.

Measured: the added test failed (no response within 60 s) and passes.

--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -134,10 +134,17 @@
     if (isUnused && !isRelayed && !isClosed && current !== undefined) options.onBrokenUnused();
     endExchange({ kind: "broken", detail });
   };
+  const continueReading = (): void => {
+    isPaused = false;
+    isHeld = false;
+    socket?.resume();
+  };
   const completeExchange = (): void => {
     const sink = current;
     current = undefined;
     idleSince = clock.now();
+    // The response may have ended within a pause. Nobody resumes it any more, and the next response would never be read.
+    continueReading();
     // If the worker responded before it read the whole body, the rest of the body would be parsed as the next request.
     const isLast = !canReuse || (isRelayed && !isPreparatory);
     if (isLast || (socket?.writableLength ?? 0) > 0) close();
@@ -218,8 +225,6 @@
   const exchange: WorkerConnection["exchange"] = (request, sink, options = {}) => {
     current = sink;
     isPreparatory = options.isPreparatory ?? false;
-    isPaused = false;
-    isHeld = false;
     exchangeCount++;
     parser.expectResponse(request.method, {
       head: (head) => {
@@ -238,9 +243,7 @@
     if (socket === undefined) queuedRequest = bytes;
     else socket.write(bytes);
     const resume = (): void => {
-      isPaused = false;
-      isHeld = false;
-      socket?.resume();
+      continueReading();
       heldEnd?.();
     };
     return {
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -225,6 +225,28 @@
   },
 );
 
+// Guards against requests that a worker answers and whose answers are never read: the caller of the request before was slow
+// while the last bytes of its response arrived, and the connection stayed paused.
+test.each(["pause", "hold"] as const)(
+  "the response after one that ended within a %s is read",
+  async (stop) => {
+    const address = await startWorker((socket) => {
+      socket.on("data", () =>
+        socket.write("HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nwhole"),
+      );
+    });
+    const connection = connectTo(address);
+    await new Promise<void>((resolve) => {
+      const exchange = connection.exchange(
+        { method: "GET", target: "/", headers: ["X-Id", "r1"], body: Buffer.alloc(0), id: "r1" },
+        { head: () => undefined, data: () => exchange[stop](), end: () => resolve() },
+      );
+    });
+    expect(connection.isIdle()).toBe(true);
+    expect((await sendRequest(connection)).body).toBe("whole");
+  },
+);
+
 // Guards against a crash of a worker that isn't noticed, because nothing is read from it while the request is elsewhere.
 test("an exchange that is held ends at once with its connection", async () => {
   const address = await startWorker((socket) => {
