Leave out objects of the store that are nested too deeply or too large

Cause: JSON.parse reads any nesting (500,000 levels in Node.js 20), but JSON.stringify exceeds the stack on some thousand levels. Objects were passed on as they came: in digests (objectText, from changesSince and the encoder) and to instances that fetch a list (sendJson). The exception ended the process.

Change: every object is checked once, where a follower takes it from the store, a digest or another instance, by a function of limited depth: 32 levels, and 16 KiB (1/64 of value_bytes) or, for the configuration, value_bytes. Beyond a limit the object is followed without its value, so that versions and removals work as before; the line worker-entry-unreadable names it with the limit. Objects whose name is longer than 1,024 characters, or isn't Unicode text, are ignored with the line object-name-unusable.

Unknown fields are still passed on, since a newer instance may need those that an older relay doesn't know.

--- a/src/interface/object_feed.ts
+++ b/src/interface/object_feed.ts
@@ -1,3 +1,11 @@
+/** The limit that an object in the platform's store exceeds. */
+export enum ObjectExcess {
+  /** It is nested too deeply. */
+  Depth = "depth",
+  /** It is too large. */
+  Size = "size",
+}
+
 /** An object in the platform's store. */
 export interface FeedObject {
   readonly name: string;
@@ -7,6 +15,8 @@
   readonly value: unknown;
   /** The object's status as decoded from JSON, not validated; undefined if it has none. */
   readonly status?: unknown;
+  /** The limit that the object exceeds, if any; its value is then null, and it has no status. */
+  readonly excess?: ObjectExcess;
 }
 
 /** A snapshot of all objects of a kind. */
--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -9,6 +9,8 @@
   Random,
 } from "../interface/index.ts";
 import { eraOf, startOfEra } from "../version/index.ts";
+import { ENTRY_LIMITS, limitChanges, limitObjects } from "./object_limits.ts";
+import type { ObjectLimits } from "./object_limits.ts";
 
 /** The source from which an instance received a change. */
 export enum ChangeSource {
@@ -89,6 +91,10 @@
    * return the same data.
    */
   readonly isNeeded?: () => boolean;
+  /** What one object may hold. Beyond it, an object is followed without its value. */
+  readonly limits?: ObjectLimits;
+  /** Called with the name of an object that is ignored because its name is too long or isn't Unicode text. */
+  readonly onUnusableName?: (name: string) => void;
   /** Returns the milliseconds until a watch that starts now is to be renewed. */
   readonly watchTimeout: () => number;
   /** Called when the store has answered, before changes in the answer are applied. */
@@ -135,6 +141,7 @@
 /** Creates a follower without any objects. */
 export function createFeedFollower(parts: FeedFollowerParts): FeedFollower {
   const { kind, clock, random, feed, isNeeded = () => true } = parts;
+  const { limits = ENTRY_LIMITS, onUnusableName = () => undefined } = parts;
   let objects = new Map<string, FeedObject>();
   let version = 0;
   let changedAt = 0;
@@ -168,7 +175,8 @@
     if (changes.length > 0) parts.onChange(changes, arrival);
   };
   const apply = (changes: readonly FeedChange[]): FeedChange[] => {
-    const newer = changes.filter(({ object }) => !isOlder(object, objects));
+    const limited = limitChanges(changes, limits, onUnusableName);
+    const newer = limited.filter(({ object }) => !isOlder(object, objects));
     for (const { object, removed } of newer) {
       if (removed) objects.delete(object.name);
       else objects.set(object.name, object);
@@ -191,7 +199,8 @@
       batches.length = 0;
       changedAt = startOfEra(snapshot.version);
     }
-    objects = new Map(snapshot.objects.map((object) => [object.name, object]));
+    const listed = limitObjects(snapshot.objects, limits, onUnusableName);
+    objects = new Map(listed.map((object) => [object.name, object]));
     version = snapshot.version;
     const changes = differences(previous, { objects, version });
     if (changes.length === 0) {
@@ -200,7 +209,7 @@
       }
       return;
     }
-    const latest = snapshot.objects.reduce((max, object) => Math.max(max, object.version), 0);
+    const latest = listed.reduce((max, object) => Math.max(max, object.version), 0);
     const isRemoval = changes.some(({ removed }) => removed);
     const at = snapshot.changedAt ?? (isRemoval ? snapshot.version : latest);
     recordChanges(Math.max(changedAt, at), changes, arrival);
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -16,6 +16,8 @@
 import type { FleetSync } from "./fleet_sync.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { createPeerCatchUp } from "./peer_catch_up.ts";
+import { CONFIGURATION_LIMITS } from "./object_limits.ts";
+import type { ObjectLimits } from "./object_limits.ts";
 import type { FetchObjects } from "./peer_fetch.ts";
 import type { PeerInstance } from "./peer.ts";
 import type { StoredKinds } from "./routed_entry_parts.ts";
@@ -97,6 +99,9 @@
   readonly onWorkers: (workers: readonly RoutedWorker[]) => void;
 }
 
+/** Maximum number of characters of an unusable name in a log line. */
+const MAX_LOGGED_NAME = 64;
+
 /** Creates a view without any objects. */
 export function createStoreView(parts: StoreViewParts): StoreView {
   const { clock, random, kinds, log, fleet } = parts;
@@ -137,6 +142,7 @@
   const follow = (
     { kind, name }: { kind: string; name: string },
     options: {
+      readonly limits?: ObjectLimits;
       readonly apply: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
       readonly isNeeded?: () => boolean;
     },
@@ -149,6 +155,13 @@
       feed: parts.feed,
       isNeeded: () => isQueryNeeded() || catchUp.isBehind(kind),
       watchTimeout: () => watchTimeout(kind),
+      ...(options.limits === undefined ? {} : { limits: options.limits }),
+      onUnusableName: (unusable) =>
+        log.changed("object-name-unusable", {
+          kind: name,
+          begins: unusable.slice(0, MAX_LOGGED_NAME),
+          length: unusable.length,
+        }),
       onChange: (changes, arrival) => {
         options.apply(changes, arrival);
         reportChanges(follower, changes, arrival);
@@ -164,7 +177,10 @@
   };
   const routingFeed: FeedFollower = follow(
     { kind: kinds.routing.kind, name: "routing" },
-    { apply: () => applyRouting(routingFeed.objects.get(kinds.routing.name)) },
+    {
+      limits: CONFIGURATION_LIMITS,
+      apply: () => applyRouting(routingFeed.objects.get(kinds.routing.name)),
+    },
   );
   const workerFeed: FeedFollower = follow(
     { kind: kinds.workers, name: "workers" },
@@ -206,7 +222,7 @@
     clock,
     decode: kinds.readWorker,
     onChange: () => applyWorkers(),
-    onUnreadable: (name) => log.changed("worker-entry-unreadable", { worker: name }),
+    onUnreadable: (worker, excess) => log.changed("worker-entry-unreadable", { worker, excess }),
   });
   const catchUp = createPeerCatchUp({
     clock,
--- a/src/process/worker_roster.ts
+++ b/src/process/worker_roster.ts
@@ -1,4 +1,10 @@
-import type { Clock, FeedChange, FeedObject, RoutedWorker } from "../interface/index.ts";
+import type {
+  Clock,
+  FeedChange,
+  FeedObject,
+  ObjectExcess,
+  RoutedWorker,
+} from "../interface/index.ts";
 
 /** The workers according to their registrations in the store. */
 export interface WorkerRoster {
@@ -19,8 +25,8 @@
   readonly decode: (object: FeedObject) => RoutedWorker | undefined;
   /** Called when a held-back removal takes effect, which changes the result of `list`. */
   readonly onChange: () => void;
-  /** Called with the name of a registration that can't be parsed. */
-  readonly onUnreadable: (name: string) => void;
+  /** Called with the name of a registration that can't be parsed, and with the limit that it exceeds, if any. */
+  readonly onUnreadable: (name: string, excess: ObjectExcess | undefined) => void;
 }
 
 /**
@@ -86,7 +92,7 @@
     if (worker !== undefined) workers.set(object.name, worker);
     else {
       workers.delete(object.name);
-      parts.onUnreadable(object.name);
+      parts.onUnreadable(object.name, object.excess);
     }
   };
   /** Ignores a registration that was removed before the restore, for as long as it may be outdated. */
