--- a/src/connection/json_client.ts
+++ b/src/connection/json_client.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { ReceivedPart } from "../decision/index.ts";
 import type { ReceiveBudget } from "../decision/index.ts";
-import { MAX_RESPONSE_BYTES } from "./http_body.ts";
+import { BodyTooLarge, MAX_RESPONSE_BYTES } from "./http_body.ts";
 import { splitAddress } from "./http_listener.ts";
 
 /** A request to a service with a JSON API. */
@@ -33,6 +33,7 @@
    * Sends a request.
    *
    * @returns The response, whatever its status.
+   * @throws {BodyTooLarge} If the response is larger than the limits allow.
    * @throws {Error} If no complete response arrives in time, or its body isn't JSON. The service may have
    *   processed the request nevertheless.
    */
@@ -111,7 +112,7 @@
           chunks.push(chunk);
           if (held.hold(size) && size <= MAX_RESPONSE_BYTES) return;
           held.recordExceeded(address);
-          outgoing.destroy(new Error("the response is too large"));
+          outgoing.destroy(new BodyTooLarge("the response is too large"));
         });
         response.on("error", (error) => end(() => reject(error)));
         response.on("close", () => {
