Read the list of a kind although one object has no spec

An object without a spec made the whole list, and every watch response with it, unreadable: the instance followed no change of that kind as long as the object existed.

Cause: the schema accepts any spec, but not a missing one. The same held for the list that another instance fetches, from which JSON drops a value that is undefined.

Change: a missing spec is null, which each kind's reader rejects for this object alone.

--- a/src/process/peer_fetch.ts
+++ b/src/process/peer_fetch.ts
@@ -13,7 +13,7 @@
     z.object({
       name: z.string(),
       version: z.number(),
-      value: z.unknown(),
+      value: z.unknown().default(null),
       status: z.unknown().optional(),
     }),
   ),
