--- a/src/process/feed_follower.ts
+++ b/src/process/feed_follower.ts
@@ -9,7 +9,7 @@
   Random,
 } from "../interface/index.ts";
 import { eraOf, startOfEra } from "../version/index.ts";
-import { ENTRY_LIMITS, limitChanges, limitObjects } from "./object_limits.ts";
+import { ENTRY_LIMITS, isUsableName, limitObject } from "./object_limits.ts";
 import type { ObjectLimits } from "./object_limits.ts";
 
 /** The source from which an instance received a change. */
@@ -91,8 +91,11 @@
    * return the same data.
    */
   readonly isNeeded?: () => boolean;
-  /** What one object may hold. Beyond it, an object is followed without its value. */
-  readonly limits?: ObjectLimits;
+  /**
+   * Returns what the object with a name may hold if it comes from another instance. Beyond that, it
+   * is followed without its value.
+   */
+  readonly limitsOf?: (name: string) => ObjectLimits;
   /** Called with the name of an object that is ignored because its name is too long or isn't Unicode text. */
   readonly onUnusableName?: (name: string) => void;
   /** Returns the milliseconds until a watch that starts now is to be renewed. */
@@ -141,7 +144,7 @@
 /** Creates a follower without any objects. */
 export function createFeedFollower(parts: FeedFollowerParts): FeedFollower {
   const { kind, clock, random, feed, isNeeded = () => true } = parts;
-  const { limits = ENTRY_LIMITS, onUnusableName = () => undefined } = parts;
+  const { limitsOf = () => ENTRY_LIMITS, onUnusableName = () => undefined } = parts;
   let objects = new Map<string, FeedObject>();
   let version = 0;
   let changedAt = 0;
@@ -174,9 +177,16 @@
     changedAt = to;
     if (changes.length > 0) parts.onChange(changes, arrival);
   };
+  const limited = (object: FeedObject): FeedObject => limitObject(object, limitsOf(object.name));
+  const hasUsableName = ({ name }: FeedObject): boolean => {
+    if (isUsableName(name)) return true;
+    onUnusableName(name);
+    return false;
+  };
   const apply = (changes: readonly FeedChange[]): FeedChange[] => {
-    const limited = limitChanges(changes, limits, onUnusableName);
-    const newer = limited.filter(({ object }) => !isOlder(object, objects));
+    const newer = changes.filter(
+      ({ object }) => hasUsableName(object) && !isOlder(object, objects),
+    );
     for (const { object, removed } of newer) {
       if (removed) objects.delete(object.name);
       else objects.set(object.name, object);
@@ -199,7 +209,7 @@
       batches.length = 0;
       changedAt = startOfEra(snapshot.version);
     }
-    const listed = limitObjects(snapshot.objects, limits, onUnusableName);
+    const listed = snapshot.objects.filter(hasUsableName);
     objects = new Map(listed.map((object) => [object.name, object]));
     version = snapshot.version;
     const changes = differences(previous, { objects, version });
@@ -214,13 +224,21 @@
     const at = snapshot.changedAt ?? (isRemoval ? snapshot.version : latest);
     recordChanges(Math.max(changedAt, at), changes, arrival);
   };
-  const applyList = (snapshot: FeedSnapshot): void =>
-    replaceObjects(snapshot, { source: ChangeSource.Fetch, age: snapshot.age ?? 0 });
+  const applyList = (snapshot: FeedSnapshot): void => {
+    const objectsWithinLimits = snapshot.objects.map(limited);
+    const { age = 0 } = snapshot;
+    replaceObjects(
+      { ...snapshot, objects: objectsWithinLimits },
+      { source: ChangeSource.Fetch, age },
+    );
+  };
   const applyDelta = (delta: FeedDelta): void => {
     if (delta.from > changedAt || delta.to <= changedAt || isListNeeded) return;
     // The store has already returned a later version, so the delta contains nothing new.
     const isKnown = delta.to <= version;
-    const changes = isKnown ? [] : apply(delta.changes);
+    const changes = isKnown
+      ? []
+      : apply(delta.changes.map(({ object, removed }) => ({ object: limited(object), removed })));
     version = Math.max(version, delta.to);
     recordChanges(delta.to, changes, {
       source: ChangeSource.Digest,
--- a/src/process/feed_follower_test.ts
+++ b/src/process/feed_follower_test.ts
@@ -345,3 +345,39 @@
   b.follower.applyDelta({ ...found, to: 18 });
   expect(b.names().sort()).toEqual(["w", "x"]);
 });
+
+/** A value that `JSON.stringify` can't write. */
+const DEEP: unknown = JSON.parse("[".repeat(20_000) + "]".repeat(20_000));
+
+// An instance of an earlier version passes on what it has received. Objects that can't be passed on again would end this
+// instance.
+test("follows objects from other instances that exceed the limits without their values", async () => {
+  const { follower, store } = await follow([object("a", 5)]);
+  const listed = { name: "b", version: 11, value: DEEP };
+  follower.applyList({ objects: [object("a", 5), listed], version: 11, changedAt: 11 });
+  const changed = { name: "c", version: 12, value: {}, status: DEEP };
+  const changes = [{ object: changed, removed: false }];
+  follower.applyDelta({ kind: "k", from: 11, to: 12, changes, age: 0 });
+  expect([...follower.objects.values()].map(({ value }) => value)).toEqual([5, null, null]);
+  expect(JSON.stringify(follower.changesSince(10))).toContain('"excess":"depth"');
+  store.answer({ kind: "changed", changes: [], version: 13 });
+  follower.close();
+});
+
+test.each([
+  ["is too long", "x".repeat(2_000)],
+  ["isn't Unicode text", "i-\ud800"],
+])("ignores an object whose name %s", async (_title, name) => {
+  const { clock, follower, names, store } = await follow([object("a", 5), object(name, 6)]);
+  store.answer({
+    kind: "changed",
+    changes: [
+      { object: object(name, 11), removed: false },
+      { object: object("b", 12), removed: false },
+    ],
+    version: 12,
+  });
+  await clock.advance(1);
+  expect(names()).toEqual(["a", "b"]);
+  follower.close();
+});
--- a/src/process/object_limits.ts
+++ b/src/process/object_limits.ts
@@ -4,11 +4,11 @@
  * Any client may write to the store. `JSON.parse` reads any nesting, but `JSON.stringify` and other recursive functions
  * exceed the stack on some thousand levels, and the exception ends the process wherever the object is passed on. Large
  * objects fill the memory and the datagrams between instances. So every object is checked once, where it enters the
- * instance, by a function whose depth has a limit.
+ * instance (the client of the store, and the follower for what other instances send), by a function whose depth has a limit.
  *
  * @module
  */
-import type { FeedChange, FeedObject } from "../interface/index.ts";
+import type { FeedObject } from "../interface/index.ts";
 import { ObjectExcess } from "../interface/index.ts";
 
 /** The most that the value and the status of an object may hold. */
@@ -24,8 +24,8 @@
 /** A configuration nests objects to 5 levels and a worker's entry to 4; later versions may add some. */
 const MAX_DEPTH = 32;
 
-/** Limits of the operator's configuration, which may be as large as the store allows. */
-export const CONFIGURATION_LIMITS: ObjectLimits = { depth: MAX_DEPTH, size: MAX_STORED_SIZE };
+/** Limits of objects of which there are few, such as the configuration. They may be as large as the store allows. */
+export const DOCUMENT_LIMITS: ObjectLimits = { depth: MAX_DEPTH, size: MAX_STORED_SIZE };
 /**
  * Limits of an object of which there are many. A worker's entry has about 300 characters. The entries of the 4,600
  * workers that the design is meant for fit into memory even if all have the maximum size, and one fits into a digest.
@@ -36,36 +36,11 @@
 /** A surrogate without its counterpart. Text with one can't be encoded as UTF-8. */
 const LONE_SURROGATE = /\p{Surrogate}/u;
 
-/** Whether an object with this name can be followed. The store can't be asked for a name that isn't Unicode text. */
+/** Whether an object with this name can be followed. */
 export function isUsableName(name: string): boolean {
   return name.length <= MAX_NAME_LENGTH && !LONE_SURROGATE.test(name);
 }
 
-/** Returns the changes of objects with usable names; those that exceed the limits have no value. */
-export function limitChanges(
-  changes: readonly FeedChange[],
-  limits: ObjectLimits,
-  onUnusableName: (name: string) => void,
-): FeedChange[] {
-  return changes.flatMap(({ object, removed }) =>
-    limitObjects([object], limits, onUnusableName).map((limited) => ({ object: limited, removed })),
-  );
-}
-
-/** Returns the objects with usable names; those that exceed the limits have no value. */
-export function limitObjects(
-  objects: readonly FeedObject[],
-  limits: ObjectLimits,
-  onUnusableName: (name: string) => void,
-): FeedObject[] {
-  const usable: FeedObject[] = [];
-  for (const object of objects) {
-    if (isUsableName(object.name)) usable.push(limitObject(object, limits));
-    else onUnusableName(object.name);
-  }
-  return usable;
-}
-
 /**
  * Returns the object, or one without a value if it exceeds the limits. The object itself remains, so that its versions
  * are followed like those of the others.
--- a/src/process/object_limits_test.ts
+++ b/src/process/object_limits_test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, test } from "vitest";
 import { ObjectExcess } from "../interface/index.ts";
 import type { FeedObject } from "../interface/index.ts";
-import { CONFIGURATION_LIMITS, ENTRY_LIMITS, MAX_NAME_LENGTH } from "./object_limits.ts";
-import { isUsableName, limitChanges, limitObject, limitObjects } from "./object_limits.ts";
+import { DOCUMENT_LIMITS, ENTRY_LIMITS, MAX_NAME_LENGTH } from "./object_limits.ts";
+import { isUsableName, limitObject } from "./object_limits.ts";
 
 function objectOf(json: string, fields: Partial<FeedObject> = {}): FeedObject {
   return { name: "i-1", version: 3, value: JSON.parse(json), ...fields };
@@ -54,7 +54,7 @@
   expect(json.length).toBeLessThan(1_048_576);
   expect(json.length).toBeGreaterThan(900_000);
   const object = objectOf(json);
-  expect(limitObject(object, CONFIGURATION_LIMITS)).toBe(object);
+  expect(limitObject(object, DOCUMENT_LIMITS)).toBe(object);
   expect(limitObject(object, ENTRY_LIMITS).excess).toBe(ObjectExcess.Size);
 });
 
@@ -67,17 +67,10 @@
 
 // Guards against a name that can't be sent to the store or to other instances, or that fills each of their datagrams.
 test.each([
-  ["a long name", "x".repeat(MAX_NAME_LENGTH + 1)],
-  ["a lone surrogate", "i-\ud800"],
-])("an object with %s is ignored, and its name is reported", (_title, name) => {
-  const reported: string[] = [];
-  const odd = objectOf("{}", { name });
-  const sound = objectOf("{}");
-  const report = (unusable: string): void => void reported.push(unusable);
-  expect(limitObjects([odd, sound], ENTRY_LIMITS, report)).toEqual([sound]);
-  const changes = [odd, sound].map((object) => ({ object, removed: false }));
-  expect(limitChanges(changes, ENTRY_LIMITS, report)).toEqual([{ object: sound, removed: false }]);
-  expect(reported).toEqual([name, name]);
+  ["longer than the limit", "x".repeat(MAX_NAME_LENGTH + 1)],
+  ["with a lone surrogate", "i-\ud800"],
+])("a name is unusable if it is %s", (_title, name) => {
+  expect(isUsableName(name)).toBe(false);
 });
 
 test("names outside of the first 65,536 characters of Unicode are usable", () => {
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -18,6 +18,7 @@
 import type { Connect } from "../connection/dial.ts";
 import type { ProcessReport } from "../connection/process_identity.ts";
 import type { Routing } from "../version/index.ts";
+import type { ObjectLimits } from "./object_limits.ts";
 import type { FetchObjects } from "./peer_fetch.ts";
 import type { RoutedLog } from "./routed_log.ts";
 import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
@@ -36,6 +37,8 @@
   readonly quarantine: string;
   /** Returns the kind of the objects of a group of instances under `STREAM_RECORDS_KEY`. */
   readonly streamRecordsOf: (group: string) => string;
+  /** Returns what the object with this kind and name may hold. */
+  readonly limitsOf: (kind: string, name: string) => ObjectLimits;
   /** Parses a configuration. Throws if it is invalid. */
   readonly readRouting: (value: unknown) => Routing;
   /** Parses a worker's registration. Returns undefined if it describes no usable worker. */
--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -16,8 +16,6 @@
 import type { FleetSync } from "./fleet_sync.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { createPeerCatchUp } from "./peer_catch_up.ts";
-import { CONFIGURATION_LIMITS } from "./object_limits.ts";
-import type { ObjectLimits } from "./object_limits.ts";
 import type { FetchObjects } from "./peer_fetch.ts";
 import type { PeerInstance } from "./peer.ts";
 import type { StoredKinds } from "./routed_entry_parts.ts";
@@ -142,7 +140,6 @@
   const follow = (
     { kind, name }: { kind: string; name: string },
     options: {
-      readonly limits?: ObjectLimits;
       readonly apply: (changes: readonly FeedChange[], arrival: ChangeArrival) => void;
       readonly isNeeded?: () => boolean;
     },
@@ -155,7 +152,7 @@
       feed: parts.feed,
       isNeeded: () => isQueryNeeded() || catchUp.isBehind(kind),
       watchTimeout: () => watchTimeout(kind),
-      ...(options.limits === undefined ? {} : { limits: options.limits }),
+      limitsOf: (object) => kinds.limitsOf(kind, object),
       onUnusableName: (unusable) =>
         log.changed("object-name-unusable", {
           kind: name,
@@ -178,7 +175,6 @@
   const routingFeed: FeedFollower = follow(
     { kind: kinds.routing.kind, name: "routing" },
     {
-      limits: CONFIGURATION_LIMITS,
       apply: () => applyRouting(routingFeed.objects.get(kinds.routing.name)),
     },
   );
