--- a/src/process/store_view.ts
+++ b/src/process/store_view.ts
@@ -97,6 +97,9 @@
   readonly onWorkers: (workers: readonly RoutedWorker[]) => void;
 }
 
+/** Maximum number of characters of an unusable name in a log line. */
+const MAX_LOGGED_NAME = 64;
+
 /** Creates a view without any objects. */
 export function createStoreView(parts: StoreViewParts): StoreView {
   const { clock, random, kinds, log, fleet } = parts;
@@ -149,6 +152,13 @@
       feed: parts.feed,
       isNeeded: () => isQueryNeeded() || catchUp.isBehind(kind),
       watchTimeout: () => watchTimeout(kind),
+      limitsOf: (object) => kinds.limitsOf(kind, object),
+      onUnusableName: (unusable) =>
+        log.changed("object-name-unusable", {
+          kind: name,
+          begins: unusable.slice(0, MAX_LOGGED_NAME),
+          length: unusable.length,
+        }),
       onChange: (changes, arrival) => {
         options.apply(changes, arrival);
         reportChanges(follower, changes, arrival);
@@ -164,7 +174,9 @@
   };
   const routingFeed: FeedFollower = follow(
     { kind: kinds.routing.kind, name: "routing" },
-    { apply: () => applyRouting(routingFeed.objects.get(kinds.routing.name)) },
+    {
+      apply: () => applyRouting(routingFeed.objects.get(kinds.routing.name)),
+    },
   );
   const workerFeed: FeedFollower = follow(
     { kind: kinds.workers, name: "workers" },
@@ -206,7 +218,7 @@
     clock,
     decode: kinds.readWorker,
     onChange: () => applyWorkers(),
-    onUnreadable: (name) => log.changed("worker-entry-unreadable", { worker: name }),
+    onUnreadable: (worker, excess) => log.changed("worker-entry-unreadable", { worker, excess }),
   });
   const catchUp = createPeerCatchUp({
     clock,
