Relay no further connections at a stopping instance

An instance whose path to the workers is cut is served through its peers. A peer that was stopping still began to relay for it, whatever time the answer needed, and cut the answer at its end. In a mesh the peers know of the stop within a millisecond; in a fleet with relays they learn it with the roster, after up to three digests, and a lost datagram delays it as well.

Cause: the relay didn't ask whether its instance was stopping. It now answers such a CONNECT request like one without a path (503), so that the asking instance tries the next one in the same dial and ranks this one last for a second. Connections that are open go on until the end of the stop, and the framing tells its end from the worker's, so a stream that can be taken up again continues elsewhere (relayed_answer_test, unchanged).

--- a/src/connection/worker_relay.ts
+++ b/src/connection/worker_relay.ts
@@ -37,6 +37,8 @@
   readonly path: Pick<WorkerPath, "dialForPeer">;
   /** Returns the registered worker at an address. Connections to other addresses are not relayed. */
   readonly workerAt: (address: string) => WorkerEndpoint | undefined;
+  /** Whether this instance is stopping. It then relays no further connections, since its end would cut them. */
+  readonly isStopping: () => boolean;
   /** Maximum number of connections that are relayed at the same time. */
   readonly maxConnections?: number;
 }
@@ -56,6 +58,7 @@
 export function createWorkerRelay({
   path,
   workerAt,
+  isStopping,
   maxConnections = MAX_RELAYED_CONNECTIONS,
 }: WorkerRelayParts): WorkerRelay {
   const sockets = new Set<Socket>();
@@ -83,7 +86,7 @@
         reject(socket, RELAY_UNKNOWN_WORKER);
         return;
       }
-      if (sockets.size >= maxConnections) {
+      if (isStopping() || sockets.size >= maxConnections) {
         reject(socket, RELAY_STATUS_BY_FAILURE[DialFailure.NoPath]);
         return;
       }
--- a/src/connection/worker_relay_test.ts
+++ b/src/connection/worker_relay_test.ts
@@ -45,10 +45,12 @@
   {
     connect,
     maxConnections,
+    isStopping = () => false,
     onCreated,
   }: {
     connect?: Connect;
     maxConnections?: number;
+    isStopping?: () => boolean;
     onCreated?: (relay: WorkerRelay) => void;
   } = {},
 ): Promise<string> {
@@ -56,6 +58,7 @@
   const relay = createWorkerRelay({
     path,
     ...(maxConnections === undefined ? {} : { maxConnections }),
+    isStopping,
     workerAt: (address) => (address === known ? { id: "i-1", startedAt: 1, address } : undefined),
   });
   onCreated?.(relay);
@@ -131,6 +134,27 @@
   expect(await exchange(worker, address)).toEqual({ text: "half", isReset: true });
 });
 
+// Guards against answers that are cut because an instance began to relay them although it was about to end.
+test("a stopping instance relays no further connections, and another one is asked", async () => {
+  let isStopping = false;
+  const worker = await startWorker((socket) =>
+    socket.on("data", (bytes) => socket.write(`${String(bytes)} back`)),
+  );
+  const stopping = await startRelay(worker, { isStopping: () => isStopping });
+  const before = await dial(worker, [stopping]);
+  if (typeof before === "string") throw new Error(`Not connected: ${before}`);
+  isStopping = true;
+  expect(await dial(worker, [stopping])).toBe(DialFailure.NoPath);
+  expect(await dial(worker, [stopping, await startRelay(worker)])).toMatchObject({
+    isRelayed: true,
+  });
+  const { socket, decoder } = before;
+  socket.write("hello");
+  const bytes = await new Promise<Buffer>((resolve) => socket.once("data", resolve));
+  expect(String(decoder?.decode(bytes))).toBe("hello back");
+  socket.destroy();
+});
+
 // Guards against instances of an earlier version that read frames as a part of their workers' responses.
 test("an instance that asks for no framing gets the worker's own bytes", async () => {
   const worker = await startWorker((socket) =>
@@ -281,7 +305,7 @@
   for (const [index, path] of paths.entries()) {
     const workerAt = (address: string): WorkerEndpoint | undefined =>
       workers.find((worker) => worker.address === address);
-    const relay = createWorkerRelay({ path, workerAt });
+    const relay = createWorkerRelay({ path, workerAt, isStopping: () => false });
     const listener = await listenHttp(addresses[index] ?? "", (_, response) => response.end(), {
       onConnect: (request, stream, head) => relay.handle(request, stream, head),
     });
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -152,6 +152,7 @@
   const relay = createWorkerRelay({
     path,
     workerAt: (address) => workerTable.workers().find((worker) => worker.address === address),
+    isStopping: () => isStopping(),
   });
   const instanceCount = (): number => fleet.members;
   const shares = createAccountShares({ counts: sharedCounts, random, instanceCount });
