Let instances that have just started know the pace of answers

An instance that had served nothing refused, in its stop, every stream that may last beyond it, although others knew that some would end in time. In stops in turn each instance is stopped some seconds after its start.

Each instance adds up the expected times and the output tokens of its answers for each service; the totals go with the digests, like other counts (up to 14 bytes when changed, at most every two seconds), and their ratio is the pace until the instance has served eight answers of the route. The workers' reports (GET /report) contain no pace, and what the placement measures (workerLoads.timing) is the time of whole runs, of this instance's own alone, so neither is enough. The fleet sums leave out what was counted before a receiver started; reportedOf returns the totals as reported.

Answers without declared tokens are not shared, since their routes differ.

--- a/src/decision/answer_times.ts
+++ b/src/decision/answer_times.ts
@@ -7,10 +7,13 @@
  *
  * Mechanism: a line is fitted to the durations and output tokens of a route's latest answers. The estimate
  * is a duration on this line plus two mean deviations from it. Answers whose callers declare no output
- * tokens are estimated by their mean duration in the same way.
+ * tokens are estimated by their mean duration in the same way. Until an instance has served some answers of a
+ * route, the pace that the other instances know applies.
  *
  * @module
  */
+import { createAnswerPace } from "./answer_pace.ts";
+import type { AnswerPace } from "./answer_pace.ts";
 
 /** A complete answer to a request. */
 export interface AnswerDuration {
@@ -73,25 +76,42 @@
 /** Variance of the sizes, as a fraction of their mean square, below which they say nothing about the time for a token. */
 const MIN_SIZE_VARIANCE = 0.01;
 
-/** Creates the estimates without any answers. */
-export function createAnswerTimes(): AnswerTimes {
+/**
+ * Creates the estimates without any answers.
+ *
+ * @param pace What all instances know of the services' answers. It applies until this instance knows those of a route.
+ */
+export function createAnswerTimes(
+  pace: Pick<AnswerPace, "expected" | "record"> = createAnswerPace(),
+): AnswerTimes {
   const known = new Map<string, RouteAverages>();
   return {
     record: (origin, answer) => {
       for (const key of keysOf(origin, answer)) known.set(key, average(known.get(key), answer));
+      const { outputTokens } = answer;
+      const [ofRoute] = keysOf(origin, answer).map((key) => known.get(key));
+      if (outputTokens === undefined || ofRoute === undefined) return;
+      const time = expectedWhole(ofRoute, sizeOf(answer)) + DEVIATIONS * ofRoute.deviation;
+      pace.record(origin.service, { outputTokens: sizeOf(answer), time });
     },
     expected: (origin, rest) => {
       const [ofRoute, ofService] = keysOf(origin, rest).map((key) => known.get(key));
+      if (ofRoute !== undefined && ofRoute.count >= ENOUGH_ANSWERS)
+        return expectedTime(ofRoute, rest);
+      const isSized = rest.outputTokens !== undefined;
+      const others = isSized ? pace.expected(origin.service, sizeOf(rest)) : undefined;
+      if (others !== undefined) return others;
       const averages = ofRoute ?? ofService;
-      if (averages === undefined) return undefined;
-      const whole = Math.max(0, expectedWhole(averages, sizeOf(rest)));
-      return (
-        whole * fractionLeft(rest, averages.eventRate) + DEVIATIONS * expectedDeviation(averages)
-      );
+      return averages === undefined ? undefined : expectedTime(averages, rest);
     },
   };
 }
 
+function expectedTime(averages: RouteAverages, rest: AnswerRest): number {
+  const whole = Math.max(0, expectedWhole(averages, sizeOf(rest)));
+  return whole * fractionLeft(rest, averages.eventRate) + DEVIATIONS * expectedDeviation(averages);
+}
+
 /** Returns the keys of the averages that an answer counts for: those of its route and of its service. */
 function keysOf(
   { route, service }: AnswerOrigin,
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -1,4 +1,5 @@
 export * from "./account_shares.ts";
+export { createAnswerPace } from "./answer_pace.ts";
 export { createAnswerTimes } from "./answer_times.ts";
 export type { AnswerOrigin, AnswerTimes } from "./answer_times.ts";
 export type { ShareAccount, ShareService } from "./share_service.ts";
--- a/src/process/fleet_sync.ts
+++ b/src/process/fleet_sync.ts
@@ -47,6 +47,11 @@
    * contain them.
    */
   sumOf(key: number): WorkerCounts | undefined;
+  /**
+   * Returns the counts that all other instances last reported for one hash. Unlike the sums, they contain what was counted
+   * before this instance started, and they decrease when an instance ends.
+   */
+  reportedOf(key: number): WorkerCounts | undefined;
 }
 
 /** Dependencies of the synchronization. */
@@ -250,6 +255,8 @@
     incarnation: incarnationOf(settings.name, session),
     isFed,
     sums: () => totals.fleet.plus({ workerCounts: workerTable.ownCounts() }).workerCounts,
+    reportedOf: (key: number) =>
+      exchange.role === FleetRole.Member ? relayedCounts.get(key) : totals.fleet.reportedOf(key),
     sumOf: (key: number) =>
       exchange.role === FleetRole.Member ? relayedCounts.get(key) : totals.fleet.countsOf(key),
   });
--- a/src/process/group_totals.ts
+++ b/src/process/group_totals.ts
@@ -24,6 +24,11 @@
   retainSources(sources: ReadonlySet<string>): void;
   /** Returns the sum for one worker, excluding this instance's own counts. */
   countsOf(worker: number): WorkerCounts | undefined;
+  /**
+   * Returns the sum of what the present sources last reported for one worker, with their counts from before their first
+   * update.
+   */
+  reportedOf(worker: number): WorkerCounts | undefined;
   /** Returns the sums including this instance's own counts. */
   plus(own: GroupCounts): GroupCounts;
 }
@@ -105,6 +110,12 @@
       for (const source of sources.keys()) if (!retained.has(source)) removeSource(source);
     },
     countsOf: (worker) => workerSums.get(worker),
+    reportedOf: (worker) => {
+      const reports = [...sources.values()].flatMap(
+        ({ workerCounts }) => workerCounts.get(worker) ?? [],
+      );
+      return reports.length === 0 ? undefined : reports.reduce(addWorkerCounts);
+    },
     plus: (own) => ({ workerCounts: addAllWorkerCounts(workerSums, own.workerCounts) }),
   };
 }
--- a/src/process/group_totals_test.ts
+++ b/src/process/group_totals_test.ts
@@ -53,6 +53,18 @@
   expect(sums.get(1)).toEqual({ ...NO_WORKER_COUNTS, running: 3, runs: 2 });
 });
 
+// Otherwise an instance that has just started would not learn what others have counted before.
+test("the reported counts are those of the present sources, also from before their first update", () => {
+  const totals = createGroupTotals();
+  totals.receive("a", updateOf({ 1: countsOf(2, 900) }, { isSnapshot: true }), false);
+  totals.receive("b", updateOf({ 1: countsOf(1, 5) }, { isSnapshot: true }), false);
+  totals.receive("a", updateOf({ 1: countsOf(3, 902) }), false);
+  expect(totals.reportedOf(1)).toEqual({ ...NO_WORKER_COUNTS, running: 4, runs: 907 });
+  totals.retainSources(new Set(["b"]));
+  expect(totals.reportedOf(1)?.runs).toBe(5);
+  expect(totals.reportedOf(2)).toBeUndefined();
+});
+
 test("a worker that no source lists is removed", () => {
   const totals = createGroupTotals();
   totals.receive("a", updateOf({ 1: countsOf(2), 2: countsOf(1) }, { isSnapshot: true }), true);
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -5,6 +5,7 @@
 import { createWorkerRelay } from "../connection/worker_relay.ts";
 import {
   createAccountShares,
+  createAnswerPace,
   createAnswerTimes,
   createRepeatBudget,
   createSharedCounts,
@@ -105,6 +106,7 @@
     counts: sharedCounts,
     random,
   });
+  const pace = createAnswerPace((key) => fleet.reportedOf(key));
   const repeats = createRepeatBudget(settings.repeats);
   const ledger = createUsageLedger();
   const time = createFleetTime({ date: clock.date().getTime(), steady: startedAt });
@@ -201,7 +203,12 @@
     versions,
     speeds,
     longPrompts,
-    extraCounts: () => new Map([...quarantine.counts(), ...sharedCounts.ownTotals(clock.now())]),
+    extraCounts: () =>
+      new Map([
+        ...quarantine.counts(),
+        ...sharedCounts.ownTotals(clock.now()),
+        ...pace.ownTotals(clock.now()),
+      ]),
     time: synchronizedNow,
     limits: createWorkerLimits(divisionAmongInstances),
     rooms: createWorkerRooms(divisionAmongInstances),
@@ -236,6 +243,7 @@
     onRouting: (routing) => {
       quota.addAccounts(routing.accounts ?? [], clock.now());
       if (settings.placement.longPrompts === "separated") longPrompts.setRouting(routing);
+      pace.retainServices(new Set(routing.services.map(({ name }) => name)));
       shares.configure(shareServices(routing), routing.accounts ?? []);
       longestTimeout = Math.max(
         ...routing.routes.map(({ timeout }) => timeout),
@@ -420,7 +428,7 @@
     isClosedToNew: () =>
       isDrained || (stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME),
     answersEndAt,
-    answerTimes: createAnswerTimes(),
+    answerTimes: createAnswerTimes(pace),
     logDecision: log.decided,
     metrics,
   };
