Count an instance's answer only for the streams of its question

Cause: an answer named only services. stream_inquiries.ts counted it for every open inquiry of the service whose question to that instance was without an answer, also for streams asked about after the answer had been sent. If the last answers that an inquiry waited for were such ones, it ended without its record.

Change: each question has a number, which the answer repeats. An answer counts only for the inquiries of that question. The number is a new field of the datagram; an instance of an earlier build leaves it out, so that its answers bring records but end no inquiry early.

The new unit test failed before (the second of two inquiries ended with the answer to the first: 2 results instead of 1) and passes now.

--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -2,6 +2,7 @@
 import { afterRunningTime } from "../interface/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
 import type { ServiceVersions } from "./service_versions.ts";
+import { inDatagrams } from "./stream_record_codec.ts";
 import type { RecentVersions } from "./stream_record_codec.ts";
 
 /** Asks the other instances at which version streams began. */
@@ -10,11 +11,28 @@
   start(inquiry: StreamInquiry): { close(): void };
   /** Applies the records of a message: inquiries whose record is found now end. */
   recordsReceived(): void;
-  /** Applies an instance's statement on the recent versions of services, its answer to a question. */
-  answered(sender: string, recent: readonly RecentVersions[]): void;
+  /** Applies an instance's answer to a question: its statement on the recent versions of services. */
+  answered(answer: QuestionAnswer): void;
   close(): void;
 }
 
+/** A question to one instance about streams. */
+export interface StreamQuestion {
+  /** Identifies the question among all of this process. */
+  readonly number: number;
+  readonly attempts: readonly bigint[];
+  readonly services: readonly string[];
+}
+
+/** An instance's answer to a question. The records that it found are applied before. */
+export interface QuestionAnswer {
+  /** The number of the question. */
+  readonly question: number;
+  /** Address of the instance that answers. */
+  readonly sender: string;
+  readonly recent: readonly RecentVersions[];
+}
+
 /** What is to be found out about one stream. */
 export interface StreamInquiry {
   /** Hash of the attempt that brought its first event; undefined if its caller names none. */
@@ -38,10 +56,7 @@
   /** What this instance knows of the workers. */
   readonly view: WorkerView;
   readonly find: (attempt: bigint) => StreamRecord | undefined;
-  readonly send: (
-    question: { readonly attempts: readonly bigint[]; readonly services: readonly string[] },
-    address: string,
-  ) => void;
+  readonly send: (question: StreamQuestion, address: string) => void;
 }
 
 /** How far an instance's knowledge of the workers can be trusted. */
@@ -98,6 +113,12 @@
 export function createStreamInquiries(parts: StreamInquiriesParts): StreamInquiries {
   const { clock, find, view } = parts;
   const open = new Set<OpenInquiry>();
+  /**
+   * The inquiries that each question without an answer is about, by its number. An answer says nothing about other
+   * streams, even if it arrives after a question about them was sent.
+   */
+  const questions = new Map<number, readonly OpenInquiry[]>();
+  let lastQuestion = 0;
   let isReading = false;
   let timer: Timer | undefined;
   /** When the timer fires, in the clock's milliseconds. */
@@ -168,19 +189,25 @@
       }
       update(inquiry);
     }
+    forgetQuestions();
     const unknown = due.filter((inquiry) => open.has(inquiry));
     for (const address of addresses) {
       const asked = unknown.filter(({ unanswered }) => unanswered.has(address));
-      if (asked.length === 0) continue;
-      const attempts = asked.flatMap(({ attempt }) => attempt ?? []);
-      parts.send(
-        { attempts, services: [...new Set(asked.map(({ service }) => service))] },
-        address,
-      );
+      for (const some of inDatagrams(asked)) sendQuestion(some, address);
     }
     const earliest = Math.min(...[...open].map(({ askedAt }) => askedAt));
     if (open.size > 0) schedule(earliest + REPEAT_INTERVAL);
   };
+  const sendQuestion = (asked: readonly OpenInquiry[], address: string): void => {
+    questions.set(++lastQuestion, asked);
+    const attempts = asked.flatMap(({ attempt }) => attempt ?? []);
+    const services = [...new Set(asked.map(({ service }) => service))];
+    parts.send({ number: lastQuestion, attempts, services }, address);
+  };
+  const forgetQuestions = (): void => {
+    for (const [number, asked] of questions)
+      if (!asked.some((inquiry) => open.has(inquiry))) questions.delete(number);
+  };
   const schedule = (at: number): void => {
     if (timer !== undefined && timerAt <= at) return;
     timer?.close();
@@ -215,11 +242,14 @@
     recordsReceived: () => {
       for (const inquiry of open) update(inquiry);
     },
-    answered: (sender, recent) => {
+    answered: ({ question, sender, recent }) => {
       const versionsByService = new Map(recent.map((one) => [one.service, one]));
-      for (const inquiry of open) {
+      const asked = questions.get(question) ?? [];
+      questions.delete(question);
+      for (const inquiry of asked) {
         const statement = versionsByService.get(inquiry.service);
-        if (statement === undefined || !inquiry.unanswered.delete(sender)) continue;
+        if (!open.has(inquiry) || statement === undefined) continue;
+        inquiry.unanswered.delete(sender);
         inquiry.answeredBy.add(sender);
         for (const version of statement.versions) inquiry.seen.add(version);
         if (statement.isComplete) inquiry.hasCompleteView = true;
--- a/src/process/stream_inquiries_test.ts
+++ b/src/process/stream_inquiries_test.ts
@@ -2,10 +2,11 @@
 import type { StreamRecord } from "../decision/index.ts";
 import { createStallingClock } from "../standin/memory/index.ts";
 import { createStreamInquiries } from "./stream_inquiries.ts";
-import type { StreamInquiriesParts } from "./stream_inquiries.ts";
+import type { StreamInquiriesParts, StreamQuestion } from "./stream_inquiries.ts";
 
 const SERVICE = "desk";
 const ATTEMPT = 1n;
+const OTHER_ATTEMPT = 2n;
 const RECORD: StreamRecord = { kind: "known", service: SERVICE, version: "v1" };
 /** Milliseconds after which an instance that was asked answers. */
 const ANSWER_TIME = 10;
@@ -15,10 +16,17 @@
   /** Addresses of the instances that are known, and of those that were asked. */
   readonly known: string[];
   readonly asked: string[];
+  /** The questions that were sent. */
+  readonly questions: StreamQuestion[];
   /** The results of the inquiry. */
   readonly results: (StreamRecord | undefined)[];
-  /** Has an instance answer, with or without the record. */
-  readonly answer: (address: string, record?: StreamRecord) => void;
+  /** Starts another inquiry, about the stream of another attempt. */
+  readonly startOther: () => void;
+  /** Has an instance answer its last question, or another one, with or without the record. */
+  readonly answer: (
+    address: string,
+    answer?: { readonly record?: StreamRecord; readonly question?: number | undefined },
+  ) => void;
 }
 
 /** Starts an inquiry about a stream of a service with two versions. */
@@ -26,6 +34,8 @@
   const clock = createStallingClock();
   const known = ["a"];
   const asked: string[] = [];
+  const questions: StreamQuestion[] = [];
+  const lastQuestions = new Map<string, number>();
   const results: (StreamRecord | undefined)[] = [];
   let found: StreamRecord | undefined;
   const inquiries = createStreamInquiries({
@@ -40,7 +50,11 @@
       readVersions: () => Promise.resolve(new Map()),
     },
     find: () => found,
-    send: (_, address) => asked.push(address),
+    send: (question, address) => {
+      asked.push(address);
+      questions.push(question);
+      lastQuestions.set(address, question.number);
+    },
   });
   const versions = ["v1", "v2"];
   const done = (record: StreamRecord | undefined): void => void results.push(record);
@@ -50,11 +64,20 @@
     clock,
     known,
     asked,
+    questions,
     results,
-    answer: (address, record) => {
+    startOther: () => {
+      inquiries.start({ attempt: OTHER_ATTEMPT, service: SERVICE, versions, done });
+      clock.advance(ANSWER_TIME);
+    },
+    answer: (sender, { record, question = lastQuestions.get(sender) ?? 0 } = {}) => {
       found = record;
       inquiries.recordsReceived();
-      inquiries.answered(address, [{ service: SERVICE, versions, isComplete: true }]);
+      inquiries.answered({
+        question,
+        sender,
+        recent: [{ service: SERVICE, versions, isComplete: true }],
+      });
     },
   };
 }
@@ -63,10 +86,23 @@
 test("a stall of the process doesn't end an inquiry", () => {
   const { clock, results, answer } = startInquiry({ isDiscovering: () => false });
   clock.stall(1_000);
-  answer("a", RECORD);
+  answer("a", { record: RECORD });
   expect(results).toEqual([RECORD]);
 });
 
+// Guards against streams that are refused although an instance has their records, because its answer to an earlier
+// question, about another stream, arrived after the question about them was sent.
+test("an answer counts only for the streams of its question", () => {
+  const { questions, results, startOther, answer } = startInquiry({ isDiscovering: () => false });
+  startOther();
+  expect(questions.map(({ attempts }) => attempts)).toEqual([[ATTEMPT], [OTHER_ATTEMPT]]);
+  const [first, second] = questions.map(({ number }) => number);
+  answer("a", { question: first });
+  expect(results).toEqual([undefined]);
+  answer("a", { question: second, record: RECORD });
+  expect(results).toEqual([undefined, RECORD]);
+});
+
 // Guards against streams that are refused by an instance that has just started and has heard only of one that has no
 // copy of the record yet.
 test("an instance that still discovers others asks them before a stream counts as unknown", () => {
@@ -77,7 +113,7 @@
   known.push("b");
   clock.advance(100);
   expect(asked).toContain("b");
-  answer("b", RECORD);
+  answer("b", { record: RECORD });
   expect(results).toEqual([RECORD]);
 });
 
--- a/src/process/stream_record_codec.ts
+++ b/src/process/stream_record_codec.ts
@@ -24,15 +24,28 @@
 export interface StreamRecordMessage {
   /** The sender's address for other instances, `IP:PORT`; empty if the message contains only copies of records. */
   readonly sender: string;
+  /** The number that the sender of a question gives to it, and that the answer repeats; 0 in other messages. */
+  readonly question: number;
   readonly records: readonly AttemptVersion[];
   readonly askedAttempts: readonly bigint[];
   readonly askedServices: readonly string[];
   readonly recent: readonly RecentVersions[];
 }
 
+/** Maximum number of records or attempts in one datagram, far below the maximum size. */
+const MAX_PER_DATAGRAM = 1_000;
+
+/** Divides records or attempts among as few datagrams as needed. */
+export function inDatagrams<Item>(items: readonly Item[]): Item[][] {
+  const count = Math.ceil(items.length / MAX_PER_DATAGRAM);
+  return Array.from({ length: count }, (_, index) =>
+    items.slice(index * MAX_PER_DATAGRAM, (index + 1) * MAX_PER_DATAGRAM),
+  );
+}
+
 /** Encodes a message. Versions are listed once, and records refer to them. */
 export function encodeStreamRecords(message: StreamRecordMessage): Uint8Array {
-  const { sender, records, askedAttempts, askedServices, recent } = message;
+  const { sender, question, records, askedAttempts, askedServices, recent } = message;
   const versions: StreamVersion[] = [];
   const positions = new Map<string, number>();
   const positionOf = (version: StreamVersion): number => {
@@ -45,6 +58,7 @@
   const beganAt = records.map(({ version }) => positionOf(version));
   const encoded = create(StreamRecordsSchema, {
     sender,
+    question,
     versions: versions.map((version) => create(StreamVersionSchema, version)),
     attempts: records.map(({ attempt }) => attempt),
     beganAt,
@@ -65,7 +79,8 @@
   } catch {
     return undefined;
   }
-  const { sender, versions, attempts, beganAt, askedAttempts, askedServices, recent } = decoded;
+  const { sender, question, versions, attempts, beganAt, askedAttempts, askedServices, recent } =
+    decoded;
   if (attempts.length !== beganAt.length) return undefined;
   const records: AttemptVersion[] = [];
   for (const [index, attempt] of attempts.entries()) {
@@ -76,6 +91,7 @@
   }
   return {
     sender,
+    question,
     records,
     askedAttempts,
     askedServices,
--- a/src/process/stream_record_codec_test.ts
+++ b/src/process/stream_record_codec_test.ts
@@ -8,6 +8,7 @@
 const VERSION = fc.record({ service: NAME, version: NAME });
 const MESSAGE: fc.Arbitrary<StreamRecordMessage> = fc.record({
   sender: NAME,
+  question: fc.nat({ max: 2 ** 32 - 1 }),
   records: fc.array(fc.record({ attempt: ATTEMPT, version: VERSION })),
   askedAttempts: fc.array(ATTEMPT),
   askedServices: fc.array(NAME),
@@ -36,6 +37,7 @@
 test("each version is contained once, however many records refer to it", () => {
   const message = (count: number): StreamRecordMessage => ({
     sender: "10.0.0.1:9",
+    question: 0,
     records: Array.from({ length: count }, (_, index) => ({
       attempt: BigInt(index),
       version: { service: "entry-model", version: "v1.2" },
--- a/src/process/stream_record_store.ts
+++ b/src/process/stream_record_store.ts
@@ -203,6 +203,13 @@
 }
 
 function encode(records: readonly AttemptVersion[]): string {
-  const message = { sender: "", records, askedAttempts: [], askedServices: [], recent: [] };
+  const message = {
+    sender: "",
+    question: 0,
+    records,
+    askedAttempts: [],
+    askedServices: [],
+    recent: [],
+  };
   return Buffer.from(encodeStreamRecords(message)).toString("base64");
 }
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -21,7 +21,7 @@
 import { createStreamRecordCopies } from "./stream_record_copies.ts";
 import { versionsByService } from "./service_versions.ts";
 import type { ServiceVersions } from "./service_versions.ts";
-import { decodeStreamRecords, encodeStreamRecords } from "./stream_record_codec.ts";
+import { decodeStreamRecords, encodeStreamRecords, inDatagrams } from "./stream_record_codec.ts";
 import type { AttemptVersion, RecentVersions, StreamRecordMessage } from "./stream_record_codec.ts";
 
 /** The versions of streams, as known to this instance and the others. */
@@ -65,9 +65,6 @@
   readonly onFault: (detail: string) => void;
 }
 
-/** Maximum number of records or attempts in one datagram, far below the maximum size. */
-const MAX_ATTEMPTS = 1_000;
-
 /** Creates the task without workers and records. */
 export function createStreamVersions(parts: StreamVersionTaskParts): StreamVersionTask {
   const { clock, self } = parts;
@@ -79,14 +76,14 @@
   const hasCompleteView = (): boolean => view.isCurrent() && view.coversPeriod();
 
   const send = (message: Partial<StreamRecordMessage>, address: string): void => {
-    const empty = { records: [], askedAttempts: [], askedServices: [], recent: [] };
+    const empty = { question: 0, records: [], askedAttempts: [], askedServices: [], recent: [] };
     parts.send(encodeStreamRecords({ sender: "", ...empty, ...message }), address);
   };
   const copies = createStreamRecordCopies({
     ...parts,
     isMixed: (service) => recentVersions(service).length > 1,
     send: (all, address) => {
-      for (const some of inChunks(all)) send({ records: some }, address);
+      for (const some of inDatagrams(all)) send({ records: some }, address);
     },
   });
   const inquiries = createStreamInquiries({
@@ -94,12 +91,12 @@
     view,
     instances: () => parts.instances().map(({ peers }) => peers),
     find: records.find,
-    send: ({ attempts, services }, address) => {
-      const chunks = inChunks(attempts);
-      // Streams whose callers name no attempt are asked for by their service alone.
-      for (const askedAttempts of chunks.length === 0 ? [[]] : chunks)
-        send({ sender: self.peers, askedAttempts, askedServices: services }, address);
-    },
+    // Streams whose callers name no attempt are asked for by their service alone.
+    send: ({ number: question, attempts, services }, address) =>
+      send(
+        { sender: self.peers, question, askedAttempts: attempts, askedServices: services },
+        address,
+      ),
   });
   const statement = (service: string): RecentVersions => ({
     service,
@@ -177,13 +174,13 @@
         parts.onFault("A received datagram is not a valid message about streams.");
         return;
       }
-      const { sender, askedAttempts, askedServices, recent } = message;
+      const { sender, question, askedAttempts, askedServices, recent } = message;
       store(message.records);
       inquiries.recordsReceived();
-      inquiries.answered(sender, recent);
+      inquiries.answered({ question, sender, recent });
       if (askedServices.length === 0) return;
       const found = findCopies(askedAttempts);
-      const answer = { records: found, recent: askedServices.map(statement) };
+      const answer = { question, records: found, recent: askedServices.map(statement) };
       send({ sender: self.peers, ...answer }, sender);
     },
     close: () => {
@@ -204,10 +201,3 @@
     .digest();
   return hash.readBigUInt64LE(0);
 }
-
-function inChunks<Item>(items: readonly Item[]): Item[][] {
-  const count = Math.ceil(items.length / MAX_ATTEMPTS);
-  return Array.from({ length: count }, (_, index) =>
-    items.slice(index * MAX_ATTEMPTS, (index + 1) * MAX_ATTEMPTS),
-  );
-}
