Send no datagrams after an instance has closed its socket

An instance that closed while streams began ended with an uncaught "Not running" error of the datagram socket.

Cause: recordStart() after close() set the timer of the copies again, and the socket throws once it is closed. Seen once in a test of 15 instances that ended with streams in progress.

Change: closed copies set no timer, and a closed socket drops datagrams.

--- a/src/connection/datagram_socket.ts
+++ b/src/connection/datagram_socket.ts
@@ -3,7 +3,7 @@
 
 /** A bound socket for sending and receiving datagrams. */
 export interface DatagramSocket {
-  /** Sends a datagram to an `IP:PORT`. It may be lost, duplicated, delayed or reordered. */
+  /** Sends a datagram to an `IP:PORT`. It may be lost, duplicated, delayed or reordered; no effect once closed. */
   send(bytes: Uint8Array, address: string): void;
   /** Closes the socket. */
   close(): void;
@@ -29,6 +29,7 @@
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     const socket = createSocket("udp4");
+    let isClosed = false;
     socket.once("error", reject);
     socket.on("message", (bytes, { address: from, port: fromPort }) =>
       onMessage(bytes, `${from}:${fromPort}`),
@@ -38,6 +39,8 @@
       socket.on("error", (error) => onError(`The digest socket failed: ${error.message}.`));
       resolve({
         send: (bytes, target) => {
+          // The socket would throw. Requests in progress can still lead to datagrams while an instance closes.
+          if (isClosed) return;
           if (!hasValidPort(target)) {
             onError(`No instance can listen at ${target}.`);
             return;
@@ -47,7 +50,10 @@
             if (error !== null) onError(`Sending a digest to ${target} failed: ${error.message}.`);
           });
         },
-        close: () => void socket.close(),
+        close: () => {
+          isClosed = true;
+          socket.close();
+        },
       });
     });
   });
--- a/src/process/stream_record_copies.ts
+++ b/src/process/stream_record_copies.ts
@@ -55,6 +55,7 @@
   /** The sessions of the live instances from which the holders were selected. */
   let selectedFrom: string | undefined;
   let timer: Timer | undefined;
+  let isClosed = false;
 
   const removeExpired = (): void => {
     const from = clock.now() - parts.maxDuration();
@@ -94,6 +95,7 @@
   };
   const isCopied = ({ version }: AttemptVersion): boolean => isMixed(version.service);
   const schedule = (): void => {
+    if (isClosed) return;
     const interval = parts.isSmallFleet()
       ? COPY_INTERVAL_IN_SMALL_FLEET
       : COPY_INTERVAL_IN_LARGE_FLEET;
@@ -111,6 +113,9 @@
       informed.clear();
       schedule();
     },
-    close: () => timer?.close(),
+    close: () => {
+      isClosed = true;
+      timer?.close();
+    },
   };
 }
--- a/src/process/stream_versions_test.ts
+++ b/src/process/stream_versions_test.ts
@@ -353,3 +353,14 @@
     ended.isDown = false;
   }
 });
+
+// Guards against an instance that ends with an error, because a stream begins there after it has closed its socket.
+test("a closed instance sends no copies of records", async () => {
+  const fleet = startFleet(3);
+  setVersions(fleet, "v1", "v2");
+  const closed = memberAt(fleet, 0);
+  closed.task.close();
+  closed.task.recordStart(attempt("s-1"), version("v1"));
+  await fleet.clock.advance(COPY_TIME);
+  expect(closed.bytesSent).toBe(0);
+});
