Choose a stream's version only by a record or a present read of the store

Callers got streams with events of two software versions: an instance that was out of step (cut off from the store and the others, or from the others in a large fleet) went on at the only version that it knew.

Another instance's statement that its view was complete ended an inquiry too, and so did a read of the store that had begun before the stream was taken up.

Change: without a record, an instance asks all others, and only a read of the store that starts after the take-up shows that a service has had one version. Views of instances only add versions that were seen. The read is made if no record was found within 15 ms; answers that are missing then, as of an instance that has just ended, are awaited for 65 ms. If the store doesn't answer and no instance has the record, the stream is refused. A caller that names no attempt needs the answer of one other instance.

--- a/src/connection/datagram_socket.ts
+++ b/src/connection/datagram_socket.ts
@@ -19,6 +19,9 @@
   readonly onError: (detail: string) => void;
 }
 
+/** Opens a socket, such as {@linkcode openDatagramSocket}. */
+export type OpenDatagramSocket = (options: DatagramSocketOptions) => Promise<DatagramSocket>;
+
 /**
  * Opens a UDP socket.
  *
--- a/src/process/recorded_stream_versions.ts
+++ b/src/process/recorded_stream_versions.ts
@@ -1,7 +1,6 @@
 import { hashText } from "../version/index.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import type { FleetSync } from "./fleet_sync.ts";
-import { createPeerAgreement } from "./peer_agreement.ts";
 import { createRecordWriter } from "./record_writer.ts";
 import type { RoutedEntryDependencies } from "./routed_entry_parts.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
@@ -26,10 +25,8 @@
   readonly settings: RoutedSettings;
   readonly fleet: () => Pick<
     FleetSync,
-    "directPeers" | "incarnation" | "isDiscovering" | "live" | "members" | "role"
+    "incarnation" | "isDiscovering" | "live" | "members" | "role"
   >;
-  /** Returns the store version of the last change of workers that this instance has. */
-  readonly workersVersion: () => number;
   /** Whether this instance writes the record. */
   readonly isWriter: () => boolean;
   /** Returns the longest time that a route allows, in milliseconds. */
@@ -47,12 +44,6 @@
   parts: RecordedStreamVersionsParts,
 ): RecordedStreamVersions {
   const { clock, settings, fleet, feed, kinds, log } = parts;
-  const peerAgreement = createPeerAgreement({
-    clock,
-    kind: kinds.workers,
-    ownVersion: parts.workersVersion,
-    peers: () => fleet().directPeers(),
-  });
   const record = createVersionRecord({
     clock,
     store: parts.store,
@@ -61,9 +52,7 @@
     coversPeriod: () => versions.coversPeriod(),
     log,
   });
-  /** Reads the versions of all workers, unless the other instances show that this one has them already. */
   const readPresentVersions = async (): Promise<ServiceVersions> => {
-    if (peerAgreement.isCurrent()) return new Map();
     const { objects } = await feed.listKind(kinds.workers);
     return versionsByService(objects.flatMap((object) => kinds.readWorker(object) ?? []));
   };
@@ -81,12 +70,9 @@
     ...others,
     writer: isStored ? writer : { other: () => undefined },
     expectsOthers: () => fleet().members > 1,
-    view: {
-      ...peerAgreement,
-      readVersions: async () => {
-        const [present, recorded] = await Promise.all([readPresentVersions(), record.read()]);
-        return mergeVersions(present, recorded);
-      },
+    readVersions: async () => {
+      const [present, recorded] = await Promise.all([readPresentVersions(), record.read()]);
+      return mergeVersions(present, recorded);
     },
     maxDuration,
     send: parts.send,
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -256,14 +256,14 @@
     },
   });
   const table = (): RouteTable | undefined => view.table();
-  const datagrams = createDatagramChannels(openDatagramSocket, (bytes) =>
-    streamVersions.receive(bytes),
+  const datagrams = createDatagramChannels(
+    dependencies.openDatagrams ?? openDatagramSocket,
+    (bytes) => streamVersions.receive(bytes),
   );
   const streamVersions = createRecordedStreamVersions({
     ...dependencies,
     settings,
     fleet: () => fleet,
-    workersVersion: () => view.feeds.get(kinds.workers)?.changedAt ?? 0,
     isWriter: () => lease.held().length > 0,
     longestTimeout: () => longestTimeout,
     send: datagrams.sendMarked,
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -15,6 +15,7 @@
   RoutedWorker,
 } from "../interface/index.ts";
 import type { Duplex } from "node:stream";
+import type { OpenDatagramSocket } from "../connection/datagram_socket.ts";
 import type { Connect } from "../connection/dial.ts";
 import type { ProcessReport } from "../connection/process_identity.ts";
 import type { Routing } from "../version/index.ts";
@@ -62,6 +63,8 @@
   readonly metrics: RoutedMetricsRegistry;
   /** Opens connections to workers; by default, those of the operating system. */
   readonly connect?: Connect | undefined;
+  /** Opens the socket for datagrams to and from other instances; by default, one of the operating system. */
+  readonly openDatagrams?: OpenDatagramSocket | undefined;
 }
 
 /** An entry instance that serves routed requests. */
--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -53,24 +53,12 @@
   readonly expectsOthers: () => boolean;
   /** Whether this instance has just started and has not heard from every address that it knows. */
   readonly isDiscovering: () => boolean;
-  /** What this instance knows of the workers. */
-  readonly view: WorkerView;
+  /** Reads from the store which versions the services have or have recently had. */
+  readonly readVersions: () => Promise<ServiceVersions>;
   readonly find: (attempt: bigint) => StreamRecord | undefined;
   readonly send: (question: StreamQuestion, address: string) => void;
 }
 
-/** How far an instance's knowledge of the workers can be trusted. */
-export interface WorkerView {
-  /** Whether no recent digest of another instance shows that it knows later changes; false without such digests. */
-  isCurrent(): boolean;
-  /** Whether another instance has sent a digest recently. */
-  hasRecentDigest(): boolean;
-  /** Whether it has followed the workers for as long as streams last. */
-  coversPeriod(): boolean;
-  /** Reads from the store which versions the services have or have recently had. */
-  readVersions(): Promise<ServiceVersions>;
-}
-
 /** An inquiry in progress. */
 interface OpenInquiry extends StreamInquiry {
   /** Addresses of the instances that were asked and have not answered. */
@@ -79,20 +67,24 @@
   readonly answeredBy: Set<string>;
   /** All recent versions that instances have stated. */
   readonly seen: Set<string>;
-  /** Whether one of them has followed the workers for as long as streams last. */
-  hasCompleteView: boolean;
-  /** Whether the recent versions according to the store are among those seen. */
+  /** Whether the recent versions according to the store, read after the start, are among those seen. */
   isConfirmed: boolean;
+  /** When it started, in the clock's milliseconds. */
+  readonly startedAt: number;
   /** Ends the inquiry when the stream counts as unknown at the latest. */
   timeout: Timer | undefined;
   /** When its question was last sent, in the clock's milliseconds. */
   askedAt: number;
+  /** How often it was sent. */
+  timesAsked: number;
 }
 
 /** Milliseconds for which questions are collected: all streams of an ended instance arrive together. */
 const QUESTION_DELAY = 5;
 /** Milliseconds after which instances that have not answered are asked again, because a datagram may be lost. */
 const REPEAT_INTERVAL = 60;
+/** Milliseconds after which the store is read: usually, the instance at which the stream began has answered before. */
+const CONFIRMATION_DELAY = 15;
 /**
  * Milliseconds of running time after which a stream counts as unknown; an instance on a busy processor answers within
  * this time.
@@ -106,12 +98,12 @@
 /**
  * Creates an empty set of inquiries.
  *
- * An inquiry ends with the first record that is found. Without one, it ends once a complete view shows that the service
- * has had only one version, when all instances have answered, or after a timeout; the stream is unknown then unless
- * its version is the only one.
+ * An inquiry ends with the first record that is found. Without one, the stream is unknown unless its service has had only
+ * one version. What instances know of that may be out of date, without a sign of it, on an instance that is cut off or was
+ * suspended; it would join events of two versions. So only the store counts, as read after the start of the inquiry.
  */
 export function createStreamInquiries(parts: StreamInquiriesParts): StreamInquiries {
-  const { clock, find, view } = parts;
+  const { clock, find } = parts;
   const open = new Set<OpenInquiry>();
   /**
    * The inquiries that each question without an answer is about, by its number. An answer says nothing about other
@@ -137,39 +129,39 @@
   const onlyVersion = (inquiry: OpenInquiry): StreamRecord | undefined => {
     const [version] = inquiry.seen;
     if (version === undefined || inquiry.seen.size > 1) return undefined;
-    return hasCompleteView(inquiry)
-      ? { kind: "known", service: inquiry.service, version }
-      : undefined;
+    return isCertain(inquiry) ? { kind: "known", service: inquiry.service, version } : undefined;
   };
-  const isFinal = (inquiry: OpenInquiry): boolean =>
-    !expectsAnswers(inquiry) || (inquiry.seen.size === 1 && hasCompleteView(inquiry));
-  const hasCompleteView = (inquiry: OpenInquiry): boolean =>
-    inquiry.hasCompleteView ||
-    inquiry.isConfirmed ||
+  const isCertain = ({ isConfirmed, attempt, answeredBy }: OpenInquiry): boolean =>
     // A caller that names no attempt expects only one version, so the present one is enough.
-    (inquiry.attempt === undefined && (inquiry.answeredBy.size > 0 || view.isCurrent()));
-  /** Whether an answer may still come from the store or another instance. */
+    isConfirmed || (attempt === undefined && answeredBy.size > 0);
+  const isFinal = (inquiry: OpenInquiry): boolean => {
+    if (inquiry.seen.size > 1) return !expectsAnswers(inquiry);
+    // An instance that has just ended doesn't answer; one that is late would only repeat what the store says.
+    return isCertain(inquiry) && (!expectsAnswers(inquiry) || inquiry.timesAsked > 1);
+  };
+  /** Whether an answer of another instance may still come. */
   const expectsAnswers = ({ unanswered, answeredBy }: OpenInquiry): boolean =>
-    isReading ||
     unanswered.size > 0 ||
     parts.isDiscovering() ||
     (answeredBy.size === 0 && parts.expectsOthers());
-  /**
-   * Reads the versions from the store. Without digests of other instances, nothing else shows whether
-   * this instance has missed a change, and after a start, which version has just left.
-   */
+  const needsStore = (inquiry: OpenInquiry): boolean =>
+    !inquiry.isConfirmed &&
+    inquiry.seen.size <= 1 &&
+    inquiry.startedAt <= clock.now() - CONFIRMATION_DELAY;
+  /** Reads the versions from the store for the inquiries that need it. Those that start meanwhile need another read. */
   const confirm = async (): Promise<void> => {
-    if (isReading) return;
+    const waiting = [...open].filter(needsStore);
+    if (isReading || waiting.length === 0) return;
     isReading = true;
-    const versions = await view.readVersions().catch(() => undefined);
+    const versions = await parts.readVersions().catch(() => undefined);
     isReading = false;
-    for (const inquiry of open) {
-      if (versions !== undefined) {
-        for (const version of versions.get(inquiry.service) ?? []) inquiry.seen.add(version);
-        inquiry.isConfirmed = true;
-      }
+    for (const inquiry of versions === undefined ? [] : waiting) {
+      for (const version of versions?.get(inquiry.service) ?? []) inquiry.seen.add(version);
+      inquiry.isConfirmed = true;
       update(inquiry);
     }
+    // After a failure, the next question is accompanied by another read.
+    if (versions !== undefined) void confirm();
   };
   const update = (inquiry: OpenInquiry): void => {
     const record = recordOf(inquiry);
@@ -184,6 +176,7 @@
     const due = [...open].filter(({ askedAt }) => askedAt <= now - REPEAT_INTERVAL);
     for (const inquiry of due) {
       inquiry.askedAt = now;
+      inquiry.timesAsked++;
       for (const address of addresses) {
         if (!inquiry.answeredBy.has(address)) inquiry.unanswered.add(address);
       }
@@ -195,8 +188,8 @@
       const asked = unknown.filter(({ unanswered }) => unanswered.has(address));
       for (const some of inDatagrams(asked)) sendQuestion(some, address);
     }
-    const earliest = Math.min(...[...open].map(({ askedAt }) => askedAt));
-    if (open.size > 0) schedule(earliest + REPEAT_INTERVAL);
+    void confirm();
+    if (open.size > 0) schedule(nextCheck());
   };
   const sendQuestion = (asked: readonly OpenInquiry[], address: string): void => {
     questions.set(++lastQuestion, asked);
@@ -208,6 +201,15 @@
     for (const [number, asked] of questions)
       if (!asked.some((inquiry) => open.has(inquiry))) questions.delete(number);
   };
+  /** Returns when the next inquiry is to be asked again, or has waited long enough for the store to be read. */
+  const nextCheck = (): number => {
+    const now = clock.now();
+    const times = [...open].flatMap(({ askedAt, startedAt }) => [
+      askedAt + REPEAT_INTERVAL,
+      ...(startedAt + CONFIRMATION_DELAY > now ? [startedAt + CONFIRMATION_DELAY] : []),
+    ]);
+    return Math.min(...times);
+  };
   const schedule = (at: number): void => {
     if (timer !== undefined && timerAt <= at) return;
     timer?.close();
@@ -222,10 +224,11 @@
         unanswered: new Set(),
         answeredBy: new Set(),
         seen: new Set(inquiry.versions),
-        hasCompleteView: false,
         isConfirmed: false,
+        startedAt: clock.now(),
         timeout: undefined,
         askedAt: -Infinity,
+        timesAsked: 0,
       };
       // After a stall of the process, the answers that have arrived meanwhile are read first.
       opened.timeout = afterRunningTime(
@@ -235,7 +238,6 @@
         { steps: TIMEOUT_STEPS },
       );
       open.add(opened);
-      if (!view.hasRecentDigest() || !view.coversPeriod()) void confirm();
       schedule(clock.now() + QUESTION_DELAY);
       return { close: () => void remove(opened) };
     },
@@ -243,16 +245,15 @@
       for (const inquiry of open) update(inquiry);
     },
     answered: ({ question, sender, recent }) => {
-      const versionsByService = new Map(recent.map((one) => [one.service, one]));
+      const versionsByService = new Map(recent.map((one) => [one.service, one.versions]));
       const asked = questions.get(question) ?? [];
       questions.delete(question);
       for (const inquiry of asked) {
-        const statement = versionsByService.get(inquiry.service);
-        if (!open.has(inquiry) || statement === undefined) continue;
+        const versions = versionsByService.get(inquiry.service);
+        if (!open.has(inquiry) || versions === undefined) continue;
         inquiry.unanswered.delete(sender);
         inquiry.answeredBy.add(sender);
-        for (const version of statement.versions) inquiry.seen.add(version);
-        if (statement.isComplete) inquiry.hasCompleteView = true;
+        for (const version of versions) inquiry.seen.add(version);
         update(inquiry);
       }
     },
--- a/src/process/stream_record_codec.ts
+++ b/src/process/stream_record_codec.ts
@@ -16,8 +16,6 @@
 export interface RecentVersions {
   readonly service: string;
   readonly versions: readonly string[];
-  /** Whether the instance has followed the workers for all that time and still does. */
-  readonly isComplete: boolean;
 }
 
 /** A datagram about streams: records, a question, or the answer to one. */
@@ -64,8 +62,8 @@
     beganAt,
     askedAttempts: [...askedAttempts],
     askedServices: [...askedServices],
-    recent: recent.map(({ service, versions: seen, isComplete }) =>
-      create(RecentVersionsSchema, { service, versions: [...seen], complete: isComplete }),
+    recent: recent.map(({ service, versions: seen }) =>
+      create(RecentVersionsSchema, { service, versions: [...seen] }),
     ),
   });
   return toBinary(StreamRecordsSchema, encoded);
@@ -95,10 +93,6 @@
     records,
     askedAttempts,
     askedServices,
-    recent: recent.map(({ service, versions: seen, complete }) => ({
-      service,
-      versions: seen,
-      isComplete: complete,
-    })),
+    recent: recent.map(({ service, versions: seen }) => ({ service, versions: seen })),
   };
 }
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -4,8 +4,8 @@
  * What two software versions write doesn't fit together, so a stream may go on only at the version
  * that began it. The instance at which it began records the version and, while the service has
  * several versions, sends copies of the record to a few others, since it may end before the stream.
- * An instance without the record asks all others. If no record is found and the service has had only
- * one version for as long as streams last, the stream began at it; otherwise its version is unknown.
+ * An instance without the record asks all others. If no record is found and the store shows that the
+ * service has had only one version, the stream began at it; otherwise its version is unknown.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 import type { RosterEntry } from "./digest.ts";
 import type { RecordWriter } from "./record_writer.ts";
 import { createStreamInquiries } from "./stream_inquiries.ts";
-import type { WorkerView } from "./stream_inquiries.ts";
+import type { StreamInquiriesParts } from "./stream_inquiries.ts";
 import { createStreamRecordCopies } from "./stream_record_copies.ts";
 import { versionsByService } from "./service_versions.ts";
 import type { ServiceVersions } from "./service_versions.ts";
@@ -56,8 +56,7 @@
   readonly writer: Pick<RecordWriter, "other">;
   /** Whether every instance exchanges digests with every other. */
   readonly isSmallFleet: () => boolean;
-  /** What this instance knows of the workers, apart from their history. */
-  readonly view: Omit<WorkerView, "coversPeriod">;
+  readonly readVersions: StreamInquiriesParts["readVersions"];
   /** Maximum duration of a stream in milliseconds. */
   readonly maxDuration: () => number;
   readonly send: (bytes: Uint8Array, address: string) => void;
@@ -72,8 +71,6 @@
   const history = createVersionHistory();
   const time = (): HistoryTime => ({ now: clock.now(), period: parts.maxDuration() });
   const recentVersions = (service: string): string[] => history.recent(service, time());
-  const view = { ...parts.view, coversPeriod: () => history.coversPeriod(time()) };
-  const hasCompleteView = (): boolean => view.isCurrent() && view.coversPeriod();
 
   const send = (message: Partial<StreamRecordMessage>, address: string): void => {
     const empty = { question: 0, records: [], askedAttempts: [], askedServices: [], recent: [] };
@@ -88,7 +85,6 @@
   });
   const inquiries = createStreamInquiries({
     ...parts,
-    view,
     instances: () => parts.instances().map(({ peers }) => peers),
     find: records.find,
     // Streams whose callers name no attempt are asked for by their service alone.
@@ -101,7 +97,6 @@
   const statement = (service: string): RecentVersions => ({
     service,
     versions: recentVersions(service),
-    isComplete: hasCompleteView(),
   });
   const findCopies = (attempts: readonly bigint[]): AttemptVersion[] =>
     attempts.flatMap((attempt) => {
@@ -118,20 +113,6 @@
     const record = records.find(attempt);
     return record?.kind === "known" && record.service === service && record.version === version;
   };
-  /** Returns the record that is known without asking others. */
-  const findHere = (
-    attempt: bigint | undefined,
-    { service, versions }: { service: string; versions: readonly string[] },
-  ): StreamRecord | undefined => {
-    const record = attempt === undefined ? undefined : records.find(attempt);
-    if (record !== undefined) return record;
-    const [version] = versions;
-    // A caller that names no attempt expects only one version, so the present one is enough.
-    const isCertain = attempt === undefined ? view.isCurrent() : hasCompleteView();
-    return version !== undefined && versions.length === 1 && isCertain
-      ? { kind: "known", service, version }
-      : undefined;
-  };
   return {
     recordStart: (started, version) => {
       const attempt = hashOf(started);
@@ -141,7 +122,7 @@
     find: (started, service, done) => {
       const attempt = started === undefined ? undefined : hashOf(started);
       const versions = recentVersions(service);
-      const known = findHere(attempt, { service, versions });
+      const known = attempt === undefined ? undefined : records.find(attempt);
       if (known !== undefined || (attempt === undefined && versions.length > 1)) {
         done(versionOf(known));
         return { close: () => undefined };
@@ -163,7 +144,7 @@
       store(restored.filter((record) => !isKnown(record)));
       inquiries.recordsReceived();
     },
-    coversPeriod: () => view.coversPeriod(),
+    coversPeriod: () => history.coversPeriod(time()),
     setWorkers: (workers) => {
       const isNewlyMixed = history.record(versionsByService(workers), time()).length > 0;
       if (isNewlyMixed) copies.sendAll();
