--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -4,8 +4,8 @@
  * What two software versions write doesn't fit together, so a stream may go on only at the version
  * that began it. The instance at which it began records the version and, while the service has
  * several versions, sends copies of the record to a few others, since it may end before the stream.
- * An instance without the record asks all others. If no record is found and the service has had only
- * one version for as long as streams last, the stream began at it; otherwise its version is unknown.
+ * An instance without the record asks all others. If no record is found and the store shows that the
+ * service has had only one version, the stream began at it; otherwise its version is unknown.
  *
  * @module
  */
@@ -17,11 +17,11 @@
 import type { RosterEntry } from "./digest.ts";
 import type { RecordWriter } from "./record_writer.ts";
 import { createStreamInquiries } from "./stream_inquiries.ts";
-import type { WorkerView } from "./stream_inquiries.ts";
+import type { StreamInquiriesParts } from "./stream_inquiries.ts";
 import { createStreamRecordCopies } from "./stream_record_copies.ts";
 import { versionsByService } from "./service_versions.ts";
 import type { ServiceVersions } from "./service_versions.ts";
-import { decodeStreamRecords, encodeStreamRecords } from "./stream_record_codec.ts";
+import { decodeStreamRecords, encodeStreamRecords, inDatagrams } from "./stream_record_codec.ts";
 import type { AttemptVersion, RecentVersions, StreamRecordMessage } from "./stream_record_codec.ts";
 
 /** The versions of streams, as known to this instance and the others. */
@@ -56,8 +56,7 @@
   readonly writer: Pick<RecordWriter, "other">;
   /** Whether every instance exchanges digests with every other. */
   readonly isSmallFleet: () => boolean;
-  /** What this instance knows of the workers, apart from their history. */
-  readonly view: Omit<WorkerView, "coversPeriod">;
+  readonly readVersions: StreamInquiriesParts["readVersions"];
   /** Maximum duration of a stream in milliseconds. */
   readonly maxDuration: () => number;
   readonly send: (bytes: Uint8Array, address: string) => void;
@@ -65,9 +64,6 @@
   readonly onFault: (detail: string) => void;
 }
 
-/** Maximum number of records or attempts in one datagram, far below the maximum size. */
-const MAX_ATTEMPTS = 1_000;
-
 /** Creates the task without workers and records. */
 export function createStreamVersions(parts: StreamVersionTaskParts): StreamVersionTask {
   const { clock, self } = parts;
@@ -75,36 +71,32 @@
   const history = createVersionHistory();
   const time = (): HistoryTime => ({ now: clock.now(), period: parts.maxDuration() });
   const recentVersions = (service: string): string[] => history.recent(service, time());
-  const view = { ...parts.view, coversPeriod: () => history.coversPeriod(time()) };
-  const hasCompleteView = (): boolean => view.isCurrent() && view.coversPeriod();
 
   const send = (message: Partial<StreamRecordMessage>, address: string): void => {
-    const empty = { records: [], askedAttempts: [], askedServices: [], recent: [] };
+    const empty = { question: 0, records: [], askedAttempts: [], askedServices: [], recent: [] };
     parts.send(encodeStreamRecords({ sender: "", ...empty, ...message }), address);
   };
   const copies = createStreamRecordCopies({
     ...parts,
     isMixed: (service) => recentVersions(service).length > 1,
     send: (all, address) => {
-      for (const some of inChunks(all)) send({ records: some }, address);
+      for (const some of inDatagrams(all)) send({ records: some }, address);
     },
   });
   const inquiries = createStreamInquiries({
     ...parts,
-    view,
     instances: () => parts.instances().map(({ peers }) => peers),
     find: records.find,
-    send: ({ attempts, services }, address) => {
-      const chunks = inChunks(attempts);
-      // Streams whose callers name no attempt are asked for by their service alone.
-      for (const askedAttempts of chunks.length === 0 ? [[]] : chunks)
-        send({ sender: self.peers, askedAttempts, askedServices: services }, address);
-    },
+    // Streams whose callers name no attempt are asked for by their service alone.
+    send: ({ number: question, attempts, services }, address) =>
+      send(
+        { sender: self.peers, question, askedAttempts: attempts, askedServices: services },
+        address,
+      ),
   });
   const statement = (service: string): RecentVersions => ({
     service,
     versions: recentVersions(service),
-    isComplete: hasCompleteView(),
   });
   const findCopies = (attempts: readonly bigint[]): AttemptVersion[] =>
     attempts.flatMap((attempt) => {
@@ -121,20 +113,6 @@
     const record = records.find(attempt);
     return record?.kind === "known" && record.service === service && record.version === version;
   };
-  /** Returns the record that is known without asking others. */
-  const findHere = (
-    attempt: bigint | undefined,
-    { service, versions }: { service: string; versions: readonly string[] },
-  ): StreamRecord | undefined => {
-    const record = attempt === undefined ? undefined : records.find(attempt);
-    if (record !== undefined) return record;
-    const [version] = versions;
-    // A caller that names no attempt expects only one version, so the present one is enough.
-    const isCertain = attempt === undefined ? view.isCurrent() : hasCompleteView();
-    return version !== undefined && versions.length === 1 && isCertain
-      ? { kind: "known", service, version }
-      : undefined;
-  };
   return {
     recordStart: (started, version) => {
       const attempt = hashOf(started);
@@ -144,7 +122,7 @@
     find: (started, service, done) => {
       const attempt = started === undefined ? undefined : hashOf(started);
       const versions = recentVersions(service);
-      const known = findHere(attempt, { service, versions });
+      const known = attempt === undefined ? undefined : records.find(attempt);
       if (known !== undefined || (attempt === undefined && versions.length > 1)) {
         done(versionOf(known));
         return { close: () => undefined };
@@ -166,7 +144,7 @@
       store(restored.filter((record) => !isKnown(record)));
       inquiries.recordsReceived();
     },
-    coversPeriod: () => view.coversPeriod(),
+    coversPeriod: () => history.coversPeriod(time()),
     setWorkers: (workers) => {
       const isNewlyMixed = history.record(versionsByService(workers), time()).length > 0;
       if (isNewlyMixed) copies.sendAll();
@@ -177,13 +155,13 @@
         parts.onFault("A received datagram is not a valid message about streams.");
         return;
       }
-      const { sender, askedAttempts, askedServices, recent } = message;
+      const { sender, question, askedAttempts, askedServices, recent } = message;
       store(message.records);
       inquiries.recordsReceived();
-      inquiries.answered(sender, recent);
+      inquiries.answered({ question, sender, recent });
       if (askedServices.length === 0) return;
       const found = findCopies(askedAttempts);
-      const answer = { records: found, recent: askedServices.map(statement) };
+      const answer = { question, records: found, recent: askedServices.map(statement) };
       send({ sender: self.peers, ...answer }, sender);
     },
     close: () => {
@@ -204,10 +182,3 @@
     .digest();
   return hash.readBigUInt64LE(0);
 }
-
-function inChunks<Item>(items: readonly Item[]): Item[][] {
-  const count = Math.ceil(items.length / MAX_ATTEMPTS);
-  return Array.from({ length: count }, (_, index) =>
-    items.slice(index * MAX_ATTEMPTS, (index + 1) * MAX_ATTEMPTS),
-  );
-}
