Close a caller's connection only after the caller has ended its side

Callers saw: an answer that the instance had written completely broke off, without any line on it, if the caller was still reading it (a slow reader or a slow link) and sent something behind its request: an empty line, another request, or other bytes.

Cause: after the last response Node.js calls socket.destroySoon(), which closes the socket as soon as the operating system holds the answer. Bytes that arrive on a closed socket, or wait unread in it, make the system reset the connection and discard what the caller hasn't received. The process ends as if nothing were in progress. The class: a connection is closed before its other end has everything.

Now the instance ends only its own side and reads and ignores what still arrives until the caller has ended its side, for at most 5 s. In a stop the request counts as in progress until then.

The three added tests failed without the change and pass with it.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -71,7 +71,7 @@
     },
   );
   setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
-  endConnectionsAfterReading(server);
+  endConnectionsAfterReading(server, clock);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -155,3 +155,37 @@
   await once(socket, "close");
   await listener.close();
 });
+
+// Guards against answers that are cut on a slow link: a connection that was closed after its last answer is reset if the
+// caller still sends something, and what the caller hasn't received yet is discarded.
+test.each([
+  { title: "an empty line", bytes: "\r\n" },
+  { title: "another request", bytes: "GET / HTTP/1.1\r\nHost: x\r\n\r\n" },
+  { title: "bytes that are no request", bytes: "no request\r\n\r\n" },
+])(
+  "the last answer on a connection is whole if its caller sends $title before it has read it",
+  async ({ bytes }) => {
+    const body = "x".repeat(1_000_000);
+    const responses: ServerResponse[] = [];
+    const listener = await listen(500, (response) => {
+      if (responses.push(response) > 1) return;
+      response.shouldKeepAlive = false;
+      response.end(body);
+    });
+    const [host, port] = splitAddress(listener.address);
+    const socket = connect({ host, port });
+    socket.setEncoding("latin1");
+    socket.pause();
+    socket.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    await expect.poll(() => responses[0]?.closed).toBe(true);
+    socket.write(bytes);
+    let received = "";
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    socket.on("data", (text: string) => (received += text));
+    socket.on("error", () => undefined);
+    socket.resume();
+    await once(socket, "close");
+    expect(received.endsWith(`\r\n\r\n${body}`)).toBe(true);
+    await listener.close();
+  },
+);
--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -1,5 +1,5 @@
 /**
- * Ends callers' connections that are idle, too slow or invalid.
+ * Ends callers' connections that are idle, too slow or invalid, or end with a response.
  *
  * Node.js would end a connection as soon as its timer expires. After a time in which the process could not run, timers
  * may come before sockets are read. A request that has completely arrived on a connection would then be lost: the
@@ -11,6 +11,8 @@
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import type { Clock } from "../interface/index.ts";
+import { closeAfterCaller } from "./lingering_close.ts";
 
 /** What happened on a caller's connection. */
 interface Progress {
@@ -22,6 +24,8 @@
    * arriving then, or if the time for the next head has passed.
    */
   readAtEnd: number | undefined;
+  /** Whether nothing more is sent on the connection, and what still arrives is ignored. */
+  isEnding: boolean;
 }
 
 /** Milliseconds by which Node.js may check the header timeout late. */
@@ -39,13 +43,14 @@
 };
 
 /** Applies the rules of this module to the connections of a server. */
-export function endConnectionsAfterReading(server: Server): void {
+export function endConnectionsAfterReading(server: Server, clock: Clock): void {
   const connections = new WeakMap<Duplex, Progress>();
   const progressOf = (socket: Duplex): Progress => {
     const progress = connections.get(socket) ?? {
       requestCount: 0,
       unfinished: new Set(),
       readAtEnd: 0,
+      isEnding: false,
     };
     connections.set(socket, progress);
     return progress;
@@ -60,8 +65,14 @@
       progress.readAtEnd = request.complete ? socket.bytesRead : undefined;
     });
   });
+  const endSocket = (socket: Socket): void => {
+    progressOf(socket).isEnding = true;
+    closeAfterCaller(socket, clock);
+  };
   server.on("connection", (socket) => {
     socket.once("close", () => closeQueued(progressOf(socket)));
+    // Node.js calls it after the last response on a connection, and would close the connection at once.
+    socket.destroySoon = () => endSocket(socket);
   });
   // Without a listener, Node.js closes the connection without an answer.
   server.on("connect", (_request, socket) => {
@@ -91,6 +102,8 @@
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
     const status = STATUS_BY_CODE[error.code ?? ""] ?? BAD_REQUEST;
     const progress = progressOf(socket);
+    // Bytes behind the last request may be no request at all.
+    if (progress.isEnding) return;
     const end = (): void => endWithError(socket, status, progress);
     if (status !== REQUEST_TIMEOUT) {
       end();
--- a/src/request/caller_connections.ts
+++ b/src/request/caller_connections.ts
@@ -5,6 +5,8 @@
 export interface ConnectionEnd {
   /** Whether an earlier response ends the connection, so that this request can't be answered on it. */
   readonly isEnding: boolean;
+  /** Whether the connection ends with the response to this request. */
+  readonly endsWithResponse: boolean;
   /**
    * Lets the connection end with the response to this request, unless a later request has already arrived on it.
    *
@@ -41,6 +43,9 @@
       if (!isEnding) state.latest = response;
       return {
         isEnding,
+        get endsWithResponse() {
+          return state.isEnding && state.latest === response;
+        },
         endWithResponse: () => {
           if (state.latest !== response) return false;
           state.isEnding = true;
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -77,7 +77,7 @@
     const idHeader = request.headers[context.names.requestId];
     const id = typeof idHeader === "string" ? idHeader : undefined;
     logCloseInStop(response, id);
-    if (connection.isEnding) {
+    if (connection.isEnding || request.socket.writableEnded) {
       request.resume();
       return;
     }
@@ -88,8 +88,12 @@
     });
     let run: RoutedRun | undefined;
     response.once("close", () => {
-      openRequests.delete(response);
       if (!response.writableFinished) run?.abandon();
+      const end = (): void => void openRequests.delete(response);
+      // What the caller hasn't read yet would be lost with the process, if the caller still sends something.
+      if (connection.endsWithResponse && !request.socket.destroyed)
+        request.socket.once("close", end);
+      else end();
     });
     openRequests.set(response, () => {
       if (run !== undefined) run.endAtStop();
