Announce the end of a connection only with an answer that is known completely

Callers saw: in a stop, a second request on a connection was neither passed on nor answered, and its connection ended up to seconds later, if it arrived within a stream, or together with a request that was refused at once. The instance logged it as closed, end=unanswered, at most.

Cause: the head of every answer of a stopping instance announced the end of its connection. That of a stream does so seconds before the stream ends, and nothing can be answered behind an announced end. A refusal was written while the parser still held the request behind it. The class: the end of a connection is decided before all its requests are known.

An answer that is forwarded as it arrives announces nothing now; its connection stays open for the next request, whose answer ends it, or until the process ends, as with answers that began before SIGTERM. A stopping instance decides about a request one turn after its arrival, when those that came with it are known.

The raw callers of bench/stops now close their connection at an announced end, as callers do.

--- a/bench/stops/raw_connection.ts
+++ b/bench/stops/raw_connection.ts
@@ -98,7 +98,12 @@
       first.status = status;
       first.onHead();
     },
-    onEnd: () => endFirst(true),
+    onEnd: (isLast) => {
+      if (isLast) isClosed = true;
+      endFirst(true);
+      // Requests behind it will not be answered.
+      if (isLast) socket.destroySoon();
+    },
   });
   socket.on("data", (bytes) => {
     reader.push(bytes);
--- a/bench/stops/response_reader.ts
+++ b/bench/stops/response_reader.ts
@@ -7,8 +7,8 @@
 /** Receives what is read. */
 export interface ResponseListener {
   readonly onHead: (status: number) => void;
-  /** Called at the end of a complete response. */
-  readonly onEnd: () => void;
+  /** Called at the end of a complete response, with whether it was announced as the last one of its connection. */
+  readonly onEnd: (isLast: boolean) => void;
 }
 
 /** Reads responses with a length or in chunks. A response that ends with its connection never counts as complete. */
@@ -34,6 +34,7 @@
   let part = Part.Head;
   /** Bytes left of the body or chunk, with the end of line behind a chunk. */
   let left = 0;
+  let isLast = false;
   const takeUntil = (end: string): string | undefined => {
     const index = waiting.indexOf(end);
     if (index < 0) return undefined;
@@ -43,13 +44,14 @@
   };
   const endResponse = (): void => {
     part = Part.Head;
-    onEnd();
+    onEnd(isLast);
   };
   const readHead = (): boolean => {
     const head = takeUntil(HEAD_END);
     if (head === undefined) return false;
     const length = /^content-length: *(\d+)/im.exec(head)?.[1];
     const isChunked = /^transfer-encoding: *chunked/im.test(head);
+    isLast = /^connection: *close/im.test(head);
     onHead(Number(head.split(" ")[1]));
     part = isChunked ? Part.ChunkSize : Part.Body;
     left = isChunked || length === undefined ? Infinity : Number(length);
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -106,8 +106,9 @@
  * Creates the response to a request.
  *
  * @param response The Node.js response to write to.
- * @param options `isClosing` returns whether the connection is to be closed after the response,
- * because the instance is shutting down. `budget` limits what all responses hold.
+ * @param options `isClosing` returns whether the connection is to be closed after a response that is known completely,
+ * because the instance is shutting down. Any other may take seconds, and a request that arrives meanwhile could not be
+ * answered. `budget` limits what all responses hold.
  */
 export function createCallerResponse(
   response: ServerResponse,
@@ -123,7 +124,7 @@
     received.close();
     unsent.close();
   });
-  const start = (status: number, headers: readonly string[]): void => {
+  const startComplete = (status: number, headers: readonly string[]): void => {
     if (isClosing()) response.shouldKeepAlive = false;
     response.writeHead(status, [...headers]);
   };
@@ -140,11 +141,14 @@
       // An empty body keeps the worker's content length, because a HEAD response states the length
       // of a body that it does not contain.
       const length = body.length > 0 ? String(body.length) : head.byName.get("content-length");
-      start(head.status, length === undefined ? headers : [...headers, "Content-Length", length]);
+      startComplete(
+        head.status,
+        length === undefined ? headers : [...headers, "Content-Length", length],
+      );
       response.end(body);
       countUnsent();
     },
-    start: (head) => start(head.status, buildResponseHeaders(head)),
+    start: (head) => void response.writeHead(head.status, buildResponseHeaders(head)),
     write: (bytes) => {
       const canContinue = response.write(bytes);
       countUnsent();
@@ -162,7 +166,7 @@
         headers.push("Retry-After", (retryAfter / MILLISECONDS_PER_SECOND).toFixed(3));
       }
       isRefused = true;
-      start(status, headers);
+      startComplete(status, headers);
       endAfterRequest(response, body, clock);
     },
     onDrain: (listener) => void response.on("drain", listener),
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -44,6 +44,14 @@
   readonly reserve?: number;
 }
 
+/** A request whose head has arrived. */
+interface ArrivedRequest {
+  readonly request: IncomingMessage;
+  readonly id: string | undefined;
+  /** Called with the run that it leads to; undefined if it is refused. */
+  readonly onRun: (run: RoutedRun | undefined) => void;
+}
+
 /** Milliseconds after which a caller may retry at an instance without a configuration. */
 const NOT_READY_RETRY_AFTER = 300;
 /** Creates the service for routed requests of one instance. */
@@ -99,6 +107,19 @@
       if (run !== undefined) run.endAtStop();
       else if (!callerResponse.isClosed) refuseStopping(callerResponse, id);
     });
+    const onRun = (started: RoutedRun | undefined): void => void (run = started);
+    const accepted = { request, id, onRun };
+    if (!context.isStopping()) {
+      accept(accepted, callerResponse);
+      return;
+    }
+    // A refusal may end the connection, so the requests that arrived together must all be known before.
+    setImmediate(() => {
+      if (!callerResponse.isClosed) accept(accepted, callerResponse);
+    });
+  };
+  /** Refuses a request by its head, or reads its body and makes the other checks. */
+  const accept = ({ request, id, onRun }: ArrivedRequest, callerResponse: CallerResponse): void => {
     const now = context.clock.now();
     const table = context.table();
     if (table === undefined) {
@@ -122,7 +143,7 @@
         return;
       }
       if (callerResponse.isClosed) return;
-      run = admit({ request, arrival, body, table }, callerResponse);
+      onRun(admit({ request, arrival, body, table }, callerResponse));
     });
   };
   /**
