Limit the store changes in a digest by their bytes, of all kinds together

Three entries with 7,500 characters of three bytes each, or 55 entries with names of 1,000 characters, made the digests of relays larger than a datagram. "send EMSGSIZE" was logged, and the receiver got no digest from its relay, so no counts either, until it took the relay for silent and asked the store itself.

Cause: the limit counted characters of the values only, neither bytes nor names nor statuses, for each kind by itself: up to 4 x 24,000 characters.

Change: one budget of 32,000 bytes for the changes of all kinds in a digest, with names and statuses. What doesn't fit is sent with the next digest or fetched, as before.

--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -145,18 +145,20 @@
       name: object.name,
       version: BigInt(object.version),
       removed,
-      value: removed ? "" : objectText(object),
-      status: object.status === undefined ? "" : JSON.stringify(object.status),
+      ...(removed ? { value: "", status: "" } : objectTexts(object)),
     })),
   });
 }
 
 /**
- * Returns an object's value as JSON; `null` if it has no value, since JSON cannot express
- * `undefined`.
+ * Returns an object's value and status as JSON. The value is `null` if the object has none, since
+ * JSON cannot express `undefined`; the status is then empty.
  */
-export function objectText({ value }: FeedObject): string {
-  return JSON.stringify(value ?? null);
+export function objectTexts({ value, status }: FeedObject): { value: string; status: string } {
+  return {
+    value: JSON.stringify(value ?? null),
+    status: status === undefined ? "" : JSON.stringify(status),
+  };
 }
 
 function encodeUpdate(update: InstanceUpdate): wire.News {
--- a/src/process/fleet_sync.ts
+++ b/src/process/fleet_sync.ts
@@ -13,7 +13,7 @@
 import { createAdmissionSums } from "./admission_sums.ts";
 import type { AdmissionReport, ReportTime } from "./admission_sums.ts";
 import { createOwnAdmissions } from "./own_admissions.ts";
-import { objectText } from "./digest_codec.ts";
+import { objectTexts } from "./digest_codec.ts";
 import { UpdateScope } from "./digest.ts";
 import type { Digest, InstanceUpdate, InstanceState, WorkerCounts } from "./digest.ts";
 import type { FeedFollower } from "./feed_follower.ts";
@@ -83,12 +83,12 @@
 /** Milliseconds of running time without a digest after which a feeding relay no longer counts: three digests. */
 const FEEDER_TIMEOUT = 800;
 /**
- * Maximum number of store changes, and of JSON characters in them, in one digest; far below the
- * maximum datagram size. Remaining changes go into the next digest; a single change that exceeds
- * the limit is fetched.
+ * Maximum number of store changes of a kind, and maximum number of bytes in the changes of all kinds,
+ * in one digest; half of the maximum datagram size. Remaining changes go into the next digest; a
+ * single change that exceeds the limit is fetched.
  */
 const MAX_CHANGES = 128;
-const MAX_CHANGE_CHARACTERS = 24_000;
+const MAX_CHANGE_BYTES = 32_000;
 /** Uptime in milliseconds below which all counts of a process are new to the other instances. */
 const MAX_NEW_UPTIME = 3_000;
 /** Source of the sum of all other instances in the reports to the quota. */
@@ -179,13 +179,15 @@
     for (const delta of digest.feedDeltas) feeds.get(delta.kind)?.applyDelta(delta);
     parts.onDigestApplied(peer);
   };
-  const deltasSince = (versions: ReadonlyMap<string, number>): FeedDelta[] =>
-    [...feeds].flatMap(([kind, feed]) => {
+  const deltasSince = (versions: ReadonlyMap<string, number>): FeedDelta[] => {
+    const budget = { bytes: MAX_CHANGE_BYTES };
+    return [...feeds].flatMap(([kind, feed]) => {
       const known = versions.get(kind) ?? 0;
       const delta =
-        known < feed.changedAt ? feed.changesSince(known, createDeltaBudget()) : undefined;
+        known < feed.changedAt ? feed.changesSince(known, createBatchCheck(budget)) : undefined;
       return delta === undefined ? [] : [delta];
     });
+  };
   const updateMembers = (): void => {
     const live = exchange.live();
     const count = exchange.members;
@@ -255,25 +257,36 @@
   });
 }
 
-/** Creates a function that reports whether a further batch of changes still fits into a digest. */
-function createDeltaBudget(): (batch: readonly FeedChange[]) => boolean {
+/**
+ * Creates a function that reports whether a further batch of a kind's changes still fits into a
+ * digest, and takes its bytes from the budget if it does.
+ */
+function createBatchCheck(budget: { bytes: number }): (batch: readonly FeedChange[]) => boolean {
   let count = 0;
-  let characters = 0;
   return (batch) => {
+    let bytes = 0;
+    for (const change of batch) bytes += sizeOf(change);
     count += batch.length;
-    for (const { object, removed } of batch) if (!removed) characters += sizeOf(object);
-    return count <= MAX_CHANGES && characters <= MAX_CHANGE_CHARACTERS;
+    if (count > MAX_CHANGES || bytes > budget.bytes) return false;
+    budget.bytes -= bytes;
+    return true;
   };
 }
 
 /**
- * Size in characters by object. A relay sends each change to many instances but computes its size
- * only once.
+ * Size in bytes by object. A relay sends each change to many instances but computes its size only
+ * once.
  */
 const sizes = new WeakMap<FeedObject, number>();
 
-function sizeOf(object: FeedObject): number {
-  const size = sizes.get(object) ?? objectText(object).length;
+function sizeOf({ object, removed }: FeedChange): number {
+  if (removed) return Buffer.byteLength(object.name);
+  const size = sizes.get(object) ?? measure(object);
   sizes.set(object, size);
   return size;
 }
+
+function measure(object: FeedObject): number {
+  const { value, status } = objectTexts(object);
+  return Buffer.byteLength(object.name) + Buffer.byteLength(value) + Buffer.byteLength(status);
+}
