Learn the time of answers that needed a repeat

The estimate of a stopping instance left out every answer after a repeat.

The answer of the last attempt counts from the time at which that attempt was sent; if an earlier worker has sent the stream's beginning, from its first event.

--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -58,22 +58,33 @@
   return isShort ? context.workerLoads.timing(service).runTime : undefined;
 }
 
-/** Records how long the answer of a request's only run took, for later estimates. */
+/** Records how long an answer took, for later estimates. */
 export function recordAnswerTime(
-  { context, admitted, progress, splitter }: RoutedRunState,
+  state: RoutedRunState,
   { attempt, head }: { readonly attempt: Attempt; readonly head: ResponseHead },
 ): void {
+  const { context, admitted, splitter } = state;
   const { arrival } = admitted;
-  if (!isSuccess(head) || progress.runs !== 1 || arrival.resumption !== undefined) return;
-  const { startedAt, expectedWait, exchange } = attempt;
+  if (!isSuccess(head) || arrival.resumption !== undefined) return;
   context.answerTimes.record(originOf(admitted), {
     outputTokens: arrival.outputTokens,
     lastEvent: eventNumber(splitter.lastId),
-    // Later requests find open connections, so the time to open one would only make answers look longer.
-    duration: context.clock.now() - (exchange?.sentAt ?? startedAt) - expectedWait,
+    duration: context.clock.now() - beginOf(state, attempt),
   });
 }
 
+/**
+ * Returns the time at which the first token of an answer was expected, in the clock's milliseconds; that of its first
+ * event if another worker has sent its beginning.
+ */
+function beginOf({ admitted, progress }: RoutedRunState, attempt: Attempt): number {
+  const { startedAt, expectedWait, exchange } = attempt;
+  const firstEventAt = admitted.arrival.arrivedAt + (progress.firstEventAfter ?? Infinity);
+  if (firstEventAt < startedAt) return firstEventAt;
+  // Later requests find open connections, so the time to open one would only make answers look longer.
+  return (exchange?.sentAt ?? startedAt) + expectedWait;
+}
+
 function originOf({ arrival, service }: AdmittedRequest): AnswerOrigin {
   return { route: arrival.route.name, service: service.name };
 }
