Take the rest of a stream by its events only if they are numbered from 0

A stopping instance took the number of a caller's last event, against the usual number of the last event, for the part of the stream that the caller has. If a route's ids begin elsewhere, say at 100,000, each stream that was taken up again looked as if it had almost ended, was accepted, and was cut at the end of the stop.

The number of the last event now counts only if the first one is 1 or less, or less than an eighth of it. Otherwise the rest may be as long as a whole stream.

The new routed_stop_test failed before for a stream of 50 events from 100,000 that is taken up at 100,002 with half of its time left (not refused).

--- a/src/request/event_splitter.ts
+++ b/src/request/event_splitter.ts
@@ -14,6 +14,8 @@
 export interface EventSplitter {
   /** Adds bytes of the stream and returns the events that they complete. */
   push(chunk: Buffer): CompleteEvents;
+  /** Id of the first complete event. */
+  readonly firstId: string | undefined;
   /** Id of the last complete event. */
   readonly lastId: string | undefined;
   /**
@@ -62,6 +64,7 @@
   let spare: Buffer = Buffer.alloc(0);
   /** Start of the last, incomplete line in it. */
   let lineStart = 0;
+  let firstId: string | undefined;
   let lastId: string | undefined;
   let isTooLong = false;
   let isRepeated = false;
@@ -115,9 +118,13 @@
       if (isRepeated) return NO_EVENTS;
       isContinuing = false;
       setPartial(all.subarray(end));
+      firstId ??= ids[0];
       lastId = ids.at(-1) ?? lastId;
       return { bytes, count };
     },
+    get firstId() {
+      return firstId;
+    },
     get lastId() {
       return lastId;
     },
--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -5,6 +5,7 @@
  */
 import type { AnswerOrigin, RankedChoice } from "../decision/index.ts";
 import type { ResponseHead } from "../interface/index.ts";
+import type { EventSplitter } from "./event_splitter.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import type { CandidateWorker, DecisionFields } from "./routed_context.ts";
 import { isSuccess } from "./routed_head.ts";
@@ -12,6 +13,9 @@
 import type { AdmittedRequest } from "./routed_request.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
+/** Minimum ratio of the number of the last event to that of the first one. */
+const MIN_SPAN = 8;
+
 /** Why a request isn't sent to a worker by a stopping instance; times are in milliseconds. */
 interface StopConflict extends DecisionFields {
   /** Expected time until the end of the answer. */
@@ -68,7 +72,7 @@
   if (!isSuccess(head) || arrival.resumption !== undefined) return;
   context.answerTimes.record(originOf(admitted), {
     outputTokens: arrival.outputTokens,
-    lastEvent: eventNumber(splitter.lastId),
+    lastEvent: eventCount(splitter),
     duration: context.clock.now() - beginOf(state, attempt),
   });
 }
@@ -89,6 +93,17 @@
   return { route: arrival.route.name, service: service.name };
 }
 
+/**
+ * Returns the number of a stream's last event if its numbers begin near 0. Otherwise a part of the numbers would say nothing
+ * about the part of the stream, and the rest of a stream would look short.
+ */
+function eventCount({ firstId, lastId }: EventSplitter): number | undefined {
+  const first = eventNumber(firstId);
+  const last = eventNumber(lastId);
+  if (first === undefined || last === undefined) return undefined;
+  return first <= 1 || first * MIN_SPAN <= last ? last : undefined;
+}
+
 /** Returns the number that an event's id is; undefined if there is none. */
 function eventNumber(id: string | undefined): number | undefined {
   return id !== undefined && /^\d{1,9}$/.test(id) ? Number(id) : undefined;
--- /dev/null
+++ b/src/request/routed_stop_test.ts
@@ -0,0 +1,90 @@
+import { expect, test } from "vitest";
+import { createAnswerTimes } from "../decision/index.ts";
+import type { ResponseHead } from "../interface/index.ts";
+import { createVirtualClock } from "../standin/memory/index.ts";
+import type { VirtualClock } from "../standin/memory/index.ts";
+import { createEventSplitter } from "./event_splitter.ts";
+import { createAttempt } from "./routed_attempt.ts";
+import type { Attempt } from "./routed_attempt.ts";
+import { createRunProgress } from "./routed_progress.ts";
+import type { RoutedRunState } from "./routed_run_state.ts";
+import { findStopConflict, recordAnswerTime } from "./routed_stop.ts";
+
+/** Milliseconds. */
+const EVENT_TIME = 100;
+const EVENTS = 50;
+const TIMEOUT = 20_000;
+/** Number of answers from which the estimate is steady. */
+const ANSWERS = 10;
+const HEAD = { status: 200 } as ResponseHead;
+const CHOICE = { wait: 0 } as Parameters<typeof findStopConflict>[1];
+
+/** An instance that serves streams of one route. */
+interface StopSetup {
+  readonly clock: VirtualClock;
+  /** Begins a request; `lastEventId` is that of a caller who has the beginning of a stream. */
+  readonly begin: (options?: { lastEventId?: string }) => {
+    state: RoutedRunState;
+    attempt: Attempt;
+  };
+  /** Begins a stop whose answers end after this time. */
+  readonly stop: (left: number) => void;
+}
+
+function setUp(): StopSetup {
+  const clock = createVirtualClock();
+  const answerTimes = createAnswerTimes();
+  let endAt: number | undefined;
+  return {
+    clock,
+    begin: ({ lastEventId } = {}) => {
+      const arrivedAt = clock.now();
+      const state = {
+        context: { clock, answerTimes, answersEndAt: () => endAt },
+        admitted: {
+          arrival: {
+            route: { name: "drafts", latencyTarget: 100 },
+            arrivedAt,
+            deadlineAt: arrivedAt + TIMEOUT,
+            outputTokens: EVENTS,
+            resumption: lastEventId === undefined ? undefined : { lastEventId },
+          },
+          service: { name: "engines" },
+        },
+        response: { hasStarted: false },
+        progress: { ...createRunProgress(undefined), runs: 1 },
+        splitter: createEventSplitter(),
+        reserve: undefined,
+      } as unknown as RoutedRunState;
+      const run = {} as Attempt["run"];
+      const worker = {} as Attempt["worker"];
+      return { state, attempt: createAttempt(worker, { run, now: arrivedAt, wait: 0 }) };
+    },
+    stop: (left) => (endAt = clock.now() + left),
+  };
+}
+
+/** Serves a whole stream whose events are numbered from `first`. */
+async function serveStream({ clock, begin }: StopSetup, first: number): Promise<void> {
+  const { state, attempt } = begin();
+  for (let event = first; event < first + EVENTS; event++) {
+    await clock.advance(EVENT_TIME);
+    state.splitter.push(Buffer.from(`id: ${event}\ndata: x\n\n`));
+  }
+  recordAnswerTime(state, { attempt, head: HEAD });
+}
+
+// Guards against the rest of a stream that looks short because its events aren't numbered from 0, and is cut.
+test.each([
+  { first: 1, lastEventId: "41", isRefused: false },
+  { first: 100_000, lastEventId: "100002", isRefused: true },
+])(
+  "a stream numbered from $first that is taken up at $lastEventId: refused $isRefused",
+  async ({ first, lastEventId, isRefused }) => {
+    const setup = setUp();
+    for (let answer = 0; answer < ANSWERS; answer++) await serveStream(setup, first);
+    setup.stop((EVENTS * EVENT_TIME) / 2);
+    const { state } = setup.begin({ lastEventId });
+    expect(findStopConflict(state, CHOICE) !== undefined).toBe(isRefused);
+  },
+);
