Learn no answer times from slow callers and workers that stood still

The estimate of a stopping instance included the time in which a caller read too slowly and that in which a worker stood still, so that one such answer made it refuse streams that would have ended: after ten answers of 5 s, one that was held up for 10 s raised the expected time to 8.8 s.

An answer isn't recorded if its caller was slow for more than a twentieth of its duration, or if one gap between two events took a second or more and more than a quarter of it. Subtracting the pauses would be wrong in the other direction, since the worker may go on into the buffers meanwhile, and routes with long gaps would look fast.

--- a/src/request/routed_attempt.ts
+++ b/src/request/routed_attempt.ts
@@ -31,6 +31,12 @@
   firstEventAt: number | undefined;
   /** Whether reading from the worker is paused because the caller reads too slowly. */
   isPaused: boolean;
+  /** When the last pause began, in the clock's milliseconds. */
+  pausedAt: number;
+  /** Milliseconds of all pauses that have ended. */
+  pausedFor: number;
+  /** Longest time between two pieces of events while they were read, in milliseconds. */
+  longestSilence: number;
 }
 
 /** Creates an attempt. Its exchange is set when the request is sent. */
@@ -53,6 +59,9 @@
     wasMoveDeferred: false,
     firstEventAt: undefined,
     isPaused: false,
+    pausedAt: startedAt,
+    pausedFor: 0,
+    longestSilence: 0,
   };
 }
 
--- a/src/request/routed_forwarding.ts
+++ b/src/request/routed_forwarding.ts
@@ -31,8 +31,10 @@
 /** Continues reading from the worker when the caller has caught up. */
 export function resumeReading({ context, current }: RoutedRunState): void {
   if (current === undefined) return;
+  const now = context.clock.now();
+  if (current.isPaused) current.pausedFor += now - current.pausedAt;
   current.isPaused = false;
-  current.lastReceivedAt = context.clock.now();
+  current.lastReceivedAt = now;
   current.exchange?.resume();
 }
 
@@ -49,7 +51,7 @@
   const buffered = Buffer.concat(attempt.chunks.splice(0));
   attempt.bufferedBytes = 0;
   holdReceived(state);
-  if (!response.write(buffered)) pauseReading(attempt);
+  if (!response.write(buffered)) pauseReading(state, attempt);
 }
 
 /** Accounts for what is held of the responses of all attempts; returns whether it is within the limit. */
@@ -75,13 +77,16 @@
   }
   // Only complete events count, since a faulty worker may send other bytes slowly and without end.
   if (count === 0) return;
-  attempt.lastReceivedAt = state.context.clock.now();
+  const now = state.context.clock.now();
+  if (attempt.firstEventAt !== undefined)
+    attempt.longestSilence = Math.max(attempt.longestSilence, now - attempt.lastReceivedAt);
+  attempt.lastReceivedAt = now;
   progress.hasPartialEvent = false;
   releaseReserve(state);
   if (attempt.firstEventAt === undefined) recordFirstEvent(state, attempt);
   suspects.recordEvents(attempt);
   if (!response.hasStarted && attempt.head !== undefined) startStream(state, attempt.head);
-  if (!response.write(bytes)) pauseReading(attempt);
+  if (!response.write(bytes)) pauseReading(state, attempt);
 }
 
 function recordFirstEvent(state: RoutedRunState, attempt: Attempt): void {
@@ -113,7 +118,8 @@
 }
 
 /** Stops reading from the worker until the caller has caught up. */
-function pauseReading(attempt: Attempt): void {
+function pauseReading({ context }: RoutedRunState, attempt: Attempt): void {
   attempt.isPaused = true;
+  attempt.pausedAt = context.clock.now();
   attempt.exchange?.pause();
 }
--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -16,6 +16,12 @@
 /** Minimum ratio of the number of the last event to that of the first one. */
 const MIN_SPAN = 8;
 
+/** Maximum part of an answer's duration in which its caller read too slowly, if the duration is that of the worker. */
+const MAX_PAUSE = 1 / 20;
+/** The same for the longest time between two events, unless it is shorter than a standstill, in milliseconds. */
+const MAX_SILENCE = 1 / 4;
+const MIN_STANDSTILL = 1_000;
+
 /** Why a request isn't sent to a worker by a stopping instance; times are in milliseconds. */
 interface StopConflict extends DecisionFields {
   /** Expected time until the end of the answer. */
@@ -70,13 +76,21 @@
   const { context, admitted, splitter } = state;
   const { arrival } = admitted;
   if (!isSuccess(head) || arrival.resumption !== undefined) return;
+  const duration = context.clock.now() - beginOf(state, attempt);
+  if (wasHeldUp(attempt, duration)) return;
   context.answerTimes.record(originOf(admitted), {
     outputTokens: arrival.outputTokens,
     lastEvent: eventCount(splitter),
-    duration: context.clock.now() - beginOf(state, attempt),
+    duration,
   });
 }
 
+/** Whether the duration of an answer says little about the worker, since its caller was slow or it stood still once. */
+function wasHeldUp({ pausedFor, longestSilence }: Attempt, duration: number): boolean {
+  const hasStoodStill = longestSilence >= MIN_STANDSTILL && longestSilence > duration * MAX_SILENCE;
+  return hasStoodStill || pausedFor > duration * MAX_PAUSE;
+}
+
 /**
  * Returns the time at which the first token of an answer was expected, in the clock's milliseconds; that of its first
  * event if another worker has sent its beginning.
--- a/src/request/routed_stop_test.ts
+++ b/src/request/routed_stop_test.ts
@@ -74,6 +74,22 @@
   recordAnswerTime(state, { attempt, head: HEAD });
 }
 
+// Guards against streams that a stopping instance refuses because earlier callers were slow or workers stood still.
+test.each([
+  { cause: "a slow caller", pausedFor: 10_000, longestSilence: 0 },
+  { cause: "a silent worker", pausedFor: 0, longestSilence: 10_000 },
+])("an answer that was prolonged by $cause makes later ones look no longer", async (prolonged) => {
+  const setup = setUp();
+  for (let answer = 0; answer < ANSWERS; answer++) await serveStream(setup, 1);
+  const { state, attempt } = setup.begin();
+  await setup.clock.advance(EVENTS * EVENT_TIME + prolonged.pausedFor + prolonged.longestSilence);
+  attempt.pausedFor = prolonged.pausedFor;
+  attempt.longestSilence = prolonged.longestSilence;
+  recordAnswerTime(state, { attempt, head: HEAD });
+  setup.stop(EVENTS * EVENT_TIME + EVENT_TIME);
+  expect(findStopConflict(setup.begin().state, CHOICE)).toBeUndefined();
+});
+
 // Guards against the rest of a stream that looks short because its events aren't numbered from 0, and is cut.
 test.each([
   { first: 1, lastEventId: "41", isRefused: false },
