Learn from answers that weren't complete at their deadline

The estimate of a stopping instance knew complete answers only. If the slow answers of a route end at its deadline, only its fast ones were known, and the instance accepted streams that its end then cut.

The time until the deadline is a lower bound of the answer's duration; it counts if it is longer than the expected one. What is recorded of answers is now a module of its own (answer_record.ts), since routed_end.ts needs it.

The new routed_stop_test failed before: after ten streams of 5 s and ten that weren't complete after 20 s, one with 10 s left was accepted.

--- a/src/decision/answer_times.ts
+++ b/src/decision/answer_times.ts
@@ -25,6 +25,9 @@
   readonly duration: number;
 }
 
+/** An answer that was ended before it was complete. */
+export type UnfinishedAnswer = Omit<AnswerDuration, "lastEvent">;
+
 /** The part of an answer that is still to be produced. */
 export interface AnswerRest {
   /** As in {@linkcode AnswerDuration}. */
@@ -43,6 +46,8 @@
 export interface AnswerTimes {
   /** Records an answer that was produced as a whole for one request. */
   record(origin: AnswerOrigin, answer: AnswerDuration): void;
+  /** Records an answer that was ended after this time. It counts only if it took longer than expected until then. */
+  recordUnfinished(origin: AnswerOrigin, answer: UnfinishedAnswer): void;
   /**
    * Returns the milliseconds that the rest of an answer takes from the time at which its first token is
    * expected; undefined until a similar answer of the route or, failing that, of the service was recorded.
@@ -94,6 +99,14 @@
       const time = expectedWhole(ofRoute, sizeOf(answer)) + DEVIATIONS * ofRoute.deviation;
       pace.record(origin.service, { outputTokens: sizeOf(answer), time });
     },
+    recordUnfinished: (origin, { outputTokens, duration }) => {
+      const answer = { outputTokens, duration, lastEvent: undefined };
+      for (const key of keysOf(origin, answer)) {
+        const before = known.get(key);
+        const isLonger = before === undefined || duration > expectedWhole(before, sizeOf(answer));
+        if (isLonger) known.set(key, average(before, answer));
+      }
+    },
     expected: (origin, rest) => {
       const [ofRoute, ofService] = keysOf(origin, rest).map((key) => known.get(key));
       if (ofRoute !== undefined && ofRoute.count >= ENOUGH_ANSWERS)
--- a/src/request/routed_completion.ts
+++ b/src/request/routed_completion.ts
@@ -5,16 +5,16 @@
  */
 import { BodyFraming } from "../interface/index.ts";
 import type { ResponseHead } from "../interface/index.ts";
+import { recordAnswerTime } from "./answer_record.ts";
 import { RoutedRefusal } from "./caller_response.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { RunResult } from "./routed_context.ts";
 import { complete, refuse } from "./routed_end.ts";
 import { handleBroken } from "./routed_failures.ts";
-import { isFailure } from "./routed_head.ts";
+import { isFailure, isSuccess } from "./routed_head.ts";
 import { RepeatCause, takeRepeat } from "./routed_repeats.ts";
 import { endAttempt, logStep } from "./routed_run_state.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
-import { recordAnswerTime } from "./routed_stop.ts";
 
 /** An attempt whose response is complete. */
 interface CompleteAttempt {
@@ -39,7 +39,7 @@
   }
   if (attempt.firstEventAt === undefined && leaveEmptyStream(state, attempt)) return;
   endAttempt(state, RunResult.Answered);
-  recordAnswerTime(state, { attempt, head });
+  if (isSuccess(head)) recordAnswerTime(state, attempt);
   suspects.recordAnswer();
   if (attempt.firstEventAt === undefined) recordStart(state, attempt);
   if (!response.hasStarted) response.start(head);
@@ -81,7 +81,7 @@
   const { response } = state;
   const body = Buffer.concat(attempt.chunks);
   endAttempt(state, resultOf(head));
-  recordAnswerTime(state, { attempt, head });
+  if (isSuccess(head)) recordAnswerTime(state, attempt);
   const write = (): void => {
     response.write(body);
     response.end();
@@ -96,7 +96,7 @@
   suspects.recordAnswer();
   progress.hasPossiblyRun = true;
   endAttempt(state, resultOf(head));
-  recordAnswerTime(state, { attempt, head });
+  if (isSuccess(head)) recordAnswerTime(state, attempt);
   complete(state, { status: head.status, write: () => response.sendComplete(head, body) });
 }
 
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -1,4 +1,5 @@
 import { afterRunningTime } from "../interface/index.ts";
+import { recordDeadline } from "./answer_record.ts";
 import { RoutedRefusal } from "./caller_response.ts";
 import { RunResult } from "./routed_context.ts";
 import type { DecisionFields } from "./routed_context.ts";
@@ -144,6 +145,7 @@
 
 function endAtDeadline(state: RoutedRunState): void {
   if (state.isDone) return;
+  recordDeadline(state);
   endAttempt(state, RunResult.Abandoned)?.abort();
   releaseReserve(state);
   refuse(state, { reason: RoutedRefusal.DeadlinePassed });
--- a/src/request/routed_stop_test.ts
+++ b/src/request/routed_stop_test.ts
@@ -3,12 +3,13 @@
 import type { ResponseHead } from "../interface/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
 import type { VirtualClock } from "../standin/memory/index.ts";
+import { recordAnswerTime, recordDeadline } from "./answer_record.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import { createAttempt } from "./routed_attempt.ts";
 import type { Attempt } from "./routed_attempt.ts";
 import { createRunProgress } from "./routed_progress.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
-import { findStopConflict, recordAnswerTime } from "./routed_stop.ts";
+import { findStopConflict } from "./routed_stop.ts";
 
 /** Milliseconds. */
 const EVENT_TIME = 100;
@@ -71,7 +72,7 @@
     await clock.advance(EVENT_TIME);
     state.splitter.push(Buffer.from(`id: ${event}\ndata: x\n\n`));
   }
-  recordAnswerTime(state, { attempt, head: HEAD });
+  recordAnswerTime(state, attempt);
 }
 
 // Guards against streams that a stopping instance refuses because earlier callers were slow or workers stood still.
@@ -85,11 +86,26 @@
   await setup.clock.advance(EVENTS * EVENT_TIME + prolonged.pausedFor + prolonged.longestSilence);
   attempt.pausedFor = prolonged.pausedFor;
   attempt.longestSilence = prolonged.longestSilence;
-  recordAnswerTime(state, { attempt, head: HEAD });
+  recordAnswerTime(state, attempt);
   setup.stop(EVENTS * EVENT_TIME + EVENT_TIME);
   expect(findStopConflict(setup.begin().state, CHOICE)).toBeUndefined();
 });
 
+// Guards against streams that are accepted and cut because only the fast answers of a slow route are known.
+test("answers that weren't complete at their deadline make later ones look longer", async () => {
+  const setup = setUp();
+  for (let answer = 0; answer < ANSWERS; answer++) await serveStream(setup, 1);
+  for (let answer = 0; answer < ANSWERS; answer++) {
+    const { state, attempt } = setup.begin();
+    attempt.head = HEAD;
+    state.current = attempt;
+    await setup.clock.advance(TIMEOUT);
+    recordDeadline(state);
+  }
+  setup.stop(2 * EVENTS * EVENT_TIME);
+  expect(findStopConflict(setup.begin().state, CHOICE)).toBeDefined();
+});
+
 // Guards against the rest of a stream that looks short because its events aren't numbered from 0, and is cut.
 test.each([
   { first: 1, lastEventId: "41", isRefused: false },
