Compare repeats in a stop with the time that is left

A stopping instance compared only the first sending of a request with the end of its stop. A request that was sent again, after its worker was lost, could begin an answer that the stop cut; its caller waited until then and got 502.

A repeat of which no byte has been sent to the caller now ends as worker-lost (502) at once if its answer is known to end too late, and its caller goes to another instance. Unlike a first sending it goes on if nothing is known, since it can't be refused as not run. Streams that have begun and requests whose own worker may still answer (moves) go on as before: ending them early would take from their callers what they may still get.

The new routed_stop_test failed before: no conflict with half of the time left.

--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Finds out whether the stop of the instance would cut the answer to a request that was not sent yet. Another
- * instance can serve it whole.
+ * Finds out whether the stop of the instance would cut the answer to a request that is to be sent, for the first time or
+ * again. Another instance can serve it whole.
  *
  * @returns Undefined if the answer is expected to end in time or the instance isn't stopping.
  */
@@ -29,11 +29,13 @@
 ): StopConflict | undefined {
   const endAt = context.answersEndAt();
   if (endAt === undefined) return undefined;
-  if (progress.hasPossiblyRun || reserve !== undefined || response.hasStarted) return undefined;
+  // What the caller has of a stream, or may still get from a kept attempt, is worth more than an early end.
+  if (reserve !== undefined || response.hasStarted) return undefined;
   const { arrival } = admitted;
   const now = context.clock.now();
   if (arrival.deadlineAt <= endAt) return undefined;
   const rest = expectedRest({ context, admitted });
+  if (rest === undefined && progress.hasPossiblyRun) return undefined;
   const expected = rest === undefined ? arrival.deadlineAt - now : choice.wait + rest;
   if (now + expected <= endAt) return undefined;
   return { expected: Math.round(expected), left: Math.round(endAt - now) };
--- a/src/request/routed_stop_test.ts
+++ b/src/request/routed_stop_test.ts
@@ -3,6 +3,7 @@
 import type { ResponseHead } from "../interface/index.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
 import type { VirtualClock } from "../standin/memory/index.ts";
+import { Delivery } from "../version/index.ts";
 import { recordAnswerTime, recordDeadline } from "./answer_record.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import { createAttempt } from "./routed_attempt.ts";
@@ -44,7 +45,7 @@
         context: { clock, answerTimes, answersEndAt: () => endAt },
         admitted: {
           arrival: {
-            route: { name: "drafts", latencyTarget: 100 },
+            route: { name: "drafts", delivery: Delivery.Events },
             arrivedAt,
             deadlineAt: arrivedAt + TIMEOUT,
             outputTokens: EVENTS,
@@ -106,6 +107,21 @@
   expect(findStopConflict(setup.begin().state, CHOICE)).toBeDefined();
 });
 
+// Guards against callers that wait for a repeat until the end of the stop cuts it.
+test("a request is sent again in a stop only if its answer isn't known to end too late", async () => {
+  const setup = setUp();
+  const isRefused = (left: number): boolean => {
+    const { state } = setup.begin();
+    state.progress.hasPossiblyRun = true;
+    setup.stop(left);
+    return findStopConflict(state, CHOICE) !== undefined;
+  };
+  expect(isRefused(EVENTS * EVENT_TIME)).toBe(false);
+  for (let answer = 0; answer < ANSWERS; answer++) await serveStream(setup, 1);
+  expect(isRefused(2 * EVENTS * EVENT_TIME)).toBe(false);
+  expect(isRefused((EVENTS * EVENT_TIME) / 2)).toBe(true);
+});
+
 // Guards against the rest of a stream that looks short because its events aren't numbered from 0, and is cut.
 test.each([
   { first: 1, lastEventId: "41", isRefused: false },
