--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -3,13 +3,10 @@
  *
  * @module
  */
-import type { AnswerOrigin, RankedChoice } from "../decision/index.ts";
-import type { ResponseHead } from "../interface/index.ts";
-import type { Attempt } from "./routed_attempt.ts";
+import type { RankedChoice } from "../decision/index.ts";
+import { eventNumber, originOf } from "./answer_record.ts";
 import type { CandidateWorker, DecisionFields } from "./routed_context.ts";
-import { isSuccess } from "./routed_head.ts";
 import { deliversEvents } from "./routed_request.ts";
-import type { AdmittedRequest } from "./routed_request.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
 /** Why a request isn't sent to a worker by a stopping instance; times are in milliseconds. */
@@ -21,8 +18,8 @@
 }
 
 /**
- * Finds out whether the stop of the instance would cut the answer to a request that was not sent yet. Another
- * instance can serve it whole.
+ * Finds out whether the stop of the instance would cut the answer to a request that is to be sent, for the first time or
+ * again. Another instance can serve it whole.
  *
  * @returns Undefined if the answer is expected to end in time or the instance isn't stopping.
  */
@@ -32,11 +29,13 @@
 ): StopConflict | undefined {
   const endAt = context.answersEndAt();
   if (endAt === undefined) return undefined;
-  if (progress.hasPossiblyRun || reserve !== undefined || response.hasStarted) return undefined;
+  // What the caller has of a stream, or may still get from a kept attempt, is worth more than an early end.
+  if (reserve !== undefined || response.hasStarted) return undefined;
   const { arrival } = admitted;
   const now = context.clock.now();
   if (arrival.deadlineAt <= endAt) return undefined;
   const rest = expectedRest({ context, admitted });
+  if (rest === undefined && progress.hasPossiblyRun) return undefined;
   const expected = rest === undefined ? arrival.deadlineAt - now : choice.wait + rest;
   if (now + expected <= endAt) return undefined;
   return { expected: Math.round(expected), left: Math.round(endAt - now) };
@@ -57,28 +56,3 @@
   const isShort = service.engine === undefined && !deliversEvents(route);
   return isShort ? context.workerLoads.timing(service).runTime : undefined;
 }
-
-/** Records how long the answer of a request's only run took, for later estimates. */
-export function recordAnswerTime(
-  { context, admitted, progress, splitter }: RoutedRunState,
-  { attempt, head }: { readonly attempt: Attempt; readonly head: ResponseHead },
-): void {
-  const { arrival } = admitted;
-  if (!isSuccess(head) || progress.runs !== 1 || arrival.resumption !== undefined) return;
-  const { startedAt, expectedWait, exchange } = attempt;
-  context.answerTimes.record(originOf(admitted), {
-    outputTokens: arrival.outputTokens,
-    lastEvent: eventNumber(splitter.lastId),
-    // Later requests find open connections, so the time to open one would only make answers look longer.
-    duration: context.clock.now() - (exchange?.sentAt ?? startedAt) - expectedWait,
-  });
-}
-
-function originOf({ arrival, service }: AdmittedRequest): AnswerOrigin {
-  return { route: arrival.route.name, service: service.name };
-}
-
-/** Returns the number that an event's id is; undefined if there is none. */
-function eventNumber(id: string | undefined): number | undefined {
-  return id !== undefined && /^\d{1,9}$/.test(id) ? Number(id) : undefined;
-}
