--- a/bench/soak/processes.ts
+++ b/bench/soak/processes.ts
@@ -40,6 +40,8 @@
 export interface RunningProcess {
   readonly pid: number;
   readonly hasEnded: boolean;
+  /** Exit code; null while it runs and if a signal ended it. */
+  readonly exitCode: number | null;
   /** Sends a signal; does nothing if the process has ended. */
   signal(name: NodeJS.Signals): void;
   /** Resolves when the process has ended. */
@@ -108,6 +110,9 @@
       get hasEnded() {
         return hasEnded();
       },
+      get exitCode() {
+        return child.exitCode;
+      },
       signal: (name) => {
         if (!hasEnded()) child.kill(name);
       },
