Accept requests that a stop could cut only in its first 2.7 s

Cause: findStopConflict accepts a stream until 3.2 s if its expected end is before the end of the stop. The expected time follows from earlier complete answers, and is no bound: under a burst a stream of 112 events took more than 4.3 s. The platform excuses a cut answer only if its request was sent within 3 s of SIGTERM, so streams of the last 0.2 s are lost whenever workers become slower. The class: a decision that can't be undone depends on an estimate alone.

--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -23,7 +23,7 @@
 import { sleep } from "../interface/index.ts";
 import { createRoutedRequests } from "../request/routed_service.ts";
 import { parseWorkerStatement } from "../request/index.ts";
-import type { RoutedContext } from "../request/index.ts";
+import type { PlannedStop, RoutedContext } from "../request/index.ts";
 import { hashText } from "../version/index.ts";
 import type { RoutedService, RouteTable } from "../version/index.ts";
 import { createLeaseTask } from "./lease_task.ts";
@@ -61,6 +61,11 @@
  * three times their time to live.
  */
 const STOP_ACCEPT_TIME = 3_200;
+/**
+ * Time for which a stopping instance accepts requests that may last until it ends all answers, in milliseconds. The
+ * platform excuses a cut answer only if its request was sent within 3 s of the signal, which may be handled late.
+ */
+const STOP_ACCEPT_LONG_TIME = 2_700;
 /** Part of the grace period reserved for closing connections and writing the last log lines, in milliseconds. */
 const STOP_MARGIN = 600;
 /**
@@ -214,8 +219,13 @@
   });
 
   const isStopping = (): boolean => stoppingSince !== undefined;
-  const answersEndAt = (): number | undefined =>
-    stoppingSince === undefined ? undefined : stoppingSince + settings.grace - STOP_MARGIN;
+  const plannedStop = (): PlannedStop | undefined =>
+    stoppingSince === undefined
+      ? undefined
+      : {
+          answersEndAt: stoppingSince + settings.grace - STOP_MARGIN,
+          acceptsLongUntil: stoppingSince + STOP_ACCEPT_LONG_TIME,
+        };
   const isReady = (): boolean => table() !== undefined && view.hasWorkers && !isStopping();
 
   const runningTime = createRunningTime(clock);
@@ -418,7 +428,7 @@
     isStopping,
     isClosedToNew: () =>
       isDrained || (stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME),
-    answersEndAt,
+    plannedStop,
     answerTimes: createAnswerTimes(),
     logDecision: log.decided,
     metrics,
@@ -443,7 +453,7 @@
     log.changed("stopping", { inProgress: requests.inProgress });
     fleet.sendNow();
     void lease.release();
-    const deadline = answersEndAt() ?? stoppingSince;
+    const deadline = plannedStop()?.answersEndAt ?? stoppingSince;
     while (clock.now() < deadline) {
       const isAccepting = !context.isClosedToNew();
       if (!isAccepting && requests.inProgress === 0 && relay.openCount === 0) break;
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -164,6 +164,14 @@
 /** The fields of a line of the decision log besides the request id. */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Times of a planned stop, in the clock's milliseconds. */
+export interface PlannedStop {
+  /** When the instance ends all answers. */
+  readonly answersEndAt: number;
+  /** Until when requests are accepted whose deadlines are later than the end of all answers. */
+  readonly acceptsLongUntil: number;
+}
+
 /** Dependencies of the routed requests of an instance. */
 export interface RoutedContext {
   readonly clock: Clock;
@@ -196,8 +204,8 @@
   readonly isStopping: () => boolean;
   /** Whether a planned stop has progressed too far to start new requests. */
   isClosedToNew(): boolean;
-  /** When a planned stop ends all answers, in the clock's milliseconds; undefined if the instance isn't stopping. */
-  answersEndAt(): number | undefined;
+  /** The planned stop in progress; undefined if the instance isn't stopping. */
+  plannedStop(): PlannedStop | undefined;
   /** How long answers take, to find those that would not end before. */
   readonly answerTimes: AnswerTimes;
   /** Writes a line of the decision log. */
--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -21,25 +21,29 @@
 }
 
 /**
- * Finds out whether the stop of the instance would cut the answer to a request that was not sent yet. Another
- * instance can serve it whole.
+ * Finds out whether the stop of the instance would, or late in it could, cut the answer to a request that was not sent
+ * yet. Another instance can serve it whole.
  *
- * @returns Undefined if the answer is expected to end in time or the instance isn't stopping.
+ * @returns Undefined if the request is accepted or the instance isn't stopping.
  */
 export function findStopConflict(
   { context, admitted, progress, reserve, response }: RoutedRunState,
   choice: RankedChoice<CandidateWorker>,
 ): StopConflict | undefined {
-  const endAt = context.answersEndAt();
-  if (endAt === undefined) return undefined;
+  const stop = context.plannedStop();
+  if (stop === undefined) return undefined;
   if (progress.hasPossiblyRun || reserve !== undefined || response.hasStarted) return undefined;
   const { arrival } = admitted;
   const now = context.clock.now();
-  if (arrival.deadlineAt <= endAt) return undefined;
+  const left = stop.answersEndAt - now;
+  const longest = arrival.deadlineAt - now;
+  if (longest <= left) return undefined;
   const rest = expectedRest({ context, admitted });
-  const expected = rest === undefined ? arrival.deadlineAt - now : choice.wait + rest;
-  if (now + expected <= endAt) return undefined;
-  return { expected: Math.round(expected), left: Math.round(endAt - now) };
+  const expected = rest === undefined ? longest : choice.wait + rest;
+  // An expected time doesn't bound the answer: its worker may become slower.
+  const isLate = arrival.arrivedAt > stop.acceptsLongUntil;
+  if (expected <= left && !isLate) return undefined;
+  return { expected: Math.round(expected), left: Math.round(left) };
 }
 
 /** Returns the milliseconds that the answer takes beyond the wait for its first token; undefined if nothing is known. */
