--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -448,8 +448,8 @@
     clock,
   });
 
-  const drain = async (): Promise<void> => {
-    stoppingSince = clock.now();
+  const drain = async (askedAt: number): Promise<void> => {
+    stoppingSince = askedAt;
     log.changed("stopping", { inProgress: requests.inProgress });
     fleet.sendNow();
     void lease.release();
@@ -532,7 +532,7 @@
       log.changed("settings-reloaded", { seeds: changed.seeds.join(" "), needsRestart });
     },
     // A repeated call returns the same promise: the process exits when it resolves.
-    stop: () => (stopped ??= drain()),
+    stop: (askedAt = clock.now()) => (stopped ??= drain(askedAt)),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
       for (const part of [connections, path, relay, streamVersions, stalls, runningTime])
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -86,8 +86,13 @@
   start(): Promise<void>;
   /** Applies changed settings. Only the addresses of other instances can change without a restart. */
   reload(changed: RoutedSettings): void;
-  /** Performs a planned stop that waits for requests in progress. Resolves when the process may exit. */
-  stop(): Promise<void>;
+  /**
+   * Performs a planned stop that waits for requests in progress. Resolves when the process may exit.
+   *
+   * @param askedAt When the stop was asked for, in the clock's milliseconds, from which the grace period counts; by
+   * default now.
+   */
+  stop(askedAt?: number): Promise<void>;
   /** Stops all tasks and closes all connections to workers. */
   close(): void;
 }
