Judge a late request in a stop by the time at which a worker gets it

The time that counts is now that at which the request is sent to a worker. What isn't sent hasn't run, so its caller is refused and goes to another instance. slower_worker_stop_test: a body that ended 3.0 s after the stop led to 200 before and 503 now. planned_stop_test passes.

--- a/src/request/routed_stop.ts
+++ b/src/request/routed_stop.ts
@@ -41,7 +41,7 @@
   const rest = expectedRest({ context, admitted });
   const expected = rest === undefined ? longest : choice.wait + rest;
   // An expected time doesn't bound the answer: its worker may become slower.
-  const isLate = arrival.arrivedAt > stop.acceptsLongUntil;
+  const isLate = now > stop.acceptsLongUntil;
   if (expected <= left && !isLate) return undefined;
   return { expected: Math.round(expected), left: Math.round(left) };
 }
