--- a/bench/stops/rotas_report.ts
+++ b/bench/stops/rotas_report.ts
@@ -14,7 +14,7 @@
 import type { RotaRun } from "./rotas_worker.ts";
 
 /** A judged request. */
-interface JudgedAnswer {
+export interface JudgedAnswer {
   readonly answer: ObservedAnswer;
   readonly judgement: Judgement;
   readonly isLost: boolean;
@@ -67,7 +67,11 @@
   return endedAt - sentAt < timeout - TIMEOUT_TOLERANCE;
 }
 
-function judgeAnswer(answer: ObservedAnswer, fleet: RotaFleet): JudgedAnswer {
+/** Judges a request by all stops of the machine that took it. */
+export function judgeAnswer(
+  answer: ObservedAnswer,
+  fleet: Pick<RotaFleet, "instances" | "lives" | "runs">,
+): JudgedAnswer {
   const runs = fleet.runs.get(answer.id) ?? [];
   const judgements = stopsAround(answer, fleet).map((stop) =>
     judge(requestOf(answer, stop.pid), { runs, stop }),
@@ -84,7 +88,10 @@
 }
 
 /** Returns the stops of the machine that took the request within which the rule applies, whatever its life then. */
-function stopsAround(answer: ObservedAnswer, { instances, lives }: RotaFleet): Stop[] {
+function stopsAround(
+  answer: ObservedAnswer,
+  { instances, lives }: Pick<RotaFleet, "instances" | "lives">,
+): Stop[] {
   const name = instances.find(({ listen }) => listen.callers === answer.address)?.name;
   return lives.flatMap(({ instance, stoppedAt, pid }) => {
     if (instance !== name || stoppedAt === undefined) return [];
