--- a/src/process/planned_stop.ts
+++ b/src/process/planned_stop.ts
@@ -6,6 +6,7 @@
  */
 import { sleep } from "../interface/index.ts";
 import type { Clock } from "../interface/index.ts";
+import type { StopTimes } from "../request/index.ts";
 import type { RoutedLog } from "./routed_log.ts";
 
 /** A planned stop, which may not have begun. */
@@ -14,10 +15,14 @@
   readonly hasBegun: boolean;
   /** Whether new requests are refused. */
   readonly isClosedToNew: boolean;
-  /** When all answers in progress are ended, in milliseconds of the clock; undefined before the stop has begun. */
-  readonly answersEndAt: number | undefined;
-  /** Stops the instance. Resolves when its connections can be closed. A repeated call returns the same promise. */
-  run(): Promise<void>;
+  /** Undefined before the stop has begun. */
+  readonly times: StopTimes | undefined;
+  /**
+   * Stops the instance. Resolves when its connections can be closed. A repeated call returns the same promise.
+   *
+   * @param askedAt When the platform asked for it, in the clock's milliseconds. The grace period counts from it.
+   */
+  run(askedAt: number): Promise<void>;
 }
 
 /** What a stop needs of its instance. */
@@ -41,6 +46,11 @@
  * three times their time to live.
  */
 const ACCEPT_TIME = 3_200;
+/**
+ * Time for which a stopping instance accepts requests that may last until it ends all answers, in milliseconds. The
+ * platform excuses a cut answer only if its request was sent within 3 s of the signal, which may be handled late.
+ */
+const ACCEPT_LONG_TIME = 2_700;
 /** Part of the grace period reserved for closing connections and writing the last log lines, in milliseconds. */
 const MARGIN = 600;
 /**
@@ -61,8 +71,8 @@
   let stopped: Promise<void> | undefined;
   const isClosedToNew = (): boolean =>
     isDrained || (beganAt !== undefined && clock.now() - beganAt > ACCEPT_TIME);
-  const stop = async (): Promise<void> => {
-    beganAt = clock.now();
+  const stop = async (askedAt: number): Promise<void> => {
+    beganAt = askedAt;
     log.changed("stopping", { inProgress: requestsInProgress() });
     parts.onBegin();
     const deadline = beganAt + grace - MARGIN;
@@ -84,10 +94,14 @@
     get isClosedToNew() {
       return isClosedToNew();
     },
-    get answersEndAt() {
-      return beganAt === undefined ? undefined : beganAt + grace - MARGIN;
+    get times() {
+      if (beganAt === undefined) return undefined;
+      return {
+        answersEndAt: beganAt + grace - MARGIN,
+        acceptsLongUntil: beganAt + ACCEPT_LONG_TIME,
+      };
     },
-    run: () => (stopped ??= stop()),
+    run: (askedAt) => (stopped ??= stop(askedAt)),
   };
 }
 
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -419,7 +419,7 @@
     },
     isStopping,
     isClosedToNew: () => stop.isClosedToNew,
-    answersEndAt: () => stop.answersEndAt,
+    stopTimes: () => stop.times,
     answerTimes: createAnswerTimes(pace),
     logDecision: log.decided,
     metrics,
@@ -505,7 +505,7 @@
       log.changed("settings-reloaded", { seeds: changed.seeds.join(" "), needsRestart });
     },
     // The process exits when the promise resolves.
-    stop: () => stop.run(),
+    stop: (askedAt = clock.now()) => stop.run(askedAt),
     close: () => {
       for (const part of [fleet, view, lease, usage, mix, quarantine, workerTable]) part.close();
       for (const part of [connections, path, relay, streamVersions, stalls, runningTime])
--- a/src/request/routed_stop_test.ts
+++ b/src/request/routed_stop_test.ts
@@ -42,7 +42,11 @@
     begin: ({ lastEventId } = {}) => {
       const arrivedAt = clock.now();
       const state = {
-        context: { clock, answerTimes, answersEndAt: () => endAt },
+        context: {
+          clock,
+          answerTimes,
+          stopTimes: () => ({ answersEndAt: endAt, acceptsLongUntil: endAt }),
+        },
         admitted: {
           arrival: {
             route: { name: "drafts", delivery: Delivery.Events },
