--- a/src/request/routed_stop_test.ts
+++ b/src/request/routed_stop_test.ts
@@ -45,7 +45,8 @@
         context: {
           clock,
           answerTimes,
-          stopTimes: () => ({ answersEndAt: endAt, acceptsLongUntil: endAt }),
+          stopTimes: () =>
+            endAt === undefined ? undefined : { answersEndAt: endAt, acceptsLongUntil: endAt },
         },
         admitted: {
           arrival: {
