--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -28,7 +28,7 @@
 import type { RoutedService, RouteTable } from "../version/index.ts";
 import { createLeaseTask } from "./lease_task.ts";
 import { createMixTask } from "./mix_task.ts";
-import { createPlannedStop } from "./planned_stop.ts";
+import { createPlannedStop } from "./routed_entry_stop.ts";
 import { createFleetSync } from "./fleet_sync.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import { createInstanceHashes } from "./instance_hashes.ts";
