Answer the requests in progress before an error behind them ends their connection

Cause: an error of the parser ended the connection at once.

The error now waits until the complete requests before it are answered, and then ends the connection as any last answer does, so that a reset can't discard it. A late head that arrives completely meanwhile is no error any more. If the caller ends its side first, the connection ends at once.

Measured: two of the three added tests failed before (400 after 18 ms and 408 after 1 s) and pass; the third passes before and after, and guards the new wait.

--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -189,3 +189,36 @@
     await listener.close();
   },
 );
+
+// Guards against answers that are replaced by an error of what follows: a worker may already run the first request.
+test.each([
+  { title: "an invalid request", bytes: "no request\r\n\r\n", status: 400 },
+  { title: "a head that stays incomplete", bytes: "GET / HTTP/1.1\r\nHo", status: 408 },
+])("a request in progress is answered before the error of $title behind it", async (behind) => {
+  const listener = await listen(500, (response) => {
+    setTimeout(() => response.end("yes"), PART_DELAY);
+  });
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.setEncoding("latin1");
+  let received = "";
+  socket.on("data", (text: string) => (received += text));
+  socket.write(`GET / HTTP/1.1\r\nHost: x\r\n\r\n${behind.bytes}`);
+  await once(socket, "close");
+  expect(received).toMatch(/^HTTP\/1.1 200 /);
+  expect(received).toContain(`yesHTTP/1.1 ${behind.status} `);
+  await listener.close();
+});
+
+// Guards against requests that go on although their caller has left behind an error.
+test("a connection with an error behind a request in progress ends with its caller", async () => {
+  const responses: ServerResponse[] = [];
+  const listener = await listen(500, (response) => void responses.push(response));
+  const [host, port] = splitAddress(listener.address);
+  const socket = connect({ host, port });
+  socket.write("GET / HTTP/1.1\r\nHost: x\r\n\r\nno request\r\n\r\n");
+  await expect.poll(() => responses.length).toBe(1);
+  socket.end();
+  await expect.poll(() => responses[0]?.closed).toBe(true);
+  await listener.close();
+});
--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -26,6 +26,15 @@
   readAtEnd: number | undefined;
   /** Whether nothing more is sent on the connection, and what still arrives is ignored. */
   isEnding: boolean;
+  /** The error with which the connection ends after the answers to its complete requests. */
+  error: PendingError | undefined;
+}
+
+/** An error behind requests that are in progress. */
+interface PendingError {
+  readonly status: number;
+  /** Number of requests that had arrived before it. */
+  readonly requestCount: number;
 }
 
 /** Milliseconds by which Node.js may check the header timeout late. */
@@ -51,10 +60,25 @@
       unfinished: new Set(),
       readAtEnd: 0,
       isEnding: false,
+      error: undefined,
     };
     connections.set(socket, progress);
     return progress;
   };
+  const endSocket = (socket: Duplex): void => {
+    progressOf(socket).isEnding = true;
+    closeAfterCaller(socket, clock);
+  };
+  /** Ends a connection with its error, if there is one, as soon as no complete request on it waits for an answer. */
+  const endAfterAnswers = (socket: Duplex, progress: Progress): void => {
+    const { error, isEnding, requestCount, unfinished } = progress;
+    if (error === undefined || isEnding || socket.destroyed) return;
+    if ([...unfinished].some(({ req }) => req.complete)) return;
+    // The head that was late has arrived meanwhile.
+    const isOver = error.status === REQUEST_TIMEOUT && requestCount > error.requestCount;
+    if (isOver) progress.error = undefined;
+    else endWithError(socket, { status: error.status, progress, close: () => endSocket(socket) });
+  };
   server.prependListener("request", (request, response) => {
     const { socket } = request;
     const progress = progressOf(socket);
@@ -63,12 +87,9 @@
     response.once("close", () => {
       progress.unfinished.delete(response);
       progress.readAtEnd = request.complete ? socket.bytesRead : undefined;
+      endAfterAnswers(socket, progress);
     });
   });
-  const endSocket = (socket: Socket): void => {
-    progressOf(socket).isEnding = true;
-    closeAfterCaller(socket, clock);
-  };
   server.on("connection", (socket) => {
     socket.once("close", () => closeQueued(progressOf(socket)));
     // Node.js calls it after the last response on a connection, and would close the connection at once.
@@ -78,7 +99,8 @@
   server.on("connect", (_request, socket) => {
     // Node.js has removed its own listener, without which an error would end the process.
     socket.on("error", () => undefined);
-    endWithError(socket, METHOD_NOT_ALLOWED, progressOf(socket));
+    const close = (): void => void socket.destroy();
+    endWithError(socket, { status: METHOD_NOT_ALLOWED, progress: progressOf(socket), close });
   });
   server.on("timeout", (socket: Socket) => {
     const progress = progressOf(socket);
@@ -99,17 +121,25 @@
       if (socket.bytesRead === bytesRead) socket.destroy();
     });
   });
-  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    const status = STATUS_BY_CODE[error.code ?? ""] ?? BAD_REQUEST;
+  server.on("clientError", (parseError: NodeJS.ErrnoException, socket) => {
     const progress = progressOf(socket);
     // Bytes behind the last request may be no request at all.
     if (progress.isEnding) return;
-    const end = (): void => endWithError(socket, status, progress);
+    // The caller has left, so no answer is waited for.
+    if (socket.readableEnded || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const status = STATUS_BY_CODE[parseError.code ?? ""] ?? BAD_REQUEST;
+    const { requestCount } = progress;
+    const end = (): void => {
+      progress.error ??= { status, requestCount };
+      endAfterAnswers(socket, progress);
+    };
     if (status !== REQUEST_TIMEOUT) {
       end();
       return;
     }
-    const { requestCount } = progress;
     setImmediate(() => {
       if (progress.requestCount === requestCount) end();
     });
@@ -117,12 +147,21 @@
 }
 
 /** Ends a connection with an error, which is sent unless a response to an earlier request has begun. */
-function endWithError(socket: Duplex, status: number, { unfinished }: Progress): void {
-  const isWithinResponse = [...unfinished].some(({ headersSent }) => headersSent);
-  if (socket.writable && !isWithinResponse) {
-    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+function endWithError(
+  socket: Duplex,
+  {
+    status,
+    progress,
+    close,
+  }: { readonly status: number; readonly progress: Progress; readonly close: () => void },
+): void {
+  const isWithinResponse = [...progress.unfinished].some(({ headersSent }) => headersSent);
+  if (!socket.writable || isWithinResponse) {
+    socket.destroy();
+    return;
   }
-  socket.destroy();
+  socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  close();
 }
 
 /**
--- a/src/connection/lingering_close.ts
+++ b/src/connection/lingering_close.ts
@@ -1,11 +1,11 @@
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Clock } from "../interface/index.ts";
 
 /**
  * Maximum time for which a connection stays open for its caller to read what was sent, in milliseconds. Longer than large
  * answers take on a slow link, and shorter than a planned stop.
  */
-export const LINGER_TIME = 5_000;
+const LINGER_TIME = 5_000;
 
 /**
  * Ends a caller's connection once the caller has ended its side, which it does after it has read everything.
@@ -14,7 +14,7 @@
  * caller hasn't received yet. A caller on a slow link that sends an empty line or another request behind its request
  * would lose the end of an answer that was completely written.
  */
-export function closeAfterCaller(socket: Socket, clock: Clock): void {
+export function closeAfterCaller(socket: Duplex, clock: Clock): void {
   socket.end();
   const timer = clock.after(LINGER_TIME, () => socket.destroy());
   socket.once("close", () => timer.close());
