Forget the answer times of routes and services that are gone

The averages of every route and service that any configuration has had were kept for good, and each complete answer built two texts as their keys on the hot path. They are now kept by name, apart for answers with and without declared tokens, and a new configuration drops those of names that it doesn't contain. AnswerDuration and AnswerRest shared two fields; both have AnswerExtent now.

The new test of answer_times failed before (there was no way to forget); the others are unchanged and pass.

--- a/src/decision/answer_times.ts
+++ b/src/decision/answer_times.ts
@@ -15,12 +15,16 @@
 import { createAnswerPace } from "./answer_pace.ts";
 import type { AnswerPace } from "./answer_pace.ts";
 
-/** A complete answer to a request. */
-export interface AnswerDuration {
-  /** Maximum number of output tokens that its caller declared; undefined if it declared none. */
+/** The size of an answer, and the part of it that its caller has. */
+export interface AnswerExtent {
+  /** Maximum number of output tokens that the caller declared; undefined if it declared none. */
   readonly outputTokens: number | undefined;
-  /** Number of the last event of a stream; undefined if the answer isn't a stream of numbered events. */
+  /** Number of the last event that the caller has; undefined if it has none or they aren't numbered. */
   readonly lastEvent: number | undefined;
+}
+
+/** A complete answer to a request. */
+export interface AnswerDuration extends AnswerExtent {
   /** Milliseconds from the time at which the first token was expected to the end; negative if it ended before. */
   readonly duration: number;
 }
@@ -28,14 +32,6 @@
 /** An answer that was ended before it was complete. */
 export type UnfinishedAnswer = Omit<AnswerDuration, "lastEvent">;
 
-/** The part of an answer that is still to be produced. */
-export interface AnswerRest {
-  /** As in {@linkcode AnswerDuration}. */
-  readonly outputTokens: number | undefined;
-  /** Number of the last event that the caller has; undefined if it has none. */
-  readonly lastEvent: number | undefined;
-}
-
 /** The route of an answer, and the service that produces it. */
 export interface AnswerOrigin {
   readonly route: string;
@@ -52,7 +48,15 @@
    * Returns the milliseconds that the rest of an answer takes from the time at which its first token is
    * expected; undefined until a similar answer of the route or, failing that, of the service was recorded.
    */
-  expected(origin: AnswerOrigin, rest: AnswerRest): number | undefined;
+  expected(origin: AnswerOrigin, known: AnswerExtent): number | undefined;
+  /** Forgets the answers of all routes and services except those with the given names. */
+  retain(names: AnswerNames): void;
+}
+
+/** Names of routes and services. */
+export interface AnswerNames {
+  readonly routes: ReadonlySet<string>;
+  readonly services: ReadonlySet<string>;
 }
 
 /** Moving averages over the answers of a route or service. The size of an answer is its output tokens, or 1 if none are declared. */
@@ -89,52 +93,77 @@
 export function createAnswerTimes(
   pace: Pick<AnswerPace, "expected" | "record"> = createAnswerPace(),
 ): AnswerTimes {
-  const known = new Map<string, RouteAverages>();
+  const ofRoutes = createOriginAverages();
+  const ofServices = createOriginAverages();
   return {
-    record: (origin, answer) => {
-      for (const key of keysOf(origin, answer)) known.set(key, average(known.get(key), answer));
-      const { outputTokens } = answer;
-      const [ofRoute] = keysOf(origin, answer).map((key) => known.get(key));
-      if (outputTokens === undefined || ofRoute === undefined) return;
-      const time = expectedWhole(ofRoute, sizeOf(answer)) + DEVIATIONS * ofRoute.deviation;
-      pace.record(origin.service, { outputTokens: sizeOf(answer), time });
+    record: ({ route, service }, answer) => {
+      const averages = ofRoutes.add(route, answer);
+      ofServices.add(service, answer);
+      if (answer.outputTokens === undefined) return;
+      const time = expectedWhole(averages, sizeOf(answer)) + DEVIATIONS * averages.deviation;
+      pace.record(service, { outputTokens: sizeOf(answer), time });
     },
-    recordUnfinished: (origin, { outputTokens, duration }) => {
+    recordUnfinished: ({ route, service }, { outputTokens, duration }) => {
       const answer = { outputTokens, duration, lastEvent: undefined };
-      for (const key of keysOf(origin, answer)) {
-        const before = known.get(key);
+      for (const [known, name] of [
+        [ofRoutes, route],
+        [ofServices, service],
+      ] as const) {
+        const before = known.get(name, answer);
         const isLonger = before === undefined || duration > expectedWhole(before, sizeOf(answer));
-        if (isLonger) known.set(key, average(before, answer));
+        if (isLonger) known.add(name, answer);
       }
     },
-    expected: (origin, rest) => {
-      const [ofRoute, ofService] = keysOf(origin, rest).map((key) => known.get(key));
+    expected: ({ route, service }, rest) => {
+      const ofRoute = ofRoutes.get(route, rest);
       if (ofRoute !== undefined && ofRoute.count >= ENOUGH_ANSWERS)
         return expectedTime(ofRoute, rest);
       const isSized = rest.outputTokens !== undefined;
-      const others = isSized ? pace.expected(origin.service, sizeOf(rest)) : undefined;
+      const others = isSized ? pace.expected(service, sizeOf(rest)) : undefined;
       if (others !== undefined) return others;
-      const averages = ofRoute ?? ofService;
+      const averages = ofRoute ?? ofServices.get(service, rest);
       return averages === undefined ? undefined : expectedTime(averages, rest);
     },
+    retain: ({ routes, services }) => {
+      ofRoutes.retain(routes);
+      ofServices.retain(services);
+    },
   };
 }
 
-function expectedTime(averages: RouteAverages, rest: AnswerRest): number {
-  const whole = Math.max(0, expectedWhole(averages, sizeOf(rest)));
-  return whole * fractionLeft(rest, averages.eventRate) + DEVIATIONS * expectedDeviation(averages);
+/** The averages of all routes, or of all services, by name. Answers with declared output tokens count apart. */
+interface OriginAverages {
+  get(name: string, answer: Pick<AnswerExtent, "outputTokens">): RouteAverages | undefined;
+  /** Adds an answer and returns the averages that contain it. */
+  add(name: string, answer: AnswerDuration): RouteAverages;
+  retain(names: ReadonlySet<string>): void;
+}
+
+function createOriginAverages(): OriginAverages {
+  const sized = new Map<string, RouteAverages>();
+  const unsized = new Map<string, RouteAverages>();
+  const mapFor = ({ outputTokens }: Pick<AnswerExtent, "outputTokens">): typeof sized =>
+    outputTokens === undefined ? unsized : sized;
+  return {
+    get: (name, answer) => mapFor(answer).get(name),
+    add: (name, answer) => {
+      const averages = average(mapFor(answer).get(name), answer);
+      mapFor(answer).set(name, averages);
+      return averages;
+    },
+    retain: (names) => {
+      for (const known of [sized, unsized])
+        for (const name of known.keys()) if (!names.has(name)) known.delete(name);
+    },
+  };
 }
 
-/** Returns the keys of the averages that an answer counts for: those of its route and of its service. */
-function keysOf(
-  { route, service }: AnswerOrigin,
-  { outputTokens }: Pick<AnswerRest, "outputTokens">,
-): string[] {
-  const kind = outputTokens === undefined ? "whole" : "tokens";
-  return [`${kind} route ${route}`, `${kind} service ${service}`];
+function expectedTime(averages: RouteAverages, rest: AnswerExtent): number {
+  const whole = Math.max(0, expectedWhole(averages, sizeOf(rest)));
+  return whole * fractionLeft(rest, averages.eventRate) + DEVIATIONS * expectedDeviation(averages);
 }
 
-function sizeOf({ outputTokens = 1 }: Pick<AnswerRest, "outputTokens">): number {
+function sizeOf({ outputTokens = 1 }: Pick<AnswerExtent, "outputTokens">): number {
   return Math.max(1, outputTokens);
 }
 
@@ -182,7 +211,7 @@
 
 /** Returns the fraction of the answer that its caller doesn't have yet. */
 function fractionLeft(
-  { outputTokens, lastEvent }: AnswerRest,
+  { outputTokens, lastEvent }: AnswerExtent,
   eventRate: number | undefined,
 ): number {
   if (lastEvent === undefined || eventRate === undefined || eventRate === 0) return 1;
--- a/src/decision/answer_times_test.ts
+++ b/src/decision/answer_times_test.ts
@@ -111,3 +111,14 @@
     expect(error).toBeLessThan(MAX_ERROR);
   },
 );
+
+// Otherwise an instance would keep the averages of every route and service that any configuration has had.
+test("answers of routes and services that are gone are forgotten", () => {
+  const times = createAnswerTimes();
+  recordSteady(times, STEADY_SIZES);
+  const rest = { outputTokens: 50, lastEvent: undefined };
+  times.retain({ routes: new Set(["questions"]), services: new Set([ORIGIN.service]) });
+  expect(times.expected(ORIGIN, rest)).toBeDefined();
+  times.retain({ routes: new Set([ORIGIN.route]), services: new Set() });
+  expect(times.expected(ORIGIN, rest)).toBeUndefined();
+});
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -107,6 +107,7 @@
     random,
   });
   const pace = createAnswerPace((key) => fleet.reportedOf(key));
+  const answerTimes = createAnswerTimes(pace);
   const repeats = createRepeatBudget(settings.repeats);
   const ledger = createUsageLedger();
   const time = createFleetTime({ date: clock.date().getTime(), steady: startedAt });
@@ -243,7 +244,9 @@
     onRouting: (routing) => {
       quota.addAccounts(routing.accounts ?? [], clock.now());
       if (settings.placement.longPrompts === "separated") longPrompts.setRouting(routing);
-      pace.retainServices(new Set(routing.services.map(({ name }) => name)));
+      const services = new Set(routing.services.map(({ name }) => name));
+      pace.retainServices(services);
+      answerTimes.retain({ routes: new Set(routing.routes.map(({ name }) => name)), services });
       shares.configure(shareServices(routing), routing.accounts ?? []);
       longestTimeout = Math.max(
         ...routing.routes.map(({ timeout }) => timeout),
@@ -428,7 +431,7 @@
     isClosedToNew: () =>
       isDrained || (stoppingSince !== undefined && clock.now() - stoppingSince > STOP_ACCEPT_TIME),
     answersEndAt,
-    answerTimes: createAnswerTimes(pace),
+    answerTimes,
     logDecision: log.decided,
     metrics,
   };
