Take the lease although its record can't be read

A record of another writer in the place of the lease (no text, text that is no JSON, other types, a term of 9e15 ms) kept every instance from taking it: no usage reports, no orders of workers, no roll-outs.

Cause: the parser throws, and its caller expected only the system's own records. A long term was believed.

Change: a lease that can't be read, or whose term exceeds 60 s, counts as held by an unknown instance for this instance's own term, and is then replaced. "lease.unreadable" is logged once for each version.

Of lease_task_test.ts only a type changed: parseLease may return undefined.

--- a/src/process/lease_task.ts
+++ b/src/process/lease_task.ts
@@ -27,6 +27,8 @@
  * one. This avoids frequent handovers while membership changes.
  */
 const HANDOVER_DELAY = 20_000;
+/** Stands for the holder of a lease that can't be read. No instance has this id. */
+const UNKNOWN_HOLDER = "(unreadable)";
 
 /** Manages the leases that this instance holds, at most one per service. */
 export interface LeaseTask {
@@ -153,9 +155,13 @@
     const read = await throttle.run(() => store.get(leaseKey(service)));
     if (read.kind === "unavailable") return "unavailable";
     if (read.kind === "absent") return undefined;
-    const lease = parseLease(read.object.version, read.object.value);
-    const { version } = lease;
+    const { version, value } = read.object;
     const before = seenVersions.get(service);
+    const parsed = parseLease(version, value);
+    if (parsed === undefined && before?.version !== version) count("lease.unreadable");
+    // An instance that writes leases in a form that this one can't read may hold it for a term. Without this, no
+    // instance could take the lease again.
+    const lease = parsed ?? { version, holder: UNKNOWN_HOLDER, term, renewal: 0, era: storeEra() };
     const firstSeenAt = before?.version === version ? before.firstSeenAt : clock.now();
     seenVersions.set(service, { version, firstSeenAt });
     return { lease, firstSeenAt };
--- a/src/process/lease_task_test.ts
+++ b/src/process/lease_task_test.ts
@@ -403,6 +403,6 @@
   const pendingRead = store.get(leaseKey("duty"));
   await clock.advance(10);
   const found = await pendingRead;
-  expect(found.kind === "found" ? parseLease(1, found.object.value).holder : found.kind).toBe("");
+  expect(found.kind === "found" ? parseLease(1, found.object.value)?.holder : found.kind).toBe("");
   task.close();
 });
--- a/src/version/lease.ts
+++ b/src/version/lease.ts
@@ -3,11 +3,14 @@
 /** Term of a lease in milliseconds, counted from just before the write that acquired or renewed it. */
 export const LEASE_TERM = 10_000;
 
+/** Longest term of a lease that is believed, in milliseconds. Another program may have written a lease without end. */
+const MAX_LEASE_TERM = 60_000;
+
 const stored = z.strictObject({
   /** Member id of the holder; empty after the last holder has released the lease. */
   holder: z.string(),
   /** Milliseconds for which the lease is valid after each write. */
-  term: z.number().int().positive(),
+  term: z.number().int().positive().max(MAX_LEASE_TERM),
   /** Differs in each write, because a store may ignore a write that doesn't change the value. */
   renewal: z.number().int().default(0),
   /**
@@ -33,10 +36,14 @@
  *
  * @param version The store's version of the object.
  * @param value The store's value, JSON.
- * @throws {Error} If the value is not a lease.
+ * @returns The lease, or undefined if the value is none: another program may have written it.
  */
-export function parseLease(version: number, value: string): Lease {
-  return { version, ...stored.parse(JSON.parse(value)) };
+export function parseLease(version: number, value: string): Lease | undefined {
+  try {
+    return { version, ...stored.parse(JSON.parse(value)) };
+  } catch {
+    return undefined;
+  }
 }
 
 /** Serializes a lease for the store. The first era is left out, since earlier builds don't parse it. */
