--- a/src/process/object_limits.ts
+++ b/src/process/object_limits.ts
@@ -35,12 +35,18 @@
 export const MAX_NAME_LENGTH = 1_024;
 /** A surrogate without its counterpart. Text with one can't be encoded as UTF-8. */
 const LONE_SURROGATE = /\p{Surrogate}/u;
+const REPLACEMENT_CHARACTER = "\ufffd";
 
 /** Whether an object with this name can be followed. */
 export function isUsableName(name: string): boolean {
   return name.length <= MAX_NAME_LENGTH && !LONE_SURROGATE.test(name);
 }
 
+/** Returns text that can be encoded as UTF-8. */
+export function replaceLoneSurrogates(text: string): string {
+  return text.replaceAll(new RegExp(LONE_SURROGATE, "gu"), REPLACEMENT_CHARACTER);
+}
+
 /**
  * Returns the object, or one without a value if it exceeds the limits. The object itself remains, so that its versions
  * are followed like those of the others.
