--- a/src/process/routed_entry_stop.ts
+++ b/src/process/routed_entry_stop.ts
@@ -60,8 +60,11 @@
 const LAST_READ_TIME = 50;
 /** Interval of the check whether everything in progress has ended, in milliseconds. */
 const POLL_INTERVAL = 50;
-/** Part of the grace period that is left for closing connections whatever is still in progress, in milliseconds. */
-const CLOSE_MARGIN = 200;
+/**
+ * Time beyond the end of answers in which a process that was stalled still reads what has arrived, in milliseconds. With
+ * it, 400 ms of the margin are left.
+ */
+const STALL_READ_TIME = 200;
 
 /** Creates the stop of an instance, which begins with `run`. */
 export function createPlannedStop(parts: PlannedStopParts): PlannedStop {
@@ -76,16 +79,15 @@
     log.changed("stopping", { inProgress: requestsInProgress() });
     parts.onBegin();
     const deadline = beganAt + grace - MARGIN;
-    const closeAt = beganAt + grace - CLOSE_MARGIN;
+    const readUntil = deadline + STALL_READ_TIME;
     while (clock.now() < deadline) {
-      await waitAndRead(clock, { duration: POLL_INTERVAL, until: closeAt });
+      await waitAndRead(clock, { duration: POLL_INTERVAL, until: readUntil });
       if (isClosedToNew() && requestsInProgress() === 0 && relayedConnections() === 0) break;
     }
     log.changed("stopped", { inProgress: requestsInProgress() });
     isDrained = true;
     parts.endRequests();
-    do await waitAndRead(clock, { duration: LAST_READ_TIME, until: closeAt });
-    while (requestsInProgress() > 0 && clock.now() < closeAt);
+    await waitAndRead(clock, { duration: LAST_READ_TIME, until: readUntil });
   };
   return {
     get hasBegun() {
@@ -106,7 +108,7 @@
 }
 
 /**
- * Waits, and once more after a stall of the process, but not beyond `until`.
+ * Waits, and again as long as the process was stalled meanwhile, but not beyond `until`.
  *
  * After a stall, expired timers run before sockets are read. Requests that wait there would not count as in progress, and
  * their connections would be reset without an answer.
