Store the records of streams by default in small fleets

With the settings as shipped, none of the streams went on that callers took up after all instances had ended at once while two versions served (0 of 36): the records were stored only by a setting.

So they are stored by default while every instance exchanges digests with every other. A larger fleet has a writer in each zone, above its budget of bytes: there it stays a setting.

New: records are stored only while that is enabled.

--- a/src/process/recorded_stream_versions.ts
+++ b/src/process/recorded_stream_versions.ts
@@ -62,13 +62,16 @@
     isSmallFleet: () => fleet().role === FleetRole.Mesh,
     isDiscovering: () => fleet().isDiscovering,
   };
-  const isStored = settings.streamRecords === "stored";
+  const { streamRecords } = settings;
+  /** By default, only in a small fleet: there, few instances hold copies, and one writes a few times a second for all. */
+  const isStored = (): boolean =>
+    streamRecords === "stored" || (streamRecords === undefined && others.isSmallFleet());
   const writer = createRecordWriter(others);
   const maxDuration = (): number => STREAM_DURATION_FACTOR * parts.longestTimeout();
   const versions: StreamVersionTask = createStreamVersions({
     clock,
     ...others,
-    writer: isStored ? writer : { other: () => undefined },
+    writer: { other: () => (isStored() ? writer.other() : undefined) },
     expectsOthers: () => fleet().members > 1,
     readVersions: async () => {
       const [present, recorded] = await Promise.all([readPresentVersions(), record.read()]);
@@ -84,6 +87,7 @@
     feed,
     kindOf: kinds.streamRecordsOf,
     writer,
+    isEnabled: isStored,
     ...others,
     namePrefix: () => hashText(fleet().incarnation).toString(16),
     records: () => versions.records(),
@@ -96,7 +100,7 @@
     ...versions,
     start: () => {
       record.start();
-      if (isStored) recordStore.start();
+      if (streamRecords !== "memory") recordStore.start();
     },
     close: () => {
       versions.close();
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -77,7 +77,8 @@
     .default({ workerSpeeds: "equal", longPrompts: "together" }),
   /**
    * Where the records are kept of the versions at which streams began. With `stored`, streams can go on after all
-   * instances have ended at once, at the price of writes while several versions serve. In memory only if absent.
+   * instances have ended at once, at the price of writes while several versions serve. If absent, they are stored as
+   * long as every instance exchanges digests with every other, and kept in memory only in a larger fleet.
    */
   streamRecords: z.enum(["memory", "stored"]).optional(),
   /** Duration of a lease after each renewal. */
--- a/src/process/stream_record_store.ts
+++ b/src/process/stream_record_store.ts
@@ -33,6 +33,8 @@
   /** Returns the store's kind of the objects of a group of instances, which are under `STREAM_RECORDS_KEY`. */
   readonly kindOf: (group: string) => string;
   readonly writer: RecordWriter;
+  /** Whether records are to be stored, which may depend on the size of the fleet. */
+  readonly isEnabled: () => boolean;
   /** Whether this instance has just started and has not heard from every address that it knows. */
   readonly isDiscovering: () => boolean;
   /** Returns what the names of this process's objects begin with; it differs from that of other processes. */
@@ -161,7 +163,7 @@
   /** Writes new records or deletes an expired object. Returns the milliseconds until the next check. */
   const check = async (): Promise<number> => {
     if (parts.isDiscovering()) return DISCOVERY_INTERVAL;
-    if (parts.writer.other() !== undefined) {
+    if (!parts.isEnabled() || parts.writer.other() !== undefined) {
       group = undefined;
       return writeInterval();
     }
--- a/src/process/stream_record_store_test.ts
+++ b/src/process/stream_record_store_test.ts
@@ -38,6 +38,7 @@
   /** What it knows, by attempt, and when it was added. */
   readonly known: Map<bigint, { record: AttemptVersion; at: number }>;
   isWriter: boolean;
+  isEnabled: boolean;
   isMixed: boolean;
   add(attempt: number): void;
 }
@@ -56,7 +57,7 @@
 function startInstance(
   shared: MemoryObjects,
   clock: VirtualClock,
-  { name = "a", isSmallFleet = true } = {},
+  { name = "a", isSmallFleet = true, isEnabled = true } = {},
 ): Instance {
   let version = shared.objects.size * 1_000;
   const put = async (key: string, value: string, expected: number): Promise<PutOutcome> => {
@@ -75,6 +76,7 @@
   const instance: Instance = {
     known: new Map(),
     isWriter: true,
+    isEnabled,
     isMixed: true,
     add: (number) => {
       const attempt = BigInt(number);
@@ -108,6 +110,7 @@
         other: () => (instance.isWriter ? undefined : ({} as never)),
         group: () => GROUP,
       },
+      isEnabled: () => instance.isEnabled,
       isDiscovering: () => false,
       namePrefix: () => name,
       isSmallFleet: () => isSmallFleet,
@@ -272,3 +275,17 @@
   expect(shared.characters / seconds).toBeLessThan(12.5 * instances * rate);
   expect(shared.objects.size).toBeLessThanOrEqual(MAX_DURATION / 1_000 + 2);
 });
+
+// Guards against calls of the store by a large fleet, which are not wanted there by default, and against records that are
+// missing after a fleet has become small.
+test("records are stored only while that is enabled", async () => {
+  const shared = createObjects();
+  const clock = createVirtualClock();
+  const instance = startInstance(shared, clock, { isEnabled: false });
+  await beginStreams(instance, clock, { count: 5, interval: 200 });
+  expect([shared.lists, shared.changes]).toEqual([0, 0]);
+  instance.isEnabled = true;
+  await clock.advance(1_000);
+  instance.task.close();
+  expect(await readAll(shared, clock)).toEqual([0, 1, 2, 3, 4]);
+});
