--- a/src/connection/lingering_close.ts
+++ b/src/connection/lingering_close.ts
@@ -1,9 +1,10 @@
 import type { Duplex } from "node:stream";
+import { afterRunningTime } from "../interface/index.ts";
 import type { Clock } from "../interface/index.ts";
 
 /**
  * Maximum time for which a connection stays open for its caller to read what was sent, in milliseconds. Longer than large
- * answers take on a slow link, and shorter than a planned stop.
+ * answers take on a slow link. A stopping instance waits no longer than until all answers end.
  */
 const LINGER_TIME = 5_000;
 
@@ -16,6 +17,7 @@
  */
 export function closeAfterCaller(socket: Duplex, clock: Clock): void {
   socket.end();
-  const timer = clock.after(LINGER_TIME, () => socket.destroy());
+  // After a stall of the process, what has arrived is read first: unread bytes would reset the connection.
+  const timer = afterRunningTime(clock, LINGER_TIME, () => socket.destroy(), { steps: 2 });
   socket.once("close", () => timer.close());
 }
--- a/src/request/answer_record.ts
+++ b/src/request/answer_record.ts
@@ -9,10 +9,11 @@
 import type { AdmittedRequest } from "./routed_request.ts";
 import type { RoutedRunState } from "./routed_run_state.ts";
 
-/** Maximum part of an answer's duration in which its caller read too slowly, if the duration is that of the worker. */
-const MAX_PAUSE = 1 / 20;
-/** The same for the longest time between two events, unless it is shorter than a standstill, in milliseconds. */
-const MAX_SILENCE = 1 / 4;
+/** Part of an answer's duration in which its caller read too slowly, above which the duration isn't the worker's. */
+const MAX_PAUSE_RATIO = 1 / 20;
+/** Part of an answer's duration that its longest silence took, above which the worker stood still. */
+const MAX_SILENCE_RATIO = 1 / 4;
+/** Duration of a silence below which it is no standstill, in milliseconds. */
 const MIN_STANDSTILL = 1_000;
 
 /** Minimum ratio of the number of the last event to that of the first one. */
@@ -45,8 +46,9 @@
 
 /** Whether the duration of an answer says little about the worker, since its caller was slow or it stood still once. */
 function wasHeldUp({ pausedFor, longestSilence }: Attempt, duration: number): boolean {
-  const hasStoodStill = longestSilence >= MIN_STANDSTILL && longestSilence > duration * MAX_SILENCE;
-  return hasStoodStill || pausedFor > duration * MAX_PAUSE;
+  const hasStoodStill =
+    longestSilence >= MIN_STANDSTILL && longestSilence > duration * MAX_SILENCE_RATIO;
+  return hasStoodStill || pausedFor > duration * MAX_PAUSE_RATIO;
 }
 
 /**
@@ -61,7 +63,7 @@
   return (exchange?.sentAt ?? startedAt) + expectedWait;
 }
 
-/** Returns what an answer's time depends on besides its size. */
+/** Returns the route and service whose answers a request's answer is compared with. */
 export function originOf({ arrival, service }: AdmittedRequest): AnswerOrigin {
   return { route: arrival.route.name, service: service.name };
 }
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -109,7 +109,8 @@
 
 /**
  * Ends the request because the instance ends. Otherwise its caller would see its connection end without an answer, and
- * could not tell whether the request has run. If it has ended already, its caller hasn't read all of the answer.
+ * could not tell whether the request has run. If it has ended already, its caller
+ * hasn't read all of the answer or hasn't closed its connection.
  */
 export function endAtStop(state: RoutedRunState): void {
   if (state.isDone) {
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -20,7 +20,7 @@
 export interface RoutedRequests {
   /** Handles a request on a caller's connection. */
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-  /** Number of requests that have arrived and not ended. */
+  /** Number of requests that have not ended, or whose connection ends with their response and is not closed yet. */
   readonly inProgress: number;
   /** Gives all requests in progress their final answers, because the instance ends. */
   endAll(): void;
