--- a/bench/child.ts
+++ b/bench/child.ts
@@ -32,11 +32,16 @@
  *
  * @param module File name without its extension.
  * @param settings JSON value that the module reads with {@linkcode childSettings}.
+ * @param options `nodeArguments` are those of Node.js that load the module; by default those of this process.
  * @throws If the child exits early or sends something else before its ready value.
  */
-export async function startChild<Ready>(module: string, settings: unknown): Promise<Child<Ready>> {
+export async function startChild<Ready>(
+  module: string,
+  settings: unknown,
+  { nodeArguments = process.execArgv }: { readonly nodeArguments?: readonly string[] } = {},
+): Promise<Child<Ready>> {
   const file = path.join(import.meta.dirname, `${module}.ts`);
-  const execArgv = [...process.execArgv, "--expose-gc"];
+  const execArgv = [...nodeArguments, "--expose-gc"];
   const child = fork(file, [JSON.stringify(settings)], { execArgv });
   const first = await nextMessage<Ready>(child);
   if (!("ready" in first)) throw new Error(`${module} sent another message before it was ready`);
--- a/bench/soak/processes.ts
+++ b/bench/soak/processes.ts
@@ -17,8 +17,8 @@
 
 /** Processes of one soak test. All of them are ended with it, even if the test process itself is killed. */
 export interface SoakProcesses {
-  /** Starts the built entry instance with these settings; `onLine` is called with each line that it logs. */
-  startInstance(settings: InstanceSettings, onLine?: (line: string) => void): InstanceProcess;
+  /** Starts the built entry instance with these settings. */
+  startInstance(settings: InstanceSettings, options?: InstanceOptions): InstanceProcess;
   /** Starts a backend server and waits until it listens; rejects if it ends before. */
   startWorker(settings: WorkerProcessSettings, observer: WorkerObserver): Promise<WorkerProcess>;
   /** Kills all processes, waits for their end and removes the temporary files. */
@@ -36,6 +36,16 @@
   readonly name: string;
 }
 
+/** Options of the process of an entry instance. */
+export interface InstanceOptions {
+  /** Called with each line that it logs. */
+  readonly onLine?: (line: string) => void;
+  /** Arguments of Node.js before the program; by default none. */
+  readonly nodeArguments?: readonly string[];
+  /** Returns the program and its arguments, with the path of its settings file; by default the built entry instance. */
+  readonly program?: (settingsFile: string) => readonly string[];
+}
+
 /** A tracked process. */
 export interface RunningProcess {
   readonly pid: number;
@@ -120,10 +130,13 @@
     };
   };
   return {
-    startInstance: (settings, onLine) => {
+    startInstance: (
+      settings,
+      { onLine, nodeArguments = [], program = () => [ENTRY_PROGRAM] } = {},
+    ) => {
       const file = path.join(folder, `${settings.name}.jsonc`);
       writeFileSync(file, JSON.stringify(settings));
-      const child = spawn(process.execPath, [ENTRY_PROGRAM], {
+      const child = spawn(process.execPath, [...nodeArguments, ...program(file)], {
         env: { ...process.env, SAMPHIRESHORE_BOOT: file },
         stdio: ["ignore", "pipe", "pipe"],
       });
--- a/bench/stops/rotas_fleet.ts
+++ b/bench/stops/rotas_fleet.ts
@@ -136,9 +136,10 @@
 ): InstanceProcess {
   const lines: LoggedLine[] = [];
   const startedAt = wallNow();
-  const process = processes.startInstance(settings, (text) => {
+  const onLine = (text: string): void => {
     lines.push({ at: wallNow(), text });
-  });
+  };
+  const process = processes.startInstance(settings, { onLine });
   const life: RotaLife = {
     instance: settings.name,
     pid: process.pid,
--- a/bench/stops/stop_fleet.ts
+++ b/bench/stops/stop_fleet.ts
@@ -121,7 +121,7 @@
     restart: async (index) => {
       const instance = instanceAt(index);
       const settings = instanceSettings(instance, { platform, seed: seedOf(instances) });
-      instance.process = processes.startInstance(settings, readLine);
+      instance.process = processes.startInstance(settings, { onLine: readLine });
       await waitUntilReady(instance);
     },
     record: (request) => void requests.push(request),
@@ -153,7 +153,7 @@
   }));
   return places.map((place) => {
     const settings = instanceSettings(place, { platform, seed: seedOf(places) });
-    return { ...place, process: processes.startInstance(settings, readLine) };
+    return { ...place, process: processes.startInstance(settings, { onLine: readLine }) };
   });
 }
 
