Copy the pieces of a body instead of keeping them

Callers saw every connection of an instance end at once: the process ran out of memory after 9.7 MB of one body of 4 MB in chunks of one byte, which is inside the limits.

Cause: the pieces that Node.js delivers were kept until the end of the body. Each one is an object of some 240 bytes for one byte of the body.

Change: pieces are copied into blocks of up to 64 KiB.

--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { createBodyStorage } from "./body_storage.ts";
 import { createCallerConnections } from "./caller_connections.ts";
 import { createCallerResponse, RoutedRefusal } from "./caller_response.ts";
 import type { CallerResponse } from "./caller_response.ts";
@@ -261,17 +262,19 @@
     done("too-large");
     return;
   }
-  const chunks: Buffer[] = [];
-  let size = 0;
-  request.on("data", (chunk: Buffer) => {
-    if (size > limit) return;
-    size += chunk.length;
-    chunks.push(chunk);
-    if (size <= limit) return;
-    chunks.length = 0;
+  const storage = createBodyStorage();
+  let isTooLarge = false;
+  request.on("data", (piece: Buffer) => {
+    if (isTooLarge) return;
+    isTooLarge = storage.length + piece.length > limit;
+    if (!isTooLarge) {
+      storage.append(piece);
+      return;
+    }
+    storage.take();
     done("too-large");
   });
   request.on("end", () => {
-    if (size <= limit) done(Buffer.concat(chunks));
+    if (!isTooLarge) done(storage.take());
   });
 }
