Limit what is kept for all callers together

Callers saw an instance ended by its machine: 100 bodies that stop one byte short of their end took 480 MB, 300 took 1,273 MB (limit 350 MB), although each was inside the limits.

Cause: the size of one body has a limit, that of all together had none. The memory lies outside the heap, so the limit of the heap doesn't bound it.

Above it, requests whose bodies aren't complete are refused with 503 (caller-memory, not run): those of the client account or address with the most, then of the other one, then the largest and longest held; not the one that comes last. Complete requests of one account or address may keep half, but small ones stay. Logged as caller-limit, counted in samphireshore_caller_limits_total.

--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -3,6 +3,7 @@
 export { createAnswerTimes } from "./answer_times.ts";
 export type { AnswerOrigin, AnswerTimes } from "./answer_times.ts";
 export type { ShareAccount, ShareService } from "./share_service.ts";
+export * from "./caller_memory.ts";
 export * from "./candidate_workers.ts";
 export * from "./crash_evidence.ts";
 export * from "./dial_verdict.ts";
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -402,6 +402,7 @@
     table,
     workerLoads: workerTable,
     connections,
+    callerMemory: dependencies.callerMemory,
     received,
     quota,
     shares,
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerMemory } from "../decision/index.ts";
 import type {
   Clock,
   DeletableStore,
@@ -58,6 +59,8 @@
   readonly store: Pick<ObjectStore, "get" | "put"> & DeletableStore & RestorableStore;
   readonly rollouts: RolloutStore;
   readonly platform: Platform;
+  /** Limit on the memory for what is kept for callers. */
+  readonly callerMemory: CallerMemory;
   readonly kinds: StoredKinds;
   readonly names: HeaderNames;
   /** Where workers state when their process started. */
--- a/src/process/routed_metrics.ts
+++ b/src/process/routed_metrics.ts
@@ -6,6 +6,8 @@
   sent(service: string, version: string): void;
   /** Counts an exchange that was closed because what it received exceeded a limit. */
   receiveLimitExceeded(part: string): void;
+  /** Counts something that was given up because a limit on what is kept for callers was exceeded. */
+  callerLimitExceeded(limit: string): void;
   /** Records how a store change reached this instance, and its delay after the first instance in milliseconds. */
   changeReceived(source: string, milliseconds: number): void;
   /** Returns all metrics in the Prometheus text exposition format. */
@@ -52,6 +54,7 @@
     repeated: (cause) => recordOrBuffer((loaded) => loaded.repeated(cause)),
     sent: (service, version) => recordOrBuffer((loaded) => loaded.sent(service, version)),
     receiveLimitExceeded: (part) => recordOrBuffer((loaded) => loaded.receiveLimitExceeded(part)),
+    callerLimitExceeded: (limit) => recordOrBuffer((loaded) => loaded.callerLimitExceeded(limit)),
     changeReceived: (source, milliseconds) =>
       recordOrBuffer((loaded) => loaded.changeReceived(source, milliseconds)),
     addGauge: (name, help, read) => recordOrBuffer((loaded) => loaded.addGauge(name, help, read)),
@@ -115,6 +118,12 @@
     labelNames: ["part"],
     registers,
   });
+  const callerLimits = new Counter({
+    name: "samphireshore_caller_limits_total",
+    help: "What callers lost because a limit on what is kept for them was exceeded, by limit.",
+    labelNames: ["limit"],
+    registers,
+  });
   const changeDelay = new Histogram({
     name: "samphireshore_change_known_seconds",
     help: "Time from when the first instance knew a change of the store until this one did, by its way.",
@@ -134,6 +143,7 @@
     repeated: (cause) => repeated.inc({ cause }),
     sent: (service, version) => sent.inc({ service, version }),
     receiveLimitExceeded: (part) => receiveLimits.inc({ part }),
+    callerLimitExceeded: (limit) => callerLimits.inc({ limit }),
     changeReceived: (source, milliseconds) =>
       changeDelay.observe({ way: source }, milliseconds / MILLISECONDS_PER_SECOND),
     addGauge: (name, help, read) => {
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { duration } from "../version/unit.ts";
+import { byteSize, duration } from "../version/unit.ts";
 
 const address = z
   .string()
@@ -81,6 +81,15 @@
    * long as every instance exchanges digests with every other, and kept in memory only in a larger fleet.
    */
   streamRecords: z.enum(["memory", "stored"]).optional(),
+  /** The limits of the machine on the process, from which the limits on what is kept for callers follow. */
+  machine: z
+    .object({
+      /** Memory of the process. */
+      memory: byteSize,
+      /** Number of file descriptors of the process. */
+      descriptors: z.number().int().positive(),
+    })
+    .default({ memory: 350_000_000, descriptors: 4_200 }),
   /** Duration of a lease after each renewal. */
   leaseTerm: duration,
   /** The instance's share of its machine's processor. In a large fleet, the instances with more become relays. */
--- a/src/process/testing/sync_fleet.ts
+++ b/src/process/testing/sync_fleet.ts
@@ -312,6 +312,7 @@
       quarantine: { lasts: 60_000 },
       placement: { workerSpeeds: "equal", longPrompts: "together" },
       processor: { share: 1, cores: 1 },
+      machine: { memory: 350_000_000, descriptors: 4_200 },
     },
     clock,
     random,
--- /dev/null
+++ b/src/request/caller_body.ts
@@ -0,0 +1,63 @@
+import type { IncomingMessage } from "node:http";
+import { createBodyStorage } from "./body_storage.ts";
+import type { RequestMemory } from "./request_memory.ts";
+
+/** The end of reading a body. */
+export type BodyEnd =
+  | { readonly kind: "complete"; readonly body: Buffer }
+  /** It exceeds its size limit. */
+  | { readonly kind: "too-large" };
+
+/** A body that is being read. */
+export interface BodyReading {
+  /** Forgets what has arrived and ignores the rest. `done` is not called any more. */
+  stop(): void;
+}
+
+/**
+ * Reads the body of a request.
+ *
+ * @param limit Maximum size of the body in bytes.
+ * @param options `memory` counts what has arrived. `done` is called at the end of the body, or as soon as it exceeds the
+ * limit.
+ */
+export function readCallerBody(
+  request: IncomingMessage,
+  limit: number,
+  options: {
+    readonly memory: Pick<RequestMemory, "setBody">;
+    readonly done: (end: BodyEnd) => void;
+  },
+): BodyReading {
+  const { memory, done } = options;
+  const storage = createBodyStorage();
+  let isReading = true;
+  const stop = (): void => {
+    isReading = false;
+    storage.take();
+  };
+  if (Number(request.headers["content-length"] ?? 0) > limit) {
+    done({ kind: "too-large" });
+    return { stop };
+  }
+  request.on("data", (piece: Buffer) => {
+    if (!isReading) return;
+    if (storage.length + piece.length > limit) {
+      stop();
+      memory.setBody(0);
+      done({ kind: "too-large" });
+      return;
+    }
+    const { capacity } = storage;
+    storage.append(piece);
+    if (storage.capacity !== capacity) memory.setBody(storage.capacity);
+  });
+  request.on("end", () => {
+    if (!isReading) return;
+    isReading = false;
+    const body = storage.take();
+    memory.setBody(body.length);
+    done({ kind: "complete", body });
+  });
+  return { stop };
+}
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -15,6 +15,8 @@
   UnknownKey = "unknown-key",
   /** The body exceeds the size limit. */
   BodyTooLarge = "body-too-large",
+  /** The instance keeps too much for its callers, and most of it for this one. */
+  CallerMemory = "caller-memory",
   /** The account's quota is used up. */
   QuotaUsedUp = "quota-used-up",
   /** No worker accepts the request now. */
@@ -47,6 +49,7 @@
   [RoutedRefusal.NoRoute]: 404,
   [RoutedRefusal.UnknownKey]: 401,
   [RoutedRefusal.BodyTooLarge]: 413,
+  [RoutedRefusal.CallerMemory]: 503,
   [RoutedRefusal.QuotaUsedUp]: 429,
   [RoutedRefusal.NoWorker]: 503,
   [RoutedRefusal.Overloaded]: 503,
@@ -166,6 +169,8 @@
         headers.push("Retry-After", (retryAfter / MILLISECONDS_PER_SECOND).toFixed(3));
       }
       isRefused = true;
+      // Otherwise the rest of a body that was given up would keep the connection.
+      if (reason === RoutedRefusal.CallerMemory) response.shouldKeepAlive = false;
       startComplete(status, headers);
       endAfterRequest(response, body, clock);
     },
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -1,6 +1,7 @@
 import type {
   AccountShares,
   AnswerTimes,
+  CallerMemory,
   RankedWorker,
   StreamVersion,
   ReceiveBudget,
@@ -182,6 +183,8 @@
   table(): RouteTable | undefined;
   readonly workerLoads: WorkerLoads;
   readonly connections: WorkerConnections;
+  /** Limit on the memory for what is kept for callers. */
+  readonly callerMemory: CallerMemory;
   /** Limit on the memory for what workers send. */
   readonly received: ReceiveBudget;
   /** Quotas of the client accounts, shared by all instances. */
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { createBodyStorage } from "./body_storage.ts";
+import { readCallerBody } from "./caller_body.ts";
+import type { BodyEnd } from "./caller_body.ts";
 import { createCallerConnections } from "./caller_connections.ts";
 import { createCallerResponse, RoutedRefusal } from "./caller_response.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { quotaAttempt, quotaCost, readArrival } from "./routed_arrival.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import type { RoutedContext } from "./routed_context.ts";
+import { openRequestMemory } from "./request_memory.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { fingerprintRequest } from "./request_fingerprint.ts";
 import type { AdmittedRequest } from "./routed_request.ts";
 import { responseEndOf } from "./response_end.ts";
@@ -49,12 +52,16 @@
 interface ArrivedRequest {
   readonly request: IncomingMessage;
   readonly id: string | undefined;
+  /** What is kept for it. */
+  readonly memory: RequestMemory;
   /** Called with the run that it leads to; undefined if it is refused. */
   readonly onRun: (run: RoutedRun | undefined) => void;
 }
 
 /** Milliseconds after which a caller may retry at an instance without a configuration. */
 const NOT_READY_RETRY_AFTER = 300;
+/** Milliseconds after which a caller may retry whose request was given up for others. */
+const MEMORY_RETRY_AFTER = 1_000;
 /** Creates the service for routed requests of one instance. */
 export function createRoutedRequests(context: RoutedContext): RoutedRequests {
   /** For each request in progress, how it is ended when the instance ends. */
@@ -109,7 +116,8 @@
       else if (!callerResponse.isClosed) refuseStopping(callerResponse, id);
     });
     const onRun = (started: RoutedRun | undefined): void => void (run = started);
-    const accepted = { request, id, onRun };
+    const memory = openRequestMemory(context.callerMemory, request, response);
+    const accepted = { request, id, memory, onRun };
     if (!context.isStopping()) {
       accept(accepted, callerResponse);
       return;
@@ -120,7 +128,8 @@
     });
   };
   /** Refuses a request by its head, or reads its body and makes the other checks. */
-  const accept = ({ request, id, onRun }: ArrivedRequest, callerResponse: CallerResponse): void => {
+  const accept = (arrived: ArrivedRequest, callerResponse: CallerResponse): void => {
+    const { request, id, memory, onRun } = arrived;
     const now = context.clock.now();
     const table = context.table();
     if (table === undefined) {
@@ -138,14 +147,24 @@
       refuse(callerResponse, { reason, id });
       return;
     }
-    readBody(request, table.routing.limits.maxBodyBytes, (body) => {
-      if (body === "too-large") {
+    memory.setAccount(arrival.account?.name);
+    const refuseForMemory = (): void => {
+      body.stop();
+      const reason = RoutedRefusal.CallerMemory;
+      refuse(callerResponse, { reason, id, retryAfter: MEMORY_RETRY_AFTER });
+    };
+    const done = (end: BodyEnd): void => {
+      memory.setRefusal(undefined);
+      if (end.kind === "too-large") {
         refuse(callerResponse, { reason: RoutedRefusal.BodyTooLarge, id });
         return;
       }
       if (callerResponse.isClosed) return;
-      onRun(admit({ request, arrival, body, table }, callerResponse));
-    });
+      if (memory.keep()) onRun(admit({ request, arrival, body: end.body, table }, callerResponse));
+      else refuseForMemory();
+    };
+    memory.setRefusal(refuseForMemory);
+    const body = readCallerBody(request, table.routing.limits.maxBodyBytes, { memory, done });
   };
   /**
    * Makes the checks that need more than the request's head. Returns the run that the request leads to; undefined if it
@@ -251,30 +270,3 @@
     },
   };
 }
-
-/** Reads a body. Calls `done` at its end, or as soon as the body exceeds the limit. */
-function readBody(
-  request: IncomingMessage,
-  limit: number,
-  done: (body: Buffer | "too-large") => void,
-): void {
-  if (Number(request.headers["content-length"] ?? 0) > limit) {
-    done("too-large");
-    return;
-  }
-  const storage = createBodyStorage();
-  let isTooLarge = false;
-  request.on("data", (piece: Buffer) => {
-    if (isTooLarge) return;
-    isTooLarge = storage.length + piece.length > limit;
-    if (!isTooLarge) {
-      storage.append(piece);
-      return;
-    }
-    storage.take();
-    done("too-large");
-  });
-  request.on("end", () => {
-    if (!isTooLarge) done(storage.take());
-  });
-}
