Parse what callers send in parts, and a few requests of a connection at a time

Callers saw the process end, out of memory, or ordinary requests refused and reset, after a few connections had sent requests without waiting for answers.

Cause: Node.js parses all that it reads at once, up to 2 MB of a connection. Each request in it was begun at once, and answers behind one that waits were kept.

Change: received bytes pass to the parser up to the end of a head or 2 KiB at a time. What waits counts in the memory for callers. Of a request that was given up for memory nothing more is parsed.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -3,6 +3,8 @@
 import type { Clock } from "../interface/index.ts";
 import { endAfterRequest } from "../request/index.ts";
 import type { CallerLimits } from "../version/index.ts";
+import { readCallersInParts } from "./caller_reading.ts";
+import type { CallerReadingParts } from "./caller_reading.ts";
 import { endConnectionsAfterReading } from "./caller_sockets.ts";
 import { createListener, splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
@@ -40,13 +42,13 @@
  * Listens for HTTP requests of callers. The header and timeout limits follow the configuration in force.
  *
  * @param address `IP:PORT`; port 0 binds a free port.
- * @param clock For the time in which the rest of refused requests is read.
+ * @param parts The clock, also for the time in which the rest of refused requests is read, and the memory for callers.
  * @returns The listener, once it accepts connections. Rejects if the address can't be bound.
  */
 export function listenCallers(
   address: string,
   handler: CallerHandler,
-  clock: Clock,
+  { clock, memory }: CallerReadingParts & { readonly clock: Clock },
 ): Promise<Listener> {
   const limits = (): CallerLimits => handler.routing()?.limits ?? DEFAULT_LIMITS;
   const server = createServer(
@@ -71,6 +73,7 @@
     },
   );
   setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
+  readCallersInParts(server, { clock, memory });
   endConnectionsAfterReading(server, clock);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -5,6 +5,7 @@
 import { connect } from "node:net";
 import { fileURLToPath } from "node:url";
 import { expect, test } from "vitest";
+import { createCallerMemory } from "../decision/index.ts";
 import { systemClock } from "../process/system_clock.ts";
 import { listenCallers } from "./caller_listener.ts";
 import { splitAddress } from "./http_listener.ts";
@@ -30,7 +31,10 @@
     handle: (_request: unknown, response: ServerResponse) => respond(response),
     routing: () => ({ limits }),
   };
-  return listenCallers("127.0.0.1:0", handler, systemClock);
+  return listenCallers("127.0.0.1:0", handler, {
+    clock: systemClock,
+    memory: createCallerMemory({ limit: 1_000_000, now: () => systemClock.now() }),
+  });
 }
 
 /** Blocks the event loop between reading sockets and running timers. */
--- /dev/null
+++ b/src/connection/caller_reading.ts
@@ -0,0 +1,180 @@
+/**
+ * Passes what arrives on callers' connections to the parser of Node.js in small parts, and no more than can be worked on.
+ *
+ * Node.js parses all that it reads at once, up to two megabytes of a connection. A caller that sends requests without
+ * waiting for answers, or a body in chunks of one byte, has thousands of objects made with that, while other callers and
+ * the store wait.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { CallerMemory } from "../decision/index.ts";
+import type { Clock } from "../interface/index.ts";
+import { createParsingTurns } from "./parsing_turns.ts";
+import type { ParsingTurns } from "./parsing_turns.ts";
+import { isBodyGivenUp, receivedBodyBytes } from "../request/index.ts";
+
+/** Dependencies of {@linkcode readCallersInParts}. */
+export interface CallerReadingParts {
+  readonly clock: Pick<Clock, "now">;
+  /** Counts what was received and waits to be parsed. */
+  readonly memory: CallerMemory;
+}
+
+/**
+ * Number of requests on a connection that have no complete response, above which no more of it is parsed. Callers that
+ * send a few requests before they have the answers to earlier ones don't notice it.
+ */
+const MAX_REQUESTS = 4;
+/** Bytes that are parsed at a time: the head of a usual request. */
+const PART_BYTES = 2_048;
+/** Bytes that Node.js may read of a connection at once, also after it was paused. */
+const READ_BYTES = 65_536;
+
+/** What arrives on one connection. */
+interface Reading {
+  readonly socket: Socket;
+  /** Passes bytes to the parser of Node.js. */
+  readonly parse: (bytes: Buffer) => void;
+  /** Received bytes that haven't been parsed. */
+  pending: Buffer;
+  /** Number of requests that have no complete response. */
+  requests: number;
+  /** The request that arrived last. */
+  latest: IncomingMessage | undefined;
+  /** Whether the socket is paused because there are pending bytes. */
+  isHeld: boolean;
+  isParsing: boolean;
+  /** Sets the bytes that wait to be parsed. */
+  readonly setWaiting: (bytes: number) => void;
+}
+
+/** The bytes after which a request may begin to run: the end of a head, of a chunked body and of its trailers. */
+const HEAD_END = "\r\n\r\n";
+const NOTHING = Buffer.alloc(0);
+
+/** Applies the rules of this module to the connections of a server. Called before a connection is accepted. */
+export function readCallersInParts(server: Server, { clock, memory }: CallerReadingParts): void {
+  const readings = new WeakMap<Duplex, Reading>();
+  const turns = createParsingTurns<Reading>(clock, (reading) => proceed(reading));
+  const proceed = (reading: Reading): void => parsePending(reading, turns);
+  server.on("connection", (socket: Socket) => {
+    const [parse] = socket.listeners("data") as Reading["parse"][];
+    if (parse === undefined) return;
+    const hold = memory.open(
+      { address: () => socket.remoteAddress ?? "", account: undefined },
+      () => {
+        socket.destroy();
+        return true;
+      },
+    );
+    const reading: Reading = {
+      socket,
+      parse,
+      pending: NOTHING,
+      requests: 0,
+      latest: undefined,
+      isHeld: false,
+      isParsing: false,
+      setWaiting: (bytes) => hold.set(bytes),
+    };
+    readings.set(socket, reading);
+    socket.removeListener("data", parse);
+    socket.on("data", (bytes: Buffer) => {
+      const { pending } = reading;
+      reading.pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
+      proceed(reading);
+    });
+    // Node.js goes on with a connection that it had paused.
+    socket.on("resume", () => {
+      if (!reading.isHeld && reading.pending.length > 0) proceed(reading);
+    });
+    // What was held would hide the caller's end, for which a connection that ends waits.
+    socket.once("finish", () => proceed(reading));
+    socket.once("close", () => {
+      hold.close();
+      reading.pending = NOTHING;
+    });
+  });
+  server.prependListener("request", (request, response) => {
+    const reading = readings.get(request.socket);
+    if (reading === undefined) return;
+    reading.requests++;
+    reading.latest = request;
+    response.once("close", () => {
+      reading.requests--;
+      if (reading.pending.length > 0) proceed(reading);
+    });
+  });
+}
+
+/** Parses what is pending on a connection until the connection or the turn allows no more. */
+function parsePending(reading: Reading, turns: ParsingTurns<Reading>): void {
+  const { socket } = reading;
+  if (reading.isParsing || socket.destroyed) return;
+  dropIgnored(reading);
+  if (reading.isHeld && reading.pending.length > 0 && !canParse(reading)) return;
+  if (reading.isHeld) {
+    socket.resume();
+    reading.isHeld = false;
+  }
+  reading.isParsing = true;
+  while (reading.pending.length > 0 && canParse(reading)) {
+    // Node.js pauses a connection whose body or whose answers aren't read.
+    if (socket.isPaused()) break;
+    if (reading.pending.length > PART_BYTES && turns.isOver()) {
+      turns.add(reading);
+      break;
+    }
+    const { pending } = reading;
+    const size = partSize(reading);
+    reading.pending = size < pending.length ? pending.subarray(size) : NOTHING;
+    reading.parse(size < pending.length ? pending.subarray(0, size) : pending);
+    dropIgnored(reading);
+  }
+  reading.isParsing = false;
+  holdPending(reading);
+}
+
+/** Stops reading a connection while there are pending bytes. */
+function holdPending(reading: Reading): void {
+  const { socket, pending } = reading;
+  if (socket.destroyed) return;
+  if (pending.length === 0) {
+    reading.setWaiting(0);
+    return;
+  }
+  if (!socket.isPaused()) {
+    socket.pause();
+    reading.isHeld = true;
+  }
+  reading.setWaiting(READ_BYTES + pending.length);
+}
+
+/** Drops what is pending if nothing that arrives is answered any more: the connection ends, or the body was given up. */
+function dropIgnored(reading: Reading): void {
+  const { socket, latest } = reading;
+  const isIgnored = latest !== undefined && !latest.complete && isBodyGivenUp(latest);
+  if (socket.writableEnded || isIgnored) reading.pending = NOTHING;
+}
+
+/** Whether the requests of a connection allow that more of it is parsed. */
+function canParse({ requests }: Reading): boolean {
+  return requests < MAX_REQUESTS;
+}
+
+/**
+ * Returns how many bytes are parsed at a time: all that can only belong to a body of known length, otherwise no more than to the
+ * end of a head, so that no two requests begin within them.
+ */
+function partSize({ latest, pending }: Reading): number {
+  if (latest !== undefined && !latest.complete) {
+    const length = Number(latest.headers["content-length"] ?? 0);
+    const left = length - receivedBodyBytes(latest);
+    if (left > 0) return left;
+  }
+  const end = pending.subarray(0, PART_BYTES).indexOf(HEAD_END);
+  return end < 0 ? PART_BYTES : end + HEAD_END.length;
+}
--- /dev/null
+++ b/src/connection/caller_reading_test.ts
@@ -0,0 +1,98 @@
+import { once } from "node:events";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { expect, test } from "vitest";
+import { createCallerMemory } from "../decision/index.ts";
+import { countBodyBytes } from "../request/index.ts";
+import { systemClock } from "../process/system_clock.ts";
+import { listenCallers } from "./caller_listener.ts";
+import { splitAddress } from "./http_listener.ts";
+import type { Listener } from "./http_listener.ts";
+
+function listen(
+  handle: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<Listener> {
+  const memory = createCallerMemory({ limit: 10_000_000, now: () => systemClock.now() });
+  return listenCallers(
+    "127.0.0.1:0",
+    { handle, routing: () => undefined },
+    { clock: systemClock, memory },
+  );
+}
+
+async function open({ address }: Listener): Promise<Socket> {
+  const [host, port] = splitAddress(address);
+  const socket = connect({ host, port });
+  await once(socket, "connect");
+  return socket;
+}
+
+async function textUntil(socket: Socket, end: string): Promise<string> {
+  let text = "";
+  for await (const bytes of socket) {
+    text += (bytes as Buffer).toString("latin1");
+    if (text.endsWith(end)) break;
+  }
+  return text;
+}
+
+// Guards against a caller that has thousands of requests begun at once on one connection.
+test("requests that aren't waited for are all answered, a few at a time", async () => {
+  let inProgress = 0;
+  let most = 0;
+  const listener = await listen((request, response) => {
+    most = Math.max(most, ++inProgress);
+    response.prependOnceListener("close", () => inProgress--);
+    setTimeout(() => response.end(request.url), 1);
+  });
+  const socket = await open(listener);
+  const count = 200;
+  const requests = Array.from(
+    { length: count },
+    (_, index) => `GET /${index} HTTP/1.1\r\nHost: a\r\n\r\n`,
+  );
+  socket.write(requests.join(""));
+  const text = await textUntil(socket, `/${count - 1}`);
+  expect(text.match(/\r\n\r\n\/\d+/g)).toHaveLength(count);
+  expect(most).toBe(4);
+  await listener.close();
+});
+
+// Guards against bodies that are cut or joined wrongly by parsing them in parts.
+test.each([1, 7, 5_000])("a body in chunks of %d bytes arrives whole", async (size) => {
+  const listener = await listen((request, response) => {
+    const pieces: Buffer[] = [];
+    request.on("data", (piece: Buffer) => {
+      countBodyBytes(request, piece.length);
+      pieces.push(piece);
+    });
+    request.on("end", () => response.end(Buffer.concat(pieces)));
+  });
+  const socket = await open(listener);
+  const text = Array.from({ length: 35_000 }, (_, index) =>
+    index % 5 === 0 ? "\r\n\r\n" : String(index % 10),
+  ).join("");
+  const chunks = Array.from({ length: Math.ceil(text.length / size) }, (_, index) => {
+    const part = text.slice(index * size, (index + 1) * size);
+    return `${part.length.toString(16)}\r\n${part}\r\n`;
+  });
+  socket.write(
+    `POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n${chunks.join("")}0\r\n\r\n`,
+  );
+  const received = await textUntil(socket, "none");
+  expect(received.slice(received.indexOf("\r\n\r\n") + 4)).toBe(text);
+  await listener.close();
+});
+
+test("a caller that ends its side in the middle of many requests is noticed", async () => {
+  let closed = 0;
+  const listener = await listen((_request, response) => {
+    response.once("close", () => closed++);
+  });
+  const socket = await open(listener);
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(3));
+  socket.end();
+  await expect.poll(() => closed).toBe(3);
+  await listener.close();
+});
--- a/src/decision/caller_memory.ts
+++ b/src/decision/caller_memory.ts
@@ -77,7 +77,8 @@
 
 interface Entry {
   readonly origin: CallerOrigin;
-  readonly since: number;
+  /** When the first of its bytes was held. */
+  since: number;
   readonly release: () => boolean;
   bytes: number;
   isKept: boolean;
@@ -114,13 +115,15 @@
   let isReleasing = false;
 
   const set = (entry: Entry, bytes: number): void => {
+    if (entry.bytes === 0) entry.since = now();
     held += bytes - entry.bytes;
     entry.bytes = bytes;
   };
   const rankOf = (entry: Entry, totals: GroupTotals): Rank => {
     const { account, address } = entry.origin;
-    const byAccount = totals.accounts.get(account ?? "")?.bytes ?? 0;
     const byAddress = totals.addresses.get(address())?.bytes ?? 0;
+    const byAccount =
+      account === undefined ? byAddress : (totals.accounts.get(account)?.bytes ?? 0);
     const age = Math.min(MAX_AGE, Math.max(MIN_AGE, now() - entry.since));
     return {
       larger: Math.max(byAccount, byAddress),
--- a/src/request/caller_body.ts
+++ b/src/request/caller_body.ts
@@ -2,6 +2,32 @@
 import { createBodyStorage } from "./body_storage.ts";
 import type { RequestMemory } from "./request_memory.ts";
 
+/** Bytes of requests' bodies that have arrived. */
+const receivedBytes = new WeakMap<IncomingMessage, number>();
+
+/** Counts bytes of a request's body that have arrived. */
+export function countBodyBytes(request: IncomingMessage, bytes: number): void {
+  receivedBytes.set(request, (receivedBytes.get(request) ?? 0) + bytes);
+}
+
+/** Returns the number of bytes of a request's body that have arrived, without its framing. */
+export function receivedBodyBytes(request: IncomingMessage): number {
+  return (receivedBytes.get(request) ?? 0) + request.readableLength;
+}
+
+/** Requests of whose bodies nothing more is read. */
+const givenUp = new WeakSet<IncomingMessage>();
+
+/** Ends the reading of a request's body for good: its response closes the connection. */
+export function giveUpBody(request: IncomingMessage): void {
+  givenUp.add(request);
+}
+
+/** Whether nothing more of a request's body is read. */
+export function isBodyGivenUp(request: IncomingMessage): boolean {
+  return givenUp.has(request);
+}
+
 /** The end of reading a body. */
 export type BodyEnd =
   | { readonly kind: "complete"; readonly body: Buffer }
@@ -41,6 +67,7 @@
     return { stop };
   }
   request.on("data", (piece: Buffer) => {
+    countBodyBytes(request, piece.length);
     if (!isReading) return;
     if (storage.length + piece.length > limit) {
       stop();
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,3 +1,4 @@
+export { countBodyBytes, giveUpBody, isBodyGivenUp, receivedBodyBytes } from "./caller_body.ts";
 export { PREFIX_BLOCK_TOKENS } from "./arrival.ts";
 export * from "./request_id.ts";
 export * from "./slot_replica.ts";
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { readCallerBody } from "./caller_body.ts";
+import { giveUpBody, readCallerBody } from "./caller_body.ts";
 import type { BodyEnd } from "./caller_body.ts";
 import { createCallerConnections } from "./caller_connections.ts";
 import { createCallerResponse, RoutedRefusal } from "./caller_response.ts";
@@ -150,6 +150,7 @@
     memory.setAccount(arrival.account?.name);
     const refuseForMemory = (): void => {
       body.stop();
+      giveUpBody(request);
       const reason = RoutedRefusal.CallerMemory;
       refuse(callerResponse, { reason, id, retryAfter: MEMORY_RETRY_AFTER });
     };
