Bound what is read beside requests and their bodies

Callers that went on after a refusal, or whose chunks had extensions of 16,000 bytes, or that sent empty lines without end, had everything read and thrown away: 3.9 GB in 9 s, at the cost of the processor that others need, and up to 224 MB (bound 192) of bytes on their way.

Cause: the limits counted bytes of bodies only. Chunk extensions have a limit for each chunk, and what follows a refusal or a request has none.

Change: framing out of proportion to its body gets 413, bytes between requests beyond 256 KiB get 431, and of a refused body no more is read than the limit of a body and 64 KiB. Logged as caller-limit with framing, gap or refused, and counted.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -16,6 +16,12 @@
   routing(): { readonly limits: CallerLimits } | undefined;
 }
 
+/** Dependencies of {@linkcode listenCallers}. */
+export interface CallerListenerParts extends Omit<CallerReadingParts, "maxBodyBytes"> {
+  /** Also for the time in which the rest of refused requests is read. */
+  readonly clock: Clock;
+}
+
 /** Limits used until a configuration was received: the platform's usual ones. */
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
@@ -42,13 +48,12 @@
  * Listens for HTTP requests of callers. The header and timeout limits follow the configuration in force.
  *
  * @param address `IP:PORT`; port 0 binds a free port.
- * @param parts The clock, also for the time in which the rest of refused requests is read, and the memory for callers.
  * @returns The listener, once it accepts connections. Rejects if the address can't be bound.
  */
 export function listenCallers(
   address: string,
   handler: CallerHandler,
-  { clock, memory }: CallerReadingParts & { readonly clock: Clock },
+  { clock, memory, onLimit }: CallerListenerParts,
 ): Promise<Listener> {
   const limits = (): CallerLimits => handler.routing()?.limits ?? DEFAULT_LIMITS;
   const server = createServer(
@@ -73,7 +78,8 @@
     },
   );
   setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
-  readCallersInParts(server, { clock, memory });
+  const maxBodyBytes = (): number => limits().maxBodyBytes;
+  readCallersInParts(server, { clock, memory, maxBodyBytes, onLimit });
   endConnectionsAfterReading(server, clock);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -34,6 +34,7 @@
   return listenCallers("127.0.0.1:0", handler, {
     clock: systemClock,
     memory: createCallerMemory({ limit: 1_000_000, now: () => systemClock.now() }),
+    onLimit: () => undefined,
   });
 }
 
--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import type { IncomingMessage, Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { CallerMemory } from "../decision/index.ts";
@@ -21,6 +21,20 @@
   readonly clock: Pick<Clock, "now">;
   /** Counts what was received and waits to be parsed. */
   readonly memory: CallerMemory;
+  /** Returns the limit on the size of a body in bytes. */
+  readonly maxBodyBytes: () => number;
+  /** Called with the address of a caller whose connection is ended because of a limit. */
+  readonly onLimit: (limit: ReadingLimit, address: string) => void;
+}
+
+/** A limit on what a caller sends beside its requests and their bodies. */
+export enum ReadingLimit {
+  /** Chunk sizes and extensions, or trailers, that are out of proportion to their body. */
+  Framing = "framing",
+  /** Bytes between two requests. */
+  Gap = "gap",
+  /** Bytes of a body whose request was refused, or behind the end of a connection. */
+  Refused = "refused",
 }
 
 /**
@@ -30,6 +44,16 @@
 const MAX_REQUESTS = 4;
 /** Bytes that are parsed at a time: the head of a usual request. */
 const PART_BYTES = 2_048;
+/**
+ * Bytes of framing that every body may have, and those for each of its bytes. A chunk of one byte has five, or more if its
+ * size is padded.
+ */
+const FRAMING_BYTES = 65_536;
+const FRAMING_PER_BYTE = 16;
+/** Bytes between two requests: empty lines, or a head that Node.js would refuse before. */
+const GAP_BYTES = 262_144;
+/** Bytes of a body beyond its limit that are read after its request was refused. */
+const REFUSED_MARGIN = 65_536;
 /** Bytes that Node.js may read of a connection at once, also after it was paused. */
 const READ_BYTES = 65_536;
 
@@ -44,6 +68,14 @@
   requests: number;
   /** The request that arrived last. */
   latest: IncomingMessage | undefined;
+  /** Its response. */
+  response: ServerResponse | undefined;
+  /** Bytes that were parsed or ignored since that request began, or since it was complete. */
+  passed: number;
+  /** Whether that request was complete when bytes were counted last. */
+  isComplete: boolean;
+  /** Whether a limit was exceeded. */
+  isOverLimit: boolean;
   /** Whether the socket is paused because there are pending bytes. */
   isHeld: boolean;
   isParsing: boolean;
@@ -56,10 +88,24 @@
 const NOTHING = Buffer.alloc(0);
 
 /** Applies the rules of this module to the connections of a server. Called before a connection is accepted. */
-export function readCallersInParts(server: Server, { clock, memory }: CallerReadingParts): void {
+export function readCallersInParts(server: Server, parts: CallerReadingParts): void {
+  const { clock, memory } = parts;
   const readings = new WeakMap<Duplex, Reading>();
   const turns = createParsingTurns<Reading>(clock, (reading) => proceed(reading));
-  const proceed = (reading: Reading): void => parsePending(reading, turns);
+  const proceed = (reading: Reading): void => {
+    parsePending(reading, { turns, check });
+    if (reading.isOverLimit) stopReading(reading);
+    else holdPending(reading);
+  };
+  /** Counts bytes that were parsed or ignored, and ends the connection if they exceed a limit. */
+  const check = (reading: Reading, bytes: number): void => {
+    const limit = countPassed(reading, { bytes, maxBodyBytes: parts.maxBodyBytes() });
+    if (limit === undefined || reading.isOverLimit) return;
+    reading.isOverLimit = true;
+    parts.onLimit(limit, reading.socket.remoteAddress ?? "");
+    if (limit === ReadingLimit.Refused) reading.socket.destroySoon();
+    else server.emit("clientError", parseError(ERROR_CODES[limit]), reading.socket);
+  };
   server.on("connection", (socket: Socket) => {
     const [parse] = socket.listeners("data") as Reading["parse"][];
     if (parse === undefined) return;
@@ -76,6 +122,10 @@
       pending: NOTHING,
       requests: 0,
       latest: undefined,
+      response: undefined,
+      passed: 0,
+      isComplete: false,
+      isOverLimit: false,
       isHeld: false,
       isParsing: false,
       setWaiting: (bytes) => hold.set(bytes),
@@ -103,6 +153,9 @@
     if (reading === undefined) return;
     reading.requests++;
     reading.latest = request;
+    reading.response = response;
+    reading.passed = 0;
+    reading.isComplete = false;
     response.once("close", () => {
       reading.requests--;
       if (reading.pending.length > 0) proceed(reading);
@@ -111,10 +164,17 @@
 }
 
 /** Parses what is pending on a connection until the connection or the turn allows no more. */
-function parsePending(reading: Reading, turns: ParsingTurns<Reading>): void {
+function parsePending(
+  reading: Reading,
+  options: {
+    readonly turns: ParsingTurns<Reading>;
+    readonly check: (reading: Reading, bytes: number) => void;
+  },
+): void {
+  const { turns, check } = options;
   const { socket } = reading;
-  if (reading.isParsing || socket.destroyed) return;
-  dropIgnored(reading);
+  if (reading.isParsing || socket.destroyed || reading.isOverLimit) return;
+  check(reading, dropIgnored(reading));
   if (reading.isHeld && reading.pending.length > 0 && !canParse(reading)) return;
   if (reading.isHeld) {
     socket.resume();
@@ -129,13 +189,47 @@
       break;
     }
     const { pending } = reading;
-    const size = partSize(reading);
+    const size = Math.min(partSize(reading), pending.length);
     reading.pending = size < pending.length ? pending.subarray(size) : NOTHING;
     reading.parse(size < pending.length ? pending.subarray(0, size) : pending);
-    dropIgnored(reading);
+    check(reading, size + dropIgnored(reading));
   }
   reading.isParsing = false;
-  holdPending(reading);
+}
+
+/** Reads no more of a connection, which ends. */
+function stopReading(reading: Reading): void {
+  reading.pending = NOTHING;
+  reading.setWaiting(0);
+  if (!reading.socket.destroyed) reading.socket.pause();
+}
+
+/** Counts bytes of a connection that were parsed or ignored. Returns the limit that they exceed; undefined if none. */
+function countPassed(
+  reading: Reading,
+  { bytes, maxBodyBytes }: { readonly bytes: number; readonly maxBodyBytes: number },
+): ReadingLimit | undefined {
+  const { latest, response, socket } = reading;
+  const isComplete = latest?.complete ?? false;
+  reading.passed = isComplete === reading.isComplete ? reading.passed + bytes : 0;
+  reading.isComplete = isComplete;
+  const { passed } = reading;
+  if (socket.writableEnded || (response?.headersSent === true && !isComplete))
+    return passed > maxBodyBytes + REFUSED_MARGIN ? ReadingLimit.Refused : undefined;
+  if (latest === undefined || isComplete) return passed > GAP_BYTES ? ReadingLimit.Gap : undefined;
+  const body = receivedBodyBytes(latest);
+  const framing = passed - body;
+  return framing > FRAMING_BYTES + FRAMING_PER_BYTE * body ? ReadingLimit.Framing : undefined;
+}
+
+/** Errors of the parser whose HTTP statuses fit limits. */
+const ERROR_CODES: Readonly<Record<ReadingLimit.Framing | ReadingLimit.Gap, string>> = {
+  [ReadingLimit.Framing]: "HPE_CHUNK_EXTENSIONS_OVERFLOW",
+  [ReadingLimit.Gap]: "HPE_HEADER_OVERFLOW",
+};
+
+function parseError(code: string): NodeJS.ErrnoException {
+  return Object.assign(new Error("A limit on what callers send was exceeded."), { code });
 }
 
 /** Stops reading a connection while there are pending bytes. */
@@ -153,11 +247,17 @@
   reading.setWaiting(READ_BYTES + pending.length);
 }
 
-/** Drops what is pending if nothing that arrives is answered any more: the connection ends, or the body was given up. */
-function dropIgnored(reading: Reading): void {
-  const { socket, latest } = reading;
+/**
+ * Drops what is pending if nothing that arrives is answered any more: the connection ends, or the body was given up.
+ *
+ * @returns The number of bytes that were dropped.
+ */
+function dropIgnored(reading: Reading): number {
+  const { socket, latest, pending } = reading;
   const isIgnored = latest !== undefined && !latest.complete && isBodyGivenUp(latest);
-  if (socket.writableEnded || isIgnored) reading.pending = NOTHING;
+  if (!socket.writableEnded && !isIgnored) return 0;
+  reading.pending = NOTHING;
+  return pending.length;
 }
 
 /** Whether the requests of a connection allow that more of it is parsed. */
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -7,17 +7,19 @@
 import { countBodyBytes } from "../request/index.ts";
 import { systemClock } from "../process/system_clock.ts";
 import { listenCallers } from "./caller_listener.ts";
+import { ReadingLimit } from "./caller_reading.ts";
 import { splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 
 function listen(
   handle: (request: IncomingMessage, response: ServerResponse) => void,
+  onLimit: (limit: ReadingLimit) => void = () => undefined,
 ): Promise<Listener> {
   const memory = createCallerMemory({ limit: 10_000_000, now: () => systemClock.now() });
   return listenCallers(
     "127.0.0.1:0",
     { handle, routing: () => undefined },
-    { clock: systemClock, memory },
+    { clock: systemClock, memory, onLimit },
   );
 }
 
@@ -96,3 +98,47 @@
   await expect.poll(() => closed).toBe(3);
   await listener.close();
 });
+
+// Guards against bytes without end that occupy the process although nothing comes of them.
+test.each([
+  [
+    ReadingLimit.Framing,
+    "413",
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+    `1;${"e".repeat(16_000)}\r\nx\r\n`,
+  ],
+  [ReadingLimit.Gap, "431", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "\r\n".repeat(8_000)],
+  [
+    ReadingLimit.Refused,
+    "200",
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000000\r\n\r\n",
+    "x".repeat(16_000),
+  ],
+])("a connection that exceeds the limit %s is read no more", async (limit, status, head, rest) => {
+  const limits: ReadingLimit[] = [];
+  const listener = await listen(
+    (request, response) => {
+      request.on("data", (piece: Buffer) => countBodyBytes(request, piece.length));
+      if (limit === ReadingLimit.Framing) request.on("end", () => response.end());
+      else response.end();
+    },
+    (reached) => void limits.push(reached),
+  );
+  const socket = await open(listener);
+  let received = "";
+  socket.on("data", (bytes: Buffer) => (received += bytes.toString("latin1")));
+  socket.on("error", () => undefined);
+  const closed = new Promise<void>((resolve) => socket.once("close", () => resolve()));
+  socket.write(head);
+  const writeRest = (): void => {
+    while (!socket.destroyed && socket.write(rest));
+  };
+  socket.on("drain", writeRest);
+  writeRest();
+  await closed;
+  expect(limits).toEqual([limit]);
+  expect(received).toContain(`HTTP/1.1 ${status} `);
+  // The limit of the body, what is read at once, and what the operating systems of both sides hold.
+  expect(socket.bytesWritten).toBeLessThan(20_000_000);
+  await listener.close();
+});
--- a/src/process/caller_limits.ts
+++ b/src/process/caller_limits.ts
@@ -5,11 +5,8 @@
 import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 
-/** A limit on what is kept for callers, in the log and the metrics. */
-export enum CallerLimit {
-  /** The memory for what is kept for all callers. */
-  Memory = "memory",
-}
+/** Name of the limit on the memory for all callers, in the log and the metrics. */
+const MEMORY_LIMIT = "memory";
 
 /** Limits of the machine on the process. */
 export type MachineLimits = RoutedSettings["machine"];
@@ -43,8 +40,8 @@
     limit: callerMemoryOf(machine),
     now: () => clock.now(),
     onRelease: (released) => {
-      metrics.callerLimitExceeded(CallerLimit.Memory);
-      log.fault("caller-limit", { limit: CallerLimit.Memory, ...released });
+      metrics.callerLimitExceeded(MEMORY_LIMIT);
+      log.fault("caller-limit", { limit: MEMORY_LIMIT, ...released });
     },
   });
   metrics.addGauge(
@@ -54,3 +51,17 @@
   );
   return memory;
 }
+
+/** Returns a function that logs and counts a connection that is ended because of a limit. */
+export function createLimitReport({
+  log,
+  metrics,
+}: {
+  readonly log: Pick<RoutedLog, "fault">;
+  readonly metrics: Pick<RoutedMetricsRegistry, "callerLimitExceeded">;
+}): (limit: string, address: string) => void {
+  return (limit, address) => {
+    metrics.callerLimitExceeded(limit);
+    log.fault("caller-limit", { limit, address });
+  };
+}
