Limit the connections of callers

Cause: nothing limited the number of open connections.

Change: callers may have 0.6 of the machine's descriptors at both addresses together. Beyond that a connection of the address with the most is closed: of its unused or its idle ones, whichever are more, the one that is inactive for longest; those with requests last. So neither a new nor a kept connection of a sound caller goes before those of a crowd.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits } from "../version/index.ts";
 import { readCallersInParts } from "./caller_reading.ts";
 import type { CallerReadingParts } from "./caller_reading.ts";
+import type { ConnectionLimit } from "./connection_limit.ts";
 import { endConnectionsAfterReading } from "./caller_sockets.ts";
 import { createListener, splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
@@ -20,6 +21,8 @@
 export interface CallerListenerParts extends Omit<CallerReadingParts, "maxBodyBytes"> {
   /** Also for the time in which the rest of refused requests is read. */
   readonly clock: Clock;
+  /** Limit on the connections of callers. */
+  readonly connections: ConnectionLimit;
 }
 
 /** Limits used until a configuration was received: the platform's usual ones. */
@@ -53,7 +56,7 @@
 export function listenCallers(
   address: string,
   handler: CallerHandler,
-  { clock, memory, onLimit }: CallerListenerParts,
+  { clock, memory, connections, onLimit }: CallerListenerParts,
 ): Promise<Listener> {
   const limits = (): CallerLimits => handler.routing()?.limits ?? DEFAULT_LIMITS;
   const server = createServer(
@@ -79,6 +82,7 @@
   );
   setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
   const maxBodyBytes = (): number => limits().maxBodyBytes;
+  connections.apply(server);
   readCallersInParts(server, { clock, memory, maxBodyBytes, onLimit });
   endConnectionsAfterReading(server, clock);
   const [host, port] = splitAddress(address);
--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -8,6 +8,7 @@
 import { createCallerMemory } from "../decision/index.ts";
 import { systemClock } from "../process/system_clock.ts";
 import { listenCallers } from "./caller_listener.ts";
+import { createConnectionLimit } from "./connection_limit.ts";
 import { splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 
@@ -19,6 +20,8 @@
 
 const answer = (response: ServerResponse): void => void response.end("yes");
 
+const onLimit = (): void => undefined;
+
 /** Listens with the limits of these tests. */
 function listen(headerTimeout: number, respond = answer): Promise<Listener> {
   const limits = {
@@ -34,7 +37,8 @@
   return listenCallers("127.0.0.1:0", handler, {
     clock: systemClock,
     memory: createCallerMemory({ limit: 1_000_000, now: () => systemClock.now() }),
-    onLimit: () => undefined,
+    connections: createConnectionLimit({ clock: systemClock, limit: 100, onLimit }),
+    onLimit,
   });
 }
 
--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -12,6 +12,7 @@
 import type { Duplex } from "node:stream";
 import type { CallerMemory } from "../decision/index.ts";
 import type { Clock } from "../interface/index.ts";
+import { connectionEvent } from "./http_listener.ts";
 import { createParsingTurns } from "./parsing_turns.ts";
 import type { ParsingTurns } from "./parsing_turns.ts";
 import { isBodyGivenUp, receivedBodyBytes } from "../request/index.ts";
@@ -106,7 +107,7 @@
     if (limit === ReadingLimit.Refused) reading.socket.destroySoon();
     else server.emit("clientError", parseError(ERROR_CODES[limit]), reading.socket);
   };
-  server.on("connection", (socket: Socket) => {
+  server.on(connectionEvent(server), (socket: Socket) => {
     const [parse] = socket.listeners("data") as Reading["parse"][];
     if (parse === undefined) return;
     const hold = memory.open(
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -8,18 +8,20 @@
 import { systemClock } from "../process/system_clock.ts";
 import { listenCallers } from "./caller_listener.ts";
 import { ReadingLimit } from "./caller_reading.ts";
+import { createConnectionLimit } from "./connection_limit.ts";
 import { splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 
 function listen(
   handle: (request: IncomingMessage, response: ServerResponse) => void,
-  onLimit: (limit: ReadingLimit) => void = () => undefined,
+  onLimit: (limit: string) => void = () => undefined,
 ): Promise<Listener> {
   const memory = createCallerMemory({ limit: 10_000_000, now: () => systemClock.now() });
+  const connections = createConnectionLimit({ clock: systemClock, limit: 100, onLimit });
   return listenCallers(
     "127.0.0.1:0",
     { handle, routing: () => undefined },
-    { clock: systemClock, memory, onLimit },
+    { clock: systemClock, memory, connections, onLimit },
   );
 }
 
@@ -115,7 +117,7 @@
     "x".repeat(16_000),
   ],
 ])("a connection that exceeds the limit %s is read no more", async (limit, status, head, rest) => {
-  const limits: ReadingLimit[] = [];
+  const limits: string[] = [];
   const listener = await listen(
     (request, response) => {
       request.on("data", (piece: Buffer) => countBodyBytes(request, piece.length));
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -25,6 +25,13 @@
   readonly tls?: Certificate | undefined;
   /** Called for each request with the method CONNECT, with the bytes that followed it. By default they are refused. */
   readonly onConnect?: (request: IncomingMessage, stream: Duplex, head: Buffer) => void;
+  /** Applies limits on callers to the server before it listens. */
+  readonly limitCallers?: ((server: Server) => void) | undefined;
+}
+
+/** Returns the event with which a server reports a connection that can carry requests. */
+export function connectionEvent(server: Server): "connection" | "secureConnection" {
+  return "setSecureContext" in server ? "secureConnection" : "connection";
 }
 
 /** Milliseconds after which a connection without complete headers is closed, against slow-loris attacks. */
@@ -42,7 +49,7 @@
 export async function listenHttp(
   address: string,
   handle: RequestListener,
-  { tls, onConnect }: ListenOptions = {},
+  { tls, onConnect, limitCallers }: ListenOptions = {},
 ): Promise<Listener> {
   const limits = {
     headersTimeout: HEADERS_TIMEOUT,
@@ -52,6 +59,7 @@
   const server =
     tls === undefined ? createServer(limits, handle) : await secureServer({ limits, tls, handle });
   if (onConnect !== undefined) server.on("connect", onConnect);
+  limitCallers?.(server);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -5,6 +5,7 @@
 export type { ShareAccount, ShareService } from "./share_service.ts";
 export * from "./caller_memory.ts";
 export * from "./candidate_workers.ts";
+export * from "./connection_choice.ts";
 export * from "./crash_evidence.ts";
 export * from "./dial_verdict.ts";
 export * from "./entry_overload.ts";
--- a/src/process/caller_limits.ts
+++ b/src/process/caller_limits.ts
@@ -23,6 +23,14 @@
   return Math.max(MIN_CALLER_MEMORY, (memory - PROCESS_MEMORY) * CALLER_SHARE);
 }
 
+/** Fraction of the descriptors for connections of callers: the remainder is for files, workers, peers and the store. */
+const CONNECTION_SHARE = 0.6;
+
+/** Returns the number of connections that callers may have. */
+export function callerConnectionsOf({ descriptors }: Pick<MachineLimits, "descriptors">): number {
+  return Math.max(1, Math.floor(descriptors * CONNECTION_SHARE));
+}
+
 /** Creates the memory for callers. What is given up is logged and counted. */
 export function createLoggedCallerMemory(
   machine: Pick<MachineLimits, "memory">,
