Count answers that callers don't read in the memory for callers, and close their connections

Callers that leave answers unread kept their connections, and up to a megabyte of each answer, for good. What they left unread also used up the memory for what workers send, so that sound callers' answers were held to 16 KiB.

Cause: written answers counted in the budget of received bytes, whose verdict was ignored for them, and the idle timeout didn't apply while a response was unfinished.

Change: they count in the memory for callers, where those who hold the most lose their connections first; a connection whose caller reads nothing of a whole response for the idle timeout is closed.

--- a/src/connection/caller_sockets.ts
+++ b/src/connection/caller_sockets.ts
@@ -106,7 +106,10 @@
     const progress = progressOf(socket);
     const { readAtEnd, requestCount, unfinished } = progress;
     // The connection is not idle. The end of the last response starts the timer again.
-    if (unfinished.size > 0) return;
+    if (unfinished.size > 0) {
+      closeUnread(socket, progress);
+      return;
+    }
     // The header timeout applies to the first head, and if a part of the next one has arrived.
     const mayBeWithinHead =
       readAtEnd !== undefined && (requestCount === 0 || socket.bytesRead > readAtEnd);
@@ -146,6 +149,22 @@
   });
 }
 
+/** Closes a connection whose caller has read nothing of a whole response since the timer began. */
+function closeUnread(socket: Socket, { unfinished }: Progress): void {
+  const isWaiting = (): boolean => {
+    const [first] = unfinished;
+    return first?.writableEnded === true && socket.writableLength > 0;
+  };
+  const { bytesWritten, writableLength } = socket;
+  if (!isWaiting()) return;
+  // After a stall of the process, what the caller has read is noticed first.
+  setImmediate(() => {
+    const isUnchanged =
+      socket.bytesWritten === bytesWritten && socket.writableLength === writableLength;
+    if (isWaiting() && isUnchanged) socket.destroy();
+  });
+}
+
 /** Ends a connection with an error, which is sent unless a response to an earlier request has begun. */
 function endWithError(
   socket: Duplex,
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -3,6 +3,7 @@
 import type { HeldBytes, ReceiveBudget } from "../decision/index.ts";
 import type { Clock, ResponseHead } from "../interface/index.ts";
 import { endAfterRequest } from "./lingering_end.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { buildResponseHeaders } from "./routed_headers.ts";
 
 /** Reason for which the entry instance itself ends a routed request. */
@@ -111,22 +112,27 @@
  * @param response The Node.js response to write to.
  * @param options `isClosing` returns whether the connection is to be closed after a response that is known completely,
  * because the instance is shutting down. Any other may take seconds, and a request that arrives meanwhile could not be
- * answered. `budget` limits what all responses hold.
+ * answered. `budget` limits what is held of workers' responses, `memory` counts what the caller hasn't read.
  */
 export function createCallerResponse(
   response: ServerResponse,
-  { clock, isClosing, budget }: { clock: Clock; isClosing: () => boolean; budget: ReceiveBudget },
+  {
+    clock,
+    isClosing,
+    budget,
+    memory,
+  }: {
+    readonly clock: Clock;
+    readonly isClosing: () => boolean;
+    readonly budget: ReceiveBudget;
+    readonly memory: Pick<RequestMemory, "setUnread">;
+  },
 ): CallerResponse {
   let isRefused = false;
   const received = budget.open(ReceivedPart.Answer);
-  /** What was written and waits until the caller reads it. */
-  const unsent = budget.open(ReceivedPart.Answer);
-  const countUnsent = (): void => void unsent.hold(response.writableLength);
-  response.on("drain", countUnsent);
-  response.once("close", () => {
-    received.close();
-    unsent.close();
-  });
+  const countUnread = (): void => memory.setUnread(response.writableLength);
+  response.on("drain", countUnread);
+  response.once("close", () => received.close());
   const startComplete = (status: number, headers: readonly string[]): void => {
     if (isClosing()) response.shouldKeepAlive = false;
     response.writeHead(status, [...headers]);
@@ -149,12 +155,12 @@
         length === undefined ? headers : [...headers, "Content-Length", length],
       );
       response.end(body);
-      countUnsent();
+      countUnread();
     },
     start: (head) => void response.writeHead(head.status, buildResponseHeaders(head)),
     write: (bytes) => {
       const canContinue = response.write(bytes);
-      countUnsent();
+      countUnread();
       return canContinue;
     },
     end: () => void response.end(),
--- a/src/request/request_memory.ts
+++ b/src/request/request_memory.ts
@@ -7,6 +7,8 @@
   setAccount(account: string | undefined): void;
   /** Sets the bytes kept of the request's body. */
   setBody(bytes: number): void;
+  /** Sets the bytes of the response that were written and wait until the caller reads them. */
+  setUnread(bytes: number): void;
   /** Sets how the request is given up before it is sent to a worker; undefined if it can't be any more. */
   setRefusal(refuse: (() => void) | undefined): void;
   /** Keeps the request until it is answered. Returns false if its caller keeps too much already. */
@@ -21,7 +23,10 @@
 /** Bytes for each header: its name, its value and their places in the tables. */
 const HEADER_BYTES = 96;
 
-/** Begins to count what is kept for a request. */
+/**
+ * Begins to count what is kept for a request. Above the limit it is refused, or its connection is closed if its caller doesn't
+ * read the response.
+ */
 export function openRequestMemory(
   memory: CallerMemory,
   request: IncomingMessage,
@@ -33,19 +38,31 @@
     account: undefined,
   };
   let refuse: (() => void) | undefined;
+  let body = 0;
+  let unread = 0;
   const release = (): boolean => {
-    if (refuse === undefined) return false;
+    if (refuse === undefined && unread === 0) return false;
     hold.close();
-    refuse();
+    if (refuse !== undefined) refuse();
+    else response.destroy();
     return true;
   };
   const hold = memory.open(origin, release);
   const base = REQUEST_BYTES + headerBytes(request);
-  hold.set(base);
+  const count = (): void => hold.set(base + body + unread);
+  count();
   response.once("close", () => hold.close());
   return {
     setAccount: (account) => void (origin.account = account),
-    setBody: (bytes) => hold.set(base + bytes),
+    setBody: (bytes) => {
+      body = bytes;
+      count();
+    },
+    setUnread: (bytes) => {
+      if (bytes === unread) return;
+      unread = bytes;
+      count();
+    },
     setRefusal: (changed) => void (refuse = changed),
     keep: () => hold.keep(),
   };
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -97,10 +97,12 @@
       request.resume();
       return;
     }
+    const memory = openRequestMemory(context.callerMemory, request, response);
     const callerResponse = createCallerResponse(response, {
       clock: context.clock,
       isClosing: () => context.isStopping() && connection.endWithResponse(),
       budget: context.received,
+      memory,
     });
     let run: RoutedRun | undefined;
     response.once("close", () => {
@@ -116,7 +118,6 @@
       else if (!callerResponse.isClosed) refuseStopping(callerResponse, id);
     });
     const onRun = (started: RoutedRun | undefined): void => void (run = started);
-    const memory = openRequestMemory(context.callerMemory, request, response);
     const accepted = { request, id, memory, onRun };
     if (!context.isStopping()) {
       accept(accepted, callerResponse);
