Limit what samphireshore serve keeps for its callers

Callers saw an instance of samphireshore serve end, out of memory, after one body inside the limits in chunks of one byte, or refuse every request, also after a crowd with bodies that don't end had left (514 MB, bound 256).

Cause: its bodies were kept as pieces, without a limit for all together, on a path of its own.

Change: the same limits as for routed requests: bodies are copied, requests and bodies count in the memory for callers (a complete body three times: bytes, text and what is parsed), connections are limited by the new setting descriptors, and received bytes are parsed in parts. A body that is given up is refused as entry-overloaded, not run, to be retried after 1 s. Logged as caller-limit, counted as caller-limit.NAME. The limits of both programs are created in one place.

--- a/src/cli/embedded_deployment.ts
+++ b/src/cli/embedded_deployment.ts
@@ -172,6 +172,7 @@
       reread: 30_000,
       log: false,
       memory: 1_000_000_000,
+      descriptors: 4_200,
     };
     const started = await startEntry(entry, { clock: systemClock, random: systemRandom });
     if (settings.log !== undefined)
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -9,6 +9,7 @@
   systemClock,
   systemRandom,
 } from "../process/index.ts";
+import { createRoutedLog } from "../process/routed_log.ts";
 import type { EntrySettingsFile, Secrets } from "../process/index.ts";
 import { readSettings } from "./read_settings.ts";
 import { waitForStopSignal } from "./stop_signal.ts";
@@ -25,18 +26,21 @@
     const { flags } = await this.parse(Serve);
     const settings = await readSettings(this, flags.settings, { schema: entrySettingsSchema });
     const secrets = await this.readSecrets(settings, flags.settings);
+    const write = (line: string): void => void process.stderr.write(`${line}\n`);
+    const log = createRoutedLog({ instance: settings.name, clock: systemClock, write });
     const entry = await startEntry(
       { ...settings, ...resolveTlsPaths(settings, flags.settings), secrets },
       {
         clock: systemClock,
         random: systemRandom,
         readLoad: startSystemLoad(settings.memory),
+        onCallerLimit: (limit, fields) => {
+          if (settings.log) log.fault("caller-limit", { limit, ...fields });
+        },
       },
     );
     if (settings.log) {
-      startStateLog({ ...entry.core, self: entry.self }, (line) =>
-        process.stderr.write(`${line}\n`),
-      );
+      startStateLog({ ...entry.core, self: entry.self }, write);
     }
     const { callerAddress, address } = entry.self;
     this.log(JSON.stringify({ ready: true, callers: callerAddress, peers: address }));
--- a/src/connection/caller_routes.ts
+++ b/src/connection/caller_routes.ts
@@ -3,8 +3,13 @@
 import { resolveAddresses } from "../decision/index.ts";
 import { Refusal } from "../interface/index.ts";
 import type { Member } from "../interface/index.ts";
-import { chatRequestSchema, requestIdForKey, splitModel } from "../request/index.ts";
-import type { ChatRequest, Rejection, Submission } from "../request/index.ts";
+import {
+  chatRequestSchema,
+  openRequestMemory,
+  requestIdForKey,
+  splitModel,
+} from "../request/index.ts";
+import type { ChatRequest, Rejection, RequestMemory, Submission } from "../request/index.ts";
 import { assignmentOf } from "../version/index.ts";
 import { authenticateCaller, isRejection, checkServiceAccess } from "./caller_authentication.ts";
 import type { Caller } from "./caller_authentication.ts";
@@ -110,7 +115,8 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const call = await parseChatRequest(context, request);
+  const memory = openRequestMemory(context.callerMemory, request, response);
+  const call = await parseChatRequest(context, { request, memory });
   if (isRejection(call)) {
     countAndReject(context, response, call);
     return;
@@ -137,14 +143,15 @@
 
 async function parseChatRequest(
   context: CallerRouteContext,
-  request: IncomingMessage,
+  { request, memory }: { readonly request: IncomingMessage; readonly memory: RequestMemory },
 ): Promise<ParsedChatRequest | Rejection> {
   const { clock, configuration } = context;
   const caller = authenticateCaller(request, configuration.revision());
   if (isRejection(caller)) return caller;
   const options = parseCallerOptions(request);
   if (isRejection(options)) return options;
-  const body = await readBody(request, MAX_BODY_BYTES, { clock });
+  memory.setAccount(caller.account);
+  const body = await readBody(request, MAX_BODY_BYTES, { clock, memory });
   const parsed = chatRequestSchema.safeParse(JSON.parse(body));
   if (!parsed.success) {
     const detail = parsed.error.issues
--- a/src/connection/caller_routes_test.ts
+++ b/src/connection/caller_routes_test.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import polka from "polka";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { createCallerMemory } from "../decision/index.ts";
 import { createSeededRandom, Refusal, RequestState } from "../interface/index.ts";
 import type { Member, RequestRecord } from "../interface/index.ts";
 import type { CallerEvent, RequestService, Submission } from "../request/index.ts";
@@ -300,6 +301,7 @@
     requests,
     clock,
     random: createSeededRandom(1),
+    callerMemory: createCallerMemory({ limit: 10_000_000, now: () => clock.now() }),
     configuration: {
       revision: () => REVISION,
       slotMap: () => EMPTY_SLOT_MAP,
--- a/src/connection/guarded_route.ts
+++ b/src/connection/guarded_route.ts
@@ -3,13 +3,16 @@
 import type { Rejection } from "../request/index.ts";
 import { sendRejection } from "./caller_refusal.ts";
 import type { CallerRouteContext } from "./route_context.ts";
-import { BodyTooLarge, BodyTooSlow } from "./http_body.ts";
+import { BodyGivenUp, BodyTooLarge, BodyTooSlow } from "./http_body.ts";
 
 /** A request with the parameters of its route's path. */
 export type ParameterizedRequest = IncomingMessage & {
   params: Readonly<Record<string, string | string[]>>;
 };
 
+/** Milliseconds after which a caller may retry whose request was given up for others. */
+const GIVEN_UP_RETRY_AFTER = 1_000;
+
 type Route = (request: ParameterizedRequest, response: ServerResponse) => Promise<void>;
 
 /**
@@ -24,6 +27,8 @@
     } catch (error) {
       const rejection = rejectionFromError(error);
       context.counters.refused(rejection.reason);
+      // The rest of a body that was given up isn't read.
+      if (error instanceof BodyGivenUp) response.shouldKeepAlive = false;
       if (response.headersSent) response.destroy();
       else sendRejection(response, rejection);
       // The rest of a body that timed out isn't read: the connection closes after the response.
@@ -35,6 +40,14 @@
 function rejectionFromError(error: unknown): Rejection {
   const detail = error instanceof Error ? error.message : String(error);
   if (error instanceof BodyTooLarge) return { reason: Refusal.TooLarge, notRun: true, detail };
+  if (error instanceof BodyGivenUp) {
+    return {
+      reason: Refusal.EntryOverloaded,
+      notRun: true,
+      retryAfter: GIVEN_UP_RETRY_AFTER,
+      detail,
+    };
+  }
   if (error instanceof BodyTooSlow) return { reason: Refusal.BadRequest, notRun: true, detail };
   if (error instanceof SyntaxError) {
     return {
--- a/src/connection/route_context.ts
+++ b/src/connection/route_context.ts
@@ -1,3 +1,4 @@
+import type { CallerMemory } from "../decision/index.ts";
 import type { Member } from "../interface/index.ts";
 import type { Environment, RequestService } from "../request/index.ts";
 import type { OperatorService } from "./operator_service.ts";
@@ -8,6 +9,8 @@
   "clock" | "configuration" | "members" | "workers" | "counters" | "random"
 > {
   readonly requests: RequestService;
+  /** Limit on the memory for what is kept for callers. */
+  readonly callerMemory: CallerMemory;
   /** Bearer token that authenticates operators. */
   readonly operatorKey: string;
 }
--- a/src/connection/service_routes.ts
+++ b/src/connection/service_routes.ts
@@ -3,7 +3,8 @@
 import { z } from "zod";
 import { RequestState } from "../interface/index.ts";
 import type { RequestRecord } from "../interface/index.ts";
-import type { Submission } from "../request/index.ts";
+import { openRequestMemory } from "../request/index.ts";
+import type { RequestMemory, Submission } from "../request/index.ts";
 import { authenticateCaller, isRejection, checkServiceAccess } from "./caller_authentication.ts";
 import { parseCallerOptions } from "./caller_headers.ts";
 import { sendRejection } from "./caller_refusal.ts";
@@ -42,7 +43,8 @@
   call: { request: IncomingMessage; response: ServerResponse; service: string },
 ): Promise<void> {
   const { request, response, service } = call;
-  const submission = await parsePlainRequest(context, request, service);
+  const memory = openRequestMemory(context.callerMemory, request, response);
+  const submission = await parsePlainRequest(context, { request, memory, service });
   if (isRejection(submission)) {
     context.counters.refused(submission.reason);
     sendRejection(response, submission);
@@ -62,9 +64,13 @@
 
 async function parsePlainRequest(
   context: CallerRouteContext,
-  request: IncomingMessage,
-  service: string,
+  call: {
+    readonly request: IncomingMessage;
+    readonly memory: RequestMemory;
+    readonly service: string;
+  },
 ): Promise<Submission | Parameters<typeof sendRejection>[1]> {
+  const { request, memory, service } = call;
   const caller = authenticateCaller(request, context.configuration.revision());
   if (isRejection(caller)) return caller;
   const rejection = checkServiceAccess(caller, { service, model: "", kind: "plain" });
@@ -73,7 +79,8 @@
   if (isRejection(options)) return options;
   const method = request.method ?? "GET";
   const rest = (request.url ?? "").slice(`/services/${service}`.length);
-  const body = await readBody(request, MAX_BODY_BYTES, { clock: context.clock });
+  memory.setAccount(caller.account);
+  const body = await readBody(request, MAX_BODY_BYTES, { clock: context.clock, memory });
   const methodDefaults = IDEMPOTENT_METHODS.has(method) ? { repeatable: true } : {};
   const { account } = caller;
   return {
--- a/src/process/caller_limits.ts
+++ b/src/process/caller_limits.ts
@@ -1,3 +1,7 @@
+import type { Server } from "node:http";
+import { readCallersInParts } from "../connection/caller_reading.ts";
+import { createConnectionLimit } from "../connection/connection_limit.ts";
+import type { ConnectionLimit } from "../connection/connection_limit.ts";
 import { createCallerMemory } from "../decision/index.ts";
 import type { CallerMemory } from "../decision/index.ts";
 import type { Clock } from "../interface/index.ts";
@@ -31,9 +35,52 @@
   return Math.max(1, Math.floor(descriptors * CONNECTION_SHARE));
 }
 
-/** Creates the memory for callers. What is given up is logged and counted. */
-export function createLoggedCallerMemory(
-  machine: Pick<MachineLimits, "memory">,
+/** Called with the name of a limit that was exceeded, and what callers lost by that. */
+export type LimitReport = (
+  limit: string,
+  fields: Readonly<Record<string, string | number | undefined>>,
+) => void;
+
+/** The limits of a process on what is kept for its callers. */
+export interface CallerLimits {
+  readonly memory: CallerMemory;
+  readonly connections: ConnectionLimit;
+  /** Called with the address of a caller whose connection is ended because of a limit. */
+  readonly onLimit: (limit: string, address: string) => void;
+  /** Applies the limits to a server whose handlers read no bodies, or bodies of up to `maxBodyBytes`. */
+  readonly apply: (server: Server, maxBodyBytes?: number) => void;
+}
+
+/** Creates the limits. */
+export function createCallerLimits(
+  machine: MachineLimits,
+  { clock, report }: { readonly clock: Pick<Clock, "now">; readonly report: LimitReport },
+): CallerLimits {
+  const onLimit = (limit: string, address: string): void => report(limit, { address });
+  const memory = createCallerMemory({
+    limit: callerMemoryOf(machine),
+    now: () => clock.now(),
+    onRelease: (released) => report(MEMORY_LIMIT, { ...released }),
+  });
+  const connections = createConnectionLimit({
+    clock,
+    limit: callerConnectionsOf(machine),
+    onLimit,
+  });
+  return {
+    memory,
+    connections,
+    onLimit,
+    apply: (server, maxBodyBytes = 0) => {
+      connections.apply(server);
+      readCallersInParts(server, { clock, memory, onLimit, maxBodyBytes: () => maxBodyBytes });
+    },
+  };
+}
+
+/** Creates the limits of an instance that serves routed requests. What callers lose is logged and counted. */
+export function createLoggedCallerLimits(
+  machine: MachineLimits,
   {
     clock,
     log,
@@ -43,33 +90,23 @@
     readonly log: Pick<RoutedLog, "fault">;
     readonly metrics: Pick<RoutedMetricsRegistry, "callerLimitExceeded" | "addGauge">;
   },
-): CallerMemory {
-  const memory = createCallerMemory({
-    limit: callerMemoryOf(machine),
-    now: () => clock.now(),
-    onRelease: (released) => {
-      metrics.callerLimitExceeded(MEMORY_LIMIT);
-      log.fault("caller-limit", { limit: MEMORY_LIMIT, ...released });
+): CallerLimits {
+  const limits = createCallerLimits(machine, {
+    clock,
+    report: (limit, fields) => {
+      metrics.callerLimitExceeded(limit);
+      log.fault("caller-limit", { limit, ...fields });
     },
   });
   metrics.addGauge(
     "samphireshore_caller_memory_bytes",
     "Bytes kept for callers: requests, bodies, and answers that they haven't read.",
-    () => memory.held,
+    () => limits.memory.held,
   );
-  return memory;
-}
-
-/** Returns a function that logs and counts a connection that is ended because of a limit. */
-export function createLimitReport({
-  log,
-  metrics,
-}: {
-  readonly log: Pick<RoutedLog, "fault">;
-  readonly metrics: Pick<RoutedMetricsRegistry, "callerLimitExceeded">;
-}): (limit: string, address: string) => void {
-  return (limit, address) => {
-    metrics.callerLimitExceeded(limit);
-    log.fault("caller-limit", { limit, address });
-  };
+  metrics.addGauge(
+    "samphireshore_caller_connections",
+    "Open connections of callers.",
+    () => limits.connections.open,
+  );
+  return limits;
 }
--- a/src/process/entry_instance.ts
+++ b/src/process/entry_instance.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from "node:crypto";
 import { createWriteStream } from "node:fs";
 import { readFile } from "node:fs/promises";
-import type { RequestListener } from "node:http";
+import type { RequestListener, Server } from "node:http";
 import polka from "polka";
 import {
   addCallerRoutes,
@@ -13,12 +13,15 @@
   createHttpObjectStore,
   listenHttp,
   listenPeers,
+  MAX_BODY_BYTES,
   sendJson,
 } from "../connection/index.ts";
 import type { Listener, PeerSecurity } from "../connection/index.ts";
 import type { EntryLoad } from "../decision/index.ts";
 import { Refusal } from "../interface/index.ts";
 import type { Clock, Member, PeerHandlers, Random } from "../interface/index.ts";
+import { createCallerLimits } from "./caller_limits.ts";
+import type { LimitReport } from "./caller_limits.ts";
 import { createEntryCore } from "./entry_core.ts";
 import type { EntryCore } from "./entry_core.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -39,6 +42,8 @@
   readonly random: Random;
   /** Reads the load of the process. Absent if the process runs more than this instance. */
   readonly readLoad?: () => EntryLoad;
+  /** Called when callers lose something because a limit on what is kept for them was exceeded. */
+  readonly onCallerLimit?: LimitReport;
 }
 
 /** Starts an entry instance. Resolves once a revision is known and requests are accepted. */
@@ -47,7 +52,16 @@
   runtime: EntryRuntime,
 ): Promise<EntryInstance> {
   const security = await securityOf(settings);
-  const sockets = await bindSockets(settings, security);
+  let count: (name: string) => void = () => undefined;
+  const report: LimitReport = (limit, fields) => {
+    count(`caller-limit.${limit}`);
+    runtime.onCallerLimit?.(limit, fields);
+  };
+  const callers = createCallerLimits(settings, { clock: runtime.clock, report });
+  const sockets = await bindSockets(settings, {
+    security,
+    limitCallers: (server) => callers.apply(server, MAX_BODY_BYTES),
+  });
   const self: Member = {
     id: `${settings.name}#${randomBytes(6).toString("hex")}`,
     address: sockets.peers.address,
@@ -81,12 +95,22 @@
       peers,
     },
   );
+  count = (name) => core.counters.count(name);
   sockets.servePeers(core.handlers);
   const app = polka();
   const { operatorKey } = settings.secrets;
   const present = (): readonly Member[] => core.members.present();
   const secure = settings.tls !== undefined;
-  const parts = { ...core, clock, random, operatorKey, presentMembers: present, isSecure: secure };
+  const callerMemory = callers.memory;
+  const parts = {
+    ...core,
+    callerMemory,
+    clock,
+    random,
+    operatorKey,
+    presentMembers: present,
+    isSecure: secure,
+  };
   addCallerRoutes(app, parts);
   addOperatorRoutes(app, parts);
   sockets.serveCallers((request, response) => {
@@ -143,7 +167,14 @@
  * Binds both listeners before the tasks start, because the bound addresses are sent to peers. Requests that arrive
  * before the instance is ready are refused: the instance doesn't have the active configuration yet.
  */
-async function bindSockets(settings: EntrySettings, security: PeerSecurity): Promise<Sockets> {
+async function bindSockets(
+  settings: EntrySettings,
+  options: {
+    readonly security: PeerSecurity;
+    readonly limitCallers: (server: Server) => void;
+  },
+): Promise<Sockets> {
+  const { security, limitCallers } = options;
   let handle: RequestListener = (_request, response) => {
     sendJson(response, { error: { code: Refusal.CutOff, not_run: true } }, { status: 503 });
   };
@@ -170,7 +201,7 @@
     (request, response) => {
       handle(request, response);
     },
-    { tls: security.tls },
+    { tls: security.tls, limitCallers },
   );
   return {
     callers,
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -44,6 +44,8 @@
   statsd: address.optional(),
   /** Memory limit of the process in bytes. Near the limit, new requests are refused. */
   memory: byteSize.default(1_000_000_000),
+  /** Number of file descriptors of the process, of which callers get a share. */
+  descriptors: z.number().int().positive().default(4_200),
   /** Whether state changes are logged to standard error, one JSON line each. */
   log: z.boolean().default(true),
   /** Path of a file that receives a trace of the traffic. */
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,4 +1,5 @@
-export { countBodyBytes, giveUpBody, isBodyGivenUp, receivedBodyBytes } from "./caller_body.ts";
+export * from "./caller_body.ts";
+export * from "./request_memory.ts";
 export { PREFIX_BLOCK_TOKENS } from "./arrival.ts";
 export * from "./request_id.ts";
 export * from "./slot_replica.ts";
