Keep a new connection before a crowd whose requests don't end

Callers saw their new connections reset: with as many connections as allowed, all with requests in progress, the new one was the only candidate, since those with requests went last.

Change: of the address with the most connections, the use that most of them have decides, among unused, idle, receiving a request and busy.

--- a/src/connection/connection_limit.ts
+++ b/src/connection/connection_limit.ts
@@ -1,4 +1,4 @@
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { chooseConnection } from "../decision/index.ts";
@@ -29,6 +29,7 @@
 /** A connection whose state changes with its requests. */
 interface Connection extends OpenConnection {
   readonly socket: Socket;
+  latest: IncomingMessage | undefined;
   requests: number;
   isUsed: boolean;
   activeAt: number;
@@ -56,13 +57,14 @@
       server.on(connectionEvent(server), (socket: Socket) => {
         const address = socket.remoteAddress ?? "";
         const activeAt = clock.now();
-        connections.set(socket, { socket, address, requests: 0, isUsed: false, activeAt });
+        connections.set(socket, createConnection({ socket, address, activeAt }));
         socket.once("close", () => connections.delete(socket));
         if (connections.size > limit) closeOne();
       });
-      server.prependListener("request", ({ socket }, response) => {
-        const connection = connections.get(socket);
+      server.prependListener("request", (request, response) => {
+        const connection = connections.get(request.socket);
         if (connection === undefined) return;
+        connection.latest = request;
         connection.isUsed = true;
         connection.requests++;
         connection.activeAt = clock.now();
@@ -74,3 +76,15 @@
     },
   };
 }
+
+function createConnection(opened: Pick<Connection, "socket" | "address" | "activeAt">): Connection {
+  return {
+    ...opened,
+    latest: undefined,
+    requests: 0,
+    isUsed: false,
+    get isReceiving() {
+      return this.latest?.complete === false;
+    },
+  };
+}
--- a/src/decision/connection_choice.ts
+++ b/src/decision/connection_choice.ts
@@ -10,6 +10,8 @@
 /** An open connection of a caller. */
 export interface OpenConnection {
   readonly address: string;
+  /** Whether a request on it isn't complete. */
+  readonly isReceiving: boolean;
   /** Number of its requests that have no complete response. */
   readonly requests: number;
   /** Whether it has had a request. */
@@ -24,33 +26,31 @@
   Unused = "unused",
   /** It is kept for further requests. */
   Idle = "idle",
-  /** It has a request in progress. */
+  /** A request is arriving on it. */
+  Receiving = "receiving",
+  /** It has complete requests in progress. */
   Busy = "busy",
 }
 
 /**
  * Returns the connection to close; undefined if there are none.
  *
- * It is one of the address with the most, and there one of the unused or of the idle ones, whichever are more, that is
- * inactive for longest. So neither a new nor a kept connection of a sound caller goes before those of a crowd. Connections
- * with requests in progress go last.
+ * It is one of the address with the most, and there of those with the use that most of them have, the one that is inactive
+ * for longest. So neither a new nor a kept connection of a sound caller goes before those of a crowd, whatever these do.
  */
 export function chooseConnection<Connection extends OpenConnection>(
   connections: Iterable<Connection>,
 ): Connection | undefined {
   const ofAddress = largest(groupBy(connections, ({ address }) => address));
-  const byUse = groupBy(ofAddress, useOf);
-  const busy = byUse.get(ConnectionUse.Busy) ?? [];
-  byUse.delete(ConnectionUse.Busy);
-  const candidates = byUse.size > 0 ? largest(byUse) : busy;
-  return candidates.reduce<Connection | undefined>(
+  return largest(groupBy(ofAddress, useOf)).reduce<Connection | undefined>(
     (chosen, connection) =>
       chosen === undefined || connection.activeAt < chosen.activeAt ? connection : chosen,
     undefined,
   );
 }
 
-function useOf({ requests, isUsed }: OpenConnection): ConnectionUse {
+function useOf({ isReceiving, requests, isUsed }: OpenConnection): ConnectionUse {
+  if (isReceiving) return ConnectionUse.Receiving;
   if (requests > 0) return ConnectionUse.Busy;
   return isUsed ? ConnectionUse.Idle : ConnectionUse.Unused;
 }
--- a/src/decision/connection_choice_test.ts
+++ b/src/decision/connection_choice_test.ts
@@ -7,7 +7,15 @@
 }
 
 function connection(name: string, fields: Partial<OpenConnection> = {}): Named {
-  return { name, address: "crowd", requests: 0, isUsed: true, activeAt: 0, ...fields };
+  return {
+    name,
+    address: "crowd",
+    isReceiving: false,
+    requests: 0,
+    isUsed: true,
+    activeAt: 0,
+    ...fields,
+  };
 }
 
 function chosen(...connections: Named[]): string | undefined {
@@ -32,9 +40,14 @@
   expect(chosen(fresh, ...idle)).toBe("i1");
 });
 
-test("connections with requests go last", () => {
-  const busy = connection("busy", { requests: 1, activeAt: -3 });
-  expect(chosen(busy, connection("later", { requests: 1 }), connection("idle"))).toBe("idle");
-  expect(chosen(connection("later", { requests: 1 }), busy)).toBe("busy");
+// Guards against a new connection that is closed since all others have requests that don't end.
+test("a new connection stays before a crowd with requests in progress", () => {
+  const fresh = connection("fresh", { isUsed: false, activeAt: 9 });
+  const busy = ["b1", "b2"].map((name) => connection(name, { requests: 1 }));
+  const receiving = ["r1", "r2", "r3"].map((name) =>
+    connection(name, { requests: 1, isReceiving: true, activeAt: 1 }),
+  );
+  expect(chosen(fresh, ...busy)).toBe("b1");
+  expect(chosen(fresh, ...busy, ...receiving)).toBe("r1");
   expect(chosen()).toBeUndefined();
 });
