Parse nothing behind a request for another protocol

A connection with CONNECT and further bytes in one packet ended the process (TypeError: parser.onIncoming is not a function).

Change: the loop ends with the connection. At listeners without handling of parse errors (resolve requests, samphireshore serve), a connection beyond a limit gets its status and ends; before, nothing happened.

Evidence: caller_reading_test.ts reports that error without the check and passes with it; a test with a built instance passes.

--- a/bench/crowds/crowd_test.ts
+++ b/bench/crowds/crowd_test.ts
@@ -312,6 +312,20 @@
   }
 });
 
+test("requests behind one for another protocol don't end the process", async () => {
+  const outcome = await meetCrowd("another-protocol", ({ listen }) => ({
+    address: listen.callers,
+    connections: 20,
+    script: () => [
+      Buffer.concat([
+        Buffer.from("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"),
+        ...Array.from({ length: 50 }, () => requestHead([], { method: "GET" })),
+      ]),
+    ],
+  }));
+  expectSound(outcome);
+});
+
 test("bytes that go on after a refusal stay within the machine's memory", async () => {
   const outcome = await meetCrowd("after-refusal", ({ listen }) => ({
     address: listen.callers,
--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { STATUS_CODES } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
@@ -105,7 +106,7 @@
     reading.isOverLimit = true;
     parts.onLimit(limit, reading.socket.remoteAddress ?? "");
     if (limit === ReadingLimit.Refused) reading.socket.destroySoon();
-    else server.emit("clientError", parseError(ERROR_CODES[limit]), reading.socket);
+    else refuseBytes(server, reading.socket, limit);
   };
   server.on(connectionEvent(server), (socket: Socket) => {
     const [parse] = socket.listeners("data") as Reading["parse"][];
@@ -182,7 +183,7 @@
     reading.isHeld = false;
   }
   reading.isParsing = true;
-  while (reading.pending.length > 0 && canParse(reading)) {
+  while (isOpen(socket) && reading.pending.length > 0 && canParse(reading)) {
     // Node.js pauses a connection whose body or whose answers aren't read.
     if (socket.isPaused()) break;
     if (reading.pending.length > PART_BYTES && turns.isOver()) {
@@ -198,6 +199,14 @@
   reading.isParsing = false;
 }
 
+/**
+ * Whether a connection still belongs to its parser. Node.js gives the parser of a connection that asks for another protocol
+ * to the next connection at once, which would get what follows.
+ */
+function isOpen({ destroyed }: Socket): boolean {
+  return !destroyed;
+}
+
 /** Reads no more of a connection, which ends. */
 function stopReading(reading: Reading): void {
   reading.pending = NOTHING;
@@ -223,14 +232,23 @@
   return framing > FRAMING_BYTES + FRAMING_PER_BYTE * body ? ReadingLimit.Framing : undefined;
 }
 
-/** Errors of the parser whose HTTP statuses fit limits. */
-const ERROR_CODES: Readonly<Record<ReadingLimit.Framing | ReadingLimit.Gap, string>> = {
-  [ReadingLimit.Framing]: "HPE_CHUNK_EXTENSIONS_OVERFLOW",
-  [ReadingLimit.Gap]: "HPE_HEADER_OVERFLOW",
-};
+/** The errors of the parser, and the statuses, for bytes beyond limits. */
+const ERRORS = {
+  [ReadingLimit.Framing]: { code: "HPE_CHUNK_EXTENSIONS_OVERFLOW", status: 413 },
+  [ReadingLimit.Gap]: { code: "HPE_HEADER_OVERFLOW", status: 431 },
+} as const;
 
-function parseError(code: string): NodeJS.ErrnoException {
-  return Object.assign(new Error("A limit on what callers send was exceeded."), { code });
+/** Ends a connection as if the parser had failed. */
+function refuseBytes(
+  server: Server,
+  socket: Socket,
+  limit: ReadingLimit.Framing | ReadingLimit.Gap,
+): void {
+  const { code, status } = ERRORS[limit];
+  const error = Object.assign(new Error(`The limit ${limit} was exceeded.`), { code });
+  if (server.emit("clientError", error, socket)) return;
+  socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  socket.destroySoon();
 }
 
 /** Stops reading a connection while there are pending bytes. */
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -101,6 +101,26 @@
   await listener.close();
 });
 
+// Guards against a request within another protocol's bytes that runs, possibly on the connection of another caller.
+test("what follows a request for another protocol is not parsed", async () => {
+  const targets: (string | undefined)[] = [];
+  const listener = await listen((request, response) => {
+    targets.push(request.url);
+    response.end("answer");
+  });
+  const first = await open(listener);
+  first.on("error", () => undefined);
+  const closed = new Promise<void>((resolve) => first.once("close", () => resolve()));
+  first.resume();
+  first.write("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n");
+  await closed;
+  const second = await open(listener);
+  second.write("GET /own HTTP/1.1\r\nHost: a\r\n\r\n");
+  expect(await textUntil(second, "answer")).toMatch(/answer$/);
+  expect(targets).toEqual(["/own"]);
+  await listener.close();
+});
+
 // Guards against bytes without end that occupy the process although nothing comes of them.
 test.each([
   [
