--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -11,6 +11,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { exceededLimit, ReadingLimit, ReadingState } from "../decision/index.ts";
 import type { CallerMemory } from "../decision/index.ts";
 import type { Clock } from "../interface/index.ts";
 import { connectionEvent } from "./http_listener.ts";
@@ -29,16 +30,6 @@
   readonly onLimit: (limit: ReadingLimit, address: string) => void;
 }
 
-/** A limit on what a caller sends beside its requests and their bodies. */
-export enum ReadingLimit {
-  /** Chunk sizes and extensions, or trailers, that are out of proportion to their body. */
-  Framing = "framing",
-  /** Bytes between two requests. */
-  Gap = "gap",
-  /** Bytes of a body whose request was refused, or behind the end of a connection. */
-  Refused = "refused",
-}
-
 /**
  * Number of requests on a connection that have no complete response, above which no more of it is parsed. Callers that
  * send a few requests before they have the answers to earlier ones don't notice it.
@@ -46,16 +37,6 @@
 const MAX_REQUESTS = 4;
 /** Bytes that are parsed at a time: the head of a usual request. */
 const PART_BYTES = 2_048;
-/**
- * Bytes of framing that every body may have, and those for each of its bytes. A chunk of one byte has five, or more if its
- * size is padded.
- */
-const FRAMING_BYTES = 65_536;
-const FRAMING_PER_BYTE = 16;
-/** Bytes between two requests: empty lines, or a head that Node.js would refuse before. */
-const GAP_BYTES = 262_144;
-/** Bytes of a body beyond its limit that are read after its request was refused. */
-const REFUSED_MARGIN = 65_536;
 /** Bytes that Node.js may read of a connection at once, also after it was paused. */
 const READ_BYTES = 65_536;
 
@@ -219,17 +200,20 @@
   reading: Reading,
   { bytes, maxBodyBytes }: { readonly bytes: number; readonly maxBodyBytes: number },
 ): ReadingLimit | undefined {
-  const { latest, response, socket } = reading;
+  const { latest } = reading;
   const isComplete = latest?.complete ?? false;
   reading.passed = isComplete === reading.isComplete ? reading.passed + bytes : 0;
   reading.isComplete = isComplete;
-  const { passed } = reading;
-  if (socket.writableEnded || (response?.headersSent === true && !isComplete))
-    return passed > maxBodyBytes + REFUSED_MARGIN ? ReadingLimit.Refused : undefined;
-  if (latest === undefined || isComplete) return passed > GAP_BYTES ? ReadingLimit.Gap : undefined;
-  const body = receivedBodyBytes(latest);
-  const framing = passed - body;
-  return framing > FRAMING_BYTES + FRAMING_PER_BYTE * body ? ReadingLimit.Framing : undefined;
+  const body = latest === undefined ? 0 : receivedBodyBytes(latest);
+  return exceededLimit({ state: stateOf(reading), passed: reading.passed, body }, maxBodyBytes);
+}
+
+function stateOf({ latest, response, socket, isComplete }: Reading): ReadingState {
+  const isAnswered = response?.headersSent === true && !isComplete;
+  if (socket.writableEnded || isAnswered) return ReadingState.Refused;
+  return latest === undefined || isComplete
+    ? ReadingState.BetweenRequests
+    : ReadingState.WithinBody;
 }
 
 /** The errors of the parser, and the statuses, for bytes beyond limits. */
--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -26,6 +26,7 @@
 export * from "./triage.ts";
 export * from "./prefill_rate.ts";
 export * from "./prompt_isolation.ts";
+export * from "./reading_limit.ts";
 export * from "./receive_budget.ts";
 export * from "./repeat_budget.ts";
 export * from "./rollout_judge.ts";
