Hold a complete answer once until its caller has read it

Callers that don't read their answers made the process hold each of them twice, and used up the memory for what workers send.

Cause: the pieces of an answer stayed with its run, and counted as received, until the response had closed.

Change: they are forgotten when the whole answer is written.

--- a/src/request/routed_completion.ts
+++ b/src/request/routed_completion.ts
@@ -76,10 +76,21 @@
   return head.framing === BodyFraming.Connection && !hasBegun;
 }
 
+/**
+ * Returns what is held of a complete response and forgets it. The run may last until the caller has read its response, and
+ * would hold it a second time.
+ */
+function takeBody({ response }: RoutedRunState, attempt: Attempt): Buffer {
+  const body = Buffer.concat(attempt.chunks.splice(0));
+  attempt.bufferedBytes = 0;
+  response.received.hold(0);
+  return body;
+}
+
 /** Handles the rest of a response whose beginning was forwarded. */
 function handleRest(state: RoutedRunState, { attempt, head }: CompleteAttempt): void {
   const { response } = state;
-  const body = Buffer.concat(attempt.chunks);
+  const body = takeBody(state, attempt);
   endAttempt(state, resultOf(head));
   if (isSuccess(head)) recordAnswerTime(state, attempt);
   const write = (): void => {
@@ -91,7 +102,7 @@
 
 function handleAnswer(state: RoutedRunState, { attempt, head }: CompleteAttempt): void {
   const { response, progress, suspects } = state;
-  const body = Buffer.concat(attempt.chunks);
+  const body = takeBody(state, attempt);
   recordStart(state, attempt);
   suspects.recordAnswer();
   progress.hasPossiblyRun = true;
