--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -39,6 +39,7 @@
     memory: createCallerMemory({ limit: 1_000_000, now: () => systemClock.now() }),
     connections: createConnectionLimit({ clock: systemClock, limit: 100, onLimit }),
     onLimit,
+    onAcceptSeries: () => undefined,
   });
 }
 
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -20,7 +20,7 @@
   return listenCallers(
     "127.0.0.1:0",
     { handle, routing: () => undefined },
-    { clock: systemClock, memory, connections, onLimit },
+    { clock: systemClock, memory, connections, onLimit, onAcceptSeries: () => undefined },
   );
 }
 
--- a/src/request/routed_end.ts
+++ b/src/request/routed_end.ts
@@ -129,7 +129,7 @@
   if (state.isDone) return;
   finishRun(state);
   const after = Math.round(elapsedTime(state));
-  logStep(state, "abandoned", { runs: state.progress.runs, after });
+  logStep(state, "abandoned", { runs: state.progress.runs, after, sent: timeSinceSent(state) });
   endAttempt(state, RunResult.Abandoned)?.abort();
 }
 
@@ -152,6 +152,12 @@
   refuse(state, { reason: RoutedRefusal.DeadlinePassed });
 }
 
+/** Returns the milliseconds since the request was written to its worker; undefined if it wasn't. */
+function timeSinceSent({ context, current }: RoutedRunState): number | undefined {
+  const sentAt = current?.exchange?.sentAt;
+  return sentAt === undefined ? undefined : Math.round(context.clock.now() - sentAt);
+}
+
 function elapsedTime({ context, admitted }: RoutedRunState): number {
   return context.clock.now() - admitted.arrival.arrivedAt;
 }
