--- a/bench/crowds/crowd_fleet.ts
+++ b/bench/crowds/crowd_fleet.ts
@@ -13,6 +13,7 @@
 import { createSoakProcesses } from "../soak/processes.ts";
 import type { InstanceProcess } from "../soak/processes.ts";
 import { startPacedWorker } from "../stops/paced_worker.ts";
+import type { PacedRun } from "../stops/paced_worker.ts";
 import { watchUsage } from "./usage.ts";
 import type { UsagePeaks } from "./usage.ts";
 
@@ -50,14 +51,23 @@
 /** Milliseconds. */
 const READY_POLL_INTERVAL = 20;
 
+/** Options of {@linkcode startCrowdFleet}. */
+export interface CrowdFleetOptions {
+  /** Size of the machine; by default {@linkcode MACHINE}. */
+  readonly machine?: { readonly memory: number; readonly descriptors: number };
+  /** Called at the start of each run at a worker. */
+  readonly onRun?: (run: PacedRun) => void;
+}
+
 /** Starts the platform, the workers and the instance, and waits until it is ready. */
-export async function startCrowdFleet(): Promise<CrowdFleet> {
+export async function startCrowdFleet({
+  machine = MACHINE,
+  onRun = () => undefined,
+}: CrowdFleetOptions = {}): Promise<CrowdFleet> {
   const platform = await startPlatformStandin();
   const processes = await createSoakProcesses();
   const workers = await Promise.all(
-    Array.from({ length: WORKERS }, (_, index) =>
-      startPacedWorker(`w-${index}`, SERVICE, () => undefined),
-    ),
+    Array.from({ length: WORKERS }, (_, index) => startPacedWorker(`w-${index}`, SERVICE, onRun)),
   );
   for (const worker of workers) platform.put("servers", worker.id, worker.entry());
   platform.put("config", "main", crowdConfiguration());
@@ -74,7 +84,7 @@
     repeats: { ratio: 0.2, slack: 50, window: "10s" },
     usage: { window: "5s", lateAfter: "5s" },
     leaseTerm: "3s",
-    machine: { memory: `${MACHINE.memory}B`, descriptors: MACHINE.descriptors },
+    machine: { memory: `${machine.memory}B`, descriptors: machine.descriptors },
   };
   const instance = processes.startInstance(settings, {
     nodeArguments: [`--max-old-space-size=${HEAP}`],
