Send nothing to a worker after a stall until it is known which callers have left

Cause: after a stall, the event that a connection to a worker is established and the end of a caller may be read in the same turn, in any order, so a request whose caller left during the stall was sent.

Change: the running time knows whether the process is late, also in the turn in which its overdue check ran, and requests are written to workers only after all sockets were read once more. A process that isn't late writes at once, as before.

Result: a unit test (a request that is aborted meanwhile isn't sent).

--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -68,6 +68,8 @@
   readonly matching: ResponseMatching;
   /** Limits what all connections hold of incomplete heads. */
   readonly budget: ReceiveBudget;
+  /** Calls `send` once it is known which callers have left: their ends may lie unread after a stall of the process. */
+  readonly whenRead: (send: () => void) => void;
   /** Id of the worker, with which an exceeded limit is reported. */
   readonly worker: string;
   /** Called when bytes arrive from the worker. */
@@ -224,10 +226,12 @@
     if (queuedRequest !== undefined) send(opened, queuedRequest);
     queuedRequest = undefined;
   };
-  const send = (opened: Socket, queued: QueuedRequest): void => {
-    queued.sentAt = clock.now();
-    opened.write(queued.bytes);
-  };
+  const send = (opened: Socket, queued: QueuedRequest): void =>
+    options.whenRead(() => {
+      if (isClosed) return;
+      queued.sentAt = clock.now();
+      opened.write(queued.bytes);
+    });
   const dialing = options.dial({
     opened: attach,
     failed: (cause, detail) => endExchange({ kind: "not-sent", detail, cause }),
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -38,13 +38,17 @@
 
 function connectTo(
   address: string,
-  { budget = createReceiveBudget() }: { budget?: ReceiveBudget } = {},
+  {
+    budget = createReceiveBudget(),
+    whenRead = (send) => send(),
+  }: { budget?: ReceiveBudget; whenRead?: (send: () => void) => void } = {},
 ): WorkerConnection {
   const connection = openWorkerConnection({
     clock: systemClock,
     dial: (listener) => dialDirect(address, { clock: systemClock, connect: connectTcp }, listener),
     matching: { idHeader: "x-id", notRunHeader: "x-not-run" },
     budget,
+    whenRead,
     worker: "i-1",
     onReceived: () => undefined,
     onWorking: () => undefined,
@@ -288,3 +292,22 @@
   );
   await vi.waitFor(() => expect(events).toEqual(["whole", "resumed", "complete"]));
 });
+
+// Guards against a request that is sent after a stall of the process although its caller has left during the stall.
+test("a request that is aborted before it is known which callers have left isn't sent", async () => {
+  let received = "";
+  const address = await startWorker((socket) => {
+    socket.on("data", (bytes: Buffer) => (received += bytes.toString()));
+  });
+  const sends: (() => void)[] = [];
+  const connection = connectTo(address, { whenRead: (send) => void sends.push(send) });
+  const sink = { head: vi.fn(), data: vi.fn(), end: vi.fn() };
+  const request = { method: "GET", target: "/", headers: [], body: Buffer.alloc(0), id: "r1" };
+  const exchange = connection.exchange(request, sink);
+  await expect.poll(() => sends.length).toBe(1);
+  exchange.abort();
+  for (const send of sends) send();
+  expect(exchange.sentAt).toBeUndefined();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(received).toBe("");
+});
--- a/src/connection/worker_connections.ts
+++ b/src/connection/worker_connections.ts
@@ -46,7 +46,8 @@
  *
  * @param options `matching` names the headers by which responses are matched with requests. `onHead` is called with the
  * head of each response that a worker sends. `report` is where workers state when their process started; without it, the
- * processes of workers aren't verified. `budget` limits what all connections hold of incomplete responses.
+ * processes of workers aren't verified. `budget` limits what all connections hold of incomplete responses. `whenRead` calls
+ * its argument once it is known which callers have left; by default at once.
  */
 export function createWorkerConnections(options: {
   readonly clock: Clock;
@@ -55,8 +56,10 @@
   readonly onHead: (worker: WorkerEndpoint, head: ResponseHead) => void;
   readonly report?: ProcessReport;
   readonly budget?: ReceiveBudget;
+  readonly whenRead?: (send: () => void) => void;
 }): WorkerConnections {
   const { clock, path, matching, onHead, report, budget = createReceiveBudget() } = options;
+  const whenRead = options.whenRead ?? ((send: () => void): void => send());
   const identity = report === undefined ? undefined : createProcessIdentity(report, { budget });
   const pools = new Map<string, ConnectionPool>();
 
@@ -69,6 +72,7 @@
       dial: (listener) => path.dial(worker, listener),
       matching,
       budget,
+      whenRead,
       worker: id,
       onReceived: () => (pool.lastReceivedAt = clock.now()),
       onWorking: (dialed) => path.recordWorking(worker, dialed),
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -47,7 +47,6 @@
 import { createStoreThrottle } from "./store_throttle.ts";
 import { shareServices } from "./share_services.ts";
 import { createStoreView } from "./store_view.ts";
-import { createRunningTime } from "./running_time.ts";
 import { createStallMonitor } from "./stall_monitor.ts";
 import { createUsageTask } from "./usage_task.ts";
 import { createWorkerChecks } from "./worker_checks.ts";
@@ -76,7 +75,7 @@
   settings: RoutedSettings,
   dependencies: RoutedEntryDependencies,
 ): RoutedEntry {
-  const { clock, random, log, metrics, kinds } = dependencies;
+  const { clock, runningTime, random, log, metrics, kinds } = dependencies;
   const startedAt = clock.now();
   const capacity = capacityOf(settings);
   /** The longest time in milliseconds that a route allows. */
@@ -132,6 +131,7 @@
     matching: { idHeader: dependencies.names.requestId, notRunHeader: dependencies.names.notRun },
     report: dependencies.report,
     budget: received,
+    whenRead: (send) => runningTime.whenRead(send),
     onHead: (worker, head) =>
       workerTable.recordStatement(worker, parseWorkerStatement(head, dependencies.names)),
   });
@@ -220,7 +220,6 @@
   const isStopping = (): boolean => stop.hasBegun;
   const isReady = (): boolean => table() !== undefined && view.hasWorkers && !isStopping();
 
-  const runningTime = createRunningTime(clock);
   const view = createStoreView({
     clock,
     runningTime,
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -26,6 +26,7 @@
 import type { RoutedMetricsRegistry } from "./routed_metrics.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import type { RoutedStatus } from "./routed_status.ts";
+import type { RunningTime } from "./running_time.ts";
 
 /** Locations and parsers of the configuration, workers and other objects in the store. */
 export interface StoredKinds {
@@ -52,6 +53,8 @@
 /** External services of an instance that serves routed requests. */
 export interface RoutedEntryDependencies {
   readonly clock: Clock;
+  /** Started and closed by the instance. */
+  readonly runningTime: RunningTime;
   readonly random: Random;
   readonly feed: ObjectFeed;
   /** Fetches objects from other instances. */
--- a/src/process/running_time.ts
+++ b/src/process/running_time.ts
@@ -4,6 +4,10 @@
 export interface RunningTime {
   /** Returns the milliseconds between two times of the clock, without stalls of the process. */
   between(from: number, to: number): number;
+  /** Whether what is read now may have arrived long ago, because the process was stalled. */
+  isLate(): boolean;
+  /** Calls `run` once everything that arrived while the process was stalled has been read; at once if it wasn't. */
+  whenRead(run: () => void): void;
   /** Starts to check for stalls. */
   start(): void;
   /** Ends the checks. The time after it counts as running time. */
@@ -33,14 +37,22 @@
   let stalls: Stall[] = [];
   let nextCheck = Infinity;
   let timer: Timer | undefined;
+  /** Whether a check was late in this turn of the event loop, in which sockets are read after it. */
+  let wasLate = false;
   /** Returns the stall that lasts until now, if there is one. After a stall, sockets may be read before timers run. */
   const currentStall = (): Stall[] => {
     const now = clock.now();
     return now - nextCheck >= MIN_STALL ? [{ from: nextCheck, to: now }] : [];
   };
+  const isLate = (): boolean => wasLate || currentStall().length > 0;
   const check = (): void => {
     const oldest = clock.now() - STALL_TTL;
-    stalls = [...stalls, ...currentStall()].filter(({ to }) => to >= oldest);
+    const current = currentStall();
+    stalls = [...stalls, ...current].filter(({ to }) => to >= oldest);
+    if (current.length > 0) {
+      wasLate = true;
+      setImmediate(() => (wasLate = false));
+    }
     start();
   };
   const start = (): void => {
@@ -55,6 +67,12 @@
       }
       return running;
     },
+    isLate,
+    whenRead: (run) => {
+      // All sockets are read once between the two, also those whose events of this turn have been handled.
+      if (isLate()) setImmediate(() => setImmediate(run));
+      else run();
+    },
     start,
     close: () => {
       timer?.close();
--- a/src/process/running_time_test.ts
+++ b/src/process/running_time_test.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from "node:timers/promises";
 import { expect, test } from "vitest";
 import { createStallingClock } from "../standin/memory/index.ts";
 import { createRunningTime } from "./running_time.ts";
@@ -29,3 +30,37 @@
   expect(runningTime.between(0, now)).toBe(100);
   runningTime.close();
 });
+
+// Guards against requests that are passed on although their callers left while the process was stalled.
+test("what waits for the sockets to be read runs later after a stall, and at once without one", async () => {
+  const clock = createStallingClock();
+  const runningTime = createRunningTime(clock);
+  runningTime.start();
+  let runs = 0;
+  const run = (): void => {
+    runs++;
+  };
+  clock.advance(1_000);
+  runningTime.whenRead(run);
+  expect({ isLate: runningTime.isLate(), runs }).toEqual({ isLate: false, runs: 1 });
+  // The timer runs at the end of the stall, before sockets are read.
+  clock.stall(1_500);
+  runningTime.whenRead(run);
+  expect({ isLate: runningTime.isLate(), runs }).toEqual({ isLate: true, runs: 1 });
+  await setImmediate();
+  expect({ isLate: runningTime.isLate(), runs }).toEqual({ isLate: false, runs: 1 });
+  await setImmediate();
+  expect(runs).toBe(2);
+  runningTime.close();
+});
+
+test("a process is late as long as its check is overdue", () => {
+  let now = 0;
+  const runningTime = createRunningTime({ ...createStallingClock(), now: () => now });
+  runningTime.start();
+  now = 119;
+  expect(runningTime.isLate()).toBe(false);
+  now = 120;
+  expect(runningTime.isLate()).toBe(true);
+  runningTime.close();
+});
