Accept connections before requests are begun, and begin none before its caller's end could be read

What callers saw: workers ran requests of callers that had left a second before (GONE), and callers that waited got their answers late.

Cause: Node.js 20 accepts one connection of a listener in each turn of its event loop. An instance that is short of processor time begins requests in each turn (5 to 10 ms), so hundreds of connections wait for seconds in the system's queue, in order. The end of a caller lies behind its request and is read only after the request was sent; its deadline began anew with the reading.

Change: while connections wait that may have waited for long (after a stall, or 50 ms of accepting in each turn), or the process is late, or requests wait already, a request that was read waits until all connections were read once more. Connections are accepted first, for at most 20 ms; requests are then begun for 5 to 20 ms, in order, or newest first once they have waited for 100 ms. After 500 ms of running time they are refused with 503 before anything of them is parsed. Sockets are read on up to 16 KiB, and a deadline begins when the head was read. An instance that is in time begins requests at once, as before.

--- a/src/connection/accept_series_test.ts
+++ b/src/connection/accept_watch_test.ts
@@ -5,12 +5,12 @@
 import type { AddressInfo, Socket } from "node:net";
 import { expect, test } from "vitest";
 import { systemClock } from "../process/system_clock.ts";
-import { watchAccepts } from "./accept_series.ts";
-import type { AcceptSeries } from "./accept_series.ts";
+import { createAcceptWatch } from "./accept_watch.ts";
+import type { AcceptSeries } from "./accept_watch.ts";
 
 async function listen(onAcceptSeries: (series: AcceptSeries) => void): Promise<Server> {
   const server = createServer((_request, response) => void response.end());
-  watchAccepts(server, { clock: systemClock, onAcceptSeries });
+  createAcceptWatch({ clock: systemClock, onAcceptSeries }).apply(server);
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   return server;
--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -3,8 +3,6 @@
 import type { Clock } from "../interface/index.ts";
 import { endAfterRequest } from "../request/index.ts";
 import type { CallerLimits } from "../version/index.ts";
-import { watchAccepts } from "./accept_series.ts";
-import type { AcceptWatchParts } from "./accept_series.ts";
 import { readCallersInParts } from "./caller_reading.ts";
 import type { CallerReadingParts } from "./caller_reading.ts";
 import type { ConnectionLimit } from "./connection_limit.ts";
@@ -20,8 +18,7 @@
 }
 
 /** Dependencies of {@linkcode listenCallers}. */
-export interface CallerListenerParts
-  extends Omit<CallerReadingParts, "maxBodyBytes">, Omit<AcceptWatchParts, "clock"> {
+export interface CallerListenerParts extends Omit<CallerReadingParts, "maxBodyBytes"> {
   /** Also for the time in which the rest of refused requests is read. */
   readonly clock: Clock;
   /** Limit on the connections of callers. */
@@ -59,8 +56,9 @@
 export function listenCallers(
   address: string,
   handler: CallerHandler,
-  { clock, memory, connections, onLimit, onAcceptSeries }: CallerListenerParts,
+  parts: CallerListenerParts,
 ): Promise<Listener> {
+  const { clock, connections } = parts;
   const limits = (): CallerLimits => handler.routing()?.limits ?? DEFAULT_LIMITS;
   const server = createServer(
     {
@@ -85,9 +83,8 @@
   );
   setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
   const maxBodyBytes = (): number => limits().maxBodyBytes;
-  watchAccepts(server, { clock, onAcceptSeries });
   connections.apply(server);
-  readCallersInParts(server, { clock, memory, maxBodyBytes, onLimit });
+  readCallersInParts(server, { ...parts, maxBodyBytes });
   endConnectionsAfterReading(server, clock);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
--- a/src/connection/caller_listener_test.ts
+++ b/src/connection/caller_listener_test.ts
@@ -7,6 +7,7 @@
 import { expect, test } from "vitest";
 import { createCallerMemory } from "../decision/index.ts";
 import { systemClock } from "../process/system_clock.ts";
+import { createAcceptWatch } from "./accept_watch.ts";
 import { listenCallers } from "./caller_listener.ts";
 import { createConnectionLimit } from "./connection_limit.ts";
 import { splitAddress } from "./http_listener.ts";
@@ -39,7 +40,7 @@
     memory: createCallerMemory({ limit: 1_000_000, now: () => systemClock.now() }),
     connections: createConnectionLimit({ clock: systemClock, limit: 100, onLimit }),
     onLimit,
-    onAcceptSeries: () => undefined,
+    accepts: createAcceptWatch({ clock: systemClock }),
   });
 }
 
--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -12,16 +12,23 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { exceededLimit, ReadingLimit, ReadingState } from "../decision/index.ts";
-import type { CallerMemory } from "../decision/index.ts";
+import type { ByteLimit, CallerMemory } from "../decision/index.ts";
 import type { Clock } from "../interface/index.ts";
 import { connectionEvent } from "./http_listener.ts";
-import { createParsingTurns } from "./parsing_turns.ts";
-import type { ParsingTurns } from "./parsing_turns.ts";
-import { isBodyGivenUp, receivedBodyBytes } from "../request/index.ts";
+import type { AcceptWatch } from "./accept_watch.ts";
+import { createReadingTurns } from "./reading_turns.ts";
+import type { ReadingTurns } from "./reading_turns.ts";
+import { isBodyGivenUp, receivedBodyBytes, recordReceived } from "../request/index.ts";
+import { createReadTimes } from "./read_times.ts";
+import type { ReadTimes } from "./read_times.ts";
 
 /** Dependencies of {@linkcode readCallersInParts}. */
 export interface CallerReadingParts {
   readonly clock: Pick<Clock, "now">;
+  /** Watches the connections of all listeners. */
+  readonly accepts: AcceptWatch;
+  /** Whether what is read now may have lain unread, because the process was stalled; by default it never has. */
+  readonly isLate?: (() => boolean) | undefined;
   /** Counts what was received and waits to be parsed. */
   readonly memory: CallerMemory;
   /** Returns the limit on the size of a body in bytes. */
@@ -39,6 +46,8 @@
 const PART_BYTES = 2_048;
 /** Bytes that Node.js may read of a connection at once, also after it was paused. */
 const READ_BYTES = 65_536;
+/** Bytes that wait to be parsed, from which on nothing more of a connection is read, not even its caller's end. */
+const MAX_PENDING_BYTES = 16_384;
 
 /** What arrives on one connection. */
 interface Reading {
@@ -47,6 +56,10 @@
   readonly parse: (bytes: Buffer) => void;
   /** Received bytes that haven't been parsed. */
   pending: Buffer;
+  /** When they were read. */
+  readonly readTimes: ReadTimes;
+  /** When the end of what is being parsed was read, in the clock's milliseconds. */
+  parsedReadAt: number;
   /** Number of requests that have no complete response. */
   requests: number;
   /** The request that arrived last. */
@@ -57,6 +70,8 @@
   passed: number;
   /** Whether that request was complete when bytes were counted last. */
   isComplete: boolean;
+  /** Whether the bytes that were parsed last may belong to a head that isn't complete. */
+  isWithinHead: boolean;
   /** Whether a limit was exceeded. */
   isOverLimit: boolean;
   /** Whether the socket is paused because there are pending bytes. */
@@ -66,17 +81,35 @@
   readonly setWaiting: (bytes: number) => void;
 }
 
+/** The response to a request that has waited for too long; it has not run. Capacity is freed within some hundred ms. */
+const WAIT_REFUSAL =
+  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 /** The bytes after which a request may begin to run: the end of a head, of a chunked body and of its trailers. */
 const HEAD_END = "\r\n\r\n";
 const NOTHING = Buffer.alloc(0);
 
 /** Applies the rules of this module to the connections of a server. Called before a connection is accepted. */
 export function readCallersInParts(server: Server, parts: CallerReadingParts): void {
-  const { clock, memory } = parts;
+  const { clock, memory, accepts } = parts;
   const readings = new WeakMap<Duplex, Reading>();
-  const turns = createParsingTurns<Reading>(clock, (reading) => proceed(reading));
-  const proceed = (reading: Reading): void => {
-    parsePending(reading, { turns, check });
+  accepts.apply(server);
+  const turns = createReadingTurns<Reading>({
+    clock,
+    isLate: parts.isLate ?? (() => false),
+    isAccepting: () => accepts.isBehind,
+    proceed: (reading) => proceed(reading, { isTurn: true }),
+    refuse: (reading) => {
+      if (!canRefuseUnparsed(reading)) {
+        proceed(reading, { isTurn: true });
+        return;
+      }
+      parts.onLimit(ReadingLimit.Wait, reading.socket.remoteAddress ?? "");
+      reading.socket.write(WAIT_REFUSAL);
+      reading.socket.destroySoon();
+    },
+  });
+  const proceed = (reading: Reading, { isTurn = false } = {}): void => {
+    parsePending(reading, { turns, check, isTurn });
     if (reading.isOverLimit) stopReading(reading);
     else holdPending(reading);
   };
@@ -103,11 +136,14 @@
       socket,
       parse,
       pending: NOTHING,
+      readTimes: createReadTimes(),
+      parsedReadAt: 0,
       requests: 0,
       latest: undefined,
       response: undefined,
       passed: 0,
       isComplete: false,
+      isWithinHead: false,
       isOverLimit: false,
       isHeld: false,
       isParsing: false,
@@ -116,7 +152,8 @@
     readings.set(socket, reading);
     socket.removeListener("data", parse);
     socket.on("data", (bytes: Buffer) => {
-      const { pending } = reading;
+      const { pending, readTimes } = reading;
+      readTimes.add(bytes.length, clock.now());
       reading.pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
       proceed(reading);
     });
@@ -128,7 +165,7 @@
     socket.once("finish", () => proceed(reading));
     socket.once("close", () => {
       hold.close();
-      reading.pending = NOTHING;
+      dropPending(reading);
     });
   });
   server.prependListener("request", (request, response) => {
@@ -139,6 +176,7 @@
     reading.response = response;
     reading.passed = 0;
     reading.isComplete = false;
+    recordReceived(request, reading.parsedReadAt);
     response.once("close", () => {
       reading.requests--;
       if (reading.pending.length > 0) proceed(reading);
@@ -150,12 +188,14 @@
 function parsePending(
   reading: Reading,
   options: {
-    readonly turns: ParsingTurns<Reading>;
+    readonly turns: ReadingTurns<Reading>;
     readonly check: (reading: Reading, bytes: number) => void;
+    /** Whether it is the turn of the connection to begin a request. */
+    readonly isTurn: boolean;
   },
 ): void {
-  const { turns, check } = options;
-  const { socket } = reading;
+  const { turns, check, isTurn } = options;
+  const { socket, latest: previous } = reading;
   if (reading.isParsing || socket.destroyed || reading.isOverLimit) return;
   check(reading, dropIgnored(reading));
   if (reading.isHeld && reading.pending.length > 0 && !canParse(reading)) return;
@@ -167,19 +207,37 @@
   while (isOpen(socket) && reading.pending.length > 0 && canParse(reading)) {
     // Node.js pauses a connection whose body or whose answers aren't read.
     if (socket.isPaused()) break;
-    if (reading.pending.length > PART_BYTES && turns.isOver()) {
-      turns.add(reading);
+    if (isWithinBody(reading)) {
+      if (reading.pending.length > PART_BYTES && turns.isOver()) {
+        turns.addPart(reading);
+        break;
+      }
+    } else if (!(isTurn && reading.latest === previous) && turns.isBehind()) {
+      turns.addRequest(reading);
       break;
     }
     const { pending } = reading;
     const size = Math.min(partSize(reading), pending.length);
+    reading.parsedReadAt = reading.readTimes.take(size);
     reading.pending = size < pending.length ? pending.subarray(size) : NOTHING;
+    const { latest } = reading;
     reading.parse(size < pending.length ? pending.subarray(0, size) : pending);
+    reading.isWithinHead = reading.latest === latest && !isWithinBody(reading);
     check(reading, size + dropIgnored(reading));
   }
   reading.isParsing = false;
 }
 
+/** Whether what waits on a connection is the begin of a request that can be refused before anything of it is parsed. */
+function canRefuseUnparsed({ socket, pending, requests, isWithinHead }: Reading): boolean {
+  return pending.length > 0 && requests === 0 && !isWithinHead && socket.writable;
+}
+
+/** Whether what arrives next on a connection belongs to the body of a request that has begun. */
+function isWithinBody({ latest }: Reading): boolean {
+  return latest?.complete === false;
+}
+
 /**
  * Whether a connection still belongs to its parser. Node.js gives the parser of a connection that asks for another protocol
  * to the next connection at once, which would get what follows.
@@ -190,7 +248,7 @@
 
 /** Reads no more of a connection, which ends. */
 function stopReading(reading: Reading): void {
-  reading.pending = NOTHING;
+  dropPending(reading);
   reading.setWaiting(0);
   if (!reading.socket.destroyed) reading.socket.pause();
 }
@@ -199,7 +257,7 @@
 function countPassed(
   reading: Reading,
   { bytes, maxBodyBytes }: { readonly bytes: number; readonly maxBodyBytes: number },
-): ReadingLimit | undefined {
+): ByteLimit | undefined {
   const { latest } = reading;
   const isComplete = latest?.complete ?? false;
   reading.passed = isComplete === reading.isComplete ? reading.passed + bytes : 0;
@@ -243,13 +301,19 @@
     reading.setWaiting(0);
     return;
   }
-  if (!socket.isPaused()) {
+  // Below it, the socket is read on, so that its caller's end is noticed.
+  if (pending.length >= MAX_PENDING_BYTES && !socket.isPaused()) {
     socket.pause();
     reading.isHeld = true;
   }
   reading.setWaiting(READ_BYTES + pending.length);
 }
 
+function dropPending(reading: Reading): void {
+  reading.readTimes.take(reading.pending.length);
+  reading.pending = NOTHING;
+}
+
 /**
  * Drops what is pending if nothing that arrives is answered any more: the connection ends, or the body was given up.
  *
@@ -259,7 +323,7 @@
   const { socket, latest, pending } = reading;
   const isIgnored = latest !== undefined && !latest.complete && isBodyGivenUp(latest);
   if (!socket.writableEnded && !isIgnored) return 0;
-  reading.pending = NOTHING;
+  dropPending(reading);
   return pending.length;
 }
 
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -6,6 +6,7 @@
 import { createCallerMemory, ReadingLimit } from "../decision/index.ts";
 import { countBodyBytes } from "../request/index.ts";
 import { systemClock } from "../process/system_clock.ts";
+import { createAcceptWatch } from "./accept_watch.ts";
 import { listenCallers } from "./caller_listener.ts";
 import { createConnectionLimit } from "./connection_limit.ts";
 import { splitAddress } from "./http_listener.ts";
@@ -14,13 +15,21 @@
 function listen(
   handle: (request: IncomingMessage, response: ServerResponse) => void,
   onLimit: (limit: string) => void = () => undefined,
+  isLate: () => boolean = () => false,
 ): Promise<Listener> {
   const memory = createCallerMemory({ limit: 10_000_000, now: () => systemClock.now() });
   const connections = createConnectionLimit({ clock: systemClock, limit: 100, onLimit });
   return listenCallers(
     "127.0.0.1:0",
     { handle, routing: () => undefined },
-    { clock: systemClock, memory, connections, onLimit, onAcceptSeries: () => undefined },
+    {
+      clock: systemClock,
+      memory,
+      connections,
+      onLimit,
+      isLate,
+      accepts: createAcceptWatch({ clock: systemClock }),
+    },
   );
 }
 
@@ -163,3 +172,68 @@
   expect(socket.bytesWritten).toBeLessThan(20_000_000);
   await listener.close();
 });
+
+// Guards against workers that go on for a caller that has left, because it had sent more requests than are read.
+test("a caller that leaves is noticed although more of its requests wait", async () => {
+  let closed = 0;
+  const listener = await listen((_request, response) => {
+    response.once("close", () => closed++);
+  });
+  const socket = await open(listener);
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(10));
+  socket.end();
+  await expect.poll(() => closed).toBe(4);
+  await listener.close();
+});
+
+// Guards against work for a caller whose end lies behind its request after a stall of the process.
+test("a request that is read late isn't begun if its caller has left", async () => {
+  const targets: (string | undefined)[] = [];
+  const listener = await listen(
+    (request, response) => {
+      targets.push(request.url);
+      response.end("answer");
+    },
+    () => undefined,
+    () => true,
+  );
+  const leaving = await open(listener);
+  leaving.on("error", () => undefined);
+  leaving.write("GET /left HTTP/1.1\r\nHost: a\r\n\r\n");
+  leaving.destroy();
+  const waiting = await open(listener);
+  waiting.write("GET /waits HTTP/1.1\r\nHost: a\r\n\r\n");
+  expect(await textUntil(waiting, "answer")).toMatch(/answer$/);
+  expect(targets).toEqual(["/waits"]);
+  await listener.close();
+});
+
+// Guards against requests that are held until their deadlines, and against refusals of what has run.
+test("requests that wait for too long are refused, and none of them is begun", async () => {
+  const begun = new Set<string>();
+  const limits: string[] = [];
+  const listener = await listen(
+    (request, response) => {
+      begun.add(request.url ?? "");
+      const end = performance.now() + 30;
+      while (performance.now() < end);
+      response.end("answer");
+    },
+    (limit) => void limits.push(limit),
+  );
+  const ask = async (index: number): Promise<readonly [string, string]> => {
+    const socket = await open(listener);
+    socket.write(`GET /${index} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`);
+    let text = "";
+    for await (const bytes of socket) text += (bytes as Buffer).toString("latin1");
+    return [`/${index}`, text.slice(9, 12)];
+  };
+  const answers = await Promise.all(Array.from({ length: 60 }, (_, index) => ask(index)));
+  const refused = answers.filter(([, status]) => status === "503");
+  expect(answers.filter(([target, status]) => begun.has(target) !== (status === "200"))).toEqual(
+    [],
+  );
+  expect(refused.length).toBeGreaterThan(0);
+  expect(limits).toEqual(refused.map(() => ReadingLimit.Wait));
+  await listener.close();
+});
--- a/src/decision/reading_limit.ts
+++ b/src/decision/reading_limit.ts
@@ -1,4 +1,4 @@
-/** A limit on what a caller sends beside its requests and their bodies. */
+/** A limit on what a caller sends beside its requests and their bodies, or on what the process can do for it. */
 export enum ReadingLimit {
   /** Chunk sizes and extensions, or trailers, that are out of proportion to their body. */
   Framing = "framing",
@@ -6,8 +6,13 @@
   Gap = "gap",
   /** Bytes of a body whose request was refused, or behind the end of a connection. */
   Refused = "refused",
+  /** The time that a request waits until the process begins it. */
+  Wait = "wait",
 }
 
+/** A limit on bytes. */
+export type ByteLimit = Exclude<ReadingLimit, ReadingLimit.Wait>;
+
 /** What a connection is within. */
 export enum ReadingState {
   /** Before the first request, or behind a complete one. */
@@ -46,7 +51,7 @@
 export function exceededLimit(
   { state, passed, body }: PassedBytes,
   maxBodyBytes: number,
-): ReadingLimit | undefined {
+): ByteLimit | undefined {
   switch (state) {
     case ReadingState.BetweenRequests:
       return passed > GAP_BYTES ? ReadingLimit.Gap : undefined;
--- a/src/process/caller_limits.ts
+++ b/src/process/caller_limits.ts
@@ -1,4 +1,6 @@
 import type { Server } from "node:http";
+import { createAcceptWatch } from "../connection/accept_watch.ts";
+import type { AcceptSeries, AcceptWatch } from "../connection/accept_watch.ts";
 import { readCallersInParts } from "../connection/caller_reading.ts";
 import { createConnectionLimit } from "../connection/connection_limit.ts";
 import type { ConnectionLimit } from "../connection/connection_limit.ts";
@@ -45,6 +47,9 @@
 export interface CallerLimits {
   readonly memory: CallerMemory;
   readonly connections: ConnectionLimit;
+  readonly accepts: AcceptWatch;
+  /** Whether what is read now may have lain unread, because the process was stalled. */
+  readonly isLate?: (() => boolean) | undefined;
   /** Called with the address of a caller whose connection is ended because of a limit. */
   readonly onLimit: (limit: string, address: string) => void;
   /** Applies the limits to a server whose handlers read no bodies, or bodies of up to `maxBodyBytes`. */
@@ -54,7 +59,17 @@
 /** Creates the limits. */
 export function createCallerLimits(
   machine: MachineLimits,
-  { clock, report }: { readonly clock: Pick<Clock, "now">; readonly report: LimitReport },
+  {
+    clock,
+    isLate,
+    report,
+    onAcceptSeries,
+  }: {
+    readonly clock: Pick<Clock, "now">;
+    readonly isLate?: () => boolean;
+    readonly report: LimitReport;
+    readonly onAcceptSeries?: (series: AcceptSeries) => void;
+  },
 ): CallerLimits {
   const onLimit = (limit: string, address: string): void => report(limit, { address });
   const memory = createCallerMemory({
@@ -67,13 +82,17 @@
     limit: callerConnectionsOf(machine),
     onLimit,
   });
+  const accepts = createAcceptWatch({ clock, isLate, onAcceptSeries });
+  const parts = { clock, memory, accepts, isLate, onLimit };
   return {
     memory,
     connections,
+    accepts,
+    isLate,
     onLimit,
     apply: (server, maxBodyBytes = 0) => {
       connections.apply(server);
-      readCallersInParts(server, { clock, memory, onLimit, maxBodyBytes: () => maxBodyBytes });
+      readCallersInParts(server, { ...parts, maxBodyBytes: () => maxBodyBytes });
     },
   };
 }
@@ -83,20 +102,26 @@
   machine: MachineLimits,
   {
     clock,
+    isLate,
     log,
     metrics,
   }: {
     readonly clock: Pick<Clock, "now">;
-    readonly log: Pick<RoutedLog, "fault">;
+    /** Whether what is read now may have lain unread, because the process was stalled. */
+    readonly isLate: () => boolean;
+    readonly log: Pick<RoutedLog, "changed" | "fault">;
     readonly metrics: Pick<RoutedMetricsRegistry, "callerLimitExceeded" | "addGauge">;
   },
 ): CallerLimits {
   const limits = createCallerLimits(machine, {
     clock,
+    isLate,
     report: (limit, fields) => {
       metrics.callerLimitExceeded(limit);
       log.fault("caller-limit", { limit, ...fields });
     },
+    onAcceptSeries: ({ connections, duration }) =>
+      log.changed("connections-waited", { connections, duration: Math.round(duration) }),
   });
   metrics.addGauge(
     "samphireshore_caller_memory_bytes",
--- a/src/request/routed_sending.ts
+++ b/src/request/routed_sending.ts
@@ -131,6 +131,7 @@
     reads: prefillTokens,
     unread: worker.unreadTokens,
     running: worker.running,
+    age: Math.round(attempt.startedAt - arrival.arrivedAt),
     left: Math.round(arrival.deadlineAt - attempt.startedAt),
     from: state.splitter.lastId ?? arrival.resumption?.lastEventId,
   });
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -7,6 +7,7 @@
 import { quotaAttempt, quotaCost, readArrival } from "./routed_arrival.ts";
 import type { RoutedArrival } from "./routed_arrival.ts";
 import type { RoutedContext } from "./routed_context.ts";
+import { receivedTime } from "./received_at.ts";
 import { openRequestMemory } from "./request_memory.ts";
 import type { RequestMemory } from "./request_memory.ts";
 import { fingerprintRequest } from "./request_fingerprint.ts";
@@ -131,7 +132,7 @@
   /** Refuses a request by its head, or reads its body and makes the other checks. */
   const accept = (arrived: ArrivedRequest, callerResponse: CallerResponse): void => {
     const { request, id, memory, onRun } = arrived;
-    const now = context.clock.now();
+    const now = receivedTime(request) ?? context.clock.now();
     const table = context.table();
     if (table === undefined) {
       const reason = RoutedRefusal.NotReady;
