Reject responses of workers with a status that no class has

Cause: any status below 200 was skipped as an interim response, so the body was parsed as the final one. Change: a status is of one of the five classes of RFC 9110, section 15; any other response is invalid, as it was for other malformed heads, and its caller gets 502.

Evidence: tests of the parser for 000, 099, 600 and 999 and of a connection with such a body; all five failed before.

--- a/src/connection/response_parser.ts
+++ b/src/connection/response_parser.ts
@@ -86,7 +86,8 @@
  * processing.
  */
 const MAX_EXTENSION_BYTES = 65_536;
-const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})(?: |$)/;
+/** A status is of one of the five classes (RFC 9110, section 15). */
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d{2})(?: |$)/;
 const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 /** A field value as Node.js accepts it for a caller's response. */
 const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
--- a/src/connection/response_parser_test.ts
+++ b/src/connection/response_parser_test.ts
@@ -222,3 +222,19 @@
   expect(parser.feed(Buffer.from(text))).toBeUndefined();
   expect({ sizes, hasEnded }).toEqual({ sizes: [10_000], hasEnded: true });
 });
+
+// Guards against the body of a failing worker's response that its caller gets as the response itself.
+test.each(["000", "099", "600", "999"])(
+  "a response with the status %s, which no class has, is invalid",
+  (status) => {
+    const inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+    const text = `HTTP/1.1 ${status} Unknown\r\nContent-Length: ${inner.length}\r\n\r\n${inner}`;
+    const result = parse(Buffer.from(text), [text.length]);
+    expect(result).toEqual({
+      status: undefined,
+      body: "",
+      endCount: 0,
+      fault: ParseFault.Malformed,
+    });
+  },
+);
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -311,3 +311,15 @@
   await new Promise((resolve) => setTimeout(resolve, 50));
   expect(received).toBe("");
 });
+
+// Guards against a worker in trouble whose caller gets the body of its response as a successful one.
+test("a response with the status 000 whose body looks like a response breaks the exchange", async () => {
+  const inner = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 5\r\n\r\nwrong";
+  const address = await startWorker((socket) => {
+    socket.once("data", () =>
+      socket.write(`HTTP/1.1 000 \r\nX-Id: r1\r\nContent-Length: ${inner.length}\r\n\r\n${inner}`),
+    );
+  });
+  const { end, status, body } = await sendRequest(connectTo(address));
+  expect({ kind: end.kind, status, body }).toEqual({ kind: "broken", status: undefined, body: "" });
+});
