Tell a worker the time that is left when the request is sent

Change: the headers of a request are read when it is sent. Result: a test of the connection, which failed before.

--- a/src/connection/worker_connection.ts
+++ b/src/connection/worker_connection.ts
@@ -88,7 +88,7 @@
 
 /** A request that is sent when its connection is open. */
 interface QueuedRequest {
-  readonly bytes: Buffer;
+  readonly request: WorkerRequest;
   /** When it was sent, in the clock's milliseconds; undefined until then. */
   sentAt: number | undefined;
 }
@@ -230,7 +230,7 @@
     options.whenRead(() => {
       if (isClosed) return;
       queued.sentAt = clock.now();
-      opened.write(queued.bytes);
+      opened.write(encodeRequest(queued.request));
     });
   const dialing = options.dial({
     opened: attach,
@@ -254,7 +254,7 @@
         if (!isClosed) completeExchange();
       },
     });
-    const queued: QueuedRequest = { bytes: encodeRequest(request), sentAt: undefined };
+    const queued: QueuedRequest = { request, sentAt: undefined };
     if (socket === undefined) queuedRequest = queued;
     else send(socket, queued);
     const resume = (): void => {
--- a/src/connection/worker_connection_test.ts
+++ b/src/connection/worker_connection_test.ts
@@ -323,3 +323,31 @@
   const { end, status, body } = await sendRequest(connectTo(address));
   expect({ kind: end.kind, status, body }).toEqual({ kind: "broken", status: undefined, body: "" });
 });
+
+// Guards against a worker that is told the time that was left before its connection was established.
+test("the headers of a request are read when it is sent", async () => {
+  let received = "";
+  const address = await startWorker((socket) => {
+    socket.on("data", (bytes: Buffer) => (received += bytes.toString()));
+  });
+  const sends: (() => void)[] = [];
+  const connection = connectTo(address, { whenRead: (send) => void sends.push(send) });
+  const sink = { head: vi.fn(), data: vi.fn(), end: vi.fn() };
+  let timeLeft = 500;
+  connection.exchange(
+    {
+      method: "GET",
+      target: "/",
+      get headers() {
+        return ["X-Time-Left", String(timeLeft)];
+      },
+      body: Buffer.alloc(0),
+      id: "r1",
+    },
+    sink,
+  );
+  await expect.poll(() => sends.length).toBe(1);
+  timeLeft = 20;
+  for (const send of sends) send();
+  await expect.poll(() => received).toContain("X-Time-Left: 20\r\n");
+});
--- a/src/interface/worker_exchange.ts
+++ b/src/interface/worker_exchange.ts
@@ -23,7 +23,7 @@
   readonly method: string;
   /** Path and query, as received from the caller. */
   readonly target: string;
-  /** Header names and values, alternating, without those that frame the body. */
+  /** Header names and values, alternating, without those that frame the body. Read when the request is sent. */
   readonly headers: readonly string[];
   readonly body: Buffer;
   /** The request id that the response must echo; undefined if the caller sent none. */
--- a/src/request/routed_sending.ts
+++ b/src/request/routed_sending.ts
@@ -64,21 +64,25 @@
 }
 
 function buildRequest(
-  { context: { names }, admitted, splitter }: RoutedRunState,
-  { worker, startedAt }: Attempt,
+  { context: { clock, names }, admitted, splitter }: RoutedRunState,
+  { worker }: Attempt,
 ): WorkerRequest {
   const { request, arrival, service, body } = admitted;
-  const added = buildAddedHeaders(names, {
-    timeLeft: arrival.deadlineAt - startedAt,
-    worker: worker.id,
-    account: arrival.account?.name,
-    priority: service.engine === undefined ? undefined : arrival.rank,
-    lastEventId: splitter.lastId,
-  });
+  const { lastId: lastEventId } = splitter;
   return {
     method: request.method ?? "GET",
     target: request.url ?? "/",
-    headers: buildRequestHeaders(request, { names, added }),
+    get headers() {
+      const added = buildAddedHeaders(names, {
+        // A connection may have been established long after the attempt began.
+        timeLeft: arrival.deadlineAt - clock.now(),
+        worker: worker.id,
+        account: arrival.account?.name,
+        priority: service.engine === undefined ? undefined : arrival.rank,
+        lastEventId,
+      });
+      return buildRequestHeaders(request, { names, added });
+    },
     body,
     id: arrival.id,
   };
