Relay nothing after a stall until it is known which connections have been closed

Change: bytes that are read late are passed on after all sockets were read once more. In time they are passed on at once, as before. Result: a test of the relay, which fails without it.

--- a/src/connection/worker_relay.ts
+++ b/src/connection/worker_relay.ts
@@ -39,6 +39,11 @@
   readonly workerAt: (address: string) => WorkerEndpoint | undefined;
   /** Whether this instance is stopping. It then relays no further connections, since its end would cut them. */
   readonly isStopping: () => boolean;
+  /**
+   * Calls `pass` once it is known which connections have been closed: their ends may lie unread after a stall of the
+   * process. By default at once.
+   */
+  readonly whenRead?: ((pass: () => void) => void) | undefined;
   /** Maximum number of connections that are relayed at the same time. */
   readonly maxConnections?: number;
 }
@@ -59,6 +64,7 @@
   path,
   workerAt,
   isStopping,
+  whenRead = (pass: () => void): void => pass(),
   maxConnections = MAX_RELAYED_CONNECTIONS,
 }: WorkerRelayParts): WorkerRelay {
   const sockets = new Set<Socket>();
@@ -97,7 +103,7 @@
             socket.write(responseHead(RELAY_ESTABLISHED, { isFramed }));
             if (head.length > 0) far.write(head);
             openedCount++;
-            join(socket, far, { isFramed });
+            join(socket, far, { isFramed, whenRead });
           },
           failed: (failure) => reject(socket, RELAY_STATUS_BY_FAILURE[failure]),
         }),
@@ -139,10 +145,27 @@
  * completes a response without a length, a reset must not. An instance that asks for no framing can't distinguish the
  * worker's end from that of this process.
  */
-function join(near: Socket, far: Socket, { isFramed }: { readonly isFramed: boolean }): void {
+function join(
+  near: Socket,
+  far: Socket,
+  {
+    isFramed,
+    whenRead,
+  }: { readonly isFramed: boolean; readonly whenRead: (pass: () => void) => void },
+): void {
   near.setNoDelay(true);
   for (const socket of [near, far]) socket.setKeepAlive(true, KEEP_ALIVE_DELAY);
-  near.pipe(far, { end: false });
+  const unsent: Buffer[] = [];
+  const pass = (): void => {
+    for (const bytes of unsent.splice(0)) {
+      if (!far.destroyed && !far.write(bytes)) near.pause();
+    }
+  };
+  near.on("data", (bytes) => {
+    unsent.push(bytes);
+    whenRead(pass);
+  });
+  far.on("drain", () => near.resume());
   far.on("data", (bytes) => {
     if (!near.write(isFramed ? encodeFrame(bytes) : bytes)) far.pause();
   });
--- a/src/connection/worker_relay_test.ts
+++ b/src/connection/worker_relay_test.ts
@@ -2,7 +2,7 @@
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
-import { ConnectResult, createSeededRandom, DialFailure } from "../interface/index.ts";
+import { ConnectResult, createSeededRandom, DialFailure, sleep } from "../interface/index.ts";
 import type { WorkerEndpoint } from "../interface/index.ts";
 import { systemClock } from "../process/system_clock.ts";
 import { createVirtualClock } from "../standin/memory/index.ts";
@@ -46,11 +46,13 @@
     connect,
     maxConnections,
     isStopping = () => false,
+    whenRead,
     onCreated,
   }: {
     connect?: Connect;
     maxConnections?: number;
     isStopping?: () => boolean;
+    whenRead?: (pass: () => void) => void;
     onCreated?: (relay: WorkerRelay) => void;
   } = {},
 ): Promise<string> {
@@ -59,6 +61,7 @@
     path,
     ...(maxConnections === undefined ? {} : { maxConnections }),
     isStopping,
+    whenRead,
     workerAt: (address) => (address === known ? { id: "i-1", startedAt: 1, address } : undefined),
   });
   onCreated?.(relay);
@@ -332,3 +335,22 @@
   expect([...found]).toEqual([ConnectResult.Refused]);
   expect(paths.map(({ lostCount }) => lostCount)).toEqual([0, 0]);
 });
+
+// Guards against a request that is passed on after a stall of the relaying instance although its sender has given it up.
+test("bytes that are read late aren't relayed if their sender has closed the connection", async () => {
+  let received = "";
+  const worker = await startWorker((socket) => {
+    socket.on("data", (bytes) => (received += String(bytes)));
+  });
+  const passes: (() => void)[] = [];
+  const relay = await startRelay(worker, { whenRead: (pass) => void passes.push(pass) });
+  const dialed = await dial(worker, [relay]);
+  if (typeof dialed === "string") throw new Error(`Not connected: ${dialed}`);
+  dialed.socket.write("request");
+  await expect.poll(() => passes.length).toBe(1);
+  dialed.socket.destroy();
+  await sleep(systemClock, 50);
+  for (const pass of passes) pass();
+  await sleep(systemClock, 50);
+  expect(received).toBe("");
+});
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -139,6 +139,7 @@
     path,
     workerAt: (address) => workerTable.workers().find((worker) => worker.address === address),
     isStopping: () => isStopping(),
+    whenRead: (pass) => runningTime.whenRead(pass),
   });
   const instanceCount = (): number => fleet.members;
   const shares = createAccountShares({ counts: sharedCounts, random, instanceCount });
