Begin requests at once in an instance that is about to end

Cause: a request that waits for its turn isn't in progress for the planned stop, which reads and refuses what has arrived for 50 ms before the process ends. An instance that is behind could end with requests that it had read and not answered. Found by reading.

Change: once new requests are refused, none waits. Result: a unit test, which begins a request that would otherwise wait.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -13,12 +13,17 @@
 /** Handles the requests that a listener accepts. */
 export interface CallerHandler {
   handle(request: IncomingMessage, response: ServerResponse): void;
+  /** Whether new requests are refused, because the process is about to end; by default they aren't. */
+  isClosedToNew?(): boolean;
   /** The routing configuration with the limits in force; undefined until one was received. */
   routing(): { readonly limits: CallerLimits } | undefined;
 }
 
 /** Dependencies of {@linkcode listenCallers}. */
-export interface CallerListenerParts extends Omit<CallerReadingParts, "maxBodyBytes"> {
+export interface CallerListenerParts extends Omit<
+  CallerReadingParts,
+  "maxBodyBytes" | "isClosedToNew"
+> {
   /** Also for the time in which the rest of refused requests is read. */
   readonly clock: Clock;
   /** Limit on the connections of callers. */
@@ -84,7 +89,8 @@
   setIdleTimeout(server, DEFAULT_LIMITS.idleTimeout);
   const maxBodyBytes = (): number => limits().maxBodyBytes;
   connections.apply(server);
-  readCallersInParts(server, { ...parts, maxBodyBytes });
+  const isClosedToNew = (): boolean => handler.isClosedToNew?.() === true;
+  readCallersInParts(server, { ...parts, maxBodyBytes, isClosedToNew });
   endConnectionsAfterReading(server, clock);
   const [host, port] = splitAddress(address);
   return new Promise((resolve, reject) => {
--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -29,6 +29,11 @@
   readonly accepts: AcceptWatch;
   /** Whether what is read now may have lain unread, because the process was stalled; by default it never has. */
   readonly isLate?: (() => boolean) | undefined;
+  /**
+   * Whether new requests are refused, because the process is about to end. They don't wait then, since they would end with
+   * it unanswered; by default they aren't.
+   */
+  readonly isClosedToNew?: (() => boolean) | undefined;
   /** Counts what was received and waits to be parsed. */
   readonly memory: CallerMemory;
   /** Returns the limit on the size of a body in bytes. */
@@ -91,12 +96,13 @@
 /** Applies the rules of this module to the connections of a server. Called before a connection is accepted. */
 export function readCallersInParts(server: Server, parts: CallerReadingParts): void {
   const { clock, memory, accepts } = parts;
+  const { isLate = () => false, isClosedToNew = () => false } = parts;
   const readings = new WeakMap<Duplex, Reading>();
   accepts.apply(server);
   const turns = createReadingTurns<Reading>({
     clock,
-    isLate: parts.isLate ?? (() => false),
-    isAccepting: () => accepts.isBehind,
+    isLate,
+    isAccepting: () => accepts.isBehind && !isClosedToNew(),
     proceed: (reading) => proceed(reading, { isTurn: true }),
     refuse: (reading) => {
       if (!canRefuseUnparsed(reading)) {
@@ -109,7 +115,7 @@
     },
   });
   const proceed = (reading: Reading, { isTurn = false } = {}): void => {
-    parsePending(reading, { turns, check, isTurn });
+    parsePending(reading, { turns, check, isTurn: isTurn || isClosedToNew() });
     if (reading.isOverLimit) stopReading(reading);
     else holdPending(reading);
   };
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -12,16 +12,21 @@
 import { splitAddress } from "./http_listener.ts";
 import type { Listener } from "./http_listener.ts";
 
+interface ListenerState {
+  readonly isLate?: () => boolean;
+  readonly isClosedToNew?: () => boolean;
+}
+
 function listen(
   handle: (request: IncomingMessage, response: ServerResponse) => void,
   onLimit: (limit: string) => void = () => undefined,
-  isLate: () => boolean = () => false,
+  { isLate = () => false, isClosedToNew = () => false }: ListenerState = {},
 ): Promise<Listener> {
   const memory = createCallerMemory({ limit: 10_000_000, now: () => systemClock.now() });
   const connections = createConnectionLimit({ clock: systemClock, limit: 100, onLimit });
   return listenCallers(
     "127.0.0.1:0",
-    { handle, routing: () => undefined },
+    { handle, routing: () => undefined, isClosedToNew },
     {
       clock: systemClock,
       memory,
@@ -195,7 +200,7 @@
       response.end("answer");
     },
     () => undefined,
-    () => true,
+    { isLate: () => true },
   );
   const leaving = await open(listener);
   leaving.on("error", () => undefined);
@@ -208,6 +213,25 @@
   await listener.close();
 });
 
+// Guards against a request that waits for its turn until the process ends, and is then lost.
+test("a request doesn't wait in an instance that is about to end", async () => {
+  let begun = 0;
+  const listener = await listen(
+    (_request, response) => {
+      begun++;
+      response.end();
+    },
+    () => undefined,
+    { isLate: () => true, isClosedToNew: () => true },
+  );
+  const socket = await open(listener);
+  socket.on("error", () => undefined);
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  socket.destroy();
+  await expect.poll(() => begun).toBe(1);
+  await listener.close();
+});
+
 // Guards against requests that are held until their deadlines, and against refusals of what has run.
 test("requests that wait for too long are refused, and none of them is begun", async () => {
   const begun = new Set<string>();
--- a/src/process/routed_entry.ts
+++ b/src/process/routed_entry.ts
@@ -448,6 +448,7 @@
     relay: (request, stream, head) => relay.handle(request, stream, head),
     isReady,
     isStopping,
+    isClosedToNew: () => stop.isClosedToNew,
     resolve: () => {
       const peers = fleet.live().filter(({ ready }) => ready);
       const own = { callers: settings.listen.callers, capacity };
--- a/src/process/routed_entry_parts.ts
+++ b/src/process/routed_entry_parts.ts
@@ -86,6 +86,8 @@
   isReady(): boolean;
   /** Whether a planned stop has begun. */
   isStopping(): boolean;
+  /** Whether a planned stop is so far that new requests are refused. */
+  isClosedToNew(): boolean;
   /** Returns addresses of ready instances for callers, and their time to live in milliseconds. */
   resolve(): { addresses: string[]; life: number };
   /** Returns this instance's copy of the objects of a kind; undefined for kinds without any data. */
