Continue bodies that are cheap to parse before expensive ones

Cause: connections with bytes to parse took turns in order, and each used the whole 5 ms of a turn. An ordinary body of 1 MB needs some 16 turns of its own, each behind all others, whose bytes lie in the system's buffers for seconds after their callers have left.

Change: an item gets 1 ms of a turn, and of those that wait the one on whose request the least time was spent is continued first.

--- a/bench/crowds/crowd_test.ts
+++ b/bench/crowds/crowd_test.ts
@@ -105,6 +105,26 @@
   expectSound(outcome);
 });
 
+// Guards against a crowd whose parsing, which goes on after it has left, keeps large bodies of others from being read.
+test.each([20, 200])(
+  "a large body is served within 1.5 s beside and after %d connections with bodies in chunks of one byte",
+  async (connections) => {
+    const fleet = await startCrowdFleet();
+    try {
+      const { callers } = fleet.listen;
+      const crowd = openCrowd(callers, { connections, script: () => unendedBody(1, 900_000) });
+      await crowd.waitUntilSent();
+      const large = { length: BODY, deadline: 1_500 };
+      const during = await askOrdinary(callers, large);
+      crowd.close();
+      const afterwards = await askOrdinary(callers, large);
+      expect({ during, afterwards }).toEqual({ during: OK, afterwards: OK });
+    } finally {
+      await fleet.close(`large-body-${connections}`);
+    }
+  },
+);
+
 test("a body inside the limits in chunks of one byte is served", async () => {
   const outcome = await meetCrowd("one-small-chunks", ({ listen }) => ({
     address: listen.callers,
--- a/bench/crowds/ordinary_request.ts
+++ b/bench/crowds/ordinary_request.ts
@@ -16,6 +16,8 @@
 
 /** Bytes of the body of an ordinary request. */
 const BODY_BYTES = 1_000;
+/** Time that a caller waits by default, in milliseconds. */
+const DEADLINE = 50_000;
 const SLOW_PARTS = 10;
 /** Milliseconds between two parts of a slow body. */
 const PART_INTERVAL = 50;
@@ -23,12 +25,16 @@
 /**
  * Sends one complete request inside all limits on a connection of its own.
  *
+ * @param options `length` is the number of bytes of its body, `deadline` the time for which its caller waits, in milliseconds.
  * @returns The status of the answer, or the error with which the connection ended.
  */
-export function askOrdinary(address: string): Promise<number | string> {
-  const sent = startRequest(address, { length: BODY_BYTES });
+export function askOrdinary(
+  address: string,
+  { length = BODY_BYTES, deadline }: { readonly length?: number; readonly deadline?: number } = {},
+): Promise<number | string> {
+  const sent = startRequest(address, { length, deadline });
   const status = statusOf(sent);
-  sent.end(Buffer.alloc(BODY_BYTES, "x"));
+  sent.end(Buffer.alloc(length, "x"));
   return status;
 }
 
@@ -59,7 +65,15 @@
 
 function startRequest(
   address: string,
-  { length, agent = false }: { readonly length: number; readonly agent?: Agent | false },
+  {
+    length,
+    agent = false,
+    deadline = DEADLINE,
+  }: {
+    readonly length: number;
+    readonly agent?: Agent | false;
+    readonly deadline?: number | undefined;
+  },
 ): ClientRequest {
   const [host, port] = splitAddress(address);
   return request({
@@ -72,7 +86,7 @@
       host: "desk.example",
       "api-key": CLIENT_KEY,
       "x-request-id": randomBytes(8).toString("hex"),
-      "x-request-deadline": "50000",
+      "x-request-deadline": String(deadline),
       "content-length": length,
     },
   });
--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -63,6 +63,8 @@
   pending: Buffer;
   /** When they were read. */
   readonly readTimes: ReadTimes;
+  /** Milliseconds that were spent on parsing since the latest request began. */
+  parsingTime: number;
   /** When the end of what is being parsed was read, in the clock's milliseconds. */
   parsedReadAt: number;
   /** Number of requests that have no complete response. */
@@ -102,6 +104,7 @@
   const turns = createReadingTurns<Reading>({
     clock,
     isLate,
+    spentOn: ({ parsingTime }) => parsingTime,
     isAccepting: () => accepts.isBehind && !isClosedToNew(),
     proceed: (reading) => proceed(reading, { isTurn: true }),
     refuse: (reading) => {
@@ -115,7 +118,9 @@
     },
   });
   const proceed = (reading: Reading, { isTurn = false } = {}): void => {
+    const startedAt = clock.now();
     parsePending(reading, { turns, check, isTurn: isTurn || isClosedToNew() });
+    reading.parsingTime += clock.now() - startedAt;
     if (reading.isOverLimit) stopReading(reading);
     else holdPending(reading);
   };
@@ -143,6 +148,7 @@
       parse,
       pending: NOTHING,
       readTimes: createReadTimes(),
+      parsingTime: 0,
       parsedReadAt: 0,
       requests: 0,
       latest: undefined,
@@ -181,6 +187,7 @@
     reading.latest = request;
     reading.response = response;
     reading.passed = 0;
+    reading.parsingTime = 0;
     reading.isComplete = false;
     recordReceived(request, reading.parsedReadAt);
     response.once("close", () => {
@@ -209,12 +216,13 @@
     socket.resume();
     reading.isHeld = false;
   }
+  const isTimeOver = turns.beginItem();
   reading.isParsing = true;
   while (isOpen(socket) && reading.pending.length > 0 && canParse(reading)) {
     // Node.js pauses a connection whose body or whose answers aren't read.
     if (socket.isPaused()) break;
     if (isWithinBody(reading)) {
-      if (reading.pending.length > PART_BYTES && turns.isOver()) {
+      if (reading.pending.length > PART_BYTES && isTimeOver()) {
         turns.addPart(reading);
         break;
       }
--- a/src/connection/reading_turns.ts
+++ b/src/connection/reading_turns.ts
@@ -2,8 +2,8 @@
 
 /** Divides the time of the process between accepting connections, parsing what they send, and everything else. */
 export interface ReadingTurns<Item> {
-  /** Whether the time for parsing in this turn of the event loop is used up. */
-  isOver(): boolean;
+  /** Begins to parse what belongs to one item. Returns a function that tells whether its time in this turn is used up. */
+  beginItem(): () => boolean;
   /** Whether a request that was read now has to wait for a later turn. */
   isBehind(): boolean;
   /** Continues in a later turn with an item that has more of a request in progress. */
@@ -17,6 +17,8 @@
   readonly clock: Pick<Clock, "now">;
   /** Whether what is read now may have lain unread, because the process was stalled. */
   readonly isLate: () => boolean;
+  /** Returns the milliseconds that were spent on the request of an item. Of those that wait, the cheapest is continued first. */
+  readonly spentOn: (item: Item) => number;
   /** Whether connections wait to be accepted that may have waited for long. */
   readonly isAccepting: () => boolean;
   /** Continues with an item. It may add the item again. */
@@ -27,7 +29,9 @@
 
 /** Time for parsing in one turn of the event loop, in milliseconds. Timers and other connections wait for so long. */
 const TURN_TIME = 5;
-/** The same if everything else took longer. */
+/** The part of it for one item: a body in chunks of one byte would otherwise take it all. */
+const ITEM_TIME = 1;
+/** The time for parsing in one turn if everything else took longer. */
 const MAX_TURN_TIME = 20;
 /** Milliseconds for which connections are accepted before requests are begun. */
 const MAX_ACCEPT_TIME = 20;
@@ -61,6 +65,7 @@
   clock,
   isLate,
   isAccepting,
+  spentOn,
   proceed,
   refuse,
 }: ReadingTurnsParts<Item>): ReadingTurns<Item> {
@@ -110,7 +115,8 @@
     const order = waitOf(ready[0]) > MAX_WAIT_IN_ORDER ? inTime.reverse() : inTime;
     takeUntil(startedAt + time / 4, overdue, refuse);
     takeUntil(parts.size === 0 ? endsAt : startedAt + time / 2, order, proceed);
-    takeUntil(endsAt, [...parts], proceed);
+    const cheapestFirst = [...parts].sort((one, other) => spentOn(one) - spentOn(other));
+    takeUntil(endsAt, cheapestFirst, proceed);
     servedAt = clock.now();
   };
   const endTurn = (): void => {
@@ -124,7 +130,11 @@
     turn++;
   };
   return {
-    isOver,
+    beginItem: () => {
+      begin();
+      const itemEnd = Math.min(endsAt, clock.now() + ITEM_TIME);
+      return () => clock.now() >= itemEnd;
+    },
     isBehind: () => isOver() || requests.size > 0 || isAccepting() || isLate(),
     addPart: (item) => {
       begin();
--- a/src/connection/reading_turns_test.ts
+++ b/src/connection/reading_turns_test.ts
@@ -23,6 +23,7 @@
     clock: { now: () => state.now },
     isLate: () => state.isLate,
     isAccepting: () => state.isAccepting,
+    spentOn: (item) => -item,
     proceed: (request) => {
       begun.push(request);
       state.now += state.cost;
@@ -117,3 +118,11 @@
   expect(begun.some((item) => item <= 10)).toBe(true);
   expect(begun.some((item) => item > 100)).toBe(true);
 });
+
+// Guards against an ordinary body that waits behind many that are expensive to parse.
+test("the part of the cheapest request is continued first", async () => {
+  const { turns, begun } = createReading();
+  for (const item of numbers(101, 110)) turns.addPart(item);
+  await passTurns(2);
+  expect(begun[0]).toBe(110);
+});
