--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -7,7 +7,6 @@
  *
  * @module
  */
-import { STATUS_CODES } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
@@ -16,6 +15,7 @@
 import type { Clock } from "../interface/index.ts";
 import { connectionEvent } from "./http_listener.ts";
 import type { AcceptWatch } from "./accept_watch.ts";
+import { refuseBytes, refuseUnparsed } from "./reading_refusal.ts";
 import { createReadingTurns } from "./reading_turns.ts";
 import type { ReadingTurns } from "./reading_turns.ts";
 import { isBodyGivenUp, receivedBodyBytes, recordReceived } from "../request/index.ts";
@@ -88,9 +88,6 @@
   readonly setWaiting: (bytes: number) => void;
 }
 
-/** The response to a request that has waited for too long; it has not run. Capacity is freed within some hundred ms. */
-const WAIT_REFUSAL =
-  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 /** The bytes after which a request may begin to run: the end of a head, of a chunked body and of its trailers. */
 const HEAD_END = "\r\n\r\n";
 const NOTHING = Buffer.alloc(0);
@@ -113,8 +110,7 @@
         return;
       }
       parts.onLimit(ReadingLimit.Wait, reading.socket.remoteAddress ?? "");
-      reading.socket.write(WAIT_REFUSAL);
-      reading.socket.destroySoon();
+      refuseUnparsed(reading.socket);
     },
   });
   const proceed = (reading: Reading, { isTurn = false } = {}): void => {
@@ -288,25 +284,6 @@
     : ReadingState.WithinBody;
 }
 
-/** The errors of the parser, and the statuses, for bytes beyond limits. */
-const ERRORS = {
-  [ReadingLimit.Framing]: { code: "HPE_CHUNK_EXTENSIONS_OVERFLOW", status: 413 },
-  [ReadingLimit.Gap]: { code: "HPE_HEADER_OVERFLOW", status: 431 },
-} as const;
-
-/** Ends a connection as if the parser had failed. */
-function refuseBytes(
-  server: Server,
-  socket: Socket,
-  limit: ReadingLimit.Framing | ReadingLimit.Gap,
-): void {
-  const { code, status } = ERRORS[limit];
-  const error = Object.assign(new Error(`The limit ${limit} was exceeded.`), { code });
-  if (server.emit("clientError", error, socket)) return;
-  socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
-  socket.destroySoon();
-}
-
 /** Stops reading a connection while there are pending bytes. */
 function holdPending(reading: Reading): void {
   const { socket, pending } = reading;
