Log how the version of a stream was determined

A stream that is taken up after a loss of power goes on at another version, and the logs show only that it was taken up and sent. They can't tell whether a record was wrong, an instance answered for another stream, or no record was found and the present version counted as the only one.

Change: the line version-determined contains the version, its basis, the versions looked at, how many instances answered and whether the store was read.

--- a/src/process/stream_inquiries.ts
+++ b/src/process/stream_inquiries.ts
@@ -1,6 +1,8 @@
 import type { StreamRecord } from "../decision/index.ts";
 import { afterRunningTime } from "../interface/index.ts";
 import type { Clock, Timer } from "../interface/index.ts";
+import { VersionBasis } from "../request/index.ts";
+import type { VersionEvidence } from "../request/index.ts";
 import type { ServiceVersions } from "./service_versions.ts";
 import { inDatagrams } from "./stream_record_codec.ts";
 import type { RecentVersions } from "./stream_record_codec.ts";
@@ -41,7 +43,7 @@
   readonly service: string;
   /** The service's recent versions as seen by this instance. */
   readonly versions: readonly string[];
-  readonly done: (record: StreamRecord | undefined) => void;
+  readonly done: (record: StreamRecord | undefined, evidence: VersionEvidence) => void;
 }
 
 /** Dependencies of {@linkcode createStreamInquiries}. */
@@ -122,9 +124,22 @@
     inquiry.timeout?.close();
     return open.delete(inquiry);
   };
-  const end = (inquiry: OpenInquiry, record: StreamRecord | undefined): void => {
-    if (remove(inquiry)) inquiry.done(record);
+  const end = (
+    inquiry: OpenInquiry,
+    { record, basis }: { record: StreamRecord | undefined; basis: VersionBasis },
+  ): void => {
+    if (!remove(inquiry)) return;
+    const { seen, answeredBy, isConfirmed } = inquiry;
+    inquiry.done(record, {
+      basis: record === undefined ? VersionBasis.None : basis,
+      seen: [...seen],
+      answers: answeredBy.size,
+      isStoreRead: isConfirmed,
+    });
   };
+  /** Ends an inquiry without a record of its stream. */
+  const endWithoutRecord = (inquiry: OpenInquiry): void =>
+    end(inquiry, { record: onlyVersion(inquiry), basis: VersionBasis.OnlyVersion });
   /** Returns the record of a stream whose service has had only one version for as long as streams last. */
   const onlyVersion = (inquiry: OpenInquiry): StreamRecord | undefined => {
     const [version] = inquiry.seen;
@@ -165,9 +180,9 @@
   };
   const update = (inquiry: OpenInquiry): void => {
     const record = recordOf(inquiry);
-    if (record !== undefined) end(inquiry, record);
-    else if (inquiry.attempt === undefined && inquiry.seen.size > 1) end(inquiry, undefined);
-    else if (isFinal(inquiry)) end(inquiry, onlyVersion(inquiry));
+    const isAmbiguous = inquiry.attempt === undefined && inquiry.seen.size > 1;
+    if (record !== undefined) end(inquiry, { record, basis: VersionBasis.OtherRecord });
+    else if (isAmbiguous || isFinal(inquiry)) endWithoutRecord(inquiry);
   };
   const ask = (): void => {
     timer = undefined;
@@ -234,7 +249,7 @@
       opened.timeout = afterRunningTime(
         clock,
         knowsOthers ? INQUIRY_TIMEOUT : DISCOVERY_TIMEOUT,
-        () => end(opened, onlyVersion(opened)),
+        () => endWithoutRecord(opened),
         { steps: TIMEOUT_STEPS },
       );
       open.add(opened);
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -13,6 +13,7 @@
 import { createStreamRecords, createVersionHistory } from "../decision/index.ts";
 import type { HistoryTime, StreamRecord, StreamVersion } from "../decision/index.ts";
 import type { Clock, RoutedWorker } from "../interface/index.ts";
+import { VersionBasis } from "../request/index.ts";
 import type { StreamAttempt, StreamVersions } from "../request/index.ts";
 import type { RosterEntry } from "./digest.ts";
 import type { RecordWriter } from "./record_writer.ts";
@@ -124,14 +125,16 @@
       const versions = recentVersions(service);
       const known = attempt === undefined ? undefined : records.find(attempt);
       if (known !== undefined || (attempt === undefined && versions.length > 1)) {
-        done(versionOf(known));
+        const version = versionOf(known);
+        const basis = version === undefined ? VersionBasis.None : VersionBasis.OwnRecord;
+        done(version, { basis, seen: versions, answers: 0, isStoreRead: false });
         return { close: () => undefined };
       }
       return inquiries.start({
         attempt,
         service,
         versions,
-        done: (record) => done(versionOf(record)),
+        done: (record, evidence) => done(versionOf(record), evidence),
       });
     },
     mixed: () => history.mixed(time()),
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -128,6 +128,29 @@
   readonly id: string;
 }
 
+/** How the version was determined at which a stream began. */
+export enum VersionBasis {
+  /** This instance has a record of the stream. */
+  OwnRecord = "own-record",
+  /** Another instance had a record of the stream. */
+  OtherRecord = "other-record",
+  /** No instance has a record, and the service had only one version. */
+  OnlyVersion = "only-version",
+  /** The version can't be known. */
+  None = "none",
+}
+
+/** What the version of a stream was determined from, for the log. */
+export interface VersionEvidence {
+  readonly basis: VersionBasis;
+  /** The recent versions of its service, as far as they were looked up. */
+  readonly seen: readonly string[];
+  /** Number of instances that answered the question about it. */
+  readonly answers: number;
+  /** Whether the versions were read from the store for it. */
+  readonly isStoreRead: boolean;
+}
+
 /** The versions of workers at which streams began, from all instances. */
 export interface StreamVersions {
   /** Records that the attempt brings its caller the first event of a stream, from a worker of this version. */
@@ -142,7 +165,7 @@
   find(
     attempt: StreamAttempt | undefined,
     service: string,
-    done: (version: StreamVersion | undefined) => void,
+    done: (version: StreamVersion | undefined, evidence: VersionEvidence) => void,
   ): { close(): void };
 }
 
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -220,7 +220,17 @@
     const { lastEventId: from, attempt } = resumption ?? {};
     context.logDecision("resumed", id, { from, attempt });
     const named = attempt === undefined ? undefined : { account: account?.name, id: attempt };
-    return context.streamVersions.find(named, service.name, done);
+    return context.streamVersions.find(named, service.name, (version, evidence) => {
+      const { basis, seen, answers, isStoreRead } = evidence;
+      context.logDecision("version-determined", id, {
+        basis,
+        version: version?.version,
+        seen: seen.join(" "),
+        answers,
+        isStoreRead,
+      });
+      done(version);
+    });
   };
   /** Returns the service at which a stream began; undefined if the route no longer leads to it. */
   const serviceOf = (
