Record the versions of every service, so that streams aren't joined after a loss of power

Cause: without a record of the stream, its version counted as certain if the store showed no other. The store showed the present workers and a record that was written once an instance had seen two versions. No instance ran while they changed. Evidence: version-determined on says only-version, seen v2, with answers and a read of the store.

Change: the record contains every service's recent versions, any instance adds what is missing, and a stream that may be taken up begins only once it is written (at most 500 ms, not for a store that fails). An instance that starts inherits it, and states nothing before it has read it. It is written again after a restore of the store. A few writes for each change of versions, none for a stream.

--- a/src/decision/version_history.ts
+++ b/src/decision/version_history.ts
@@ -16,8 +16,17 @@
    * @returns The services that have more than one recent version now and had fewer before.
    */
   record(present: ReadonlyMap<string, ReadonlySet<string>>, at: HistoryTime): string[];
+  /**
+   * Adds versions that were present before the history began, by service. They count as absent from now on unless they
+   * are present.
+   *
+   * @returns The services that have more than one recent version now and had fewer before.
+   */
+  inherit(earlier: ReadonlyMap<string, ReadonlySet<string>>, at: HistoryTime): string[];
   /** Returns the versions of a service that were present within the period. */
   recent(service: string, at: HistoryTime): string[];
+  /** Returns the recent versions of all services that had any. */
+  all(at: HistoryTime): ReadonlyMap<string, ReadonlySet<string>>;
   /** Returns the recent versions of all services that had several of them. */
   mixed(at: HistoryTime): ReadonlyMap<string, ReadonlySet<string>>;
   /** Whether the history reaches back to the beginning of the period. */
@@ -50,26 +59,40 @@
       if (versions.size === 0) lastSeen.delete(service);
     }
   };
+  /** Adds versions and returns the services that have become mixed by them. */
+  const add = (
+    added: ReadonlyMap<string, ReadonlySet<string>>,
+    at: HistoryTime,
+    mark: (seen: Map<string, number>, version: string) => void,
+  ): string[] => {
+    const single = [...added.keys()].filter((name) => recent(name, at).length < 2);
+    for (const [service, versions] of added) {
+      const seen = lastSeen.get(service) ?? new Map<string, number>();
+      lastSeen.set(service, seen);
+      for (const version of versions) mark(seen, version);
+    }
+    return single.filter((service) => recent(service, at).length > 1);
+  };
+  const all: VersionHistory["all"] = (at) =>
+    new Map(
+      [...lastSeen.keys()]
+        .map((service): [string, Set<string>] => [service, new Set(recent(service, at))])
+        .filter(([, versions]) => versions.size > 0),
+    );
   return {
     record: (present, at) => {
       startedAt = Math.min(startedAt, at.now);
       removeExpired(at);
-      const single = new Set([...present.keys()].filter((name) => recent(name, at).length < 2));
       markAbsent(at.now);
-      for (const [service, versions] of present) {
-        const seen = lastSeen.get(service) ?? new Map<string, number>();
-        lastSeen.set(service, seen);
-        for (const version of versions) seen.set(version, Infinity);
-      }
-      return [...single].filter((service) => recent(service, at).length > 1);
+      return add(present, at, (seen, version) => seen.set(version, Infinity));
     },
+    inherit: (earlier, at) =>
+      add(earlier, at, (seen, version) => {
+        if (!seen.has(version)) seen.set(version, at.now);
+      }),
     recent,
-    mixed: (at) =>
-      new Map(
-        [...lastSeen.keys()]
-          .map((service): [string, Set<string>] => [service, new Set(recent(service, at))])
-          .filter(([, versions]) => versions.size > 1),
-      ),
+    all,
+    mixed: (at) => new Map([...all(at)].filter(([, versions]) => versions.size > 1)),
     coversPeriod: ({ now, period }) => startedAt <= now - period,
   };
 }
--- a/src/decision/version_history_test.ts
+++ b/src/decision/version_history_test.ts
@@ -49,3 +49,13 @@
   expect(history.recent("desk", at(20))).toEqual(["v1"]);
   expect(history.recent("desk", at(40_000))).toEqual([]);
 });
+
+// Guards against a version that left before the history began, and whose streams may still be taken up.
+test("an inherited version stays recent for a period, and a present one as long as it is present", () => {
+  const history = createVersionHistory();
+  history.record(present("v2"), at(0));
+  expect(history.inherit(present("v1", "v2"), at(10))).toEqual(["desk"]);
+  expect(history.all(at(30_010))).toEqual(present("v2", "v1"));
+  expect(history.all(at(30_011))).toEqual(present("v2"));
+  expect(history.coversPeriod(at(30_000))).toBe(true);
+});
--- a/src/process/recorded_stream_versions.ts
+++ b/src/process/recorded_stream_versions.ts
@@ -1,4 +1,5 @@
 import { hashText } from "../version/index.ts";
+import type { StreamVersions } from "../request/index.ts";
 import { FleetRole } from "./fleet_topology.ts";
 import type { FleetSync } from "./fleet_sync.ts";
 import { createRecordWriter } from "./record_writer.ts";
@@ -9,10 +10,10 @@
 import { createStreamRecordStore } from "./stream_record_store.ts";
 import { createStreamVersions } from "./stream_versions.ts";
 import type { StreamVersionTask } from "./stream_versions.ts";
-import { createVersionRecord } from "./version_record.ts";
+import { createVersionRecord, unknownVersions } from "./version_record.ts";
 
-/** The versions of streams, with a record of recent versions in the store. */
-export interface RecordedStreamVersions extends StreamVersionTask {
+/** The versions of streams, with a record of the services' recent versions in the store. */
+export interface RecordedStreamVersions extends StreamVersionTask, StreamVersions {
   /** Starts the periodic writes to the store. */
   start(): void;
 }
@@ -20,7 +21,7 @@
 /** Dependencies of {@linkcode createRecordedStreamVersions}. */
 export interface RecordedStreamVersionsParts extends Pick<
   RoutedEntryDependencies,
-  "clock" | "feed" | "kinds" | "log" | "store"
+  "clock" | "feed" | "kinds" | "log" | "random" | "store"
 > {
   readonly settings: RoutedSettings;
   readonly fleet: () => Pick<
@@ -46,10 +47,13 @@
   const { clock, settings, fleet, feed, kinds, log } = parts;
   const record = createVersionRecord({
     clock,
+    random: parts.random,
     store: parts.store,
     isWriter: parts.isWriter,
-    mixed: () => versions.mixed(),
+    members: () => fleet().members,
+    recent: () => versions.recent(),
     coversPeriod: () => versions.coversPeriod(),
+    inherit: (earlier) => versions.inherit(earlier),
     log,
   });
   const readPresentVersions = async (): Promise<ServiceVersions> => {
@@ -75,7 +79,9 @@
     expectsOthers: () => fleet().members > 1,
     readVersions: async () => {
       const [present, recorded] = await Promise.all([readPresentVersions(), record.read()]);
-      return mergeVersions(present, recorded);
+      // A service that isn't recorded may have had others.
+      const unknown = unknownVersions([...present.keys()], recorded);
+      return mergeVersions(mergeVersions(present, recorded), unknown);
     },
     maxDuration,
     send: parts.send,
@@ -98,6 +104,11 @@
   });
   return {
     ...versions,
+    setWorkers: (workers) => {
+      versions.setWorkers(workers);
+      record.update();
+    },
+    whenRecorded: record.whenRecorded,
     start: () => {
       record.start();
       if (streamRecords !== "memory") recordStore.start();
--- a/src/process/service_versions.ts
+++ b/src/process/service_versions.ts
@@ -25,3 +25,24 @@
     ]),
   );
 }
+
+/** Returns the versions of `a` that `b` has, too, by service. Services without any are left out. */
+export function sharedVersions(a: ServiceVersions, b: ServiceVersions): ServiceVersions {
+  return filterVersions(a, (service, version) => b.get(service)?.has(version) === true);
+}
+
+/** Returns the versions of `a` that `b` lacks, by service. Services without any are left out. */
+export function missingVersions(a: ServiceVersions, b: ServiceVersions): ServiceVersions {
+  return filterVersions(a, (service, version) => b.get(service)?.has(version) !== true);
+}
+
+function filterVersions(
+  all: ServiceVersions,
+  isKept: (service: string, version: string) => boolean,
+): ServiceVersions {
+  const filtered = [...all].map(([service, versions]): [string, Set<string>] => [
+    service,
+    new Set([...versions].filter((version) => isKept(service, version))),
+  ]);
+  return new Map(filtered.filter(([, versions]) => versions.size > 0));
+}
--- a/src/process/stream_versions.ts
+++ b/src/process/stream_versions.ts
@@ -26,13 +26,17 @@
 import type { AttemptVersion, RecentVersions, StreamRecordMessage } from "./stream_record_codec.ts";
 
 /** The versions of streams, as known to this instance and the others. */
-export interface StreamVersionTask extends StreamVersions {
+export interface StreamVersionTask extends Omit<StreamVersions, "whenRecorded"> {
+  /** Returns the versions of all services within the time that streams last. */
+  recent(): ServiceVersions;
   /** Returns the services that have had several versions within the time that streams last, with these versions. */
   mixed(): ServiceVersions;
   /** Whether this instance has followed the workers for as long as streams last. */
   coversPeriod(): boolean;
   /** Returns the records of all streams that are known here and may still be taken up. */
   records(): Iterable<AttemptVersion>;
+  /** Adds versions that services had before this instance started, according to the store. */
+  inherit(earlier: ServiceVersions): void;
   /** Adds records that the store has kept. Those known already are kept no longer for it. */
   restore(records: readonly AttemptVersion[]): void;
   /** Replaces the workers. */
@@ -71,6 +75,7 @@
   const records = createStreamRecords();
   const history = createVersionHistory();
   const time = (): HistoryTime => ({ now: clock.now(), period: parts.maxDuration() });
+  let hasInherited = false;
   const recentVersions = (service: string): string[] => history.recent(service, time());
 
   const send = (message: Partial<StreamRecordMessage>, address: string): void => {
@@ -137,6 +142,7 @@
         done: (record, evidence) => done(versionOf(record), evidence),
       });
     },
+    recent: () => history.all(time()),
     mixed: () => history.mixed(time()),
     records: function* () {
       removeExpired();
@@ -148,9 +154,12 @@
       inquiries.recordsReceived();
     },
     coversPeriod: () => history.coversPeriod(time()),
+    inherit: (earlier) => {
+      hasInherited = true;
+      if (history.inherit(earlier, time()).length > 0) copies.sendAll();
+    },
     setWorkers: (workers) => {
-      const isNewlyMixed = history.record(versionsByService(workers), time()).length > 0;
-      if (isNewlyMixed) copies.sendAll();
+      if (history.record(versionsByService(workers), time()).length > 0) copies.sendAll();
     },
     receive: (bytes) => {
       const message = decodeStreamRecords(bytes);
@@ -164,7 +173,10 @@
       inquiries.answered({ question, sender, recent });
       if (askedServices.length === 0) return;
       const found = findCopies(askedAttempts);
-      const answer = { question, records: found, recent: askedServices.map(statement) };
+      // Without what the store has recorded, an instance that has just started may lack a version that has left.
+      const isInformed = hasInherited || history.coversPeriod(time());
+      const stated = isInformed ? askedServices.map(statement) : [];
+      const answer = { question, records: found, recent: stated };
       send({ sender: self.peers, ...answer }, sender);
     },
     close: () => {
--- a/src/request/routed_context.ts
+++ b/src/request/routed_context.ts
@@ -153,6 +153,11 @@
 
 /** The versions of workers at which streams began, from all instances. */
 export interface StreamVersions {
+  /**
+   * Calls `done`, usually at once, when a stream may begin at the workers of a service: their versions are recorded, so
+   * that the stream can't go on at another version, whatever happens to the instances.
+   */
+  whenRecorded(service: string, done: () => void): { close(): void };
   /** Records that the attempt brings its caller the first event of a stream, from a worker of this version. */
   recordStart(attempt: StreamAttempt, version: StreamVersion): void;
   /**
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -59,6 +59,11 @@
   readonly onRun: (run: RoutedRun | undefined) => void;
 }
 
+/** A request whose quota isn't charged yet. */
+type UnchargedRequest = Omit<AdmittedRequest, "fingerprint" | "refundQuota">;
+/** A request for which the service is chosen, but not the version of its workers. */
+type ServiceRequest = Omit<UnchargedRequest, "version"> & { readonly table: RouteTable };
+
 /** Milliseconds after which a caller may retry at an instance without a configuration. */
 const NOT_READY_RETRY_AFTER = 300;
 /** Milliseconds after which a caller may retry whose request was given up for others. */
@@ -185,27 +190,54 @@
       refuse(callerResponse, { reason: RoutedRefusal.NoWorker, id });
       return undefined;
     }
-    if (resumption === undefined || route.delivery !== Delivery.Events || !route.resumable)
+    if (route.delivery !== Delivery.Events || !route.resumable)
       return start({ ...admitted, service, version: undefined }, callerResponse);
-    let run: RoutedRun | undefined;
-    const inquiry = findVersion(arrival, service, (found) => {
-      if (callerResponse.isClosed) return;
-      const began = found === undefined ? undefined : serviceOf(found, arrival, table);
-      if (found === undefined || began === undefined) {
+    return resumption === undefined
+      ? startWhenRecorded({ ...admitted, service }, callerResponse)
+      : startAtVersion({ ...admitted, service }, callerResponse);
+  };
+  /** Starts the run of a stream that may be taken up later. */
+  const startWhenRecorded = (admitted: ServiceRequest, callerResponse: CallerResponse): RoutedRun =>
+    runAfter(admitted, callerResponse, (begin) =>
+      context.streamVersions.whenRecorded(admitted.service.name, () =>
+        begin({ ...admitted, version: undefined }),
+      ),
+    );
+  /** Starts the run of the rest of a stream, at the version at which it began. */
+  const startAtVersion = (admitted: ServiceRequest, callerResponse: CallerResponse): RoutedRun => {
+    const { arrival, table, service } = admitted;
+    const { id } = arrival;
+    return runAfter(admitted, callerResponse, (begin) =>
+      findVersion(arrival, service, (found) => {
+        const began = found === undefined ? undefined : serviceOf(found, arrival, table);
+        if (found !== undefined && began !== undefined) {
+          begin({ ...admitted, service: began, version: found.version });
+          return;
+        }
+        if (callerResponse.isClosed) return;
         const reason =
           found === undefined ? RoutedRefusal.VersionUnknown : RoutedRefusal.VersionGone;
         refuse(callerResponse, { reason, id });
-        return;
-      }
-      run = start({ ...admitted, service: began, version: found.version }, callerResponse);
+      }),
+    );
+  };
+  /** Starts a run when something that it needs is known. Until then, it ends as one that hasn't begun. */
+  const runAfter = (
+    { arrival: { id } }: ServiceRequest,
+    callerResponse: CallerResponse,
+    wait: (begin: (admitted: UnchargedRequest) => void) => { close(): void },
+  ): RoutedRun => {
+    let run: RoutedRun | undefined;
+    const pending = wait((admitted) => {
+      if (!callerResponse.isClosed) run = start(admitted, callerResponse);
     });
     return {
       abandon: () => {
-        inquiry.close();
+        pending.close();
         run?.abandon();
       },
       endAtStop: () => {
-        inquiry.close();
+        pending.close();
         if (run !== undefined) run.endAtStop();
         else if (!callerResponse.isClosed) refuseStopping(callerResponse, id);
       },
@@ -241,7 +273,7 @@
     route.shares.some((share) => share.service === service) ? table.service(service) : undefined;
   /** Charges the quota and starts the run; undefined if the quota is used up. */
   const start = (
-    admitted: Omit<AdmittedRequest, "fingerprint" | "refundQuota">,
+    admitted: UnchargedRequest,
     callerResponse: CallerResponse,
   ): RoutedRun | undefined => {
     const { request, arrival, body } = admitted;
