Encode any number in a digest

Cause: the encoder throws for a number that its field can't express, and the error ends the process.

Change: numbers are limited to what their fields can express, as they are encoded.

--- a/src/process/digest_codec.ts
+++ b/src/process/digest_codec.ts
@@ -21,6 +21,7 @@
 import { UpdateScope } from "./digest.ts";
 import type { Digest, InstanceUpdate, Introduction, Roster, WorkerCounts } from "./digest.ts";
 import type { RolloutPlan } from "./rollout_plan.ts";
+import { unsigned32, unsigned64 } from "./wire_number.ts";
 
 /**
  * Number of unread prompt tokens per unit on the wire. Worker ranking ignores differences below
@@ -46,7 +47,7 @@
     sequence,
     ready,
     reachesStore,
-    leaseVersion: BigInt(digest.leaseVersion),
+    leaseVersion: unsigned64(digest.leaseVersion),
     heardSession: acknowledged?.session ?? 0,
     heardSequence: acknowledged?.sequence ?? 0,
     ...(introduction === undefined ? {} : { introduction }),
@@ -55,9 +56,12 @@
     scope: SCOPES[digest.scope],
     wantsNews: digest.wantsUpdate,
     countsReceiver: digest.includesReceiver,
-    storeAnsweredAt: BigInt(digest.storeAnsweredAt),
+    storeAnsweredAt: unsigned64(digest.storeAnsweredAt),
     current: digest.isCurrent,
-    versions: [...digest.versions].map(([kind, version]) => ({ kind, version: BigInt(version) })),
+    versions: [...digest.versions].map(([kind, version]) => ({
+      kind,
+      version: unsigned64(version),
+    })),
     ...(digest.roster === undefined ? {} : { roster: encodeRoster(digest.roster) }),
     feeds: digest.feedDeltas.map(encodeFeed),
     plans: digest.plans.map(encodePlan),
@@ -77,7 +81,13 @@
     whole: isSnapshot,
     there: live.map(({ session, ready, reachesStore, ...rest }) => {
       const { name, zone, callers, peers, capacity } = rest;
-      const introduction = create(IntroductionSchema, { name, zone, callers, peers, capacity });
+      const introduction = create(IntroductionSchema, {
+        name,
+        zone,
+        callers,
+        peers,
+        capacity: unsigned32(capacity),
+      });
       return create(RosterEntrySchema, { session, ready, reachesStore, introduction });
     }),
     gone: [...removedSessions],
@@ -88,10 +98,10 @@
   return create(RolloutPlanSchema, {
     service: plan.service,
     to: plan.to,
-    fence: BigInt(plan.fence),
+    fence: unsigned64(plan.fence),
     switching: phase === RolloutPhase.Switch,
-    age: Math.max(0, Math.round(plan.age)),
-    startedAt: BigInt(Math.max(0, Math.round(plan.startedAt))),
+    age: unsigned32(plan.age),
+    startedAt: unsigned64(plan.startedAt),
   });
 }
 
@@ -111,7 +121,7 @@
   return create(WorkerLimitSchema, {
     worker,
     ...(perSecond === undefined ? {} : { perSecond }),
-    at: BigInt(Math.max(0, Math.round(at))),
+    at: unsigned64(at),
   });
 }
 
@@ -123,7 +133,7 @@
   return create(PartReportSchema, {
     part: BigInt(`0x${fingerprintDigits(part)}`),
     answered: outcome === PartOutcome.Answer,
-    at: BigInt(Math.max(0, Math.round(at))),
+    at: unsigned64(at),
   });
 }
 
@@ -138,12 +148,12 @@
 function encodeFeed({ kind, from, to, changes, age }: FeedDelta): wire.FeedDelta {
   return create(FeedDeltaSchema, {
     kind,
-    from: BigInt(from),
-    to: BigInt(to),
-    age: Math.max(0, Math.round(age)),
+    from: unsigned64(from),
+    to: unsigned64(to),
+    age: unsigned32(age),
     changes: changes.map(({ object, removed }) => ({
       name: object.name,
-      version: BigInt(object.version),
+      version: unsigned64(object.version),
       removed,
       ...(removed ? { value: "", status: "" } : objectTexts(object)),
     })),
@@ -165,14 +175,16 @@
   const counts = [...update.workerCounts.values()];
   return create(NewsSchema, {
     whole: update.isSnapshot,
-    age: Math.min(MAX_UPTIME, Math.round(update.uptime)),
-    time: BigInt(Math.round(update.time)),
+    age: unsigned32(Math.min(MAX_UPTIME, update.uptime)),
+    time: unsigned64(update.time),
     accounts: accountsOf(update),
-    period: BigInt(lastPeriod(update)),
-    window: BigInt(lastWindow(update)),
+    period: unsigned64(lastPeriod(update)),
+    window: unsigned64(lastWindow(update)),
     workers: [...update.workerCounts.keys()],
-    running: counts.map(({ running }) => running),
-    unread: counts.map(({ unreadTokens }) => Math.ceil(unreadTokens / UNREAD_TOKENS_PER_UNIT)),
+    running: counts.map(({ running }) => unsigned32(running)),
+    unread: counts.map(({ unreadTokens }) =>
+      unsigned32(Math.ceil(unreadTokens / UNREAD_TOKENS_PER_UNIT)),
+    ),
     runs: counts.map(({ runs }) => wrapped(runs)),
     failures: counts.map(({ failures }) => wrapped(failures)),
     leaving: [...update.leavingWorkers],
@@ -199,7 +211,7 @@
       const count = Object.hasOwn(counts, account) ? counts[account] : undefined;
       if (count === undefined) continue;
       while (begun.length <= last - window) begun.push(0);
-      begun[last - window] = count;
+      begun[last - window] = unsigned32(count);
     }
     return create(AccountNewsSchema, {
       account,
@@ -218,7 +230,7 @@
     const list = lists.get(account) ?? [];
     lists.set(account, list);
     while (list.length <= last - period) list.push(0n);
-    list[last - period] = BigInt(Math.max(0, Math.round(amount)));
+    list[last - period] = unsigned64(amount);
   }
   return lists;
 }
--- a/src/process/digest_codec_test.ts
+++ b/src/process/digest_codec_test.ts
@@ -168,3 +168,38 @@
     { object: { name: "w", version: 3, value: null }, removed: false },
   ]);
 });
+
+// Guards against a number that a caller or another program states and that ends the process, because no field of a digest
+// can express it.
+test("a digest with any numbers can be encoded", () => {
+  const number = fc.double();
+  const counts = fc.record({
+    running: number,
+    unreadTokens: number,
+    runs: fc.nat(),
+    failures: fc.nat(),
+  });
+  const plan = fc.record({
+    service: NAME,
+    to: NAME,
+    fence: number,
+    phase: fc.constant(RolloutPhase.Trial),
+    age: number,
+    startedAt: number,
+  });
+  fc.assert(
+    fc.property(DIGEST, UPDATE, counts, plan, number, (digest, update, load, odd, at) => {
+      const workerCounts = new Map([[1, load]]);
+      const admitted = new Map([[admissionKey({ period: 880, account: "club" }), at]]);
+      const encoded = encodeDigest({
+        ...digest,
+        plans: [odd],
+        limits: [{ worker: 1, perSecond: undefined, at }],
+        update: { ...update, uptime: at, workerCounts, admitted },
+      });
+      const unread = Math.max(0, load.unreadTokens || 0);
+      const read = decodeDigest(encoded)?.update?.workerCounts.get(1);
+      expect(read?.unreadTokens).toBe(Math.min(2 ** 38 - 64, Math.ceil(unread / 64) * 64));
+    }),
+  );
+});
