End a rollout order although its recorded start is impossible

Cause: any number counted as a start.

Change: a start must be a whole number that isn't more than a minute ahead of the time that all instances agree on; otherwise the order's start is written anew.

--- a/src/process/rollout_task.ts
+++ b/src/process/rollout_task.ts
@@ -58,7 +58,10 @@
 /** Maximum fraction of the new workers' slots that the current requests may occupy. */
 const MAX_OCCUPANCY = 0.9;
 
-const recordSchema = z.object({ to: z.string(), startedAt: z.number() });
+const recordSchema = z.object({ to: z.string(), startedAt: z.int().nonnegative() });
+
+/** Milliseconds by which an order may seem to start in the future: clocks differ, and may have been set back. */
+const MAX_CLOCK_DIFFERENCE = 60_000;
 
 /** The next state of an order and its reason, for the log. */
 interface Decision {
@@ -103,7 +106,9 @@
     const found = await parts.store.get(key);
     if (found.kind === "unavailable") return knownStart;
     const stored = found.kind === "found" ? parseRecord(found.object.value) : undefined;
-    const isStored = stored?.to === to && knownStart === undefined;
+    // Another program may have written it. An order that starts in the future would never end.
+    const isCredible = (stored?.startedAt ?? 0) <= time() + MAX_CLOCK_DIFFERENCE;
+    const isStored = stored?.to === to && knownStart === undefined && isCredible;
     const record = isStored ? stored : { to, startedAt: knownStart ?? time() };
     if (!isStored) {
       const expect = found.kind === "found" ? found.object.version : 0;
