Answer a later request on a connection of a stopping instance

Cause: the end of a connection was decided before it was known which requests had arrived.

Change: in a stopping instance, a complete answer is written when it is the first on its connection, and only then ends it, unless bytes wait to be parsed. An instance that accepts no requests begins all of them at once.

--- a/src/connection/caller_reading.ts
+++ b/src/connection/caller_reading.ts
@@ -18,7 +18,12 @@
 import { refuseBytes, refuseUnparsed } from "./reading_refusal.ts";
 import { createReadingTurns } from "./reading_turns.ts";
 import type { ReadingTurns } from "./reading_turns.ts";
-import { isBodyGivenUp, receivedBodyBytes, recordReceived } from "../request/index.ts";
+import {
+  isBodyGivenUp,
+  receivedBodyBytes,
+  recordReceived,
+  setUnparsedBytes,
+} from "../request/index.ts";
 import { createReadTimes } from "./read_times.ts";
 import type { ReadTimes } from "./read_times.ts";
 
@@ -115,7 +120,7 @@
   });
   const proceed = (reading: Reading, { isTurn = false } = {}): void => {
     const startedAt = clock.now();
-    parsePending(reading, { turns, check, isTurn: isTurn || isClosedToNew() });
+    parsePending(reading, { turns, check, isTurn, isClosedToNew: isClosedToNew() });
     reading.parsingTime += clock.now() - startedAt;
     if (reading.isOverLimit) stopReading(reading);
     else holdPending(reading);
@@ -158,6 +163,7 @@
       setWaiting: (bytes) => hold.set(bytes),
     };
     readings.set(socket, reading);
+    setUnparsedBytes(socket, () => reading.pending.length);
     socket.removeListener("data", parse);
     socket.on("data", (bytes: Buffer) => {
       const { pending, readTimes } = reading;
@@ -201,9 +207,11 @@
     readonly check: (reading: Reading, bytes: number) => void;
     /** Whether it is the turn of the connection to begin a request. */
     readonly isTurn: boolean;
+    /** Whether all requests begin at once, because they are refused. */
+    readonly isClosedToNew: boolean;
   },
 ): void {
-  const { turns, check, isTurn } = options;
+  const { turns, check, isTurn, isClosedToNew } = options;
   const { socket, latest: previous } = reading;
   if (reading.isParsing || socket.destroyed || reading.isOverLimit) return;
   check(reading, dropIgnored(reading));
@@ -222,7 +230,7 @@
         turns.addPart(reading);
         break;
       }
-    } else if (!(isTurn && reading.latest === previous) && turns.isBehind()) {
+    } else if (!isClosedToNew && !(isTurn && reading.latest === previous) && turns.isBehind()) {
       turns.addRequest(reading);
       break;
     }
--- a/src/connection/caller_reading_test.ts
+++ b/src/connection/caller_reading_test.ts
@@ -232,6 +232,26 @@
   await listener.close();
 });
 
+// Guards against the second of two requests that are refused together: it waited for a turn when the refusal of the first
+// ended the connection.
+test("two requests that arrive together don't wait in an instance that is about to end", async () => {
+  const begun: string[] = [];
+  let begunAtRefusal: string[] | undefined;
+  const listener = await listen(
+    (request) => {
+      begun.push(request.url ?? "");
+      setImmediate(() => (begunAtRefusal ??= [...begun]));
+    },
+    () => undefined,
+    { isLate: () => true, isClosedToNew: () => true },
+  );
+  const socket = await open(listener);
+  socket.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  await expect.poll(() => begunAtRefusal).toEqual(["/1", "/2"]);
+  socket.destroy();
+  await listener.close();
+});
+
 // Guards against requests that are held until their deadlines, and against refusals of what has run.
 test("requests that wait for too long are refused, and none of them is begun", async () => {
   const begun = new Set<string>();
--- a/src/request/caller_response.ts
+++ b/src/request/caller_response.ts
@@ -2,6 +2,7 @@
 import { ReceivedPart } from "../decision/index.ts";
 import type { HeldBytes, ReceiveBudget } from "../decision/index.ts";
 import type { Clock, ResponseHead } from "../interface/index.ts";
+import type { ConnectionEnd } from "./caller_connections.ts";
 import { endAfterRequest } from "./lingering_end.ts";
 import type { RequestMemory } from "./request_memory.ts";
 import { buildResponseHeaders } from "./routed_headers.ts";
@@ -69,6 +70,12 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([401, 404, 413, 429, 503]);
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** The end of a caller's connection in a planned stop. */
+export interface ClosingConnection extends Pick<ConnectionEnd, "endWithResponse" | "whenFirst"> {
+  /** Whether connections end with their answers, because the instance is shutting down. */
+  isStopping(): boolean;
+}
+
 /** The HTTP response to one request, on the caller's connection. */
 export interface CallerResponse {
   /**
@@ -110,52 +117,68 @@
  * Creates the response to a request.
  *
  * @param response The Node.js response to write to.
- * @param options `isClosing` returns whether the connection is to be closed after a response that is known completely,
- * because the instance is shutting down. Any other may take seconds, and a request that arrives meanwhile could not be
- * answered. `budget` limits what is held of workers' responses, `memory` counts what the caller hasn't read.
+ * @param options `connection` decides whether the connection ends with a complete answer. `budget` limits what is held of
+ * workers' responses, `memory` counts what the caller hasn't read.
  */
 export function createCallerResponse(
   response: ServerResponse,
   {
     clock,
-    isClosing,
+    connection,
     budget,
     memory,
   }: {
     readonly clock: Clock;
-    readonly isClosing: () => boolean;
+    readonly connection: ClosingConnection;
     readonly budget: ReceiveBudget;
     readonly memory: Pick<RequestMemory, "setUnread">;
   },
 ): CallerResponse {
-  let isRefused = false;
+  let isAnswered = false;
   const received = budget.open(ReceivedPart.Answer);
   const countUnread = (): void => memory.setUnread(response.writableLength);
   response.on("drain", countUnread);
   response.once("close", () => received.close());
   const startComplete = (status: number, headers: readonly string[]): void => {
-    if (isClosing()) response.shouldKeepAlive = false;
+    if (connection.endWithResponse()) response.shouldKeepAlive = false;
     response.writeHead(status, [...headers]);
   };
+  /**
+   * Sends a complete answer. In an instance that stops, it waits for earlier answers: only then is it known whether
+   * a later request has arrived, which a connection that ends with this answer would leave unanswered.
+   */
+  const answer = (bytes: number, send: () => void): void => {
+    isAnswered = true;
+    if (!connection.isStopping()) {
+      send();
+      return;
+    }
+    memory.setUnread(bytes);
+    connection.whenFirst(() => {
+      if (!response.destroyed) send();
+    });
+  };
   return {
     received,
     get hasStarted() {
       return response.headersSent;
     },
     get isClosed() {
-      return isRefused || response.writableEnded || response.destroyed;
+      return isAnswered || response.writableEnded || response.destroyed;
     },
     sendComplete: (head, body) => {
       const headers = buildResponseHeaders(head);
       // An empty body keeps the worker's content length, because a HEAD response states the length
       // of a body that it does not contain.
       const length = body.length > 0 ? String(body.length) : head.byName.get("content-length");
-      startComplete(
-        head.status,
-        length === undefined ? headers : [...headers, "Content-Length", length],
-      );
-      response.end(body);
-      countUnread();
+      answer(body.length, () => {
+        startComplete(
+          head.status,
+          length === undefined ? headers : [...headers, "Content-Length", length],
+        );
+        response.end(body);
+        countUnread();
+      });
     },
     start: (head) => void response.writeHead(head.status, buildResponseHeaders(head)),
     write: (bytes) => {
@@ -174,11 +197,12 @@
       if (retryAfter !== undefined) {
         headers.push("Retry-After", (retryAfter / MILLISECONDS_PER_SECOND).toFixed(3));
       }
-      isRefused = true;
       // Otherwise the rest of a body that was given up would keep the connection.
       if (reason === RoutedRefusal.CallerMemory) response.shouldKeepAlive = false;
-      startComplete(status, headers);
-      endAfterRequest(response, body, clock);
+      answer(body.length, () => {
+        startComplete(status, headers);
+        endAfterRequest(response, body, clock);
+      });
     },
     onDrain: (listener) => void response.on("drain", listener),
   };
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,5 +1,6 @@
 export * from "./caller_body.ts";
 export * from "./received_at.ts";
+export * from "./unparsed_bytes.ts";
 export * from "./request_memory.ts";
 export { PREFIX_BLOCK_TOKENS } from "./arrival.ts";
 export * from "./request_id.ts";
--- a/src/request/routed_service.ts
+++ b/src/request/routed_service.ts
@@ -106,7 +106,11 @@
     const memory = openRequestMemory(context.callerMemory, request, response);
     const callerResponse = createCallerResponse(response, {
       clock: context.clock,
-      isClosing: () => context.isStopping() && connection.endWithResponse(),
+      connection: {
+        isStopping: () => context.isStopping(),
+        whenFirst: (send) => connection.whenFirst(send),
+        endWithResponse: () => context.isStopping() && connection.endWithResponse(),
+      },
       budget: context.received,
       memory,
     });
