Suspect all parts of a long prompt that crashes workers

Cause: a longer list of parts counted as no list, so that no part was suspected.

Change: as many parts are read as a header of 16 KiB can hold. Evidence keeps more parts than one prompt has, and reports those with most crashes to the other instances, so that a digest holds no more than before.

--- a/src/decision/part_evidence.ts
+++ b/src/decision/part_evidence.ts
@@ -61,9 +61,14 @@
  * meanwhile. A report takes some digests to arrive.
  */
 const MAX_REPORT_AGE = 2 * REPORT_DURATION;
-/** Maximum number of parts whose last answer is known, and of suspected parts; the oldest are evicted. */
-const MAX_ANSWERED_PARTS = 4_096;
-const MAX_SUSPECTS = 512;
+/**
+ * Maximum number of parts whose last answer is known, and of suspected parts; the oldest are evicted. More than the longest
+ * prompts have.
+ */
+const MAX_ANSWERED_PARTS = 16_384;
+const MAX_SUSPECTS = 8_192;
+/** Maximum number of parts whose observations are sent, some 20 bytes each: those with most crashes. */
+const MAX_REPORTED_PARTS = 512;
 const NEVER = -Infinity;
 
 /** Observations of a part with which workers have crashed. Times are in milliseconds since 1970. */
@@ -193,8 +198,8 @@
     },
     recentReports: () => {
       const from = time() - REPORT_DURATION;
-      return [...histories.values()].flatMap(({ suspect, moments, answeredAt, changedAt }) => {
-        if (changedAt < from) return [];
+      const changed = [...histories.values()].filter(({ changedAt }) => changedAt >= from);
+      return mostSuspected(changed).flatMap(({ suspect, moments, answeredAt }) => {
         const { name: part } = suspect;
         const crashes = moments
           .filter((at) => at >= from)
@@ -206,6 +211,14 @@
   };
 }
 
+/** Returns the parts to report. A part that crashes workers is in more prompts than others that nobody answers. */
+function mostSuspected(histories: readonly PartHistory[]): readonly PartHistory[] {
+  if (histories.length <= MAX_REPORTED_PARTS) return histories;
+  return histories
+    .toSorted((a, b) => b.moments.length - a.moments.length)
+    .slice(0, MAX_REPORTED_PARTS);
+}
+
 function evict(entries: Map<string, unknown>, maxSize: number): void {
   for (const name of entries.keys()) {
     if (entries.size <= maxSize) return;
--- a/src/request/request_fingerprint.ts
+++ b/src/request/request_fingerprint.ts
@@ -19,7 +19,7 @@
 /** Start of the names of parts of prompts. */
 const PART_PREFIX = "part-";
 /** Maximum number of parts whose fingerprints are cached; many requests have the same parts. */
-const MAX_CACHED_PARTS = 4_096;
+const MAX_CACHED_PARTS = 16_384;
 const partFingerprints = new Map<string, RequestFingerprint>();
 
 /**
--- a/src/request/routed_arrival.ts
+++ b/src/request/routed_arrival.ts
@@ -134,10 +134,10 @@
 /** `ID:TOKENS`, with a hexadecimal id. */
 const PROMPT_PART_PATTERN = /^\s*([0-9a-fA-F]{1,64}):(\d{1,9})\s*$/;
 /**
- * Maximum number of prompt parts. A longer list is treated as a caller's mistake, and the request
- * is placed by load alone.
+ * Maximum number of prompt parts: as many as a header of 16 KiB can hold. A longer list is treated as a caller's mistake, and
+ * the request is placed by load alone.
  */
-const MAX_PROMPT_PARTS = 64;
+const MAX_PROMPT_PARTS = 4_096;
 
 function parsePromptParts(text: string | undefined): PromptPart[] {
   if (text === undefined) return [];
