Suspect a request that crashes workers late

Cause: a run that had brought events for 300 ms was no suspect, so that a long stream that loses several workers to others isn't quarantined.

Change: of an attempt whose worker ends late, the request counts as a suspect once. A long stream loses its workers within one attempt; a request that crashes workers comes again.

--- a/src/request/crash_suspects.ts
+++ b/src/request/crash_suspects.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * Milliseconds after the first event after which neither the request nor a part of its prompt is the cause of a crash.
- * The cause crashes a worker as soon as it begins to answer.
+ * Milliseconds after the first event after which a part of the prompt isn't the cause of a crash: such a part crashes a
+ * worker as soon as it begins to answer. The request itself may crash it at any time before the end of its answer.
  */
 const ANSWERING_TIME = 300;
 
@@ -50,6 +50,7 @@
 ): CrashSuspects {
   const parts = sharedParts(arrival).map((id) => fingerprintPart(service.name, id));
   let haveAnswer = false;
+  let hasBroken = false;
 
   const recordPartAnswers = (): void => {
     if (haveAnswer) return;
@@ -58,6 +59,11 @@
   };
   const isAnswering = ({ firstEventAt = Infinity }: SuspectRun): boolean =>
     clock.now() - firstEventAt >= ANSWERING_TIME;
+  /**
+   * Returns what may have crashed a worker that had been answering. A long stream may lose several workers to others, and
+   * goes on at the next one each time, so that only its first loss counts; a request that crashes workers comes again.
+   */
+  const lateSuspects = (): RequestFingerprint[] => (hasBroken ? [] : [fingerprint]);
   return {
     remainingTime: () =>
       parts.reduce(
@@ -72,7 +78,8 @@
       recordPartAnswers();
     },
     reportBrokenConnection: (run) => {
-      const suspects = isAnswering(run) ? [] : [fingerprint, ...parts];
+      const suspects = isAnswering(run) ? lateSuspects() : [fingerprint, ...parts];
+      hasBroken = true;
       checks.reportBrokenConnection(run.worker, suspects);
     },
   };
--- a/src/request/crash_suspects_test.ts
+++ b/src/request/crash_suspects_test.ts
@@ -63,6 +63,17 @@
   expect(reported).toEqual([[FINGERPRINT.name, SHARED], []]);
 });
 
+// Guards against a request that crashes each worker some time after its first event and is never suspected, and against
+// the quarantine of a long stream that loses several workers.
+test("only the first loss of a worker that has been answering makes the request a suspect", async () => {
+  const { clock, suspects, reported } = setUp();
+  const run = runWith(clock.now());
+  await clock.advance(300);
+  suspects.reportBrokenConnection(run);
+  suspects.reportBrokenConnection(run);
+  expect(reported).toEqual([[FINGERPRINT.name], []]);
+});
+
 // The crash may follow the first event, which then is no answer.
 test("events count as an answer for the parts only after some time", async () => {
   const { clock, suspects, answered } = setUp();
