Expect a returning worker to be as brittle as its service

Cause: a worker that has just started has stated nothing, so all instances sent it what the others couldn't take.

Change: for 30 s it is expected to be as brittle as the most brittle worker of its service lately, until its first answer.

--- a/src/decision/worker_rooms.ts
+++ b/src/decision/worker_rooms.ts
@@ -46,6 +46,8 @@
   recentReports(): LimitReport[];
   /** Whether the worker is brittle. */
   isBrittle(worker: WorkerHash): boolean;
+  /** Returns the number of rejections per second that the worker survives; undefined if it isn't brittle. */
+  survives(worker: WorkerHash): number | undefined;
   /** Whether this instance may send a request to the worker now. */
   canSend(worker: WorkerHash, load: RoomLoad): boolean;
   /** Records that a request is sent to the worker. `load` doesn't include it yet. */
@@ -88,13 +90,6 @@
   const placesByWorker = new Map<WorkerHash, OwnPlaces>();
   /** When each worker last rejected a request for want of room. */
   const rejectedAt = new Map<WorkerHash, number>();
-  const isPaused = (worker: WorkerHash, slots: number): boolean => {
-    const at = rejectedAt.get(worker);
-    if (at === undefined) return false;
-    const survives = (tries.limitOf(worker) ?? 0) / TRY_FRACTION;
-    const pause = (MS_PER_SECOND * Math.min(slots, options.instances().length)) / survives;
-    return time() - at < Math.min(MAX_REJECTION_PAUSE, Math.max(MIN_REJECTION_PAUSE, pause));
-  };
   const ownPlaces = (worker: WorkerHash, slots: number): number => {
     const instances = options.instances();
     const known = placesByWorker.get(worker);
@@ -104,16 +99,28 @@
     return count;
   };
   const isBrittle = (worker: WorkerHash): boolean => tries.limitOf(worker) !== undefined;
+  const survives = (worker: WorkerHash): number | undefined => {
+    const perSecond = tries.limitOf(worker);
+    return perSecond === undefined ? undefined : perSecond / TRY_FRACTION;
+  };
+  const isPaused = (worker: WorkerHash, slots: number): boolean => {
+    const at = rejectedAt.get(worker);
+    if (at === undefined) return false;
+    const rejections = survives(worker) ?? 0;
+    const pause = (MS_PER_SECOND * Math.min(slots, options.instances().length)) / rejections;
+    return time() - at < Math.min(MAX_REJECTION_PAUSE, Math.max(MIN_REJECTION_PAUSE, pause));
+  };
   const hasOwnPlace = (worker: WorkerHash, { slots, own }: RoomLoad): boolean =>
     own < ownPlaces(worker, slots);
   return {
-    recordAnswer: (worker, { survives, sentAt }) => {
-      const perSecond = survives === undefined ? undefined : survives * TRY_FRACTION;
+    recordAnswer: (worker, { survives: stated, sentAt }) => {
+      const perSecond = stated === undefined ? undefined : stated * TRY_FRACTION;
       tries.recordAnswer(worker, { perSecond, sentAt });
     },
     receiveReport: (report) => tries.receiveReport(report),
     recentReports: () => tries.recentReports(),
     isBrittle,
+    survives,
     canSend: (worker, load) => {
       if (!isBrittle(worker)) return true;
       if (isPaused(worker, load.slots)) return false;
--- a/src/process/routed_worker_table.ts
+++ b/src/process/routed_worker_table.ts
@@ -15,6 +15,7 @@
 import type { Occupancy } from "./peer_occupancy.ts";
 import type { RolloutView } from "./rollout_view.ts";
 import type { RoutedStatus } from "./routed_status.ts";
+import { createServiceBrittleness } from "./service_brittleness.ts";
 import { createServiceTimings } from "./service_timings.ts";
 import { createWorkerSelection } from "./worker_selection.ts";
 import type { WorkerEntry, WorkerSelectionParts } from "./worker_selection.ts";
@@ -146,6 +147,7 @@
   const { limits, onLimit = () => undefined, onLeaving = () => undefined } = parts;
   const { rooms, onPause = () => undefined, onBrittleness = () => undefined } = parts;
   const statements = createWorkerStatements({ clock });
+  const brittleness = createServiceBrittleness(parts.time);
   const { extraCounts = () => new Map<number, RunCounts>() } = parts;
   const entries = new Map<string, WorkerEntry>();
   /** Entries by service, because each request iterates over those of one service. */
@@ -251,6 +253,21 @@
     const shortest = Math.min(timeToSlot, timeToPlace, ...pauseLeft);
     return shortest === Infinity ? undefined : shortest;
   };
+  const recordBrittleness = (): void => {
+    for (const { hash, worker } of entries.values()) {
+      const survives = rooms.survives(hash);
+      if (survives !== undefined) brittleness.record(worker.service, survives);
+    }
+  };
+  /** Forgets what an earlier process has stated, and expects that the new one is as brittle as its service. */
+  const beginProcess = ({ hash, worker: { service } }: WorkerEntry): void => {
+    for (const known of [limits, rooms]) known.forget(hash);
+    const survives = brittleness.expected(service);
+    if (survives === undefined) return;
+    trackBrittleness({ hash, isOwn: false }, () =>
+      rooms.recordAnswer(hash, { survives, sentAt: parts.time() }),
+    );
+  };
   return {
     candidates: (service) => selection.candidates(service),
     hasVersion: (service, version) => selection.hasVersion(service, version),
@@ -265,6 +282,7 @@
     },
     setWorkers: (workers) => {
       const kept = new Set(workers.map(({ id }) => id));
+      recordBrittleness();
       for (const [id, entry] of entries) {
         if (kept.has(id)) continue;
         entry.leaveTimer?.close();
@@ -272,9 +290,9 @@
       }
       for (const worker of workers) {
         const entry = updatedEntry(worker);
-        if (entries.get(worker.id)?.worker.startedAt !== worker.startedAt)
-          for (const known of [limits, rooms]) known.forget(entry.hash);
+        const isSameProcess = entries.get(worker.id)?.worker.startedAt === worker.startedAt;
         entries.set(worker.id, entry);
+        if (!isSameProcess) beginProcess(entry);
         if (entry.isLeaving) scheduleLeave(entry);
       }
       byService = groupByService(entries.values());
--- a/src/process/routed_worker_table_test.ts
+++ b/src/process/routed_worker_table_test.ts
@@ -170,6 +170,60 @@
   expect(sendForSeconds(table, 1)["w0"]).toBe(100);
 });
 
+/** Returns how many requests in progress the worker may get at once, of twelve. */
+function countRoom(table: RoutedWorkerTable, id: string): number {
+  let count = 0;
+  for (; count < 12; count++) {
+    const worker = table.candidates(DESK).find((one) => one.id === id);
+    if (worker === undefined) break;
+    table.begin(worker, { prefillTokens: 0, route: "r" });
+  }
+  return count;
+}
+
+/** Sends the worker a request that it answers with this number of rejections that it survives. */
+function answerWithBrittleness(
+  table: RoutedWorkerTable,
+  id: string,
+  survives: number | undefined,
+): void {
+  const worker = table.candidates(DESK).find((one) => one.id === id);
+  if (worker === undefined) throw new Error(`Worker ${id} accepts no request at the moment.`);
+  const run = table.begin(worker, { prefillTokens: 0, route: "r" });
+  sharedTime.now += 1;
+  run.recordResponse({ limit: undefined, survives });
+  run.end(RunResult.Answered);
+}
+
+const restarted = (id: string): RoutedWorker => ({ ...createTestWorker(id), startedAt: 2 });
+
+// Guards against a brittle worker that falls over again at each return, because it has stated nothing yet.
+test.each([
+  ["under its id", ["w0", "w1"], "w0"],
+  ["under another id", ["w1", "w2"], "w2"],
+])("a worker of a brittle service is expected to be brittle when it returns %s", (_, ids, id) => {
+  const table = createTestTable();
+  expect(countRoom(table, "w0")).toBe(12);
+  answerWithBrittleness(table, "w1", 3);
+  table.setWorkers([createTestWorker("w1")]);
+  table.setWorkers(ids.map((one) => (one === id ? restarted(one) : createTestWorker(one))));
+  expect(countRoom(table, id)).toBeLessThanOrEqual(8);
+});
+
+test("a returned worker is brittle no longer when it answers without saying so", () => {
+  const table = createTestTable();
+  answerWithBrittleness(table, "w0", 3);
+  table.setWorkers([createTestWorker("w1")]);
+  table.setWorkers([restarted("w0"), createTestWorker("w1")]);
+  sharedTime.now += 1;
+  answerWithBrittleness(table, "w0", undefined);
+  expect(countRoom(table, "w0")).toBe(12);
+  // What was stated long ago doesn't count for workers that start later.
+  sharedTime.now += 31_000;
+  table.setWorkers([createTestWorker("w1"), createTestWorker("w2")]);
+  expect(countRoom(table, "w2")).toBe(12);
+});
+
 function leavingIds(table: RoutedWorkerTable): string[] {
   return table
     .workers()
