Take the recorded start of a rollout order up again if it is a fraction

Cause: demanded a whole number, but the time that instances agree on has fractions, so their own records were refused.

Change: the start may be any number that is neither negative nor in the future.

--- a/src/process/rollout_task.ts
+++ b/src/process/rollout_task.ts
@@ -58,7 +58,7 @@
 /** Maximum fraction of the new workers' slots that the current requests may occupy. */
 const MAX_OCCUPANCY = 0.9;
 
-const recordSchema = z.object({ to: z.string(), startedAt: z.int().nonnegative() });
+const recordSchema = z.object({ to: z.string(), startedAt: z.number().nonnegative() });
 
 /** Milliseconds by which an order may seem to start in the future: clocks differ, and may have been set back. */
 const MAX_CLOCK_DIFFERENCE = 60_000;
